--- /dev/null
+++ b/crates/entry/src/agreement.rs
@@ -0,0 +1,650 @@
+//! The thread that owns the agreement, the disk and the replicated state.
+
+use crate::link::Link;
+use crate::shared::Shared;
+use async_std::channel::Sender;
+use fleet::{Command, Fleet, Incarnation, Slot};
+use log::{error, info, warn};
+use quorum::{Id, Index, Membership, Node, Output, Payload, Role, Snapshot, Term};
+use record::{Key, Kind};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+use store::Store;
+use wire::Frame;
+use wire::frame::{Answer, Propose, Proposed, RequestId, Status};
+
+/// Longest wait between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+/// Inputs taken together before their entries are synced.
+const BATCH_INPUTS: usize = 512;
+/// Entries after which the log is replaced by a snapshot.
+const COMPACT_ENTRIES: u64 = 1024;
+/// How long a blank entry waits for a leader before it asks its data centre.
+const FETCH_AFTER: Duration = Duration::from_secs(2);
+/// Operator name under which the founding voters are recorded.
+const FOUNDING: &str = "founding";
+
+/// Input of the agreement thread.
+pub enum Input {
+    /// A connection was made.
+    Up(Link),
+    /// A connection was lost.
+    Down(Id, u64),
+    /// A peer sent a frame.
+    Frame(Id, Frame),
+    /// A task wants a command agreed on.
+    Propose(Command, Sender<Answer>),
+    /// The process ends.
+    Stop,
+}
+
+/// Where the agreement stands, for queries.
+#[derive(Clone, Debug, Serialize)]
+pub struct View {
+    /// What this entry does.
+    pub role: Role,
+    /// Present term.
+    pub term: Term,
+    /// The leader, if one is known.
+    pub leader: Option<Id>,
+    /// Last committed index.
+    pub commit: Index,
+    /// Last index in the log.
+    pub last_index: Index,
+    /// Last index that the snapshot covers.
+    pub base_index: Index,
+    /// Voters and cluster number.
+    pub membership: Membership,
+    /// Time since a leader in touch with a majority was heard from.
+    pub silence: Option<Duration>,
+    /// Whether no state of any cluster is known here.
+    pub blank: bool,
+    /// Why commands are no longer applied, if so.
+    pub held: Option<String>,
+    /// Why the disk takes nothing more, if so.
+    pub disk_failure: Option<String>,
+    /// Bytes of the log file; none without a data folder.
+    pub log_bytes: Option<u64>,
+}
+
+impl View {
+    /// The view before the agreement has started.
+    pub fn blank() -> View {
+        View {
+            role: Role::Follower,
+            term: 0,
+            leader: None,
+            commit: 0,
+            last_index: 0,
+            base_index: 0,
+            membership: Membership::default(),
+            silence: None,
+            blank: true,
+            held: None,
+            disk_failure: None,
+            log_bytes: None,
+        }
+    }
+}
+
+/// Who waits for a proposal.
+enum Waiter {
+    Local(Sender<Answer>),
+    Remote(Id, RequestId),
+}
+
+struct Pending {
+    term: Term,
+    waiter: Waiter,
+}
+
+struct Forwarded {
+    leader: Id,
+    reply: Sender<Answer>,
+}
+
+/// The agreement of one process.
+pub struct Agreement {
+    shared: Arc<Shared>,
+    node: Node,
+    store: Option<Store>,
+    pending: BTreeMap<Index, Pending>,
+    forwarded: BTreeMap<RequestId, Forwarded>,
+    next_request: RequestId,
+    statuses: BTreeMap<Id, Status>,
+    held: Option<String>,
+    disk_failure: Option<String>,
+    blank_since: Duration,
+    announced: Index,
+}
+
+impl Agreement {
+    /// Takes over the node and its disk, and puts the recovered state in force.
+    pub fn new(shared: Arc<Shared>, node: Node, store: Option<Store>, state: &[u8]) -> Agreement {
+        let mut agreement = Agreement {
+            shared,
+            node,
+            store,
+            pending: BTreeMap::new(),
+            forwarded: BTreeMap::new(),
+            next_request: 0,
+            statuses: BTreeMap::new(),
+            held: None,
+            disk_failure: None,
+            blank_since: Duration::ZERO,
+            announced: 0,
+        };
+        agreement.restore(state);
+        agreement
+    }
+
+    /// Runs until [`Input::Stop`].
+    pub fn run(mut self, inputs: Receiver<Input>) {
+        self.settle();
+        loop {
+            match inputs.recv_timeout(TICK) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Ok(input) => self.input(input),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for _ in 0..BATCH_INPUTS {
+                match inputs.try_recv() {
+                    Ok(Input::Stop) => {
+                        self.settle();
+                        return;
+                    }
+                    Ok(input) => self.input(input),
+                    Err(_) => break,
+                }
+            }
+            let now = self.shared.clock.now();
+            self.node.tick(now);
+            self.housekeeping(now);
+            self.settle();
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = self.shared.clock.now();
+        match input {
+            Input::Up(link) => self.up(link),
+            Input::Down(id, serial) => self.down(&id, serial),
+            Input::Frame(from, frame) => self.frame(now, from, frame),
+            Input::Propose(command, reply) => self.propose(now, command, reply),
+            Input::Stop => {}
+        }
+    }
+
+    fn up(&mut self, link: Link) {
+        let id = link.id();
+        link.send(Frame::Status(self.status()));
+        let old = self.shared.links.write().expect("no holder panics").insert(id.clone(), link);
+        if let Some(old) = old {
+            old.close();
+        }
+        info!("connected to entry {id}");
+        self.node.connect(id);
+    }
+
+    fn down(&mut self, id: &Id, serial: u64) {
+        let mut links = self.shared.links.write().expect("no holder panics");
+        if links.get(id).is_none_or(|link| link.serial != serial) {
+            return; // a newer connection took its place
+        }
+        links.remove(id);
+        drop(links);
+        info!("disconnected from entry {id}");
+        self.node.disconnect(id);
+        self.statuses.remove(id);
+        let lost: Vec<RequestId> = self
+            .forwarded
+            .iter()
+            .filter(|(_, forwarded)| forwarded.leader == *id)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in lost {
+            self.finish_forwarded(request, Answer::Unknown("the leader was lost".to_string()));
+        }
+    }
+
+    fn frame(&mut self, now: Duration, from: Id, frame: Frame) {
+        if self.is_foreign(&from) {
+            return;
+        }
+        match frame {
+            Frame::Quorum(message) => self.node.receive(now, &from, message),
+            Frame::Propose(propose) => self.propose_for(now, from, propose),
+            Frame::Proposed(proposed) => self.finish_forwarded(proposed.id, proposed.answer),
+            Frame::Status(status) => self.take_status(from, status),
+            Frame::Fetch => self.serve_state(&from),
+            Frame::Fetched(snapshot) => self.take_state(snapshot),
+            _ => {}
+        }
+    }
+
+    /// Whether a peer belongs to another founding of a cluster of this name.
+    fn is_foreign(&self, from: &Id) -> bool {
+        let own = self.node.membership().cluster;
+        let theirs = self.statuses.get(from).map_or(0, |status| status.cluster);
+        own != 0 && theirs != 0 && own != theirs
+    }
+
+    fn take_status(&mut self, from: Id, status: Status) {
+        self.shared.note_in_force(&from.name, status.applied);
+        self.statuses.insert(from.clone(), status);
+        if self.is_foreign(&from) {
+            self.count("peer_foreign_cluster_total");
+            warn!("entry {from} belongs to another founding of this cluster; it is ignored");
+        }
+    }
+
+    fn count(&self, name: &'static str) {
+        metrics::counter!(name, "entry" => self.shared.identity.name.clone()).increment(1);
+    }
+}
+
+/// Proposals.
+impl Agreement {
+    fn propose(&mut self, now: Duration, command: Command, reply: Sender<Answer>) {
+        match self.node.propose(now, encode(&command)) {
+            Ok(index) => {
+                let pending = Pending { term: self.node.term(), waiter: Waiter::Local(reply) };
+                self.pending.insert(index, pending);
+            }
+            Err(quorum::Error::NotLeader { leader: Some(leader) }) => {
+                self.forward(leader, command, reply);
+            }
+            Err(error) => {
+                let _ = reply.try_send(Answer::NotTaken(format!("{error}, and none is known")));
+            }
+        }
+    }
+
+    fn forward(&mut self, leader: Id, command: Command, reply: Sender<Answer>) {
+        let links = self.shared.links.read().expect("no holder panics");
+        let Some(link) = links.get(&leader) else {
+            let reason = format!("no connection to the leader, entry {}", leader.name);
+            let _ = reply.try_send(Answer::NotTaken(reason));
+            return;
+        };
+        self.next_request += 1;
+        let id = self.next_request;
+        link.send(Frame::Propose(Propose { id, command }));
+        drop(links);
+        self.forwarded.retain(|_, forwarded| !forwarded.reply.is_closed());
+        self.forwarded.insert(id, Forwarded { leader, reply });
+    }
+
+    fn finish_forwarded(&mut self, id: RequestId, answer: Answer) {
+        if let Some(forwarded) = self.forwarded.remove(&id) {
+            let _ = forwarded.reply.try_send(answer);
+        }
+    }
+
+    fn propose_for(&mut self, now: Duration, from: Id, propose: Propose) {
+        let waiter = Waiter::Remote(from, propose.id);
+        match self.node.propose(now, encode(&propose.command)) {
+            Ok(index) => {
+                self.pending.insert(index, Pending { term: self.node.term(), waiter });
+            }
+            Err(error) => self.answer(waiter, Answer::NotTaken(error.to_string())),
+        }
+    }
+
+    fn answer(&self, waiter: Waiter, answer: Answer) {
+        match waiter {
+            Waiter::Local(reply) => {
+                let _ = reply.try_send(answer);
+            }
+            Waiter::Remote(to, id) => {
+                self.shared.send(&to, Frame::Proposed(Proposed { id, answer }));
+            }
+        }
+    }
+
+    /// Proposals of a lost term may still commit under the next leader.
+    fn give_up_pending(&mut self) {
+        let lost = !self.node.leads();
+        let term = self.node.term();
+        let given_up: Vec<Index> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| lost || pending.term != term)
+            .map(|(index, _)| *index)
+            .collect();
+        for index in given_up {
+            let Some(pending) = self.pending.remove(&index) else { continue };
+            let reason = "the leader lost its lead; resend with the same submission id";
+            self.answer(pending.waiter, Answer::Unknown(reason.to_string()));
+        }
+    }
+}
+
+/// Carrying out what the node decides.
+impl Agreement {
+    /// Syncs, sends and applies until the node has nothing more to do.
+    fn settle(&mut self) {
+        while let Some(output) = self.node.take() {
+            if !self.save(&output) {
+                break;
+            }
+            self.node.persisted();
+            if let Some(snapshot) = &output.install {
+                self.restore(&snapshot.data);
+            }
+            for envelope in output.messages {
+                self.shared.send(&envelope.to, Frame::Quorum(envelope.message));
+            }
+            self.apply(output.committed);
+        }
+        self.give_up_pending();
+        self.compact();
+        self.publish();
+    }
+
+    /// Makes an output durable. After a failure nothing that rests on the disk
+    /// is said any more.
+    fn save(&mut self, output: &Output) -> bool {
+        let Some(store) = &mut self.store else { return true };
+        if !output.needs_sync() {
+            return !store.has_failed();
+        }
+        match store.save(output) {
+            Ok(()) => true,
+            Err(store::Error::Failed) => false,
+            Err(error) => {
+                error!("disk failed, this entry takes no more part in agreement: {error}");
+                self.disk_failure = Some(error.to_string());
+                self.count("disk_failures_total");
+                false
+            }
+        }
+    }
+
+    fn restore(&mut self, state: &[u8]) {
+        if state.is_empty() {
+            return;
+        }
+        match ciborium::from_reader::<Fleet, _>(state) {
+            Ok(fleet) => *self.shared.fleet.write().expect("no holder panics") = fleet,
+            Err(error) => self.hold(format!("cannot read the snapshot: {error}")),
+        }
+        self.shared.touch();
+    }
+
+    fn hold(&mut self, reason: String) {
+        error!("this entry keeps what it has in force: {reason}");
+        self.held = Some(reason);
+    }
+
+    fn apply(&mut self, committed: Vec<quorum::Entry>) {
+        if committed.is_empty() {
+            return;
+        }
+        let shared = self.shared.clone();
+        let mut fleet = shared.fleet.write().expect("no holder panics");
+        let mut answers = Vec::new();
+        for entry in committed {
+            if self.held.is_some() {
+                break;
+            }
+            let outcome = match apply_entry(&mut fleet, &entry) {
+                Ok(outcome) => outcome,
+                Err(reason) => {
+                    self.hold(reason);
+                    break;
+                }
+            };
+            if let Some(pending) = self.pending.remove(&entry.index) {
+                answers.push((pending, entry.term, outcome));
+            }
+        }
+        drop(fleet);
+        for (pending, term, outcome) in answers {
+            let answer = if pending.term == term {
+                Answer::Applied(outcome)
+            } else {
+                Answer::NotTaken("another leader's entry took its place".to_string())
+            };
+            self.answer(pending.waiter, answer);
+        }
+        shared.touch();
+    }
+
+    fn compact(&mut self) {
+        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let applied = fleet.applied();
+        if self.held.is_some() || applied < self.node.base_index() + COMPACT_ENTRIES {
+            return;
+        }
+        let data = encode(&*fleet);
+        drop(fleet);
+        let Some(snapshot) = self.node.compact(data, applied) else { return };
+        let Some(store) = &mut self.store else { return };
+        let entries = self.node.entries_after(snapshot.index);
+        if let Err(error) = store.compact(&snapshot, &entries) {
+            error!("disk failed while writing a snapshot: {error}");
+            self.disk_failure = Some(error.to_string());
+        }
+    }
+
+    fn publish(&mut self) {
+        let now = self.shared.clock.now();
+        let view = View {
+            role: self.node.role(),
+            term: self.node.term(),
+            leader: self.node.leader().cloned(),
+            commit: self.node.commit(),
+            last_index: self.node.last_index(),
+            base_index: self.node.base_index(),
+            membership: self.node.membership(),
+            silence: self.node.silence(now),
+            blank: self.node.is_blank(),
+            held: self.held.clone(),
+            disk_failure: self.disk_failure.clone(),
+            log_bytes: self.store.as_ref().map(Store::log_bytes),
+        };
+        let before = self.shared.view.swap(Arc::new(view));
+        if before.leader.as_ref() != self.node.leader() {
+            let name = self.node.leader().map_or("none", |leader| leader.name.as_str());
+            info!("leader of term {} is {name}", self.node.term());
+        }
+        let applied = self.shared.fleet.read().expect("no holder panics").applied();
+        if applied > self.announced {
+            self.announced = applied;
+            self.shared.note_in_force(&self.shared.identity.name, applied);
+            let status = self.status();
+            for link in self.shared.links() {
+                link.send(Frame::Status(status.clone()));
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let entries = &self.shared.settings.entries;
+        Status {
+            applied: self.shared.fleet.read().expect("no holder panics").applied(),
+            blank: self.node.is_blank(),
+            cluster: self.node.membership().cluster,
+            founders: entries.iter().filter(|e| e.voter).map(|e| e.name.clone()).collect(),
+        }
+    }
+}
+
+/// Founding, voters, and state for blank entries.
+impl Agreement {
+    fn housekeeping(&mut self, now: Duration) {
+        if self.node.is_blank() {
+            self.found_if_first();
+            self.fetch_if_alone(now);
+        } else {
+            self.blank_since = now;
+        }
+        if self.node.has_lease(now) {
+            self.record_founders(now);
+            self.step_voters(now);
+        }
+    }
+
+    /// Founds the cluster when this is the first of the founding voters by name,
+    /// every founding voter is connected and blank, and no peer knows a cluster.
+    fn found_if_first(&mut self) {
+        let founders = self.status().founders;
+        let first = founders.iter().min() == Some(&self.shared.identity.name);
+        let known = self.statuses.values().any(|status| !status.blank);
+        if !first || known || self.store.is_none() {
+            return;
+        }
+        let mut voters = BTreeSet::from([self.node.id().clone()]);
+        for link in self.shared.links() {
+            let agrees = self.statuses.get(&link.id()).is_some_and(|s| s.founders == founders);
+            if agrees && link.identity.durable && founders.contains(&link.identity.name) {
+                voters.insert(link.id());
+            }
+        }
+        if voters.len() < founders.len() {
+            return;
+        }
+        let cluster = rand::random::<u64>().max(1);
+        info!("founding cluster {cluster:016x} with {} voters", voters.len());
+        self.node.found(Membership { cluster, voters });
+    }
+
+    /// A blank entry without a leader takes its data centre's state. Another
+    /// data centre's could be older than what was in force here.
+    fn fetch_if_alone(&mut self, now: Duration) {
+        if self.node.leader().is_some() || now < self.blank_since + FETCH_AFTER {
+            return;
+        }
+        self.blank_since = now;
+        let here = &self.shared.identity.data_centre;
+        let best = self
+            .shared
+            .links()
+            .into_iter()
+            .filter(|link| link.identity.data_centre == *here)
+            .filter_map(|link| Some((self.statuses.get(&link.id())?.applied, link)))
+            .filter(|(applied, _)| *applied > 0)
+            .max_by_key(|(applied, _)| *applied);
+        if let Some((_, link)) = best {
+            link.send(Frame::Fetch);
+        }
+    }
+
+    fn serve_state(&self, to: &Id) {
+        let fleet = self.shared.fleet.read().expect("no holder panics");
+        if fleet.applied() == 0 || self.held.is_some() {
+            return;
+        }
+        let snapshot = self.node.export(encode(&*fleet));
+        self.shared.send(to, Frame::Fetched(snapshot));
+    }
+
+    fn take_state(&mut self, snapshot: Snapshot) {
+        let index = snapshot.index;
+        if self.node.is_blank() && self.node.install(snapshot) {
+            self.shared.recovered.store(true, Ordering::Release);
+            info!("took the state at index {index} from a peer");
+        }
+    }
+
+    /// Writes the founding voters down as records, once.
+    fn record_founders(&mut self, now: Duration) {
+        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let recorded = voter_records(&fleet).next().is_some();
+        drop(fleet);
+        if recorded || !self.pending.is_empty() {
+            return;
+        }
+        let voters = self.node.membership().voters;
+        let changes = voters.iter().map(|id| fleet::Change::Put(voter_document(id))).collect();
+        let submission = fleet::Submission {
+            operator: FOUNDING.to_string(),
+            id: FOUNDING.to_string(),
+            at: self.shared.clock.wall(),
+            changes,
+        };
+        let (reply, _) = async_std::channel::bounded(1);
+        self.propose(now, Command::Submit(submission), reply);
+    }
+
+    /// Brings the voters one step closer to the voter records.
+    fn step_voters(&mut self, now: Duration) {
+        let present = self.node.membership().voters;
+        let wanted = self.wanted_voters(&present);
+        let mut next = present.clone();
+        if let Some(gone) = present.difference(&wanted).next() {
+            next.remove(gone);
+        } else if let Some(new) = wanted.difference(&present).find(|id| self.has_caught_up(id)) {
+            next.insert(new.clone());
+        }
+        let changed = next != present;
+        if changed && self.node.reaches(&next) && self.node.propose_voters(now, next).is_ok() {
+            info!("proposed a change of voters");
+        }
+    }
+
+    fn wanted_voters(&self, present: &BTreeSet<Id>) -> BTreeSet<Id> {
+        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let mut wanted = present.clone();
+        for (key, slot) in voter_records(&fleet) {
+            wanted.retain(|id| id.name != key.name);
+            let spec = slot.document.check().ok().filter(|_| !slot.withdrawn);
+            if let Some(record::Spec::VoterV1(voter)) = spec {
+                wanted.extend(voter.number().map(|number| Id::new(key.name.clone(), number)));
+            }
+        }
+        wanted
+    }
+
+    fn has_caught_up(&self, id: &Id) -> bool {
+        let held = self.node.matched().get(id).copied().unwrap_or_default();
+        let links = self.shared.links.read().expect("no holder panics");
+        let durable = links.get(id).is_some_and(|link| link.identity.durable);
+        durable && held >= self.node.commit()
+    }
+}
+
+fn apply_entry(fleet: &mut Fleet, entry: &quorum::Entry) -> Result<Option<fleet::Outcome>, String> {
+    match &entry.payload {
+        Payload::Noop => {
+            fleet.skip(entry.index);
+            Ok(None)
+        }
+        Payload::Voters(membership) => {
+            let voters = membership.voters.iter().map(Id::to_string).collect();
+            fleet.note_voters(entry.index, voters);
+            Ok(None)
+        }
+        Payload::Data(data) => {
+            let command: Command = ciborium::from_reader(data.as_slice())
+                .map_err(|error| format!("cannot read index {}: {error}", entry.index))?;
+            fleet.apply(entry.index, &command).map_err(|error| error.to_string())
+        }
+    }
+}
+
+fn voter_records(fleet: &Fleet) -> impl Iterator<Item = (&Key, &Slot)> {
+    fleet.records().range(Key::new(Kind::Voter, "")..).filter(|(key, _)| key.kind == Kind::Voter)
+}
+
+fn voter_document(id: &Id) -> record::Document {
+    let incarnation: Incarnation = id.incarnation;
+    record::Document {
+        kind: Kind::Voter,
+        schema: 1,
+        name: id.name.clone(),
+        revision: None,
+        spec: serde_json::json!({ "incarnation": format!("{incarnation:016x}") }),
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("values serialise to memory");
+    bytes
+}
--- /dev/null
+++ b/crates/entry/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP for callers, targets and operators.
+
+pub mod callers;
+pub mod listener;
+pub mod operators;
+pub mod reply;
+pub mod targets;
--- /dev/null
+++ b/crates/entry/src/http/targets.rs
@@ -0,0 +1,69 @@
+//! Announcements of targets.
+
+use crate::http::reply::{self, Result};
+use crate::shared::Shared;
+use route::Announcement;
+use route::target::{Reply, Sighting, State};
+use std::sync::Arc;
+use std::time::Duration;
+use tide::{Request, Server, StatusCode};
+use wire::Frame;
+
+const MAX_ANNOUNCEMENT_BYTES: usize = 4096;
+/// Time until the next announcement of an instance that is about to move.
+const MOVING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The application for targets.
+pub fn app(shared: Arc<Shared>) -> Server<Arc<Shared>> {
+    let mut app = Server::with_state(shared);
+    app.at("/announcements").post(announce);
+    app
+}
+
+async fn announce(mut request: Request<Arc<Shared>>) -> Result {
+    let shared = request.state().clone();
+    if !reply::carries(&request, &shared.settings.target_token) {
+        let name = shared.identity.name.clone();
+        metrics::counter!("targets_refused_total", "entry" => name).increment(1);
+        return reply::fault(StatusCode::Unauthorized, "authorization: is not the target token");
+    }
+    let Some(body) = reply::read_body(&mut request, MAX_ANNOUNCEMENT_BYTES).await? else {
+        return reply::fault(StatusCode::PayloadTooLarge, "body: is too long");
+    };
+    let mut deserializer = serde_json::Deserializer::from_slice(&body);
+    match serde_path_to_error::deserialize::<_, Announcement>(&mut deserializer) {
+        Ok(announcement) => {
+            let reply = hear(&shared, announcement);
+            reply::json(StatusCode::Ok, &reply)
+        }
+        Err(error) => reply::fault(StatusCode::BadRequest, &error.to_string()),
+    }
+}
+
+/// Takes in an announcement; a change is passed on to the data centre at once.
+fn hear(shared: &Shared, announcement: Announcement) -> Reply {
+    let now = shared.clock.now();
+    let instance = announcement.instance.clone();
+    let leaving = announcement.state == State::Leaving;
+    let sighting = Sighting { announcement: announcement.clone(), age: Duration::ZERO };
+    let changed = shared.directory().hear(now, Duration::ZERO, announcement);
+    let moving = is_moving(shared, &instance);
+    if changed || moving {
+        shared.touch();
+        for link in shared.links() {
+            if link.identity.data_centre == shared.identity.data_centre {
+                link.send(Frame::Sightings(vec![sighting.clone()]));
+            }
+        }
+    }
+    let fleet = shared.fleet.read().expect("no holder panics");
+    let pool = shared.directory().pool(&fleet, &instance);
+    let interval =
+        if moving || leaving { MOVING_INTERVAL } else { shared.settings.announce.interval };
+    Reply { next_ms: interval.as_millis() as u64, pool }
+}
+
+fn is_moving(shared: &Shared, instance: &str) -> bool {
+    let fleet = shared.fleet.read().expect("no holder panics");
+    fleet.placements().get(instance).is_some_and(|placement| placement.step.is_some())
+}
--- /dev/null
+++ b/crates/entry/src/keeper.rs
@@ -0,0 +1,126 @@
+//! Background tasks: routing table, sharing of announcements, joining the
+//! cluster, confirming releases.
+
+use crate::shared::Shared;
+use async_std::future::timeout;
+use async_std::task;
+use fleet::command::{Join, Leave, Release};
+use fleet::{Command, Fleet};
+use log::info;
+use route::directory::Released;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use wire::Frame;
+
+/// Longest time between two looks at expired targets and pending moves.
+const REBUILD_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two rounds of passing announcements on.
+const SHARE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two tries to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Rebuilds the routing table whenever records or targets change.
+pub async fn keep_table(shared: Arc<Shared>) {
+    while !shared.is_stopping() || !shared.links().is_empty() {
+        let woken = timeout(REBUILD_INTERVAL, shared.changed.recv()).await.is_ok();
+        let now = shared.clock.now();
+        let expired = shared.directory().expire(now);
+        if woken || expired {
+            rebuild(&shared);
+        }
+        release_idle(&shared).await;
+    }
+}
+
+fn rebuild(shared: &Shared) {
+    let fleet = shared.fleet.read().expect("no holder panics");
+    let ready = is_ready(shared, &fleet);
+    let mut directory = shared.directory();
+    let table = directory.table(&fleet, ready);
+    shared.forwarder.keep_only(&table);
+    let before = shared.table.swap(Arc::new(table));
+    // A request that read the old table may still be about to take a slot, so
+    // releases wait for the next round.
+    directory.withdraw(&fleet, shared.clock.now());
+    if before.ready != ready {
+        info!("routing is {}", if ready { "ready" } else { "not ready" });
+    }
+}
+
+/// Whether requests may be routed. No move ends without a member of its data
+/// centre, in this life; an entry that can't join for now may still go on with a
+/// state that is no older than what its earlier life had in force.
+fn is_ready(shared: &Shared, fleet: &Fleet) -> bool {
+    let member = fleet.members().contains_key(&shared.identity.name);
+    let recovered = shared.recovered.load(Ordering::Acquire);
+    shared.has_joined(fleet) || (member && recovered)
+}
+
+/// Confirms moves of instances that this entry has nothing in flight at.
+async fn release_idle(shared: &Shared) {
+    let released: Vec<Released> = {
+        let fleet = shared.fleet.read().expect("no holder panics");
+        let now = shared.clock.now();
+        if !shared.has_joined(&fleet) {
+            return;
+        }
+        shared.directory().releasable(&fleet, &shared.identity.name, now)
+    };
+    for Released { instance, began } in released {
+        let release = Release {
+            entry: shared.identity.name.clone(),
+            incarnation: shared.identity.life,
+            instance,
+            began,
+            at: shared.clock.wall(),
+        };
+        shared.propose(Command::Release(release)).await;
+    }
+}
+
+/// Passes announcements that this entry heard on to its data centre.
+pub async fn share_sightings(shared: Arc<Shared>) {
+    let mut since = Duration::ZERO;
+    while !shared.is_stopping() {
+        task::sleep(SHARE_INTERVAL).await;
+        let now = shared.clock.now();
+        let sightings = shared.directory().sightings_since(now, since);
+        since = now;
+        if sightings.is_empty() {
+            continue;
+        }
+        for link in shared.links() {
+            if link.identity.data_centre == shared.identity.data_centre {
+                link.send(Frame::Sightings(sightings.clone()));
+            }
+        }
+    }
+}
+
+/// Joins the cluster once this entry has its state, and again after a dismissal.
+pub async fn keep_joined(shared: Arc<Shared>) {
+    while !shared.is_stopping() {
+        let joined = shared.has_joined(&shared.fleet.read().expect("no holder panics"));
+        if !joined && shared.view.load().leader.is_some() {
+            let join = Join {
+                entry: shared.identity.name.clone(),
+                data_centre: shared.identity.data_centre.clone(),
+                incarnation: shared.identity.life,
+                at: shared.clock.wall(),
+            };
+            shared.propose(Command::Join(join)).await;
+        }
+        task::sleep(JOIN_INTERVAL).await;
+    }
+}
+
+/// Leaves the cluster, so that no move waits for this entry.
+pub async fn leave(shared: &Shared) {
+    let leave = Leave {
+        entry: shared.identity.name.clone(),
+        incarnation: shared.identity.life,
+        at: shared.clock.wall(),
+    };
+    shared.propose(Command::Leave(leave)).await;
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,242 @@
+//! One entry process from its settings to its graceful stop.
+
+use crate::agreement::{Agreement, Input, View};
+use crate::clock::{Clock, System};
+use crate::forward::Forwarder;
+use crate::http::listener::{Listener, Stopper};
+use crate::http::{callers, operators, targets};
+use crate::peers::{self, Registry};
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::{keeper, settings};
+use arc_swap::ArcSwap;
+use async_std::net::{SocketAddr, TcpListener};
+use async_std::task::{self, JoinHandle};
+use log::info;
+use metrics_exporter_prometheus::PrometheusHandle;
+use quorum::{Id, Node, State};
+use route::{Directory, Table};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, sync_channel};
+use std::sync::{Arc, Mutex, RwLock};
+use std::thread;
+use store::{Disk, Store};
+use wire::proof::Identity;
+
+/// Result of starting an entry.
+pub type Result<T> = std::result::Result<T, Error>;
+
+const INPUT_QUEUE: usize = 4096;
+/// Longest wait for requests in flight and for the cluster to note the leave.
+const STOP_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// Why an entry can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[error("{field}: cannot listen on {address}: {source}")]
+    Listen {
+        /// Path of the setting.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The operating system's reason.
+        source: io::Error,
+    },
+    /// The data folder can't be used.
+    #[error("data_folder: {0}")]
+    Store(#[from] store::Error),
+    /// The operating system gives no thread.
+    #[error("cannot start a thread: {0}")]
+    Thread(io::Error),
+}
+
+/// Sockets of an entry that does not run yet.
+#[derive(Debug)]
+pub struct Bound {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For targets.
+    pub targets: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+    /// For other entries.
+    pub peers: TcpListener,
+}
+
+impl Bound {
+    /// Listens on the addresses of the settings.
+    pub async fn bind(settings: &Settings) -> Result<Bound> {
+        let listen = &settings.listen;
+        Ok(Bound {
+            callers: bind("listen.callers", listen.callers).await?,
+            targets: bind("listen.targets", listen.targets).await?,
+            operators: bind("listen.operators", listen.operators).await?,
+            peers: bind("entries.address", settings.own().address).await?,
+        })
+    }
+}
+
+async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| Error::Listen { field, address, source })
+}
+
+/// A running entry.
+pub struct Process {
+    shared: Arc<Shared>,
+    agreement: thread::JoinHandle<()>,
+    stoppers: Vec<Stopper>,
+    listeners: Vec<JoinHandle<()>>,
+    keepers: Vec<JoinHandle<()>>,
+    peers: JoinHandle<()>,
+    dialers: Vec<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Reads the data folder and starts to serve on the bound sockets.
+    pub fn start(settings: Settings, bound: Bound, metrics: PrometheusHandle) -> Result<Process> {
+        let clock: Arc<dyn Clock> = Arc::new(System::new());
+        let life = rand::random();
+        let (store, incarnation, state) = open_store(&settings, life)?;
+        let identity = identity(&settings, incarnation, life);
+        let (inputs, queue) = sync_channel(INPUT_QUEUE);
+        let (changes, changed) = async_std::channel::bounded(1);
+        let announce = &settings.announce;
+        let directory = Directory::new(identity.data_centre.clone(), announce.expiry);
+        let forwarder = Forwarder::new(
+            clock.clone(),
+            settings.name.clone(),
+            life,
+            settings.limits.max_answer_bytes,
+        );
+        let shared = Arc::new(Shared {
+            identity,
+            clock,
+            table: ArcSwap::from_pointee(Table::default()),
+            directory: Mutex::new(directory),
+            fleet: RwLock::default(),
+            view: ArcSwap::from_pointee(View::blank()),
+            links: RwLock::new(BTreeMap::new()),
+            in_force: Mutex::default(),
+            forwarder,
+            stopping: AtomicBool::new(false),
+            recovered: AtomicBool::new(state.commit > 0),
+            inputs,
+            changes,
+            changed,
+            settings,
+        });
+        let agreement = start_agreement(shared.clone(), store, state, queue)?;
+        Ok(serve(shared, agreement, bound, metrics))
+    }
+
+    /// What the tasks share, for tests and the demo.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops gracefully: turns the health check, finishes requests in flight,
+    /// leaves the cluster and joins everything that was spawned.
+    pub async fn stop(self) {
+        let shared = self.shared;
+        info!("stopping");
+        shared.stopping.store(true, Ordering::Release);
+        task::sleep(shared.settings.limits.stop_notice).await;
+        drop(self.stoppers);
+        for listener in self.listeners {
+            listener.await;
+        }
+        let left = async_std::future::timeout(STOP_TIMEOUT, keeper::leave(&shared)).await;
+        if left.is_err() {
+            info!("stopped without the cluster's note, it may be cut off");
+        }
+        self.peers.cancel().await;
+        for dialer in self.dialers {
+            dialer.cancel().await;
+        }
+        for link in shared.links() {
+            link.close();
+        }
+        let _ = shared.inputs.send(Input::Stop);
+        for keeper in self.keepers {
+            keeper.cancel().await;
+        }
+        let _ = task::spawn_blocking(move || self.agreement.join()).await;
+        info!("stopped");
+    }
+}
+
+fn identity(settings: &Settings, incarnation: u64, life: u64) -> Identity {
+    Identity {
+        cluster: settings.cluster.clone(),
+        name: settings.name.clone(),
+        data_centre: settings.own().data_centre.clone(),
+        incarnation,
+        life,
+        durable: settings.data_folder.is_some(),
+    }
+}
+
+fn open_store(settings: &Settings, life: u64) -> Result<(Option<Store>, u64, State)> {
+    let Some(folder) = &settings.data_folder else { return Ok((None, life, State::default())) };
+    let disk = Disk::open(folder)?;
+    let (store, recovered) = Store::open(Box::new(disk))?;
+    Ok((Some(store), recovered.incarnation, recovered.state))
+}
+
+fn start_agreement(
+    shared: Arc<Shared>,
+    store: Option<Store>,
+    state: State,
+    queue: Receiver<Input>,
+) -> Result<thread::JoinHandle<()>> {
+    let id = Id::new(shared.identity.name.clone(), shared.identity.incarnation);
+    let snapshot = state.snapshot.data.clone();
+    let spans = quorum::Settings::default();
+    let node = Node::restore(id, store.is_some(), spans, rand::random(), state);
+    let agreement = Agreement::new(shared, node, store, &snapshot);
+    thread::Builder::new()
+        .name("agreement".to_string())
+        .spawn(move || agreement.run(queue))
+        .map_err(Error::Thread)
+}
+
+fn serve(
+    shared: Arc<Shared>,
+    agreement: thread::JoinHandle<()>,
+    bound: Bound,
+    metrics: PrometheusHandle,
+) -> Process {
+    let mut stoppers = Vec::new();
+    let mut listeners = Vec::new();
+    let apps = [
+        (bound.callers, callers::app(shared.clone())),
+        (bound.targets, targets::app(shared.clone())),
+        (bound.operators, operators::app(shared.clone(), metrics)),
+    ];
+    for (socket, app) in apps {
+        let (listener, stopper) = Listener::new(socket, app, shared.clone());
+        stoppers.push(stopper);
+        listeners.push(task::spawn(listener.run()));
+    }
+    let registry = Arc::new(Registry::default());
+    let peers = task::spawn(peers::listen(shared.clone(), bound.peers, registry.clone()));
+    let higher = |peer: &&settings::Peer| peer.name > shared.identity.name;
+    let dialers = shared
+        .settings
+        .entries
+        .iter()
+        .filter(higher)
+        .map(|peer| task::spawn(peers::dial(shared.clone(), peer.address, registry.clone())))
+        .collect();
+    let keepers = vec![
+        task::spawn(keeper::keep_table(shared.clone())),
+        task::spawn(keeper::share_sightings(shared.clone())),
+        task::spawn(keeper::keep_joined(shared.clone())),
+    ];
+    info!("entry {} of data centre {} started", shared.identity.name, shared.identity.data_centre);
+    Process { shared, agreement, stoppers, listeners, keepers, peers, dialers }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,123 @@
+//! What the tasks of one process share.
+
+use crate::agreement::{Input, View};
+use crate::clock::Clock;
+use crate::forward::Forwarder;
+use crate::link::Link;
+use crate::settings::Settings;
+use arc_swap::ArcSwap;
+use async_std::channel::{Receiver, Sender};
+use fleet::{Command, Fleet};
+use quorum::Id;
+use route::{Directory, Table};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::{Duration, SystemTime};
+use wire::frame::Answer;
+use wire::proof::Identity;
+
+/// Longest wait for the answer to a proposal.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Applied indices remembered for each entry.
+const IN_FORCE_HISTORY: usize = 256;
+
+/// When each entry was seen to have an index in force.
+pub type InForce = BTreeMap<fleet::Index, SystemTime>;
+
+/// What the tasks of one process share.
+pub struct Shared {
+    /// The settings.
+    pub settings: Settings,
+    /// What this process says of itself.
+    pub identity: Identity,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Routing table that requests read.
+    pub table: ArcSwap<Table>,
+    /// Targets heard of.
+    pub directory: Mutex<Directory>,
+    /// Replicated state, written by the agreement thread only.
+    pub fleet: RwLock<Fleet>,
+    /// Where the agreement stands.
+    pub view: ArcSwap<View>,
+    /// Open connections to peers.
+    pub links: RwLock<BTreeMap<Id, Link>>,
+    /// Since when each entry has which index in force, as seen here.
+    pub in_force: Mutex<BTreeMap<String, InForce>>,
+    /// Connections to targets.
+    pub forwarder: Forwarder,
+    /// Whether a stop has begun.
+    pub stopping: AtomicBool,
+    /// Whether the state was taken whole from the own disk or the own data
+    /// centre, so that it is no older than what was in force here.
+    pub recovered: AtomicBool,
+    /// Input of the agreement thread.
+    pub inputs: SyncSender<Input>,
+    /// Wakes the task that rebuilds the routing table.
+    pub changes: Sender<()>,
+    /// Its other end.
+    pub changed: Receiver<()>,
+}
+
+impl Shared {
+    /// Whether a stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether this life of the entry is a member of the cluster.
+    pub fn has_joined(&self, fleet: &Fleet) -> bool {
+        let member = fleet.members().get(&self.identity.name);
+        member.is_some_and(|member| member.incarnation == self.identity.life)
+    }
+
+    /// Asks for a new routing table.
+    pub fn touch(&self) {
+        let _ = self.changes.try_send(()); // one waiting wake-up is enough
+    }
+
+    /// The directory of targets.
+    pub fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory.lock().expect("no holder panics")
+    }
+
+    /// Open connections to peers.
+    pub fn links(&self) -> Vec<Link> {
+        self.links.read().expect("no holder panics").values().cloned().collect()
+    }
+
+    /// Queues a frame for a peer, if there is a connection to it.
+    pub fn send(&self, to: &Id, frame: wire::Frame) {
+        if let Some(link) = self.links.read().expect("no holder panics").get(to) {
+            link.send(frame);
+        }
+    }
+
+    /// Notes that an entry has everything up to an index in force.
+    pub fn note_in_force(&self, entry: &str, index: fleet::Index) {
+        let mut all = self.in_force.lock().expect("no holder panics");
+        let history = all.entry(entry.to_string()).or_default();
+        if history.last_key_value().is_none_or(|(last, _)| *last < index) {
+            history.insert(index, self.clock.wall());
+        }
+        while history.len() > IN_FORCE_HISTORY {
+            history.pop_first();
+        }
+    }
+
+    /// Has a command agreed on, by this entry or through the leader.
+    pub async fn propose(&self, command: Command) -> Answer {
+        let (reply, answer) = async_std::channel::bounded(1);
+        if self.inputs.try_send(Input::Propose(command, reply)).is_err() {
+            return Answer::NotTaken("this entry is overloaded or stopping".to_string());
+        }
+        match async_std::future::timeout(PROPOSAL_TIMEOUT, answer.recv()).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => Answer::Unknown("this entry stopped".to_string()),
+            Err(_) => Answer::Unknown("no answer from the leader in time".to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,73 @@
+//! Agreement among the entries with disks, as a state machine without I/O.
+//!
+//! A majority log with one leader for each term. The caller feeds messages and
+//! time to a [`Node`] and takes an [`Output`]: what to sync to disk, then what to
+//! send, then what is committed. A voter is a pair of name and incarnation, so a
+//! replaced disk never votes under the old identity.
+
+pub mod log;
+pub mod message;
+pub mod node;
+pub mod progress;
+
+pub use log::{Entry, Log, Payload, Snapshot};
+pub use message::{Envelope, Message};
+pub use node::{Error, Node, Output, Result, Role, Settings, State};
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// Position in the log; the first entry has index 1.
+pub type Index = u64;
+/// Number of a leader's reign.
+pub type Term = u64;
+
+/// One life of one process: a new one for each data folder, or for each start
+/// of a process without one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Id {
+    /// Name of the entry.
+    pub name: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+impl Id {
+    /// Builds an identity.
+    ///
+    /// ```
+    /// let id = quorum::Id::new("a", 255);
+    /// assert_eq!(id.to_string(), "a/00000000000000ff");
+    /// ```
+    pub fn new(name: impl Into<String>, incarnation: u64) -> Id {
+        Id { name: name.into(), incarnation }
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:016x}", self.name, self.incarnation)
+    }
+}
+
+/// Who may vote, and in which cluster.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Random number drawn when the cluster was founded; 0 before.
+    pub cluster: u64,
+    /// The voters.
+    pub voters: BTreeSet<Id>,
+}
+
+impl Membership {
+    /// Votes that make a majority.
+    ///
+    /// ```
+    /// let voters = (0..5).map(|n| quorum::Id::new("v", n)).collect();
+    /// assert_eq!(quorum::Membership { cluster: 1, voters }.majority(), 3);
+    /// ```
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/node.rs
@@ -0,0 +1,820 @@
+//! The node: elections, replication, commitment, membership.
+
+use crate::log::{Entry, Log, Payload, Snapshot};
+use crate::message::{Append, Appended, Ballot, Envelope, Install, Message, Poll};
+use crate::progress::Progress;
+use crate::{Id, Index, Membership, Term};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Result of a request to the node.
+pub type Result<T> = std::result::Result<T, Error>;
+
+const MAX_ENTRIES_PER_APPEND: usize = 256;
+const INSTALL_RETRY: Duration = Duration::from_secs(10);
+
+/// Why a proposal was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// Another node leads, or none does.
+    #[error("this entry does not lead")]
+    NotLeader {
+        /// The leader, if one is known.
+        leader: Option<Id>,
+    },
+    /// The leader has not heard from a majority within its lease.
+    #[error("the leader's lease is over")]
+    NoLease,
+    /// Another change of voters has not committed, or this is more than one.
+    #[error("voters change one at a time, after the last change has committed")]
+    VotersBusy,
+}
+
+/// Spans that govern elections, on the monotonic clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Time between heartbeats to voters.
+    pub heartbeat: Duration,
+    /// Time between heartbeats to nodes that only learn.
+    pub learner_heartbeat: Duration,
+    /// Shortest silence after which a voter tries to lead.
+    pub election: Duration,
+    /// Part of `election` for which an answer of the majority lets a leader
+    /// act; the rest covers the drift of clocks.
+    pub lease: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            heartbeat: Duration::from_millis(300),
+            learner_heartbeat: Duration::from_millis(1000),
+            election: Duration::from_millis(1200),
+            lease: Duration::from_millis(1000),
+        }
+    }
+}
+
+/// What the node does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Takes entries from a leader; with a disk it votes.
+    Follower,
+    /// Asks whether it would be elected.
+    Trial,
+    /// Asks for votes.
+    Candidate,
+    /// Leads the term.
+    Leader,
+}
+
+/// Term and vote, synced before any answer that rests on them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hard {
+    /// Highest term seen.
+    pub term: Term,
+    /// Vote given in that term.
+    pub vote: Option<Id>,
+}
+
+/// Durable state of a node.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Term and vote.
+    pub hard: Hard,
+    /// Newest snapshot.
+    pub snapshot: Snapshot,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+    /// Last index known to be committed.
+    pub commit: Index,
+}
+
+/// What the caller has to do, in the order of the fields.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Output {
+    /// Replace the disk's state by this snapshot.
+    pub install: Option<Snapshot>,
+    /// Write term and vote.
+    pub hard: Option<Hard>,
+    /// Remove entries from this index on.
+    pub truncate: Option<Index>,
+    /// Append these entries.
+    pub append: Vec<Entry>,
+    /// Write that everything up to this index is committed.
+    pub commit: Option<Index>,
+    /// After all of the above is synced: send these.
+    pub messages: Vec<Envelope>,
+    /// Apply these.
+    pub committed: Vec<Entry>,
+}
+
+impl Output {
+    /// Whether something has to be synced before messages go out.
+    pub fn needs_sync(&self) -> bool {
+        self.install.is_some()
+            || self.hard.is_some()
+            || self.truncate.is_some()
+            || !self.append.is_empty()
+            || self.commit.is_some()
+    }
+
+    fn is_empty(&self) -> bool {
+        !self.needs_sync() && self.messages.is_empty() && self.committed.is_empty()
+    }
+}
+
+/// One member of the agreement.
+///
+/// ```
+/// use quorum::{Id, Membership, Node, Settings, Snapshot};
+/// use std::time::Duration;
+/// let id = Id::new("a", 1);
+/// let mut node = Node::new(id.clone(), true, Settings::default(), 7);
+/// node.found(Membership { cluster: 1, voters: [id].into() });
+/// node.tick(Duration::from_secs(60));
+/// while let Some(_) = node.take() {
+///     node.persisted();
+/// }
+/// assert!(node.leads());
+/// ```
+pub struct Node {
+    id: Id,
+    durable: bool,
+    settings: Settings,
+    rng: StdRng,
+    now: Duration,
+    role: Role,
+    hard: Hard,
+    log: Log,
+    snapshot: Snapshot,
+    commit: Index,
+    handed_over: Index,
+    persisted: Index,
+    leader: Option<Id>,
+    heard: Option<Duration>,
+    quiet_until: Duration,
+    led_since: Duration,
+    deadline: Duration,
+    grants: BTreeSet<Id>,
+    others: BTreeMap<Id, Progress>,
+    connected: BTreeSet<Id>,
+    output: Output,
+    unsynced: Index,
+}
+
+/// Construction and queries.
+impl Node {
+    /// A node with no state.
+    pub fn new(id: Id, durable: bool, settings: Settings, seed: u64) -> Node {
+        Node::restore(id, durable, settings, seed, State::default())
+    }
+
+    /// A node with the state of its disk.
+    pub fn restore(id: Id, durable: bool, settings: Settings, seed: u64, state: State) -> Node {
+        let State { hard, snapshot, entries, commit } = state;
+        let log = Log::new(&snapshot, entries);
+        let last = log.last_index();
+        // The life before may have promised a leader its lease.
+        let quiet_until = if last == 0 { Duration::ZERO } else { settings.election };
+        let mut node = Node {
+            id,
+            durable,
+            settings,
+            rng: StdRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            role: Role::Follower,
+            hard,
+            commit: commit.clamp(snapshot.index, last.max(snapshot.index)),
+            handed_over: snapshot.index,
+            persisted: last,
+            unsynced: last,
+            log,
+            snapshot,
+            leader: None,
+            heard: None,
+            quiet_until,
+            led_since: Duration::ZERO,
+            deadline: Duration::ZERO,
+            grants: BTreeSet::new(),
+            others: BTreeMap::new(),
+            connected: BTreeSet::new(),
+            output: Output::default(),
+        };
+        node.reset_deadline();
+        node
+    }
+
+    /// This node's identity.
+    pub fn id(&self) -> &Id {
+        &self.id
+    }
+
+    /// What the node does at present.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Whether the node leads.
+    pub fn leads(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// The leader that the node last heard of in this term.
+    pub fn leader(&self) -> Option<&Id> {
+        self.leader.as_ref()
+    }
+
+    /// Present term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Last committed index.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// Position of the last entry.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
+    }
+
+    /// Last index that the snapshot covers.
+    pub fn base_index(&self) -> Index {
+        self.log.base_index()
+    }
+
+    /// Voters, by the newest entry that names them.
+    pub fn membership(&self) -> Membership {
+        self.log.membership()
+    }
+
+    /// Whether the node holds no state of any cluster.
+    pub fn is_blank(&self) -> bool {
+        self.log.last_index() == 0
+    }
+
+    /// Time since a leader was heard from; zero while this node leads within
+    /// its lease.
+    pub fn silence(&self, now: Duration) -> Option<Duration> {
+        match self.role {
+            Role::Leader => self.lease_base().map(|base| now.saturating_sub(base)),
+            _ => self.heard.map(|heard| now.saturating_sub(heard)),
+        }
+    }
+
+    /// Whether the node leads, knows all that is committed, and has heard from a
+    /// majority within the lease.
+    pub fn has_lease(&self, now: Duration) -> bool {
+        self.leads()
+            && self.log.term(self.commit) == Some(self.hard.term)
+            && self.lease_base().is_some_and(|base| now < base + self.settings.lease)
+    }
+
+    /// Entries that each other node is known to hold, while this node leads.
+    pub fn matched(&self) -> BTreeMap<Id, Index> {
+        self.others.iter().map(|(id, progress)| (id.clone(), progress.matched)).collect()
+    }
+
+    fn votes(&self) -> bool {
+        self.durable && self.log.membership().voters.contains(&self.id)
+    }
+}
+
+/// Inputs.
+impl Node {
+    /// Starts a new cluster; only for a blank node whose caller made sure that
+    /// no cluster exists.
+    pub fn found(&mut self, membership: Membership) {
+        debug_assert!(self.is_blank());
+        self.hard.term = 1;
+        self.output.hard = Some(self.hard.clone());
+        self.push(Payload::Voters(membership));
+    }
+
+    /// Takes in the time; elections, heartbeats and the end of leases follow.
+    pub fn tick(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        if self.leads() {
+            self.lead_on();
+        } else if self.now >= self.deadline {
+            self.reset_deadline();
+            if self.votes() {
+                self.campaign(true);
+            }
+        }
+    }
+
+    /// A connection to another node was made.
+    pub fn connect(&mut self, id: Id) {
+        if id == self.id {
+            return;
+        }
+        self.connected.insert(id.clone());
+        if self.leads() {
+            let next = self.log.last_index() + 1;
+            let progress = self.others.entry(id.clone()).or_insert_with(|| Progress::new(next));
+            progress.next = progress.matched.max(next - 1) + 1;
+            progress.installing = None;
+            self.send_append(&id);
+        }
+    }
+
+    /// The connection to another node was lost.
+    pub fn disconnect(&mut self, id: &Id) {
+        self.connected.remove(id);
+        if !self.log.membership().voters.contains(id) {
+            self.others.remove(id);
+        }
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, now: Duration, from: &Id, message: Message) {
+        self.tick(now);
+        match message {
+            Message::Poll(poll) => self.on_poll(from, poll),
+            Message::Ballot(ballot) => self.on_ballot(from, ballot),
+            Message::Append(append) => self.on_append(from, append),
+            Message::Appended(appended) => self.on_appended(from, appended),
+            Message::Install(install) => self.on_install(from, install),
+        }
+    }
+
+    /// Appends a command; it is accepted once it comes out as committed.
+    pub fn propose(&mut self, now: Duration, data: Vec<u8>) -> Result<Index> {
+        self.tick(now);
+        self.check_leads()?;
+        let index = self.push(Payload::Data(data));
+        self.send_to_all();
+        Ok(index)
+    }
+
+    /// Adds or removes one voter.
+    pub fn propose_voters(&mut self, now: Duration, voters: BTreeSet<Id>) -> Result<Index> {
+        self.tick(now);
+        self.check_leads()?;
+        let present = self.log.membership();
+        let changed = present.voters.symmetric_difference(&voters).count();
+        let pending = self.log.membership_index() > self.commit;
+        let own_term = self.log.term(self.commit) == Some(self.hard.term);
+        if changed != 1 || voters.is_empty() || pending || !own_term {
+            return Err(Error::VotersBusy);
+        }
+        let membership = Membership { cluster: present.cluster, voters };
+        let index = self.push(Payload::Voters(membership));
+        self.send_to_all();
+        Ok(index)
+    }
+
+    /// Replaces the state of a node that knows no leader by a peer's committed
+    /// state, if it is newer.
+    pub fn install(&mut self, snapshot: Snapshot) -> bool {
+        if snapshot.index <= self.commit || snapshot.index <= self.log.last_index() {
+            return false;
+        }
+        self.adopt(snapshot);
+        true
+    }
+
+    /// Drops entries that the caller's snapshot covers.
+    pub fn compact(&mut self, data: Vec<u8>, index: Index) -> Option<Snapshot> {
+        let term = self.log.term(index)?;
+        if index > self.handed_over || index <= self.log.base_index() {
+            return None;
+        }
+        let membership = self.log.membership_at(index);
+        self.snapshot = Snapshot { index, term, membership, data };
+        self.log.compact(index);
+        Some(self.snapshot.clone())
+    }
+
+    /// Entries after an index, for the caller to write behind a snapshot.
+    pub fn entries_after(&self, index: Index) -> Vec<Entry> {
+        self.log.from(index + 1, usize::MAX)
+    }
+
+    /// The committed state handed over so far, as a snapshot around the caller's
+    /// serialised state.
+    pub fn export(&self, data: Vec<u8>) -> Snapshot {
+        let index = self.handed_over;
+        let term = self.log.term(index).unwrap_or_default();
+        Snapshot { index, term, membership: self.log.membership_at(index), data }
+    }
+
+    /// Whether a majority of these voters has answered this leader lately.
+    pub fn reaches(&self, voters: &BTreeSet<Id>) -> bool {
+        let fresh = |id: &&Id| {
+            **id == self.id
+                || self
+                    .others
+                    .get(id)
+                    .and_then(|progress| progress.answered)
+                    .is_some_and(|at| self.now < at + self.settings.election)
+        };
+        voters.iter().filter(fresh).count() > voters.len() / 2
+    }
+
+    /// Takes what has to be done next, or nothing.
+    pub fn take(&mut self) -> Option<Output> {
+        self.hand_over();
+        if self.output.is_empty() {
+            return None;
+        }
+        self.unsynced = self.log.last_index();
+        Some(std::mem::take(&mut self.output))
+    }
+
+    /// Takes in that the last output is synced.
+    pub fn persisted(&mut self) {
+        self.persisted = self.unsynced;
+        if self.leads() {
+            self.advance();
+        }
+    }
+}
+
+/// Elections.
+impl Node {
+    fn campaign(&mut self, trial: bool) {
+        self.role = if trial { Role::Trial } else { Role::Candidate };
+        self.leader = None;
+        let mut term = self.hard.term + 1;
+        if !trial {
+            self.hard = Hard { term, vote: Some(self.id.clone()) };
+            self.output.hard = Some(self.hard.clone());
+            term = self.hard.term;
+        }
+        self.grants = [self.id.clone()].into();
+        let poll = Poll {
+            term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            trial,
+        };
+        for voter in self.log.membership().voters {
+            if voter != self.id {
+                self.send(&voter, Message::Poll(poll.clone()));
+            }
+        }
+        self.count_grants();
+    }
+
+    fn count_grants(&mut self) {
+        if self.grants.len() < self.log.membership().majority() {
+            return;
+        }
+        match self.role {
+            Role::Trial => self.campaign(false),
+            Role::Candidate => self.take_lead(),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn on_poll(&mut self, from: &Id, poll: Poll) {
+        if !self.durable {
+            return;
+        }
+        let led = self.leads()
+            || self.now < self.quiet_until
+            || self.heard.is_some_and(|at| self.now < at + self.settings.election);
+        let newest =
+            (poll.last_term, poll.last_index) >= (self.log.last_term(), self.log.last_index());
+        if poll.trial {
+            let granted = !led && newest && poll.term > self.hard.term;
+            let term = if granted { poll.term } else { self.hard.term };
+            self.send(from, Message::Ballot(Ballot { term, trial: true, granted }));
+            return;
+        }
+        if led {
+            return; // a node that was cut off must not unseat a live leader
+        }
+        if poll.term > self.hard.term {
+            self.follow(poll.term, None);
+        }
+        let free = self.hard.vote.as_ref().is_none_or(|vote| vote == from);
+        let granted = poll.term == self.hard.term && newest && free;
+        if granted {
+            self.hard.vote = Some(from.clone());
+            self.output.hard = Some(self.hard.clone());
+            self.reset_deadline();
+        }
+        let ballot = Ballot { term: self.hard.term, trial: false, granted };
+        self.send(from, Message::Ballot(ballot));
+    }
+
+    fn on_ballot(&mut self, from: &Id, ballot: Ballot) {
+        if !ballot.granted {
+            if ballot.term > self.hard.term {
+                self.follow(ballot.term, None);
+            }
+            return;
+        }
+        let expected = match self.role {
+            Role::Trial => ballot.trial && ballot.term == self.hard.term + 1,
+            Role::Candidate => !ballot.trial && ballot.term == self.hard.term,
+            Role::Follower | Role::Leader => false,
+        };
+        if expected && self.log.membership().voters.contains(from) {
+            self.grants.insert(from.clone());
+            self.count_grants();
+        }
+    }
+
+    fn take_lead(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id.clone());
+        let next = self.log.last_index() + 1;
+        let voters = self.log.membership().voters;
+        self.others = voters
+            .union(&self.connected)
+            .filter(|id| **id != self.id)
+            .map(|id| (id.clone(), Progress::new(next)))
+            .collect();
+        self.led_since = self.now;
+        self.push(Payload::Noop);
+        self.send_to_all();
+    }
+
+    fn follow(&mut self, term: Term, leader: Option<Id>) {
+        if term > self.hard.term {
+            self.hard = Hard { term, vote: None };
+            self.output.hard = Some(self.hard.clone());
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.others.clear();
+        self.reset_deadline();
+    }
+
+    fn reset_deadline(&mut self) {
+        let span = self.settings.election;
+        self.deadline = self.now + span + span.mul_f64(self.rng.random_range(0.0..0.5));
+    }
+}
+
+/// Leading.
+impl Node {
+    fn check_leads(&self) -> Result<()> {
+        if !self.leads() {
+            return Err(Error::NotLeader { leader: self.leader.clone() });
+        }
+        if !self.has_lease(self.now) {
+            return Err(Error::NoLease);
+        }
+        Ok(())
+    }
+
+    /// Clock value at which a majority is known to have followed this leader.
+    fn lease_base(&self) -> Option<Duration> {
+        let membership = self.log.membership();
+        let mut answers: Vec<Duration> =
+            membership
+                .voters
+                .iter()
+                .filter_map(|id| {
+                    if *id == self.id { Some(self.now) } else { self.others.get(id)?.answered }
+                })
+                .collect();
+        answers.sort();
+        answers.into_iter().rev().nth(membership.majority() - 1)
+    }
+
+    fn lead_on(&mut self) {
+        let base = self.lease_base().unwrap_or_default().max(self.led_since);
+        if self.now > base + self.settings.election {
+            self.follow(self.hard.term, None);
+            return;
+        }
+        let voters = self.log.membership().voters;
+        let due: Vec<Id> = self
+            .others
+            .iter()
+            .filter(|(id, progress)| {
+                let span = if voters.contains(*id) {
+                    self.settings.heartbeat
+                } else {
+                    self.settings.learner_heartbeat
+                };
+                progress.sent.is_none_or(|sent| self.now >= sent + span)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.send_append(&id);
+        }
+    }
+
+    fn push(&mut self, payload: Payload) -> Index {
+        let index = self.log.last_index() + 1;
+        let entry = Entry { index, term: self.hard.term, payload };
+        self.log.push(entry.clone());
+        self.output.append.push(entry);
+        index
+    }
+
+    fn send_to_all(&mut self) {
+        let voters = self.log.membership().voters;
+        for id in &voters {
+            if *id != self.id && !self.others.contains_key(id) {
+                self.others.insert(id.clone(), Progress::new(self.log.last_index() + 1));
+            }
+        }
+        let ids: Vec<Id> = self.others.keys().cloned().collect();
+        for id in ids {
+            self.send_append(&id);
+        }
+    }
+
+    fn send_append(&mut self, id: &Id) {
+        let now = self.now;
+        let Some(progress) = self.others.get_mut(id) else { return };
+        progress.sent = Some(now);
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term(prev_index) else {
+            self.send_install(&id.clone());
+            return;
+        };
+        let entries = self.log.from(progress.next, MAX_ENTRIES_PER_APPEND);
+        progress.next += entries.len() as Index;
+        let append = Append {
+            term: self.hard.term,
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            sent: now,
+        };
+        self.send(id, Message::Append(append));
+    }
+
+    fn send_install(&mut self, id: &Id) {
+        let now = self.now;
+        let Some(progress) = self.others.get_mut(id) else { return };
+        if progress.installing.is_some_and(|since| now < since + INSTALL_RETRY) {
+            return;
+        }
+        progress.installing = Some(now);
+        let snapshot = self.snapshot.clone();
+        let install = Install { term: self.hard.term, snapshot, sent: now };
+        self.send(id, Message::Install(install));
+    }
+
+    fn on_appended(&mut self, from: &Id, appended: Appended) {
+        if appended.term > self.hard.term {
+            self.follow(appended.term, None);
+            return;
+        }
+        if !self.leads() || appended.term < self.hard.term {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(progress) = self.others.get_mut(from) else { return };
+        progress.answered = progress.answered.max(Some(appended.sent));
+        if appended.accepted {
+            progress.accept(appended.matched);
+        } else {
+            progress.reject(appended.matched);
+        }
+        let behind = progress.next <= last;
+        self.advance();
+        if behind || !appended.accepted {
+            self.send_append(from);
+        }
+    }
+
+    /// Commits what a majority holds on disk.
+    fn advance(&mut self) {
+        let membership = self.log.membership();
+        let mut held: Vec<Index> = membership
+            .voters
+            .iter()
+            .map(|id| {
+                if *id == self.id {
+                    self.persisted
+                } else {
+                    self.others.get(id).map_or(0, |progress| progress.matched)
+                }
+            })
+            .collect();
+        held.sort();
+        let majority = held.len() - membership.majority();
+        let index = held[majority];
+        let own_term = self.log.term(index) == Some(self.hard.term);
+        if index <= self.commit || !own_term {
+            return;
+        }
+        self.commit = index;
+        self.send_to_all();
+        let named = self.log.membership_index() <= self.commit;
+        if named && !membership.voters.contains(&self.id) {
+            self.follow(self.hard.term, None); // this node was removed
+        }
+    }
+}
+
+/// Following.
+impl Node {
+    fn on_append(&mut self, from: &Id, append: Append) {
+        if append.term < self.hard.term {
+            self.answer(from, false, 0, append.sent);
+            return;
+        }
+        self.hear(from, append.term);
+        let agreed = append.prev_index <= self.log.base_index()
+            || self.log.term(append.prev_index) == Some(append.prev_term);
+        if !agreed {
+            let hint = self.log.last_index().min(append.prev_index.saturating_sub(1));
+            self.answer(from, false, hint, append.sent);
+            return;
+        }
+        let last = append.prev_index + append.entries.len() as Index;
+        for entry in append.entries {
+            self.accept(entry);
+        }
+        self.commit = self.commit.max(append.commit.min(last));
+        self.answer(from, true, last, append.sent);
+    }
+
+    fn accept(&mut self, entry: Entry) {
+        if entry.index <= self.log.base_index() {
+            return;
+        }
+        match self.log.term(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => self.cut(entry.index),
+            None => {}
+        }
+        self.log.push(entry.clone());
+        self.output.append.push(entry);
+    }
+
+    /// Removes entries that another leader's log does not have.
+    fn cut(&mut self, from: Index) {
+        assert!(from > self.commit, "a committed entry would be removed at index {from}");
+        self.log.truncate(from);
+        self.persisted = self.persisted.min(from - 1);
+        self.output.append.retain(|entry| entry.index < from);
+        let earlier = self.output.truncate.unwrap_or(from);
+        self.output.truncate = Some(earlier.min(from));
+    }
+
+    fn on_install(&mut self, from: &Id, install: Install) {
+        if install.term < self.hard.term {
+            self.answer(from, false, 0, install.sent);
+            return;
+        }
+        self.hear(from, install.term);
+        let index = install.snapshot.index;
+        if self.log.term(index) == Some(install.snapshot.term) {
+            self.commit = self.commit.max(index); // entries behind it were acknowledged
+        } else if index > self.commit {
+            self.adopt(install.snapshot);
+        }
+        self.answer(from, true, index, install.sent);
+    }
+
+    fn adopt(&mut self, snapshot: Snapshot) {
+        self.log.reset(&snapshot);
+        self.commit = snapshot.index;
+        self.handed_over = snapshot.index;
+        self.snapshot = snapshot.clone();
+        self.output.append.clear();
+        self.output.truncate = None;
+        self.output.committed.clear();
+        self.output.commit = None;
+        self.output.install = Some(snapshot);
+    }
+
+    fn hear(&mut self, leader: &Id, term: Term) {
+        self.follow(term, Some(leader.clone()));
+        self.heard = Some(self.now);
+    }
+
+    fn answer(&mut self, to: &Id, accepted: bool, matched: Index, sent: Duration) {
+        let appended = Appended { term: self.hard.term, accepted, matched, sent };
+        self.send(to, Message::Appended(appended));
+    }
+
+    fn send(&mut self, to: &Id, message: Message) {
+        self.output.messages.push(Envelope { to: to.clone(), message });
+    }
+
+    /// Adds committed entries to the output.
+    fn hand_over(&mut self) {
+        let upto = self.commit.min(self.log.last_index());
+        if self.handed_over < upto {
+            self.output.commit = Some(upto);
+        }
+        while self.handed_over < upto {
+            self.handed_over += 1;
+            if let Some(entry) = self.log.get(self.handed_over) {
+                self.output.committed.push(entry.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/record/src/document.rs
@@ -0,0 +1,116 @@
+//! Documents: records as operators write them.
+
+use crate::{Key, Kind, Revision, Spec};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Result of reading documents.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+const MAX_NAME_BYTES: usize = 63;
+
+/// One field that is wrong, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Path of the field, for instance `spec.slots`.
+    pub field: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl Fault {
+    /// Builds a fault.
+    ///
+    /// ```
+    /// let fault = record::Fault::new("spec.slots", "must be at least 1");
+    /// assert_eq!(fault.to_string(), "spec.slots: must be at least 1");
+    /// ```
+    pub fn new(field: impl Into<String>, reason: impl Into<String>) -> Fault {
+        Fault { field: field.into(), reason: reason.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.reason)
+    }
+}
+
+/// A record as an operator wrote it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// What the record declares.
+    pub kind: Kind,
+    /// Schema version of `spec`.
+    pub schema: u32,
+    /// Name, unique inside the kind.
+    pub name: String,
+    /// Revision that the operator's change rests on; absent for a new record.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
+    /// Content, in the shape that kind and schema version give.
+    pub spec: serde_json::Value,
+}
+
+impl Document {
+    /// Key of the record.
+    pub fn key(&self) -> Key {
+        Key::new(self.kind, self.name.clone())
+    }
+
+    /// Reads the typed content and checks every value on its own.
+    ///
+    /// ```
+    /// let text = "{kind: team, schema: 1, name: gate, spec: {quota: 3, weight: 0}}";
+    /// let documents = record::document::parse_all(text).unwrap();
+    /// let faults = documents[0].check().unwrap_err();
+    /// assert_eq!(faults[0].field, "spec.weight");
+    /// ```
+    pub fn check(&self) -> Result<Spec> {
+        let mut faults: Vec<Fault> = name_fault(&self.name).into_iter().collect();
+        match Spec::parse(self.kind, self.schema, &self.spec) {
+            Ok(spec) => {
+                faults.extend(spec.faults());
+                if faults.is_empty() { Ok(spec) } else { Err(faults) }
+            }
+            Err(fault) => {
+                faults.push(fault);
+                Err(faults)
+            }
+        }
+    }
+}
+
+/// Reads a YAML stream of documents, separated by `---`.
+///
+/// Reports every document that does not parse, not only the first.
+///
+/// ```
+/// let text = "kind: team\nschema: 1\nname: gate\nspec: {quota: 3, weight: 1}\n";
+/// assert_eq!(record::document::parse_all(text).unwrap()[0].name, "gate");
+/// assert!(record::document::parse_all("kind: barn").is_err());
+/// ```
+pub fn parse_all(text: &str) -> Result<Vec<Document>> {
+    let mut documents = Vec::new();
+    let mut faults = Vec::new();
+    for (position, part) in serde_norway::Deserializer::from_str(text).enumerate() {
+        match serde_path_to_error::deserialize::<_, Option<Document>>(part) {
+            Ok(document) => documents.extend(document),
+            Err(error) => {
+                let field = format!("document {}, {}", position + 1, error.path());
+                faults.push(Fault::new(field, error.into_inner().to_string()));
+            }
+        }
+    }
+    if faults.is_empty() { Ok(documents) } else { Err(faults) }
+}
+
+fn name_fault(name: &str) -> Option<Fault> {
+    let valid = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(valid) {
+        return None;
+    }
+    let reason = format!("\"{name}\" must be 1 to {MAX_NAME_BYTES} of a-z, 0-9 and '-'");
+    Some(Fault::new("name", reason))
+}
--- /dev/null
+++ b/crates/record/src/instance.rs
@@ -0,0 +1,67 @@
+//! Instance specifications.
+
+use crate::{DataCentre, PoolId, Rack};
+use serde::{Deserialize, Serialize};
+
+const MIB_PER_GB: u64 = 1024;
+
+/// Schema 1: memory in gigabytes, no accelerators.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct V1 {
+    /// Pool that the instance belongs to.
+    pub pool: PoolId,
+    /// Data centre that the instance is in.
+    pub data_centre: DataCentre,
+    /// Rack that the instance is in.
+    pub rack: Rack,
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in GiB.
+    pub memory_gb: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts at once.
+    pub connections: u32,
+}
+
+/// Schema 2: memory in MiB, with accelerators.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct V2 {
+    /// Pool that the instance belongs to.
+    pub pool: PoolId,
+    /// Data centre that the instance is in.
+    pub data_centre: DataCentre,
+    /// Rack that the instance is in.
+    pub rack: Rack,
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts at once.
+    pub connections: u32,
+}
+
+/// An instance in the terms of the newest schema.
+pub type Instance = V2;
+
+impl From<&V1> for V2 {
+    fn from(v1: &V1) -> V2 {
+        V2 {
+            pool: v1.pool.clone(),
+            data_centre: v1.data_centre.clone(),
+            rack: v1.rack.clone(),
+            cores: v1.cores,
+            memory_mib: u64::from(v1.memory_gb) * MIB_PER_GB,
+            accelerators: 0,
+            slots: v1.slots,
+            connections: v1.connections,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/directory.rs
@@ -0,0 +1,221 @@
+//! Targets that were heard of, and the routing table that follows from them and
+//! from the records.
+
+use crate::table::{Load, Pool, Table, Target};
+use crate::target::{Announcement, Sighting, State};
+use fleet::Fleet;
+use record::{DataCentre, EntryId, InstanceId, Key, Kind, PoolId};
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Instance that this entry no longer sends work to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Released {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Log index that began its move.
+    pub began: fleet::Index,
+}
+
+#[derive(Debug)]
+struct Known {
+    announcement: Announcement,
+    heard: Duration,
+}
+
+/// What one entry knows of the targets of its data centre.
+///
+/// ```
+/// use route::Directory;
+/// use std::time::Duration;
+/// let directory = Directory::new("dc1".into(), Duration::from_secs(15));
+/// assert_eq!(directory.len(), 0);
+/// ```
+#[derive(Debug)]
+pub struct Directory {
+    data_centre: DataCentre,
+    expiry: Duration,
+    known: BTreeMap<InstanceId, Known>,
+    loads: BTreeMap<InstanceId, Load>,
+    withdrawn: BTreeMap<InstanceId, Withdrawn>,
+}
+
+/// A moving instance that is in no table any more.
+#[derive(Debug)]
+struct Withdrawn {
+    began: fleet::Index,
+    since: Duration,
+}
+
+/// Time for which a request may hold a table that was replaced.
+const TABLE_GRACE: Duration = Duration::from_millis(500);
+
+impl Directory {
+    /// An empty directory. Targets that are silent for `expiry` get no new work.
+    pub fn new(data_centre: DataCentre, expiry: Duration) -> Directory {
+        Directory {
+            data_centre,
+            expiry,
+            known: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
+        }
+    }
+
+    /// Number of targets heard of and not expired.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Takes in an announcement; tells whether it was new and changed what the
+    /// table says.
+    pub fn hear(&mut self, now: Duration, age: Duration, announcement: Announcement) -> bool {
+        let heard = now.saturating_sub(age);
+        let Some(known) = self.known.get_mut(&announcement.instance) else {
+            if age < self.expiry {
+                let instance = announcement.instance.clone();
+                self.known.insert(instance, Known { announcement, heard });
+            }
+            return age < self.expiry;
+        };
+        if !announcement.is_newer(&known.announcement) {
+            return false;
+        }
+        let changed = known.announcement.state != announcement.state
+            || known.announcement.address != announcement.address
+            || known.announcement.incarnation != announcement.incarnation;
+        *known = Known { announcement, heard };
+        changed
+    }
+
+    /// Forgets targets that have been silent too long; tells whether any was.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let before = self.known.len();
+        let expiry = self.expiry;
+        self.known.retain(|_, known| now < known.heard + expiry);
+        self.known.len() != before
+    }
+
+    /// Everything known, for a peer of the same data centre.
+    pub fn sightings(&self, now: Duration) -> Vec<Sighting> {
+        self.known
+            .values()
+            .map(|known| Sighting {
+                announcement: known.announcement.clone(),
+                age: now.saturating_sub(known.heard),
+            })
+            .collect()
+    }
+
+    /// Targets heard of since a moment, for a peer of the same data centre.
+    pub fn sightings_since(&self, now: Duration, since: Duration) -> Vec<Sighting> {
+        let mut sightings = self.sightings(now);
+        sightings.retain(|sighting| now.saturating_sub(sighting.age) >= since);
+        sightings
+    }
+
+    /// Last announcement of an instance.
+    pub fn announcement(&self, instance: &str) -> Option<&Announcement> {
+        self.known.get(instance).map(|known| &known.announcement)
+    }
+
+    /// Pool that an instance serves here, by the records.
+    pub fn pool(&self, fleet: &Fleet, instance: &str) -> Option<PoolId> {
+        let placement = fleet.placements().get(instance)?;
+        let here = placement.data_centre == self.data_centre;
+        here.then(|| placement.pool.clone())
+    }
+
+    /// Builds the routing table: serving targets that the records put into a
+    /// pool of this data centre and that are not about to leave it.
+    pub fn table(&mut self, fleet: &Fleet, ready: bool) -> Table {
+        let mut table = Table { ready, pools: pools(fleet) };
+        let sharing = self.sharing(fleet);
+        for known in self.known.values() {
+            let announcement = &known.announcement;
+            let instance = &announcement.instance;
+            let Some(placement) = fleet.placements().get(instance) else { continue };
+            let usable = placement.step.is_none()
+                && placement.data_centre == self.data_centre
+                && announcement.state == State::Serving;
+            if !usable {
+                continue;
+            }
+            let Some(pool) = table.pools.get_mut(&placement.pool) else { continue };
+            let key = Key::new(Kind::Instance, instance.clone());
+            let Some(spec) = fleet.spec(&key).and_then(|spec| spec.instance()) else { continue };
+            pool.targets.push(Target {
+                instance: instance.clone(),
+                incarnation: announcement.incarnation,
+                address: announcement.address,
+                rack: spec.rack,
+                limit: (spec.slots.min(spec.connections) / sharing).max(1),
+                load: self.loads.entry(instance.clone()).or_default().clone(),
+            });
+        }
+        table
+    }
+
+    /// Takes in that the table in use no longer has the moving instances.
+    pub fn withdraw(&mut self, fleet: &Fleet, now: Duration) {
+        let mut moving = BTreeMap::new();
+        for (instance, placement) in fleet.placements() {
+            let Some(step) = &placement.step else { continue };
+            let known = self.withdrawn.remove(instance);
+            let same = known.filter(|withdrawn| withdrawn.began == step.began);
+            let fresh = Withdrawn { began: step.began, since: now };
+            moving.insert(instance.clone(), same.unwrap_or(fresh));
+        }
+        self.withdrawn = moving;
+    }
+
+    /// Moving instances that this entry can confirm: they have been out of the
+    /// table for a while, nothing of this entry is in flight there, and the
+    /// target itself has since said that it runs nothing, or is gone.
+    pub fn releasable(&self, fleet: &Fleet, entry: &EntryId, now: Duration) -> Vec<Released> {
+        let mut released = Vec::new();
+        for (instance, withdrawn) in &self.withdrawn {
+            let settled = now >= withdrawn.since + TABLE_GRACE;
+            if settled
+                && self.is_idle(instance, withdrawn.since + TABLE_GRACE)
+                && fleet.missing_releases(instance).contains(entry)
+            {
+                let began = withdrawn.began;
+                released.push(Released { instance: instance.clone(), began });
+            }
+        }
+        released
+    }
+
+    fn is_idle(&self, instance: &str, since: Duration) -> bool {
+        let load = self.loads.get(instance);
+        let own = load.is_none_or(|load| load.load(Ordering::Acquire) == 0);
+        let target = self
+            .known
+            .get(instance)
+            .is_none_or(|known| known.heard >= since && known.announcement.in_flight == 0);
+        own && target
+    }
+
+    /// Entries that share the slots of this data centre's targets.
+    fn sharing(&self, fleet: &Fleet) -> u32 {
+        let members = fleet.members().values();
+        let here = members.filter(|member| member.data_centre == self.data_centre).count();
+        (here as u32).max(1)
+    }
+}
+
+fn pools(fleet: &Fleet) -> BTreeMap<PoolId, Pool> {
+    let mut pools = BTreeMap::new();
+    for key in fleet.records().keys().filter(|key| key.kind == Kind::Pool) {
+        let Some(pool) = fleet.spec(key).and_then(|spec| spec.pool()) else { continue };
+        pools.insert(key.name.clone(), Pool { spare: pool.spare, targets: Vec::new() });
+    }
+    pools
+}
--- /dev/null
+++ b/crates/route/src/retry.rs
@@ -0,0 +1,48 @@
+//! Retry budget: retries stay a fixed share of requests.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+const TOKENS_PER_RETRY: i64 = 10;
+const MAX_TOKENS: i64 = 100;
+
+/// Attempts of one request, the first one included.
+pub const MAX_ATTEMPTS: usize = 3;
+
+/// Bucket that each request fills by one token and each retry empties by ten.
+///
+/// ```
+/// let budget = route::retry::Budget::new();
+/// assert!((0..10).all(|_| budget.take()), "a full bucket allows ten retries");
+/// assert!(!budget.take());
+/// (0..10).for_each(|_| budget.earn());
+/// assert!(budget.take());
+/// ```
+#[derive(Debug)]
+pub struct Budget {
+    tokens: AtomicI64,
+}
+
+impl Budget {
+    /// A full bucket.
+    pub fn new() -> Budget {
+        Budget { tokens: AtomicI64::new(MAX_TOKENS) }
+    }
+
+    /// Counts a request.
+    pub fn earn(&self) {
+        let add = |tokens: i64| Some((tokens + 1).min(MAX_TOKENS));
+        let _ = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    }
+
+    /// Takes the right to one retry.
+    pub fn take(&self) -> bool {
+        let spend = |tokens: i64| (tokens >= TOKENS_PER_RETRY).then(|| tokens - TOKENS_PER_RETRY);
+        self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, spend).is_ok()
+    }
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget::new()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,146 @@
+//! One HTTP request over a fresh connection.
+
+use async_std::net::TcpStream;
+use http_types::{Body, Method, Request, Response, Url};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Result of a request.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a request got no whole answer.
+#[derive(Debug)]
+pub enum Error {
+    /// Nothing was sent.
+    Unreachable(String),
+    /// It may have been taken.
+    Lost(String),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Unreachable(reason) => write!(f, "no connection: {reason}"),
+            Error::Lost(reason) => write!(f, "no whole answer: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status code.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+    response: Response,
+}
+
+impl Answer {
+    /// Value of a header, empty when there is none.
+    pub fn header(&self, name: &str) -> &str {
+        self.response.header(name).map_or("", |value| value.as_str())
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Where to.
+    pub address: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// Path and query, with the leading slash.
+    pub path: String,
+    /// Names and values of headers.
+    pub headers: Vec<Header>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Longest wait for the whole answer.
+    pub timeout: Duration,
+}
+
+/// One header.
+#[derive(Clone, Debug)]
+pub struct Header {
+    /// Its name.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+}
+
+impl Call {
+    /// A request without headers or body.
+    ///
+    /// ```
+    /// let call = standin::client::Call::new("127.0.0.1:1".parse().unwrap(), "/");
+    /// let error = async_std::task::block_on(call.send()).unwrap_err();
+    /// assert!(matches!(error, standin::client::Error::Unreachable(_)));
+    /// ```
+    pub fn new(address: SocketAddr, path: impl Into<String>) -> Call {
+        Call {
+            address,
+            method: Method::Get,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            timeout: Duration::from_secs(15),
+        }
+    }
+
+    /// Makes it a POST with a body.
+    pub fn post(mut self, body: impl Into<Vec<u8>>) -> Call {
+        self.method = Method::Post;
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Call {
+        self.headers.push(Header { name: name.to_string(), value: value.into() });
+        self
+    }
+
+    /// Adds a bearer token.
+    pub fn token(self, token: &str) -> Call {
+        self.header("authorization", format!("Bearer {token}"))
+    }
+
+    /// Sends it and takes the whole answer.
+    pub async fn send(self) -> Result<Answer> {
+        let timeout = self.timeout;
+        let stream = async_std::future::timeout(timeout, TcpStream::connect(self.address))
+            .await
+            .map_err(|error| Error::Unreachable(error.to_string()))?
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        async_std::future::timeout(timeout, self.exchange(stream))
+            .await
+            .map_err(|error| Error::Lost(error.to_string()))?
+    }
+
+    async fn exchange(self, stream: TcpStream) -> Result<Answer> {
+        let url = Url::parse(&format!("http://{}{}", self.address, self.path))
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        let mut request = Request::new(self.method, url);
+        for header in &self.headers {
+            request.insert_header(header.name.as_str(), header.value.as_str());
+        }
+        request.set_body(Body::from_bytes(self.body));
+        let lost = |error: http_types::Error| Error::Lost(error.to_string());
+        let mut response = async_h1::connect(stream, request).await.map_err(lost)?;
+        let declared = response.len();
+        let body = response.body_bytes().await.map_err(lost)?;
+        if declared.is_some_and(|length| length != body.len()) {
+            return Err(Error::Lost(io::ErrorKind::UnexpectedEof.to_string()));
+        }
+        Ok(Answer { status: response.status().into(), body, response })
+    }
+}
--- /dev/null
+++ b/crates/store/src/frame.rs
@@ -0,0 +1,81 @@
+//! Checksummed frames: length, checksum, content.
+
+use crate::{Error, Result};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+const HEADER_BYTES: usize = 8; // u32 length, u32 CRC-32, both little endian
+
+/// Values read from a file, and where its intact part ends.
+#[derive(Debug)]
+pub struct Read<T> {
+    /// The values, in order.
+    pub values: Vec<T>,
+    /// Length of the intact part in bytes.
+    pub length: u64,
+}
+
+/// Encodes a value as one frame.
+///
+/// ```
+/// let bytes = store::frame::encode(&7u64);
+/// let read = store::frame::decode::<u64>("log", &bytes).unwrap();
+/// assert_eq!(read.values, [7]);
+/// ```
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut content = Vec::new();
+    ciborium::into_writer(value, &mut content).expect("values serialise to memory");
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + content.len());
+    bytes.extend((content.len() as u32).to_le_bytes());
+    bytes.extend(crc32fast::hash(&content).to_le_bytes());
+    bytes.extend(content);
+    bytes
+}
+
+/// Decodes the frames of a file up to a torn tail.
+///
+/// A frame that cannot be read counts as torn when no intact frame follows it;
+/// otherwise it is damage, since frames behind it were synced later.
+pub fn decode<T: DeserializeOwned>(file: &str, bytes: &[u8]) -> Result<Read<T>> {
+    let mut values = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        let Some(content) = content_at(bytes, offset) else {
+            if intact_after(bytes, offset) {
+                return Err(damaged(file, offset, "checksum or length is wrong"));
+            }
+            break;
+        };
+        let value = ciborium::from_reader(content)
+            .map_err(|error| damaged(file, offset, &error.to_string()))?;
+        values.push(value);
+        offset += HEADER_BYTES + content.len();
+    }
+    Ok(Read { values, length: offset as u64 })
+}
+
+/// Decodes a file that holds exactly one frame.
+pub fn decode_one<T: DeserializeOwned>(file: &str, bytes: &[u8]) -> Result<T> {
+    let content = content_at(bytes, 0).ok_or_else(|| damaged(file, 0, "checksum is wrong"))?;
+    ciborium::from_reader(content).map_err(|error| damaged(file, 0, &error.to_string()))
+}
+
+fn content_at(bytes: &[u8], offset: usize) -> Option<&[u8]> {
+    let header = bytes.get(offset..offset + HEADER_BYTES)?;
+    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
+    let checksum = u32::from_le_bytes(header[4..].try_into().ok()?);
+    if length == 0 {
+        return None;
+    }
+    let start = offset + HEADER_BYTES;
+    let content = bytes.get(start..start.checked_add(length)?)?;
+    (crc32fast::hash(content) == checksum).then_some(content)
+}
+
+fn intact_after(bytes: &[u8], offset: usize) -> bool {
+    (offset + 1..bytes.len()).any(|start| content_at(bytes, start).is_some())
+}
+
+fn damaged(file: &str, offset: usize, reason: &str) -> Error {
+    Error::Damaged { file: file.to_string(), offset: offset as u64, reason: reason.to_string() }
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,175 @@
+//! The durable state of one node.
+
+use crate::{Error, Folder, Result, frame};
+use quorum::node::{Hard, State};
+use quorum::{Entry, Index, Output, Snapshot};
+use serde::{Deserialize, Serialize};
+
+const IDENTITY_FILE: &str = "identity";
+const SNAPSHOT_FILE: &str = "snapshot";
+const LOG_FILE: &str = "log";
+
+/// One frame of the log file.
+#[derive(Debug, Serialize, Deserialize)]
+enum Line {
+    Hard(Hard),
+    Truncate(Index),
+    Entry(Entry),
+    Commit(Index),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Identity {
+    incarnation: u64,
+}
+
+/// What the disk held at start.
+#[derive(Debug)]
+pub struct Recovered {
+    /// Identity of the data folder.
+    pub incarnation: u64,
+    /// State of the node.
+    pub state: State,
+}
+
+/// Log and snapshots of one node.
+///
+/// ```
+/// use store::{Disk, Store};
+/// let path = tempfile::tempdir().unwrap();
+/// let (store, recovered) = Store::open(Box::new(Disk::open(path.path()).unwrap())).unwrap();
+/// drop(store);
+/// let (_, again) = Store::open(Box::new(Disk::open(path.path()).unwrap())).unwrap();
+/// assert_eq!(recovered.incarnation, again.incarnation);
+/// ```
+pub struct Store {
+    folder: Box<dyn Folder>,
+    hard: Hard,
+    failed: bool,
+    log_bytes: u64,
+}
+
+impl Store {
+    /// Reads the folder, cuts a torn tail and gives a new folder its identity.
+    pub fn open(mut folder: Box<dyn Folder>) -> Result<(Store, Recovered)> {
+        let incarnation = identity(folder.as_mut())?;
+        let snapshot = match folder.read(SNAPSHOT_FILE)? {
+            Some(bytes) => frame::decode_one(SNAPSHOT_FILE, &bytes)?,
+            None => Snapshot::default(),
+        };
+        let bytes = folder.read(LOG_FILE)?.unwrap_or_default();
+        let read = frame::decode::<Line>(LOG_FILE, &bytes)?;
+        if read.length < bytes.len() as u64 {
+            folder.cut(LOG_FILE, read.length)?;
+        }
+        let mut state = State { commit: snapshot.index, snapshot, ..State::default() };
+        for line in read.values {
+            replay(&mut state, line)?;
+        }
+        let hard = state.hard.clone();
+        let store = Store { folder, hard, failed: false, log_bytes: read.length };
+        Ok((store, Recovered { incarnation, state }))
+    }
+
+    /// Makes an output's term, vote and entries durable.
+    pub fn save(&mut self, output: &Output) -> Result<()> {
+        if self.failed {
+            return Err(Error::Failed);
+        }
+        let result = self.write(output);
+        self.failed = result.is_err();
+        result
+    }
+
+    /// Makes a snapshot durable and keeps only the entries after it.
+    pub fn compact(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> Result<()> {
+        if self.failed {
+            return Err(Error::Failed);
+        }
+        let result = self.rewrite(snapshot, entries);
+        self.failed = result.is_err();
+        result
+    }
+
+    /// Whether an earlier write or sync failed.
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Size of the log file in bytes.
+    pub fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    fn write(&mut self, output: &Output) -> Result<()> {
+        if let Some(hard) = &output.hard {
+            self.hard = hard.clone();
+        }
+        if let Some(snapshot) = &output.install {
+            self.rewrite(snapshot, &[])?;
+        }
+        let mut bytes = Vec::new();
+        if let Some(hard) = &output.hard {
+            bytes.extend(frame::encode(&Line::Hard(hard.clone())));
+        }
+        if let Some(from) = output.truncate {
+            bytes.extend(frame::encode(&Line::Truncate(from)));
+        }
+        for entry in &output.append {
+            bytes.extend(frame::encode(&Line::Entry(entry.clone())));
+        }
+        if let Some(commit) = output.commit {
+            bytes.extend(frame::encode(&Line::Commit(commit)));
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.folder.append(LOG_FILE, &bytes)?;
+        self.folder.sync(LOG_FILE)?;
+        self.log_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn rewrite(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> Result<()> {
+        self.folder.replace(SNAPSHOT_FILE, &frame::encode(snapshot))?;
+        let mut bytes = frame::encode(&Line::Hard(self.hard.clone()));
+        for entry in entries {
+            bytes.extend(frame::encode(&Line::Entry(entry.clone())));
+        }
+        self.folder.replace(LOG_FILE, &bytes)?;
+        self.log_bytes = bytes.len() as u64;
+        Ok(())
+    }
+}
+
+fn replay(state: &mut State, line: Line) -> Result<()> {
+    match line {
+        Line::Hard(hard) => state.hard = hard,
+        Line::Truncate(from) => state.entries.retain(|entry| entry.index < from),
+        Line::Commit(index) => state.commit = state.commit.max(index),
+        Line::Entry(entry) if entry.index <= state.snapshot.index => {}
+        Line::Entry(entry) => {
+            let last = state.entries.last().map_or(state.snapshot.index, |entry| entry.index);
+            if entry.index != last + 1 {
+                let reason = format!("entry {} follows entry {last}", entry.index);
+                return Err(Error::Damaged { file: LOG_FILE.to_string(), offset: 0, reason });
+            }
+            state.entries.push(entry);
+        }
+    }
+    Ok(())
+}
+
+fn identity(folder: &mut dyn Folder) -> Result<u64> {
+    if let Some(bytes) = folder.read(IDENTITY_FILE)? {
+        let identity: Identity = frame::decode_one(IDENTITY_FILE, &bytes)?;
+        return Ok(identity.incarnation);
+    }
+    let incarnation = getrandom::u64().map_err(|error| Error::Io {
+        action: "draw the identity for",
+        file: IDENTITY_FILE.to_string(),
+        source: error.into(),
+    })?;
+    folder.replace(IDENTITY_FILE, &frame::encode(&Identity { incarnation }))?;
+    Ok(incarnation)
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,94 @@
+//! Validates settings and records offline.
+
+use crate::util::{self, Error, Result};
+use argh::FromArgs;
+use std::path::{Path, PathBuf};
+
+/// Validate settings and record files without talking to an entry.
+///
+/// A file with the field `entries` is read as settings, any other as records.
+/// Records are checked together: references must be met within the files given.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Args {
+    /// files to check
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    if args.files.is_empty() {
+        return Err(Error::Input(vec!["FILES: give at least one".to_string()]));
+    }
+    let mut faults = Vec::new();
+    let mut documents = Vec::new();
+    for path in &args.files {
+        match check_file(path)? {
+            Checked::Settings => println!("{}: settings are valid", path.display()),
+            Checked::Records(found) => {
+                println!("{}: {} records read", path.display(), found.len());
+                documents.extend(found);
+            }
+            Checked::Faulty(found) => faults.extend(found),
+        }
+    }
+    faults.extend(across(&documents));
+    if faults.is_empty() { Ok(()) } else { Err(Error::Input(faults)) }
+}
+
+enum Checked {
+    Settings,
+    Records(Vec<record::Document>),
+    Faulty(Vec<String>),
+}
+
+fn check_file(path: &Path) -> Result<Checked> {
+    let text = util::read(path)?;
+    let named = |faults: Vec<record::Fault>| {
+        faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect()
+    };
+    if is_settings(&text) {
+        return Ok(match entry::Settings::load(path) {
+            Ok(_) => Checked::Settings,
+            Err(faults) => Checked::Faulty(named(faults)),
+        });
+    }
+    let documents = match record::document::parse_all(&text) {
+        Ok(documents) => documents,
+        Err(faults) => return Ok(Checked::Faulty(named(faults))),
+    };
+    let mut faults = Vec::new();
+    for document in &documents {
+        let found = document.check().err().unwrap_or_default();
+        let prefix = document.key().to_string();
+        faults.extend(
+            found.into_iter().map(|fault| {
+                record::Fault::new(format!("{prefix}: {}", fault.field), fault.reason)
+            }),
+        );
+    }
+    Ok(if faults.is_empty() { Checked::Records(documents) } else { Checked::Faulty(named(faults)) })
+}
+
+fn is_settings(text: &str) -> bool {
+    serde_norway::from_str::<serde_json::Value>(text)
+        .is_ok_and(|value| value.get("entries").is_some())
+}
+
+/// Faults of the records taken together.
+fn across(documents: &[record::Document]) -> Vec<String> {
+    let mut live = fleet::check::Live::new();
+    let mut touched = Vec::new();
+    let mut faults = Vec::new();
+    for document in documents {
+        let key = document.key();
+        if touched.contains(&key) {
+            faults.push(format!("{key}: is declared twice"));
+        }
+        live.extend(document.check().ok().map(|spec| (key.clone(), spec)));
+        touched.push(key);
+    }
+    faults.extend(fleet::check::across(&live, &touched).iter().map(ToString::to_string));
+    faults
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,37 @@
+//! Runs an entry process.
+
+use crate::config;
+use crate::util::{self, Error, Result};
+use ::entry::{Bound, Process, Settings};
+use argh::FromArgs;
+use async_std::task;
+use std::path::PathBuf;
+
+/// Run an entry process until SIGTERM or SIGINT.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct Args {
+    /// settings file
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    let settings =
+        Settings::load(&args.settings).map_err(|faults| Error::in_file(&args.settings, &faults))?;
+    config::start_log(&settings.log);
+    let metrics = config::start_metrics()?;
+    task::block_on(async {
+        let bound = Bound::bind(&settings).await.map_err(|error| wrap(&args.settings, &error))?;
+        let process = Process::start(settings, bound, metrics)
+            .map_err(|error| wrap(&args.settings, &error))?;
+        util::stop_signal().await?;
+        process.stop().await;
+        Ok(())
+    })
+}
+
+fn wrap(path: &std::path::Path, error: &::entry::process::Error) -> Error {
+    Error::Input(vec![format!("{}: {error}", path.display())])
+}
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,89 @@
+//! Shows what was decided and why.
+
+use crate::config::Client;
+use crate::util::{self, Error, Result};
+use argh::FromArgs;
+use async_std::task;
+use entry::http::operators::Notes;
+use fleet::journal::{Author, Note};
+use record::Kind;
+
+/// Show what was decided and why.
+///
+/// The subject is `instance NAME`, `pool NAME`, `record KIND NAME`, `decision
+/// NUMBER` or `since NUMBER`, which exports all notes from a number on.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Args {
+    /// instance NAME | pool NAME | record KIND NAME | decision NUMBER | since NUMBER
+    #[argh(positional)]
+    subject: Vec<String>,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    let path = path(&args.subject)?;
+    let client = Client::new(args.entry, args.token)?;
+    let notes: Notes = task::block_on(client.get(&path))?;
+    if notes.notes.is_empty() {
+        let subject = args.subject.join(" ");
+        return Err(Error::Missing(format!("no decision about {subject} is kept")));
+    }
+    if args.json {
+        return util::print_json(&notes);
+    }
+    for note in &notes.notes {
+        print_note(note);
+    }
+    if !notes.as_of.current {
+        eprintln!("note: entry {} may be cut off", notes.as_of.entry);
+    }
+    Ok(())
+}
+
+fn path(subject: &[String]) -> Result<String> {
+    let words: Vec<&str> = subject.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["instance", name] => Ok(format!("/journal?kind=instance&name={name}")),
+        ["pool", name] => Ok(format!("/journal?kind=pool&name={name}")),
+        ["record", kind, name] if Kind::parse(kind).is_some() => {
+            Ok(format!("/journal?kind={kind}&name={name}"))
+        }
+        ["decision", number] => Ok(format!("/journal?id={}", parse_number(number)?)),
+        ["since", number] => Ok(format!("/journal?since={}", parse_number(number)?)),
+        _ => Err(Error::Input(vec![
+            "SUBJECT: must be instance NAME, pool NAME, record KIND NAME, decision NUMBER or \
+             since NUMBER"
+                .to_string(),
+        ])),
+    }
+}
+
+fn parse_number(text: &str) -> Result<u64> {
+    text.parse().map_err(|_| Error::Input(vec![format!("NUMBER: \"{text}\" is no number")]))
+}
+
+/// Prints a note in a person's words.
+pub fn print_note(note: &Note) {
+    let author = match &note.author {
+        Author::Operator(name) => format!("operator \"{name}\""),
+        Author::Rule(name) => format!("rule {name}"),
+    };
+    println!("{} {} (decision {}, index {})", util::time(note.at), note.event, note.id, note.index);
+    println!("    by {author}: {}", note.reason);
+    for basis in note.rests_on.iter().filter(|basis| basis.revision > 0) {
+        println!("    rests on {} revision {}", basis.key, basis.revision);
+    }
+    for rejected in &note.rejected {
+        println!("    not done: {}, because {}", rejected.choice, rejected.reason);
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,10 @@
+//! One module for each command.
+
+pub mod check;
+pub mod demo;
+pub mod dump;
+pub mod entry;
+pub mod explain;
+pub mod record;
+pub mod standin;
+pub mod status;
--- /dev/null
+++ b/src/cmd/record.rs
@@ -0,0 +1,401 @@
+//! Submits, amends, withdraws and reads records.
+
+use crate::config::{self, Client};
+use crate::util::{self, Error, Result};
+use ::record::{Document, Key, Kind};
+use argh::FromArgs;
+use async_std::task;
+use entry::dump::Status;
+use entry::http::operators::{Batch, Records, Submitted};
+use fleet::command::Withdrawal;
+use fleet::{Change, Outcome, Slot};
+use standin::client;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// Sends of one submission before its outcome is called unknown.
+const MAX_SENDS: usize = 3;
+const RESEND_PAUSE: Duration = Duration::from_millis(500);
+const WAIT_POLL: Duration = Duration::from_millis(50);
+
+/// Submit, amend, withdraw and read records.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "record")]
+pub struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Submit(SubmitArgs),
+    Amend(AmendArgs),
+    Withdraw(WithdrawArgs),
+    Dismiss(DismissArgs),
+    Get(GetArgs),
+    List(ListArgs),
+}
+
+/// Submit new records; all files are one batch, applied whole or not at all.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+struct SubmitArgs {
+    /// record files
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// submission id; a resend repeats it (default: a random one)
+    #[argh(option)]
+    id: Option<String>,
+    /// wait until it is in force at every entry, at most this many seconds
+    #[argh(option)]
+    wait: Option<u64>,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Amend records; each document names the revision that it replaces.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "amend")]
+struct AmendArgs {
+    /// record files
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// submission id; a resend repeats it (default: a random one)
+    #[argh(option)]
+    id: Option<String>,
+    /// wait until it is in force at every entry, at most this many seconds
+    #[argh(option)]
+    wait: Option<u64>,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Withdraw a record; a tombstone stays, so that an old copy can't come back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+struct WithdrawArgs {
+    /// kind of the record
+    #[argh(positional)]
+    kind: String,
+    /// name of the record
+    #[argh(positional)]
+    name: String,
+    /// revision that you saw
+    #[argh(option)]
+    revision: u64,
+    /// submission id; a resend repeats it (default: a random one)
+    #[argh(option)]
+    id: Option<String>,
+    /// wait until it is in force at every entry, at most this many seconds
+    #[argh(option)]
+    wait: Option<u64>,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Declare that an entry process was stopped for good, so that no move waits for
+/// it. Only after it is certain that the process is gone.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "dismiss")]
+struct DismissArgs {
+    /// name of the entry that is gone
+    #[argh(positional)]
+    gone: String,
+    /// submission id; a resend repeats it (default: a random one)
+    #[argh(option)]
+    id: Option<String>,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Show one record as YAML that can be amended.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "get")]
+struct GetArgs {
+    /// kind of the record
+    #[argh(positional)]
+    kind: String,
+    /// name of the record
+    #[argh(positional)]
+    name: String,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// List records.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListArgs {
+    /// only this kind
+    #[argh(positional)]
+    kind: Option<String>,
+    /// withdrawn records too
+    #[argh(switch)]
+    withdrawn: bool,
+    /// operators' address of an entry
+    #[argh(option)]
+    entry: Option<String>,
+    /// operator's token
+    #[argh(option)]
+    token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    match args.command {
+        Command::Submit(args) => {
+            let changes = changes(&args.files, false)?;
+            let client = Client::new(args.entry, args.token)?;
+            task::block_on(submit(&client, Request::new(args.id, changes, args.wait, args.json)))
+        }
+        Command::Amend(args) => {
+            let changes = changes(&args.files, true)?;
+            let client = Client::new(args.entry, args.token)?;
+            task::block_on(submit(&client, Request::new(args.id, changes, args.wait, args.json)))
+        }
+        Command::Withdraw(args) => {
+            let key = Key::new(parse_kind(&args.kind)?, args.name);
+            let changes = vec![Change::Withdraw(Withdrawal { key, revision: args.revision })];
+            let client = Client::new(args.entry, args.token)?;
+            task::block_on(submit(&client, Request::new(args.id, changes, args.wait, args.json)))
+        }
+        Command::Dismiss(args) => {
+            let changes = vec![Change::Dismiss(args.gone)];
+            let client = Client::new(args.entry, args.token)?;
+            task::block_on(submit(&client, Request::new(args.id, changes, None, args.json)))
+        }
+        Command::Get(args) => task::block_on(get(args)),
+        Command::List(args) => task::block_on(list(args)),
+    }
+}
+
+/// A submission as the command line gives it.
+struct Request {
+    batch: Batch,
+    wait: Option<Duration>,
+    json: bool,
+}
+
+impl Request {
+    fn new(id: Option<String>, changes: Vec<Change>, wait: Option<u64>, json: bool) -> Request {
+        let id = id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let wait = wait.map(Duration::from_secs);
+        Request { batch: Batch { id, changes }, wait, json }
+    }
+}
+
+fn changes(files: &[PathBuf], amend: bool) -> Result<Vec<Change>> {
+    let mut changes = Vec::new();
+    let mut faults = Vec::new();
+    for path in files {
+        let text = util::read(path)?;
+        let documents = match ::record::document::parse_all(&text) {
+            Ok(documents) => documents,
+            Err(found) => {
+                faults.extend(found.iter().map(|fault| format!("{}: {fault}", path.display())));
+                continue;
+            }
+        };
+        for document in documents {
+            let found = document_faults(&document, amend);
+            let name = format!("{}: {}", path.display(), document.key());
+            faults.extend(found.iter().map(|fault| format!("{name}: {fault}")));
+            changes.push(Change::Put(document));
+        }
+    }
+    if changes.is_empty() && faults.is_empty() {
+        faults.push("FILES: hold no record".to_string());
+    }
+    if faults.is_empty() { Ok(changes) } else { Err(Error::Input(faults)) }
+}
+
+fn document_faults(document: &Document, amend: bool) -> Vec<::record::Fault> {
+    let mut faults = document.check().err().unwrap_or_default();
+    if amend && document.revision.is_none() {
+        faults.push(::record::Fault::new("revision", "is missing; it names what is replaced"));
+    }
+    faults
+}
+
+async fn submit(client: &Client, request: Request) -> Result<()> {
+    let submitted = send(client, &request.batch).await?;
+    let Submitted::Decided { result } = &submitted else {
+        return Err(undecided(&submitted, &request.batch.id));
+    };
+    if request.json {
+        util::print_json(result)?;
+    } else if matches!(result, Outcome::Accepted { .. }) {
+        println!("{result}");
+    }
+    match (result, request.wait) {
+        (Outcome::Accepted { index, .. }, Some(longest)) => {
+            wait(client, *index, longest, request.json).await
+        }
+        (Outcome::Accepted { .. }, None) => Ok(()),
+        _ => Err(Error::Refused(result.to_string())),
+    }
+}
+
+fn undecided(submitted: &Submitted, id: &str) -> Error {
+    match submitted {
+        Submitted::Unknown { reason } => {
+            Error::Unknown(format!("outcome unknown: {reason}; resend with --id {id}"))
+        }
+        Submitted::NotTaken { reason } => Error::NotTaken(format!("not accepted: {reason}")),
+        Submitted::Decided { result } => Error::Refused(result.to_string()),
+    }
+}
+
+/// Sends a submission until its outcome is known; the id makes that safe.
+async fn send(client: &Client, batch: &Batch) -> Result<Submitted> {
+    let body = serde_json::to_vec(batch).expect("a batch serialises to memory");
+    let mut sent = false;
+    let mut last = String::new();
+    for _ in 0..MAX_SENDS {
+        match client.call("/submissions").post(body.clone()).send().await {
+            Ok(answer) if matches!(answer.status, 200 | 409 | 422 | 503 | 504) => {
+                let submitted = serde_json::from_slice(&answer.body)
+                    .map_err(|error| Error::Unknown(format!("cannot read the answer: {error}")))?;
+                match submitted {
+                    Submitted::Unknown { reason } => {
+                        sent = true;
+                        last = reason;
+                    }
+                    Submitted::NotTaken { reason } if sent => last = reason,
+                    other => return Ok(other),
+                }
+            }
+            Ok(answer) => return config::parse(&answer),
+            Err(client::Error::Lost(reason)) => {
+                sent = true;
+                last = reason;
+            }
+            Err(client::Error::Unreachable(reason)) => last = reason,
+        }
+        task::sleep(RESEND_PAUSE).await;
+    }
+    let reason = client.name(&last);
+    Ok(if sent { Submitted::Unknown { reason } } else { Submitted::NotTaken { reason } })
+}
+
+/// Waits until every member has an index in force.
+async fn wait(client: &Client, index: fleet::Index, longest: Duration, json: bool) -> Result<()> {
+    let start = Instant::now();
+    loop {
+        let status: Status = client.get("/status").await?;
+        let members = || status.entries.iter().filter(|entry| entry.member);
+        let missing: Vec<&str> = members()
+            .filter(|entry| entry.applied < index)
+            .map(|entry| entry.entry.as_str())
+            .collect();
+        if missing.is_empty() {
+            let count = members().count();
+            if !json {
+                println!("in force at {count} entries after {:?}", start.elapsed());
+            }
+            return Ok(());
+        }
+        if start.elapsed() > longest {
+            let missing = missing.join(", ");
+            return Err(Error::Unknown(format!("accepted, but not yet in force at {missing}")));
+        }
+        task::sleep(WAIT_POLL).await;
+    }
+}
+
+async fn get(args: GetArgs) -> Result<()> {
+    let kind = parse_kind(&args.kind)?;
+    let client = Client::new(args.entry, args.token)?;
+    let records: Records = client.get(&format!("/records/{kind}/{}", args.name)).await?;
+    if args.json {
+        return util::print_json(&records);
+    }
+    for slot in &records.records {
+        print_slot(slot);
+    }
+    print_as_of(&records);
+    Ok(())
+}
+
+async fn list(args: ListArgs) -> Result<()> {
+    let mut path = format!("/records?withdrawn={}", args.withdrawn);
+    if let Some(kind) = &args.kind {
+        path += &format!("&kind={}", parse_kind(kind)?);
+    }
+    let client = Client::new(args.entry, args.token)?;
+    let records: Records = client.get(&path).await?;
+    if args.json {
+        return util::print_json(&records);
+    }
+    for slot in &records.records {
+        let key = slot.document.key();
+        let state = if slot.withdrawn { " withdrawn" } else { "" };
+        println!("{key} schema {} revision {}{state}", slot.document.schema, slot.revision);
+    }
+    print_as_of(&records);
+    Ok(())
+}
+
+fn print_slot(slot: &Slot) {
+    let mut document = slot.document.clone();
+    document.revision = Some(slot.revision);
+    let state = if slot.withdrawn { "withdrawn" } else { "in force" };
+    println!("# {state}, by operator \"{}\" at {}", slot.operator, util::time(slot.at));
+    print!("{}", serde_norway::to_string(&document).expect("a document serialises"));
+}
+
+fn print_as_of(records: &Records) {
+    let as_of = &records.as_of;
+    if !as_of.current {
+        eprintln!(
+            "note: entry {} may be cut off; this is what it has in force at index {}",
+            as_of.entry, as_of.index
+        );
+    }
+}
+
+fn parse_kind(text: &str) -> Result<Kind> {
+    Kind::parse(text).ok_or_else(|| {
+        let known = Kind::ALL.map(|kind| kind.to_string()).join(", ");
+        Error::Input(vec![format!("KIND: \"{text}\" does not exist, known are {known}")])
+    })
+}
--- /dev/null
+++ b/src/cmd/standin.rs
@@ -0,0 +1,60 @@
+//! Runs a stand-in target.
+
+use crate::util::{self, Error, Result};
+use ::standin::{Settings, Target};
+use argh::FromArgs;
+use async_std::task;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between two looks at the requests in flight of a leaving target.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time for the entries to hear that the target leaves.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+
+/// Run a stand-in target that answers requests and announces itself, to try the
+/// system without a real one. SIGTERM or SIGINT drains it first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "standin")]
+pub struct Args {
+    /// name of its instance record
+    #[argh(positional)]
+    instance: String,
+    /// targets' address of an entry of its data centre; may be repeated
+    #[argh(option)]
+    announce: Vec<SocketAddr>,
+    /// token for announcements
+    #[argh(option)]
+    token: String,
+    /// where it listens (default 127.0.0.1:0)
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    listen: SocketAddr,
+    /// milliseconds that a request takes (default 20)
+    #[argh(option, default = "20")]
+    work_ms: u64,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    let settings = Settings {
+        instance: args.instance,
+        listen: args.listen,
+        entries: args.announce,
+        token: args.token,
+        work: Duration::from_millis(args.work_ms),
+    };
+    task::block_on(async {
+        let target = Target::start(settings)
+            .await
+            .map_err(|error| Error::Io(format!("--listen {}", args.listen), error))?;
+        println!("listening on {}", target.address());
+        util::stop_signal().await?;
+        target.leave();
+        task::sleep(LEAVE_NOTICE).await;
+        while target.in_flight() > 0 {
+            task::sleep(DRAIN_POLL).await;
+        }
+        target.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/tests/demo.rs
@@ -0,0 +1,21 @@
+//! `skylarkwinch demo`: both deployments run from start to stop.
+
+use crate::workdir::stderr;
+use std::process::Command;
+
+#[test]
+fn both_deployments_run() {
+    for (folder, moved) in [("cadena-fria", "callao-w17"), ("muestras", "cdmx-w17")] {
+        let output = Command::new(env!("CARGO_BIN_EXE_skylarkwinch"))
+            .args(["demo", &format!("examples/{folder}")])
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .output()
+            .unwrap();
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert!(output.status.success(), "{text}\n{}", stderr(&output));
+        assert!(text.contains("50 stand-in targets announced and routed to"), "{text}");
+        assert!(text.contains(&format!("instance {moved} assigned to pool")), "{text}");
+        assert!(text.contains("40 of 40 answered"), "{text}");
+        assert!(text.ends_with("stopped gracefully\n"), "{text}");
+    }
+}
