--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -1,4 +1,4 @@
-//! One HTTP request over a fresh connection.
+//! HTTP requests, one after the other on a connection.
 
 use async_std::net::TcpStream;
 use http_types::{Body, Method, Request, Response, Url};
@@ -114,28 +114,49 @@
         self.header("authorization", format!("Bearer {token}"))
     }
 
-    /// Sends it and takes the whole answer.
+    /// Sends it over a fresh connection and takes the whole answer.
     pub async fn send(self) -> Result<Answer> {
-        let timeout = self.timeout;
-        let stream = async_std::future::timeout(timeout, TcpStream::connect(self.address))
+        let connection = Connection::open(self.address, self.timeout).await?;
+        connection.send(self).await
+    }
+}
+
+/// An open connection, for one request after the other.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    stream: TcpStream,
+}
+
+impl Connection {
+    /// Connects.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection> {
+        let stream = async_std::future::timeout(timeout, TcpStream::connect(address))
             .await
             .map_err(|error| Error::Unreachable(error.to_string()))?
             .map_err(|error| Error::Unreachable(error.to_string()))?;
-        async_std::future::timeout(timeout, self.exchange(stream))
+        stream.set_nodelay(true).map_err(|error| Error::Unreachable(error.to_string()))?;
+        Ok(Connection { stream })
+    }
+
+    /// Sends a request and takes the whole answer.
+    pub async fn send(&self, call: Call) -> Result<Answer> {
+        let timeout = call.timeout;
+        async_std::future::timeout(timeout, self.exchange(call))
             .await
             .map_err(|error| Error::Lost(error.to_string()))?
     }
 
-    async fn exchange(self, stream: TcpStream) -> Result<Answer> {
-        let url = Url::parse(&format!("http://{}{}", self.address, self.path))
+    async fn exchange(&self, call: Call) -> Result<Answer> {
+        let url = Url::parse(&format!("http://{}{}", call.address, call.path))
             .map_err(|error| Error::Unreachable(error.to_string()))?;
-        let mut request = Request::new(self.method, url);
-        for header in &self.headers {
+        let mut request = Request::new(call.method, url);
+        for header in &call.headers {
             request.insert_header(header.name.as_str(), header.value.as_str());
         }
-        request.set_body(Body::from_bytes(self.body));
+        request.set_body(Body::from_bytes(call.body));
         let lost = |error: http_types::Error| Error::Lost(error.to_string());
-        let mut response = async_h1::connect(stream, request).await.map_err(lost)?;
+        let mut response =
+            async_h1::connect(self.stream.clone(), request).await.map_err(lost)?;
         let declared = response.len();
         let body = response.body_bytes().await.map_err(lost)?;
         if declared.is_some_and(|length| length != body.len()) {
