Keep 64 idle connections for each target

Cause: with 64 requests in flight, 48 of them connected anew, since the pool kept 16 idle connections.

Change: the pool keeps 64, the number of connections that the instances of both deployments declare.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Idle connections kept for each target.
-const IDLE_PER_TARGET: usize = 16;
+const IDLE_PER_TARGET: usize = 64;
 /// Idle time after which a connection may have been forgotten on its way.
 const MAX_IDLE: Duration = Duration::from_secs(2);
 
