Separate the agreement from its process

Cause: founding, forwarding and voter changes could only be tested through real processes, since the agreement held sockets, clock and settings.

Change: an interface `agreement::Outside` for time, sending and publishing; the steps towards wanted voters move into the node. No behaviour is meant to change.

Conclusion: a fault can now be put at every step with a fake clock.

--- a/crates/entry/src/agreement.rs
+++ b/crates/entry/src/agreement.rs
@@ -1,7 +1,5 @@
 //! The thread that owns the agreement, the disk and the replicated state.
 
-use crate::link::Link;
-use crate::shared::Shared;
 use async_std::channel::Sender;
 use fleet::{Command, Fleet, Incarnation, Slot};
 use log::{error, info, warn};
@@ -9,13 +7,13 @@
 use record::{Key, Kind};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, SystemTime};
 use store::Store;
 use wire::Frame;
 use wire::frame::{Answer, Propose, Proposed, RequestId, Status};
+use wire::proof::Identity;
 
 /// Longest wait between two looks at the clock.
 const TICK: Duration = Duration::from_millis(50);
@@ -28,12 +26,34 @@
 /// Operator name under which the founding voters are recorded.
 const FOUNDING: &str = "founding";
 
+/// What the agreement needs of the process around it.
+pub trait Outside: Send + Sync {
+    /// Monotonic time.
+    fn now(&self) -> Duration;
+    /// Time of day, for people only.
+    fn wall(&self) -> SystemTime;
+    /// Queues a frame for a peer, if there is a connection to it.
+    fn send(&self, to: &Id, frame: Frame);
+    /// Peers that are connected.
+    fn peers(&self) -> Vec<Identity>;
+    /// Replicated state has changed.
+    fn changed(&self);
+    /// The state was taken whole from the own data centre.
+    fn recovered(&self);
+    /// An entry has everything up to an index in force.
+    fn in_force(&self, entry: &str, index: Index);
+    /// Where the agreement stands now.
+    fn publish(&self, view: View);
+    /// Counts an event.
+    fn count(&self, name: &'static str);
+}
+
 /// Input of the agreement thread.
 pub enum Input {
-    /// A connection was made.
-    Up(Link),
-    /// A connection was lost.
-    Down(Id, u64),
+    /// A connection was made, for the first time or anew.
+    Up(Identity),
+    /// The only connection to a peer was lost.
+    Down(Id),
     /// A peer sent a frame.
     Frame(Id, Frame),
     /// A task wants a command agreed on.
@@ -109,7 +129,10 @@
 
 /// The agreement of one process.
 pub struct Agreement {
-    shared: Arc<Shared>,
+    outside: Arc<dyn Outside>,
+    identity: Identity,
+    founders: Vec<String>,
+    fleet: Arc<RwLock<Fleet>>,
     node: Node,
     store: Option<Store>,
     pending: BTreeMap<Index, Pending>,
@@ -120,13 +143,27 @@
     disk_failure: Option<String>,
     blank_since: Duration,
     announced: Index,
+    leader: Option<Id>,
 }
 
 impl Agreement {
     /// Takes over the node and its disk, and puts the recovered state in force.
-    pub fn new(shared: Arc<Shared>, node: Node, store: Option<Store>, state: &[u8]) -> Agreement {
+    ///
+    /// `founders` names the voters of a cluster to found, by the settings.
+    pub fn new(
+        outside: Arc<dyn Outside>,
+        identity: Identity,
+        founders: Vec<String>,
+        fleet: Arc<RwLock<Fleet>>,
+        node: Node,
+        store: Option<Store>,
+        state: &[u8],
+    ) -> Agreement {
         let mut agreement = Agreement {
-            shared,
+            outside,
+            identity,
+            founders,
+            fleet,
             node,
             store,
             pending: BTreeMap::new(),
@@ -137,66 +174,64 @@
             disk_failure: None,
             blank_since: Duration::ZERO,
             announced: 0,
+            leader: None,
         };
         agreement.restore(state);
+        agreement.settle();
         agreement
     }
 
     /// Runs until [`Input::Stop`].
     pub fn run(mut self, inputs: Receiver<Input>) {
-        self.settle();
         loop {
             match inputs.recv_timeout(TICK) {
-                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Ok(input) => self.input(input),
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            for _ in 0..BATCH_INPUTS {
-                match inputs.try_recv() {
-                    Ok(Input::Stop) => {
-                        self.settle();
-                        return;
-                    }
-                    Ok(input) => self.input(input),
-                    Err(_) => break,
+            for input in inputs.try_iter().take(BATCH_INPUTS) {
+                if matches!(input, Input::Stop) {
+                    return;
                 }
+                self.input(input);
             }
-            let now = self.shared.clock.now();
-            self.node.tick(now);
-            self.housekeeping(now);
-            self.settle();
+            self.tick();
         }
     }
 
-    fn input(&mut self, input: Input) {
-        let now = self.shared.clock.now();
+    /// Takes in an input; its effects follow with the next [`Agreement::tick`].
+    pub fn input(&mut self, input: Input) {
+        let now = self.outside.now();
         match input {
-            Input::Up(link) => self.up(link),
-            Input::Down(id, serial) => self.down(&id, serial),
+            Input::Up(identity) => self.up(&identity),
+            Input::Down(id) => self.down(&id),
             Input::Frame(from, frame) => self.frame(now, from, frame),
             Input::Propose(command, reply) => self.propose(now, command, reply),
             Input::Stop => {}
         }
     }
 
-    fn up(&mut self, link: Link) {
-        let id = link.id();
-        link.send(Frame::Status(self.status()));
-        let old = self.shared.links.write().expect("no holder panics").insert(id.clone(), link);
-        if let Some(old) = old {
-            old.close();
-        }
+    /// Takes in the time, then syncs, sends and applies what is due.
+    pub fn tick(&mut self) {
+        let now = self.outside.now();
+        self.node.tick(now);
+        self.housekeeping(now);
+        self.settle();
+    }
+
+    /// The node, for queries.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    fn up(&mut self, identity: &Identity) {
+        let id = id_of(identity);
+        self.outside.send(&id, Frame::Status(self.status()));
         info!("connected to entry {id}");
         self.node.connect(id);
     }
 
-    fn down(&mut self, id: &Id, serial: u64) {
-        let mut links = self.shared.links.write().expect("no holder panics");
-        if links.get(id).is_none_or(|link| link.serial != serial) {
-            return; // a newer connection took its place
-        }
-        links.remove(id);
-        drop(links);
+    fn down(&mut self, id: &Id) {
         info!("disconnected from entry {id}");
         self.node.disconnect(id);
         self.statuses.remove(id);
@@ -234,17 +269,13 @@
     }
 
     fn take_status(&mut self, from: Id, status: Status) {
-        self.shared.note_in_force(&from.name, status.applied);
+        self.outside.in_force(&from.name, status.applied);
         self.statuses.insert(from.clone(), status);
         if self.is_foreign(&from) {
-            self.count("peer_foreign_cluster_total");
+            self.outside.count("peer_foreign_cluster_total");
             warn!("entry {from} belongs to another founding of this cluster; it is ignored");
         }
     }
-
-    fn count(&self, name: &'static str) {
-        metrics::counter!(name, "entry" => self.shared.identity.name.clone()).increment(1);
-    }
 }
 
 /// Proposals.
@@ -265,16 +296,14 @@
     }
 
     fn forward(&mut self, leader: Id, command: Command, reply: Sender<Answer>) {
-        let links = self.shared.links.read().expect("no holder panics");
-        let Some(link) = links.get(&leader) else {
+        if !self.outside.peers().iter().any(|peer| id_of(peer) == leader) {
             let reason = format!("no connection to the leader, entry {}", leader.name);
             let _ = reply.try_send(Answer::NotTaken(reason));
             return;
-        };
+        }
         self.next_request += 1;
         let id = self.next_request;
-        link.send(Frame::Propose(Propose { id, command }));
-        drop(links);
+        self.outside.send(&leader, Frame::Propose(Propose { id, command }));
         self.forwarded.retain(|_, forwarded| !forwarded.reply.is_closed());
         self.forwarded.insert(id, Forwarded { leader, reply });
     }
@@ -301,7 +330,7 @@
                 let _ = reply.try_send(answer);
             }
             Waiter::Remote(to, id) => {
-                self.shared.send(&to, Frame::Proposed(Proposed { id, answer }));
+                self.outside.send(&to, Frame::Proposed(Proposed { id, answer }));
             }
         }
     }
@@ -337,7 +366,7 @@
                 self.restore(&snapshot.data);
             }
             for envelope in output.messages {
-                self.shared.send(&envelope.to, Frame::Quorum(envelope.message));
+                self.outside.send(&envelope.to, Frame::Quorum(envelope.message));
             }
             self.apply(output.committed);
         }
@@ -359,7 +388,7 @@
             Err(error) => {
                 error!("disk failed, this entry takes no more part in agreement: {error}");
                 self.disk_failure = Some(error.to_string());
-                self.count("disk_failures_total");
+                self.outside.count("disk_failures_total");
                 false
             }
         }
@@ -370,10 +399,10 @@
             return;
         }
         match ciborium::from_reader::<Fleet, _>(state) {
-            Ok(fleet) => *self.shared.fleet.write().expect("no holder panics") = fleet,
+            Ok(fleet) => *self.fleet.write().expect("no holder panics") = fleet,
             Err(error) => self.hold(format!("cannot read the snapshot: {error}")),
         }
-        self.shared.touch();
+        self.outside.changed();
     }
 
     fn hold(&mut self, reason: String) {
@@ -385,8 +414,8 @@
         if committed.is_empty() {
             return;
         }
-        let shared = self.shared.clone();
-        let mut fleet = shared.fleet.write().expect("no holder panics");
+        let state = self.fleet.clone();
+        let mut fleet = state.write().expect("no holder panics");
         let mut answers = Vec::new();
         for entry in committed {
             if self.held.is_some() {
@@ -412,11 +441,11 @@
             };
             self.answer(pending.waiter, answer);
         }
-        shared.touch();
+        self.outside.changed();
     }
 
     fn compact(&mut self) {
-        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let fleet = self.fleet.read().expect("no holder panics");
         let applied = fleet.applied();
         if self.held.is_some() || applied < self.node.base_index() + COMPACT_ENTRIES {
             return;
@@ -433,7 +462,7 @@
     }
 
     fn publish(&mut self) {
-        let now = self.shared.clock.now();
+        let now = self.outside.now();
         let view = View {
             role: self.node.role(),
             term: self.node.term(),
@@ -448,29 +477,29 @@
             disk_failure: self.disk_failure.clone(),
             log_bytes: self.store.as_ref().map(Store::log_bytes),
         };
-        let before = self.shared.view.swap(Arc::new(view));
-        if before.leader.as_ref() != self.node.leader() {
-            let name = self.node.leader().map_or("none", |leader| leader.name.as_str());
+        self.outside.publish(view);
+        if self.leader.as_ref() != self.node.leader() {
+            self.leader = self.node.leader().cloned();
+            let name = self.leader.as_ref().map_or("none", |leader| leader.name.as_str());
             info!("leader of term {} is {name}", self.node.term());
         }
-        let applied = self.shared.fleet.read().expect("no holder panics").applied();
+        let applied = self.fleet.read().expect("no holder panics").applied();
         if applied > self.announced {
             self.announced = applied;
-            self.shared.note_in_force(&self.shared.identity.name, applied);
+            self.outside.in_force(&self.identity.name, applied);
             let status = self.status();
-            for link in self.shared.links() {
-                link.send(Frame::Status(status.clone()));
+            for peer in self.outside.peers() {
+                self.outside.send(&id_of(&peer), Frame::Status(status.clone()));
             }
         }
     }
 
     fn status(&self) -> Status {
-        let entries = &self.shared.settings.entries;
         Status {
-            applied: self.shared.fleet.read().expect("no holder panics").applied(),
+            applied: self.fleet.read().expect("no holder panics").applied(),
             blank: self.node.is_blank(),
             cluster: self.node.membership().cluster,
-            founders: entries.iter().filter(|e| e.voter).map(|e| e.name.clone()).collect(),
+            founders: self.founders.clone(),
         }
     }
 }
@@ -493,17 +522,18 @@
     /// Founds the cluster when this is the first of the founding voters by name,
     /// every founding voter is connected and blank, and no peer knows a cluster.
     fn found_if_first(&mut self) {
-        let founders = self.status().founders;
-        let first = founders.iter().min() == Some(&self.shared.identity.name);
+        let founders = &self.founders;
+        let first = founders.iter().min() == Some(&self.identity.name);
         let known = self.statuses.values().any(|status| !status.blank);
         if !first || known || self.store.is_none() {
             return;
         }
         let mut voters = BTreeSet::from([self.node.id().clone()]);
-        for link in self.shared.links() {
-            let agrees = self.statuses.get(&link.id()).is_some_and(|s| s.founders == founders);
-            if agrees && link.identity.durable && founders.contains(&link.identity.name) {
-                voters.insert(link.id());
+        for peer in self.outside.peers() {
+            let id = id_of(&peer);
+            let agrees = self.statuses.get(&id).is_some_and(|s| s.founders == *founders);
+            if agrees && peer.durable && founders.contains(&peer.name) {
+                voters.insert(id);
             }
         }
         if voters.len() < founders.len() {
@@ -521,40 +551,34 @@
             return;
         }
         self.blank_since = now;
-        let here = &self.shared.identity.data_centre;
-        let best = self
-            .shared
-            .links()
-            .into_iter()
-            .filter(|link| link.identity.data_centre == *here)
-            .filter_map(|link| Some((self.statuses.get(&link.id())?.applied, link)))
-            .filter(|(applied, _)| *applied > 0)
-            .max_by_key(|(applied, _)| *applied);
-        if let Some((_, link)) = best {
-            link.send(Frame::Fetch);
+        let applied = |peer: &Identity| self.statuses.get(&id_of(peer)).map_or(0, |s| s.applied);
+        let mut here = self.outside.peers();
+        here.retain(|peer| peer.data_centre == self.identity.data_centre && applied(peer) > 0);
+        if let Some(best) = here.iter().max_by_key(|peer| applied(peer)) {
+            self.outside.send(&id_of(best), Frame::Fetch);
         }
     }
 
     fn serve_state(&self, to: &Id) {
-        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let fleet = self.fleet.read().expect("no holder panics");
         if fleet.applied() == 0 || self.held.is_some() {
             return;
         }
         let snapshot = self.node.export(encode(&*fleet));
-        self.shared.send(to, Frame::Fetched(snapshot));
+        self.outside.send(to, Frame::Fetched(snapshot));
     }
 
     fn take_state(&mut self, snapshot: Snapshot) {
         let index = snapshot.index;
         if self.node.is_blank() && self.node.install(snapshot) {
-            self.shared.recovered.store(true, Ordering::Release);
+            self.outside.recovered();
             info!("took the state at index {index} from a peer");
         }
     }
 
     /// Writes the founding voters down as records, once.
     fn record_founders(&mut self, now: Duration) {
-        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let fleet = self.fleet.read().expect("no holder panics");
         let recorded = voter_records(&fleet).next().is_some();
         drop(fleet);
         if recorded || !self.pending.is_empty() {
@@ -565,7 +589,7 @@
         let submission = fleet::Submission {
             operator: FOUNDING.to_string(),
             id: FOUNDING.to_string(),
-            at: self.shared.clock.wall(),
+            at: self.outside.wall(),
             changes,
         };
         let (reply, _) = async_std::channel::bounded(1);
@@ -574,22 +598,17 @@
 
     /// Brings the voters one step closer to the voter records.
     fn step_voters(&mut self, now: Duration) {
-        let present = self.node.membership().voters;
-        let wanted = self.wanted_voters(&present);
-        let mut next = present.clone();
-        if let Some(gone) = present.difference(&wanted).next() {
-            next.remove(gone);
-        } else if let Some(new) = wanted.difference(&present).find(|id| self.has_caught_up(id)) {
-            next.insert(new.clone());
-        }
-        let changed = next != present;
-        if changed && self.node.reaches(&next) && self.node.propose_voters(now, next).is_ok() {
+        let wanted = self.wanted_voters(&self.node.membership().voters);
+        let mut durable = self.outside.peers();
+        durable.retain(|peer| peer.durable);
+        let durable = durable.iter().map(id_of).collect();
+        if self.node.steer_voters(now, &wanted, &durable).is_ok_and(|proposed| proposed) {
             info!("proposed a change of voters");
         }
     }
 
     fn wanted_voters(&self, present: &BTreeSet<Id>) -> BTreeSet<Id> {
-        let fleet = self.shared.fleet.read().expect("no holder panics");
+        let fleet = self.fleet.read().expect("no holder panics");
         let mut wanted = present.clone();
         for (key, slot) in voter_records(&fleet) {
             wanted.retain(|id| id.name != key.name);
@@ -600,13 +619,10 @@
         }
         wanted
     }
+}
 
-    fn has_caught_up(&self, id: &Id) -> bool {
-        let held = self.node.matched().get(id).copied().unwrap_or_default();
-        let links = self.shared.links.read().expect("no holder panics");
-        let durable = links.get(id).is_some_and(|link| link.identity.durable);
-        durable && held >= self.node.commit()
-    }
+fn id_of(identity: &Identity) -> Id {
+    Id::new(identity.name.clone(), identity.incarnation)
 }
 
 fn apply_entry(fleet: &mut Fleet, entry: &quorum::Entry) -> Result<Option<fleet::Outcome>, String> {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -260,16 +260,19 @@
     let link = Link::new(identity, serial, shared.clock.now(), queue);
     let (id, traffic) = (link.id(), link.traffic.clone());
     let (sink, stream) = socket.split();
-    if shared.inputs.try_send(Input::Up(link)).is_err() {
-        return Err(Error::Closed);
-    }
+    let identity = link.identity.clone();
+    shared.link_up(link);
+    push(shared, Input::Up(identity)).await?;
     {
         let write = write_frames(sink, queued, &traffic);
         let read = read_frames(shared, &id, stream, &traffic);
         futures::pin_mut!(write, read);
         futures::future::select(write, read).await;
     }
-    push(shared, Input::Down(id, serial)).await
+    if shared.link_down(&id, serial) {
+        push(shared, Input::Down(id)).await?;
+    }
+    Ok(())
 }
 
 async fn write_frames(
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -117,7 +117,7 @@
             clock,
             table: ArcSwap::from_pointee(Table::default()),
             directory: Mutex::new(directory),
-            fleet: RwLock::default(),
+            fleet: Arc::new(RwLock::default()),
             view: ArcSwap::from_pointee(View::blank()),
             links: RwLock::new(BTreeMap::new()),
             in_force: Mutex::default(),
@@ -197,7 +197,10 @@
     let snapshot = state.snapshot.data.clone();
     let spans = quorum::Settings::default();
     let node = Node::restore(id, store.is_some(), spans, rand::random(), state);
-    let agreement = Agreement::new(shared, node, store, &snapshot);
+    let founders = shared.settings.entries.iter().filter(|entry| entry.voter);
+    let founders = founders.map(|entry| entry.name.clone()).collect();
+    let (identity, fleet) = (shared.identity.clone(), shared.fleet.clone());
+    let agreement = Agreement::new(shared, identity, founders, fleet, node, store, &snapshot);
     thread::Builder::new()
         .name("agreement".to_string())
         .spawn(move || agreement.run(queue))
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of one process share.
 
-use crate::agreement::{Input, View};
+use crate::agreement::{Input, Outside, View};
 use crate::clock::Clock;
 use crate::forward::Forwarder;
 use crate::link::Link;
@@ -40,7 +40,7 @@
     /// Targets heard of.
     pub directory: Mutex<Directory>,
     /// Replicated state, written by the agreement thread only.
-    pub fleet: RwLock<Fleet>,
+    pub fleet: Arc<RwLock<Fleet>>,
     /// Where the agreement stands.
     pub view: ArcSwap<View>,
     /// Open connections to peers.
@@ -89,23 +89,22 @@
         self.links.read().expect("no holder panics").values().cloned().collect()
     }
 
-    /// Queues a frame for a peer, if there is a connection to it.
-    pub fn send(&self, to: &Id, frame: wire::Frame) {
-        if let Some(link) = self.links.read().expect("no holder panics").get(to) {
-            link.send(frame);
+    /// Takes in a new connection; an older one to the same peer is closed.
+    pub fn link_up(&self, link: Link) {
+        let old = self.links.write().expect("no holder panics").insert(link.id(), link);
+        if let Some(old) = old {
+            old.close();
         }
     }
 
-    /// Notes that an entry has everything up to an index in force.
-    pub fn note_in_force(&self, entry: &str, index: fleet::Index) {
-        let mut all = self.in_force.lock().expect("no holder panics");
-        let history = all.entry(entry.to_string()).or_default();
-        if history.last_key_value().is_none_or(|(last, _)| *last < index) {
-            history.insert(index, self.clock.wall());
-        }
-        while history.len() > IN_FORCE_HISTORY {
-            history.pop_first();
+    /// Takes in the end of a connection; tells whether no newer one took its place.
+    pub fn link_down(&self, id: &Id, serial: u64) -> bool {
+        let mut links = self.links.write().expect("no holder panics");
+        let last = links.get(id).is_some_and(|link| link.serial == serial);
+        if last {
+            links.remove(id);
         }
+        last
     }
 
     /// Has a command agreed on, by this entry or through the leader.
@@ -121,3 +120,50 @@
         }
     }
 }
+
+impl Outside for Shared {
+    fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.clock.wall()
+    }
+
+    fn send(&self, to: &Id, frame: wire::Frame) {
+        if let Some(link) = self.links.read().expect("no holder panics").get(to) {
+            link.send(frame);
+        }
+    }
+
+    fn peers(&self) -> Vec<Identity> {
+        self.links().into_iter().map(|link| link.identity).collect()
+    }
+
+    fn changed(&self) {
+        self.touch();
+    }
+
+    fn recovered(&self) {
+        self.recovered.store(true, Ordering::Release);
+    }
+
+    fn in_force(&self, entry: &str, index: fleet::Index) {
+        let mut all = self.in_force.lock().expect("no holder panics");
+        let history = all.entry(entry.to_string()).or_default();
+        if history.last_key_value().is_none_or(|(last, _)| *last < index) {
+            history.insert(index, self.clock.wall());
+        }
+        while history.len() > IN_FORCE_HISTORY {
+            history.pop_first();
+        }
+    }
+
+    fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+    }
+
+    fn count(&self, name: &'static str) {
+        metrics::counter!(name, "entry" => self.identity.name.clone()).increment(1);
+    }
+}
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -371,6 +371,34 @@
         Ok(index)
     }
 
+    /// Proposes one step from the present voters towards the wanted ones: first
+    /// the removal of one, then the addition of one that holds all that is
+    /// committed and has a disk. Never steps to voters of which a majority does
+    /// not answer. Tells whether a step was proposed.
+    pub fn steer_voters(
+        &mut self,
+        now: Duration,
+        wanted: &BTreeSet<Id>,
+        durable: &BTreeSet<Id>,
+    ) -> Result<bool> {
+        let mut next = self.log.membership().voters;
+        let gone = next.difference(wanted).next().cloned();
+        let ready = |id: &&Id| {
+            let held = self.others.get(id).map_or(0, |progress| progress.matched);
+            durable.contains(*id) && held >= self.commit
+        };
+        let new = wanted.difference(&next).find(ready).cloned();
+        let stepped = match (gone, new) {
+            (Some(gone), _) => next.remove(&gone),
+            (None, Some(new)) => next.insert(new),
+            (None, None) => false,
+        };
+        if !stepped || !self.reaches(&next) {
+            return Ok(false);
+        }
+        self.propose_voters(now, next).map(|_| true)
+    }
+
     /// Replaces the state of a node that knows no leader by a peer's committed
     /// state, if it is newer.
     pub fn install(&mut self, snapshot: Snapshot) -> bool {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -155,8 +155,7 @@
         }
         request.set_body(Body::from_bytes(call.body));
         let lost = |error: http_types::Error| Error::Lost(error.to_string());
-        let mut response =
-            async_h1::connect(self.stream.clone(), request).await.map_err(lost)?;
+        let mut response = async_h1::connect(self.stream.clone(), request).await.map_err(lost)?;
         let declared = response.len();
         let body = response.body_bytes().await.map_err(lost)?;
         if declared.is_some_and(|length| length != body.len()) {
