Put every fault at every step of the agreement

Cause: no proof that accepted records survive faults. The matrix (12 faults at each of about 820 steps of a scenario, then 2,000 random mixes) found: - An entry on a full disk had nothing in force after a restart: it wrote the committed index again before applying, and that write failed.

--- a/crates/entry/src/agreement.rs
+++ b/crates/entry/src/agreement.rs
@@ -1,9 +1,9 @@
 //! The thread that owns the agreement, the disk and the replicated state.
 
 use async_std::channel::Sender;
-use fleet::{Command, Fleet, Incarnation, Slot};
+use fleet::{Command, Fleet, Incarnation, Member, Slot};
 use log::{error, info, warn};
-use quorum::{Id, Index, Membership, Node, Output, Payload, Role, Snapshot, Term};
+use quorum::{Id, Index, Membership, Node, Output, Payload, Role, Term};
 use record::{Key, Kind};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,9 +20,7 @@
 /// Inputs taken together before their entries are synced.
 const BATCH_INPUTS: usize = 512;
 /// Entries after which the log is replaced by a snapshot.
-const COMPACT_ENTRIES: u64 = 1024;
-/// How long a blank entry waits for a leader before it asks its data centre.
-const FETCH_AFTER: Duration = Duration::from_secs(2);
+pub const COMPACT_ENTRIES: u64 = 1024;
 /// Operator name under which the founding voters are recorded.
 const FOUNDING: &str = "founding";
 
@@ -38,8 +36,6 @@
     fn peers(&self) -> Vec<Identity>;
     /// Replicated state has changed.
     fn changed(&self);
-    /// The state was taken whole from the own data centre.
-    fn recovered(&self);
     /// An entry has everything up to an index in force.
     fn in_force(&self, entry: &str, index: Index);
     /// Where the agreement stands now.
@@ -62,6 +58,20 @@
     Stop,
 }
 
+/// What an agreement starts with, besides its node and its disk.
+pub struct Setup {
+    /// The process around it.
+    pub outside: Arc<dyn Outside>,
+    /// What the process says of itself.
+    pub identity: Identity,
+    /// Voters of a cluster to found, by the settings.
+    pub founders: Vec<String>,
+    /// Replicated state, written by the agreement only.
+    pub fleet: Arc<RwLock<Fleet>>,
+    /// Entries after which the log is replaced by a snapshot.
+    pub compact_entries: u64,
+}
+
 /// Where the agreement stands, for queries.
 #[derive(Clone, Debug, Serialize)]
 pub struct View {
@@ -133,6 +143,7 @@
     identity: Identity,
     founders: Vec<String>,
     fleet: Arc<RwLock<Fleet>>,
+    compact_entries: u64,
     node: Node,
     store: Option<Store>,
     pending: BTreeMap<Index, Pending>,
@@ -141,29 +152,20 @@
     statuses: BTreeMap<Id, Status>,
     held: Option<String>,
     disk_failure: Option<String>,
-    blank_since: Duration,
     announced: Index,
     leader: Option<Id>,
+    founders_proposed: Option<Term>,
 }
 
 impl Agreement {
     /// Takes over the node and its disk, and puts the recovered state in force.
-    ///
-    /// `founders` names the voters of a cluster to found, by the settings.
-    pub fn new(
-        outside: Arc<dyn Outside>,
-        identity: Identity,
-        founders: Vec<String>,
-        fleet: Arc<RwLock<Fleet>>,
-        node: Node,
-        store: Option<Store>,
-        state: &[u8],
-    ) -> Agreement {
+    pub fn new(setup: Setup, node: Node, store: Option<Store>, state: &[u8]) -> Agreement {
         let mut agreement = Agreement {
-            outside,
-            identity,
-            founders,
-            fleet,
+            outside: setup.outside,
+            identity: setup.identity,
+            founders: setup.founders,
+            fleet: setup.fleet,
+            compact_entries: setup.compact_entries,
             node,
             store,
             pending: BTreeMap::new(),
@@ -172,9 +174,9 @@
             statuses: BTreeMap::new(),
             held: None,
             disk_failure: None,
-            blank_since: Duration::ZERO,
             announced: 0,
             leader: None,
+            founders_proposed: None,
         };
         agreement.restore(state);
         agreement.settle();
@@ -226,19 +228,27 @@
 
     fn up(&mut self, identity: &Identity) {
         let id = id_of(identity);
+        self.lose_forwarded(&id); // an older connection may have taken them along
         self.outside.send(&id, Frame::Status(self.status()));
         info!("connected to entry {id}");
         self.node.connect(id);
     }
 
     fn down(&mut self, id: &Id) {
+        if self.outside.peers().iter().any(|peer| id_of(peer) == *id) {
+            return; // a newer connection was made before this was taken in
+        }
         info!("disconnected from entry {id}");
         self.node.disconnect(id);
         self.statuses.remove(id);
+        self.lose_forwarded(id);
+    }
+
+    fn lose_forwarded(&mut self, leader: &Id) {
         let lost: Vec<RequestId> = self
             .forwarded
             .iter()
-            .filter(|(_, forwarded)| forwarded.leader == *id)
+            .filter(|(_, forwarded)| forwarded.leader == *leader)
             .map(|(request, _)| *request)
             .collect();
         for request in lost {
@@ -255,8 +265,6 @@
             Frame::Propose(propose) => self.propose_for(now, from, propose),
             Frame::Proposed(proposed) => self.finish_forwarded(proposed.id, proposed.answer),
             Frame::Status(status) => self.take_status(from, status),
-            Frame::Fetch => self.serve_state(&from),
-            Frame::Fetched(snapshot) => self.take_state(snapshot),
             _ => {}
         }
     }
@@ -447,7 +455,7 @@
     fn compact(&mut self) {
         let fleet = self.fleet.read().expect("no holder panics");
         let applied = fleet.applied();
-        if self.held.is_some() || applied < self.node.base_index() + COMPACT_ENTRIES {
+        if self.held.is_some() || applied < self.node.base_index() + self.compact_entries {
             return;
         }
         let data = encode(&*fleet);
@@ -504,14 +512,11 @@
     }
 }
 
-/// Founding, voters, and state for blank entries.
+/// Founding and voters.
 impl Agreement {
     fn housekeeping(&mut self, now: Duration) {
         if self.node.is_blank() {
             self.found_if_first();
-            self.fetch_if_alone(now);
-        } else {
-            self.blank_since = now;
         }
         if self.node.has_lease(now) {
             self.record_founders(now);
@@ -544,46 +549,15 @@
         self.node.found(Membership { cluster, voters });
     }
 
-    /// A blank entry without a leader takes its data centre's state. Another
-    /// data centre's could be older than what was in force here.
-    fn fetch_if_alone(&mut self, now: Duration) {
-        if self.node.leader().is_some() || now < self.blank_since + FETCH_AFTER {
-            return;
-        }
-        self.blank_since = now;
-        let applied = |peer: &Identity| self.statuses.get(&id_of(peer)).map_or(0, |s| s.applied);
-        let mut here = self.outside.peers();
-        here.retain(|peer| peer.data_centre == self.identity.data_centre && applied(peer) > 0);
-        if let Some(best) = here.iter().max_by_key(|peer| applied(peer)) {
-            self.outside.send(&id_of(best), Frame::Fetch);
-        }
-    }
-
-    fn serve_state(&self, to: &Id) {
-        let fleet = self.fleet.read().expect("no holder panics");
-        if fleet.applied() == 0 || self.held.is_some() {
-            return;
-        }
-        let snapshot = self.node.export(encode(&*fleet));
-        self.outside.send(to, Frame::Fetched(snapshot));
-    }
-
-    fn take_state(&mut self, snapshot: Snapshot) {
-        let index = snapshot.index;
-        if self.node.is_blank() && self.node.install(snapshot) {
-            self.outside.recovered();
-            info!("took the state at index {index} from a peer");
-        }
-    }
-
     /// Writes the founding voters down as records, once.
     fn record_founders(&mut self, now: Duration) {
         let fleet = self.fleet.read().expect("no holder panics");
         let recorded = voter_records(&fleet).next().is_some();
         drop(fleet);
-        if recorded || !self.pending.is_empty() {
+        if recorded || self.founders_proposed == Some(self.node.term()) {
             return;
         }
+        self.founders_proposed = Some(self.node.term());
         let voters = self.node.membership().voters;
         let changes = voters.iter().map(|id| fleet::Change::Put(voter_document(id))).collect();
         let submission = fleet::Submission {
@@ -621,6 +595,23 @@
     }
 }
 
+/// Whether this life of an entry is a member of the cluster.
+pub fn has_joined(fleet: &Fleet, identity: &Identity) -> bool {
+    let member = fleet.members().get(&identity.name);
+    member.is_some_and(|member| member.incarnation == identity.life)
+}
+
+/// Whether an entry may route requests with this state: no move ends without a
+/// member of its data centre. An entry that can't join in this life may go on
+/// with the state of a disk that has joined, which is no older than what it had
+/// in force; any other state could be older.
+pub fn may_route(fleet: &Fleet, identity: &Identity) -> bool {
+    let disk = identity.durable.then_some(identity.incarnation);
+    let member = fleet.members().get(&identity.name);
+    let same_disk = |member: &Member| disk.is_some() && member.disk == disk;
+    has_joined(fleet, identity) || member.is_some_and(same_disk)
+}
+
 fn id_of(identity: &Identity) -> Id {
     Id::new(identity.name.clone(), identity.incarnation)
 }
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -1,15 +1,15 @@
 //! Background tasks: routing table, sharing of announcements, joining the
 //! cluster, confirming releases.
 
+use crate::agreement;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::task;
+use fleet::Command;
 use fleet::command::{Join, Leave, Release};
-use fleet::{Command, Fleet};
 use log::info;
 use route::directory::Released;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use wire::Frame;
 
@@ -35,7 +35,7 @@
 
 fn rebuild(shared: &Shared) {
     let fleet = shared.fleet.read().expect("no holder panics");
-    let ready = is_ready(shared, &fleet);
+    let ready = agreement::may_route(&fleet, &shared.identity);
     let mut directory = shared.directory();
     let table = directory.table(&fleet, ready);
     shared.forwarder.keep_only(&table);
@@ -48,21 +48,12 @@
     }
 }
 
-/// Whether requests may be routed. No move ends without a member of its data
-/// centre, in this life; an entry that can't join for now may still go on with a
-/// state that is no older than what its earlier life had in force.
-fn is_ready(shared: &Shared, fleet: &Fleet) -> bool {
-    let member = fleet.members().contains_key(&shared.identity.name);
-    let recovered = shared.recovered.load(Ordering::Acquire);
-    shared.has_joined(fleet) || (member && recovered)
-}
-
 /// Confirms moves of instances that this entry has nothing in flight at.
 async fn release_idle(shared: &Shared) {
     let released: Vec<Released> = {
         let fleet = shared.fleet.read().expect("no holder panics");
         let now = shared.clock.now();
-        if !shared.has_joined(&fleet) {
+        if !agreement::has_joined(&fleet, &shared.identity) {
             return;
         }
         shared.directory().releasable(&fleet, &shared.identity.name, now)
@@ -101,12 +92,16 @@
 /// Joins the cluster once this entry has its state, and again after a dismissal.
 pub async fn keep_joined(shared: Arc<Shared>) {
     while !shared.is_stopping() {
-        let joined = shared.has_joined(&shared.fleet.read().expect("no holder panics"));
+        let joined = agreement::has_joined(
+            &shared.fleet.read().expect("no holder panics"),
+            &shared.identity,
+        );
         if !joined && shared.view.load().leader.is_some() {
             let join = Join {
                 entry: shared.identity.name.clone(),
                 data_centre: shared.identity.data_centre.clone(),
                 incarnation: shared.identity.life,
+                disk: shared.identity.durable.then_some(shared.identity.incarnation),
                 at: shared.clock.wall(),
             };
             shared.propose(Command::Join(join)).await;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,6 +1,6 @@
 //! One entry process from its settings to its graceful stop.
 
-use crate::agreement::{Agreement, Input, View};
+use crate::agreement::{Agreement, COMPACT_ENTRIES, Input, Setup, View};
 use crate::clock::{Clock, System};
 use crate::forward::Forwarder;
 use crate::http::listener::{Listener, Stopper};
@@ -123,7 +123,6 @@
             in_force: Mutex::default(),
             forwarder,
             stopping: AtomicBool::new(false),
-            recovered: AtomicBool::new(state.commit > 0),
             inputs,
             changes,
             changed,
@@ -199,8 +198,14 @@
     let node = Node::restore(id, store.is_some(), spans, rand::random(), state);
     let founders = shared.settings.entries.iter().filter(|entry| entry.voter);
     let founders = founders.map(|entry| entry.name.clone()).collect();
-    let (identity, fleet) = (shared.identity.clone(), shared.fleet.clone());
-    let agreement = Agreement::new(shared, identity, founders, fleet, node, store, &snapshot);
+    let setup = Setup {
+        identity: shared.identity.clone(),
+        founders,
+        fleet: shared.fleet.clone(),
+        compact_entries: COMPACT_ENTRIES,
+        outside: shared,
+    };
+    let agreement = Agreement::new(setup, node, store, &snapshot);
     thread::Builder::new()
         .name("agreement".to_string())
         .spawn(move || agreement.run(queue))
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -51,9 +51,6 @@
     pub forwarder: Forwarder,
     /// Whether a stop has begun.
     pub stopping: AtomicBool,
-    /// Whether the state was taken whole from the own disk or the own data
-    /// centre, so that it is no older than what was in force here.
-    pub recovered: AtomicBool,
     /// Input of the agreement thread.
     pub inputs: SyncSender<Input>,
     /// Wakes the task that rebuilds the routing table.
@@ -68,12 +65,6 @@
         self.stopping.load(Ordering::Acquire)
     }
 
-    /// Whether this life of the entry is a member of the cluster.
-    pub fn has_joined(&self, fleet: &Fleet) -> bool {
-        let member = fleet.members().get(&self.identity.name);
-        member.is_some_and(|member| member.incarnation == self.identity.life)
-    }
-
     /// Asks for a new routing table.
     pub fn touch(&self) {
         let _ = self.changes.try_send(()); // one waiting wake-up is enough
@@ -144,10 +135,6 @@
         self.touch();
     }
 
-    fn recovered(&self) {
-        self.recovered.store(true, Ordering::Release);
-    }
-
     fn in_force(&self, entry: &str, index: fleet::Index) {
         let mut all = self.in_force.lock().expect("no holder panics");
         let history = all.entry(entry.to_string()).or_default();
--- /dev/null
+++ b/crates/entry/tests/world/disk.rs
@@ -0,0 +1,84 @@
+//! A data folder in memory that tears, fills up and fails.
+
+use super::point::{Control, Fault, Step};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use store::{Error, Folder, Result};
+
+/// What a disk holds: durable bytes, and bytes that were not synced.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    durable: BTreeMap<String, Vec<u8>>,
+    unsynced: Vec<u8>,
+    file: String,
+}
+
+impl Disk {
+    /// What is left after a crash: the first `kept` unsynced bytes.
+    pub fn crash(&mut self, kept: usize) {
+        let kept = kept.min(self.unsynced.len());
+        let bytes = self.unsynced[..kept].to_vec();
+        self.durable.entry(self.file.clone()).or_default().extend(bytes);
+        self.unsynced.clear();
+    }
+
+    pub fn unsynced(&self) -> usize {
+        self.unsynced.len()
+    }
+}
+
+/// A process's handle on its disk.
+pub struct Handle {
+    pub disk: Arc<Mutex<Disk>>,
+    pub control: Arc<Control>,
+}
+
+impl Handle {
+    fn check(&self, step: Step, action: &'static str, name: &str) -> Result<()> {
+        let fault = self.control.pass(step);
+        let failed = match step {
+            Step::Write => fault == Some(Fault::DiskFull),
+            _ => fault == Some(Fault::SyncFails),
+        };
+        if failed || self.control.is_dead() {
+            let source = io::ErrorKind::StorageFull.into();
+            return Err(Error::Io { action, file: name.to_string(), source });
+        }
+        Ok(())
+    }
+}
+
+impl Folder for Handle {
+    fn read(&self, name: &str) -> Result<Option<Vec<u8>>> {
+        Ok(self.disk.lock().unwrap().durable.get(name).cloned())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        self.check(Step::Write, "write", name)?;
+        let mut disk = self.disk.lock().unwrap();
+        disk.file = name.to_string();
+        disk.unsynced.extend(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> Result<()> {
+        self.check(Step::Sync, "sync", name)?;
+        let unsynced = self.disk.lock().unwrap().unsynced();
+        self.disk.lock().unwrap().crash(unsynced);
+        self.check(Step::Synced, "sync", name)
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        self.check(Step::Write, "write", name)?;
+        self.disk.lock().unwrap().durable.insert(name.to_string(), bytes.to_vec());
+        self.check(Step::Synced, "sync", name)
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> Result<()> {
+        if let Some(bytes) = self.disk.lock().unwrap().durable.get_mut(name) {
+            bytes.truncate(length as usize);
+        }
+        Ok(())
+    }
+}
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -74,6 +74,8 @@
     pub data_centre: DataCentre,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Identity of its data folder, if it has one.
+    pub disk: Option<u64>,
     /// When it asked to join.
     pub at: SystemTime,
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -72,6 +72,8 @@
     pub data_centre: DataCentre,
     /// Its present life.
     pub incarnation: Incarnation,
+    /// Identity of its data folder, if it has one.
+    pub disk: Option<u64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -500,8 +502,11 @@
 /// Membership of entries.
 impl Fleet {
     fn join(&mut self, index: Index, join: &Join) {
-        let member =
-            Member { data_centre: join.data_centre.clone(), incarnation: join.incarnation };
+        let member = Member {
+            data_centre: join.data_centre.clone(),
+            incarnation: join.incarnation,
+            disk: join.disk,
+        };
         let known = self.members.insert(join.entry.clone(), member);
         if known.is_some_and(|member| member.incarnation == join.incarnation) {
             return;
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -154,6 +154,7 @@
     snapshot: Snapshot,
     commit: Index,
     handed_over: Index,
+    commit_on_disk: Index,
     persisted: Index,
     leader: Option<Id>,
     heard: Option<Duration>,
@@ -191,6 +192,7 @@
             hard,
             commit: commit.clamp(snapshot.index, last.max(snapshot.index)),
             handed_over: snapshot.index,
+            commit_on_disk: commit,
             persisted: last,
             unsynced: last,
             log,
@@ -399,16 +401,6 @@
         self.propose_voters(now, next).map(|_| true)
     }
 
-    /// Replaces the state of a node that knows no leader by a peer's committed
-    /// state, if it is newer.
-    pub fn install(&mut self, snapshot: Snapshot) -> bool {
-        if snapshot.index <= self.commit || snapshot.index <= self.log.last_index() {
-            return false;
-        }
-        self.adopt(snapshot);
-        true
-    }
-
     /// Drops entries that the caller's snapshot covers.
     pub fn compact(&mut self, data: Vec<u8>, index: Index) -> Option<Snapshot> {
         let term = self.log.term(index)?;
@@ -426,14 +418,6 @@
         self.log.from(index + 1, usize::MAX)
     }
 
-    /// The committed state handed over so far, as a snapshot around the caller's
-    /// serialised state.
-    pub fn export(&self, data: Vec<u8>) -> Snapshot {
-        let index = self.handed_over;
-        let term = self.log.term(index).unwrap_or_default();
-        Snapshot { index, term, membership: self.log.membership_at(index), data }
-    }
-
     /// Whether a majority of these voters has answered this leader lately.
     pub fn reaches(&self, voters: &BTreeSet<Id>) -> bool {
         let fresh = |id: &&Id| {
@@ -810,6 +794,7 @@
         self.log.reset(&snapshot);
         self.commit = snapshot.index;
         self.handed_over = snapshot.index;
+        self.commit_on_disk = snapshot.index;
         self.snapshot = snapshot.clone();
         self.output.append.clear();
         self.output.truncate = None;
@@ -835,7 +820,8 @@
     /// Adds committed entries to the output.
     fn hand_over(&mut self) {
         let upto = self.commit.min(self.log.last_index());
-        if self.handed_over < upto {
+        if upto > self.commit_on_disk {
+            self.commit_on_disk = upto;
             self.output.commit = Some(upto);
         }
         while self.handed_over < upto {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use crate::proof::{Identity, Nonce};
 use crate::{Error, Result};
 use fleet::{Command, Outcome};
-use quorum::{Message, Snapshot};
+use quorum::Message;
 use route::target::Sighting;
 use serde::{Deserialize, Serialize};
 
@@ -30,10 +30,6 @@
     Sightings(Vec<Sighting>),
     /// What the sender has in force.
     Status(Status),
-    /// Asks for the receiver's committed state.
-    Fetch,
-    /// Answers [`Frame::Fetch`].
-    Fetched(Snapshot),
     /// Shows that the connection is alive when nothing else is sent.
     Ping,
 }
