--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::{Error, Folder, Result, frame};
 use quorum::node::{Hard, State};
-use quorum::{Entry, Index, Output, Snapshot};
+use quorum::{Entry, Index, Output, Snapshot, Term};
 use serde::{Deserialize, Serialize};
 
 const IDENTITY_FILE: &str = "identity";
@@ -16,6 +16,14 @@
     Truncate(Index),
     Entry(Entry),
     Commit(Index),
+    /// The snapshot that the entries behind this line follow on.
+    Base(Base),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Base {
+    index: Index,
+    term: Term,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -62,10 +70,7 @@
         if read.length < bytes.len() as u64 {
             folder.cut(LOG_FILE, read.length)?;
         }
-        let mut state = State { commit: snapshot.index, snapshot, ..State::default() };
-        for line in read.values {
-            replay(&mut state, line)?;
-        }
+        let state = replay(snapshot, read.values)?;
         let hard = state.hard.clone();
         let store = Store { folder, hard, failed: false, log_bytes: read.length };
         Ok((store, Recovered { incarnation, state }))
@@ -132,7 +137,9 @@
 
     fn rewrite(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> Result<()> {
         self.folder.replace(SNAPSHOT_FILE, &frame::encode(snapshot))?;
+        let base = Base { index: snapshot.index, term: snapshot.term };
         let mut bytes = frame::encode(&Line::Hard(self.hard.clone()));
+        bytes.extend(frame::encode(&Line::Base(base)));
         for entry in entries {
             bytes.extend(frame::encode(&Line::Entry(entry.clone())));
         }
@@ -142,22 +149,49 @@
     }
 }
 
-fn replay(state: &mut State, line: Line) -> Result<()> {
-    match line {
-        Line::Hard(hard) => state.hard = hard,
-        Line::Truncate(from) => state.entries.retain(|entry| entry.index < from),
-        Line::Commit(index) => state.commit = state.commit.max(index),
-        Line::Entry(entry) if entry.index <= state.snapshot.index => {}
-        Line::Entry(entry) => {
-            let last = state.entries.last().map_or(state.snapshot.index, |entry| entry.index);
-            if entry.index != last + 1 {
-                let reason = format!("entry {} follows entry {last}", entry.index);
-                return Err(Error::Damaged { file: LOG_FILE.to_string(), offset: 0, reason });
+/// State that the snapshot and the lines of the log amount to.
+///
+/// The log may be older than the snapshot when the process died between writing
+/// the two: entries that the snapshot covers are passed over, and the others
+/// count only if the log agrees with the snapshot's last entry.
+fn replay(snapshot: Snapshot, lines: Vec<Line>) -> Result<State> {
+    let mut hard = Hard::default();
+    let mut commit = snapshot.index;
+    let mut base = Base { index: 0, term: 0 };
+    let mut entries: Vec<Entry> = Vec::new();
+    for line in lines {
+        match line {
+            Line::Hard(written) => hard = written,
+            Line::Truncate(from) => entries.retain(|entry| entry.index < from),
+            Line::Commit(index) => commit = commit.max(index),
+            Line::Base(written) => {
+                base = written;
+                entries.clear();
+            }
+            Line::Entry(entry) => {
+                let last = entries.last().map_or(base.index, |entry| entry.index);
+                if entry.index != last + 1 {
+                    let reason = format!("entry {} follows entry {last}", entry.index);
+                    return Err(Error::Damaged { file: LOG_FILE.to_string(), offset: 0, reason });
+                }
+                entries.push(entry);
             }
-            state.entries.push(entry);
         }
     }
-    Ok(())
+    if term_at(&base, &entries, snapshot.index) == Some(snapshot.term) {
+        entries.retain(|entry| entry.index > snapshot.index);
+    } else {
+        entries.clear();
+    }
+    let last = entries.last().map_or(snapshot.index, |entry| entry.index);
+    Ok(State { hard, commit: commit.min(last), snapshot, entries })
+}
+
+fn term_at(base: &Base, entries: &[Entry], index: Index) -> Option<Term> {
+    if index == base.index {
+        return Some(base.term);
+    }
+    entries.iter().find(|entry| entry.index == index).map(|entry| entry.term)
 }
 
 fn identity(folder: &mut dyn Folder) -> Result<u64> {
