Prove the sharpest faults with real processes; recover a lost majority

Cause: the matrix runs over fakes; kill -9, SIGSTOP and lost folders had no proof with real processes, and a majority lost for good had no way back.

`recover` makes one data folder the only voter of a new founding and says what may be lost. The command line resends a submission for six seconds: an election takes about two, and the id makes it safe.

--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -227,8 +227,8 @@
 
     /// Voters that the leader with a lease has agreed on.
     pub fn voters(&self) -> Vec<Id> {
-        let leader = self.sites.iter().filter_map(|site| site.life.as_ref());
-        let leader = leader.filter(|life| life.has_lease()).next();
+        let mut lives = self.sites.iter().filter_map(|site| site.life.as_ref());
+        let leader = lives.find(|life| life.has_lease());
         let settled = leader
             .map(|life| life.agreement.node())
             .filter(|node| node.commit() == node.last_index());
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -94,6 +94,29 @@
     pub commit: Index,
 }
 
+impl State {
+    /// Position of the last entry.
+    pub fn last_index(&self) -> Index {
+        self.entries.last().map_or(self.snapshot.index, |entry| entry.index)
+    }
+
+    /// What has to be written to make one identity the only voter of a new
+    /// founding, with everything that this state holds.
+    ///
+    /// ```
+    /// let state = quorum::State::default();
+    /// let output = state.sole_voter(quorum::Id::new("a", 1), 9);
+    /// assert_eq!(output.append[0].index, 1);
+    /// ```
+    pub fn sole_voter(&self, id: Id, cluster: u64) -> Output {
+        let term = self.hard.term + 1;
+        let membership = Membership { cluster: cluster.max(1), voters: [id].into() };
+        let index = self.last_index() + 1;
+        let entry = Entry { index, term, payload: Payload::Voters(membership) };
+        Output { hard: Some(Hard { term, vote: None }), append: vec![entry], ..Output::default() }
+    }
+}
+
 /// What the caller has to do, in the order of the fields.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Output {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,5 +6,6 @@
 pub mod entry;
 pub mod explain;
 pub mod record;
+pub mod recover;
 pub mod standin;
 pub mod status;
--- a/src/cmd/record.rs
+++ b/src/cmd/record.rs
@@ -13,8 +13,9 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-/// Sends of one submission before its outcome is called unknown.
-const MAX_SENDS: usize = 3;
+/// Time for which a submission is resent until its outcome is known; an election
+/// takes about two seconds.
+const PATIENCE: Duration = Duration::from_secs(6);
 const RESEND_PAUSE: Duration = Duration::from_millis(500);
 const WAIT_POLL: Duration = Duration::from_millis(50);
 
@@ -288,20 +289,21 @@
 /// Sends a submission until its outcome is known; the id makes that safe.
 async fn send(client: &Client, batch: &Batch) -> Result<Submitted> {
     let body = serde_json::to_vec(batch).expect("a batch serialises to memory");
+    let start = Instant::now();
     let mut sent = false;
     let mut last = String::new();
-    for _ in 0..MAX_SENDS {
+    while start.elapsed() < PATIENCE {
         match client.call("/submissions").post(body.clone()).send().await {
             Ok(answer) if matches!(answer.status, 200 | 409 | 422 | 503 | 504) => {
                 let submitted = serde_json::from_slice(&answer.body)
                     .map_err(|error| Error::Unknown(format!("cannot read the answer: {error}")))?;
                 match submitted {
+                    Submitted::Decided { .. } => return Ok(submitted),
+                    Submitted::NotTaken { reason } => last = reason,
                     Submitted::Unknown { reason } => {
                         sent = true;
                         last = reason;
                     }
-                    Submitted::NotTaken { reason } if sent => last = reason,
-                    other => return Ok(other),
                 }
             }
             Ok(answer) => return config::parse(&answer),
--- a/src/main.rs
+++ b/src/main.rs
@@ -32,6 +32,7 @@
     Entry(cmd::entry::Args),
     Explain(cmd::explain::Args),
     Record(cmd::record::Args),
+    Recover(cmd::recover::Args),
     Standin(cmd::standin::Args),
     Status(cmd::status::Args),
 }
@@ -45,6 +46,7 @@
         Command::Entry(args) => cmd::entry::run(args),
         Command::Explain(args) => cmd::explain::run(args),
         Command::Record(args) => cmd::record::run(args),
+        Command::Recover(args) => cmd::recover::run(args),
         Command::Standin(args) => cmd::standin::run(args),
         Command::Status(args) => cmd::status::run(args),
     };
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -3,7 +3,9 @@
 mod check;
 mod demo;
 mod entry;
+mod faults;
 mod path;
 mod record;
+mod recover;
 mod refusals;
 mod workdir;
