--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -139,6 +139,12 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Number of an entry's process.
+    #[allow(dead_code)] // used by benchmarks
+    pub fn pid(&self, name: &str) -> u32 {
+        self.processes[name].id()
+    }
+
     /// Waits until a process has ended by itself.
     pub fn wait_for_exit(&mut self, name: &str) -> ExitStatus {
         let child = self.processes.get_mut(name).unwrap();
