--- a/benches/changes.rs
+++ b/benches/changes.rs
@@ -45,7 +45,10 @@
         let core = (after.ticks - before.ticks) / TICKS / seconds * 100.0;
         let bytes = (after.bytes - before.bytes) / seconds;
         let role = workdir.get(entry.name, "/dump")["agreement"]["role"].clone();
-        println!("{:>6} {role:<10} {core:>5.2} % {:>6} KiB {bytes:>7.0} B/s", entry.name, after.kib);
+        println!(
+            "{:>6} {role:<10} {core:>5.2} % {:>6} KiB {bytes:>7.0} B/s",
+            entry.name, after.kib
+        );
     }
 }
 
@@ -79,7 +82,9 @@
         let index = task::block_on(submit(workdir, "a2", &format!("force-{number}")));
         answered.record(start.elapsed().as_micros() as u64).unwrap();
         for entry in ["a1", "a2", "b1", "b2", "c1", "c2"] {
-            while workdir.get(entry, "/records?kind=plan")["as_of"]["index"].as_u64() < Some(index) {}
+            while workdir.get(entry, "/records?kind=plan")["as_of"]["index"].as_u64() < Some(index)
+            {
+            }
         }
         everywhere.record(start.elapsed().as_micros() as u64).unwrap();
     }
--- a/crates/entry/src/agreement.rs
+++ b/crates/entry/src/agreement.rs
@@ -406,9 +406,9 @@
         if state.is_empty() {
             return;
         }
-        match ciborium::from_reader::<Fleet, _>(state) {
+        match Fleet::read(state) {
             Ok(fleet) => *self.fleet.write().expect("no holder panics") = fleet,
-            Err(error) => self.hold(format!("cannot read the snapshot: {error}")),
+            Err(error) => self.hold(error.to_string()),
         }
         self.outside.changed();
     }
@@ -458,7 +458,7 @@
         if self.held.is_some() || applied < self.node.base_index() + self.compact_entries {
             return;
         }
-        let data = encode(&*fleet);
+        let data = fleet.write();
         drop(fleet);
         let Some(snapshot) = self.node.compact(data, applied) else { return };
         let Some(store) = &mut self.store else { return };
@@ -584,10 +584,9 @@
     fn wanted_voters(&self, present: &BTreeSet<Id>) -> BTreeSet<Id> {
         let fleet = self.fleet.read().expect("no holder panics");
         let mut wanted = present.clone();
-        for (key, slot) in voter_records(&fleet) {
+        for (key, _) in voter_records(&fleet) {
             wanted.retain(|id| id.name != key.name);
-            let spec = slot.document.check().ok().filter(|_| !slot.withdrawn);
-            if let Some(record::Spec::VoterV1(voter)) = spec {
+            if let Some(record::Spec::VoterV1(voter)) = fleet.spec(key) {
                 wanted.extend(voter.number().map(|number| Id::new(key.name.clone(), number)));
             }
         }
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -291,8 +291,16 @@
             Arc::new(Control { site: number, plan: self.plan.clone(), dead: Default::default() });
         let (store, incarnation, state) = if site.durable {
             let handle = Handle { disk: site.disk.clone(), control: control.clone() };
-            let (store, recovered) = Store::open(Box::new(handle)).unwrap();
-            (Some(store), recovered.incarnation, recovered.state)
+            match Store::open(Box::new(handle)) {
+                Ok((store, recovered)) => (Some(store), recovered.incarnation, recovered.state),
+                Err(store::Error::Damaged { file, offset, reason }) => {
+                    panic!("{}: {file} is damaged at {offset}: {reason}", site.name)
+                }
+                Err(_) => {
+                    self.kill(number, 0); // a fault struck while it started
+                    return;
+                }
+            }
         } else {
             (None, life, quorum::State::default())
         };
--- a/crates/fleet/src/check.rs
+++ b/crates/fleet/src/check.rs
@@ -3,35 +3,105 @@
 use record::{Fault, Key, Kind, Spec};
 use std::collections::BTreeMap;
 
-/// Live records by key, as a batch would leave them.
+/// Live records by key.
 pub type Live = BTreeMap<Key, Spec>;
 
-/// Every fault of the records taken together.
-///
-/// `touched` names the records of the batch; faults between records that the
-/// batch does not touch are left out, since they were accepted before.
+/// Live records as a batch would leave them.
 ///
 /// ```
 /// use record::{Key, Kind, Spec, budget};
 /// let spec = Spec::BudgetV1(budget::V1 {
 ///     pool: "gate".into(), max_unavailable: 1, data_centre: None, rack: None,
 /// });
-/// let key = Key::new(Kind::Budget, "gate");
-/// let live = [(key.clone(), spec)].into();
-/// let faults = fleet::check::across(&live, &[key]);
-/// assert_eq!(faults[0].field, "budget gate: spec.pool");
+/// let live = fleet::check::Live::new();
+/// let mut overlay = fleet::check::Overlay::new(&live);
+/// overlay.put(Key::new(Kind::Budget, "gate"), spec);
+/// assert_eq!(overlay.faults()[0].field, "budget gate: spec.pool");
 /// ```
-pub fn across(live: &Live, touched: &[Key]) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    for (key, spec) in live {
-        if let Some(pool) = pool_of(spec) {
-            check_reference(live, touched, key, pool, &mut faults);
+pub struct Overlay<'a> {
+    base: &'a Live,
+    changes: BTreeMap<Key, Option<Spec>>,
+}
+
+impl<'a> Overlay<'a> {
+    /// Starts with the records in force.
+    pub fn new(base: &'a Live) -> Overlay<'a> {
+        Overlay { base, changes: BTreeMap::new() }
+    }
+
+    /// Adds or replaces a record.
+    pub fn put(&mut self, key: Key, spec: Spec) {
+        self.changes.insert(key, Some(spec));
+    }
+
+    /// Removes a record.
+    pub fn remove(&mut self, key: Key) {
+        self.changes.insert(key, None);
+    }
+
+    /// Every fault that the changed records have with any others. Only records
+    /// that a change touches or that refer to one are looked at.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (key, change) in &self.changes {
+            match change {
+                Some(spec) => self.check_put(key, spec, &mut faults),
+                None if key.kind == Kind::Pool => self.check_removed_pool(key, &mut faults),
+                None => {}
+            }
+        }
+        faults
+    }
+
+    fn get(&self, key: &Key) -> Option<&Spec> {
+        match self.changes.get(key) {
+            Some(change) => change.as_ref(),
+            None => self.base.get(key),
         }
-        if let Spec::PlanV1(plan) = spec {
-            check_plan(live, touched, key, &plan.pool, &mut faults);
+    }
+
+    /// Records of a kind as the batch would leave them.
+    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = (&Key, &Spec)> {
+        let first = Key::new(kind, "");
+        let kept = self.base.range(first.clone()..).take_while(move |(key, _)| key.kind == kind);
+        let kept = kept.filter(|(key, _)| !self.changes.contains_key(key));
+        let changed = self.changes.range(first..).take_while(move |(key, _)| key.kind == kind);
+        kept.chain(changed.filter_map(|(key, change)| Some((key, change.as_ref()?))))
+    }
+
+    fn check_put(&self, key: &Key, spec: &Spec, faults: &mut Vec<Fault>) {
+        if let Some(pool) = pool_of(spec)
+            && self.get(&Key::new(Kind::Pool, pool)).is_none()
+        {
+            let reason = format!("pool \"{pool}\" does not exist");
+            faults.push(Fault::new(format!("{key}: spec.pool"), reason));
+        }
+        match spec {
+            Spec::PlanV1(plan) => {
+                let budgets = self.of_kind(Kind::Budget);
+                let blocking = budgets.filter(|(_, budget)| blocks(budget, &plan.pool));
+                faults.extend(blocking.map(|(budget, _)| never_ends(key, budget, &plan.pool)));
+            }
+            Spec::BudgetV1(budget) if blocks(spec, &budget.pool) => {
+                let plans = self.of_kind(Kind::Plan);
+                let kept = plans.filter(|(plan, _)| !self.changes.contains_key(plan));
+                let blocked = kept.filter(|(_, plan)| pool_of(plan) == Some(&budget.pool));
+                faults.extend(blocked.map(|(plan, _)| never_ends(plan, key, &budget.pool)));
+            }
+            _ => {}
+        }
+    }
+
+    fn check_removed_pool(&self, pool: &Key, faults: &mut Vec<Fault>) {
+        for kind in [Kind::Instance, Kind::Budget, Kind::Plan] {
+            for (key, spec) in self.of_kind(kind) {
+                if pool_of(spec) == Some(&pool.name) && !self.changes.contains_key(key) {
+                    let reason = format!("cannot be withdrawn while {key} refers to it");
+                    faults.push(Fault::new(pool.to_string(), reason));
+                }
+            }
         }
     }
-    faults
 }
 
 /// Pool that a record refers to.
@@ -45,30 +115,12 @@
     }
 }
 
-fn check_reference(live: &Live, touched: &[Key], key: &Key, pool: &str, faults: &mut Vec<Fault>) {
-    let pool_key = Key::new(Kind::Pool, pool);
-    if live.contains_key(&pool_key) {
-        return;
-    }
-    if touched.contains(key) {
-        let reason = format!("pool \"{pool}\" does not exist");
-        faults.push(Fault::new(format!("{key}: spec.pool"), reason));
-    } else if touched.contains(&pool_key) {
-        let reason = format!("cannot be withdrawn while {key} refers to it");
-        faults.push(Fault::new(pool_key.to_string(), reason));
-    }
+/// Whether a budget lets no instance of a pool stop.
+fn blocks(spec: &Spec, pool: &str) -> bool {
+    matches!(spec, Spec::BudgetV1(budget) if budget.pool == pool && budget.max_unavailable == 0)
 }
 
-/// A plan can never finish when a budget lets no instance of its pool stop.
-fn check_plan(live: &Live, touched: &[Key], key: &Key, pool: &str, faults: &mut Vec<Fault>) {
-    for (budget_key, spec) in live {
-        let Spec::BudgetV1(budget) = spec else { continue };
-        let blocks = budget.pool == pool && budget.max_unavailable == 0;
-        if !blocks || !(touched.contains(key) || touched.contains(budget_key)) {
-            continue;
-        }
-        let reason =
-            format!("{budget_key} lets no instance of pool \"{pool}\" stop, so it never ends");
-        faults.push(Fault::new(format!("{key}: spec.pool"), reason));
-    }
+fn never_ends(plan: &Key, budget: &Key, pool: &str) -> Fault {
+    let reason = format!("{budget} lets no instance of pool \"{pool}\" stop, so it never ends");
+    Fault::new(format!("{plan}: spec.pool"), reason)
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,6 +1,6 @@
 //! The state itself and how commands change it.
 
-use crate::check::{self, Live};
+use crate::check::{Live, Overlay};
 use crate::command::{Join, Leave, Release, Withdrawal};
 use crate::journal::{Author, Basis, Event, Note, Rejected};
 use crate::moves::Move;
@@ -35,6 +35,9 @@
         /// Its schema version.
         schema: u32,
     },
+    /// The bytes are no state of this version.
+    #[error("cannot read the state: {0}")]
+    Unreadable(String),
 }
 
 /// One record with its last accepted document.
@@ -110,6 +113,9 @@
 pub struct Fleet {
     applied: Index,
     records: BTreeMap<Key, Slot>,
+    /// Typed content of the live records.
+    #[serde(skip)]
+    live: Live,
     placements: BTreeMap<InstanceId, Placement>,
     members: BTreeMap<EntryId, Member>,
     answers: BTreeMap<SubmissionKey, Answer>,
@@ -150,9 +156,8 @@
     }
 
     /// Typed content of a live record.
-    pub fn spec(&self, key: &Key) -> Option<Spec> {
-        let slot = self.records.get(key).filter(|slot| !slot.withdrawn)?;
-        slot.document.check().ok()
+    pub fn spec(&self, key: &Key) -> Option<&Spec> {
+        self.live.get(key)
     }
 
     /// Entries that have not let go of a moving instance.
@@ -168,6 +173,31 @@
     }
 }
 
+/// Snapshots.
+impl Fleet {
+    /// Serialises the state.
+    ///
+    /// ```
+    /// let fleet = fleet::Fleet::default();
+    /// assert_eq!(fleet::Fleet::read(&fleet.write()).unwrap(), fleet);
+    /// ```
+    pub fn write(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).expect("a state serialises to memory");
+        bytes
+    }
+
+    /// Reads a serialised state.
+    pub fn read(bytes: &[u8]) -> Result<Fleet> {
+        let mut fleet: Fleet =
+            ciborium::from_reader(bytes).map_err(|error| Error::Unreadable(error.to_string()))?;
+        let live = fleet.records.iter().filter(|(_, slot)| !slot.withdrawn);
+        let typed = |(key, slot): (&Key, &Slot)| Some((key.clone(), slot.document.check().ok()?));
+        fleet.live = live.filter_map(typed).collect();
+        Ok(fleet)
+    }
+}
+
 /// Commands.
 impl Fleet {
     /// Applies the command at a log index; submissions get an outcome.
@@ -314,26 +344,19 @@
     }
 
     fn faults_across(&self, changes: &[Change]) -> Vec<Fault> {
-        let mut live: Live = self
-            .records
-            .keys()
-            .filter_map(|key| self.spec(key).map(|spec| (key.clone(), spec)))
-            .collect();
-        let mut touched = Vec::new();
+        let mut overlay = Overlay::new(&self.live);
         for change in changes {
             match change {
                 Change::Put(document) => {
-                    touched.push(document.key());
-                    live.extend(document.check().ok().map(|spec| (document.key(), spec)));
-                }
-                Change::Withdraw(withdrawal) => {
-                    touched.push(withdrawal.key.clone());
-                    live.remove(&withdrawal.key);
+                    if let Ok(spec) = document.check() {
+                        overlay.put(document.key(), spec);
+                    }
                 }
+                Change::Withdraw(withdrawal) => overlay.remove(withdrawal.key.clone()),
                 Change::Dismiss(_) => {}
             }
         }
-        check::across(&live, &touched)
+        overlay.faults()
     }
 
     fn change(&mut self, index: Index, from: &Submission, change: &Change) -> Option<Revised> {
@@ -360,7 +383,10 @@
         };
         self.records.insert(key.clone(), slot);
         self.note_submitted(index, from, Event::Recorded { key: key.clone(), revision });
-        if let Some(instance) = document.check().ok().and_then(|spec| spec.instance()) {
+        let Ok(spec) = document.check() else { return Revised { key, revision } };
+        let instance = spec.instance();
+        self.live.insert(key.clone(), spec);
+        if let Some(instance) = instance {
             let basis = Basis { key: key.clone(), revision };
             self.place(index, from.at, &key.name, instance, basis);
         }
@@ -376,6 +402,7 @@
         slot.operator = from.operator.clone();
         slot.at = from.at;
         slot.index = index;
+        self.live.remove(&key);
         self.note_submitted(index, from, Event::Withdrawn { key: key.clone(), revision });
         if key.kind == Kind::Instance {
             let basis = Basis { key: key.clone(), revision };
--- /dev/null
+++ b/crates/fleet/tests/history.rs
@@ -0,0 +1,254 @@
+//! Random histories of commands: what must hold after each of them.
+
+use fleet::command::{Join, Leave, Release, Withdrawal};
+use fleet::journal::Event;
+use fleet::{Change, Command, Fleet, Outcome, Submission};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use record::{Document, Key, Kind};
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+
+const POOLS: [&str; 3] = ["p", "q", "r"];
+const ENTRIES: [&str; 3] = ["a", "b", "c"];
+const INSTANCES: [&str; 3] = ["v", "w", "x"];
+
+/// One random command; names and revisions often meet, and often do not.
+#[derive(Clone, Debug)]
+enum Act {
+    Pool(usize, Option<u64>),
+    Instance(usize, usize, Option<u64>),
+    Withdraw(Kind, usize, u64),
+    Batch(Vec<Act>),
+    Resend(usize),
+    Join(usize, u64),
+    Leave(usize, u64),
+    Release(usize, usize, u64),
+    Dismiss(usize),
+}
+
+impl Arbitrary for Act {
+    fn arbitrary(g: &mut Gen) -> Act {
+        let pick = |g: &mut Gen| usize::arbitrary(g) % 3;
+        let revision = |g: &mut Gen| match u64::arbitrary(g) % 5 {
+            0 => None,
+            other => Some(other),
+        };
+        match usize::arbitrary(g) % 11 {
+            0 | 1 => Act::Pool(pick(g), revision(g)),
+            2..=4 => Act::Instance(pick(g), pick(g), revision(g)),
+            5 => {
+                let kind = if bool::arbitrary(g) { Kind::Pool } else { Kind::Instance };
+                Act::Withdraw(kind, pick(g), u64::arbitrary(g) % 5)
+            }
+            6 => {
+                let size = usize::arbitrary(g) % 4;
+                let simple = |g: &mut Gen| Act::Instance(pick(g), pick(g), revision(g));
+                Act::Batch((0..size).map(|_| simple(g)).collect())
+            }
+            7 => Act::Resend(usize::arbitrary(g) % 10),
+            8 => Act::Join(pick(g), u64::arbitrary(g) % 2),
+            9 => Act::Release(pick(g), pick(g), u64::arbitrary(g) % 2),
+            _ if bool::arbitrary(g) => Act::Leave(pick(g), u64::arbitrary(g) % 2),
+            _ => Act::Dismiss(pick(g)),
+        }
+    }
+}
+
+fn document(kind: Kind, name: &str, revision: Option<u64>, spec: serde_json::Value) -> Change {
+    let name = name.to_string();
+    Change::Put(Document { kind, schema: 1, name, revision, spec })
+}
+
+fn changes(act: &Act) -> Vec<Change> {
+    match act {
+        Act::Pool(pool, revision) => {
+            let spec = serde_json::json!({ "description": "", "size": 1 });
+            vec![document(Kind::Pool, POOLS[*pool], *revision, spec)]
+        }
+        Act::Instance(instance, pool, revision) => {
+            let spec = serde_json::json!({
+                "pool": POOLS[*pool], "data_centre": "north", "rack": "r", "cores": 1,
+                "memory_gb": 1, "slots": 1, "connections": 1,
+            });
+            vec![document(Kind::Instance, INSTANCES[*instance], *revision, spec)]
+        }
+        Act::Withdraw(kind, name, revision) => {
+            let name = if *kind == Kind::Pool { POOLS[*name] } else { INSTANCES[*name] };
+            let key = Key::new(*kind, name);
+            vec![Change::Withdraw(Withdrawal { key, revision: *revision })]
+        }
+        Act::Batch(acts) => acts.iter().flat_map(changes).collect(),
+        Act::Dismiss(entry) => vec![Change::Dismiss(ENTRIES[*entry].to_string())],
+        _ => Vec::new(),
+    }
+}
+
+/// Turns acts into commands; moves that are under way are released by index.
+fn command(fleet: &Fleet, history: &[Command], act: &Act) -> Command {
+    let at = SystemTime::UNIX_EPOCH;
+    match act {
+        Act::Resend(back) if *back < history.len() => history[history.len() - 1 - back].clone(),
+        Act::Join(entry, incarnation) => Command::Join(Join {
+            entry: ENTRIES[*entry].to_string(),
+            data_centre: "north".to_string(),
+            incarnation: *incarnation,
+            disk: None,
+            at,
+        }),
+        Act::Leave(entry, incarnation) => Command::Leave(Leave {
+            entry: ENTRIES[*entry].to_string(),
+            incarnation: *incarnation,
+            at,
+        }),
+        Act::Release(entry, instance, incarnation) => {
+            let instance = INSTANCES[*instance].to_string();
+            let step = fleet.placements().get(&instance).and_then(|place| place.step.as_ref());
+            Command::Release(Release {
+                entry: ENTRIES[*entry].to_string(),
+                incarnation: *incarnation,
+                began: step.map_or(0, |step| step.began),
+                instance,
+                at,
+            })
+        }
+        other => Command::Submit(Submission {
+            operator: "ana".to_string(),
+            id: format!("s{}", history.len()),
+            at,
+            changes: changes(other),
+        }),
+    }
+}
+
+/// What every step has to keep.
+fn check(before: &Fleet, after: &Fleet, command: &Command, outcome: Option<&Outcome>) {
+    if matches!(outcome, Some(Outcome::Conflict { .. } | Outcome::Refused { .. })) {
+        assert_eq!(before.records(), after.records(), "a refused batch changed records");
+        assert_eq!(before.placements(), after.placements(), "a refused batch changed placements");
+    }
+    for (key, slot) in before.records() {
+        let now = after.record(key).expect("a record never vanishes");
+        let grown = now.revision == slot.revision || now.revision == slot.revision + 1;
+        assert!(grown, "{key} went from revision {} to {}", slot.revision, now.revision);
+    }
+    explained(before, after);
+    released(before, after, command);
+    for (instance, place) in after.placements() {
+        let pool = Key::new(Kind::Pool, place.pool.clone());
+        assert!(after.record(&pool).is_some(), "{instance} is in a pool without a record");
+    }
+}
+
+/// Every changed record and placement has its note, written with the change.
+fn explained(before: &Fleet, after: &Fleet) {
+    let notes = after.journal().since(0).into_iter().skip(before.journal().len());
+    let events: Vec<&Event> = notes.map(|note| &note.event).collect();
+    for (key, slot) in after.records() {
+        if before.record(key).map(|old| old.revision) == Some(slot.revision) {
+            continue;
+        }
+        let wanted = if slot.withdrawn {
+            Event::Withdrawn { key: key.clone(), revision: slot.revision }
+        } else {
+            Event::Recorded { key: key.clone(), revision: slot.revision }
+        };
+        assert!(events.contains(&&wanted), "no note of {key} revision {}", slot.revision);
+    }
+    let pool = |fleet: &Fleet, name: &str| fleet.placements().get(name).map(|p| p.pool.clone());
+    for name in INSTANCES {
+        if pool(before, name) != pool(after, name) {
+            let wanted = Event::Assigned { instance: name.to_string(), pool: pool(after, name) };
+            assert!(events.contains(&&wanted), "no note that {name} changed its pool");
+        }
+    }
+}
+
+/// An instance changes its pool only when no member is missing.
+fn released(before: &Fleet, after: &Fleet, command: &Command) {
+    for (name, old) in before.placements() {
+        let new = after.placements().get(name);
+        if new.is_some_and(|new| new.pool == old.pool) {
+            continue;
+        }
+        let mut missing = before.missing_releases(name);
+        match command {
+            Command::Release(release) => missing.retain(|entry| *entry != release.entry),
+            Command::Leave(leave) => missing.retain(|entry| *entry != leave.entry),
+            Command::Submit(submission) => missing
+                .retain(|entry| !submission.changes.contains(&Change::Dismiss(entry.clone()))),
+            Command::Join(_) => {}
+        }
+        let moving = old.step.is_some() || before.members().is_empty();
+        assert!(moving && missing.is_empty(), "{name} left {} without {missing:?}", old.pool);
+    }
+}
+
+#[test]
+fn histories_keep_what_must_hold() {
+    fn property(acts: Vec<Act>) -> bool {
+        let mut fleet = Fleet::default();
+        let mut twin = Fleet::default();
+        let mut history: Vec<Command> = Vec::new();
+        let mut answers: BTreeMap<String, Outcome> = BTreeMap::new();
+        for (number, act) in acts.iter().enumerate() {
+            let index = number as u64 + 1;
+            let command = command(&fleet, &history, act);
+            let before = fleet.clone();
+            let outcome = fleet.apply(index, &command).unwrap();
+            check(&before, &fleet, &command, outcome.as_ref());
+            if let (Command::Submit(submission), Some(outcome)) = (&command, outcome) {
+                // A resend gets the first answer.
+                let first = answers.entry(submission.id.clone()).or_insert(outcome.clone());
+                assert_eq!(*first, outcome);
+            }
+            // The same commands give the same state, also across a snapshot.
+            twin.apply(index, &command).unwrap();
+            twin = Fleet::read(&twin.write()).unwrap();
+            assert_eq!(twin, fleet);
+            history.push(command);
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 7))
+        .tests(400)
+        .quickcheck(property as fn(Vec<Act>) -> bool);
+}
+
+#[test]
+fn a_release_of_an_earlier_move_does_not_count() {
+    let at = SystemTime::UNIX_EPOCH;
+    let submit = |id: &str, act: Act| {
+        let (operator, id) = ("ana".to_string(), id.to_string());
+        Command::Submit(Submission { operator, id, at, changes: changes(&act) })
+    };
+    let join = Command::Join(Join {
+        entry: "a".to_string(),
+        data_centre: "north".to_string(),
+        incarnation: 1,
+        disk: None,
+        at,
+    });
+    let commands = [
+        join,
+        submit("pools", Act::Pool(0, None)),
+        submit("q", Act::Pool(1, None)),
+        submit("r", Act::Pool(2, None)),
+        submit("w", Act::Instance(1, 0, None)),
+        submit("to q", Act::Instance(1, 1, Some(1))),
+        submit("back", Act::Instance(1, 0, Some(2))),
+        submit("to r", Act::Instance(1, 2, Some(3))),
+    ];
+    let mut fleet = Fleet::default();
+    for (number, command) in commands.iter().enumerate() {
+        fleet.apply(number as u64 + 1, command).unwrap();
+    }
+    let release = |began| {
+        let (entry, instance) = ("a".to_string(), "w".to_string());
+        Command::Release(Release { entry, incarnation: 1, instance, began, at })
+    };
+    fleet.apply(9, &release(6)).unwrap();
+    assert_eq!(fleet.placements()["w"].pool, "p", "a release of the move at index 6");
+    fleet.apply(10, &release(8)).unwrap();
+    assert_eq!(fleet.placements()["w"].pool, "r");
+}
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -149,7 +149,7 @@
             }
             let Some(pool) = table.pools.get_mut(&placement.pool) else { continue };
             let key = Key::new(Kind::Instance, instance.clone());
-            let Some(spec) = fleet.spec(&key).and_then(|spec| spec.instance()) else { continue };
+            let Some(spec) = fleet.spec(&key).and_then(record::Spec::instance) else { continue };
             pool.targets.push(Target {
                 instance: instance.clone(),
                 incarnation: announcement.incarnation,
@@ -214,7 +214,7 @@
 fn pools(fleet: &Fleet) -> BTreeMap<PoolId, Pool> {
     let mut pools = BTreeMap::new();
     for key in fleet.records().keys().filter(|key| key.kind == Kind::Pool) {
-        let Some(pool) = fleet.spec(key).and_then(|spec| spec.pool()) else { continue };
+        let Some(pool) = fleet.spec(key).and_then(record::Spec::pool) else { continue };
         pools.insert(key.name.clone(), Pool { spare: pool.spare, targets: Vec::new() });
     }
     pools
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -70,9 +70,13 @@
         if read.length < bytes.len() as u64 {
             folder.cut(LOG_FILE, read.length)?;
         }
-        let state = replay(snapshot, read.values)?;
+        let replayed = replay(snapshot, read.values)?;
+        let state = replayed.state;
         let hard = state.hard.clone();
-        let store = Store { folder, hard, failed: false, log_bytes: read.length };
+        let mut store = Store { folder, hard, failed: false, log_bytes: read.length };
+        if replayed.log_is_older {
+            store.rewrite_log(&state.snapshot, &state.entries, state.commit)?;
+        }
         Ok((store, Recovered { incarnation, state }))
     }
 
@@ -137,24 +141,36 @@
 
     fn rewrite(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> Result<()> {
         self.folder.replace(SNAPSHOT_FILE, &frame::encode(snapshot))?;
+        self.rewrite_log(snapshot, entries, snapshot.index)
+    }
+
+    fn rewrite_log(&mut self, snapshot: &Snapshot, entries: &[Entry], commit: Index) -> Result<()> {
         let base = Base { index: snapshot.index, term: snapshot.term };
         let mut bytes = frame::encode(&Line::Hard(self.hard.clone()));
         bytes.extend(frame::encode(&Line::Base(base)));
         for entry in entries {
             bytes.extend(frame::encode(&Line::Entry(entry.clone())));
         }
+        bytes.extend(frame::encode(&Line::Commit(commit)));
         self.folder.replace(LOG_FILE, &bytes)?;
         self.log_bytes = bytes.len() as u64;
         Ok(())
     }
 }
 
+/// What the snapshot and the log amount to.
+struct Replayed {
+    state: State,
+    /// The process died after writing the snapshot and before the log.
+    log_is_older: bool,
+}
+
 /// State that the snapshot and the lines of the log amount to.
 ///
 /// The log may be older than the snapshot when the process died between writing
 /// the two: entries that the snapshot covers are passed over, and the others
 /// count only if the log agrees with the snapshot's last entry.
-fn replay(snapshot: Snapshot, lines: Vec<Line>) -> Result<State> {
+fn replay(snapshot: Snapshot, lines: Vec<Line>) -> Result<Replayed> {
     let mut hard = Hard::default();
     let mut commit = snapshot.index;
     let mut base = Base { index: 0, term: 0 };
@@ -184,7 +200,9 @@
         entries.clear();
     }
     let last = entries.last().map_or(snapshot.index, |entry| entry.index);
-    Ok(State { hard, commit: commit.min(last), snapshot, entries })
+    let log_is_older = base.index != snapshot.index;
+    let state = State { hard, commit: commit.min(last), snapshot, entries };
+    Ok(Replayed { state, log_is_older })
 }
 
 fn term_at(base: &Base, entries: &[Entry], index: Index) -> Option<Term> {
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -176,9 +176,18 @@
         let last = state.entries.last().map_or(state.snapshot.index, |entry| entry.index);
         assert_eq!(last, 6, "after {calls} calls");
         assert_eq!(state.entries.first().unwrap().index, state.snapshot.index + 1);
+        goes_on(&memory, 7);
     }
 }
 
+/// The next entry can be written and read back.
+fn goes_on(memory: &Memory, index: u64) {
+    let (mut store, _) = memory.open().unwrap();
+    store.save(&appended(vec![entry(index, 9)])).unwrap();
+    let (_, recovered) = memory.open().unwrap();
+    assert_eq!(recovered.state.entries.last(), Some(&entry(index, 9)));
+}
+
 /// A leader's snapshot replaces entries that were never committed. They must not
 /// come back behind it when the process dies before the log is rewritten.
 #[test]
@@ -193,6 +202,19 @@
     let (_, recovered) = memory.open().unwrap();
     assert_eq!(recovered.state.snapshot.index, 4);
     assert_eq!(recovered.state.entries, []);
+    goes_on(&memory, 5);
+}
+
+#[test]
+fn a_snapshot_far_ahead_of_the_log_is_followed() {
+    let memory = Memory::default();
+    let (mut store, _) = memory.open().unwrap();
+    store.save(&appended(vec![entry(1, 1)])).unwrap();
+    memory.fail_after(Some(1)); // the snapshot is written, the log is not
+    let install = Output { install: Some(snapshot(10, 2)), ..Output::default() };
+    assert!(store.save(&install).is_err());
+    memory.fail_after(None);
+    goes_on(&memory, 11);
 }
 
 #[test]
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -78,17 +78,20 @@
 
 /// Faults of the records taken together.
 fn across(documents: &[record::Document]) -> Vec<String> {
-    let mut live = fleet::check::Live::new();
-    let mut touched = Vec::new();
+    let nothing = fleet::check::Live::new();
+    let mut overlay = fleet::check::Overlay::new(&nothing);
+    let mut seen = Vec::new();
     let mut faults = Vec::new();
     for document in documents {
         let key = document.key();
-        if touched.contains(&key) {
+        if seen.contains(&key) {
             faults.push(format!("{key}: is declared twice"));
         }
-        live.extend(document.check().ok().map(|spec| (key.clone(), spec)));
-        touched.push(key);
+        if let Ok(spec) = document.check() {
+            overlay.put(key.clone(), spec);
+        }
+        seen.push(key);
     }
-    faults.extend(fleet::check::across(&live, &touched).iter().map(ToString::to_string));
+    faults.extend(overlay.faults().iter().map(ToString::to_string));
     faults
 }
