Run a request under a key at most once, wherever it is resent

Cause: a resend through the balancer could run a second time.

Change: entries mint keys named after themselves and the life of their process; a request under a key is relayed to that life, which alone sends it, over a fresh connection. Settled outcomes go to the neighbours at a graceful stop. A new connection inside a data centre begins with all that is known of its targets: after a restart an entry had none until the next round of announcements.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -5,17 +5,18 @@
 use async_std::future::timeout;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
-use http_types::headers::{CONNECTION, HeaderName, HeaderValue};
+use http_types::headers::CONNECTION;
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use rand::Rng;
 use route::Table;
-use route::outcome::{Outcome, Reason, Refusal};
+use route::outcome::{Reason, Refusal};
 use route::retry::{Budget, MAX_ATTEMPTS};
 use route::table::Slot;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use wire::call::{Call, Header, Outcome, Whole};
 
 /// Header with the id that the answer has to repeat, if it names one.
 pub const REQUEST_ID: &str = "request-id";
@@ -42,50 +43,21 @@
     "expect",
 ];
 
-/// A request to pass on.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// Pool that serves it.
-    pub pool: String,
-    /// Its method.
-    pub method: Method,
-    /// Path and query below the pool.
-    pub path: String,
-    /// Headers to pass on.
-    pub headers: Vec<Header>,
-    /// The whole body.
-    pub body: Vec<u8>,
+/// What a caller asked for beside the request itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
     /// When the caller stops waiting, on the monotonic clock.
     pub deadline: Duration,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
 }
 
-/// One header.
-#[derive(Clone, Debug)]
-pub struct Header {
-    /// Its name.
-    pub name: HeaderName,
-    /// Its value.
-    pub value: HeaderValue,
-}
-
-/// A target's whole answer.
-#[derive(Clone, Debug)]
-pub struct Whole {
-    /// Its status.
-    pub status: StatusCode,
-    /// Headers to pass on.
-    pub headers: Vec<Header>,
-    /// The body.
-    pub body: Vec<u8>,
-    /// Instance that answered.
-    pub instance: String,
-}
-
-/// What one attempt came to.
-enum Attempt {
-    Answered(Whole),
-    NotRun(Refusal),
-    Lost(Refusal),
+/// One try on one target.
+struct Attempt<'a> {
+    slot: &'a Slot,
+    call: &'a Call,
+    terms: Terms,
+    span: Duration,
 }
 
 /// Sends requests to targets.
@@ -124,9 +96,10 @@
         self.pool.keep_only(targets.map(|target| target.address));
     }
 
-    /// Sends a repeatable request until it is answered, within its deadline and
-    /// the retry budget.
-    pub async fn call(&self, table: &Table, call: &Call) -> Outcome<Whole> {
+    /// Sends a request until it is answered, within its deadline and the retry
+    /// budget. One that must not run twice goes out on a fresh connection, and
+    /// again only if it certainly did not run.
+    pub async fn call(&self, table: &Table, call: &Call, terms: Terms) -> Outcome {
         self.budget.earn();
         let mut tried = Vec::new();
         let mut last = None;
@@ -139,12 +112,13 @@
                 Err(refusal) => return last.unwrap_or(Outcome::NotRun(refusal)),
             };
             tried.push(slot.target.instance.clone());
-            let lost_before = matches!(last, Some(Outcome::Unknown(_)));
-            match self.attempt(&slot, call, MAX_ATTEMPTS - tried.len()).await {
-                Attempt::Answered(whole) => return Outcome::Answered(whole),
-                Attempt::NotRun(refusal) if !lost_before => last = Some(Outcome::NotRun(refusal)),
-                Attempt::NotRun(_) => {}
-                Attempt::Lost(refusal) => last = Some(Outcome::Unknown(refusal)),
+            let more = if terms.repeatable { MAX_ATTEMPTS - tried.len() } else { 0 };
+            let attempt = Attempt { slot: &slot, call, terms, span: self.share(terms, more) };
+            match self.attempt(attempt).await {
+                Outcome::Unknown(refusal) if !terms.repeatable => return Outcome::Unknown(refusal),
+                Outcome::Answered(whole) => return Outcome::Answered(whole),
+                Outcome::NotRun(_) if matches!(last, Some(Outcome::Unknown(_))) => {}
+                other => last = Some(other),
             }
         }
         last.unwrap_or_else(|| {
@@ -154,35 +128,34 @@
 
     /// Time that an attempt may take: the rest, shared with the attempts that
     /// may follow it.
-    fn share(&self, call: &Call, more: usize) -> Duration {
-        let left = call.deadline.saturating_sub(self.clock.now());
+    fn share(&self, terms: Terms, more: usize) -> Duration {
+        let left = terms.deadline.saturating_sub(self.clock.now());
         left / (more as u32 + 1)
     }
 
-    async fn attempt(&self, slot: &Slot, call: &Call, more: usize) -> Attempt {
-        let span = self.share(call, more);
+    async fn attempt(&self, attempt: Attempt<'_>) -> Outcome {
+        let Attempt { slot, call, terms, span } = attempt;
         if span.is_zero() {
             let refusal = Refusal::new(Reason::Deadline, "the deadline passed before it was sent");
-            return Attempt::NotRun(refusal);
+            return Outcome::NotRun(refusal);
         }
         let address = slot.target.address;
         let instance = &slot.target.instance;
-        let stream = match self.pool.take(&address, self.clock.now()) {
+        let idle = terms.repeatable.then(|| self.pool.take(&address, self.clock.now())).flatten();
+        let stream = match idle {
             Some(stream) => stream,
             None => match connect(address, span).await {
                 Ok(stream) => stream,
                 Err(error) => {
                     let detail = format!("instance \"{instance}\": {error}");
-                    return Attempt::NotRun(Refusal::new(Reason::Unreachable, detail));
+                    return Outcome::NotRun(Refusal::new(Reason::Unreachable, detail));
                 }
             },
         };
         let id = self.next_id();
         let request = match build(call, address, &id, span) {
             Ok(request) => request,
-            Err(error) => {
-                return Attempt::NotRun(Refusal::new(Reason::Invalid, error.to_string()));
-            }
+            Err(detail) => return Outcome::NotRun(Refusal::new(Reason::Invalid, detail)),
         };
         match timeout(span, self.exchange(stream.clone(), request, &id)).await {
             Ok(Ok(mut answer)) => {
@@ -191,18 +164,18 @@
                 }
                 if answer.refused {
                     let detail = format!("instance \"{instance}\" refused it");
-                    return Attempt::NotRun(Refusal::new(Reason::Busy, detail));
+                    return Outcome::NotRun(Refusal::new(Reason::Busy, detail));
                 }
                 answer.whole.instance = instance.clone();
-                Attempt::Answered(answer.whole)
+                Outcome::Answered(answer.whole)
             }
             Ok(Err(detail)) => {
                 let detail = format!("instance \"{instance}\": {detail}");
-                Attempt::Lost(Refusal::new(Reason::Truncated, detail))
+                Outcome::Unknown(Refusal::new(Reason::Truncated, detail))
             }
             Err(_) => {
                 let detail = format!("instance \"{instance}\" did not answer in {span:?}");
-                Attempt::Lost(Refusal::new(Reason::Silent, detail))
+                Outcome::Unknown(Refusal::new(Reason::Silent, detail))
             }
         }
     }
@@ -221,7 +194,7 @@
         let response = async_h1::connect(stream, request).await.map_err(|e| e.to_string())?;
         let mut answer = self.whole(response).await?;
         let echoed = answer.whole.headers.iter().find(|header| header.name == REQUEST_ID);
-        if echoed.is_some_and(|header| header.value.as_str() != id) {
+        if echoed.is_some_and(|header| header.value != id) {
             return Err("the answer belongs to another request".to_string());
         }
         answer.whole.headers.retain(|header| header.name != REQUEST_ID);
@@ -252,7 +225,8 @@
             .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
         let refused = status == StatusCode::ServiceUnavailable
             && response.header(OUTCOME).is_some_and(|value| value.as_str() == NOT_RUN);
-        let whole = Whole { status, headers: passed_on(&response), body, instance: String::new() };
+        let headers = passed_on(&response);
+        let whole = Whole { status: status.into(), headers, body, instance: String::new() };
         Ok(Answer { whole, reusable: !closes, refused })
     }
 }
@@ -272,16 +246,12 @@
     Ok(stream)
 }
 
-fn build(
-    call: &Call,
-    address: SocketAddr,
-    id: &str,
-    span: Duration,
-) -> Result<Request, http_types::url::ParseError> {
-    let url = Url::parse(&format!("http://{address}/{}", call.path))?;
-    let mut request = Request::new(call.method, url);
+fn build(call: &Call, address: SocketAddr, id: &str, span: Duration) -> Result<Request, String> {
+    let url = Url::parse(&format!("http://{address}/{}", call.path)).map_err(|e| e.to_string())?;
+    let method: Method = call.method.parse().map_err(|_| "method: is not known".to_string())?;
+    let mut request = Request::new(method, url);
     for header in &call.headers {
-        request.append_header(header.name.clone(), header.value.clone());
+        request.append_header(header.name.as_str(), header.value.as_str());
     }
     request.insert_header(REQUEST_ID, id);
     request.insert_header(DEADLINE_MS, span.as_millis().to_string());
@@ -300,8 +270,11 @@
         if HOP_HEADERS.contains(&name.as_str()) {
             continue;
         }
-        let values = values.iter().cloned();
-        passed.extend(values.map(|value| Header { name: name.clone(), value }));
+        let header = |value: &http_types::headers::HeaderValue| Header {
+            name: name.as_str().to_string(),
+            value: value.as_str().to_string(),
+        };
+        passed.extend(values.iter().map(header));
     }
     passed
 }
--- a/crates/entry/src/http/callers.rs
+++ b/crates/entry/src/http/callers.rs
@@ -1,13 +1,16 @@
 //! Requests of callers, and the balancer's health check.
 
-use crate::forward::{Call, DEADLINE_MS, OUTCOME, Whole, passed_on, spread};
+use crate::forward::{DEADLINE_MS, OUTCOME, Terms, passed_on, spread};
 use crate::http::reply::{self, Result};
+use crate::once;
 use crate::shared::Shared;
-use route::outcome::{Outcome, Reason, Refusal};
+use route::claim::Key;
+use route::outcome::{Reason, Refusal};
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 use tide::{Request, Response, Server, StatusCode};
+use wire::call::{Call, Outcome, Whole};
 
 /// Header with the key of a request that must not run twice.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -24,6 +27,7 @@
 pub fn app(shared: Arc<Shared>) -> Server<Arc<Shared>> {
     let mut app = Server::with_state(shared);
     app.at("/healthz").get(health);
+    app.at("/keys").post(mint);
     app.at("/pools/:pool").all(serve);
     app.at("/pools/:pool/*path").all(serve);
     app
@@ -40,48 +44,93 @@
     Ok(Response::builder(StatusCode::Ok).body("ok\n").build())
 }
 
+/// Answer to a request for a key.
+#[derive(Serialize)]
+struct Minted {
+    key: String,
+}
+
+/// Mints a key for a request that must not run twice.
+async fn mint(request: Request<Arc<Shared>>) -> Result {
+    let shared = request.state();
+    if shared.is_stopping() {
+        return respond(Outcome::NotRun(stopping()));
+    }
+    reply::json(StatusCode::Ok, &Minted { key: shared.once.mint().to_string() })
+}
+
 async fn serve(mut request: Request<Arc<Shared>>) -> Result {
     let shared = request.state().clone();
-    let outcome = match read_call(&shared, &mut request).await {
-        Ok(call) => shared.forwarder.call(&shared.table.load_full(), &call).await,
+    let outcome = match read_asked(&shared, &mut request).await {
+        Ok(asked) => answer(&shared, asked).await,
         Err(refusal) => Outcome::NotRun(refusal),
     };
     count(&shared, &outcome);
     respond(outcome)
 }
 
-async fn read_call(
+async fn answer(shared: &Shared, asked: Asked) -> Outcome {
+    let Asked { call, deadline, key } = asked;
+    match key {
+        Some(key) => once::serve(shared, &key, &call, deadline).await,
+        None => {
+            let terms = Terms { deadline, repeatable: true };
+            shared.forwarder.call(&shared.table.load_full(), &call, terms).await
+        }
+    }
+}
+
+/// What a caller asked for.
+struct Asked {
+    call: Call,
+    deadline: Duration,
+    key: Option<Key>,
+}
+
+fn stopping() -> Refusal {
+    Refusal::new(Reason::Stopping, "this entry is stopping")
+}
+
+async fn read_asked(
     shared: &Shared,
     request: &mut Request<Arc<Shared>>,
-) -> std::result::Result<Call, Refusal> {
+) -> std::result::Result<Asked, Refusal> {
     if shared.is_stopping() {
-        return Err(Refusal::new(Reason::Stopping, "this entry is stopping"));
-    }
-    if request.header(IDEMPOTENCY_KEY).is_some() {
-        let detail = "this version does not take requests that must not run twice";
-        return Err(Refusal::new(Reason::Unsupported, detail));
+        return Err(stopping());
     }
+    let key = read_key(request)?;
     let deadline = shared.clock.now() + read_deadline(shared, request)?;
-    let max = shared.settings.limits.max_body_bytes;
-    let body = match reply::read_body(request, max).await {
-        Ok(Some(body)) => body,
-        Ok(None) => {
-            let detail = format!("body: is longer than {max} bytes");
-            return Err(Refusal::new(Reason::Invalid, detail));
-        }
-        Err(error) => {
-            let detail = format!("body: did not arrive whole: {error}");
-            return Err(Refusal::new(Reason::Invalid, detail));
-        }
-    };
+    let body = read_body(shared, request).await?;
     let pool = request.param("pool").unwrap_or_default().to_string();
-    let url = request.url();
     let mut path = request.param("path").unwrap_or_default().to_string();
-    if let Some(query) = url.query() {
+    if let Some(query) = request.url().query() {
         path = format!("{path}?{query}");
     }
+    let method = request.method().to_string();
     let headers = passed_on(request);
-    Ok(Call { pool, method: request.method(), path, headers, body, deadline })
+    Ok(Asked { call: Call { pool, method, path, headers, body }, deadline, key })
+}
+
+async fn read_body(
+    shared: &Shared,
+    request: &mut Request<Arc<Shared>>,
+) -> std::result::Result<Vec<u8>, Refusal> {
+    let max = shared.settings.limits.max_body_bytes;
+    let detail = match reply::read_body(request, max).await {
+        Ok(Some(body)) => return Ok(body),
+        Ok(None) => format!("body: is longer than {max} bytes"),
+        Err(error) => format!("body: did not arrive whole: {error}"),
+    };
+    Err(Refusal::new(Reason::Invalid, detail))
+}
+
+fn read_key(request: &Request<Arc<Shared>>) -> std::result::Result<Option<Key>, Refusal> {
+    let Some(value) = request.header(IDEMPOTENCY_KEY) else { return Ok(None) };
+    let Some(key) = Key::parse(value.as_str()) else {
+        let detail = format!("header {IDEMPOTENCY_KEY}: \"{value}\" was not minted by POST /keys");
+        return Err(Refusal::new(Reason::Invalid, detail));
+    };
+    Ok(Some(key))
 }
 
 fn read_deadline(
@@ -101,7 +150,7 @@
     }
 }
 
-fn count(shared: &Shared, outcome: &Outcome<Whole>) {
+fn count(shared: &Shared, outcome: &Outcome) {
     let outcome = match outcome {
         Outcome::Answered(_) => "answered",
         Outcome::NotRun(_) => "not-run",
@@ -111,7 +160,7 @@
     metrics::counter!("requests_total", "entry" => name, "outcome" => outcome).increment(1);
 }
 
-fn respond(outcome: Outcome<Whole>) -> Result {
+fn respond(outcome: Outcome) -> Result {
     match outcome {
         Outcome::Answered(whole) => Ok(answered(whole)),
         Outcome::NotRun(refusal) => refused("not-run", not_run_status(refusal.reason), &refusal),
@@ -120,10 +169,11 @@
 }
 
 fn answered(whole: Whole) -> Response {
-    let mut response = Response::new(whole.status);
+    let status = StatusCode::try_from(whole.status).unwrap_or(StatusCode::BadGateway);
+    let mut response = Response::new(status);
     response.set_body(whole.body);
     for header in whole.headers {
-        response.insert_header(header.name, header.value);
+        response.append_header(header.name.as_str(), header.value.as_str());
     }
     response.insert_header(OUTCOME, "answered");
     response.insert_header("served-by", whole.instance);
@@ -147,7 +197,6 @@
     match reason {
         Reason::UnknownPool | Reason::SparePool => StatusCode::NotFound,
         Reason::Invalid => StatusCode::BadRequest,
-        Reason::Unsupported => StatusCode::NotImplemented,
         _ => StatusCode::ServiceUnavailable,
     }
 }
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -17,6 +17,8 @@
 const REBUILD_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two rounds of passing announcements on.
 const SHARE_INTERVAL: Duration = Duration::from_secs(1);
+/// Claims in one frame, each with an answer of 64 KiB at most.
+const CLAIMS_PER_FRAME: usize = 256;
 /// Time between two tries to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -110,6 +112,19 @@
     }
 }
 
+/// Hands what was settled under this life's keys to the data centre, so that a
+/// resend after the stop still gets its answer.
+pub fn hand_over(shared: &Shared) {
+    let settled = shared.once.settled();
+    for link in shared.links() {
+        if link.identity.data_centre == shared.identity.data_centre {
+            for part in settled.chunks(CLAIMS_PER_FRAME) {
+                link.send(Frame::Claims(part.to_vec()));
+            }
+        }
+    }
+}
+
 /// Leaves the cluster, so that no move waits for this entry.
 pub async fn leave(shared: &Shared) {
     let leave = Leave {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,12 +10,14 @@
 pub mod http;
 pub mod keeper;
 pub mod link;
+pub mod once;
 pub mod peers;
 pub mod pool;
 pub mod process;
 pub mod secret;
 pub mod settings;
 pub mod shared;
+pub mod tasks;
 
 pub use process::{Bound, Process};
 pub use settings::Settings;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::agreement::Input;
 use crate::link::{Link, QUEUE_FRAMES, Traffic};
+use crate::once;
 use crate::shared::Shared;
 use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
@@ -86,14 +87,12 @@
 
 /// Accepts connections of other entries until the listener's task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener, registry: Arc<Registry>) {
-    let mut tasks = Vec::new();
     while let Ok((stream, address)) = listener.accept().await {
-        tasks.retain(|task: &Task| !task.is_done());
-        let (shared, registry) = (shared.clone(), registry.clone());
-        tasks.push(Task::spawn(async move {
-            let result = accept(&shared, &registry, stream).await;
-            note_refusal(&shared, &registry, address, result);
-        }));
+        let (parent, registry) = (shared.clone(), registry.clone());
+        shared.connections.spawn(async move {
+            let result = accept(&parent, &registry, stream).await;
+            note_refusal(&parent, &registry, address, result);
+        });
     }
 }
 
@@ -106,36 +105,6 @@
     }
 }
 
-/// A spawned task that is cancelled when its parent goes.
-struct Task {
-    handle: Option<task::JoinHandle<()>>,
-    done: Arc<std::sync::atomic::AtomicBool>,
-}
-
-impl Task {
-    fn spawn(future: impl Future<Output = ()> + Send + 'static) -> Task {
-        let done = Arc::new(std::sync::atomic::AtomicBool::new(false));
-        let flag = done.clone();
-        let handle = task::spawn(async move {
-            future.await;
-            flag.store(true, Ordering::Release);
-        });
-        Task { handle: Some(handle), done }
-    }
-
-    fn is_done(&self) -> bool {
-        self.done.load(Ordering::Acquire)
-    }
-}
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        if let Some(handle) = self.handle.take() {
-            task::spawn(handle.cancel());
-        }
-    }
-}
-
 /// Counts a refused peer; logs it once for each reason in a row.
 fn note_refusal(shared: &Shared, registry: &Registry, address: SocketAddr, result: Result<()>) {
     let Err(error) = result else { return };
@@ -152,7 +121,7 @@
     }
 }
 
-async fn connect(shared: &Shared, registry: &Registry, address: SocketAddr) -> Result<()> {
+async fn connect(shared: &Arc<Shared>, registry: &Registry, address: SocketAddr) -> Result<()> {
     let stream = timeout(HANDSHAKE, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let url = format!("ws://{address}/");
@@ -171,7 +140,7 @@
     run(shared, registry, socket, theirs.identity).await
 }
 
-async fn accept(shared: &Shared, registry: &Registry, stream: TcpStream) -> Result<()> {
+async fn accept(shared: &Arc<Shared>, registry: &Registry, stream: TcpStream) -> Result<()> {
     stream.set_nodelay(true)?;
     let small = Some(config(MAX_HANDSHAKE_BYTES));
     let upgrade = tokio_tungstenite::accept_async_with_config(stream.compat(), small);
@@ -250,7 +219,7 @@
 
 /// Passes frames both ways until one end fails or falls silent.
 async fn run(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     registry: &Registry,
     socket: Socket,
     identity: Identity,
@@ -261,6 +230,10 @@
     let (id, traffic) = (link.id(), link.traffic.clone());
     let (sink, stream) = socket.split();
     let identity = link.identity.clone();
+    if identity.data_centre == shared.identity.data_centre {
+        let sightings = shared.directory().sightings(shared.clock.now());
+        link.send(Frame::Sightings(sightings));
+    }
     shared.link_up(link);
     push(shared, Input::Up(identity)).await?;
     {
@@ -293,7 +266,7 @@
 }
 
 async fn read_frames(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     id: &quorum::Id,
     mut stream: SplitStream<Socket>,
     traffic: &Traffic,
@@ -305,6 +278,12 @@
         match Frame::decode(&bytes)? {
             Frame::Ping => {}
             Frame::Sightings(sightings) => hear(shared, sightings),
+            Frame::Relay(relay) => {
+                let (parent, from) = (shared.clone(), id.clone());
+                shared.relays.spawn(async move { once::answer(&parent, from, relay).await });
+            }
+            Frame::Relayed(relayed) => shared.once.relayed(relayed),
+            Frame::Claims(settled) => shared.once.take_over(settled),
             frame => push(shared, Input::Frame(id.clone(), frame)).await?,
         }
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,9 +5,11 @@
 use crate::forward::Forwarder;
 use crate::http::listener::{Listener, Stopper};
 use crate::http::{callers, operators, targets};
+use crate::once::Once;
 use crate::peers::{self, Registry};
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::tasks::Tasks;
 use crate::{keeper, settings};
 use arc_swap::ArcSwap;
 use async_std::net::{SocketAddr, TcpListener};
@@ -122,6 +124,9 @@
             links: RwLock::new(BTreeMap::new()),
             in_force: Mutex::default(),
             forwarder,
+            once: Once::new(settings.name.clone(), life),
+            relays: Tasks::default(),
+            connections: Tasks::default(),
             stopping: AtomicBool::new(false),
             inputs,
             changes,
@@ -148,6 +153,8 @@
         for listener in self.listeners {
             listener.await;
         }
+        shared.relays.join().await;
+        keeper::hand_over(&shared);
         let left = async_std::future::timeout(STOP_TIMEOUT, keeper::leave(&shared)).await;
         if left.is_err() {
             info!("stopped without the cluster's note, it may be cut off");
@@ -159,6 +166,7 @@
         for link in shared.links() {
             link.close();
         }
+        shared.connections.join().await;
         let _ = shared.inputs.send(Input::Stop);
         for keeper in self.keepers {
             keeper.cancel().await;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,7 +4,9 @@
 use crate::clock::Clock;
 use crate::forward::Forwarder;
 use crate::link::Link;
+use crate::once::Once;
 use crate::settings::Settings;
+use crate::tasks::Tasks;
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender};
 use fleet::{Command, Fleet};
@@ -49,6 +51,12 @@
     pub in_force: Mutex<BTreeMap<String, InForce>>,
     /// Connections to targets.
     pub forwarder: Forwarder,
+    /// Requests that must not run twice.
+    pub once: Once,
+    /// Requests that peers relayed.
+    pub relays: Tasks,
+    /// Connections that peers made.
+    pub connections: Tasks,
     /// Whether a stop has begun.
     pub stopping: AtomicBool,
     /// Input of the agreement thread.
@@ -94,10 +102,18 @@
         let last = links.get(id).is_some_and(|link| link.serial == serial);
         if last {
             links.remove(id);
+            self.once.lose(id);
         }
         last
     }
 
+    /// Queues a frame for a peer, if there is a connection to it.
+    pub fn relay(&self, to: &Id, frame: wire::Frame) {
+        if let Some(link) = self.links.read().expect("no holder panics").get(to) {
+            link.send(frame);
+        }
+    }
+
     /// Has a command agreed on, by this entry or through the leader.
     pub async fn propose(&self, command: Command) -> Answer {
         let (reply, answer) = async_std::channel::bounded(1);
@@ -122,9 +138,7 @@
     }
 
     fn send(&self, to: &Id, frame: wire::Frame) {
-        if let Some(link) = self.links.read().expect("no holder panics").get(to) {
-            link.send(frame);
-        }
+        self.relay(to, frame);
     }
 
     fn peers(&self) -> Vec<Identity> {
--- /dev/null
+++ b/crates/entry/src/tasks.rs
@@ -0,0 +1,52 @@
+//! Tasks that a parent spawned and joins.
+
+use async_std::task::{self, JoinHandle};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError};
+
+struct Task {
+    handle: JoinHandle<()>,
+    done: Arc<AtomicBool>,
+}
+
+/// Tasks of one parent; finished ones are let go of as new ones come.
+///
+/// ```
+/// let tasks = entry::tasks::Tasks::default();
+/// tasks.spawn(async {});
+/// async_std::task::block_on(tasks.join());
+/// ```
+#[derive(Default)]
+pub struct Tasks {
+    tasks: Mutex<Vec<Task>>,
+}
+
+impl Tasks {
+    /// Runs a future as a task.
+    pub fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
+        let done = Arc::new(AtomicBool::new(false));
+        let flag = done.clone();
+        let handle = task::spawn(async move {
+            future.await;
+            flag.store(true, Ordering::Release);
+        });
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        tasks.retain(|task| !task.done.load(Ordering::Acquire));
+        tasks.push(Task { handle, done });
+    }
+
+    /// Waits until all tasks have ended.
+    pub async fn join(&self) {
+        loop {
+            let tasks =
+                std::mem::take(&mut *self.tasks.lock().unwrap_or_else(PoisonError::into_inner));
+            if tasks.is_empty() {
+                return;
+            }
+            for task in tasks {
+                task.handle.await;
+            }
+        }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,5 +1,6 @@
 //! Which target a request goes to, and what became of it; without I/O.
 
+pub mod claim;
 pub mod directory;
 pub mod outcome;
 pub mod retry;
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -27,14 +27,16 @@
     Silent,
     /// The connection ended before the whole answer had arrived.
     Truncated,
-    /// The request asks for something that this version does not do.
-    Unsupported,
     /// A value of the request is wrong.
     Invalid,
+    /// The entry that minted the key has ended or can't be reached.
+    KeyLost,
+    /// The key is too old to be remembered.
+    KeyForgotten,
 }
 
 /// What became of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome<A> {
     /// The target's whole answer.
     Answered(A),
@@ -73,12 +75,16 @@
     /// When a new try makes sense.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Reason::UnknownPool | Reason::SparePool | Reason::Unsupported | Reason::Invalid => None,
+            Reason::UnknownPool | Reason::SparePool | Reason::Invalid | Reason::KeyForgotten => {
+                None
+            }
             Reason::Stopping => Some(Duration::ZERO), // another entry takes it at once
             Reason::Busy | Reason::NotReady | Reason::Unreachable => Some(Duration::from_secs(1)),
-            Reason::NoTarget | Reason::Deadline | Reason::Silent | Reason::Truncated => {
-                Some(Duration::from_secs(2))
-            }
+            Reason::NoTarget
+            | Reason::Deadline
+            | Reason::Silent
+            | Reason::Truncated
+            | Reason::KeyLost => Some(Duration::from_secs(2)),
         }
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! What entries say to each other.
 
+use crate::call::{Relay, Relayed, Settled};
 use crate::proof::{Identity, Nonce};
 use crate::{Error, Result};
 use fleet::{Command, Outcome};
@@ -28,6 +29,12 @@
     Proposed(Proposed),
     /// Targets that the sender heard of.
     Sightings(Vec<Sighting>),
+    /// A request under a key that the receiver minted.
+    Relay(Relay),
+    /// Answers [`Frame::Relay`].
+    Relayed(Relayed),
+    /// Settled claims of a sender that stops.
+    Claims(Vec<Settled>),
     /// What the sender has in force.
     Status(Status),
     /// Shows that the connection is alive when nothing else is sent.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Frames between entries, and the proof of the shared key that comes first.
 
+pub mod call;
 pub mod frame;
 pub mod proof;
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod entry;
 mod faults;
+mod once;
 mod path;
 mod record;
 mod recover;
