--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -82,8 +82,10 @@
     pub address: String,
     /// What this entry has in flight there.
     pub in_flight: u32,
-    /// This entry's share of its slots.
+    /// What this entry may have in flight there.
     pub limit: u32,
+    /// Whether it gets only probes.
+    pub quarantined: bool,
 }
 
 /// Everything that the process holds.
@@ -180,7 +182,8 @@
         instance: target.instance.clone(),
         address: target.address.to_string(),
         in_flight: target.load.load(Ordering::Relaxed),
-        limit: target.limit,
+        limit: target.health.limit(),
+        quarantined: target.health.is_quarantined(),
     };
     let pool = |(name, pool): (&PoolId, &route::table::Pool)| PoolState {
         pool: name.clone(),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,6 +1,7 @@
 //! Sending a request to a target and taking its whole answer.
 
 use crate::clock::Clock;
+use crate::gate::{Ask, Gate};
 use crate::pool::Pool;
 use async_std::future::timeout;
 use async_std::io::ReadExt;
@@ -8,10 +9,12 @@
 use http_types::headers::CONNECTION;
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use rand::Rng;
+use record::TeamId;
 use route::Table;
 use route::outcome::{Reason, Refusal};
+use route::queue::Class;
 use route::retry::{Budget, MAX_ATTEMPTS};
-use route::table::Slot;
+use route::table::Target;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,6 +30,9 @@
 /// Value of [`OUTCOME`] by which a target says that it did not run a request.
 pub const NOT_RUN: &str = "not-run";
 
+/// Status codes from here on count as failures of the target.
+const SERVER_ERROR: u16 = 500;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Headers that belong to one connection and are not passed on.
@@ -44,19 +50,23 @@
 ];
 
 /// What a caller asked for beside the request itself.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Terms {
     /// When the caller stops waiting, on the monotonic clock.
     pub deadline: Duration,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// How urgent it is.
+    pub class: Class,
+    /// Team that it counts for; empty for none.
+    pub team: TeamId,
 }
 
 /// One try on one target.
 struct Attempt<'a> {
-    slot: &'a Slot,
+    target: &'a Target,
     call: &'a Call,
-    terms: Terms,
+    terms: &'a Terms,
     span: Duration,
 }
 
@@ -69,6 +79,7 @@
     max_answer_bytes: usize,
     pool: Pool,
     budget: Budget,
+    gate: Arc<Gate>,
 }
 
 impl Forwarder {
@@ -78,6 +89,7 @@
         entry: String,
         life: u64,
         max_answer_bytes: usize,
+        gate: Arc<Gate>,
     ) -> Forwarder {
         Forwarder {
             clock,
@@ -87,6 +99,7 @@
             max_answer_bytes,
             pool: Pool::default(),
             budget: Budget::new(),
+            gate,
         }
     }
 
@@ -99,22 +112,31 @@
     /// Sends a request until it is answered, within its deadline and the retry
     /// budget. One that must not run twice goes out on a fresh connection, and
     /// again only if it certainly did not run.
-    pub async fn call(&self, table: &Table, call: &Call, terms: Terms) -> Outcome {
+    pub async fn call(&self, call: &Call, terms: &Terms) -> Outcome {
         self.budget.earn();
+        let ask = Ask {
+            pool: call.pool.clone(),
+            class: terms.class,
+            team: terms.team.clone(),
+            deadline: terms.deadline,
+        };
         let mut tried = Vec::new();
         let mut last = None;
         while tried.len() < MAX_ATTEMPTS {
             if last.is_some() && !self.budget.take() {
                 break;
             }
-            let slot = match table.pick(&call.pool, &tried, &mut rand::rng()) {
-                Ok(slot) => slot,
+            let held = match self.gate.enter(&ask, &tried).await {
+                Ok(held) => held,
                 Err(refusal) => return last.unwrap_or(Outcome::NotRun(refusal)),
             };
-            tried.push(slot.target.instance.clone());
+            tried.push(held.target().instance.clone());
             let more = if terms.repeatable { MAX_ATTEMPTS - tried.len() } else { 0 };
-            let attempt = Attempt { slot: &slot, call, terms, span: self.share(terms, more) };
-            match self.attempt(attempt).await {
+            let target = held.target();
+            let attempt = Attempt { target, call, terms, span: self.share(terms, more) };
+            let outcome = self.attempt(attempt).await;
+            self.judge(target, &outcome);
+            match outcome {
                 Outcome::Unknown(refusal) if !terms.repeatable => return Outcome::Unknown(refusal),
                 Outcome::Answered(whole) => return Outcome::Answered(whole),
                 Outcome::NotRun(_) if matches!(last, Some(Outcome::Unknown(_))) => {}
@@ -126,21 +148,36 @@
         })
     }
 
+    /// Takes the outcome into the target's limit and quarantine.
+    fn judge(&self, target: &Target, outcome: &Outcome) {
+        let now = self.clock.now();
+        match outcome {
+            Outcome::Answered(whole) if whole.status >= SERVER_ERROR => target.health.failed(now),
+            Outcome::Answered(_) => target.health.succeeded(),
+            Outcome::Unknown(_) => target.health.failed(now),
+            Outcome::NotRun(refusal) => match refusal.reason {
+                Reason::Busy => target.health.overloaded(),
+                Reason::Unreachable => target.health.failed(now),
+                _ => target.health.cancel_probe(),
+            },
+        }
+    }
+
     /// Time that an attempt may take: the rest, shared with the attempts that
     /// may follow it.
-    fn share(&self, terms: Terms, more: usize) -> Duration {
+    fn share(&self, terms: &Terms, more: usize) -> Duration {
         let left = terms.deadline.saturating_sub(self.clock.now());
         left / (more as u32 + 1)
     }
 
     async fn attempt(&self, attempt: Attempt<'_>) -> Outcome {
-        let Attempt { slot, call, terms, span } = attempt;
+        let Attempt { target, call, terms, span } = attempt;
         if span.is_zero() {
             let refusal = Refusal::new(Reason::Deadline, "the deadline passed before it was sent");
             return Outcome::NotRun(refusal);
         }
-        let address = slot.target.address;
-        let instance = &slot.target.instance;
+        let address = target.address;
+        let instance = &target.instance;
         let idle = terms.repeatable.then(|| self.pool.take(&address, self.clock.now())).flatten();
         let stream = match idle {
             Some(stream) => stream,
--- /dev/null
+++ b/crates/entry/src/gate.rs
@@ -0,0 +1,300 @@
+//! Admission: a slot at once, or a place in the pool's queue until one is free.
+
+use crate::clock::Clock;
+use arc_swap::ArcSwap;
+use async_std::channel::{Sender, bounded};
+use async_std::future::timeout;
+use rand::Rng;
+use record::{InstanceId, PoolId, TeamId};
+use route::Table;
+use route::outcome::{Reason, Refusal};
+use route::queue::{Class, Pace, Queue, Ticket, TicketId};
+use route::table::Slot;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Result of asking for a slot.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Who asks for a slot, and until when.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Pool that serves the request.
+    pub pool: PoolId,
+    /// How urgent it is.
+    pub class: Class,
+    /// Team that it counts for; empty for none.
+    pub team: TeamId,
+    /// When its caller stops waiting, on the monotonic clock.
+    pub deadline: Duration,
+}
+
+/// Waiting requests of one pool.
+#[derive(Default)]
+struct Lane {
+    queue: Mutex<Line>,
+    /// Length of the queue, to see without the lock that nobody waits.
+    waiting: AtomicUsize,
+    /// Observed time that a request holds a slot, in microseconds.
+    service: AtomicU64,
+}
+
+#[derive(Default)]
+struct Line {
+    queue: Queue,
+    callers: BTreeMap<TicketId, Caller>,
+}
+
+struct Caller {
+    tried: Vec<InstanceId>,
+    start: Sender<Result<Held>>,
+}
+
+/// A caller that starts, or whose request can't run any more.
+struct Start {
+    to: Sender<Result<Held>>,
+    held: Result<Held>,
+}
+
+/// Gives out the slots of all pools.
+pub struct Gate {
+    clock: Arc<dyn Clock>,
+    table: Arc<ArcSwap<Table>>,
+    lanes: ArcSwap<BTreeMap<PoolId, Arc<Lane>>>,
+    /// Requests of each team that hold a slot; teams come and go with records.
+    teams: ArcSwap<BTreeMap<TeamId, Arc<AtomicUsize>>>,
+    next: AtomicU64,
+}
+
+/// A slot that is held until this value is dropped; the next in the queue then
+/// gets it.
+pub struct Held {
+    slot: Option<Slot>,
+    gate: Arc<Gate>,
+    pool: PoolId,
+    team: Option<Arc<AtomicUsize>>,
+    since: Duration,
+}
+
+impl Held {
+    /// Where the request goes.
+    pub fn target(&self) -> &route::table::Target {
+        &self.slot.as_ref().expect("held until dropped").target
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.slot = None;
+        let held = self.gate.clock.now().saturating_sub(self.since);
+        self.gate.freed(&self.pool, held);
+        if let Some(team) = self.team.take() {
+            team.fetch_sub(1, Ordering::AcqRel);
+            self.gate.pump_all(); // the team may wait for another pool
+        }
+    }
+}
+
+/// Takes a caller that no longer waits out of the queue.
+struct Place<'a> {
+    lane: &'a Lane,
+    id: TicketId,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut line = self.lane.lock();
+        if line.callers.remove(&self.id).is_some() {
+            line.queue.cancel(self.id);
+        }
+        self.lane.count(&line);
+    }
+}
+
+impl Lane {
+    fn lock(&self) -> MutexGuard<'_, Line> {
+        self.queue.lock().expect("no holder panics")
+    }
+
+    fn count(&self, line: &Line) {
+        self.waiting.store(line.queue.len(), Ordering::Release);
+    }
+
+    /// Moves the observed service time an eighth of the way.
+    fn observe(&self, held: Duration) {
+        let new = held.as_micros() as u64;
+        let smooth = |old: u64| Some(if old == 0 { new } else { (old * 7 + new) / 8 });
+        let _ = self.service.fetch_update(Ordering::AcqRel, Ordering::Acquire, smooth);
+    }
+
+    fn service(&self) -> Duration {
+        Duration::from_micros(self.service.load(Ordering::Acquire))
+    }
+}
+
+impl Gate {
+    /// A gate over the routing table in use.
+    pub fn new(clock: Arc<dyn Clock>, table: Arc<ArcSwap<Table>>) -> Gate {
+        Gate {
+            clock,
+            table,
+            lanes: ArcSwap::default(),
+            teams: ArcSwap::default(),
+            next: AtomicU64::new(0),
+        }
+    }
+
+    /// Takes in a new routing table; those who wait may start on it.
+    pub fn renew(self: &Arc<Self>) {
+        let table = self.table.load_full();
+        let lanes = self.lanes.load();
+        let lane = |pool: &PoolId| (pool.clone(), lanes.get(pool).cloned().unwrap_or_default());
+        self.lanes.store(Arc::new(table.pools.keys().map(lane).collect()));
+        let teams = self.teams.load();
+        let team = |team: &TeamId| (team.clone(), teams.get(team).cloned().unwrap_or_default());
+        self.teams.store(Arc::new(table.teams.keys().map(team).collect()));
+        self.pump_all();
+    }
+
+    /// Starts waiting requests of every pool; call it now and then, since the end
+    /// of a quarantine wakes nobody.
+    pub fn pump_all(self: &Arc<Self>) {
+        for (pool, lane) in self.lanes.load().iter() {
+            if lane.waiting.load(Ordering::Acquire) > 0 {
+                self.pump(pool);
+            }
+        }
+    }
+
+    /// Requests that wait, by pool.
+    pub fn waiting(&self) -> BTreeMap<PoolId, usize> {
+        let lanes = self.lanes.load();
+        let count = |(pool, lane): (&PoolId, &Arc<Lane>)| {
+            (pool.clone(), lane.waiting.load(Ordering::Acquire))
+        };
+        lanes.iter().map(count).collect()
+    }
+
+    /// A slot of the pool: at once if one is free and nobody waits, else when the
+    /// queue comes to it. Targets in `tried` are passed over.
+    pub async fn enter(self: &Arc<Self>, ask: &Ask, tried: &[InstanceId]) -> Result<Held> {
+        let table = self.table.load();
+        let pool = table.pool(&ask.pool)?;
+        if !ask.team.is_empty() && !table.teams.contains_key(&ask.team) {
+            let detail = format!("header request-team: team \"{}\" does not exist", ask.team);
+            return Err(Refusal::new(Reason::Invalid, detail));
+        }
+        let lane = self.lanes.load().get(&ask.pool).cloned();
+        let Some(lane) = lane else {
+            return Err(Refusal::new(Reason::NotReady, "the pool is being set up"));
+        };
+        if lane.waiting.load(Ordering::Acquire) == 0 && self.may_start(&table, &ask.team) {
+            match self.hold(&table, &ask.pool, &ask.team, tried, &mut rand::rng()) {
+                Err(refusal) if refusal.reason == Reason::Busy => {}
+                other => return other,
+            }
+        }
+        let slots = pool.slots();
+        drop(table);
+        self.wait(&lane, ask, tried, slots).await
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        lane: &Lane,
+        ask: &Ask,
+        tried: &[InstanceId],
+        slots: u32,
+    ) -> Result<Held> {
+        let now = self.clock.now();
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let weight = self.table.load().teams.get(&ask.team).map_or(1, |team| team.weight);
+        let ticket =
+            Ticket { id, class: ask.class, team: ask.team.clone(), weight, deadline: ask.deadline };
+        let (start, started) = bounded(1);
+        let place = Place { lane, id };
+        {
+            let mut line = lane.lock();
+            line.queue.push(now, ticket, Pace { slots, service: lane.service() })?;
+            line.callers.insert(id, Caller { tried: tried.to_vec(), start });
+            lane.count(&line);
+        }
+        self.pump(&ask.pool); // a slot may have been freed since it was tried
+        let held = timeout(ask.deadline.saturating_sub(now), started.recv()).await;
+        drop(place);
+        match held {
+            Ok(Ok(held)) => held,
+            _ => started.try_recv().unwrap_or_else(|_| {
+                let detail = "no slot was free before the deadline";
+                Err(Refusal::new(Reason::Deadline, detail))
+            }),
+        }
+    }
+
+    /// A slot is free: takes in how long it was held and starts who is next.
+    fn freed(self: &Arc<Self>, pool: &PoolId, held: Duration) {
+        if let Some(lane) = self.lanes.load().get(pool) {
+            lane.observe(held);
+        }
+        self.pump(pool);
+    }
+
+    /// Starts waiting requests while there are slots for them.
+    fn pump(self: &Arc<Self>, pool: &PoolId) {
+        let Some(lane) = self.lanes.load().get(pool).cloned() else { return };
+        while lane.waiting.load(Ordering::Acquire) > 0 {
+            let table = self.table.load_full();
+            let Some(start) = self.start_next(&table, &lane, pool) else { return };
+            // Outside of the lock: a caller that has gone gives its slot back.
+            let _ = start.to.try_send(start.held);
+        }
+    }
+
+    fn start_next(self: &Arc<Self>, table: &Table, lane: &Lane, pool: &PoolId) -> Option<Start> {
+        let mut line = lane.lock();
+        let now = self.clock.now();
+        let start = loop {
+            let Some(ticket) = line.queue.pop(now, |team| self.may_start(table, team)) else {
+                break None;
+            };
+            let Some(caller) = line.callers.remove(&ticket.id) else { continue };
+            let held = self.hold(table, pool, &ticket.team, &caller.tried, &mut rand::rng());
+            match held {
+                Err(refusal) if refusal.reason == Reason::Busy => {
+                    line.callers.insert(ticket.id, caller);
+                    line.queue.put_back(ticket);
+                    break None;
+                }
+                held => break Some(Start { to: caller.start, held }),
+            }
+        };
+        lane.count(&line);
+        start
+    }
+
+    fn may_start(&self, table: &Table, team: &TeamId) -> bool {
+        let Some(limits) = table.teams.get(team) else { return true };
+        let in_flight = self.teams.load().get(team).map_or(0, |c| c.load(Ordering::Acquire));
+        in_flight < limits.share as usize
+    }
+
+    fn hold(
+        self: &Arc<Self>,
+        table: &Table,
+        pool: &PoolId,
+        team: &TeamId,
+        tried: &[InstanceId],
+        rng: &mut impl Rng,
+    ) -> Result<Held> {
+        let now = self.clock.now();
+        let slot = table.pick(pool, tried, now, rng)?;
+        let team = self.teams.load().get(team).cloned();
+        if let Some(team) = &team {
+            team.fetch_add(1, Ordering::AcqRel);
+        }
+        let (gate, pool) = (self.clone(), pool.clone());
+        Ok(Held { slot: Some(slot), gate, pool, team, since: now })
+    }
+}
--- a/crates/entry/src/http/callers.rs
+++ b/crates/entry/src/http/callers.rs
@@ -3,9 +3,11 @@
 use crate::forward::{DEADLINE_MS, OUTCOME, Terms, passed_on, spread};
 use crate::http::reply::{self, Result};
 use crate::once;
+use crate::relay;
 use crate::shared::Shared;
 use route::claim::Key;
 use route::outcome::{Reason, Refusal};
+use route::queue::Class;
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +17,11 @@
 /// Header with the key of a request that must not run twice.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// Header with the class: `urgent`, `interactive` or `background`.
+pub const CLASS: &str = "request-class";
+/// Header with the team that the request counts for.
+pub const TEAM: &str = "request-team";
+
 /// Body of a refusal.
 #[derive(Serialize)]
 struct Body<'a> {
@@ -70,20 +77,17 @@
 }
 
 async fn answer(shared: &Shared, asked: Asked) -> Outcome {
-    let Asked { call, deadline, key } = asked;
+    let Asked { call, terms, key } = asked;
     match key {
-        Some(key) => once::serve(shared, &key, &call, deadline).await,
-        None => {
-            let terms = Terms { deadline, repeatable: true };
-            shared.forwarder.call(&shared.table.load_full(), &call, terms).await
-        }
+        Some(key) => once::serve(shared, &key, &call, &terms).await,
+        None => relay::dispatch(shared, &call, &terms).await,
     }
 }
 
 /// What a caller asked for.
 struct Asked {
     call: Call,
-    deadline: Duration,
+    terms: Terms,
     key: Option<Key>,
 }
 
@@ -99,7 +103,12 @@
         return Err(stopping());
     }
     let key = read_key(request)?;
-    let deadline = shared.clock.now() + read_deadline(shared, request)?;
+    let terms = Terms {
+        deadline: shared.clock.now() + read_deadline(shared, request)?,
+        repeatable: key.is_none(),
+        class: read_class(request)?,
+        team: request.header(TEAM).map_or(String::new(), |team| team.as_str().to_string()),
+    };
     let body = read_body(shared, request).await?;
     let pool = request.param("pool").unwrap_or_default().to_string();
     let mut path = request.param("path").unwrap_or_default().to_string();
@@ -108,7 +117,7 @@
     }
     let method = request.method().to_string();
     let headers = passed_on(request);
-    Ok(Asked { call: Call { pool, method, path, headers, body }, deadline, key })
+    Ok(Asked { call: Call { pool, method, path, headers, body }, terms, key })
 }
 
 async fn read_body(
@@ -133,6 +142,15 @@
     Ok(Some(key))
 }
 
+fn read_class(request: &Request<Arc<Shared>>) -> std::result::Result<Class, Refusal> {
+    let Some(value) = request.header(CLASS) else { return Ok(Class::default()) };
+    Class::parse(value.as_str()).ok_or_else(|| {
+        let detail =
+            format!("header {CLASS}: \"{value}\" is none of urgent, interactive, background");
+        Refusal::new(Reason::Invalid, detail)
+    })
+}
+
 fn read_deadline(
     shared: &Shared,
     request: &Request<Arc<Shared>>,
@@ -195,7 +213,7 @@
 
 fn not_run_status(reason: Reason) -> StatusCode {
     match reason {
-        Reason::UnknownPool | Reason::SparePool => StatusCode::NotFound,
+        Reason::UnknownPool | Reason::SparePool | Reason::NoInstance => StatusCode::NotFound,
         Reason::Invalid => StatusCode::BadRequest,
         _ => StatusCode::ServiceUnavailable,
     }
--- a/crates/entry/src/http/targets.rs
+++ b/crates/entry/src/http/targets.rs
@@ -57,9 +57,9 @@
         }
     }
     let fleet = shared.fleet.read().expect("no holder panics");
-    let pool = shared.directory().pool(&fleet, &instance);
-    let interval =
-        if moving || leaving { MOVING_INTERVAL } else { shared.settings.announce.interval };
+    let directory = shared.directory();
+    let pool = directory.pool(&fleet, &instance);
+    let interval = if moving || leaving { MOVING_INTERVAL } else { directory.pace() };
     Reply { next_ms: interval.as_millis() as u64, pool }
 }
 
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -8,7 +8,9 @@
 use fleet::Command;
 use fleet::command::{Join, Leave, Release};
 use log::info;
+use record::PoolId;
 use route::directory::Released;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::Frame;
@@ -31,6 +33,7 @@
         if woken || expired {
             rebuild(&shared);
         }
+        shared.gate.pump_all();
         release_idle(&shared).await;
     }
 }
@@ -42,14 +45,30 @@
     let table = directory.table(&fleet, ready);
     shared.forwarder.keep_only(&table);
     let before = shared.table.swap(Arc::new(table));
+    shared.gate.renew();
     // A request that read the old table may still be about to take a slot, so
     // releases wait for the next round.
     directory.withdraw(&fleet, shared.clock.now());
+    announce_pools(shared);
     if before.ready != ready {
         info!("routing is {}", if ready { "ready" } else { "not ready" });
     }
 }
 
+/// Tells the peers which pools have targets here, when that has changed.
+fn announce_pools(shared: &Shared) {
+    let table = shared.table.load();
+    let served = table.pools.iter().filter(|(_, pool)| !pool.targets.is_empty());
+    let served: BTreeSet<PoolId> = served.map(|(name, _)| name.clone()).collect();
+    if **shared.serving_here.load() == served {
+        return;
+    }
+    shared.serving_here.store(Arc::new(served.clone()));
+    for link in shared.links() {
+        link.send(Frame::Serving(served.clone()));
+    }
+}
+
 /// Confirms moves of instances that this entry has nothing in flight at.
 async fn release_idle(shared: &Shared) {
     let released: Vec<Released> = {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -1,18 +1,16 @@
 //! Requests that must not run twice, wherever they arrive.
 
 use crate::forward::Terms;
+use crate::relay;
 use crate::shared::Shared;
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
-use quorum::Id;
 use route::claim::{Claims, Inherited, Key, Taken};
 use route::outcome::{Reason, Refusal};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::time::Duration;
-use wire::Frame;
-use wire::call::{Call, Outcome, Relay, Relayed, Settled, Whole};
+use wire::call::{Call, Outcome, Settled, Whole};
 
 /// Largest answer that is kept for resends.
 const MAX_KEPT_BYTES: usize = 64 << 10;
@@ -23,7 +21,6 @@
     inherited: Mutex<Inherited<Whole>>,
     /// Closed when the request under the key is settled.
     under_way: Mutex<BTreeMap<u64, Waiting>>,
-    relayed: Mutex<Relays>,
 }
 
 struct Waiting {
@@ -31,17 +28,6 @@
     settled: Receiver<()>,
 }
 
-#[derive(Default)]
-struct Relays {
-    next: u64,
-    waiting: BTreeMap<u64, Relaying>,
-}
-
-struct Relaying {
-    to: Id,
-    reply: Sender<Outcome>,
-}
-
 impl Once {
     /// No claims yet.
     pub fn new(entry: String, life: u64) -> Once {
@@ -49,7 +35,6 @@
             claims: Mutex::new(Claims::new(entry, life)),
             inherited: Mutex::default(),
             under_way: Mutex::default(),
-            relayed: Mutex::default(),
         }
     }
 
@@ -78,20 +63,6 @@
         self.inherited.lock().expect("no holder panics").take_over(settled);
     }
 
-    /// Takes in the answer to a relayed request.
-    pub fn relayed(&self, relayed: Relayed) {
-        let waiting = self.relayed.lock().expect("no holder panics").waiting.remove(&relayed.id);
-        if let Some(waiting) = waiting {
-            let _ = waiting.reply.try_send(relayed.outcome);
-        }
-    }
-
-    /// Gives up on requests relayed to a peer that was lost.
-    pub fn lose(&self, peer: &Id) {
-        let mut relayed = self.relayed.lock().expect("no holder panics");
-        relayed.waiting.retain(|_, waiting| waiting.to != *peer); // closes their channels
-    }
-
     fn begin(&self, key: &Key, digest: Vec<u8>) -> Begun {
         let mut under_way = self.under_way.lock().expect("no holder panics");
         match self.claims.lock().expect("no holder panics").take(key, digest) {
@@ -143,16 +114,16 @@
 
 /// Serves a request under a key: here if this life minted the key, through the
 /// life that did otherwise.
-pub async fn serve(shared: &Shared, key: &Key, call: &Call, deadline: Duration) -> Outcome {
+pub async fn serve(shared: &Shared, key: &Key, call: &Call, terms: &Terms) -> Outcome {
     let identity = &shared.identity;
     if key.entry == identity.name && key.life == identity.life {
-        return run(shared, key, call, deadline).await;
+        return run(shared, key, call, terms).await;
     }
     let links = shared.links();
     let owner =
         links.iter().find(|link| link.identity.name == key.entry && link.identity.life == key.life);
     if let Some(owner) = owner {
-        return relay(shared, owner.id(), key, call, deadline).await;
+        return relay::send(shared, owner.id(), Some(key), call, terms).await;
     }
     let inherited = shared.once.inherited.lock().expect("no holder panics");
     inherited.outcome(key, &digest(call)).unwrap_or_else(|| {
@@ -162,12 +133,12 @@
 }
 
 /// Runs a request under a key of this life at most once.
-pub async fn run(shared: &Shared, key: &Key, call: &Call, deadline: Duration) -> Outcome {
+pub async fn run(shared: &Shared, key: &Key, call: &Call, terms: &Terms) -> Outcome {
     loop {
         match shared.once.begin(key, digest(call)) {
             Begun::Settled(outcome) => return outcome,
             Begun::Wait(settled) => {
-                let left = deadline.saturating_sub(shared.clock.now());
+                let left = terms.deadline.saturating_sub(shared.clock.now());
                 let Some(settled) = settled else { continue };
                 if timeout(left, settled.recv()).await.is_err() {
                     let detail = "it is still under way";
@@ -176,8 +147,7 @@
             }
             Begun::Run => {
                 let mut guard = Guard { once: &shared.once, key, ended: false };
-                let terms = Terms { deadline, repeatable: false };
-                let outcome = shared.forwarder.call(&shared.table.load_full(), call, terms).await;
+                let outcome = relay::dispatch(shared, call, terms).await;
                 guard.ended = true;
                 shared.once.end(key, kept(&outcome));
                 return outcome;
@@ -197,44 +167,6 @@
     }
 }
 
-async fn relay(shared: &Shared, to: Id, key: &Key, call: &Call, deadline: Duration) -> Outcome {
-    let left = deadline.saturating_sub(shared.clock.now());
-    let (reply, answer) = bounded(1);
-    let id = {
-        let mut relayed = shared.once.relayed.lock().expect("no holder panics");
-        relayed.next += 1;
-        let id = relayed.next;
-        relayed.waiting.insert(id, Relaying { to: to.clone(), reply });
-        id
-    };
-    let relay = Relay { id, key: key.clone(), call: call.clone(), left };
-    shared.relay(&to, Frame::Relay(relay));
-    let outcome = timeout(left, answer.recv()).await;
-    shared.once.relayed.lock().expect("no holder panics").waiting.remove(&id);
-    match outcome {
-        Ok(Ok(outcome)) => outcome,
-        Ok(Err(_)) => {
-            let detail = format!("entry \"{}\" was lost", key.entry);
-            Outcome::Unknown(Refusal::new(Reason::KeyLost, detail))
-        }
-        Err(_) => {
-            let detail = format!("entry \"{}\" did not answer in time", key.entry);
-            Outcome::Unknown(Refusal::new(Reason::Silent, detail))
-        }
-    }
-}
-
-/// Serves a request that another entry relayed, and answers it.
-pub async fn answer(shared: &Shared, from: Id, relay: Relay) {
-    let deadline = shared.clock.now() + relay.left;
-    let outcome = if shared.is_stopping() {
-        Outcome::NotRun(Refusal::new(Reason::Stopping, "this entry is stopping"))
-    } else {
-        run(shared, &relay.key, &relay.call, deadline).await
-    };
-    shared.relay(&from, Frame::Relayed(Relayed { id: relay.id, outcome }));
-}
-
 fn digest(call: &Call) -> Vec<u8> {
     let mut hash = Sha256::new();
     for part in [call.pool.as_bytes(), call.method.as_bytes(), call.path.as_bytes(), &call.body] {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::agreement::Input;
 use crate::link::{Link, QUEUE_FRAMES, Traffic};
-use crate::once;
+use crate::relay;
 use crate::shared::Shared;
 use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
@@ -234,6 +234,7 @@
         let sightings = shared.directory().sightings(shared.clock.now());
         link.send(Frame::Sightings(sightings));
     }
+    link.send(Frame::Serving((**shared.serving_here.load()).clone()));
     shared.link_up(link);
     push(shared, Input::Up(identity)).await?;
     {
@@ -280,9 +281,12 @@
             Frame::Sightings(sightings) => hear(shared, sightings),
             Frame::Relay(relay) => {
                 let (parent, from) = (shared.clone(), id.clone());
-                shared.relays.spawn(async move { once::answer(&parent, from, relay).await });
+                shared.relays.spawn(async move { relay::answer(&parent, from, relay).await });
             }
-            Frame::Relayed(relayed) => shared.once.relayed(relayed),
+            Frame::Serving(pools) => {
+                shared.serving.lock().expect("no holder panics").insert(id.clone(), pools);
+            }
+            Frame::Relayed(relayed) => shared.relaying.answered(relayed),
             Frame::Claims(settled) => shared.once.take_over(settled),
             frame => push(shared, Input::Frame(id.clone(), frame)).await?,
         }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,10 +3,12 @@
 use crate::agreement::{Agreement, COMPACT_ENTRIES, Input, Setup, View};
 use crate::clock::{Clock, System};
 use crate::forward::Forwarder;
+use crate::gate::Gate;
 use crate::http::listener::{Listener, Stopper};
 use crate::http::{callers, operators, targets};
 use crate::once::Once;
 use crate::peers::{self, Registry};
+use crate::relay::Relaying;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::tasks::Tasks;
@@ -107,24 +109,32 @@
         let (inputs, queue) = sync_channel(INPUT_QUEUE);
         let (changes, changed) = async_std::channel::bounded(1);
         let announce = &settings.announce;
-        let directory = Directory::new(identity.data_centre.clone(), announce.expiry);
+        let directory =
+            Directory::new(identity.data_centre.clone(), announce.interval, announce.expiry);
+        let table = Arc::new(ArcSwap::from_pointee(Table::default()));
+        let gate = Arc::new(Gate::new(clock.clone(), table.clone()));
         let forwarder = Forwarder::new(
             clock.clone(),
             settings.name.clone(),
             life,
             settings.limits.max_answer_bytes,
+            gate.clone(),
         );
         let shared = Arc::new(Shared {
             identity,
             clock,
-            table: ArcSwap::from_pointee(Table::default()),
+            table,
+            gate,
             directory: Mutex::new(directory),
             fleet: Arc::new(RwLock::default()),
             view: ArcSwap::from_pointee(View::blank()),
             links: RwLock::new(BTreeMap::new()),
             in_force: Mutex::default(),
             forwarder,
+            serving_here: ArcSwap::default(),
+            serving: Mutex::default(),
             once: Once::new(settings.name.clone(), life),
+            relaying: Relaying::default(),
             relays: Tasks::default(),
             connections: Tasks::default(),
             stopping: AtomicBool::new(false),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,16 +3,19 @@
 use crate::agreement::{Input, Outside, View};
 use crate::clock::Clock;
 use crate::forward::Forwarder;
+use crate::gate::Gate;
 use crate::link::Link;
 use crate::once::Once;
+use crate::relay::Relaying;
 use crate::settings::Settings;
 use crate::tasks::Tasks;
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender};
 use fleet::{Command, Fleet};
 use quorum::Id;
+use record::PoolId;
 use route::{Directory, Table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -38,7 +41,9 @@
     /// Time.
     pub clock: Arc<dyn Clock>,
     /// Routing table that requests read.
-    pub table: ArcSwap<Table>,
+    pub table: Arc<ArcSwap<Table>>,
+    /// Slots and queues.
+    pub gate: Arc<Gate>,
     /// Targets heard of.
     pub directory: Mutex<Directory>,
     /// Replicated state, written by the agreement thread only.
@@ -51,9 +56,15 @@
     pub in_force: Mutex<BTreeMap<String, InForce>>,
     /// Connections to targets.
     pub forwarder: Forwarder,
+    /// Pools that have targets in this data centre.
+    pub serving_here: ArcSwap<BTreeSet<PoolId>>,
+    /// Pools that have targets where each peer is.
+    pub serving: Mutex<BTreeMap<Id, BTreeSet<PoolId>>>,
     /// Requests that must not run twice.
     pub once: Once,
-    /// Requests that peers relayed.
+    /// Requests handed to peers and not answered yet.
+    pub relaying: Relaying,
+    /// Requests that peers handed over.
     pub relays: Tasks,
     /// Connections that peers made.
     pub connections: Tasks,
@@ -102,13 +113,14 @@
         let last = links.get(id).is_some_and(|link| link.serial == serial);
         if last {
             links.remove(id);
-            self.once.lose(id);
+            self.relaying.lose(id);
+            self.serving.lock().expect("no holder panics").remove(id);
         }
         last
     }
 
     /// Queues a frame for a peer, if there is a connection to it.
-    pub fn relay(&self, to: &Id, frame: wire::Frame) {
+    pub fn send_to(&self, to: &Id, frame: wire::Frame) {
         if let Some(link) = self.links.read().expect("no holder panics").get(to) {
             link.send(frame);
         }
@@ -138,7 +150,7 @@
     }
 
     fn send(&self, to: &Id, frame: wire::Frame) {
-        self.relay(to, frame);
+        self.send_to(to, frame);
     }
 
     fn peers(&self) -> Vec<Identity> {
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -1,11 +1,13 @@
 //! Targets that were heard of, and the routing table that follows from them and
 //! from the records.
 
-use crate::table::{Load, Pool, Table, Target};
+use crate::health::Health;
+use crate::table::{Load, Pool, Table, Target, Team};
 use crate::target::{Announcement, Sighting, State};
 use fleet::Fleet;
-use record::{DataCentre, EntryId, InstanceId, Key, Kind, PoolId};
+use record::{DataCentre, EntryId, InstanceId, Key, Kind, PoolId, TeamId};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -29,18 +31,30 @@
 /// ```
 /// use route::Directory;
 /// use std::time::Duration;
-/// let directory = Directory::new("dc1".into(), Duration::from_secs(15));
+/// let directory = Directory::new("dc1".into(), Duration::from_secs(5), Duration::from_secs(16));
 /// assert_eq!(directory.len(), 0);
+/// assert_eq!(directory.pace(), Duration::from_secs(5));
 /// ```
 #[derive(Debug)]
 pub struct Directory {
     data_centre: DataCentre,
+    interval: Duration,
     expiry: Duration,
+    /// Entries that share the announcements of this data centre.
+    sharing: u32,
     known: BTreeMap<InstanceId, Known>,
     loads: BTreeMap<InstanceId, Load>,
+    health: BTreeMap<InstanceId, Watched>,
     withdrawn: BTreeMap<InstanceId, Withdrawn>,
 }
 
+/// Health of one life of a target.
+#[derive(Debug)]
+struct Watched {
+    incarnation: u64,
+    health: Arc<Health>,
+}
+
 /// A moving instance that is in no table any more.
 #[derive(Debug)]
 struct Withdrawn {
@@ -48,21 +62,43 @@
     since: Duration,
 }
 
+/// Announcements that one entry hears; each costs it about 0.7 ms.
+pub const ANNOUNCEMENTS_PER_SECOND: f64 = 5.0;
+/// Announcements that a target may miss in a row.
+const MISSED_ANNOUNCEMENTS: u32 = 3;
+
 /// Time for which a request may hold a table that was replaced.
 const TABLE_GRACE: Duration = Duration::from_millis(500);
 
 impl Directory {
-    /// An empty directory. Targets that are silent for `expiry` get no new work.
-    pub fn new(data_centre: DataCentre, expiry: Duration) -> Directory {
+    /// An empty directory. Targets announce themselves every `interval`; those that
+    /// are silent for `expiry` get no new work. Both are stretched when there are
+    /// so many targets that announcements would cost too much.
+    pub fn new(data_centre: DataCentre, interval: Duration, expiry: Duration) -> Directory {
         Directory {
             data_centre,
+            interval,
             expiry,
+            sharing: 1,
             known: BTreeMap::new(),
             loads: BTreeMap::new(),
+            health: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
         }
     }
 
+    /// Time between two announcements of a target: stretched so that an entry
+    /// hears no more than [`ANNOUNCEMENTS_PER_SECOND`].
+    pub fn pace(&self) -> Duration {
+        let share = self.known.len() as f64 / f64::from(self.sharing);
+        self.interval.max(Duration::from_secs_f64(share / ANNOUNCEMENTS_PER_SECOND))
+    }
+
+    /// Silence after which a target gets no new work.
+    fn silence(&self) -> Duration {
+        self.expiry.max(self.pace() * MISSED_ANNOUNCEMENTS)
+    }
+
     /// Number of targets heard of and not expired.
     pub fn len(&self) -> usize {
         self.known.len()
@@ -77,12 +113,13 @@
     /// table says.
     pub fn hear(&mut self, now: Duration, age: Duration, announcement: Announcement) -> bool {
         let heard = now.saturating_sub(age);
+        let fresh = age < self.silence();
         let Some(known) = self.known.get_mut(&announcement.instance) else {
-            if age < self.expiry {
+            if fresh {
                 let instance = announcement.instance.clone();
                 self.known.insert(instance, Known { announcement, heard });
             }
-            return age < self.expiry;
+            return fresh;
         };
         if !announcement.is_newer(&known.announcement) {
             return false;
@@ -97,7 +134,7 @@
     /// Forgets targets that have been silent too long; tells whether any was.
     pub fn expire(&mut self, now: Duration) -> bool {
         let before = self.known.len();
-        let expiry = self.expiry;
+        let expiry = self.silence();
         self.known.retain(|_, known| now < known.heard + expiry);
         self.known.len() != before
     }
@@ -135,8 +172,9 @@
     /// Builds the routing table: serving targets that the records put into a
     /// pool of this data centre and that are not about to leave it.
     pub fn table(&mut self, fleet: &Fleet, ready: bool) -> Table {
-        let mut table = Table { ready, pools: pools(fleet) };
         let sharing = self.sharing(fleet);
+        self.sharing = sharing;
+        let mut table = Table { ready, pools: pools(fleet), teams: teams(fleet, sharing) };
         for known in self.known.values() {
             let announcement = &known.announcement;
             let instance = &announcement.instance;
@@ -150,13 +188,14 @@
             let Some(pool) = table.pools.get_mut(&placement.pool) else { continue };
             let key = Key::new(Kind::Instance, instance.clone());
             let Some(spec) = fleet.spec(&key).and_then(record::Spec::instance) else { continue };
+            let most = (spec.slots.min(spec.connections) / sharing).max(1);
             pool.targets.push(Target {
                 instance: instance.clone(),
                 incarnation: announcement.incarnation,
                 address: announcement.address,
                 rack: spec.rack,
-                limit: (spec.slots.min(spec.connections) / sharing).max(1),
                 load: self.loads.entry(instance.clone()).or_default().clone(),
+                health: watch(&mut self.health, announcement, most),
             });
         }
         table
@@ -211,11 +250,43 @@
     }
 }
 
+/// Health of the present life of a target; a new life begins healthy.
+fn watch(
+    all: &mut BTreeMap<InstanceId, Watched>,
+    announcement: &Announcement,
+    most: u32,
+) -> Arc<Health> {
+    let incarnation = announcement.incarnation;
+    let fresh = || Watched { incarnation, health: Arc::new(Health::new(most)) };
+    let watched = all.entry(announcement.instance.clone()).or_insert_with(fresh);
+    if watched.incarnation != incarnation {
+        *watched = fresh();
+    }
+    watched.health.set_most(most);
+    watched.health.clone()
+}
+
+fn teams(fleet: &Fleet, sharing: u32) -> BTreeMap<TeamId, Team> {
+    let mut teams = BTreeMap::new();
+    for key in fleet.records().keys().filter(|key| key.kind == Kind::Team) {
+        if let Some(record::Spec::TeamV1(spec)) = fleet.spec(key) {
+            let share = (spec.quota / sharing).max(1);
+            teams.insert(key.name.clone(), Team { share, weight: spec.weight });
+        }
+    }
+    teams
+}
+
 fn pools(fleet: &Fleet) -> BTreeMap<PoolId, Pool> {
     let mut pools = BTreeMap::new();
     for key in fleet.records().keys().filter(|key| key.kind == Kind::Pool) {
         let Some(pool) = fleet.spec(key).and_then(record::Spec::pool) else { continue };
-        pools.insert(key.name.clone(), Pool { spare: pool.spare, targets: Vec::new() });
+        pools.insert(key.name.clone(), Pool { spare: pool.spare, ..Pool::default() });
+    }
+    for placement in fleet.placements().values() {
+        if let Some(pool) = pools.get_mut(&placement.pool) {
+            pool.declared += 1;
+        }
     }
     pools
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod claim;
 pub mod directory;
+pub mod health;
 pub mod outcome;
+pub mod queue;
 pub mod retry;
 pub mod table;
 pub mod target;
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -13,6 +13,8 @@
     SparePool,
     /// No instance of the pool is known to be serving in this data centre.
     NoTarget,
+    /// The records put no instance into the pool, so it can never run.
+    NoInstance,
     /// Every serving target is at its limit.
     Busy,
     /// The entry is stopping.
@@ -75,9 +77,11 @@
     /// When a new try makes sense.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Reason::UnknownPool | Reason::SparePool | Reason::Invalid | Reason::KeyForgotten => {
-                None
-            }
+            Reason::UnknownPool
+            | Reason::SparePool
+            | Reason::NoInstance
+            | Reason::Invalid
+            | Reason::KeyForgotten => None,
             Reason::Stopping => Some(Duration::ZERO), // another entry takes it at once
             Reason::Busy | Reason::NotReady | Reason::Unreachable => Some(Duration::from_secs(1)),
             Reason::NoTarget
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,12 +1,14 @@
 //! Immutable routing table that requests read.
 
+use crate::health::{Allowance, Health};
 use crate::outcome::{Reason, Refusal};
 use rand::Rng;
-use record::{InstanceId, PoolId, Rack};
+use record::{InstanceId, PoolId, Rack, TeamId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 /// Requests that this entry has in flight at one instance.
 pub type Load = Arc<AtomicU32>;
@@ -25,10 +27,19 @@
     pub address: SocketAddr,
     /// Rack that it is in.
     pub rack: Rack,
-    /// This entry's share of its slots.
-    pub limit: u32,
     /// What this entry has in flight there.
     pub load: Load,
+    /// Its limit and its quarantine.
+    pub health: Arc<Health>,
+}
+
+/// A team, as one entry limits it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Team {
+    /// This entry's share of the quota.
+    pub share: u32,
+    /// Share of a contended pool, relative to the other teams.
+    pub weight: u32,
 }
 
 /// One pool, as this data centre sees it.
@@ -36,6 +47,8 @@
 pub struct Pool {
     /// Whether it holds replacements and takes no requests.
     pub spare: bool,
+    /// Instances that the records put into it, in all data centres.
+    pub declared: u32,
     /// Instances that take new work.
     pub targets: Vec<Target>,
 }
@@ -47,6 +60,8 @@
     pub ready: bool,
     /// Pools by name.
     pub pools: BTreeMap<PoolId, Pool>,
+    /// Teams by name.
+    pub teams: BTreeMap<TeamId, Team>,
 }
 
 /// A slot that is held until this value is dropped.
@@ -63,58 +78,123 @@
 }
 
 impl Table {
-    /// Picks the less loaded of two random targets, or any with a free slot,
-    /// and holds one of its slots. Targets in `tried` are passed over.
-    ///
-    /// ```
-    /// let table = route::Table::default();
-    /// let refusal = table.pick("gate", &[], &mut rand::rng()).unwrap_err();
-    /// assert_eq!(refusal.reason, route::outcome::Reason::NotReady);
-    /// ```
-    pub fn pick(&self, pool: &str, tried: &[InstanceId], rng: &mut impl Rng) -> Result<Slot> {
+    /// The pool, if requests for it make sense.
+    pub fn pool(&self, name: &str) -> Result<&Pool> {
         if !self.ready {
             return Err(Refusal::new(Reason::NotReady, "the records are not known here yet"));
         }
-        let Some(found) = self.pools.get(pool) else {
-            let detail = format!("pool \"{pool}\" does not exist");
+        let Some(pool) = self.pools.get(name) else {
+            let detail = format!("pool \"{name}\" does not exist");
             return Err(Refusal::new(Reason::UnknownPool, detail));
         };
-        if found.spare {
-            let detail = format!("pool \"{pool}\" holds replacements");
+        if pool.spare {
+            let detail = format!("pool \"{name}\" holds replacements");
             return Err(Refusal::new(Reason::SparePool, detail));
         }
-        found.pick(pool, tried, rng)
+        if pool.declared == 0 {
+            let detail = format!("the records put no instance into pool \"{name}\"");
+            return Err(Refusal::new(Reason::NoInstance, detail));
+        }
+        Ok(pool)
+    }
+
+    /// Picks a target of the pool and holds one of its slots. Targets in `tried`
+    /// are passed over.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let table = route::Table::default();
+    /// let refusal = table.pick("gate", &[], Duration::ZERO, &mut rand::rng()).unwrap_err();
+    /// assert_eq!(refusal.reason, route::outcome::Reason::NotReady);
+    /// ```
+    pub fn pick(
+        &self,
+        pool: &str,
+        tried: &[InstanceId],
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Result<Slot> {
+        self.pool(pool)?.pick(pool, tried, now, rng)
     }
 }
 
 impl Pool {
-    fn pick(&self, name: &str, tried: &[InstanceId], rng: &mut impl Rng) -> Result<Slot> {
-        let open: Vec<&Target> =
+    /// Slots of all targets that are not in quarantine.
+    pub fn slots(&self) -> u32 {
+        let open = self.targets.iter().filter(|target| !target.health.is_quarantined());
+        open.map(|target| target.health.limit()).sum()
+    }
+
+    /// A target that waits for its probe goes first; then the less loaded of two
+    /// random ones; then any with a free slot.
+    fn pick(
+        &self,
+        name: &str,
+        tried: &[InstanceId],
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Result<Slot> {
+        let untried: Vec<&Target> =
             self.targets.iter().filter(|t| !tried.contains(&t.instance)).collect();
-        if open.is_empty() {
+        if untried.is_empty() {
             let detail = format!("pool \"{name}\" has no serving target in this data centre");
             return Err(Refusal::new(Reason::NoTarget, detail));
         }
-        let first = open[rng.random_range(0..open.len())];
-        let second = open[rng.random_range(0..open.len())];
-        let better = if first.fill() <= second.fill() { first } else { second };
-        let held = better.hold().or_else(|| open.iter().find_map(|target| target.hold()));
+        if let Some(slot) = untried.iter().find_map(|target| target.hold_probe(now)) {
+            return Ok(slot);
+        }
+        let open = self.open(&untried, now);
+        let held = better_of_two(&open, rng)
+            .and_then(Target::hold)
+            .or_else(|| open.iter().find_map(|target| target.hold()));
         held.ok_or_else(|| {
             let detail = format!("every target of pool \"{name}\" is at its limit");
             Refusal::new(Reason::Busy, detail)
         })
     }
+
+    /// Targets outside of quarantine; all of them when more than half of the pool
+    /// would be ejected, since the cause then lies elsewhere.
+    fn open<'a>(&self, untried: &[&'a Target], now: Duration) -> Vec<&'a Target> {
+        let ejected = self.targets.iter().filter(|target| target.health.is_quarantined()).count();
+        let mut open = untried.to_vec();
+        if ejected * 2 <= self.targets.len() {
+            open.retain(|target| target.health.allowance(now) == Allowance::Open);
+        }
+        open
+    }
+}
+
+fn better_of_two<'a>(open: &[&'a Target], rng: &mut impl Rng) -> Option<&'a Target> {
+    if open.is_empty() {
+        return None;
+    }
+    let first = open[rng.random_range(0..open.len())];
+    let second = open[rng.random_range(0..open.len())];
+    Some(if first.fill() <= second.fill() { first } else { second })
 }
 
 impl Target {
     /// Share of the limit that is in use, in thousandths.
     fn fill(&self) -> u64 {
-        u64::from(self.load.load(Ordering::Acquire)) * 1000 / u64::from(self.limit.max(1))
+        u64::from(self.load.load(Ordering::Acquire)) * 1000 / u64::from(self.health.limit())
     }
 
     fn hold(&self) -> Option<Slot> {
-        let add = |load: u32| (load < self.limit).then_some(load + 1);
+        let limit = self.health.limit();
+        let add = |load: u32| (load < limit).then_some(load + 1);
         self.load.fetch_update(Ordering::AcqRel, Ordering::Acquire, add).ok()?;
         Some(Slot { target: self.clone() })
     }
+
+    fn hold_probe(&self, now: Duration) -> Option<Slot> {
+        if self.health.allowance(now) != Allowance::Probe || !self.health.begin_probe() {
+            return None;
+        }
+        let slot = self.hold();
+        if slot.is_none() {
+            self.health.cancel_probe();
+        }
+        slot
+    }
 }
--- /dev/null
+++ b/crates/route/tests/queue.rs
@@ -0,0 +1,167 @@
+//! Order, fairness and bounds of a pool's queue.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use route::outcome::Reason;
+use route::queue::{Class, MAX_WAITING, Pace, Queue, Ticket};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const PACE: Pace = Pace { slots: 4, service: Duration::from_millis(20) };
+const LATER: Duration = Duration::from_secs(3600);
+
+fn ticket(id: u64, class: Class, team: &str, weight: u32) -> Ticket {
+    Ticket { id, class, team: team.to_string(), weight, deadline: LATER }
+}
+
+fn fill(queue: &mut Queue, from: u64, count: u64, class: Class, team: &str, weight: u32) {
+    for id in from..from + count {
+        queue.push(Duration::ZERO, ticket(id, class, team, weight), PACE).unwrap();
+    }
+}
+
+fn starts(queue: &mut Queue, count: usize) -> BTreeMap<String, usize> {
+    let mut starts: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..count {
+        let ticket = queue.pop(Duration::ZERO, |_| true).unwrap();
+        *starts.entry(ticket.team).or_default() += 1;
+    }
+    starts
+}
+
+#[test]
+fn a_flood_of_one_team_does_not_starve_another() {
+    let mut queue = Queue::default();
+    fill(&mut queue, 0, 500, Class::Interactive, "flood", 1);
+    fill(&mut queue, 1000, 20, Class::Interactive, "small", 1);
+    let starts = starts(&mut queue, 40);
+    assert_eq!(starts["small"], 20, "{starts:?}");
+}
+
+#[test]
+fn teams_start_by_weight() {
+    let mut queue = Queue::default();
+    fill(&mut queue, 0, 100, Class::Interactive, "three", 3);
+    fill(&mut queue, 1000, 100, Class::Interactive, "one", 1);
+    let starts = starts(&mut queue, 40);
+    assert!((29..=31).contains(&starts["three"]), "{starts:?}");
+}
+
+#[test]
+fn urgent_goes_first_and_background_is_not_starved() {
+    let mut queue = Queue::default();
+    fill(&mut queue, 0, 100, Class::Background, "a", 1);
+    fill(&mut queue, 1000, 100, Class::Urgent, "a", 1);
+    let classes: Vec<Class> =
+        (0..16).map(|_| queue.pop(Duration::ZERO, |_| true).unwrap().class).collect();
+    assert_eq!(classes[0], Class::Urgent);
+    let background = classes.iter().filter(|class| **class == Class::Background).count();
+    assert_eq!(background, 2, "one of eight starts: {classes:?}");
+}
+
+#[test]
+fn a_team_at_its_quota_is_passed_over() {
+    let mut queue = Queue::default();
+    fill(&mut queue, 0, 5, Class::Interactive, "full", 1);
+    fill(&mut queue, 10, 1, Class::Interactive, "free", 1);
+    let ticket = queue.pop(Duration::ZERO, |team| team != "full").unwrap();
+    assert_eq!(ticket.team, "free");
+    assert_eq!(queue.pop(Duration::ZERO, |team| team != "full"), None);
+    assert_eq!(queue.len(), 5);
+}
+
+#[test]
+fn what_can_not_start_in_time_is_refused_at_once() {
+    let mut queue = Queue::default();
+    fill(&mut queue, 0, 100, Class::Interactive, "a", 1);
+    // 101 requests of 20 ms over 4 slots start after about half a second.
+    let deadline = |millis| Ticket {
+        deadline: Duration::from_millis(millis),
+        ..ticket(200, Class::Interactive, "a", 1)
+    };
+    let refusal = queue.push(Duration::ZERO, deadline(400), PACE).unwrap_err();
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert_eq!(refusal.retry_after, Some(Duration::from_millis(505)));
+    queue.push(Duration::ZERO, deadline(600), PACE).unwrap();
+    // Urgent work passes the others, so the same deadline is met.
+    let urgent = Ticket { class: Class::Urgent, ..deadline(400) };
+    queue.push(Duration::ZERO, urgent, PACE).unwrap();
+}
+
+#[test]
+fn the_queue_is_bounded_and_drops_what_is_late() {
+    let mut queue = Queue::default();
+    fill(&mut queue, 0, MAX_WAITING as u64, Class::Interactive, "a", 1);
+    let more = ticket(9999, Class::Interactive, "a", 1);
+    assert_eq!(queue.push(Duration::ZERO, more, PACE).unwrap_err().reason, Reason::Busy);
+    assert_eq!(queue.pop(LATER, |_| true), None);
+    assert_eq!(queue.len(), 0);
+}
+
+/// What a random caller does.
+#[derive(Clone, Debug)]
+enum Act {
+    Push(u8, u8),
+    Pop(bool),
+    PutBack,
+    Cancel(u8),
+}
+
+impl Arbitrary for Act {
+    fn arbitrary(g: &mut Gen) -> Act {
+        match u8::arbitrary(g) % 6 {
+            0..=2 => Act::Push(u8::arbitrary(g) % 3, u8::arbitrary(g) % 3),
+            3 => Act::Pop(bool::arbitrary(g)),
+            4 => Act::PutBack,
+            _ => Act::Cancel(u8::arbitrary(g)),
+        }
+    }
+}
+
+/// Every request leaves the queue once, and the count is right throughout.
+#[test]
+fn no_request_is_lost_or_doubled() {
+    fn property(acts: Vec<Act>) -> bool {
+        let classes = [Class::Urgent, Class::Interactive, Class::Background];
+        let mut queue = Queue::default();
+        let mut inside: Vec<u64> = Vec::new();
+        let mut out: Option<Ticket> = None;
+        for (id, act) in acts.into_iter().enumerate() {
+            match act {
+                Act::Push(class, team) => {
+                    let team = ["a", "b", "c"][team as usize];
+                    let ticket = ticket(id as u64, classes[class as usize], team, 1);
+                    queue.push(Duration::ZERO, ticket, PACE).unwrap();
+                    inside.push(id as u64);
+                }
+                Act::Pop(all) => {
+                    out = queue.pop(Duration::ZERO, |team| all || team != "a");
+                    if let Some(ticket) = &out {
+                        let at = inside.iter().position(|id| *id == ticket.id);
+                        inside.remove(at.expect("it was inside"));
+                    }
+                }
+                Act::PutBack => {
+                    if let Some(ticket) = out.take() {
+                        inside.push(ticket.id);
+                        queue.put_back(ticket);
+                    }
+                }
+                Act::Cancel(which) if !inside.is_empty() => {
+                    let id = inside.remove(which as usize % inside.len());
+                    queue.cancel(id);
+                }
+                Act::Cancel(_) => {}
+            }
+            assert_eq!(queue.len(), inside.len());
+        }
+        while let Some(ticket) = queue.pop(Duration::ZERO, |_| true) {
+            let at = inside.iter().position(|id| *id == ticket.id);
+            inside.remove(at.expect("it was inside"));
+        }
+        inside.is_empty()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 11))
+        .tests(300)
+        .quickcheck(property as fn(Vec<Act>) -> bool);
+}
--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,148 @@
+//! Picking targets: limits, quarantine, spread of load, claims.
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use route::Table;
+use route::claim::{Claims, Taken, WINDOW_KEYS};
+use route::health::{Allowance, Health};
+use route::outcome::{Outcome, Reason};
+use route::table::{Pool, Slot, Target};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1000);
+
+fn target(number: usize, limit: u32) -> Target {
+    Target {
+        instance: format!("w{number}"),
+        incarnation: 1,
+        address: ([127, 0, 0, 1], 1000 + number as u16).into(),
+        rack: "r".to_string(),
+        load: Arc::default(),
+        health: Arc::new(Health::new(limit)),
+    }
+}
+
+fn table(count: usize, limit: u32) -> Table {
+    let targets: Vec<Target> = (0..count).map(|number| target(number, limit)).collect();
+    let pool = Pool { spare: false, declared: count as u32, targets };
+    Table { ready: true, pools: [("gate".to_string(), pool)].into(), teams: BTreeMap::new() }
+}
+
+fn fail(table: &Table, number: usize, now: Duration) {
+    (0..5).for_each(|_| table.pools["gate"].targets[number].health.failed(now));
+}
+
+#[test]
+fn slots_are_never_exceeded_and_come_back() {
+    let table = table(3, 2);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut held: Vec<Slot> = Vec::new();
+    while let Ok(slot) = table.pick("gate", &[], NOW, &mut rng) {
+        held.push(slot);
+    }
+    assert_eq!(held.len(), 6);
+    let refusal = table.pick("gate", &[], NOW, &mut rng).unwrap_err();
+    assert_eq!(refusal.reason, Reason::Busy);
+    held.pop();
+    assert!(table.pick("gate", &[], NOW, &mut rng).is_ok());
+}
+
+#[test]
+fn a_failing_target_gets_one_probe_at_a_time() {
+    let table = table(4, 8);
+    let mut rng = StdRng::seed_from_u64(2);
+    fail(&table, 0, NOW);
+    let picked = |rng: &mut StdRng, now| {
+        let slot = table.pick("gate", &[], now, rng).unwrap();
+        slot.target.instance.clone()
+    };
+    for _ in 0..100 {
+        assert_ne!(picked(&mut rng, NOW), "w0");
+    }
+    let later = NOW + Duration::from_secs(2);
+    let probe = table.pick("gate", &[], later, &mut rng).unwrap();
+    assert_eq!(probe.target.instance, "w0", "the probe goes first");
+    for _ in 0..100 {
+        assert_ne!(picked(&mut rng, later), "w0", "one probe at a time");
+    }
+    probe.target.health.failed(later);
+    assert_eq!(probe.target.health.allowance(later), Allowance::Closed);
+    let longer = later + Duration::from_millis(1500);
+    assert_eq!(probe.target.health.allowance(longer), Allowance::Closed, "it waits longer now");
+}
+
+#[test]
+fn a_pool_is_never_ejected_as_a_whole() {
+    let table = table(4, 8);
+    let mut rng = StdRng::seed_from_u64(3);
+    (0..4).for_each(|number| fail(&table, number, NOW));
+    assert!(table.pick("gate", &[], NOW, &mut rng).is_ok());
+}
+
+#[test]
+fn refusals_of_a_target_lower_its_limit_and_answers_raise_it() {
+    let health = Health::new(10);
+    health.overloaded();
+    assert_eq!(health.limit(), 7);
+    (0..20).for_each(|_| health.overloaded());
+    assert_eq!(health.limit(), 1, "it is never closed by refusals");
+    (0..200).for_each(|_| health.succeeded());
+    assert_eq!(health.limit(), 10, "up to what is declared");
+}
+
+#[test]
+fn the_less_loaded_of_two_is_taken() {
+    let table = table(10, 100);
+    let mut rng = StdRng::seed_from_u64(4);
+    let held: Vec<Slot> =
+        (0..500).map(|_| table.pick("gate", &[], NOW, &mut rng).unwrap()).collect();
+    let mut loads: BTreeMap<&str, u32> = BTreeMap::new();
+    for slot in &held {
+        *loads.entry(slot.target.instance.as_str()).or_default() += 1;
+    }
+    assert!(loads.values().all(|load| (45..=55).contains(load)), "{loads:?}");
+}
+
+#[test]
+fn work_that_can_never_run_is_refused_for_good() {
+    let mut table = table(0, 1);
+    let mut rng = StdRng::seed_from_u64(5);
+    let refusal = table.pick("gate", &[], NOW, &mut rng).unwrap_err();
+    assert_eq!((refusal.reason, refusal.retry_after), (Reason::NoInstance, None));
+    table.pools.get_mut("gate").unwrap().spare = true;
+    let refusal = table.pick("gate", &[], NOW, &mut rng).unwrap_err();
+    assert_eq!(refusal.reason, Reason::SparePool);
+}
+
+#[test]
+fn keys_outside_the_window_are_unknown_and_never_run() {
+    let mut claims: Claims<()> = Claims::new("a".to_string(), 1);
+    let used = claims.mint();
+    let unused = claims.mint();
+    assert_eq!(claims.take(&used, vec![1]), Taken::Run);
+    claims.settle(&used, Outcome::Answered(()), 10);
+    for _ in 0..WINDOW_KEYS {
+        claims.mint();
+    }
+    for key in [used, unused] {
+        let Taken::Settled(Outcome::Unknown(refusal)) = claims.take(&key, vec![1]) else {
+            panic!("{key} is outside the window");
+        };
+        assert_eq!(refusal.reason, Reason::KeyForgotten);
+    }
+    assert!(claims.is_empty(), "memory is bounded");
+}
+
+#[test]
+fn a_late_outcome_of_a_forgotten_key_changes_nothing() {
+    let mut claims: Claims<()> = Claims::new("a".to_string(), 1);
+    let key = claims.mint();
+    assert_eq!(claims.take(&key, vec![1]), Taken::Run);
+    for _ in 0..WINDOW_KEYS {
+        claims.mint();
+    }
+    claims.settle(&key, Outcome::Answered(()), 10);
+    assert!(matches!(claims.take(&key, vec![1]), Taken::Settled(Outcome::Unknown(_))));
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,6 +1,8 @@
 //! Requests and answers as entries pass them to each other.
 
+use record::TeamId;
 use route::claim::Key;
+use route::queue::Class;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -49,17 +51,23 @@
 /// A settled claim of an entry that stops.
 pub type Settled = route::claim::Settled<Whole>;
 
-/// Hands a request to the entry that minted its key.
+/// Hands a request to the entry that minted its key, or to one that has targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Relay {
     /// Matches the answer.
     pub id: u64,
-    /// The key.
-    pub key: Key,
+    /// The key, if the receiver has to decide it.
+    pub key: Option<Key>,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
     /// The request.
     pub call: Call,
     /// Time left for the answer.
     pub left: Duration,
+    /// How urgent it is.
+    pub class: Class,
+    /// Team that it counts for; empty for none.
+    pub team: TeamId,
 }
 
 /// Answers [`Relay`].
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,8 +5,10 @@
 use crate::{Error, Result};
 use fleet::{Command, Outcome};
 use quorum::Message;
+use record::PoolId;
 use route::target::Sighting;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// Largest frame in bytes; a snapshot has to fit.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
@@ -29,7 +31,10 @@
     Proposed(Proposed),
     /// Targets that the sender heard of.
     Sightings(Vec<Sighting>),
-    /// A request under a key that the receiver minted.
+    /// Pools that have targets in the sender's data centre.
+    Serving(BTreeSet<PoolId>),
+    /// A request under a key that the receiver minted, or for a pool that has
+    /// targets where the receiver is.
     Relay(Relay),
     /// Answers [`Frame::Relay`].
     Relayed(Relayed),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -56,7 +56,8 @@
         println!("  {}{spare}: {} targets", pool.pool, pool.targets.len());
         for target in &pool.targets {
             let load = format!("{} of {} slots", target.in_flight, target.limit);
-            println!("    {} at {}, {load}", target.instance, target.address);
+            let state = if target.quarantined { ", in quarantine" } else { "" };
+            println!("    {} at {}, {load}{state}", target.instance, target.address);
         }
     }
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -30,8 +30,13 @@
         assert_eq!(answer.header("request-outcome"), "answered");
         assert!(answer.text().ends_with("did /assign for box 17\n"), "{}", answer.text());
     }
+    // An entry of another data centre, which has no targets, hands it over.
+    until("the pool is served through the south", || {
+        let answer = block_on(workdir.call("b2", "/pools/gate/assign", "box 18").send()).unwrap();
+        answer.header("request-outcome") == "answered"
+    });
     let runs: u32 = first.runs().values().chain(second.runs().values()).sum();
-    assert_eq!(runs, 2);
+    assert_eq!(runs, 3);
 
     // Read back with who and why.
     let out = workdir.succeed("b2", &["explain", "instance", "n1"]);
