--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -29,6 +29,8 @@
     Silent,
     /// Answers at once that it did not run the request.
     Refuse,
+    /// Fails every request at once.
+    Fail,
 }
 
 /// What a target is told at its start.
@@ -44,6 +46,8 @@
     pub token: String,
     /// Time that a request takes.
     pub work: Duration,
+    /// Requests that it runs at once; more wait inside.
+    pub slots: usize,
 }
 
 #[derive(Debug)]
@@ -56,6 +60,9 @@
     leaving: AtomicBool,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<BTreeMap<String, u32>>,
+    /// Holds one token for each free slot.
+    free: Receiver<()>,
+    freed: Sender<()>,
 }
 
 /// A running stand-in target.
@@ -71,6 +78,10 @@
     /// Listens, and announces itself until it is stopped.
     pub async fn start(settings: Settings) -> io::Result<Target> {
         let listener = TcpListener::bind(settings.listen).await?;
+        let (freed, free) = bounded(settings.slots);
+        (0..settings.slots).for_each(|_| {
+            let _ = freed.try_send(());
+        });
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let inner = Arc::new(Inner {
             address: listener.local_addr()?,
@@ -80,6 +91,8 @@
             leaving: AtomicBool::new(false),
             behaviour: Mutex::new(Behaviour::Serve),
             runs: Mutex::default(),
+            free,
+            freed,
             settings,
         });
         let (stop, stopped) = bounded(1);
@@ -159,9 +172,14 @@
         response.set_body("refused");
         return Ok(response);
     }
+    if behaviour == Behaviour::Fail {
+        return Ok(Response::new(StatusCode::InternalServerError));
+    }
     inner.in_flight.fetch_add(1, Ordering::AcqRel);
+    let _ = inner.free.recv().await;
     *inner.runs.lock().expect("no holder panics").entry(body.clone()).or_default() += 1;
     task::sleep(inner.settings.work).await;
+    let _ = inner.freed.try_send(());
     inner.in_flight.fetch_sub(1, Ordering::AcqRel);
     let path = request.url().path();
     let text = format!("{} did {path} for {body}\n", inner.settings.instance);
@@ -170,7 +188,7 @@
         response.insert_header("request-id", id);
     }
     match behaviour {
-        Behaviour::Serve | Behaviour::Refuse => response.set_body(text),
+        Behaviour::Serve | Behaviour::Refuse | Behaviour::Fail => response.set_body(text),
         Behaviour::Truncate => {
             let half = Body::from_reader(HalfBody::new(&text, raw), Some(text.len()));
             response.set_body(half);
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -267,6 +267,7 @@
             entries: here.iter().map(|entry| entry.settings.listen.targets).collect(),
             token: String::from_utf8_lossy(token).into_owned(),
             work: WORK,
+            slots: instance.slots as usize,
         };
         let started = Target::start(settings).await;
         targets.push(started.map_err(|error| Error::Io("stand-in target".to_string(), error))?);
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -32,6 +32,9 @@
     /// milliseconds that a request takes (default 20)
     #[argh(option, default = "20")]
     work_ms: u64,
+    /// requests that it runs at once (default 8); more wait
+    #[argh(option, default = "8")]
+    slots: usize,
 }
 
 /// Runs the command.
@@ -42,6 +45,7 @@
         entries: args.announce,
         token: args.token,
         work: Duration::from_millis(args.work_ms),
+        slots: args.slots,
     };
     task::block_on(async {
         let target = Target::start(settings)
