Let those back in that failed least, not all

Cause: with more than half of a pool in quarantine all targets were opened, and the one that fails at once is always the least loaded, so it drew the requests.

Change: only as many as keep half of the pool open are let back in, those with the fewest quarantines in a row first.

--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -92,6 +92,11 @@
         self.until.load(Ordering::Acquire) != 0
     }
 
+    /// Quarantines in a row without an answer between them.
+    pub fn quarantines(&self) -> u32 {
+        self.quarantines.load(Ordering::Acquire)
+    }
+
     /// Takes the right to the one probe.
     pub fn begin_probe(&self) -> bool {
         !self.probing.swap(true, Ordering::AcqRel)
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -153,13 +153,19 @@
         })
     }
 
-    /// Targets outside of quarantine; all of them when more than half of the pool
-    /// would be ejected, since the cause then lies elsewhere.
+    /// Targets outside of quarantine. When more than half of the pool would be
+    /// ejected, those that failed least in a row are let back in: the cause may lie
+    /// elsewhere, and the others would be overrun.
     fn open<'a>(&self, untried: &[&'a Target], now: Duration) -> Vec<&'a Target> {
-        let ejected = self.targets.iter().filter(|target| target.health.is_quarantined()).count();
-        let mut open = untried.to_vec();
-        if ejected * 2 <= self.targets.len() {
-            open.retain(|target| target.health.allowance(now) == Allowance::Open);
+        let is_open = |target: &&Target| target.health.allowance(now) == Allowance::Open;
+        let ejected = self.targets.iter().filter(|target| !is_open(target)).count();
+        let too_many = ejected.saturating_sub(self.targets.len() / 2);
+        let mut open: Vec<&Target> = untried.iter().copied().filter(|t| is_open(t)).collect();
+        if too_many > 0 {
+            let mut closed: Vec<&Target> =
+                untried.iter().copied().filter(|target| !is_open(target)).collect();
+            closed.sort_by_key(|target| target.health.quarantines());
+            open.extend(closed.into_iter().take(too_many));
         }
         open
     }
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -81,6 +81,20 @@
     assert!(table.pick("gate", &[], NOW, &mut rng).is_ok());
 }
 
+#[test]
+fn who_failed_most_stays_out_when_too_many_are_ejected() {
+    let table = table(5, 8);
+    let mut rng = StdRng::seed_from_u64(6);
+    for round in 0..3 {
+        fail(&table, 0, NOW - Duration::from_secs(100 - round));
+    }
+    (0..3).for_each(|number| fail(&table, number, NOW));
+    for _ in 0..200 {
+        let slot = table.pick("gate", &[], NOW, &mut rng).unwrap();
+        assert_ne!(slot.target.instance, "w0");
+    }
+}
+
 #[test]
 fn refusals_of_a_target_lower_its_limit_and_answers_raise_it() {
     let health = Health::new(10);
