Start only what can end in time, and tell the others at once

Cause: requests that had waited long were started with less time left than a request takes; they ended as unknown, and the target was blamed for it. Those past their deadline in the queue heard of it only when the deadline came.

Change: the queue refuses and expires what could not end at the observed pace, and the gate answers those at once; a target is blamed for silence only after three times the usual span. The pace is observed on answers only. The fault matrix of sending (11 steps, fresh and reused connection, repeatable or not) is a test.

For `status` an attempt gets a third of the time left, which after a wait is less than a request takes; that is the next cause.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -49,8 +49,12 @@
     /// Share of a core, in percent.
     core: f64,
     kib: f64,
-    /// Frames in and out, a second.
+    /// Bytes of frames in and out, a second.
     bytes: f64,
+    /// Frames in and out, a second.
+    frames: f64,
+    /// Processor time altogether.
+    processor: Duration,
 }
 
 fn spent(workdir: &Workdir, work: impl FnOnce()) -> Vec<Spent> {
@@ -72,6 +76,8 @@
             core: (after.processor - before.processor).as_secs_f64() / seconds * 100.0,
             kib: after.kib as f64,
             bytes: (after.frame_bytes - before.frame_bytes) / seconds,
+            frames: (after.frames - before.frames) / seconds,
+            processor: after.processor - before.processor,
         }
     };
     workdir.entries.iter().zip(before).map(spent).collect()
@@ -84,8 +90,9 @@
     let mean = |value: fn(&Spent) -> f64| {
         all.iter().map(|spent| value(spent)).sum::<f64>() / all.len() as f64
     };
-    let (core, kib, bytes) = (mean(|s| s.core), mean(|s| s.kib), mean(|s| s.bytes));
-    println!("  {name:<8} {core:>5.2} % of a core {kib:>7.0} KiB {bytes:>6.0} B/s of frames");
+    let (core, kib) = (mean(|s| s.core), mean(|s| s.kib));
+    let (bytes, frames) = (mean(|s| s.bytes), mean(|s| s.frames));
+    println!("  {name:<8} {core:>5.2} % of a core {kib:>7.0} KiB {bytes:>6.0} B/s in {frames:.1} frames/s");
 }
 
 /// Announcements to one entry, which passes them on to one other.
@@ -154,7 +161,7 @@
             task::block_on(submit(&workdir, &format!("i{number}"), &text));
         }
         count = goal;
-        let changes = 1000;
+        let changes = 1000_i32;
         let used = spent(&workdir, || {
             for number in 0..changes {
                 let name = format!("team-{goal}-{number}");
@@ -173,7 +180,8 @@
         });
         println!("{goal} instances; {changes} changes one after the other at entry a");
         for (entry, used) in workdir.entries.iter().zip(&used) {
-            print_mean(entry.name, &[used]);
+            let millis = used.processor.as_secs_f64() * 1000.0 / f64::from(changes);
+            println!("  {} {} {millis:.2} ms a change, {:.0} KiB", entry.name, used.role, used.kib);
         }
     }
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -33,6 +33,9 @@
 /// Status codes from here on count as failures of the target.
 const SERVER_ERROR: u16 = 500;
 
+/// A target is held silent after this many times the usual time of an answer.
+const FAIR_SPANS: u32 = 3;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Headers that belong to one connection and are not passed on.
@@ -103,6 +106,17 @@
         }
     }
 
+    /// The same with another bound on answers, in bytes.
+    pub fn with_max_answer(mut self, bytes: usize) -> Forwarder {
+        self.max_answer_bytes = bytes;
+        self
+    }
+
+    /// Monotonic time, on which deadlines are given.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
     /// Closes idle connections to targets that are in no table.
     pub fn keep_only(&self, table: &Table) {
         let targets = table.pools.values().flat_map(|pool| &pool.targets);
@@ -133,9 +147,13 @@
             tried.push(held.target().instance.clone());
             let more = if terms.repeatable { MAX_ATTEMPTS - tried.len() } else { 0 };
             let target = held.target();
-            let attempt = Attempt { target, call, terms, span: self.share(terms, more) };
-            let outcome = self.attempt(attempt).await;
-            self.judge(target, &outcome);
+            let span = self.share(terms, more);
+            let sent = self.clock.now();
+            let outcome = self.attempt(Attempt { target, call, terms, span }).await;
+            self.judge(target, &outcome, &call.pool, span);
+            if matches!(&outcome, Outcome::Answered(whole) if whole.status < SERVER_ERROR) {
+                self.gate.observe(&call.pool, self.clock.now().saturating_sub(sent));
+            }
             match outcome {
                 Outcome::Unknown(refusal) if !terms.repeatable => return Outcome::Unknown(refusal),
                 Outcome::Answered(whole) => return Outcome::Answered(whole),
@@ -148,12 +166,19 @@
         })
     }
 
-    /// Takes the outcome into the target's limit and quarantine.
-    fn judge(&self, target: &Target, outcome: &Outcome) {
+    /// Takes the outcome into the target's limit and quarantine. A target that had
+    /// too little time to answer is not to blame.
+    fn judge(&self, target: &Target, outcome: &Outcome, pool: &str, span: Duration) {
         let now = self.clock.now();
         match outcome {
             Outcome::Answered(whole) if whole.status >= SERVER_ERROR => target.health.failed(now),
             Outcome::Answered(_) => target.health.succeeded(),
+            Outcome::Unknown(refusal)
+                if refusal.reason == Reason::Silent
+                    && span < self.gate.service(pool) * FAIR_SPANS =>
+            {
+                target.health.cancel_probe();
+            }
             Outcome::Unknown(_) => target.health.failed(now),
             Outcome::NotRun(refusal) => match refusal.reason {
                 Reason::Busy => target.health.overloaded(),
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -75,7 +75,6 @@
     gate: Arc<Gate>,
     pool: PoolId,
     team: Option<Arc<AtomicUsize>>,
-    since: Duration,
 }
 
 impl Held {
@@ -88,8 +87,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         self.slot = None;
-        let held = self.gate.clock.now().saturating_sub(self.since);
-        self.gate.freed(&self.pool, held);
+        self.gate.pump(&self.pool);
         if let Some(team) = self.team.take() {
             team.fetch_sub(1, Ordering::AcqRel);
             self.gate.pump_all(); // the team may wait for another pool
@@ -233,12 +231,16 @@
         }
     }
 
-    /// A slot is free: takes in how long it was held and starts who is next.
-    fn freed(self: &Arc<Self>, pool: &PoolId, held: Duration) {
+    /// Takes in how long a request took that was answered.
+    pub fn observe(&self, pool: &str, took: Duration) {
         if let Some(lane) = self.lanes.load().get(pool) {
-            lane.observe(held);
+            lane.observe(took);
         }
-        self.pump(pool);
+    }
+
+    /// Observed time of a request of the pool; zero before the first answer.
+    pub fn service(&self, pool: &str) -> Duration {
+        self.lanes.load().get(pool).map_or(Duration::ZERO, |lane| lane.service())
     }
 
     /// Starts waiting requests while there are slots for them.
@@ -246,17 +248,29 @@
         let Some(lane) = self.lanes.load().get(pool).cloned() else { return };
         while lane.waiting.load(Ordering::Acquire) > 0 {
             let table = self.table.load_full();
+            self.refuse_late(&lane);
             let Some(start) = self.start_next(&table, &lane, pool) else { return };
             // Outside of the lock: a caller that has gone gives its slot back.
             let _ = start.to.try_send(start.held);
         }
     }
 
+    /// Answers those at once who could no longer be served in time.
+    fn refuse_late(&self, lane: &Lane) {
+        let mut line = lane.lock();
+        let late = line.queue.expire(self.clock.now(), lane.service());
+        for id in late {
+            let Some(caller) = line.callers.remove(&id) else { continue };
+            let detail = "no slot was free in time";
+            let _ = caller.start.try_send(Err(Refusal::new(Reason::Deadline, detail)));
+        }
+        lane.count(&line);
+    }
+
     fn start_next(self: &Arc<Self>, table: &Table, lane: &Lane, pool: &PoolId) -> Option<Start> {
         let mut line = lane.lock();
-        let now = self.clock.now();
         let start = loop {
-            let Some(ticket) = line.queue.pop(now, |team| self.may_start(table, team)) else {
+            let Some(ticket) = line.queue.pop(|team| self.may_start(table, team)) else {
                 break None;
             };
             let Some(caller) = line.callers.remove(&ticket.id) else { continue };
@@ -295,6 +309,6 @@
             team.fetch_add(1, Ordering::AcqRel);
         }
         let (gate, pool) = (self.clone(), pool.clone());
-        Ok(Held { slot: Some(slot), gate, pool, team, since: now })
+        Ok(Held { slot: Some(slot), gate, pool, team })
     }
 }
--- /dev/null
+++ b/crates/entry/tests/forward.rs
@@ -0,0 +1,287 @@
+//! The fault matrix of sending: a scripted target fails at every step of a
+//! request, on a fresh and on a reused connection, for requests that may be
+//! repeated and for those that must not run twice.
+
+use arc_swap::ArcSwap;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, block_on};
+use entry::clock::{Clock, System};
+use entry::forward::{Forwarder, Terms};
+use entry::gate::Gate;
+use route::Table;
+use route::health::Health;
+use route::outcome::Reason;
+use route::queue::Class;
+use route::table::{Pool, Target};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use wire::call::{Call, Outcome};
+
+/// Short, so that a silent target costs little; no check depends on it.
+const DEADLINE: Duration = Duration::from_millis(400);
+
+/// Where the target fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Nothing listens.
+    Connect,
+    /// The connection is closed before anything is read.
+    Accept,
+    /// The request is read and the connection closed.
+    Read,
+    /// The request is read and nothing more happens.
+    Silence,
+    /// Half of the answer's head.
+    HalfHead,
+    /// Half of an answer with a length.
+    HalfBody,
+    /// Half of an answer in chunks.
+    HalfChunks,
+    /// An answer that does not say where it ends.
+    NoLength,
+    /// The answer to another request.
+    Crossed,
+    /// A refusal: it did not run.
+    Refused,
+    /// A whole answer.
+    Whole,
+}
+
+const STEPS: [Step; 11] = [
+    Step::Connect,
+    Step::Accept,
+    Step::Read,
+    Step::Silence,
+    Step::HalfHead,
+    Step::HalfBody,
+    Step::HalfChunks,
+    Step::NoLength,
+    Step::Crossed,
+    Step::Refused,
+    Step::Whole,
+];
+
+/// A target that answers `warm` requests and then fails at a step.
+struct Script {
+    address: SocketAddr,
+    runs: Arc<AtomicUsize>,
+}
+
+impl Script {
+    async fn start(step: Step, warm: usize) -> Script {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let runs = Arc::new(AtomicUsize::new(0));
+        if step == Step::Connect {
+            return Script { address, runs }; // the listener is closed
+        }
+        let (counter, seen) = (runs.clone(), Arc::new(AtomicUsize::new(0)));
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (counter, seen) = (counter.clone(), seen.clone());
+                task::spawn(serve(stream, step, warm, seen, counter));
+            }
+        });
+        Script { address, runs }
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    step: Step,
+    warm: usize,
+    seen: Arc<AtomicUsize>,
+    runs: Arc<AtomicUsize>,
+) {
+    loop {
+        let ready = seen.load(Ordering::Acquire) >= warm;
+        if ready && step == Step::Accept {
+            return;
+        }
+        let Some(id) = read_request(&mut stream).await else { return };
+        let warming = seen.fetch_add(1, Ordering::AcqRel) < warm;
+        let step = if warming { Step::Whole } else { step };
+        if step != Step::Refused && !warming {
+            runs.fetch_add(1, Ordering::AcqRel);
+        }
+        let head = |length: usize| {
+            format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: {length}\r\n\r\n")
+        };
+        let answer = match step {
+            Step::Connect | Step::Accept | Step::Read => return,
+            Step::Silence => futures::future::pending().await,
+            Step::HalfHead => "HTTP/1.1 200 OK\r\ncontent-le".to_string(),
+            Step::HalfBody => head(10) + "whole",
+            Step::HalfChunks => {
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\nwhole".to_string()
+            }
+            Step::NoLength => "HTTP/1.1 200 OK\r\n\r\nwhole".to_string(),
+            Step::Crossed => {
+                "HTTP/1.1 200 OK\r\nrequest-id: other\r\ncontent-length: 5\r\n\r\nwhole".to_string()
+            }
+            Step::Refused => "HTTP/1.1 503 Busy\r\nrequest-outcome: not-run\r\n\
+                              content-length: 0\r\n\r\n"
+                .to_string(),
+            Step::Whole => head(5) + "whole",
+        };
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        if !matches!(step, Step::Whole | Step::Refused | Step::Crossed) {
+            return;
+        }
+    }
+}
+
+/// Reads one request; returns its id.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 1024];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n")
+            && body.len() == "box".len()
+        {
+            let line = head.lines().find(|line| line.starts_with("request-id: "))?;
+            return Some(line["request-id: ".len()..].to_string());
+        }
+        let count = stream.read(&mut buffer).await.ok().filter(|count| *count > 0)?;
+        bytes.extend(&buffer[..count]);
+    }
+}
+
+fn forwarder(addresses: &[SocketAddr]) -> Forwarder {
+    let target = |(number, address): (usize, &SocketAddr)| Target {
+        instance: format!("w{number}"),
+        incarnation: 1,
+        address: *address,
+        rack: "r".to_string(),
+        load: Arc::default(),
+        health: Arc::new(Health::new(8)),
+    };
+    let targets: Vec<Target> = addresses.iter().enumerate().map(target).collect();
+    let pool = Pool { spare: false, declared: targets.len() as u32, targets };
+    let table = Table {
+        ready: true,
+        pools: [("gate".to_string(), pool)].into(),
+        ..Table::default()
+    };
+    let clock: Arc<dyn Clock> = Arc::new(System::new());
+    let table = Arc::new(ArcSwap::from_pointee(table));
+    let gate = Arc::new(Gate::new(clock.clone(), table.clone()));
+    gate.renew();
+    let forwarder = Forwarder::new(clock, "a".to_string(), 1, 1 << 20, gate);
+    forwarder.keep_only(&table.load());
+    forwarder
+}
+
+async fn send(forwarder: &Forwarder, repeatable: bool) -> Outcome {
+    let call = Call {
+        pool: "gate".to_string(),
+        method: "POST".to_string(),
+        path: "work".to_string(),
+        headers: Vec::new(),
+        body: b"box".to_vec(),
+    };
+    let terms = Terms {
+        deadline: forwarder.now() + DEADLINE,
+        repeatable,
+        class: Class::Interactive,
+        team: String::new(),
+    };
+    forwarder.call(&call, &terms).await
+}
+
+/// What the outcome has to be when one target fails at a step.
+fn check(step: Step, repeatable: bool, outcome: &Outcome, runs: usize) {
+    let case = format!("{step:?}, repeatable {repeatable}: {outcome:?}, {runs} runs");
+    match outcome {
+        Outcome::Answered(whole) => {
+            assert_eq!(step, Step::Whole, "{case}");
+            assert_eq!(whole.body, b"whole", "{case}");
+        }
+        Outcome::NotRun(_) => assert_eq!(runs, 0, "{case}"),
+        Outcome::Unknown(_) => {
+            assert!(!matches!(step, Step::Connect | Step::Refused | Step::Whole), "{case}");
+        }
+    }
+    if !repeatable {
+        assert!(runs <= 1, "{case}");
+    }
+}
+
+#[test]
+fn a_target_fails_at_every_step() {
+    block_on(async {
+        for step in STEPS {
+            for repeatable in [true, false] {
+                for warm in [0, 1] {
+                    let script = Script::start(step, warm).await;
+                    let forwarder = forwarder(&[script.address]);
+                    for _ in 0..warm {
+                        let first = send(&forwarder, true).await;
+                        let refused = step == Step::Connect;
+                        assert_eq!(matches!(first, Outcome::Answered(_)), !refused, "{first:?}");
+                    }
+                    let outcome = send(&forwarder, repeatable).await;
+                    check(step, repeatable, &outcome, script.runs.load(Ordering::Acquire));
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn a_good_target_takes_over_when_that_is_safe() {
+    block_on(async {
+        for step in STEPS {
+            for repeatable in [true, false] {
+                let bad = Script::start(step, 0).await;
+                let good = Script::start(Step::Whole, 0).await;
+                let forwarder = forwarder(&[bad.address, good.address]);
+                let outcome = send(&forwarder, repeatable).await;
+                let bad_runs = bad.runs.load(Ordering::Acquire);
+                let runs = bad_runs + good.runs.load(Ordering::Acquire);
+                let safe = repeatable || matches!(step, Step::Connect | Step::Refused);
+                let case = format!("{step:?}, repeatable {repeatable}: {outcome:?}, {runs} runs");
+                if safe {
+                    assert!(matches!(outcome, Outcome::Answered(_)), "{case}");
+                }
+                if !repeatable {
+                    assert!(runs <= 1, "{case}");
+                    let lost = matches!(outcome, Outcome::Unknown(_));
+                    assert_eq!(lost, bad_runs == 1 && step != Step::Whole || lost, "{case}");
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn retries_stop_when_the_budget_is_used_up() {
+    block_on(async {
+        let bad = [Script::start(Step::Read, 0).await, Script::start(Step::Read, 0).await];
+        let forwarder = forwarder(&[bad[0].address, bad[1].address]);
+        let requests = 60;
+        for _ in 0..requests {
+            let outcome = send(&forwarder, true).await;
+            assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        }
+        let sent: usize = bad.iter().map(|script| script.runs.load(Ordering::Acquire)).sum();
+        // Ten retries from the full bucket, and one for every ten requests.
+        assert!(sent <= requests + 10 + requests / 10, "{sent} sent for {requests} requests");
+        assert!(sent > requests, "no retry was made");
+    });
+}
+
+#[test]
+fn an_answer_that_is_too_large_is_not_passed_on() {
+    block_on(async {
+        let script = Script::start(Step::Whole, 0).await;
+        let forwarder = forwarder(&[script.address]).with_max_answer(4);
+        let outcome = send(&forwarder, true).await;
+        let Outcome::Unknown(refusal) = outcome else { panic!("{outcome:?}") };
+        assert_eq!(refusal.reason, Reason::Truncated);
+    });
+}
--- a/crates/entry/tests/gate.rs
+++ b/crates/entry/tests/gate.rs
@@ -148,9 +148,7 @@
     assert_eq!(refusal.reason, Reason::Deadline);
     assert_eq!(fixture.gate.waiting()["gate"], 0);
     // Observed service time makes the refusal immediate.
-    fixture.clock.0.store(10_000, Ordering::Release);
-    drop(_held);
-    let _held = [ask("", FAR), ask("", FAR)].map(|ask| block_on(fixture.enter(ask)).unwrap());
+    fixture.gate.observe("gate", Duration::from_secs(10));
     let refusal = block_on(fixture.enter(ask("", Duration::from_millis(11_000)))).err().unwrap();
     assert_eq!(refusal.reason, Reason::Deadline);
     assert!(refusal.detail.contains("it would wait"), "{}", refusal.detail);
@@ -179,3 +177,19 @@
     assert_eq!(fixture.load(), 0);
     assert_eq!(fixture.gate.waiting()["gate"], 0);
 }
+
+#[test]
+fn who_can_no_longer_be_served_in_time_is_told_at_once() {
+    let fixture = fixture(1);
+    let held = [ask("", FAR), ask("", FAR)].map(|ask| block_on(fixture.enter(ask)).unwrap());
+    let late = fixture.enter(ask("", Duration::from_secs(60)));
+    let waits = fixture.enter(ask("", FAR));
+    fixture.wait_for_waiting(2);
+    fixture.gate.observe("gate", Duration::from_secs(5));
+    fixture.clock.0.store(56_000, Ordering::Release);
+    fixture.gate.pump_all();
+    // No real time passes: the answer does not wait for the deadline.
+    assert_eq!(block_on(late).err().unwrap().reason, Reason::Deadline);
+    drop(held);
+    assert!(block_on(waits).is_ok());
+}
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -83,7 +83,7 @@
 /// let pace = Pace { slots: 4, service: Duration::from_millis(20) };
 /// queue.push(Duration::ZERO, ticket(1, Class::Background), pace).unwrap();
 /// queue.push(Duration::ZERO, ticket(2, Class::Urgent), pace).unwrap();
-/// assert_eq!(queue.pop(Duration::ZERO, |_| true).unwrap().id, 2);
+/// assert_eq!(queue.pop(|_| true).unwrap().id, 2);
 /// ```
 #[derive(Debug, Default)]
 pub struct Queue {
@@ -113,15 +113,15 @@
     }
 
     /// Gives a request a place, unless the queue is full or the request would
-    /// start after its deadline at the observed pace.
+    /// end after its deadline at the observed pace.
     pub fn push(&mut self, now: Duration, ticket: Ticket, pace: Pace) -> Result<()> {
         let wait = self.expected_wait(&ticket, pace);
         if self.waiting >= MAX_WAITING {
             let detail = format!("{MAX_WAITING} requests wait already");
             return Err(Refusal { retry_after: Some(wait), ..Refusal::new(Reason::Busy, detail) });
         }
-        if now + wait >= ticket.deadline {
-            let detail = format!("it would wait {wait:?}, longer than its deadline");
+        if now + wait + pace.service >= ticket.deadline {
+            let detail = format!("it would wait {wait:?} and could not end in time");
             let refusal = Refusal::new(Reason::Deadline, detail);
             return Err(Refusal { retry_after: Some(wait), ..refusal });
         }
@@ -138,15 +138,30 @@
     }
 
     /// The request that starts next: by class, then by the team that had least
-    /// for its weight. Teams that `may_start` refuses are passed over, and
-    /// requests past their deadline are dropped.
-    pub fn pop(&mut self, now: Duration, may_start: impl Fn(&TeamId) -> bool) -> Option<Ticket> {
+    /// for its weight. Teams that `may_start` refuses are passed over.
+    pub fn pop(&mut self, may_start: impl Fn(&TeamId) -> bool) -> Option<Ticket> {
         self.starts += 1;
         let mut order: Vec<Class> = self.classes.keys().copied().collect();
         if self.starts.is_multiple_of(STARTS_PER_TURN) {
             order.reverse();
         }
-        order.into_iter().find_map(|class| self.pop_class(now, class, &may_start))
+        order.into_iter().find_map(|class| self.pop_class(class, &may_start))
+    }
+
+    /// Takes out the requests that could no longer end in time.
+    pub fn expire(&mut self, now: Duration, service: Duration) -> Vec<TicketId> {
+        let mut expired = Vec::new();
+        for lane in self.classes.values_mut().flat_map(BTreeMap::values_mut) {
+            lane.tickets.retain(|ticket| {
+                let in_time = now + service < ticket.deadline;
+                if !in_time {
+                    expired.push(ticket.id);
+                }
+                in_time
+            });
+        }
+        self.waiting -= expired.len();
+        expired
     }
 
     /// Puts a request that was just popped back to the front of its lane.
@@ -167,18 +182,8 @@
         }
     }
 
-    fn pop_class(
-        &mut self,
-        now: Duration,
-        class: Class,
-        may_start: &impl Fn(&TeamId) -> bool,
-    ) -> Option<Ticket> {
+    fn pop_class(&mut self, class: Class, may_start: &impl Fn(&TeamId) -> bool) -> Option<Ticket> {
         let lanes = self.classes.get_mut(&class)?;
-        for lane in lanes.values_mut() {
-            let before = lane.tickets.len();
-            lane.tickets.retain(|ticket| now < ticket.deadline);
-            self.waiting -= before - lane.tickets.len();
-        }
         let ready =
             |(team, lane): &(&TeamId, &mut Lane)| !lane.tickets.is_empty() && may_start(team);
         let by_pass =
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -22,7 +22,7 @@
 fn starts(queue: &mut Queue, count: usize) -> BTreeMap<String, usize> {
     let mut starts: BTreeMap<String, usize> = BTreeMap::new();
     for _ in 0..count {
-        let ticket = queue.pop(Duration::ZERO, |_| true).unwrap();
+        let ticket = queue.pop(|_| true).unwrap();
         *starts.entry(ticket.team).or_default() += 1;
     }
     starts
@@ -51,8 +51,7 @@
     let mut queue = Queue::default();
     fill(&mut queue, 0, 100, Class::Background, "a", 1);
     fill(&mut queue, 1000, 100, Class::Urgent, "a", 1);
-    let classes: Vec<Class> =
-        (0..16).map(|_| queue.pop(Duration::ZERO, |_| true).unwrap().class).collect();
+    let classes: Vec<Class> = (0..16).map(|_| queue.pop(|_| true).unwrap().class).collect();
     assert_eq!(classes[0], Class::Urgent);
     let background = classes.iter().filter(|class| **class == Class::Background).count();
     assert_eq!(background, 2, "one of eight starts: {classes:?}");
@@ -63,9 +62,9 @@
     let mut queue = Queue::default();
     fill(&mut queue, 0, 5, Class::Interactive, "full", 1);
     fill(&mut queue, 10, 1, Class::Interactive, "free", 1);
-    let ticket = queue.pop(Duration::ZERO, |team| team != "full").unwrap();
+    let ticket = queue.pop(|team| team != "full").unwrap();
     assert_eq!(ticket.team, "free");
-    assert_eq!(queue.pop(Duration::ZERO, |team| team != "full"), None);
+    assert_eq!(queue.pop(|team| team != "full"), None);
     assert_eq!(queue.len(), 5);
 }
 
@@ -73,17 +72,17 @@
 fn what_can_not_start_in_time_is_refused_at_once() {
     let mut queue = Queue::default();
     fill(&mut queue, 0, 100, Class::Interactive, "a", 1);
-    // 101 requests of 20 ms over 4 slots start after about half a second.
+    // 101 requests of 20 ms over 4 slots start after 505 ms and end after 525 ms.
     let deadline = |millis| Ticket {
         deadline: Duration::from_millis(millis),
         ..ticket(200, Class::Interactive, "a", 1)
     };
-    let refusal = queue.push(Duration::ZERO, deadline(400), PACE).unwrap_err();
+    let refusal = queue.push(Duration::ZERO, deadline(525), PACE).unwrap_err();
     assert_eq!(refusal.reason, Reason::Deadline);
     assert_eq!(refusal.retry_after, Some(Duration::from_millis(505)));
-    queue.push(Duration::ZERO, deadline(600), PACE).unwrap();
+    queue.push(Duration::ZERO, deadline(526), PACE).unwrap();
     // Urgent work passes the others, so the same deadline is met.
-    let urgent = Ticket { class: Class::Urgent, ..deadline(400) };
+    let urgent = Ticket { class: Class::Urgent, ..deadline(525) };
     queue.push(Duration::ZERO, urgent, PACE).unwrap();
 }
 
@@ -93,8 +92,10 @@
     fill(&mut queue, 0, MAX_WAITING as u64, Class::Interactive, "a", 1);
     let more = ticket(9999, Class::Interactive, "a", 1);
     assert_eq!(queue.push(Duration::ZERO, more, PACE).unwrap_err().reason, Reason::Busy);
-    assert_eq!(queue.pop(LATER, |_| true), None);
+    assert!(queue.expire(LATER - PACE.service * 2, PACE.service).is_empty());
+    assert_eq!(queue.expire(LATER - PACE.service, PACE.service).len(), MAX_WAITING);
     assert_eq!(queue.len(), 0);
+    assert_eq!(queue.pop(|_| true), None);
 }
 
 /// What a random caller does.
@@ -134,7 +135,7 @@
                     inside.push(id as u64);
                 }
                 Act::Pop(all) => {
-                    out = queue.pop(Duration::ZERO, |team| all || team != "a");
+                    out = queue.pop(|team| all || team != "a");
                     if let Some(ticket) = &out {
                         let at = inside.iter().position(|id| *id == ticket.id);
                         inside.remove(at.expect("it was inside"));
@@ -154,7 +155,7 @@
             }
             assert_eq!(queue.len(), inside.len());
         }
-        while let Some(ticket) = queue.pop(Duration::ZERO, |_| true) {
+        while let Some(ticket) = queue.pop(|_| true) {
             let at = inside.iter().position(|id| *id == ticket.id);
             inside.remove(at.expect("it was inside"));
         }
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -48,6 +48,8 @@
     pub kib: u64,
     /// Bytes of frames to and from other entries.
     pub frame_bytes: f64,
+    /// Frames to and from other entries.
+    pub frames: f64,
     pub leads: bool,
 }
 
@@ -190,6 +192,7 @@
             processor: Duration::from_secs_f64(ticks / TICKS_PER_SECOND),
             kib,
             frame_bytes: sum("bytes_in") + sum("bytes_out"),
+            frames: sum("frames_in") + sum("frames_out"),
             leads: dump["agreement"]["role"] == "leader",
         }
     }
