Give an attempt enough time for a fair answer

Cause: an attempt of a repeatable request got a third of the time left; after a wait in the queue that was less than a request takes, so it ended as unknown on a healthy target, up to three times over.

Change: an attempt gets at least three times the usual span while there is as much.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -92,7 +92,9 @@
     };
     let (core, kib) = (mean(|s| s.core), mean(|s| s.kib));
     let (bytes, frames) = (mean(|s| s.bytes), mean(|s| s.frames));
-    println!("  {name:<8} {core:>5.2} % of a core {kib:>7.0} KiB {bytes:>6.0} B/s in {frames:.1} frames/s");
+    println!(
+        "  {name:<8} {core:>5.2} % of a core {kib:>7.0} KiB {bytes:>6.0} B/s in {frames:.1} frames/s"
+    );
 }
 
 /// Announcements to one entry, which passes them on to one other.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -147,7 +147,7 @@
             tried.push(held.target().instance.clone());
             let more = if terms.repeatable { MAX_ATTEMPTS - tried.len() } else { 0 };
             let target = held.target();
-            let span = self.share(terms, more);
+            let span = self.share(terms, &call.pool, more);
             let sent = self.clock.now();
             let outcome = self.attempt(Attempt { target, call, terms, span }).await;
             self.judge(target, &outcome, &call.pool, span);
@@ -188,11 +188,12 @@
         }
     }
 
-    /// Time that an attempt may take: the rest, shared with the attempts that
-    /// may follow it.
-    fn share(&self, terms: &Terms, more: usize) -> Duration {
+    /// Time that an attempt may take: the rest, shared with the attempts that may
+    /// follow it, but enough for a fair answer while there is as much.
+    fn share(&self, terms: &Terms, pool: &str, more: usize) -> Duration {
         let left = terms.deadline.saturating_sub(self.clock.now());
-        left / (more as u32 + 1)
+        let fair = self.gate.service(pool) * FAIR_SPANS;
+        (left / (more as u32 + 1)).max(fair).min(left)
     }
 
     async fn attempt(&self, attempt: Attempt<'_>) -> Outcome {
--- a/crates/entry/tests/forward.rs
+++ b/crates/entry/tests/forward.rs
@@ -162,11 +162,8 @@
     };
     let targets: Vec<Target> = addresses.iter().enumerate().map(target).collect();
     let pool = Pool { spare: false, declared: targets.len() as u32, targets };
-    let table = Table {
-        ready: true,
-        pools: [("gate".to_string(), pool)].into(),
-        ..Table::default()
-    };
+    let table =
+        Table { ready: true, pools: [("gate".to_string(), pool)].into(), ..Table::default() };
     let clock: Arc<dyn Clock> = Arc::new(System::new());
     let table = Arc::new(ArcSwap::from_pointee(table));
     let gate = Arc::new(Gate::new(clock.clone(), table.clone()));
@@ -250,8 +247,9 @@
                 }
                 if !repeatable {
                     assert!(runs <= 1, "{case}");
-                    let lost = matches!(outcome, Outcome::Unknown(_));
-                    assert_eq!(lost, bad_runs == 1 && step != Step::Whole || lost, "{case}");
+                    if bad_runs == 1 && step != Step::Whole {
+                        assert!(matches!(outcome, Outcome::Unknown(_)), "{case}");
+                    }
                 }
             }
         }
