Take nothing from a connection that its peer has given up

Cause: a thawed entry read a request that had waited in a connection which its peer had already given up; its own targets had expired meanwhile, so it handed the request, which must not run twice, to a neighbour over another connection of that kind, and the outcome was "unknown" for good. It never ran twice.

Change: a connection knows when it last heard from its peer. Nothing is taken from one that was silent for 1.2 s (the peer gives up at 2.0 s, pings come every 0.5 s), and a request is handed over only on a connection heard from within 1 s.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -34,13 +34,26 @@
     pub since: Duration,
     /// What went through it.
     pub traffic: Arc<Traffic>,
+    /// When something was last received, in milliseconds of the monotonic clock.
+    heard: Arc<AtomicU64>,
     queue: Sender<Frame>,
 }
 
 impl Link {
     /// Wraps the sending end of a connection's queue.
     pub fn new(identity: Identity, serial: u64, since: Duration, queue: Sender<Frame>) -> Link {
-        Link { identity, serial, since, traffic: Arc::default(), queue }
+        let heard = Arc::new(AtomicU64::new(since.as_millis() as u64));
+        Link { identity, serial, since, traffic: Arc::default(), heard, queue }
+    }
+
+    /// Takes in that something was received.
+    pub fn hear(&self, now: Duration) {
+        self.heard.store(now.as_millis() as u64, Ordering::Release);
+    }
+
+    /// Time since something was received; an idle peer pings twice a second.
+    pub fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_millis(self.heard.load(Ordering::Acquire)))
     }
 
     /// Identity in the agreement.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -31,6 +31,10 @@
 const SILENCE: Duration = Duration::from_millis(2000);
 /// Silence after which this end shows that it is alive.
 const PING_AFTER: Duration = Duration::from_millis(500);
+/// Silence after which nothing more is taken from a connection. Shorter than
+/// `SILENCE` less `PING_AFTER`: the peer may have given it up, and what waits in
+/// it, by then.
+const STALE: Duration = Duration::from_millis(1200);
 /// Longest wait for each step before the peer has proved the key.
 const HANDSHAKE: Duration = Duration::from_millis(1000);
 /// Time between two tries to connect.
@@ -228,6 +232,7 @@
     let (queue, queued) = bounded(QUEUE_FRAMES);
     let link = Link::new(identity, serial, shared.clock.now(), queue);
     let (id, traffic) = (link.id(), link.traffic.clone());
+    let heard = link.clone();
     let (sink, stream) = socket.split();
     let identity = link.identity.clone();
     if identity.data_centre == shared.identity.data_centre {
@@ -239,7 +244,7 @@
     push(shared, Input::Up(identity)).await?;
     {
         let write = write_frames(sink, queued, &traffic);
-        let read = read_frames(shared, &id, stream, &traffic);
+        let read = read_frames(shared, &heard, stream);
         futures::pin_mut!(write, read);
         futures::future::select(write, read).await;
     }
@@ -268,14 +273,19 @@
 
 async fn read_frames(
     shared: &Arc<Shared>,
-    id: &quorum::Id,
+    link: &Link,
     mut stream: SplitStream<Socket>,
-    traffic: &Traffic,
 ) -> Result<()> {
+    let id = &link.id();
     loop {
         let message = timeout(SILENCE, stream.next()).await?.ok_or(Error::Closed)??;
+        let now = shared.clock.now();
+        if link.silence(now) > STALE {
+            return Err(Error::Timeout); // this process was frozen: what waited is too old
+        }
+        link.hear(now);
         let Message::Binary(bytes) = message else { continue };
-        traffic.received(bytes.len());
+        link.traffic.received(bytes.len());
         match Frame::decode(&bytes)? {
             Frame::Ping => {}
             Frame::Sightings(sightings) => hear(shared, sightings),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,9 +12,14 @@
 use route::outcome::{Reason, Refusal};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::time::Duration;
 use wire::Frame;
 use wire::call::{Call, Outcome, Relay, Relayed};
 
+/// Silence up to which a connection is known to be alive; twice the time between
+/// two pings.
+const ALIVE: Duration = Duration::from_secs(1);
+
 /// Requests handed to peers and not answered yet.
 #[derive(Default)]
 pub struct Relaying {
@@ -68,21 +73,28 @@
         Outcome::NotRun(refusal) if refusal.reason == Reason::NoTarget => {}
         _ => return outcome,
     }
-    let elsewhere = {
-        let serving = shared.serving.lock().expect("no holder panics");
-        let peers: Vec<&Id> = serving
-            .iter()
-            .filter(|(_, pools)| pools.contains(&call.pool))
-            .map(|(id, _)| id)
-            .collect();
-        peers.choose(&mut rand::rng()).map(|id| (*id).clone())
-    };
-    match elsewhere {
+    match elsewhere(shared, &call.pool) {
         Some(peer) => send(shared, peer, None, call, terms).await,
         None => outcome,
     }
 }
 
+/// A peer that has targets of the pool and was heard from a moment ago: on a
+/// connection that may be dead, the request's outcome would be unknown.
+fn elsewhere(shared: &Shared, pool: &str) -> Option<Id> {
+    let now = shared.clock.now();
+    let serving = shared.serving.lock().expect("no holder panics");
+    let has_targets = |id: &Id| serving.get(id).is_some_and(|pools| pools.contains(pool));
+    let links = shared.links();
+    let alive: Vec<Id> = links
+        .iter()
+        .filter(|link| link.silence(now) < ALIVE)
+        .map(|link| link.id())
+        .filter(has_targets)
+        .collect();
+    alive.choose(&mut rand::rng()).cloned()
+}
+
 /// Hands a request to a peer and waits for its answer.
 pub async fn send(
     shared: &Shared,
