Wait for the entries that have only just connected

Cause: the README's tour, run as written, printed "in force at 1 entries": the wait counted members only, and five entries had not joined yet. A reader that closes the pipe early would have made the output of large JSON panic.

Change: `--wait` counts connected entries as well as members; JSON output ignores a reader that has gone.

Figures: a_wait_ends_only_when_the_connected_entries_have_it failed before ("in force at 0 entries") and passes after, with the two other record tests.

--- a/src/cmd/record.rs
+++ b/src/cmd/record.rs
@@ -319,18 +319,18 @@
     Ok(if sent { Submitted::Unknown { reason } } else { Submitted::NotTaken { reason } })
 }
 
-/// Waits until every member has an index in force.
+/// Waits until every entry that is connected or a member has an index in force.
 async fn wait(client: &Client, index: fleet::Index, longest: Duration, json: bool) -> Result<()> {
     let start = Instant::now();
     loop {
         let status: Status = client.get("/status").await?;
-        let members = || status.entries.iter().filter(|entry| entry.member);
-        let missing: Vec<&str> = members()
+        let present = || status.entries.iter().filter(|entry| entry.member || entry.connected);
+        let missing: Vec<&str> = present()
             .filter(|entry| entry.applied < index)
             .map(|entry| entry.entry.as_str())
             .collect();
         if missing.is_empty() {
-            let count = members().count();
+            let count = present().count();
             if !json {
                 println!("in force at {count} entries after {:?}", start.elapsed());
             }
--- a/src/util.rs
+++ b/src/util.rs
@@ -3,6 +3,7 @@
 use ::record::Fault;
 use futures::StreamExt;
 use serde::Serialize;
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::SystemTime;
@@ -68,7 +69,7 @@
 /// Prints a value as JSON.
 pub fn print_json(value: &impl Serialize) -> Result<()> {
     let text = serde_json::to_string_pretty(value).expect("values serialise to memory");
-    println!("{text}");
+    let _ = writeln!(std::io::stdout(), "{text}"); // a reader that has gone wants no more
     Ok(())
 }
 
--- a/tests/record.rs
+++ b/tests/record.rs
@@ -1,6 +1,6 @@
 //! `skylarkwinch record`: races, resends, bad input.
 
-use crate::workdir::{OTHER_OPERATOR_TOKEN, RECORDS, Workdir, stderr};
+use crate::workdir::{OTHER_OPERATOR_TOKEN, RECORDS, Workdir, stderr, until};
 
 const AMENDED: &str =
     "kind: pool\nschema: 1\nname: gate\nrevision: 1\nspec: {description: Amended, size: 3}\n";
@@ -70,3 +70,24 @@
     let output = workdir.run("a1", &["record", "get", "pool", "fine"]);
     assert_eq!(output.status.code(), Some(6), "{}", stderr(&output));
 }
+
+/// An entry that has only just connected counts too: it is not a member yet.
+#[test]
+fn a_wait_ends_only_when_the_connected_entries_have_it() {
+    let mut workdir = Workdir::new();
+    for entry in workdir.entries.clone() {
+        workdir.start(entry.name);
+    }
+    until("a leader is in touch and all are connected", || {
+        let status = workdir.get("a1", "/status");
+        let entries = status["entries"].as_array().cloned().unwrap_or_default();
+        status["current"] == true && entries.iter().all(|entry| entry["connected"] == true)
+    });
+    workdir.write("records.yaml", RECORDS);
+    let out = workdir.succeed("a1", &["record", "submit", "records.yaml", "--wait", "30"]);
+    assert!(out.contains("in force at 6 entries"), "{out}");
+    for entry in ["a2", "b1", "b2", "c1", "c2"] {
+        let record = workdir.get(entry, "/records/instance/n1");
+        assert_eq!(record["records"][0]["revision"], 1, "{entry}: {record}");
+    }
+}
