Confirm moves in a task of their own

Cause: found by reading: the task that rebuilds the routing table also proposed the releases of moving instances and waited for each answer, up to 10 s without a leader; meanwhile a leaving target would have got new work.

Change: a task of its own proposes releases.

--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -15,8 +15,10 @@
 use std::time::Duration;
 use wire::Frame;
 
-/// Longest time between two looks at expired targets and pending moves.
+/// Longest time between two looks at expired targets.
 const REBUILD_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two looks at pending moves.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two rounds of passing announcements on.
 const SHARE_INTERVAL: Duration = Duration::from_secs(1);
 /// Claims in one frame, each with an answer of 64 KiB at most.
@@ -34,7 +36,15 @@
             rebuild(&shared);
         }
         shared.gate.pump_all();
+    }
+}
+
+/// Confirms moves as they become possible. A task of its own: a proposal may wait
+/// for a leader, and the routing table must not.
+pub async fn keep_released(shared: Arc<Shared>) {
+    while !shared.is_stopping() {
         release_idle(&shared).await;
+        task::sleep(RELEASE_INTERVAL).await;
     }
 }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -260,6 +260,7 @@
         .collect();
     let keepers = vec![
         task::spawn(keeper::keep_table(shared.clone())),
+        task::spawn(keeper::keep_released(shared.clone())),
         task::spawn(keeper::share_sightings(shared.clone())),
         task::spawn(keeper::keep_joined(shared.clone())),
     ];
