--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -101,6 +101,10 @@
     pub agreement: View,
     /// Open connections to peers.
     pub links: Vec<LinkState>,
+    /// Requests that wait for a slot, by pool.
+    pub waiting: BTreeMap<PoolId, usize>,
+    /// Keys that were claimed here and are remembered.
+    pub claims: usize,
     /// Targets heard of.
     pub sightings: Vec<Sighting>,
     /// Where instances sit.
@@ -204,6 +208,8 @@
         status,
         agreement: (**shared.view.load()).clone(),
         links: shared.links().iter().map(|link| link_state(link, now)).collect(),
+        waiting: shared.gate.waiting(),
+        claims: shared.once.len(),
         sightings: shared.directory().sightings(now),
         placements: fleet.placements().clone(),
         members: fleet.members().clone(),
--- a/crates/fleet/src/state/notes.rs
+++ b/crates/fleet/src/state/notes.rs
@@ -6,6 +6,21 @@
 use record::{Fault, Key, Kind};
 use std::time::SystemTime;
 
+/// A note with nothing but its cause; the journal gives it its number.
+fn note(index: Index, at: SystemTime, author: Author, event: Event, reason: String) -> Note {
+    Note {
+        id: 0,
+        index,
+        at,
+        author,
+        event,
+        subjects: Vec::new(),
+        reason,
+        rests_on: Vec::new(),
+        rejected: Vec::new(),
+    }
+}
+
 impl Fleet {
     pub(super) fn note_submitted(&mut self, index: Index, from: &Submission, event: Event) {
         let subjects = match &event {
@@ -18,17 +33,9 @@
             }
             _ => Vec::new(),
         };
-        self.journal.append(Note {
-            id: 0,
-            index,
-            at: from.at,
-            author: Author::Operator(from.operator.clone()),
-            event,
-            subjects,
-            reason: format!("submission {}", from.id),
-            rests_on,
-            rejected: Vec::new(),
-        });
+        let author = Author::Operator(from.operator.clone());
+        let note = note(index, from.at, author, event, format!("submission {}", from.id));
+        self.journal.append(Note { subjects, rests_on, ..note });
     }
 
     /// A record and the pool that it speaks of.
@@ -65,17 +72,9 @@
             }],
             _ => Vec::new(),
         };
-        self.journal.append(Note {
-            id: 0,
-            index,
-            at,
-            author: Author::Rule(MOVE_RULE.to_string()),
-            event,
-            subjects,
-            reason: reason.to_string(),
-            rests_on: vec![basis],
-            rejected,
-        });
+        let author = Author::Rule(MOVE_RULE.to_string());
+        let note = note(index, at, author, event, reason.to_string());
+        self.journal.append(Note { subjects, rests_on: vec![basis], rejected, ..note });
     }
 
     pub(super) fn note_member(
@@ -85,17 +84,8 @@
         event: Event,
         reason: String,
     ) {
-        self.journal.append(Note {
-            id: 0,
-            index,
-            at,
-            author: Author::Rule(MEMBERSHIP_RULE.to_string()),
-            event,
-            subjects: Vec::new(),
-            reason,
-            rests_on: Vec::new(),
-            rejected: Vec::new(),
-        });
+        let author = Author::Rule(MEMBERSHIP_RULE.to_string());
+        self.journal.append(note(index, at, author, event, reason));
     }
 
     pub(super) fn note_refusal(&mut self, index: Index, from: &Submission, outcome: &Outcome) {
@@ -104,16 +94,10 @@
             other => vec![Fault::new("revision", other.to_string())],
         };
         let subjects = from.changes.iter().filter_map(change_key).collect();
-        self.journal.append(Note {
-            id: 0,
-            index,
-            at: from.at,
-            author: Author::Operator(from.operator.clone()),
-            event: Event::TurnedDown { submission: from.id.clone(), faults },
-            subjects,
-            reason: "the batch is applied whole or not at all".to_string(),
-            rests_on: Vec::new(),
-            rejected: Vec::new(),
-        });
+        let author = Author::Operator(from.operator.clone());
+        let event = Event::TurnedDown { submission: from.id.clone(), faults };
+        let reason = "the batch is applied whole or not at all".to_string();
+        let note = note(index, from.at, author, event, reason);
+        self.journal.append(Note { subjects, ..note });
     }
 }
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -60,6 +60,8 @@
         assert_eq!(again.text(), first.text(), "{entry}");
     }
     assert_eq!(runs(&targets, "box 1"), 1);
+    assert_eq!(workdir.get("a2", "/dump")["claims"], 1, "the minting entry decides");
+    assert_eq!(workdir.get("a1", "/dump")["claims"], 0);
 
     let other = send(&workdir, "b1", &key, "box 2");
     assert_eq!((other.status, outcome(&other)), (400, "not-run"));
