--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -1,5 +1,6 @@
 //! Slopes for docs/CAPACITY.md: what an entry spends as entries, announcements
-//! and records double and double again.
+//! and records double and double again. Arguments name the parts to run: entries,
+//! announcements, records.
 
 #[allow(dead_code)]
 #[path = "../tests/workdir.rs"]
@@ -20,11 +21,17 @@
 const NAMES: [&str; 12] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
 
 fn main() {
-    for size in [3, 6, 12] {
-        entries(size);
+    let wanted: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
+    let wants = |part: &str| wanted.is_empty() || wanted.iter().any(|name| name == part);
+    if wants("entries") {
+        [3, 6, 12].into_iter().for_each(entries);
+    }
+    if wants("announcements") {
+        announcements();
+    }
+    if wants("records") {
+        records();
     }
-    announcements();
-    records();
 }
 
 /// One entry in each data centre, nothing to do.
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -3,6 +3,8 @@
 use crate::workdir::{RECORDS, TARGET_TOKEN, Workdir, until};
 use async_std::task::block_on;
 use standin::client::Call;
+use std::io::Read;
+use std::net::TcpStream;
 use std::time::Duration;
 
 #[test]
@@ -112,3 +114,27 @@
     let call = workdir.call("a1", "/pools/gate/x", "").header("long", long);
     assert!(block_on(call.send()).map_or(true, |answer| answer.status == 400));
 }
+
+#[test]
+fn connections_are_bounded_in_number_and_idle_time() {
+    let mut workdir = Workdir::with_shape(&[("a", "north", true)]);
+    let entry = workdir.entry("a").clone();
+    let settings = workdir.settings(&entry);
+    let bounded = settings.replace("max_connections: 4096", "max_connections: 2, idle_ms: 4000");
+    assert_ne!(bounded, settings);
+    workdir.write("a.yaml", &bounded);
+    workdir.start("a");
+    workdir.wait_for_members(1);
+
+    let callers = entry.ports.callers;
+    let mut idle = [(); 2].map(|()| TcpStream::connect(callers).unwrap());
+    let mut third = TcpStream::connect(callers).unwrap();
+    assert_eq!(third.read(&mut [0]).unwrap_or(0), 0, "it is closed at once");
+    assert_eq!(workdir.counter("a", "connections_refused_total"), 1);
+    for stream in &mut idle {
+        assert_eq!(stream.read(&mut [0]).unwrap_or(0), 0, "it is closed when idle");
+    }
+    until("there is room again", || {
+        block_on(Call::new(callers, "/healthz").send()).is_ok_and(|answer| answer.status == 200)
+    });
+}
