--- /dev/null
+++ b/crates/control/src/core/asks.rs
@@ -0,0 +1,211 @@
+//! Requests of clients and operators: answered by the leader, passed on by others.
+
+use super::{Core, Forwarded, ReplyTo, Waiter};
+use jobs::command::{Cancel, Command, Submit};
+use jobs::{Outcome, QueueName, Wave};
+use log::{debug, info};
+use mesh::ask::Place;
+use mesh::{Ask, Frame, Reply};
+use sched::scheduler::Moment;
+
+/// Length of a job's name; clients draw it at random.
+const ID_DIGITS: usize = 16;
+
+impl Core {
+    pub(super) fn ask(&mut self, moment: Moment, ask: Ask, reply: ReplyTo) {
+        if self.reign.is_none() {
+            self.forward(moment, ask, reply);
+            return;
+        }
+        if !self.node.has_lease(moment.now) {
+            self.reply(reply, Reply::NotTaken("the leader's lease is over".to_string()));
+            return;
+        }
+        match ask {
+            Ask::Submit { place, order } => match self.place(&place) {
+                Ok((queue, id)) => {
+                    let known = self.ledger.find(&queue, &id).is_some();
+                    if known {
+                        self.reply(reply, Reply::Done);
+                        return;
+                    }
+                    let submit = Submit { queue, id, order: *order, at: moment.wall };
+                    self.change(moment, Command::Submit(submit), reply);
+                }
+                Err(refusal) => self.reply(reply, refusal),
+            },
+            Ask::Cancel(place) => match self.place(&place) {
+                Ok((queue, id)) => {
+                    let job = self.ledger.find(&queue, &id);
+                    match job.map(|job| job.state.is_final()) {
+                        None => self.reply(reply, Reply::Missing),
+                        Some(true) => self.reply(reply, Reply::Done),
+                        Some(false) => {
+                            let cancel = Cancel { queue, id, at: moment.wall };
+                            self.change(moment, Command::Cancel(cancel), reply);
+                        }
+                    }
+                }
+                Err(refusal) => self.reply(reply, refusal),
+            },
+            Ask::State(place) => {
+                let answer = self.state(&place);
+                self.reply(reply, answer);
+            }
+            Ask::Configure(config) => {
+                if let Err(error) = config.check() {
+                    info!("config.refused version={} reason={error:?}", config.version);
+                    self.reply(reply, Reply::Invalid(error.to_string()));
+                    return;
+                }
+                let held = self.ledger.config().map(|held| held.version);
+                if held.is_some_and(|held| held >= config.version) {
+                    info!("config.overtaken version={} held={held:?}", config.version);
+                    self.reply(reply, Reply::Done);
+                    return;
+                }
+                info!("config.proposed version={}", config.version);
+                self.change(moment, Command::Configure(config), reply);
+            }
+            Ask::Config => {
+                let answer = match self.ledger.config() {
+                    Some(config) => Reply::Config(config.document.clone()),
+                    None => Reply::NotTaken("no configuration is in force".to_string()),
+                };
+                self.reply(reply, answer);
+            }
+            Ask::StartWave { id, machines, duration, cap } => {
+                if self.ledger.waves().contains_key(&id) {
+                    self.reply(reply, Reply::Done);
+                    return;
+                }
+                info!("wave.proposed wave={id} machines={} cap={cap}", machines.len());
+                let wave = Wave::new(id, machines, duration, cap.max(1), moment.wall);
+                self.change(moment, Command::StartWave(wave), reply);
+            }
+            Ask::Wave(id) => {
+                let answer = match self.ledger.waves().get(&id) {
+                    Some(wave) => Reply::Wave { completed: wave.is_completed() },
+                    None => Reply::Missing,
+                };
+                self.reply(reply, answer);
+            }
+        }
+    }
+
+    /// Queue and job of a place.
+    fn place(&self, place: &Place) -> Result<(QueueName, String), Reply> {
+        let Some(config) = self.ledger.config() else {
+            return Err(Reply::NotTaken("no configuration is in force".to_string()));
+        };
+        let Some((queue, id)) = config.route(&place.host, &place.path) else {
+            return Err(Reply::NoQueue);
+        };
+        let digits = id.len() == ID_DIGITS && id.bytes().all(|b| b.is_ascii_hexdigit());
+        if !digits {
+            return Err(Reply::Invalid(format!("path: \"{id}\" is no name of a job")));
+        }
+        Ok((queue.clone(), id.to_string()))
+    }
+
+    fn state(&self, place: &Place) -> Reply {
+        let Some(config) = self.ledger.config() else {
+            return Reply::NotTaken("no configuration is in force".to_string());
+        };
+        match config.route(&place.host, &place.path) {
+            None => Reply::NoQueue,
+            Some((queue, "")) => Reply::Pending(self.ledger.pending(queue) as u64),
+            Some((queue, id)) => match self.ledger.find(queue, id) {
+                Some(job) => Reply::State(job.state),
+                None => Reply::Missing,
+            },
+        }
+    }
+
+    /// Proposes a change; the reply comes once it is in force.
+    fn change(&mut self, moment: Moment, command: Command, reply: ReplyTo) {
+        match self.node.propose(moment.now, super::settle::encode(&command)) {
+            Ok(index) => {
+                self.waiters.insert(index, Waiter { term: self.node.term(), reply });
+            }
+            Err(error) => self.reply(reply, Reply::NotTaken(error.to_string())),
+        }
+    }
+
+    /// Passes a request on to the leader, once.
+    fn forward(&mut self, moment: Moment, ask: Ask, reply: ReplyTo) {
+        let passed_on = matches!(reply, ReplyTo::Remote { core: true, .. });
+        let Some(leader) = self.leader_name().filter(|_| !passed_on) else {
+            self.reply(reply, Reply::NotTaken("no leader is known here".to_string()));
+            return;
+        };
+        let id = self.next_ask;
+        let changes = ask.changes();
+        if !self.outside.send(&leader, Frame::Ask(id, ask)) {
+            let reason = format!("no link to the leader {leader}");
+            self.reply(reply, Reply::NotTaken(reason));
+            return;
+        }
+        self.next_ask += 1;
+        let forwarded = Forwarded { leader, since: moment.now, reply, changes };
+        self.forwarded.insert(id, forwarded);
+    }
+
+    pub(super) fn lose_forwarded(&mut self, lost: impl Fn(&Forwarded) -> bool) {
+        let ids: Vec<_> =
+            self.forwarded.iter().filter(|(_, f)| lost(f)).map(|(id, _)| *id).collect();
+        for id in ids {
+            let Some(forwarded) = self.forwarded.remove(&id) else { continue };
+            let reason = format!("no reply from the leader {}", forwarded.leader);
+            let reply =
+                if forwarded.changes { Reply::Unknown(reason) } else { Reply::NotTaken(reason) };
+            self.reply(forwarded.reply, reply);
+        }
+    }
+
+    /// Answers whoever waits for a change that is in force.
+    pub(super) fn in_force(&mut self, waiter: Waiter, term: quorum::Term, outcome: Outcome) {
+        let reply = if waiter.term != term {
+            // The entry that took its place is another leader's.
+            Reply::NotTaken("another leader's change took its place".to_string())
+        } else {
+            match outcome {
+                Outcome::Done | Outcome::Accepted => Reply::Done,
+                Outcome::OtherQueue => {
+                    Reply::Invalid("the job is in another queue already".to_string())
+                }
+                Outcome::Missing => Reply::NoQueue,
+            }
+        };
+        self.reply(waiter.reply, reply);
+    }
+
+    /// Changes of a lost term may still come into force under the next leader.
+    pub(super) fn give_up_waiters(&mut self) {
+        let (leads, term) = (self.node.leads(), self.node.term());
+        let lost: Vec<_> = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| !leads || waiter.term != term)
+            .map(|(index, _)| *index)
+            .collect();
+        for index in lost {
+            if let Some(waiter) = self.waiters.remove(&index) {
+                let reason = "the leader lost its lead before the change was in force";
+                self.reply(waiter.reply, Reply::Unknown(reason.to_string()));
+            }
+        }
+    }
+
+    pub(super) fn reply(&self, to: ReplyTo, reply: Reply) {
+        debug!("reply to={to:?} reply={reply:?}");
+        match to {
+            ReplyTo::Local(sender) => {
+                let _ = sender.try_send(reply); // who asked may have gone
+            }
+            ReplyTo::Remote { name, id, .. } => {
+                self.outside.send(&name, Frame::Reply(id, reply));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/mod.rs
@@ -0,0 +1,434 @@
+//! State machine of a core process.
+//!
+//! Takes inputs, time and a disk as interfaces, so that a test can put a fault
+//! between any two of its effects.
+
+mod asks;
+mod reign;
+mod settle;
+mod voters;
+
+use async_std::channel::Sender;
+use jobs::{Ledger, WorkerId};
+use log::info;
+use mesh::frame::AskId;
+use mesh::{Ask, Frame, Hello, Reply, Standing};
+use quorum::{Id, Index, Node, Term};
+use sched::machine::Machine;
+use sched::order::{Answer, Order};
+use sched::roster::Hearing;
+use sched::scheduler::{Held, Moment, MovedMachine, Started, Stopped, UpkeptMachine};
+use sched::{Report, Roster};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use store::{Folder, Store};
+
+/// Time between two bundles of reports that carry no news.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a request that was passed on counts as lost.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause before a disk that failed is opened again.
+const REOPEN_AFTER: Duration = Duration::from_millis(500);
+/// Time between two looks at reports that have grown old.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the core needs of the process around it.
+pub trait Outside: Send + Sync {
+    /// Monotonic time that also counts while suspended.
+    fn now(&self) -> Duration;
+    /// Time of day.
+    fn wall(&self) -> SystemTime;
+    /// Queues a frame for a process, if there is a link to it.
+    fn send(&self, to: &str, frame: Frame) -> bool;
+    /// Processes that are linked.
+    fn peers(&self) -> Vec<Hello>;
+    /// Addresses of core processes were learnt.
+    fn learn(&self, addresses: BTreeSet<SocketAddr>);
+    /// Carries an order out; the answer comes back as an input.
+    fn order(&self, order: Order);
+    /// Where this process stands has changed.
+    fn standing(&self, standing: &Standing);
+}
+
+/// Opens the data folder; more than once when the disk fails.
+pub type Opener = Box<dyn Fn() -> store::Result<Box<dyn Folder>> + Send>;
+
+/// Who waits for a reply.
+#[derive(Clone, Debug)]
+pub enum ReplyTo {
+    /// A task of this process.
+    Local(Sender<Reply>),
+    /// Another process.
+    Remote {
+        /// Its name.
+        name: String,
+        /// Its number of the request.
+        id: AskId,
+        /// Whether it is a core process, which has passed the request on.
+        core: bool,
+    },
+}
+
+/// Input of the core.
+#[derive(Debug)]
+pub enum Input {
+    /// A link was made.
+    Up(Hello),
+    /// The last link to a process was lost.
+    Down(Hello),
+    /// A process sent a frame.
+    Frame(Hello, Frame),
+    /// Someone asks for something.
+    Ask(Ask, ReplyTo),
+    /// A worker reported here.
+    Report(Report),
+    /// A worker said here that its life ends.
+    Left(WorkerId),
+    /// A worker answered for its lists.
+    Held(Held),
+    /// A worker answered to a start.
+    Started(Started),
+    /// A worker answered to a stop.
+    Stopped(Stopped),
+    /// The cloud answered with its machines.
+    Listed(Answer<Vec<Machine>>),
+    /// The cloud answered to a move.
+    Moved(MovedMachine),
+    /// The cloud answered to an upkeep.
+    Upkept(UpkeptMachine),
+    /// Someone wants to see the state.
+    Dump(Sender<String>),
+    /// The process is about to end: hand leadership over.
+    Leave,
+    /// The process ends.
+    Stop,
+}
+
+/// What a core starts with.
+pub struct Setup {
+    /// Who this process is.
+    pub hello: Hello,
+    /// Control addresses of the founding voters.
+    pub founders: BTreeSet<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// How long jobs are kept after their end.
+    pub retention: Duration,
+    /// Bounds of the scheduler.
+    pub sched: sched::Settings,
+    /// Spans of the agreement.
+    pub spans: quorum::Settings,
+    /// The process around it.
+    pub outside: Arc<dyn Outside>,
+    /// Opens the data folder.
+    pub opener: Opener,
+    /// Seed of random election times.
+    pub seed: u64,
+}
+
+/// A request whose change is on its way into the log.
+struct Waiter {
+    term: Term,
+    reply: ReplyTo,
+}
+
+/// A request that was passed on to the leader.
+struct Forwarded {
+    leader: String,
+    since: Duration,
+    reply: ReplyTo,
+    changes: bool,
+}
+
+/// The core of one process.
+pub struct Core {
+    hello: Hello,
+    founders: BTreeSet<SocketAddr>,
+    bootstrap: bool,
+    retention: Duration,
+    sched: sched::Settings,
+    spans: quorum::Settings,
+    outside: Arc<dyn Outside>,
+    opener: Opener,
+    seed: u64,
+    node: Node,
+    store: Option<Store>,
+    broken_since: Option<Duration>,
+    ledger: Ledger,
+    applied: Index,
+    reign: Option<reign::Reign>,
+    roster: Roster,
+    unsent: Vec<Report>,
+    unsent_since: Option<Duration>,
+    told: Option<String>,
+    waiters: BTreeMap<Index, Waiter>,
+    outbox: VecDeque<jobs::Command>,
+    forwarded: BTreeMap<AskId, Forwarded>,
+    next_ask: AskId,
+    standings: BTreeMap<Id, Standing>,
+    standing: Standing,
+    silent: BTreeMap<Id, Duration>,
+    swept: Duration,
+    leaving: bool,
+}
+
+impl Core {
+    /// Reads the disk and takes over what it holds.
+    pub fn open(setup: Setup) -> store::Result<Core> {
+        let (store, recovered) = Store::open((setup.opener)()?)?;
+        let mut hello = setup.hello;
+        hello.incarnation = recovered.incarnation;
+        let snapshot = recovered.state.snapshot.data.clone();
+        let base = recovered.state.snapshot.index;
+        let node =
+            Node::restore(hello.id(), true, setup.spans.clone(), setup.seed, recovered.state);
+        let mut core = Core {
+            hello,
+            founders: setup.founders,
+            bootstrap: setup.bootstrap,
+            retention: setup.retention,
+            sched: setup.sched,
+            spans: setup.spans,
+            outside: setup.outside,
+            opener: setup.opener,
+            seed: setup.seed,
+            node,
+            store: Some(store),
+            broken_since: None,
+            ledger: Ledger::new(setup.retention),
+            applied: 0,
+            reign: None,
+            roster: Roster::default(),
+            unsent: Vec::new(),
+            unsent_since: None,
+            told: None,
+            waiters: BTreeMap::new(),
+            outbox: VecDeque::new(),
+            forwarded: BTreeMap::new(),
+            next_ask: 1,
+            standings: BTreeMap::new(),
+            standing: Standing::default(),
+            silent: BTreeMap::new(),
+            swept: Duration::ZERO,
+            leaving: false,
+        };
+        core.restore(&snapshot, base);
+        Ok(core)
+    }
+
+    /// Who this process is, with the number of its data folder.
+    pub fn hello(&self) -> &Hello {
+        &self.hello
+    }
+
+    /// The ledger, for queries.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The node, for queries.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// Whether this process leads and acts.
+    pub fn reigns(&self) -> bool {
+        self.reign.is_some()
+    }
+
+    fn moment(&self) -> Moment {
+        let wall = mesh::clock::unix_ms(self.outside.wall());
+        Moment { now: self.outside.now(), wall }
+    }
+
+    /// Takes in an input; its effects follow with the next [`Core::settle`].
+    pub fn input(&mut self, input: Input) {
+        let moment = self.moment();
+        match input {
+            Input::Up(hello) => self.up(&hello),
+            Input::Down(hello) => self.down(&hello),
+            Input::Frame(from, frame) => self.frame(moment, &from, frame),
+            Input::Ask(ask, reply) => self.ask(moment, ask, reply),
+            Input::Report(report) => self.reported(moment, report, true),
+            Input::Left(worker) => self.left(moment, worker, true),
+            Input::Held(_)
+            | Input::Started(_)
+            | Input::Stopped(_)
+            | Input::Listed(_)
+            | Input::Moved(_)
+            | Input::Upkept(_) => self.answered(moment, input),
+            Input::Dump(reply) => {
+                let _ = reply.try_send(self.dump()); // who asked may have gone
+            }
+            Input::Leave => {
+                self.leaving = true;
+                self.node.hand_over_lead();
+            }
+            Input::Stop => {}
+        }
+    }
+
+    fn up(&mut self, hello: &Hello) {
+        self.outside.send(&hello.name, Frame::Standing(self.standing.clone()));
+        if hello.durable {
+            self.node.connect(hello.id());
+            self.silent.remove(&hello.id());
+        }
+    }
+
+    fn down(&mut self, hello: &Hello) {
+        if self.outside.peers().iter().any(|peer| peer.id() == hello.id()) {
+            return; // a newer link was made before this was taken in
+        }
+        self.node.disconnect(&hello.id());
+        self.standings.remove(&hello.id());
+        if self.told.as_ref() == Some(&hello.name) {
+            self.told = None;
+        }
+        self.lose_forwarded(|forwarded| forwarded.leader == hello.name);
+    }
+
+    fn frame(&mut self, moment: Moment, from: &Hello, frame: Frame) {
+        match frame {
+            Frame::Quorum(message) => {
+                if self.store.is_some() {
+                    self.node.receive(moment.now, &from.id(), message);
+                }
+            }
+            Frame::Standing(standing) => {
+                self.outside.learn(standing.cores.clone());
+                self.standings.insert(from.id(), standing);
+            }
+            Frame::Ask(id, ask) => {
+                let core = from.control.is_some();
+                self.ask(moment, ask, ReplyTo::Remote { name: from.name.clone(), id, core });
+            }
+            Frame::Reply(id, reply) => {
+                if let Some(forwarded) = self.forwarded.remove(&id) {
+                    self.reply(forwarded.reply, reply);
+                }
+            }
+            Frame::Reports(reports) => {
+                for report in reports {
+                    self.reported(moment, report, false);
+                }
+            }
+            Frame::Left(worker) => self.left(moment, worker, false),
+            Frame::Hello(_) | Frame::Ping => {}
+        }
+    }
+
+    fn reported(&mut self, moment: Moment, report: Report, pass_on: bool) {
+        let hearing = self.roster.hear(moment.now, report.clone());
+        if hearing == Hearing::Old {
+            return;
+        }
+        if hearing == Hearing::News {
+            info!(
+                "worker.report worker={} born={} machine={} pool={} address={} draining={} number={}",
+                report.life.worker,
+                report.life.born,
+                report.machine,
+                report.pool,
+                report.address,
+                report.draining,
+                report.number
+            );
+        }
+        if let Some(reign) = &mut self.reign {
+            let report = self.roster.get(&report.life.worker).map(|heard| heard.report.clone());
+            if let Some(report) = report {
+                reign.scheduler.report(moment, &self.ledger, &report);
+            }
+        } else if pass_on {
+            self.unsent.retain(|held| held.life != report.life);
+            self.unsent.push(report);
+            self.unsent_since.get_or_insert(moment.now);
+            if hearing == Hearing::News {
+                self.pass_reports_on();
+            }
+        }
+    }
+
+    fn left(&mut self, moment: Moment, worker: WorkerId, pass_on: bool) {
+        let life = self.roster.leave(moment.now, &worker);
+        info!("worker.left worker={worker} known={}", life.is_some());
+        if let Some(reign) = &mut self.reign {
+            reign.scheduler.left(&worker);
+        } else if let Some(leader) = self.leader_name().filter(|_| pass_on) {
+            self.outside.send(&leader, Frame::Left(worker));
+        }
+    }
+
+    fn leader_name(&self) -> Option<String> {
+        let leader = self.node.leader()?;
+        (*leader != self.hello.id()).then(|| leader.name.clone())
+    }
+
+    /// Sends reports that reached this process to the leader.
+    fn pass_reports_on(&mut self) {
+        let Some(leader) = self.leader_name() else { return };
+        self.unsent_since = None;
+        let reports = std::mem::take(&mut self.unsent);
+        if !reports.is_empty() && !self.outside.send(&leader, Frame::Reports(reports)) {
+            self.told = None;
+        }
+    }
+
+    /// Tells a new leader everything that workers said here.
+    fn tell_leader(&mut self) {
+        let leader = self.leader_name();
+        if leader == self.told {
+            return;
+        }
+        if let Some(leader) = &leader {
+            let reports: Vec<Report> =
+                self.roster.workers().map(|heard| heard.report.clone()).collect();
+            if !reports.is_empty() && !self.outside.send(leader, Frame::Reports(reports)) {
+                return;
+            }
+        }
+        self.told = leader;
+    }
+
+    fn sweep(&mut self, moment: Moment) {
+        let waited = |since: Duration| moment.now >= since + REPORT_INTERVAL;
+        if self.unsent_since.is_some_and(waited) {
+            self.pass_reports_on();
+        }
+        if moment.now < self.swept + FORGET_INTERVAL {
+            return;
+        }
+        self.swept = moment.now;
+        self.roster.forget(moment.now);
+        self.lose_forwarded(|forwarded| moment.now > forwarded.since + FORWARD_TIMEOUT);
+    }
+
+    fn dump(&self) -> String {
+        let reign = self.reign.as_ref().map(|reign| reign.dump());
+        let jobs: BTreeMap<_, _> = self
+            .ledger
+            .jobs()
+            .values()
+            .map(|job| (job.id.clone(), (job.queue.clone(), job.state)))
+            .collect();
+        let value = serde_json::json!({
+            "name": self.hello.name,
+            "incarnation": format!("{:016x}", self.hello.incarnation),
+            "term": self.node.term(),
+            "role": self.node.role(),
+            "leader": self.node.leader(),
+            "voters": self.node.membership().voters,
+            "last_index": self.node.last_index(),
+            "applied": self.applied,
+            "log_bytes": self.store.as_ref().map(Store::log_bytes),
+            "config_version": self.ledger.config().map(|config| config.version),
+            "jobs": jobs,
+            "waves": self.ledger.waves(),
+            "reign": reign,
+        });
+        serde_json::to_string_pretty(&value).expect("values serialise to memory")
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/settle.rs
@@ -0,0 +1,265 @@
+//! Carrying out what the node decides: sync, send, apply, compact.
+
+use super::{Core, REOPEN_AFTER};
+use jobs::{Command, Event, Ledger};
+use log::{error, info, warn};
+use mesh::{Frame, Standing};
+use quorum::{Entry, Index, Message, Node, Output, Payload};
+use serde::Serialize;
+use std::time::Duration;
+use store::Store;
+
+/// Size of the log file beyond which a snapshot takes its place. The disk holds
+/// log, snapshot and the next snapshot at one time.
+const COMPACT_BYTES: u64 = 12 << 20;
+
+impl Core {
+    /// Syncs, sends and applies until nothing is left to do.
+    pub fn settle(&mut self) {
+        let moment = self.moment();
+        if self.store.is_none() && !self.reopen(moment.now) {
+            return;
+        }
+        self.node.tick(moment.now);
+        self.keep_voters(moment);
+        self.flush();
+        self.reign(moment);
+        self.flush();
+        self.sweep(moment);
+        self.tell_leader();
+        self.compact();
+        self.stand();
+    }
+
+    /// Carries out the node's output.
+    pub(super) fn flush(&mut self) {
+        while let Some(mut output) = self.node.take() {
+            if self.node.leads() {
+                // Followers may write while this disk does; only what this node
+                // itself holds counts after the sync.
+                let (early, late) = output
+                    .messages
+                    .into_iter()
+                    .partition(|envelope| matches!(envelope.message, Message::Append(_)));
+                output.messages = late;
+                self.send(early);
+            }
+            if !self.save(&mut output) {
+                return;
+            }
+            self.node.persisted();
+            if let Some(snapshot) = &output.install {
+                self.restore(&snapshot.data, snapshot.index);
+            }
+            self.send(output.messages);
+            self.apply(output.committed);
+        }
+        self.give_up_waiters();
+    }
+
+    fn send(&self, envelopes: Vec<quorum::message::Envelope>) {
+        for envelope in envelopes {
+            self.outside.send(&envelope.to.name, Frame::Quorum(envelope.message));
+        }
+    }
+
+    /// Makes an output durable. After a failure nothing that rests on the disk
+    /// is said any more, until the disk has been read anew.
+    fn save(&mut self, output: &mut Output) -> bool {
+        let Some(store) = &mut self.store else { return false };
+        // Which entries are committed is learnt again from the leader.
+        output.commit = None;
+        if !output.needs_sync() {
+            return true;
+        }
+        match store.save(output) {
+            Ok(()) => true,
+            Err(reason) => {
+                self.lose_disk(&reason);
+                false
+            }
+        }
+    }
+
+    fn lose_disk(&mut self, reason: &store::Error) {
+        error!("disk.lost reason={reason:?}");
+        metrics::counter!("disk_failures_total").increment(1);
+        self.store = None;
+        self.broken_since = Some(self.outside.now());
+        self.end_reign("the disk failed");
+        for (_, waiter) in std::mem::take(&mut self.waiters) {
+            self.reply(waiter.reply, mesh::Reply::Unknown("the disk failed".to_string()));
+        }
+        self.stand();
+    }
+
+    /// Reads the disk anew, as a restart would. Tells whether it works.
+    fn reopen(&mut self, now: Duration) -> bool {
+        if self.broken_since.is_some_and(|since| now < since + REOPEN_AFTER) {
+            return false;
+        }
+        self.broken_since = Some(now);
+        let opened = (self.opener)().and_then(Store::open);
+        let (store, recovered) = match opened {
+            Ok(opened) => opened,
+            Err(reason) => {
+                warn!("disk.closed reason={reason:?}");
+                return false;
+            }
+        };
+        let snapshot = recovered.state.snapshot.data.clone();
+        let base = recovered.state.snapshot.index;
+        self.seed = self.seed.wrapping_add(1);
+        let spans = self.spans.clone();
+        self.node = Node::restore(self.hello.id(), true, spans, self.seed, recovered.state);
+        self.node.tick(now);
+        for peer in self.outside.peers().iter().filter(|peer| peer.durable) {
+            self.node.connect(peer.id());
+        }
+        self.store = Some(store);
+        self.broken_since = None;
+        self.ledger = Ledger::new(self.retention);
+        self.applied = 0;
+        self.restore(&snapshot, base);
+        info!("disk.regained last_index={}", self.node.last_index());
+        true
+    }
+
+    pub(super) fn restore(&mut self, state: &[u8], index: Index) {
+        if state.is_empty() {
+            return;
+        }
+        match ciborium::from_reader::<Ledger, _>(state) {
+            Ok(ledger) => {
+                self.ledger = ledger;
+                self.applied = index;
+                info!("ledger.restored index={index} jobs={}", self.ledger.jobs().len());
+            }
+            // A snapshot that passed its checksum was written by another version.
+            Err(reason) => panic!("the snapshot at index {index} cannot be read: {reason}"),
+        }
+    }
+
+    fn apply(&mut self, committed: Vec<Entry>) {
+        let moment = self.moment();
+        for entry in committed {
+            self.applied = entry.index;
+            let Payload::Data(data) = &entry.payload else { continue };
+            let command: Command = match ciborium::from_reader(data.as_slice()) {
+                Ok(command) => command,
+                Err(reason) => panic!("index {} cannot be read: {reason}", entry.index),
+            };
+            let (outcome, events) = self.ledger.apply(command);
+            if let Some(waiter) = self.waiters.remove(&entry.index) {
+                self.in_force(waiter, entry.term, outcome);
+            }
+            for event in events {
+                self.log_event(&event, entry.index);
+                if let Some(reign) = &mut self.reign {
+                    reign.scheduler.event(moment, &self.ledger, &event);
+                }
+            }
+        }
+    }
+
+    /// One line for each change that concerns a request, at the process that
+    /// leads; the others only count.
+    fn log_event(&self, event: &Event, index: Index) {
+        if self.reign.is_none() {
+            return;
+        }
+        match event {
+            Event::Configured => {
+                let version = self.ledger.config().map_or(0, |config| config.version);
+                info!("config.in_force version={version} index={index}");
+            }
+            Event::Accepted(number) => {
+                metrics::counter!("jobs_accepted_total").increment(1);
+                if let Some(job) = self.ledger.job(*number) {
+                    info!("job.accepted id={} queue={} index={index}", job.id, job.queue);
+                }
+            }
+            Event::Finished(number, state) => {
+                metrics::counter!("jobs_finished_total").increment(1);
+                if let Some(job) = self.ledger.job(*number) {
+                    let took = job.finished.unwrap_or_default().saturating_sub(job.accepted);
+                    metrics::histogram!("job_seconds").record(took as f64 / 1000.0);
+                    info!(
+                        "job.finished id={} state={state:?} took_ms={took} index={index}",
+                        job.id
+                    );
+                }
+            }
+            Event::Freed(freed) => {
+                metrics::counter!("runs_ended_total").increment(1);
+                if freed.how != Some(jobs::command::How::Done) {
+                    let name = self.ledger.unit_name(&freed.unit).unwrap_or_default();
+                    info!(
+                        "run.over unit={name} run={} worker={} how={:?} index={index}",
+                        freed.run, freed.life.worker, freed.how
+                    );
+                }
+            }
+            Event::Placed(..) => metrics::counter!("runs_placed_total").increment(1),
+            Event::Wave(id) => info!("wave.accepted wave={id} index={index}"),
+            Event::Upkeep(wave, machine, upkeep) => {
+                info!("wave.machine wave={wave} machine={machine} upkeep={upkeep:?} index={index}");
+            }
+            Event::StepDone(_) | Event::Noted(..) => {}
+        }
+    }
+
+    fn compact(&mut self) {
+        let Some(store) = &mut self.store else { return };
+        if store.log_bytes() < COMPACT_BYTES || self.applied <= self.node.base_index() {
+            return;
+        }
+        let Some(snapshot) = self.node.compact(encode(&self.ledger), self.applied) else { return };
+        let entries = self.node.entries_after(snapshot.index);
+        info!("log.compacted index={} bytes={}", snapshot.index, snapshot.data.len());
+        if let Err(reason) = store.compact(&snapshot, &entries) {
+            self.lose_disk(&reason);
+        }
+    }
+
+    /// Tells the other processes where this one stands, when that has changed.
+    pub(super) fn stand(&mut self) {
+        let mut cores: std::collections::BTreeSet<_> = self
+            .outside
+            .peers()
+            .into_iter()
+            .filter(|peer| peer.control.is_some())
+            .map(|peer| peer.peers)
+            .collect();
+        cores.insert(self.hello.peers);
+        let broken = self.store.is_none();
+        let standing = Standing {
+            term: self.node.term(),
+            leader: self.node.leader().filter(|_| !broken).cloned(),
+            leads: self.reign.is_some(),
+            blank: self.node.is_blank(),
+            configured: self.ledger.config().is_some(),
+            cores,
+        };
+        if standing == self.standing {
+            return;
+        }
+        let changed = (&standing.leader, standing.term, standing.leads)
+            != (&self.standing.leader, self.standing.term, self.standing.leads);
+        if changed {
+            let leader = standing.leader.as_ref().map_or("none", |id| id.name.as_str());
+            info!("leader.changed term={} leader={leader} own={}", standing.term, standing.leads);
+        }
+        self.standing = standing.clone();
+        self.outside.standing(&standing);
+        for peer in self.outside.peers() {
+            self.outside.send(&peer.name, Frame::Standing(standing.clone()));
+        }
+    }
+}
+
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(256);
+    ciborium::into_writer(value, &mut bytes).expect("values serialise to memory");
+    bytes
+}
--- /dev/null
+++ b/crates/control/src/core/voters.rs
@@ -0,0 +1,102 @@
+//! Founding the cluster, and replacing voters that are gone.
+
+use super::Core;
+use log::info;
+use mesh::Hello;
+use quorum::{Id, Membership};
+use sched::scheduler::Moment;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Most voters; more would only make a majority slower.
+const MAX_VOTERS: usize = 9;
+/// Silence after which a voter gives way to a newcomer that has taken its place.
+const GONE_AFTER: Duration = Duration::from_secs(10);
+
+impl Core {
+    pub(super) fn keep_voters(&mut self, moment: Moment) {
+        if self.node.is_blank() {
+            self.found_if_first();
+        } else if self.reign.is_some() && self.node.has_lease(moment.now) {
+            self.step_voters(moment);
+        }
+    }
+
+    /// Founds the cluster when this is the first of the founders, and all of them
+    /// are linked and know of no cluster.
+    fn found_if_first(&mut self) {
+        let own = self.hello.control;
+        if !self.bootstrap || own.is_none() || own != self.founders.first().copied() {
+            return;
+        }
+        let peers = self.outside.peers();
+        let mut voters = BTreeSet::from([self.hello.id()]);
+        for founder in self.founders.iter().skip(1) {
+            let peer = peers.iter().find(|peer| peer.durable && peer.control == Some(*founder));
+            let Some(peer) = peer else { return };
+            let blank = self.standings.get(&peer.id()).is_some_and(|standing| standing.blank);
+            if !blank {
+                return;
+            }
+            voters.insert(peer.id());
+        }
+        let cluster = rand::random::<u64>().max(1);
+        info!("cluster.founded cluster={cluster:016x} voters={}", voters.len());
+        self.node.found(Membership { cluster, voters });
+    }
+
+    /// Brings the voters one step closer to the durable processes that live.
+    fn step_voters(&mut self, moment: Moment) {
+        let peers = self.outside.peers();
+        let present = self.node.membership().voters;
+        self.note_silence(moment, &present, &peers);
+        let wanted = wanted(&present, &peers, |id| {
+            self.silent.get(id).is_some_and(|since| moment.now >= *since + GONE_AFTER)
+        });
+        if wanted == present {
+            return;
+        }
+        let mut durable: BTreeSet<Id> =
+            peers.iter().filter(|peer| peer.durable).map(Hello::id).collect();
+        durable.insert(self.hello.id());
+        if self.node.steer_voters(moment.now, &wanted, &durable).is_ok_and(|proposed| proposed) {
+            info!("voters.changing from={present:?} to={wanted:?}");
+        }
+    }
+
+    fn note_silence(&mut self, moment: Moment, present: &BTreeSet<Id>, peers: &[Hello]) {
+        let own = self.hello.id();
+        let silent = |id: &Id| *id != own && !peers.iter().any(|peer| peer.id() == *id);
+        self.silent.retain(|id, _| present.contains(id) && silent(id));
+        for id in present.iter().filter(|id| silent(id)) {
+            self.silent.entry(id.clone()).or_insert(moment.now);
+        }
+    }
+}
+
+/// Voters that the leader wants: a process whose disk is new replaces its former
+/// self, newcomers join, and those gone for long give way to newcomers.
+fn wanted(present: &BTreeSet<Id>, peers: &[Hello], is_gone: impl Fn(&Id) -> bool) -> BTreeSet<Id> {
+    let mut wanted = present.clone();
+    for peer in peers.iter().filter(|peer| peer.durable) {
+        let id = peer.id();
+        if present.contains(&id) {
+            continue;
+        }
+        wanted.retain(|voter| voter.name != id.name);
+        if wanted.len() < MAX_VOTERS {
+            wanted.insert(id);
+        }
+    }
+    let newcomers =
+        wanted.difference(present).count() + usize::from(present.len().is_multiple_of(2));
+    if newcomers > 0 || present.len() > 3 {
+        let gone: Vec<Id> = wanted.iter().filter(|id| is_gone(id)).cloned().collect();
+        for id in gone.into_iter().take(1) {
+            if wanted.len() > 3 {
+                wanted.remove(&id);
+            }
+        }
+    }
+    wanted
+}
--- /dev/null
+++ b/crates/control/src/process.rs
@@ -0,0 +1,339 @@
+//! A core process: the thread of its [`Core`], its links and its calls.
+
+use crate::calls::Calls;
+use crate::core::{Core, Input, Opener, Outside, ReplyTo, Setup};
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use jobs::WorkerId;
+use log::{info, warn};
+use mesh::{Ask, Clock, Event, Frame, Hello, Net, Reply, Standing};
+use sched::Report;
+use sched::order::{Answer, Order};
+use sched::scheduler::{Held, MovedMachine, Started, Stopped, UpkeptMachine};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
+use std::thread;
+use std::time::{Duration, SystemTime};
+
+/// Result of starting a core process.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Inputs that wait for the core's thread; beyond it, senders are told to wait.
+const INPUT_QUEUE: usize = 16_384;
+/// Longest wait of the thread between two looks at the clock.
+const TICK: Duration = Duration::from_millis(25);
+/// Inputs taken together before their changes are synced.
+const BATCH_INPUTS: usize = 1024;
+/// Longest wait for the reply to a request that names no deadline.
+pub const ASK_TIMEOUT: Duration = Duration::from_millis(1800);
+
+/// Why a core process can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[error("{field}: cannot listen on {address}: {source}")]
+    Listen {
+        /// Path of the setting.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The operating system's reason.
+        source: io::Error,
+    },
+    /// The data folder can't be used.
+    #[error("data_folder: {0}")]
+    Store(#[from] store::Error),
+    /// The operating system gives no thread.
+    #[error("cannot start a thread: {0}")]
+    Thread(io::Error),
+}
+
+/// What a core process starts with.
+pub struct Start {
+    /// Who it is; the number of its data folder is filled in.
+    pub hello: Hello,
+    /// Addresses of other processes to begin with.
+    pub seeds: BTreeSet<SocketAddr>,
+    /// Control addresses of the founding voters.
+    pub founders: BTreeSet<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// How long jobs are kept after their end.
+    pub retention: Duration,
+    /// Bounds of the scheduler.
+    pub sched: sched::Settings,
+    /// Opens the data folder.
+    pub opener: Opener,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Carries orders out.
+    pub calls: Arc<dyn Calls>,
+}
+
+/// Passes requests and reports to the core.
+#[derive(Clone)]
+pub struct Handle {
+    inputs: SyncSender<Input>,
+    standing: Arc<RwLock<Standing>>,
+}
+
+impl Handle {
+    /// Asks for something and waits for the reply.
+    pub async fn ask(&self, ask: Ask) -> Reply {
+        let changes = ask.changes();
+        let (sender, reply) = bounded(1);
+        if !self.push(Input::Ask(ask, ReplyTo::Local(sender))) {
+            return Reply::NotTaken("too much waits here already".to_string());
+        }
+        match timeout(ASK_TIMEOUT, reply.recv()).await {
+            Ok(Ok(reply)) => reply,
+            _ if changes => Reply::Unknown("no reply in time".to_string()),
+            _ => Reply::NotTaken("no reply in time".to_string()),
+        }
+    }
+
+    /// Takes in a worker's report. Tells whether it was taken.
+    pub fn report(&self, report: Report) -> bool {
+        self.push(Input::Report(report))
+    }
+
+    /// Takes in that a worker's present life ends. Tells whether it was taken.
+    pub fn left(&self, worker: WorkerId) -> bool {
+        self.push(Input::Left(worker))
+    }
+
+    /// State of the core as text.
+    pub async fn dump(&self) -> Option<String> {
+        let (sender, text) = bounded(1);
+        self.push(Input::Dump(sender));
+        timeout(ASK_TIMEOUT, text.recv()).await.ok()?.ok()
+    }
+
+    /// Where the core stands.
+    pub fn standing(&self) -> Standing {
+        self.standing.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn push(&self, input: Input) -> bool {
+        match self.inputs.try_send(input) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_)) => {
+                metrics::counter!("inputs_dropped_total").increment(1);
+                false
+            }
+            Err(TrySendError::Disconnected(_)) => false,
+        }
+    }
+}
+
+/// A running core process.
+pub struct Process {
+    handle: Handle,
+    net: Arc<Net>,
+    listener: JoinHandle<()>,
+    core: thread::JoinHandle<()>,
+}
+
+impl Process {
+    /// Reads the disk and starts to take part.
+    pub fn start(start: Start, peers: TcpListener) -> Result<Process> {
+        let (inputs, queue) = sync_channel(INPUT_QUEUE);
+        let standing = Arc::new(RwLock::default());
+        let handle = Handle { inputs: inputs.clone(), standing: standing.clone() };
+        let surroundings = Arc::new(Surroundings {
+            clock: start.clock.clone(),
+            calls: start.calls,
+            net: OnceLock::new(),
+            inputs: inputs.clone(),
+            standing,
+            learnt: Mutex::default(),
+        });
+        let core = Core::open(Setup {
+            hello: start.hello,
+            founders: start.founders,
+            bootstrap: start.bootstrap,
+            retention: start.retention,
+            sched: start.sched,
+            spans: quorum::Settings::default(),
+            outside: surroundings.clone(),
+            opener: start.opener,
+            seed: rand::random(),
+        })?;
+        info!("core.opened name={} jobs={}", core.hello().name, core.ledger().jobs().len());
+        let sink = inputs.clone();
+        let net = Net::new(
+            core.hello().clone(),
+            start.clock,
+            Box::new(move |event| pass_on(&sink, event)),
+        );
+        let _ = surroundings.net.set(net.clone()); // set once, here
+        net.learn(start.seeds, true);
+        let listener = task::spawn(net.clone().listen(peers));
+        let core = thread::Builder::new()
+            .name("core".to_string())
+            .spawn(move || run(core, &queue))
+            .map_err(Error::Thread)?;
+        Ok(Process { handle, net, listener, core })
+    }
+
+    /// Passes requests and reports to the core.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Learns new seeds.
+    pub fn learn(&self, seeds: BTreeSet<SocketAddr>) {
+        self.net.learn(seeds, true);
+    }
+
+    /// Hands a lead over, so that no time passes without a leader.
+    pub fn leave(&self) {
+        self.handle.push(Input::Leave);
+    }
+
+    /// Ends the core and joins everything that was spawned.
+    pub async fn stop(self) {
+        self.handle.push(Input::Stop);
+        let core = self.core;
+        let _ = task::spawn_blocking(move || core.join()).await; // it has panicked loudly if so
+        self.net.stop().await;
+        self.listener.await;
+    }
+}
+
+fn run(mut core: Core, inputs: &Receiver<Input>) {
+    loop {
+        match inputs.recv_timeout(TICK) {
+            Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+            Ok(input) => core.input(input),
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+        for input in inputs.try_iter().take(BATCH_INPUTS) {
+            if matches!(input, Input::Stop) {
+                return;
+            }
+            core.input(input);
+        }
+        core.settle();
+    }
+}
+
+fn pass_on(inputs: &SyncSender<Input>, event: Event) {
+    let input = match event {
+        Event::Up(hello) => Input::Up(hello),
+        Event::Down(hello) => Input::Down(hello),
+        Event::Frame(from, frame) => Input::Frame(from, frame),
+    };
+    if inputs.try_send(input).is_err() {
+        metrics::counter!("inputs_dropped_total").increment(1);
+        warn!("core.full: an event of a link is dropped");
+    }
+}
+
+/// The process around the core.
+struct Surroundings {
+    clock: Arc<dyn Clock>,
+    calls: Arc<dyn Calls>,
+    net: OnceLock<Arc<Net>>,
+    inputs: SyncSender<Input>,
+    standing: Arc<RwLock<Standing>>,
+    learnt: Mutex<BTreeSet<SocketAddr>>,
+}
+
+impl Outside for Surroundings {
+    fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.clock.wall()
+    }
+
+    fn send(&self, to: &str, frame: Frame) -> bool {
+        self.net.get().is_some_and(|net| net.send(to, frame))
+    }
+
+    fn peers(&self) -> Vec<Hello> {
+        self.net.get().map(|net| net.peers()).unwrap_or_default()
+    }
+
+    fn learn(&self, addresses: BTreeSet<SocketAddr>) {
+        let mut learnt = self.learnt.lock().unwrap_or_else(PoisonError::into_inner);
+        if !addresses.is_subset(&learnt) {
+            learnt.extend(addresses.iter().copied());
+        }
+        drop(learnt);
+        if let Some(net) = self.net.get() {
+            net.learn(addresses, false);
+        }
+    }
+
+    fn order(&self, order: Order) {
+        let inputs = self.inputs.clone();
+        let calls = self.calls.clone();
+        task::spawn(async move {
+            let input = carry_out(calls.as_ref(), order).await;
+            if let Some(input) = input {
+                push(&inputs, input).await;
+            }
+        });
+    }
+
+    fn standing(&self, standing: &Standing) {
+        *self.standing.write().unwrap_or_else(PoisonError::into_inner) = standing.clone();
+    }
+}
+
+async fn carry_out(calls: &dyn Calls, order: Order) -> Option<Input> {
+    let input = match order {
+        Order::Hold(to, hold) => {
+            let (life, sent) = (to.life.clone(), hold.sent);
+            let answer = calls.hold(to, hold).await;
+            Input::Held(Held { life, sent, answer })
+        }
+        Order::Start(to, start) => {
+            let (life, unit, run) = (to.life.clone(), start.unit, start.run);
+            let answer = calls.start(to, start).await;
+            Input::Started(Started { life, unit, run, answer })
+        }
+        Order::Stop(to, stop) => {
+            let (life, unit, run) = (to.life.clone(), stop.unit, stop.run);
+            let answer = calls.stop(to, stop).await;
+            Input::Stopped(Stopped { life, unit, run, answer })
+        }
+        Order::Pace(to, pace) => {
+            if calls.pace(to, pace).await == Answer::Unknown {
+                metrics::counter!("paces_unanswered_total").increment(1);
+            }
+            return None;
+        }
+        Order::List => Input::Listed(calls.list().await),
+        Order::Move(order) => {
+            let machine = order.machine.clone();
+            let answer = calls.move_machine(order).await;
+            Input::Moved(MovedMachine { machine, answer })
+        }
+        Order::Upkeep(order) => {
+            let (machine, wave) = (order.machine.clone(), order.wave);
+            let answer = calls.upkeep(order).await;
+            Input::Upkept(UpkeptMachine { machine, wave, answer })
+        }
+    };
+    Some(input)
+}
+
+/// Waits for room: the answer of a worker must not be lost.
+async fn push(inputs: &SyncSender<Input>, mut input: Input) {
+    loop {
+        match inputs.try_send(input) {
+            Ok(()) | Err(TrySendError::Disconnected(_)) => return,
+            Err(TrySendError::Full(back)) => input = back,
+        }
+        task::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -4,8 +4,7 @@
 use crate::clock::{Clock, System};
 use crate::forward::Forwarder;
 use crate::gate::Gate;
-use crate::http::listener::{Listener, Stopper};
-use crate::http::{callers, operators, targets};
+use crate::http::{Tide, callers, operators, targets};
 use crate::once::Once;
 use crate::peers::{self, Registry};
 use crate::relay::Relaying;
@@ -20,6 +19,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use quorum::{Id, Node, State};
 use route::{Directory, Table};
+use serve::{Bounds, Listener, Stopper};
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -144,7 +144,7 @@
             settings,
         });
         let agreement = start_agreement(shared.clone(), store, state, queue)?;
-        Ok(serve(shared, agreement, bound, metrics))
+        Ok(serve_on(shared, agreement, bound, metrics))
     }
 
     /// What the tasks share, for tests and the demo.
@@ -230,7 +230,7 @@
         .map_err(Error::Thread)
 }
 
-fn serve(
+fn serve_on(
     shared: Arc<Shared>,
     agreement: thread::JoinHandle<()>,
     bound: Bound,
@@ -243,8 +243,15 @@
         (bound.targets, targets::app(shared.clone())),
         (bound.operators, operators::app(shared.clone(), metrics)),
     ];
+    let limits = &shared.settings.limits;
+    let bounds = Bounds {
+        process: shared.identity.name.clone(),
+        max_connections: limits.max_connections,
+        max_body_bytes: limits.max_body_bytes,
+        idle: limits.idle,
+    };
     for (socket, app) in apps {
-        let (listener, stopper) = Listener::new(socket, app, shared.clone());
+        let (listener, stopper) = Listener::new(socket, Arc::new(Tide(app)), bounds.clone());
         stoppers.push(stopper);
         listeners.push(task::spawn(listener.run()));
     }
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,173 @@
+//! Jobs as the ledger keeps them.
+
+use crate::command::How;
+use crate::{JobId, Life, Order, PoolName, QueueName, RunNumber, UnixMs};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// State of a job, as clients see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// No unit has been started.
+    Queued,
+    /// Units have been started.
+    Running,
+    /// All units are done.
+    Completed,
+    /// A unit has failed too often.
+    Failed,
+    /// A client cancelled it.
+    Cancelled,
+}
+
+impl State {
+    /// Whether no unit is started any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, State::Completed | State::Failed | State::Cancelled)
+    }
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Name that the client gave.
+    pub id: JobId,
+    /// Queue that it is in.
+    pub queue: QueueName,
+    /// Pool that runs it, by the newest configuration that has the queue.
+    pub pool: PoolName,
+    /// Urgency; 0 comes first.
+    pub priority: u32,
+    /// Runs of a unit that may fail.
+    pub max_attempts: u32,
+    /// Factor on the longest chain in the objective.
+    pub stretch: f64,
+    /// Part of the objective that does not depend on the work.
+    pub objective: Duration,
+    /// The client's description; without steps once the job is over.
+    pub order: Order,
+    /// When it was accepted.
+    pub accepted: UnixMs,
+    /// Its state.
+    pub state: State,
+    /// When it reached a final state.
+    pub finished: Option<UnixMs>,
+    /// Occurrences with a unit that was started, and the others once due.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences of which all units are done.
+    pub completed: u32,
+}
+
+/// One occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// Units of each step.
+    pub steps: Vec<Vec<Unit>>,
+}
+
+/// State of a unit.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Unit {
+    /// Number of its last run; 0 before the first.
+    #[serde(rename = "r")]
+    pub last_run: RunNumber,
+    /// Runs that failed.
+    #[serde(rename = "f", skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// Whether a run has ended done.
+    #[serde(rename = "d", skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// Newest checkpoint; empty for none.
+    #[serde(rename = "c", skip_serializing_if = "String::is_empty")]
+    pub checkpoint: String,
+    /// Runs that may be on a worker.
+    #[serde(rename = "p", skip_serializing_if = "Vec::is_empty")]
+    pub placements: Vec<Placement>,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// A run that may be on a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The life that it was placed on.
+    #[serde(rename = "l")]
+    pub life: Life,
+    /// The run.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+    /// Checkpoint that it started from.
+    #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
+    pub from: String,
+}
+
+impl Job {
+    /// An occurrence, with no unit started if it is new.
+    pub fn occurrence_mut(&mut self, number: u32) -> &mut Occurrence {
+        let steps = &self.order.steps;
+        self.occurrences.entry(number).or_insert_with(|| Occurrence::new(steps))
+    }
+
+    /// A unit, if it is kept.
+    pub fn unit(&self, occurrence: u32, step: u16, index: u32) -> Option<&Unit> {
+        self.occurrences
+            .get(&occurrence)?
+            .steps
+            .get(usize::from(step))?
+            .get(usize::try_from(index).ok()?)
+    }
+
+    /// Whether all units of a step of an occurrence are done.
+    pub fn step_done(&self, occurrence: u32, step: u16) -> bool {
+        self.occurrences
+            .get(&occurrence)
+            .and_then(|occurrence| occurrence.steps.get(usize::from(step)))
+            .is_some_and(|units| units.iter().all(|unit| unit.done))
+    }
+
+    /// Whether the steps that a step waits for are done.
+    pub fn step_open(&self, occurrence: u32, step: u16) -> bool {
+        let Some(wanted) = self.order.steps.get(usize::from(step)) else { return false };
+        wanted.after.iter().all(|before| self.step_done(occurrence, *before))
+    }
+
+    /// Whether a unit was ever started.
+    pub fn has_begun(&self) -> bool {
+        self.state != State::Queued
+    }
+
+    /// Whether a run may still be on a worker.
+    pub fn has_placements(&self) -> bool {
+        let units = self.occurrences.values().flat_map(|o| o.steps.iter().flatten());
+        units.into_iter().any(|unit| !unit.placements.is_empty())
+    }
+}
+
+impl Occurrence {
+    fn new(steps: &[crate::Step]) -> Occurrence {
+        let units = |step: &crate::Step| vec![Unit::default(); step.count as usize];
+        Occurrence { steps: steps.iter().map(units).collect() }
+    }
+}
+
+impl Unit {
+    /// Takes in the end of a run that was placed.
+    pub fn end(&mut self, how: How, checkpoint: &str) {
+        if !checkpoint.is_empty() {
+            self.checkpoint = checkpoint.to_string();
+        }
+        match how {
+            How::Done => self.done = true,
+            How::Failed => self.failures += 1,
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ledger.rs
@@ -0,0 +1,429 @@
+//! The ledger: replicated state of configuration, jobs, runs and waves.
+
+use crate::command::{Batch, Cancel, Command, End, Ended, How, Placed, Submit, Voided};
+use crate::job::{Job, Placement, State, Unit};
+use crate::wave::{Upkeep, Wave};
+use crate::{
+    Config, JobId, JobNumber, Life, MachineId, QueueName, RunNumber, StepKey, UnitKey, UnixMs,
+    WaveId, WorkerId,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What a command came to, for whoever waits for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It is in force.
+    Done,
+    /// The job is accepted, now or earlier.
+    Accepted,
+    /// The job exists in another queue.
+    OtherQueue,
+    /// No such job exists.
+    Missing,
+}
+
+/// What changed, for the scheduler.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A configuration came into force.
+    Configured,
+    /// A job was accepted.
+    Accepted(JobNumber),
+    /// A job came to its end; none of its units is started any more.
+    Finished(JobNumber, State),
+    /// A run was placed.
+    Placed(UnitKey, RunNumber, Life),
+    /// A run is on no worker any more.
+    Freed(Freed),
+    /// All units of a step are done.
+    StepDone(StepKey),
+    /// Ends of a life are noted up to a number.
+    Noted(Life, u64),
+    /// A wave was taken in.
+    Wave(WaveId),
+    /// A machine's upkeep has come further.
+    Upkeep(WaveId, MachineId, Upkeep),
+}
+
+/// A run that is on no worker any more.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Freed {
+    /// The unit.
+    pub unit: UnitKey,
+    /// The run.
+    pub run: RunNumber,
+    /// Life that it was placed on.
+    pub life: Life,
+    /// How it ended; none when no worker listed an end.
+    pub how: Option<How>,
+}
+
+/// Ends that are noted of one worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Noted {
+    born: UnixMs,
+    through: u64,
+}
+
+/// Replicated state.
+///
+/// ```
+/// use jobs::command::{Cancel, Command};
+/// use jobs::{Ledger, Outcome};
+/// let mut ledger = Ledger::new(std::time::Duration::from_secs(120));
+/// let cancel = Cancel { queue: "q".into(), id: "a".into(), at: 0 };
+/// let (outcome, events) = ledger.apply(Command::Cancel(cancel));
+/// assert_eq!(outcome, Outcome::Missing);
+/// assert!(events.is_empty());
+/// ```
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ledger {
+    retention: Duration,
+    config: Option<Config>,
+    jobs: BTreeMap<JobNumber, Job>,
+    by_id: BTreeMap<JobId, JobNumber>,
+    next_job: JobNumber,
+    noted: BTreeMap<WorkerId, Noted>,
+    waves: BTreeMap<WaveId, Wave>,
+    finished: BTreeMap<(UnixMs, JobNumber), ()>,
+}
+
+/// Queries.
+impl Ledger {
+    /// An empty ledger that keeps jobs for some time after their end.
+    pub fn new(retention: Duration) -> Ledger {
+        Ledger {
+            retention,
+            config: None,
+            jobs: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            next_job: 1,
+            noted: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            finished: BTreeMap::new(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref()
+    }
+
+    /// All jobs that are kept.
+    pub fn jobs(&self) -> &BTreeMap<JobNumber, Job> {
+        &self.jobs
+    }
+
+    /// A job by its number.
+    pub fn job(&self, number: JobNumber) -> Option<&Job> {
+        self.jobs.get(&number)
+    }
+
+    /// A job of a queue by the name that its client gave.
+    pub fn find(&self, queue: &QueueName, id: &str) -> Option<&Job> {
+        let job = self.jobs.get(self.by_id.get(id)?)?;
+        (job.queue == *queue).then_some(job)
+    }
+
+    /// Number of a job by the name that its client gave.
+    pub fn number(&self, id: &str) -> Option<JobNumber> {
+        self.by_id.get(id).copied()
+    }
+
+    /// State of a unit, if it is kept.
+    pub fn unit(&self, key: &UnitKey) -> Option<&Unit> {
+        self.jobs.get(&key.job)?.unit(key.occurrence, key.step, key.index)
+    }
+
+    /// Name of a unit as workers know it.
+    pub fn unit_name(&self, key: &UnitKey) -> Option<String> {
+        let job = self.jobs.get(&key.job)?;
+        Some(format!("{}.{}.{}.{}", job.id, key.occurrence, key.step, key.index))
+    }
+
+    /// Unit of a name that a worker lists.
+    pub fn unit_named(&self, name: &str) -> Option<UnitKey> {
+        let mut parts = name.split('.');
+        let job = *self.by_id.get(parts.next()?)?;
+        let occurrence = parts.next()?.parse().ok()?;
+        let step = parts.next()?.parse().ok()?;
+        let index = parts.next()?.parse().ok()?;
+        let known = self.jobs.get(&job)?.order.steps.get(usize::from(step));
+        let known = known.is_some_and(|step| index < step.count);
+        (known && parts.next().is_none()).then_some(UnitKey { job, occurrence, step, index })
+    }
+
+    /// Last end that is noted of a life.
+    pub fn noted(&self, life: &Life) -> u64 {
+        match self.noted.get(&life.worker) {
+            Some(noted) if noted.born == life.born => noted.through,
+            _ => 0,
+        }
+    }
+
+    /// All waves.
+    pub fn waves(&self) -> &BTreeMap<WaveId, Wave> {
+        &self.waves
+    }
+
+    /// Accepted jobs of a queue none of whose units has been started.
+    pub fn pending(&self, queue: &QueueName) -> usize {
+        let queued = |job: &&Job| job.state == State::Queued && job.queue == *queue;
+        self.jobs.values().filter(queued).count()
+    }
+}
+
+/// Commands.
+impl Ledger {
+    /// Applies a command.
+    pub fn apply(&mut self, command: Command) -> (Outcome, Vec<Event>) {
+        let mut events = Vec::new();
+        let outcome = match command {
+            Command::Configure(config) => self.configure(*config, &mut events),
+            Command::Submit(submit) => self.submit(submit, &mut events),
+            Command::Cancel(cancel) => self.cancel(cancel, &mut events),
+            Command::Runs(batch) => self.runs(batch, &mut events),
+            Command::StartWave(wave) => self.start_wave(wave, &mut events),
+            Command::Upkeep(change) => {
+                self.upkeep(change.wave, change.machine, change.upkeep, &mut events)
+            }
+        };
+        (outcome, events)
+    }
+
+    fn configure(&mut self, config: Config, events: &mut Vec<Event>) -> Outcome {
+        if self.config.as_ref().is_some_and(|held| held.version >= config.version) {
+            return Outcome::Done;
+        }
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = config.queues.get(&job.queue) {
+                job.pool = queue.pool.clone();
+            }
+        }
+        self.config = Some(config);
+        events.push(Event::Configured);
+        Outcome::Done
+    }
+
+    fn submit(&mut self, submit: Submit, events: &mut Vec<Event>) -> Outcome {
+        self.forget(submit.at);
+        if let Some(number) = self.by_id.get(&submit.id) {
+            let same = self.jobs.get(number).is_some_and(|job| job.queue == submit.queue);
+            return if same { Outcome::Accepted } else { Outcome::OtherQueue };
+        }
+        let queue = self.config.as_ref().and_then(|config| config.queues.get(&submit.queue));
+        let Some(queue) = queue else { return Outcome::Missing };
+        let number = self.next_job;
+        self.next_job += 1;
+        let mut job = Job {
+            id: submit.id.clone(),
+            queue: submit.queue,
+            pool: queue.pool.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts.max(1),
+            stretch: queue.stretch,
+            objective: queue.objective,
+            order: submit.order,
+            accepted: submit.at,
+            state: State::Queued,
+            finished: None,
+            occurrences: BTreeMap::new(),
+            completed: 0,
+        };
+        if job.order.schedule.is_none() {
+            job.occurrence_mut(0);
+        }
+        self.jobs.insert(number, job);
+        self.by_id.insert(submit.id, number);
+        events.push(Event::Accepted(number));
+        Outcome::Accepted
+    }
+
+    fn cancel(&mut self, cancel: Cancel, events: &mut Vec<Event>) -> Outcome {
+        let Some(number) = self.by_id.get(&cancel.id).copied() else { return Outcome::Missing };
+        match self.jobs.get(&number) {
+            Some(job) if job.queue == cancel.queue => {}
+            _ => return Outcome::Missing,
+        }
+        self.finish(number, State::Cancelled, cancel.at, events);
+        Outcome::Done
+    }
+
+    fn runs(&mut self, batch: Batch, events: &mut Vec<Event>) -> Outcome {
+        for Ended { life, ends } in batch.ended {
+            for end in ends {
+                self.end(&life, end, batch.at, events);
+            }
+        }
+        for Voided { unit, run } in batch.voided {
+            self.void(unit, run, events);
+        }
+        for Placed { life, runs } in batch.placed {
+            for (unit, run) in runs {
+                self.place(&life, unit, run, events);
+            }
+        }
+        Outcome::Done
+    }
+
+    fn end(&mut self, life: &Life, end: End, at: UnixMs, events: &mut Vec<Event>) {
+        let noted =
+            self.noted.entry(life.worker.clone()).or_insert(Noted { born: life.born, through: 0 });
+        if noted.born > life.born || (noted.born == life.born && noted.through >= end.number) {
+            return;
+        }
+        *noted = Noted { born: life.born, through: end.number };
+        events.push(Event::Noted(life.clone(), end.number));
+        let Some(key) = end.unit else { return };
+        let Some(unit) = unit_mut(&mut self.jobs, &key) else { return };
+        let placed = |p: &Placement| p.run == end.run && p.life == *life;
+        let Some(position) = unit.placements.iter().position(placed) else { return };
+        unit.placements.remove(position);
+        unit.end(end.how, &end.checkpoint);
+        let freed = Freed { unit: key, run: end.run, life: life.clone(), how: Some(end.how) };
+        events.push(Event::Freed(freed));
+        match end.how {
+            How::Done => self.unit_done(key, at, events),
+            How::Failed => self.unit_failed(key, at, events),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        self.drop_units(key.job);
+    }
+
+    fn unit_done(&mut self, key: UnitKey, at: UnixMs, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let step = &job.order.steps[usize::from(key.step)];
+        if step.gang {
+            let units = &mut job.occurrence_mut(key.occurrence).steps[usize::from(key.step)];
+            units.iter_mut().for_each(|unit| unit.done = true);
+        }
+        if job.state.is_final() || !job.step_done(key.occurrence, key.step) {
+            return;
+        }
+        events.push(Event::StepDone(key.step_key()));
+        let steps = job.order.steps.len() as u16;
+        if !(0..steps).all(|step| job.step_done(key.occurrence, step)) {
+            return;
+        }
+        job.completed += 1;
+        if job.completed >= job.order.occurrences() {
+            self.finish(key.job, State::Completed, at, events);
+        }
+    }
+
+    fn unit_failed(&mut self, key: UnitKey, at: UnixMs, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.order.steps.get(usize::from(key.step)) else { return };
+        if step.lasting {
+            return;
+        }
+        let units = &job.occurrences[&key.occurrence].steps[usize::from(key.step)];
+        let failures = if step.gang {
+            units.iter().map(|unit| unit.failures).sum()
+        } else {
+            units[key.index as usize].failures
+        };
+        let done = units[key.index as usize].done;
+        if failures >= job.max_attempts && !done {
+            self.finish(key.job, State::Failed, at, events);
+        }
+    }
+
+    fn void(&mut self, key: UnitKey, run: RunNumber, events: &mut Vec<Event>) {
+        let Some(unit) = unit_mut(&mut self.jobs, &key) else { return };
+        let Some(position) = unit.placements.iter().position(|p| p.run == run) else { return };
+        let life = unit.placements.remove(position).life;
+        events.push(Event::Freed(Freed { unit: key, run, life, how: None }));
+        self.drop_units(key.job);
+    }
+
+    fn place(&mut self, life: &Life, key: UnitKey, run: RunNumber, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        job.state = State::Running;
+        let occurrence = job.occurrence_mut(key.occurrence);
+        let unit = occurrence
+            .steps
+            .get_mut(usize::from(key.step))
+            .and_then(|units| units.get_mut(key.index as usize));
+        let Some(unit) = unit.filter(|unit| !unit.done && run > unit.last_run) else { return };
+        unit.last_run = run;
+        let from = unit.checkpoint.clone();
+        unit.placements.push(Placement { life: life.clone(), run, from });
+        events.push(Event::Placed(key, run, life.clone()));
+    }
+
+    fn finish(&mut self, number: JobNumber, state: State, at: UnixMs, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        job.state = state;
+        job.finished = Some(at);
+        self.finished.insert((at, number), ());
+        events.push(Event::Finished(number, state));
+        self.drop_units(number);
+    }
+
+    /// Drops the units of a job that is over once no run may be on a worker.
+    fn drop_units(&mut self, number: JobNumber) {
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        if job.state.is_final() && !job.has_placements() {
+            job.occurrences.clear();
+            job.order.spec.clear();
+        }
+    }
+
+    /// Forgets jobs that have been over for long enough.
+    fn forget(&mut self, now: UnixMs) {
+        let before = now.saturating_sub(self.retention.as_millis() as u64);
+        while let Some(((at, number), ())) = self.finished.first_key_value() {
+            let (at, number) = (*at, *number);
+            if at >= before {
+                return;
+            }
+            self.finished.remove(&(at, number));
+            if let Some(job) = self.jobs.remove(&number) {
+                self.by_id.remove(&job.id);
+            }
+        }
+    }
+
+    fn start_wave(&mut self, wave: Wave, events: &mut Vec<Event>) -> Outcome {
+        let id = wave.id;
+        if let std::collections::btree_map::Entry::Vacant(slot) = self.waves.entry(id) {
+            slot.insert(wave);
+            events.push(Event::Wave(id));
+        }
+        Outcome::Done
+    }
+
+    fn upkeep(
+        &mut self,
+        id: WaveId,
+        machine: MachineId,
+        upkeep: Upkeep,
+        events: &mut Vec<Event>,
+    ) -> Outcome {
+        let held = self.waves.get_mut(&id).and_then(|wave| wave.machines.get_mut(&machine));
+        let Some(held) = held else { return Outcome::Missing };
+        if !matches!(held, Upkeep::Done | Upkeep::Gone) {
+            *held = upkeep;
+            events.push(Event::Upkeep(id, machine, upkeep));
+        }
+        Outcome::Done
+    }
+}
+
+fn unit_mut<'a>(jobs: &'a mut BTreeMap<JobNumber, Job>, key: &UnitKey) -> Option<&'a mut Unit> {
+    jobs.get_mut(&key.job)?
+        .occurrences
+        .get_mut(&key.occurrence)?
+        .steps
+        .get_mut(usize::from(key.step))?
+        .get_mut(usize::try_from(key.index).ok()?)
+}
--- /dev/null
+++ b/crates/mesh/src/ask.rs
@@ -0,0 +1,86 @@
+//! What clients and operators ask of the leader, and what it replies.
+
+use jobs::{Config, MachineId, Order, State, WaveId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A request for the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Hands a job in.
+    Submit {
+        /// Where the client sent it.
+        place: Place,
+        /// The job.
+        order: Box<Order>,
+    },
+    /// Cancels a job.
+    Cancel(Place),
+    /// Asks for a job's state, or for the pending jobs of a queue.
+    State(Place),
+    /// Puts a configuration in force.
+    Configure(Box<Config>),
+    /// Asks for the configuration in force.
+    Config,
+    /// Takes in a maintenance wave.
+    StartWave {
+        /// Its number.
+        id: WaveId,
+        /// Its machines.
+        machines: BTreeSet<MachineId>,
+        /// Time in which all should have had their upkeep.
+        duration: Duration,
+        /// Most machines that may be down for it at one time.
+        cap: u32,
+    },
+    /// Asks how far a wave is.
+    Wave(WaveId),
+}
+
+/// Host and path of a client's request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Host that the client named.
+    pub host: String,
+    /// Path of the request.
+    pub path: String,
+}
+
+/// What the leader replies.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// It is in force and will stay so.
+    Done,
+    /// State of a job.
+    State(State),
+    /// Pending jobs of a queue.
+    Pending(u64),
+    /// The configuration as the operator sent it.
+    Config(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Whether a wave is completed.
+    Wave {
+        /// Every machine that stays has had its upkeep.
+        completed: bool,
+    },
+    /// No queue has this place.
+    NoQueue,
+    /// No such job or wave exists.
+    Missing,
+    /// It is not valid.
+    Invalid(String),
+    /// It has not been taken, and won't be.
+    NotTaken(String),
+    /// It may or may not have been taken.
+    Unknown(String),
+}
+
+impl Ask {
+    /// Whether it changes something.
+    pub fn changes(&self) -> bool {
+        match self {
+            Ask::Submit { .. } | Ask::Cancel(_) | Ask::Configure(_) | Ask::StartWave { .. } => true,
+            Ask::State(_) | Ask::Config | Ask::Wave(_) => false,
+        }
+    }
+}
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -17,6 +17,8 @@
     Appended(Appended),
     /// Replaces the state of a node that is too far behind.
     Install(Install),
+    /// The leader leaves and asks this voter to take its place at once.
+    TakeOver(Term),
 }
 
 /// Asks for a vote.
@@ -30,6 +32,9 @@
     pub last_term: Term,
     /// A trial round changes nothing at either node.
     pub trial: bool,
+    /// The leader itself asked for the election, so none has to be protected.
+    #[serde(default)]
+    pub asked: bool,
 }
 
 /// Answers a poll.
--- a/crates/quorum/src/node/elect.rs
+++ b/crates/quorum/src/node/elect.rs
@@ -23,6 +23,7 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
             trial,
+            asked: self.asked,
         };
         for voter in self.log.membership().voters {
             if voter != self.id {
@@ -58,7 +59,7 @@
             self.send(from, Message::Ballot(Ballot { term, trial: true, granted }));
             return;
         }
-        if led {
+        if led && !poll.asked {
             return; // a node that was cut off must not unseat a live leader
         }
         if poll.term > self.hard.term {
@@ -108,6 +109,15 @@
         self.send_to_all();
     }
 
+    /// Takes in that the leader leaves and wants this node in its place.
+    pub(super) fn on_take_over(&mut self, from: &Id, term: Term) {
+        if term == self.hard.term && self.leader.as_ref() == Some(from) && self.votes() {
+            self.asked = true;
+            self.campaign(false);
+            self.asked = false;
+        }
+    }
+
     pub(super) fn follow(&mut self, term: Term, leader: Option<Id>) {
         if term > self.hard.term {
             self.hard = Hard { term, vote: None };
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -193,6 +193,8 @@
     connected: BTreeSet<Id>,
     output: Output,
     unsynced: Index,
+    /// The leader asked for the election that is being prepared.
+    asked: bool,
 }
 
 /// Construction and queries.
@@ -233,6 +235,7 @@
             others: BTreeMap::new(),
             connected: BTreeSet::new(),
             output: Output::default(),
+            asked: false,
         };
         node.reset_deadline();
         node
@@ -371,9 +374,29 @@
             Message::Append(append) => self.on_append(from, append),
             Message::Appended(appended) => self.on_appended(from, appended),
             Message::Install(install) => self.on_install(from, install),
+            Message::TakeOver(term) => self.on_take_over(from, term),
         }
     }
 
+    /// Hands the lead to the voter that holds most, if this node leads and one is
+    /// connected. Nothing is led from here on, whether or not it takes it.
+    pub fn hand_over_lead(&mut self) {
+        if !self.leads() {
+            return;
+        }
+        let voters = self.log.membership().voters;
+        let heir = self
+            .others
+            .iter()
+            .filter(|(id, _)| voters.contains(*id) && self.connected.contains(*id))
+            .max_by_key(|(_, progress)| progress.matched)
+            .map(|(id, _)| id.clone());
+        let Some(heir) = heir else { return };
+        self.send_append(&heir);
+        self.send(&heir, Message::TakeOver(self.hard.term));
+        self.follow(self.hard.term, None);
+    }
+
     /// Appends a command; it is accepted once it comes out as committed.
     pub fn propose(&mut self, now: Duration, data: Vec<u8>) -> Result<Index> {
         self.tick(now);
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -44,7 +44,7 @@
 }
 
 fn poll(term: u64, last_index: u64, trial: bool) -> Message {
-    Message::Poll(Poll { term, last_index, last_term: 1, trial })
+    Message::Poll(Poll { term, last_index, last_term: 1, trial, asked: false })
 }
 
 fn append(term: u64, prev: u64, entries: Vec<Entry>, commit: u64) -> Message {
--- /dev/null
+++ b/crates/sched/src/machine.rs
@@ -0,0 +1,36 @@
+//! Machines as the cloud lists them.
+
+use jobs::order::Room;
+use jobs::{MachineId, PoolName, WorkerId};
+
+/// A machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    /// Its name.
+    pub machine: MachineId,
+    /// Pool that it is in, or on its way to.
+    pub pool: PoolName,
+    /// What it does.
+    pub state: State,
+    /// Data centre that it is in.
+    pub data_centre: String,
+    /// Kind and rack.
+    pub labels: Vec<String>,
+    /// What it can run at one time.
+    pub capacity: Room,
+    /// Its present worker, if it has one.
+    pub worker: Option<WorkerId>,
+}
+
+/// What a machine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It works, or is off in a standby pool.
+    Up,
+    /// It is on its way to another pool.
+    Moving,
+    /// It has its upkeep.
+    Upkeep,
+    /// It is down.
+    Down,
+}
--- /dev/null
+++ b/crates/sched/src/scheduler/placing.rs
@@ -0,0 +1,216 @@
+//! Placing what waits.
+
+use super::{Moment, Scheduler};
+use crate::place::{self, Terms};
+use crate::rank::Rank;
+use crate::worker::{Run, RunState};
+use jobs::command::Placed;
+use jobs::order::Room;
+use jobs::{Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time beyond the wait of an open call after which a worker counts as silent.
+const SILENCE: Duration = Duration::from_millis(2800);
+
+impl Scheduler {
+    pub(super) fn place(&mut self, moment: Moment, ledger: &Ledger) {
+        let mut placed: BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>> = BTreeMap::new();
+        let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
+        for pool in pools {
+            self.place_pool(moment, ledger, &pool, &mut placed);
+        }
+        self.waiting.retain(|_, steps| {
+            steps.retain(|_, waiting| !waiting.units.is_empty());
+            !steps.is_empty()
+        });
+        for (id, runs) in placed {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            self.batch.placed.push(Placed { life: worker.life.clone(), runs });
+        }
+    }
+
+    fn place_pool(
+        &mut self,
+        moment: Moment,
+        ledger: &Ledger,
+        pool: &PoolName,
+        placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
+    ) {
+        let candidates: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.is_open(moment.now, SILENCE)
+                    && worker.asking.failures == 0
+                    && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut largest = self.largest_room(&candidates);
+        for (_, key) in self.ranked(moment, ledger, pool) {
+            let Some(job) = ledger.job(key.job) else { continue };
+            let step = &job.order.steps[usize::from(key.step)];
+            if !largest.holds(&step.counted_room()) {
+                continue;
+            }
+            let terms = Terms { key, step, now: moment.now, silence: SILENCE };
+            let done = if step.gang {
+                self.place_gang(moment, ledger, &terms, &candidates, placed)
+            } else {
+                self.place_units(moment, ledger, &terms, &candidates, placed)
+            };
+            if done > 0 {
+                largest = self.largest_room(&candidates);
+            }
+        }
+    }
+
+    fn largest_room(&self, candidates: &[WorkerId]) -> Room {
+        let mut largest = Room::default();
+        for id in candidates {
+            let free = self.workers[id].free();
+            largest.cpu_milli = largest.cpu_milli.max(free.cpu_milli);
+            largest.memory_mb = largest.memory_mb.max(free.memory_mb);
+            largest.accelerators = largest.accelerators.max(free.accelerators);
+        }
+        largest
+    }
+
+    fn ranked(&self, moment: Moment, ledger: &Ledger, pool: &PoolName) -> Vec<(Rank, StepKey)> {
+        let Some(steps) = self.waiting.get(pool) else { return Vec::new() };
+        let mut ranked: Vec<(Rank, StepKey)> = steps
+            .iter()
+            .filter_map(|(key, waiting)| {
+                let job = ledger.job(key.job)?;
+                let mean = self.mean_size.get(&job.queue).copied().unwrap_or(waiting.basis.size);
+                Some((waiting.basis.rank(moment.now, mean), *key))
+            })
+            .collect();
+        ranked.sort();
+        ranked
+    }
+
+    fn place_units(
+        &mut self,
+        moment: Moment,
+        ledger: &Ledger,
+        terms: &Terms<'_>,
+        candidates: &[WorkerId],
+        placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
+    ) -> usize {
+        let mut count = 0;
+        for index in self.units_of(moment, ledger, &terms.key) {
+            let unit = terms.key.unit(index);
+            let Some(id) = self.best(terms, candidates, &unit) else { break };
+            let number = self.next_run(ledger, &unit);
+            self.put(moment, terms, &id, unit, number);
+            placed.entry(id).or_default().push((unit, number));
+            count += 1;
+        }
+        count
+    }
+
+    /// Places all members at once or none.
+    fn place_gang(
+        &mut self,
+        moment: Moment,
+        ledger: &Ledger,
+        terms: &Terms<'_>,
+        candidates: &[WorkerId],
+        placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
+    ) -> usize {
+        let indices = self.units_of(moment, ledger, &terms.key);
+        if indices.len() < terms.step.count as usize {
+            return 0; // members of an earlier run are not gone yet
+        }
+        let number = indices
+            .iter()
+            .map(|index| self.next_run(ledger, &terms.key.unit(*index)))
+            .max()
+            .unwrap_or(1);
+        for group in self.groups(terms, candidates) {
+            let mut chosen: Vec<(WorkerId, UnitKey)> = Vec::new();
+            for index in &indices {
+                let unit = terms.key.unit(*index);
+                let Some(id) = self.best(terms, &group, &unit) else { break };
+                self.put(moment, terms, &id, unit, number);
+                chosen.push((id, unit));
+            }
+            if chosen.len() == indices.len() {
+                for (id, unit) in chosen {
+                    placed.entry(id).or_default().push((unit, number));
+                }
+                return indices.len();
+            }
+            for (id, unit) in chosen {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.remove(unit, number);
+                }
+                self.enqueue(ledger, unit, moment.now);
+            }
+        }
+        0
+    }
+
+    /// Sets of workers to try for a gang, best first.
+    fn groups(&self, terms: &Terms<'_>, candidates: &[WorkerId]) -> Vec<Vec<WorkerId>> {
+        let mut groups = Vec::new();
+        if terms.step.same_rack {
+            let mut racks: BTreeMap<&str, Vec<WorkerId>> = BTreeMap::new();
+            for id in candidates {
+                let report = self.workers[id].report.as_ref();
+                if let Some(rack) = report.and_then(|report| report.rack()) {
+                    racks.entry(rack).or_default().push(id.clone());
+                }
+            }
+            groups.extend(racks.into_values());
+        }
+        groups.push(candidates.to_vec());
+        groups
+    }
+
+    fn units_of(&self, moment: Moment, ledger: &Ledger, key: &StepKey) -> Vec<u32> {
+        let Some(job) = ledger.job(key.job) else { return Vec::new() };
+        let waiting = self.waiting.get(&job.pool).and_then(|steps| steps.get(key));
+        let ready =
+            |(index, not_before): (&u32, &Duration)| (*not_before <= moment.now).then_some(*index);
+        waiting.map(|waiting| waiting.units.iter().filter_map(ready).collect()).unwrap_or_default()
+    }
+
+    fn best(&self, terms: &Terms<'_>, candidates: &[WorkerId], unit: &UnitKey) -> Option<WorkerId> {
+        let none = BTreeSet::new();
+        let avoid = self.avoid.get(unit).unwrap_or(&none);
+        let fits = |id: &&WorkerId| place::fits(&self.workers[*id], terms);
+        candidates
+            .iter()
+            .filter(fits)
+            .max_by_key(|id| (!avoid.contains(*id), place::score(&self.workers[*id], terms)))
+            .cloned()
+    }
+
+    pub(super) fn next_run(&self, ledger: &Ledger, unit: &UnitKey) -> RunNumber {
+        let committed = ledger.unit(unit).map_or(0, |unit| unit.last_run);
+        committed.max(self.last_runs.get(unit).copied().unwrap_or(0)) + 1
+    }
+
+    fn put(
+        &mut self,
+        moment: Moment,
+        terms: &Terms<'_>,
+        id: &WorkerId,
+        unit: UnitKey,
+        number: RunNumber,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let room = terms.step.counted_room();
+        let run = Run::new(RunState::Proposed, room, terms.step.lasting, moment.now);
+        worker.add(unit, number, run);
+        self.last_runs.insert(unit, number);
+        for steps in self.waiting.values_mut() {
+            if let Some(waiting) = steps.get_mut(&terms.key) {
+                waiting.units.remove(&unit.index);
+            }
+        }
+    }
+}
--- a/crates/entry/src/http/listener.rs
+++ b/crates/serve/src/lib.rs
@@ -1,13 +1,13 @@
-//! Accepting connections with bounds, and stopping without cutting off requests.
+//! HTTP listeners with bounds that stop without cutting off requests.
 
-use crate::shared::Shared;
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::io::{Read, Write};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::FutureExt;
-use http_types::{Method, Response, StatusCode};
+use futures::future::BoxFuture;
+use http_types::{Method, Request, Response, StatusCode};
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -20,11 +20,30 @@
 /// Wait after a failed accept, for instance when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// What answers the requests of a listener.
+pub trait App: Send + Sync {
+    /// Answers one request.
+    fn respond(&self, request: Request) -> BoxFuture<'_, http_types::Result<Response>>;
+}
+
+/// Bounds of a listener.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Name of the process in its counters.
+    pub process: String,
+    /// Open connections.
+    pub max_connections: usize,
+    /// Largest body of a request.
+    pub max_body_bytes: usize,
+    /// Longest time that a connection may stay without a request.
+    pub idle: Duration,
+}
+
 /// One listener, its application and its bounds.
 pub struct Listener {
     socket: TcpListener,
-    app: tide::Server<Arc<Shared>>,
-    shared: Arc<Shared>,
+    app: Arc<dyn App>,
+    bounds: Bounds,
     stop: Receiver<()>,
     open: Arc<AtomicUsize>,
 }
@@ -34,14 +53,10 @@
 
 impl Listener {
     /// A listener that serves an application.
-    pub fn new(
-        socket: TcpListener,
-        app: tide::Server<Arc<Shared>>,
-        shared: Arc<Shared>,
-    ) -> (Listener, Stopper) {
+    pub fn new(socket: TcpListener, app: Arc<dyn App>, bounds: Bounds) -> (Listener, Stopper) {
         let (stopper, stop) = bounded(1);
         let open = Arc::default();
-        (Listener { socket, app, shared, stop, open }, Stopper(stopper))
+        (Listener { socket, app, bounds, stop, open }, Stopper(stopper))
     }
 
     /// Serves until stopped, then lets requests in flight finish.
@@ -65,10 +80,10 @@
     }
 
     fn serve(&self, stream: TcpStream) -> Option<Connection> {
-        let limits = &self.shared.settings.limits;
+        let limits = &self.bounds;
         if self.open.fetch_add(1, Ordering::AcqRel) >= limits.max_connections {
             self.open.fetch_sub(1, Ordering::AcqRel);
-            let name = self.shared.identity.name.clone();
+            let name = self.bounds.process.clone();
             metrics::counter!("connections_refused_total", "entry" => name).increment(1);
             return None;
         }
@@ -99,9 +114,9 @@
 }
 
 /// Serves the requests of one connection, one after the other.
-async fn requests(io: Guarded, app: tide::Server<Arc<Shared>>, stop: Receiver<()>, idle: Duration) {
+async fn requests(io: Guarded, app: Arc<dyn App>, stop: Receiver<()>, idle: Duration) {
     let busy = Arc::new(AtomicBool::new(false));
-    let endpoint = |request: http_types::Request| {
+    let endpoint = |request: Request| {
         let (app, busy) = (app.clone(), busy.clone());
         async move {
             busy.store(true, Ordering::Release);
--- /dev/null
+++ b/src/cmd/core.rs
@@ -0,0 +1,111 @@
+//! Runs a core process.
+
+use crate::config;
+use crate::util::{self, Error, Result, Service};
+use argh::FromArgs;
+use async_std::task;
+use control::process::{Process, Start};
+use log::info;
+use mesh::{Clock, Hello, Settings};
+use serve::Bounds;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use store::{Disk, Folder};
+
+/// Largest body of a worker's report or a configuration.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Connections of workers and operators; some thousand workers report in turn.
+const MAX_CONNECTIONS: usize = 1500;
+/// Time for which a worker may keep a connection between two reports.
+const IDLE: Duration = Duration::from_secs(60);
+/// Part of the time before the kill in which requests in flight may end.
+const STOP_PART: f64 = 0.75;
+/// Time in which the next leader takes over, before the listeners close.
+const HAND_OVER: Duration = Duration::from_millis(300);
+
+/// Run a core process until SIGTERM or SIGINT: it keeps the log of jobs, and the
+/// one that leads places their work.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "core")]
+pub struct Args {
+    /// settings file; SKYLARKWINCH_BOOT if left out
+    #[argh(positional)]
+    settings: Option<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    let path = util::settings_path(args.settings)?;
+    let settings = util::load_settings(&path)?;
+    config::start_service_log()?;
+    let metrics = config::start_metrics()?;
+    task::block_on(async {
+        let control = required(&path, &settings, "listen.control", settings.listen.control)?;
+        let folder = settings.data_folder.clone().ok_or_else(|| {
+            let reason = "is missing, but this role needs it";
+            Error::Input(vec![format!("{}: data_folder: {reason}", path.display())])
+        })?;
+        let control = util::listen("listen.control", control).await?;
+        let peers = util::listen("listen.internal", settings.peers()).await?;
+        let process = Process::start(start(&settings, folder), peers)
+            .map_err(|error| Error::Input(vec![format!("{}: {error}", path.display())]))?;
+        let bounds = Bounds {
+            process: settings.name.clone(),
+            max_connections: MAX_CONNECTIONS,
+            max_body_bytes: MAX_BODY_BYTES,
+            idle: IDLE,
+        };
+        let mut service = Service::default();
+        let app = Arc::new(platform::control::App(process.handle()));
+        service.serve(control, app, bounds);
+        let status = Arc::new(util::Status::core(process.handle(), metrics));
+        service.serve_status(&settings, status).await;
+        info!("process.started role=core name={}", settings.name);
+        util::until_stopped(&path, |settings| process.learn(settings.seed_peers())).await?;
+        info!("process.stopping name={}", settings.name);
+        process.leave();
+        task::sleep(HAND_OVER).await;
+        service.stop(settings.bounds.grace().mul_f64(STOP_PART)).await;
+        process.stop().await;
+        info!("process.stopped name={}", settings.name);
+        util::drain_log().await;
+        Ok(())
+    })
+}
+
+fn required(
+    path: &std::path::Path,
+    settings: &Settings,
+    field: &'static str,
+    value: Option<std::net::SocketAddr>,
+) -> Result<std::net::SocketAddr> {
+    let wrap = |error| Error::Input(vec![format!("{}: {error}", path.display())]);
+    settings.required(field, value).map_err(wrap)
+}
+
+fn start(settings: &Settings, folder: PathBuf) -> Start {
+    let clock: Arc<dyn Clock> = Arc::new(mesh::clock::System);
+    let cloud = settings.cloud.as_ref();
+    let open = move || Disk::open(&folder).map(|disk| Box::new(disk) as Box<dyn Folder>);
+    Start {
+        hello: Hello {
+            name: settings.name.clone(),
+            incarnation: 0,
+            durable: true,
+            peers: settings.peers(),
+            control: settings.listen.control,
+        },
+        seeds: settings.seed_peers(),
+        founders: settings.seeds.0.clone(),
+        bootstrap: settings.founding,
+        retention: settings.bounds.retention(),
+        sched: settings.bounds.sched(cloud),
+        opener: Box::new(open),
+        clock,
+        calls: Arc::new(platform::client::Client::new(
+            settings.name.clone(),
+            cloud.map(|cloud| cloud.address),
+        )),
+    }
+}
--- /dev/null
+++ b/src/cmd/edge.rs
@@ -0,0 +1,85 @@
+//! Runs an edge process.
+
+use crate::config;
+use crate::util::{self, Error, Result, Service};
+use argh::FromArgs;
+use async_std::task;
+use edge::Gateway;
+use log::info;
+use mesh::{Clock, Hello};
+use serve::Bounds;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Largest body of a job.
+const MAX_BODY_BYTES: usize = 512 << 10;
+/// Connections of clients; descriptors and 40 KB each stay in a machine's bounds.
+const MAX_CONNECTIONS: usize = 2500;
+/// Time for which a client may keep a connection between two requests.
+const IDLE: Duration = Duration::from_secs(60);
+/// Time after a stop signal for which new connections still come: the balancer
+/// asks once a second and takes two misses.
+const STOP_NOTICE: Duration = Duration::from_millis(2600);
+/// Part of the time before the kill in which requests in flight may end.
+const STOP_PART: f64 = 0.45;
+
+/// Run an edge process until SIGTERM or SIGINT: it passes clients' requests on to
+/// the core process that leads.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "edge")]
+pub struct Args {
+    /// settings file; SKYLARKWINCH_BOOT if left out
+    #[argh(positional)]
+    settings: Option<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(args: Args) -> Result<()> {
+    let path = util::settings_path(args.settings)?;
+    let settings = util::load_settings(&path)?;
+    config::start_service_log()?;
+    let metrics = config::start_metrics()?;
+    task::block_on(async {
+        let wrap = |error| Error::Input(vec![format!("{}: {error}", path.display())]);
+        let callers = settings.required("listen.callers", settings.listen.callers).map_err(wrap)?;
+        let health = settings.required("listen.health", settings.listen.health).map_err(wrap)?;
+        let callers = util::listen("listen.callers", callers).await?;
+        let health = util::listen("listen.health", health).await?;
+        let clock: Arc<dyn Clock> = Arc::new(mesh::clock::System);
+        let hello = Hello {
+            name: settings.name.clone(),
+            incarnation: rand::random(),
+            durable: false,
+            peers: settings.peers(),
+            control: None,
+        };
+        let gateway = Gateway::start(hello, clock, settings.seed_peers());
+        let stopping = Arc::new(AtomicBool::new(false));
+        let busy = Arc::new(AtomicUsize::new(0));
+        let bounds = Bounds {
+            process: settings.name.clone(),
+            max_connections: MAX_CONNECTIONS,
+            max_body_bytes: MAX_BODY_BYTES,
+            idle: IDLE,
+        };
+        let mut service = Service::default();
+        let app = platform::edge::App::new(gateway.clone(), stopping.clone(), busy.clone());
+        service.serve(callers, Arc::new(app), bounds.clone());
+        let app = platform::edge::Health::new(gateway.clone(), stopping.clone());
+        service.serve(health, Arc::new(app), bounds);
+        let status = Arc::new(util::Status::edge(gateway.clone(), metrics));
+        service.serve_status(&settings, status).await;
+        info!("process.started role=edge name={}", settings.name);
+        util::until_stopped(&path, |settings| gateway.learn(settings.seed_peers())).await?;
+        info!("process.stopping name={} in_flight={}", settings.name, busy.load(Ordering::Acquire));
+        stopping.store(true, Ordering::Release);
+        task::sleep(STOP_NOTICE).await;
+        service.stop(settings.bounds.grace().mul_f64(STOP_PART)).await;
+        gateway.stop().await;
+        info!("process.stopped name={}", settings.name);
+        util::drain_log().await;
+        Ok(())
+    })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! One module for each command.
 
 pub mod check;
+pub mod core;
 pub mod demo;
 pub mod dump;
+pub mod edge;
 pub mod entry;
 pub mod explain;
 pub mod record;
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,9 +5,12 @@
 use log::LevelFilter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde::de::DeserializeOwned;
-use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode, WriteLogger};
 use standin::client::{Answer, Call};
+use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::time::Duration;
 
 /// An entry's operators' port, with a token for it.
 pub struct Client {
@@ -81,6 +84,69 @@
     let _ = TermLogger::init(level, config.build(), TerminalMode::Stderr, ColorChoice::Never);
 }
 
+/// Lines that wait for standard output; beyond it lines are dropped and counted.
+const LOG_QUEUE_LINES: usize = 8192;
+/// Pause between two writes, so that one write carries many lines.
+const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Writes lines to standard output from a thread of its own: a reader that
+/// stalls holds nothing up.
+struct Lines {
+    queue: SyncSender<Vec<u8>>,
+    part: Vec<u8>,
+}
+
+impl Lines {
+    fn start() -> Result<Lines> {
+        let (queue, lines) = sync_channel::<Vec<u8>>(LOG_QUEUE_LINES);
+        let write = move || {
+            while let Ok(mut bytes) = lines.recv() {
+                std::thread::sleep(LOG_FLUSH_INTERVAL);
+                lines.try_iter().for_each(|line| bytes.extend(line));
+                if std::io::stdout().write_all(&bytes).is_err() {
+                    return; // nobody reads any more
+                }
+            }
+        };
+        std::thread::Builder::new()
+            .name("log".to_string())
+            .spawn(write)
+            .map_err(|error| Error::Io("log thread".to_string(), error))?;
+        Ok(Lines { queue, part: Vec::new() })
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.part.extend_from_slice(bytes);
+        if self.part.ends_with(b"\n") {
+            let line = std::mem::take(&mut self.part);
+            if self.queue.try_send(line).is_err() {
+                metrics::counter!("log_lines_dropped_total").increment(1);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts the structured log of a service on standard output. The log service
+/// that reads it adds the time.
+pub fn start_service_log() -> Result<()> {
+    let mut config = ConfigBuilder::new();
+    config.set_time_level(LevelFilter::Off).set_target_level(LevelFilter::Off);
+    config.set_thread_level(LevelFilter::Off).set_location_level(LevelFilter::Off);
+    for area in ["skylarkwinch", "control", "edge", "mesh", "platform", "sched"] {
+        config.add_filter_allow_str(area);
+    }
+    // A second start in one process keeps the first log.
+    let _ = WriteLogger::init(LevelFilter::Info, config.build(), Lines::start()?);
+    Ok(())
+}
+
 /// Starts counting; the handle renders what was counted.
 pub fn start_metrics() -> Result<PrometheusHandle> {
     let recorder = PrometheusBuilder::new().build_recorder();
--- a/src/main.rs
+++ b/src/main.rs
@@ -27,8 +27,10 @@
 #[argh(subcommand)]
 enum Command {
     Check(cmd::check::Args),
+    Core(cmd::core::Args),
     Demo(cmd::demo::Args),
     Dump(cmd::dump::Args),
+    Edge(cmd::edge::Args),
     Entry(cmd::entry::Args),
     Explain(cmd::explain::Args),
     Record(cmd::record::Args),
@@ -41,8 +43,10 @@
     let args: Args = argh::from_env();
     let result = match args.command {
         Command::Check(args) => cmd::check::run(args),
+        Command::Core(args) => cmd::core::run(args),
         Command::Demo(args) => cmd::demo::run(args),
         Command::Dump(args) => cmd::dump::run(args),
+        Command::Edge(args) => cmd::edge::run(args),
         Command::Entry(args) => cmd::entry::run(args),
         Command::Explain(args) => cmd::explain::run(args),
         Command::Record(args) => cmd::record::run(args),
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,12 +1,21 @@
 //! What the commands share: errors and exit codes, printing, signals.
 
 use ::record::Fault;
+use async_std::net::TcpListener;
+use async_std::task::JoinHandle;
 use futures::StreamExt;
+use futures::future::BoxFuture;
+use http_types::{Request, Response};
+use mesh::Settings;
+use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
+use serve::{App, Bounds, Listener, Stopper};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::SystemTime;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -105,3 +114,155 @@
     signals.next().await;
     Ok(())
 }
+
+/// Variable that names the settings file of a core or edge process.
+const SETTINGS_VARIABLE: &str = "SKYLARKWINCH_BOOT";
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+/// Connections to the status port at one time.
+const STATUS_CONNECTIONS: usize = 8;
+/// Time in which the log's last lines are written.
+const LOG_DRAIN: Duration = Duration::from_millis(150);
+
+/// Settings file by the argument or the environment.
+pub fn settings_path(given: Option<PathBuf>) -> Result<PathBuf> {
+    given.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)).ok_or_else(|| {
+        Error::Input(vec![format!("SETTINGS: is missing, and {SETTINGS_VARIABLE} is not set")])
+    })
+}
+
+/// Settings of a core or edge process.
+pub fn load_settings(path: &Path) -> Result<Settings> {
+    Settings::load(path).map_err(|error| Error::Input(vec![format!("{}: {error}", path.display())]))
+}
+
+/// Listens on an address of the settings.
+pub async fn listen(field: &str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| {
+        Error::Input(vec![format!("{field}: cannot listen on {address}: {error}")])
+    })
+}
+
+/// Waits for a stop signal. Meanwhile new settings are read when the file changes
+/// or SIGHUP says so.
+pub async fn until_stopped(path: &Path, renew: impl Fn(&Settings)) -> Result<()> {
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let mut signals = signal_hook_async_std::Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|error| Error::Io("signals".to_string(), error))?;
+    let mut held = std::fs::read(path).unwrap_or_default();
+    loop {
+        match async_std::future::timeout(SETTINGS_INTERVAL, signals.next()).await {
+            Ok(Some(SIGHUP)) => log::info!("process.signal name=SIGHUP"),
+            Ok(_) => return Ok(()),
+            Err(_) => {}
+        }
+        let Ok(found) = std::fs::read(path) else { continue }; // it is being replaced
+        if found == held {
+            continue;
+        }
+        held = found;
+        match Settings::load(path) {
+            Ok(settings) => {
+                log::info!("settings.reloaded seeds={:?}", settings.seeds.0);
+                renew(&settings);
+            }
+            Err(error) => log::warn!("settings.kept reason={:?}", error.to_string()),
+        }
+    }
+}
+
+/// Lets the log's thread write what waits.
+pub async fn drain_log() {
+    async_std::task::sleep(LOG_DRAIN).await;
+}
+
+/// Listeners of a process.
+#[derive(Default)]
+pub struct Service {
+    stoppers: Vec<Stopper>,
+    listeners: Vec<JoinHandle<()>>,
+}
+
+impl Service {
+    /// Serves an application.
+    pub fn serve(&mut self, socket: TcpListener, app: Arc<dyn App>, bounds: Bounds) {
+        let (listener, stopper) = Listener::new(socket, app, bounds);
+        self.stoppers.push(stopper);
+        self.listeners.push(async_std::task::spawn(listener.run()));
+    }
+
+    /// Serves metrics and state; without the port, the process goes on without.
+    pub async fn serve_status(&mut self, settings: &Settings, status: Arc<Status>) {
+        let bounds = Bounds {
+            process: settings.name.clone(),
+            max_connections: STATUS_CONNECTIONS,
+            max_body_bytes: 0,
+            idle: SETTINGS_INTERVAL * 10,
+        };
+        match TcpListener::bind(settings.metrics()).await {
+            Ok(socket) => self.serve(socket, status, bounds),
+            Err(error) => log::warn!("status.closed address={} error={error}", settings.metrics()),
+        }
+    }
+
+    /// Stops accepting and lets requests in flight end, for so long at most.
+    pub async fn stop(self, span: Duration) {
+        drop(self.stoppers);
+        let join = async {
+            for listener in self.listeners {
+                listener.await;
+            }
+        };
+        if async_std::future::timeout(span, join).await.is_err() {
+            log::warn!("process.cut_off: requests were still in flight");
+        }
+    }
+}
+
+/// Metrics and state of a process.
+pub struct Status {
+    metrics: PrometheusHandle,
+    state: State,
+}
+
+enum State {
+    Core(control::Handle),
+    Edge(Arc<edge::Gateway>),
+}
+
+impl Status {
+    /// Of a core process.
+    pub fn core(handle: control::Handle, metrics: PrometheusHandle) -> Status {
+        Status { metrics, state: State::Core(handle) }
+    }
+
+    /// Of an edge process.
+    pub fn edge(gateway: Arc<edge::Gateway>, metrics: PrometheusHandle) -> Status {
+        Status { metrics, state: State::Edge(gateway) }
+    }
+
+    async fn dump(&self) -> String {
+        match &self.state {
+            State::Core(handle) => handle.dump().await.unwrap_or_default(),
+            State::Edge(gateway) => serde_json::json!({
+                "ready": gateway.is_ready(),
+                "waiting": gateway.waiting(),
+            })
+            .to_string(),
+        }
+    }
+}
+
+impl App for Status {
+    fn respond(&self, request: Request) -> BoxFuture<'_, http_types::Result<Response>> {
+        Box::pin(async move {
+            let mut response = Response::new(200);
+            match request.url().path() {
+                "/metrics" => response.set_body(self.metrics.render()),
+                "/dump" => response.set_body(self.dump().await),
+                _ => response.set_status(http_types::StatusCode::NotFound),
+            }
+            Ok(response)
+        })
+    }
+}
