Answer many rejections of a follower by one resend

Cause: a follower that was frozen rejects every message that reached it while it was behind, and each rejection was answered by up to 256 entries.

--- a/crates/quorum/src/node/lead.rs
+++ b/crates/quorum/src/node/lead.rs
@@ -82,6 +82,12 @@
     pub(super) fn send_append(&mut self, id: &Id) {
         let now = self.now;
         let Some(progress) = self.others.get_mut(id) else { return };
+        if let Some(since) = &mut progress.probing {
+            if *since != Duration::ZERO && now < *since + self.settings.heartbeat {
+                return;
+            }
+            *since = now;
+        }
         progress.sent = Some(now);
         let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term(prev_index) else {
@@ -128,6 +134,7 @@
             progress.accept(appended.matched);
         } else {
             progress.reject(appended.matched);
+            progress.probing.get_or_insert(Duration::ZERO);
         }
         let behind = progress.next <= last;
         self.advance();
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -16,6 +16,9 @@
     pub sent: Option<Duration>,
     /// A snapshot is under way since then.
     pub installing: Option<Duration>,
+    /// The node lacked what it was sent; since then one message at a time goes to
+    /// it, until it accepts one.
+    pub probing: Option<Duration>,
 }
 
 impl Progress {
@@ -25,7 +28,7 @@
     /// assert_eq!(quorum::progress::Progress::new(8).matched, 0);
     /// ```
     pub fn new(next: Index) -> Progress {
-        Progress { next, matched: 0, answered: None, sent: None, installing: None }
+        Progress { next, matched: 0, answered: None, sent: None, installing: None, probing: None }
     }
 
     /// Takes in that the node holds all entries up to an index.
@@ -33,6 +36,7 @@
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
         self.installing = None;
+        self.probing = None;
     }
 
     /// Takes in that the node lacks the entry before the ones sent.
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -154,3 +154,71 @@
     assert_eq!(output.append, [entry(3, 2)]);
     assert_eq!(node.last_index(), 3);
 }
+
+/// A leader `b` of term 2 that voter `c` has elected.
+fn leader(last: u64) -> Node {
+    let mut node = voter(last, 1);
+    node.tick(millis(5000));
+    drain(&mut node);
+    for trial in [true, false] {
+        let ballot = quorum::message::Ballot { term: 2, trial, granted: true };
+        node.receive(millis(5001), &id("c"), Message::Ballot(ballot));
+        drain(&mut node);
+    }
+    assert!(node.leads());
+    node
+}
+
+fn entries_in(messages: &[Message]) -> usize {
+    let count = |message: &Message| match message {
+        Message::Append(append) => append.entries.len(),
+        _ => 0,
+    };
+    messages.iter().map(count).sum()
+}
+
+#[test]
+fn many_rejections_at_once_are_answered_by_one_resend() {
+    let mut node = leader(300);
+    let appended = |accepted, matched| {
+        let sent = millis(5001);
+        Message::Appended(Appended { term: 2, accepted, matched, sent })
+    };
+    node.receive(millis(5002), &id("c"), appended(true, 301));
+    drain(&mut node);
+    // Voter `a` was frozen while the leader went on, and now rejects all it got.
+    let mut sent = 0;
+    for _ in 0..100 {
+        node.receive(millis(5003), &id("a"), appended(false, 10));
+        sent += entries_in(&drain(&mut node));
+    }
+    assert!(sent <= 256, "{sent} entries for 100 rejections");
+    node.receive(millis(5004), &id("a"), appended(true, 266));
+    assert_eq!(entries_in(&drain(&mut node)), 301 - 266, "it goes on once one is accepted");
+}
+
+#[test]
+fn a_leader_that_leaves_hands_its_lead_over_at_once() {
+    let mut node = leader(3);
+    node.connect(id("a"));
+    node.connect(id("c"));
+    drain(&mut node);
+    node.hand_over_lead();
+    let sent = drain(&mut node);
+    assert!(sent.contains(&Message::TakeOver(2)), "{sent:?}");
+    assert!(!node.leads());
+
+    let mut heir = voter(3, 3);
+    heir.receive(millis(5000), &id("a"), append(2, 3, Vec::new(), 3));
+    drain(&mut heir);
+    heir.receive(millis(5010), &id("a"), Message::TakeOver(2));
+    let asked = |message: &Message| matches!(message, Message::Poll(poll) if poll.asked);
+    assert!(drain(&mut heir).iter().any(asked), "it does not wait for an election span");
+
+    let mut other = voter(3, 3);
+    other.receive(millis(5000), &id("a"), append(2, 3, Vec::new(), 3));
+    drain(&mut other);
+    let poll = Poll { term: 3, last_index: 3, last_term: 1, trial: false, asked: true };
+    other.receive(millis(5011), &id("c"), Message::Poll(poll));
+    assert!(granted(&drain(&mut other)), "the leader itself asked for it");
+}
