Let a silent worker lose its lease; forget lives that are over

Lives that ended by an upkeep also stayed in the count of closed workers, which held the last 4 of 24 machines of a wave up; and lasting work was moved to machines that were due next. Change: only the call after an answer extends; a life that is over is no worker; lasting work goes to machines that stay. Tests with scripted workers fail first.

--- a/crates/control/src/core/reign.rs
+++ b/crates/control/src/core/reign.rs
@@ -117,11 +117,9 @@
             Input::Held(held) => scheduler.held(moment, &self.ledger, held),
             Input::Started(started) => scheduler.started(moment, &self.ledger, started),
             Input::Stopped(stopped) => scheduler.stopped(moment, stopped),
-            Input::Listed(Answer::Done(machines)) => {
-                scheduler.listed(moment, &self.ledger, machines);
-            }
+            Input::Listed(Answer::Done(machines)) => scheduler.listed(moment, machines),
             Input::Moved(moved) => scheduler.moved(moment, &self.ledger, moved),
-            Input::Upkept(upkept) => scheduler.upkept(moment, &self.ledger, upkept),
+            Input::Upkept(upkept) => scheduler.upkept(moment, upkept),
             _ => {}
         }
     }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -1,8 +1,9 @@
 //! Where a unit runs.
 //!
-//! Answers wide steps, racks with data, and correlated loss: near its data first,
-//! then where the most room is left, so that steps end together and no worker
-//! carries more of a pool than it has to.
+//! Answers wide steps, racks with data, waves and correlated loss: near its data
+//! first, then where the most room is left, so that steps end together and no
+//! worker carries more of a pool than it has to. Lasting work goes to machines
+//! that stay.
 
 use crate::worker::Worker;
 use jobs::{Step, StepKey};
@@ -41,6 +42,7 @@
     let near = step.affinity.as_ref().is_none_or(|rack| labels.contains(rack));
     let trusted = worker.strikes == 0;
     let alike = if step.lasting { worker.runs_of(&terms.key) } else { 0 };
+    let settled = !step.lasting || !worker.due;
     let free = worker.free();
-    (trusted, near, std::cmp::Reverse(alike), free.cpu_milli, free.memory_mb)
+    (trusted, settled, near, std::cmp::Reverse(alike), free.cpu_milli, free.memory_mb)
 }
--- a/crates/sched/src/scheduler/attend.rs
+++ b/crates/sched/src/scheduler/attend.rs
@@ -11,9 +11,12 @@
 const MAX_UNANSWERED: u32 = 2;
 /// Time after which a stop that is acknowledged or not is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(600);
-/// Time without progress after which a run counts as stuck. The slowest workers
-/// still show a percent more within it.
+/// Least time without progress after which a run counts as stuck: a worker's
+/// lists are about a second old.
 const STUCK_AFTER: Duration = Duration::from_millis(2500);
+/// Part of a unit's expected time without a percent of progress after which it
+/// counts as stuck; a worker that is ten times as slow still shows one.
+const STUCK_PART: f64 = 0.1;
 
 /// Answer to a start.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,7 +62,8 @@
             self.batch.voided.push(Voided { unit, run: number });
             return;
         };
-        if !same || run.stopped_for.is_some() {
+        let silent = worker.asking.failures > 0;
+        if !same || silent || run.stopped_for.is_some() {
             run.state = RunState::Ending;
             self.batch.voided.push(Voided { unit, run: number });
             return;
@@ -121,9 +125,10 @@
             Answer::Unknown => {
                 run.unanswered += 1;
                 run.state = RunState::Unclear { since: moment.now };
+                worker.failed(moment.now);
                 self.no_answer(moment, &id);
             }
-            Answer::Gone => self.life_over(moment, &id),
+            Answer::Gone => self.life_over(&id),
             Answer::Refused(refusal) => {
                 let certain = run.unanswered == 0;
                 self.refused(&id, refusal);
@@ -182,7 +187,7 @@
                     acknowledged.get_or_insert(moment.now);
                 }
             }
-            Answer::Gone => self.life_over(moment, &id),
+            Answer::Gone => self.life_over(&id),
             Answer::Refused(refusal) => self.refused(&id, refusal),
             Answer::Unknown => {}
         }
@@ -198,7 +203,7 @@
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
                 match run.state {
-                    RunState::Ready => again.push(key),
+                    RunState::Ready if !silent => again.push(key),
                     RunState::Unclear { since } if !silent && moment.now >= since + RETRY_AFTER => {
                         if run.unanswered >= MAX_UNANSWERED {
                             stops.push((key, Some(StopReason::Unclear)));
@@ -211,7 +216,9 @@
                     {
                         stops.push((key, None));
                     }
-                    RunState::Running if !silent && is_stuck(run, moment.now) => stuck.push(key),
+                    RunState::Running if !silent && is_stuck(ledger, unit, run, moment.now) => {
+                        stuck.push(key);
+                    }
                     _ => {}
                 }
             }
@@ -236,8 +243,11 @@
     }
 }
 
-fn is_stuck(run: &crate::worker::Run, now: Duration) -> bool {
+fn is_stuck(ledger: &Ledger, unit: &UnitKey, run: &crate::worker::Run, now: Duration) -> bool {
     let (percent, since) = run.progress;
     let at_work = run.lasting && percent >= 100;
-    run.started.is_some() && run.pace > 0 && !at_work && now >= since + STUCK_AFTER
+    let Some(job) = ledger.job(unit.job) else { return false };
+    let expected = job.order.steps[usize::from(unit.step)].estimate;
+    let patience = STUCK_AFTER.max(expected.mul_f64(STUCK_PART));
+    run.started.is_some() && run.pace > 0 && !at_work && now >= since + patience
 }
--- a/crates/sched/src/scheduler/hold.rs
+++ b/crates/sched/src/scheduler/hold.rs
@@ -21,6 +21,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a call without an answer.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Calls in a row without an answer after which an idle worker is forgotten until
+/// it reports again.
+const GIVE_UP_AFTER: u32 = 6;
 /// Time after which ends that were proposed are taken up again.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -47,7 +50,7 @@
                 if !worker.runs.is_empty() {
                     lost.push(id.clone());
                 }
-                if worker.report.is_none() {
+                if worker.report.is_none() || worker.asking.failures >= GIVE_UP_AFTER {
                     unknown.push(id.clone());
                 }
             }
@@ -63,10 +66,12 @@
             let wait = match (worker.verified, worker.runs.is_empty()) {
                 (false, _) => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
+                (true, false) if worker.has_unclear() => Duration::ZERO,
                 (true, false) => BUSY_WAIT,
             };
-            let expires =
-                if worker.runs.is_empty() { None } else { worker.lease.extend(now, lease) };
+            // A worker that does not answer must lose its lease at some time.
+            let extends = worker.asking.failures == 0 && !worker.runs.is_empty();
+            let expires = if extends { worker.lease.extend(now, lease) } else { None };
             worker.asking.sent = Some(now);
             let address = Address { life: worker.life.clone(), address: report.address };
             let hold = Hold { fence: self.fence, noted, expires, wait, sent: now };
@@ -104,7 +109,7 @@
                 worker.lease.read(sample);
                 self.take_lists(moment, ledger, &id, held.sent, holding);
             }
-            Answer::Gone => self.life_over(moment, &id),
+            Answer::Gone => self.life_over(&id),
             Answer::Refused(refusal) => {
                 self.no_answer(moment, &id);
                 self.refused(&id, refusal);
@@ -124,12 +129,12 @@
     }
 
     /// Another life is at the worker's address, so its own is over.
-    pub(super) fn life_over(&mut self, moment: Moment, id: &WorkerId) {
+    pub(super) fn life_over(&mut self, id: &WorkerId) {
         self.void_all(id, "another life is at its address");
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.report = None;
         worker.verified = false;
-        worker.asking.next = moment.now + LONGEST_PAUSE;
+        worker.gone = true;
     }
 }
 
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -217,14 +217,19 @@
     /// Takes in what a worker says of itself.
     pub fn report(&mut self, moment: Moment, ledger: &Ledger, report: &Report) {
         let known = self.workers.get(&report.life.worker).map(|worker| worker.life.clone());
-        match known {
+        match &known {
             Some(life) if life.born > report.life.born => return,
             Some(life) if life.born < report.life.born => {
                 self.reborn(moment, ledger, &life.worker, report.life.born);
             }
             _ => {}
         }
-        self.machine_reported(moment, ledger, report);
+        if self.workers.get(&report.life.worker).is_some_and(|worker| worker.gone) {
+            return; // it was sent before the life ended
+        }
+        if known.is_none_or(|life| life != report.life) {
+            self.new_life_reported(moment, report);
+        }
         let worker = self.worker(moment, &report.life);
         let same = worker
             .report
@@ -595,6 +600,7 @@
         worker.proposed = 0;
         worker.strikes = 0;
         worker.closing = false;
+        worker.gone = false;
         for (unit, number) in &unclear {
             if let Some(run) = worker.runs.get_mut(&(*unit, *number)) {
                 run.stopped_for = Some(StopReason::Unclear);
--- a/crates/sched/src/scheduler/upkeep.rs
+++ b/crates/sched/src/scheduler/upkeep.rs
@@ -116,20 +116,18 @@
         }
     }
 
-    /// A worker has reported from a machine: if it was born after the machine's
+    /// A new life has reported from a machine: if it was born after the machine's
     /// upkeep began, the upkeep is over.
-    pub(super) fn machine_reported(&mut self, moment: Moment, ledger: &Ledger, report: &Report) {
+    pub(super) fn new_life_reported(&mut self, moment: Moment, report: &Report) {
         let Some(begun) = self.upkeep.begun.get(&report.machine) else { return };
-        let old = self.workers.values().any(|worker| worker.life == report.life);
-        if old || moment.now < begun.since + self.settings.upkeep_time / 2 {
-            return;
+        if moment.now < begun.since + self.settings.upkeep_time / 2 {
+            return; // a report from before, or one that the leader before had heard
         }
-        let (wave, machine) = (begun.wave, report.machine.clone());
-        self.upkeep_done(ledger, wave, machine);
+        self.upkeep_done(begun.wave, report.machine.clone());
     }
 
     /// Takes in the list of machines.
-    pub fn listed(&mut self, moment: Moment, ledger: &Ledger, machines: Vec<Machine>) {
+    pub fn listed(&mut self, moment: Moment, machines: Vec<Machine>) {
         self.machines = machines.into_iter().map(|m| (m.machine.clone(), m)).collect();
         let over: Vec<(MachineId, WaveId)> = self
             .upkeep
@@ -143,12 +141,12 @@
             .map(|(machine, begun)| (machine.clone(), begun.wave))
             .collect();
         for (machine, wave) in over {
-            self.upkeep_done(ledger, wave, machine);
+            self.upkeep_done(wave, machine);
         }
     }
 
     /// Takes in the answer to an order for upkeep.
-    pub fn upkept(&mut self, moment: Moment, ledger: &Ledger, upkept: UpkeptMachine) {
+    pub fn upkept(&mut self, moment: Moment, upkept: UpkeptMachine) {
         let UpkeptMachine { machine, wave, answer } = upkept;
         let Some(sending) = self.upkeep.ordered.get_mut(&machine) else { return };
         let first = !sending.unanswered;
@@ -156,7 +154,7 @@
             Answer::Done(()) => {
                 self.upkeep.ordered.remove(&machine);
                 self.change(wave, &machine, Upkeep::Begun);
-                self.machine_emptied(moment, ledger, &machine);
+                self.machine_emptied(&machine);
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&machine),
             Answer::Refused(Refusal::Wave | Refusal::Invalid) => {
@@ -189,6 +187,7 @@
     }
 
     fn empty_machines(&mut self, moment: Moment, ledger: &Ledger) {
+        self.mark_due(ledger);
         for (id, wave) in ledger.waves() {
             if wave.is_completed() {
                 continue;
@@ -225,6 +224,17 @@
         }
     }
 
+    fn mark_due(&mut self, ledger: &Ledger) {
+        let waves: Vec<&jobs::Wave> =
+            ledger.waves().values().filter(|wave| !wave.is_completed()).collect();
+        for worker in self.workers.values_mut() {
+            let machine = worker.report.as_ref().map(|report| &report.machine);
+            worker.due = machine.is_some_and(|machine| {
+                waves.iter().any(|wave| wave.machines.get(machine) == Some(&Upkeep::Due))
+            });
+        }
+    }
+
     /// Machines with the least work to lose come first.
     fn easiest_first(&self, mut due: Vec<MachineId>) -> Vec<MachineId> {
         due.sort_by_key(|machine| {
@@ -390,22 +400,18 @@
     }
 
     /// The cloud has taken a machine: what its worker ran is over.
-    pub(super) fn machine_emptied(
-        &mut self,
-        moment: Moment,
-        _ledger: &Ledger,
-        machine: &MachineId,
-    ) {
+    pub(super) fn machine_emptied(&mut self, machine: &MachineId) {
         if let Some(id) = self.worker_of(machine) {
             self.void_all(&id, "the cloud has taken its machine");
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.closing = true;
-                worker.asking.next = moment.now + self.settings.upkeep_time;
+                worker.report = None;
+                worker.verified = false;
+                worker.gone = true;
             }
         }
     }
 
-    fn upkeep_done(&mut self, _ledger: &Ledger, wave: WaveId, machine: MachineId) {
+    fn upkeep_done(&mut self, wave: WaveId, machine: MachineId) {
         if !self.is_changing(&machine) {
             self.change(wave, &machine, Upkeep::Done);
         }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -121,6 +121,10 @@
     pub resting: Duration,
     /// The machine is wanted for upkeep or another pool.
     pub closing: bool,
+    /// The machine will be wanted for upkeep before long.
+    pub due: bool,
+    /// The life is known to be over.
+    pub gone: bool,
 }
 
 impl Worker {
@@ -139,6 +143,8 @@
             series: 0,
             resting: Duration::ZERO,
             closing: false,
+            due: false,
+            gone: false,
         }
     }
 
@@ -182,6 +188,15 @@
         self.runs.range(first..=last).count() as u32
     }
 
+    /// Whether its lists decide what becomes of a run.
+    pub fn has_unclear(&self) -> bool {
+        let barred = |run: &Run| {
+            matches!(run.state, RunState::Stopping { acknowledged: Some(_), .. })
+                || matches!(run.state, RunState::Unclear { .. })
+        };
+        self.runs.values().any(barred)
+    }
+
     /// Takes in that a run ended well.
     pub fn succeeded(&mut self) {
         self.strikes = 0;
--- /dev/null
+++ b/crates/sched/tests/scheduler.rs
@@ -0,0 +1,169 @@
+//! What the leader does with work, by scripted workers on a fake clock.
+
+mod world;
+
+use jobs::State;
+use std::time::Duration;
+use world::{World, lasting, step};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+#[test]
+fn steps_run_one_after_the_other_and_the_job_completes() {
+    let mut world = World::new(4);
+    world.span.insert("a".to_string(), seconds(0.5));
+    let second = jobs::Step { after: vec![0], ..step(2, 1000, 500) };
+    world.submit("q", "a", vec![step(4, 1000, 500), second]);
+    world.run(seconds(0.4));
+    assert_eq!(world.begun.len(), 4, "the second step waits for the first");
+    world.run(seconds(2.0));
+    assert_eq!(world.begun.len(), 6);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_unit_of_a_worker_that_died_starts_elsewhere_once_its_lease_is_over() {
+    let mut world = World::new(3);
+    world.submit("q", "a", vec![lasting(1, 1000)]);
+    world.run(seconds(1.0));
+    let first = world.runs_of("a.0.0.0")[0].clone();
+    world.workers.get_mut(&first).unwrap().dead = true;
+    let died = world.now;
+    world.run(seconds(8.0));
+    let starts = world.starts_of("a.0.0.0");
+    assert_eq!(starts.len(), 2, "calls without an answer must not extend the lease");
+    assert!(starts[1].at > died + seconds(4.0), "the worker might run on: {starts:?}");
+    assert!(starts[1].at < died + seconds(7.0), "{starts:?}");
+}
+
+#[test]
+fn a_worker_that_is_cut_off_never_runs_a_unit_beside_its_successor() {
+    let mut world = World::new(3);
+    world.span.insert("a".to_string(), seconds(60.0));
+    world.submit("q", "a", vec![step(3, 1000, 60_000)]);
+    world.run(seconds(1.0));
+    let first = world.runs_of("a.0.0.0")[0].clone();
+    world.workers.get_mut(&first).unwrap().cut = true;
+    for _ in 0..1000 {
+        world.run(world::STEP);
+        for index in 0..3 {
+            let name = format!("a.0.0.{index}");
+            assert!(world.runs_of(&name).len() <= 1, "{name} runs twice at {:?}", world.now);
+        }
+    }
+    assert_eq!(world.starts_of("a.0.0.0").len(), 2);
+}
+
+#[test]
+fn a_start_without_an_answer_is_barred_before_the_unit_starts_elsewhere() {
+    for carries_out in [true, false] {
+        let mut world = World::new(2);
+        world.span.insert("a".to_string(), seconds(1.0));
+        for worker in world.workers.values_mut() {
+            worker.mute = worker.report.life.worker == "w0";
+            worker.carries_out = carries_out;
+        }
+        world.submit("q", "a", vec![step(4, 1000, 1000)]);
+        for _ in 0..500 {
+            world.run(world::STEP);
+            for index in 0..4 {
+                assert!(world.runs_of(&format!("a.0.0.{index}")).len() <= 1);
+            }
+        }
+        assert_eq!(world.state("q", "a"), State::Completed, "carries out: {carries_out}");
+    }
+}
+
+#[test]
+fn a_new_leader_takes_up_what_runs_and_starts_nothing_twice() {
+    let mut world = World::new(3);
+    world.span.insert("a".to_string(), seconds(2.0));
+    world.submit("q", "a", vec![step(6, 1000, 2000)]);
+    world.run(seconds(0.5));
+    world.take_over();
+    world.run(seconds(3.0));
+    assert_eq!(world.begun.len(), 6);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_worker_that_fails_all_it_starts_uses_up_no_jobs_attempts() {
+    let mut world = World::new(4);
+    world.workers.get_mut("w0").unwrap().fails = true;
+    for number in 0..20 {
+        let id = format!("a{number}");
+        world.span.insert(id.clone(), seconds(0.3));
+        world.submit("q", &id, vec![step(2, 1000, 300)]);
+        world.run(seconds(0.1));
+    }
+    world.run(seconds(5.0));
+    for number in 0..20 {
+        assert_eq!(world.state("q", &format!("a{number}")), State::Completed);
+    }
+}
+
+#[test]
+fn a_unit_that_makes_no_progress_is_started_elsewhere() {
+    let mut world = World::new(3);
+    world.span.insert("a".to_string(), seconds(0.5));
+    world.workers.get_mut("w0").unwrap().stands_still = true;
+    world.submit("q", "a", vec![step(6, 1000, 500)]);
+    world.run(seconds(8.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_workers_room_is_never_exceeded() {
+    let mut world = World::new(2);
+    for number in 0..10 {
+        let id = format!("a{number}");
+        world.span.insert(id.clone(), seconds(0.4));
+        world.submit("q", &id, vec![step(5, 3000, 400)]);
+    }
+    for _ in 0..1500 {
+        world.run(world::STEP);
+        for worker in world.workers.values() {
+            assert!(worker.runs.len() <= 2, "8 cores hold two units of 3");
+        }
+    }
+    for number in 0..10 {
+        assert_eq!(world.state("q", &format!("a{number}")), State::Completed);
+    }
+}
+
+#[test]
+fn a_wave_takes_every_machine_of_a_pool_within_its_cap_and_budgets() {
+    let mut world = World::new(8);
+    world.submit("q", "a", vec![lasting(4, 1000)]);
+    world.run(seconds(1.0));
+    let machines: std::collections::BTreeSet<String> = (0..8).map(|n| format!("m{n}")).collect();
+    let at = world.moment().wall;
+    let wave = jobs::Wave::new(1, machines, seconds(30.0), 2, at);
+    world.apply(jobs::Command::StartWave(wave));
+    let mut born = 2;
+    for _ in 0..4000 {
+        world.run(world::STEP);
+        let at_work = (0..4).filter(|n| !world.runs_of(&format!("a.0.0.{n}")).is_empty()).count();
+        assert!(at_work >= 3, "one unit may be away, {} are", 4 - at_work);
+        let back: Vec<String> = world
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.dead)
+            .filter(|(_, worker)| {
+                let ordered = world.upkeeps.iter().rev();
+                let mut last = ordered.filter(|(_, machine)| *machine == worker.report.machine);
+                last.next().is_some_and(|(at, _)| world.now >= *at + seconds(2.0))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let down = world.workers.values().filter(|worker| worker.dead).count();
+        assert!(down <= 2, "{down} machines are down, the cap is 2");
+        for id in back {
+            world.add(&id, "p", born);
+            born += 1;
+        }
+    }
+    assert!(world.ledger.waves()[&1].is_completed(), "{:?}", world.ledger.waves());
+}
--- /dev/null
+++ b/crates/sched/tests/world/mod.rs
@@ -0,0 +1,397 @@
+//! A scheduler, its ledger and scripted workers on a fake clock.
+
+use jobs::command::{Command, How, Submit};
+use jobs::order::{Order as JobOrder, Room, Step};
+use jobs::{Config, Ledger, Life, Pool, Queue, RunNumber, UnitKey};
+use sched::order::{Address, Answer, Finished, Hold, Holding, Order, Refusal, Row, Start};
+use sched::scheduler::{Held, Moment, Started, Stopped, UpkeptMachine};
+use sched::{Report, Roster, Scheduler, Settings};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time of one step of the world.
+pub const STEP: Duration = Duration::from_millis(10);
+
+/// A worker that does what it is told.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub report: Report,
+    /// It answers nothing and runs nothing.
+    pub dead: bool,
+    /// It runs on but can't be reached.
+    pub cut: bool,
+    /// Its starts get no answer; they are carried out if `carries_out`.
+    pub mute: bool,
+    pub carries_out: bool,
+    /// All that it starts fails at once.
+    pub fails: bool,
+    /// What it runs makes no progress.
+    pub stands_still: bool,
+    pub fence: u64,
+    pub expires: Duration,
+    pub runs: BTreeMap<(String, RunNumber), Duration>,
+    pub finished: Vec<Finished>,
+    pub ends: u64,
+    pub barred: BTreeMap<String, RunNumber>,
+    hold: Option<(Address, Hold, Duration)>,
+}
+
+/// A start as a worker carried it out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Begun {
+    pub at: Duration,
+    pub name: String,
+    pub run: RunNumber,
+    pub worker: String,
+}
+
+pub struct World {
+    pub now: Duration,
+    pub ledger: Ledger,
+    pub scheduler: Scheduler,
+    pub workers: BTreeMap<String, Worker>,
+    pub begun: Vec<Begun>,
+    pub upkeeps: Vec<(Duration, String)>,
+    pub moves: Vec<(Duration, String, String)>,
+    pub span: BTreeMap<String, Duration>,
+    fence: u64,
+}
+
+pub fn room(cpu_milli: u64) -> Room {
+    Room { cpu_milli, memory_mb: 100, accelerators: 0 }
+}
+
+pub fn step(count: u32, cpu_milli: u64, millis: u64) -> Step {
+    let estimate = Duration::from_millis(millis);
+    Step { count, room: room(cpu_milli), estimate, ..Step::default() }
+}
+
+pub fn lasting(count: u32, cpu_milli: u64) -> Step {
+    Step { lasting: true, may_miss: Some(1), anti_affinity: 1, ..step(count, cpu_milli, 500) }
+}
+
+impl World {
+    /// Workers `w0`.. of pool `p` with 8 cores each, and queues `q` and `r` on it.
+    pub fn new(count: usize) -> World {
+        let mut ledger = Ledger::new(Duration::from_secs(120));
+        let mut config = Config { version: 1, ..Config::default() };
+        let queue = |prefix: &str| Queue {
+            prefix: prefix.to_string(),
+            pool: "p".to_string(),
+            timeout: Duration::from_secs(3),
+            objective: Duration::from_millis(600),
+            stretch: 1.6,
+            max_attempts: 3,
+            ..Queue::default()
+        };
+        config.queues.insert("q".to_string(), queue("/q/"));
+        config.queues.insert("r".to_string(), queue("/r/"));
+        config.pools.insert("p".to_string(), Pool::default());
+        config.pools.insert("spare".to_string(), Pool { standby: true, ..Pool::default() });
+        ledger.apply(Command::Configure(Box::new(config)));
+        let now = Duration::from_secs(100);
+        let moment = Moment { now, wall: 1_000_000 };
+        let settings = Settings::default();
+        let scheduler = Scheduler::new(settings, 1, moment, &ledger, &Roster::default());
+        let mut world = World {
+            now,
+            ledger,
+            scheduler,
+            workers: BTreeMap::new(),
+            begun: Vec::new(),
+            upkeeps: Vec::new(),
+            moves: Vec::new(),
+            span: BTreeMap::new(),
+            fence: 1,
+        };
+        for number in 0..count {
+            world.add(&format!("w{number}"), "p", 1);
+        }
+        world.run(Duration::from_millis(200));
+        world
+    }
+
+    /// Adds a worker, or a new life of one.
+    pub fn add(&mut self, id: &str, pool: &str, born: u64) {
+        let number: u8 = id.trim_start_matches(|c: char| !c.is_ascii_digit()).parse().unwrap_or(0);
+        let report = Report {
+            life: Life::new(id, born),
+            machine: format!("m{number}"),
+            address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+            pool: pool.to_string(),
+            data_centre: "north".to_string(),
+            labels: vec!["a".to_string(), format!("rack{}", number / 2)],
+            capacity: Room { cpu_milli: 8000, memory_mb: 8000, accelerators: 0 },
+            draining: false,
+            remaining: None,
+            number: 1,
+        };
+        let worker = Worker {
+            report: report.clone(),
+            dead: false,
+            cut: false,
+            mute: false,
+            carries_out: true,
+            fails: false,
+            stands_still: false,
+            fence: 0,
+            expires: Duration::ZERO,
+            runs: BTreeMap::new(),
+            finished: Vec::new(),
+            ends: 0,
+            barred: BTreeMap::new(),
+            hold: None,
+        };
+        self.workers.insert(id.to_string(), worker);
+        let moment = self.moment();
+        self.scheduler.report(moment, &self.ledger, &report);
+    }
+
+    pub fn moment(&self) -> Moment {
+        Moment { now: self.now, wall: 900_000 + self.now.as_millis() as u64 }
+    }
+
+    /// Another leader takes over.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        let mut roster = Roster::default();
+        for worker in self.workers.values() {
+            roster.hear(self.now, worker.report.clone());
+        }
+        let moment = self.moment();
+        self.scheduler =
+            Scheduler::new(Settings::default(), self.fence, moment, &self.ledger, &roster);
+        self.workers.values_mut().for_each(|worker| worker.hold = None);
+    }
+
+    pub fn submit(&mut self, queue: &str, id: &str, steps: Vec<Step>) {
+        let order = JobOrder { spec: id.to_string(), steps, schedule: None };
+        let at = self.moment().wall;
+        let submit = Submit { queue: queue.to_string(), id: id.to_string(), order, at };
+        self.apply(Command::Submit(submit));
+    }
+
+    pub fn apply(&mut self, command: Command) {
+        let moment = self.moment();
+        let (_, events) = self.ledger.apply(command);
+        for event in events {
+            self.scheduler.event(moment, &self.ledger, &event);
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += STEP;
+        let ids: Vec<String> = self.workers.keys().cloned().collect();
+        for id in &ids {
+            self.work(id);
+        }
+        let moment = self.moment();
+        let decision = self.scheduler.decide(moment, &self.ledger);
+        for command in decision.proposals {
+            self.apply(command);
+        }
+        let mut orders = decision.orders;
+        while !orders.is_empty() {
+            for order in orders {
+                self.carry_out(order);
+            }
+            let decision = self.scheduler.decide(moment, &self.ledger);
+            for command in decision.proposals {
+                self.apply(command);
+            }
+            orders = decision.orders;
+        }
+        for id in &ids {
+            self.answer_hold(id);
+        }
+    }
+
+    fn work(&mut self, id: &str) {
+        let (now, spans) = (self.now, self.span.clone());
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.dead {
+            worker.runs.clear();
+            return;
+        }
+        if now > worker.expires {
+            for (name, run) in std::mem::take(&mut worker.runs).into_keys() {
+                worker.end(name, run, How::Lapsed);
+            }
+        }
+        let over: Vec<(String, RunNumber)> = worker
+            .runs
+            .iter()
+            .filter(|((name, _), began)| {
+                let id = name.split('.').next().unwrap_or_default();
+                spans.get(id).is_some_and(|span| now >= **began + *span) && !worker.stands_still
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for (name, run) in over {
+            worker.runs.remove(&(name.clone(), run));
+            worker.end(name, run, How::Done);
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        let moment = self.moment();
+        match order {
+            Order::Hold(to, hold) => {
+                if let Some(worker) = self.workers.get_mut(&to.life.worker) {
+                    worker.hold = Some((to, hold, self.now));
+                }
+            }
+            Order::Start(to, start) => {
+                let answer = self.start(&to, &start);
+                let (unit, run) = (start.unit, start.run);
+                let started = Started { life: to.life, unit, run, answer };
+                self.scheduler.started(moment, &self.ledger, started);
+            }
+            Order::Stop(to, stop) => {
+                let answer = match self.workers.get_mut(&to.life.worker) {
+                    Some(worker) if !worker.dead && !worker.cut => {
+                        worker.fence = worker.fence.max(stop.fence);
+                        let barred = worker.barred.entry(stop.name.clone()).or_default();
+                        *barred = (*barred).max(stop.run);
+                        if worker.runs.remove(&(stop.name.clone(), stop.run)).is_some() {
+                            worker.end(stop.name, stop.run, How::Stopped);
+                        }
+                        Answer::Done(())
+                    }
+                    _ => Answer::Unknown,
+                };
+                let stopped = Stopped { life: to.life, unit: stop.unit, run: stop.run, answer };
+                self.scheduler.stopped(moment, stopped);
+            }
+            Order::Upkeep(order) => {
+                self.upkeeps.push((self.now, order.machine.clone()));
+                for worker in self.workers.values_mut() {
+                    if worker.report.machine == order.machine {
+                        worker.dead = true;
+                    }
+                }
+                let (machine, wave) = (order.machine, order.wave);
+                let upkept = UpkeptMachine { machine, wave, answer: Answer::Done(()) };
+                self.scheduler.upkept(moment, upkept);
+            }
+            Order::Move(order) => self.moves.push((self.now, order.machine, order.pool)),
+            Order::Pace(..) | Order::List => {}
+        }
+    }
+
+    fn start(&mut self, to: &Address, start: &Start) -> Answer<()> {
+        let Some(worker) = self.workers.get_mut(&to.life.worker) else { return Answer::Unknown };
+        if worker.dead || worker.cut {
+            return Answer::Unknown;
+        }
+        if start.fence < worker.fence {
+            return Answer::Refused(Refusal::Fence);
+        }
+        if worker.barred.get(&start.name).is_some_and(|barred| start.run <= *barred) {
+            return Answer::Refused(Refusal::Old);
+        }
+        if !worker.mute || worker.carries_out {
+            worker.expires = worker.expires.max(Duration::from_millis(start.expires));
+            let key = (start.name.clone(), start.run);
+            if let std::collections::btree_map::Entry::Vacant(slot) = worker.runs.entry(key) {
+                slot.insert(self.now);
+                let (name, run) = (start.name.clone(), start.run);
+                self.begun.push(Begun { at: self.now, name, run, worker: to.life.worker.clone() });
+                if worker.fails {
+                    worker.runs.remove(&(start.name.clone(), start.run));
+                    worker.end(start.name.clone(), start.run, How::Failed);
+                }
+            }
+        }
+        if worker.mute { Answer::Unknown } else { Answer::Done(()) }
+    }
+
+    fn answer_hold(&mut self, id: &str) {
+        let (moment, now) = (self.moment(), self.now);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some((to, hold, since)) = worker.hold.clone() else { return };
+        let silent = worker.dead || worker.cut;
+        let due = now >= since + hold.wait;
+        if silent && now < since + hold.wait + Duration::from_millis(700) {
+            return;
+        }
+        worker.finished.retain(|end| end.number > hold.noted);
+        if !silent && !due && worker.finished.is_empty() {
+            return;
+        }
+        worker.hold = None;
+        let answer = if silent {
+            Answer::Unknown
+        } else if hold.fence < worker.fence {
+            Answer::Refused(Refusal::Fence)
+        } else {
+            worker.fence = hold.fence;
+            let spans = &self.span;
+            if let Some(expires) = hold.expires {
+                worker.expires = worker.expires.max(Duration::from_millis(expires));
+            }
+            Answer::Done(worker.lists(now, spans))
+        };
+        let held = Held { life: to.life, sent: hold.sent, answer };
+        self.scheduler.held(moment, &self.ledger, held);
+    }
+
+    /// Starts of a unit, over all workers.
+    pub fn starts_of(&self, name: &str) -> Vec<&Begun> {
+        self.begun.iter().filter(|begun| begun.name == name).collect()
+    }
+
+    /// Workers on which a unit runs now.
+    pub fn runs_of(&self, name: &str) -> Vec<&String> {
+        let runs = |worker: &Worker| worker.runs.keys().any(|(unit, _)| unit == name);
+        self.workers.iter().filter(|(_, w)| !w.dead && runs(w)).map(|(id, _)| id).collect()
+    }
+
+    /// State of a job.
+    pub fn state(&self, queue: &str, id: &str) -> jobs::State {
+        self.ledger.find(&queue.to_string(), id).unwrap().state
+    }
+
+    /// The first unit of a job's first step.
+    pub fn unit(&self, id: &str, index: u32) -> UnitKey {
+        self.ledger.unit_named(&format!("{id}.0.0.{index}")).unwrap()
+    }
+}
+
+impl Worker {
+    fn end(&mut self, name: String, run: RunNumber, how: How) {
+        self.ends += 1;
+        let checkpoint = String::new();
+        self.finished.push(Finished { number: self.ends, name, run, how, checkpoint });
+    }
+
+    fn lists(&self, now: Duration, spans: &BTreeMap<String, Duration>) -> Holding {
+        let row = |((name, run), began): (&(String, RunNumber), &Duration)| Row {
+            name: name.clone(),
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100.min(match self.stands_still {
+                true => 1,
+                false => {
+                    let job = name.split('.').next().unwrap_or_default();
+                    let span = spans.get(job).copied().unwrap_or(Duration::from_millis(500));
+                    (now.saturating_sub(*began).as_secs_f64() / span.as_secs_f64() * 100.0) as u32
+                }
+            }),
+            reading: 0,
+        };
+        Holding {
+            born: Some(self.report.life.born),
+            clock_ms: now.as_millis() as u64,
+            running: self.runs.iter().map(row).collect(),
+            finished: self.finished.clone(),
+        }
+    }
+}
