Move idle machines to the pools whose work waits, and park the others

Change: each pool gets machines for the work that arrives or waits and can be in time; only machines that run nothing are moved; idle ones are parked.

--- a/crates/control/src/core/reign.rs
+++ b/crates/control/src/core/reign.rs
@@ -118,7 +118,7 @@
             Input::Started(started) => scheduler.started(moment, &self.ledger, started),
             Input::Stopped(stopped) => scheduler.stopped(moment, stopped),
             Input::Listed(Answer::Done(machines)) => scheduler.listed(moment, machines),
-            Input::Moved(moved) => scheduler.moved(moment, &self.ledger, moved),
+            Input::Moved(moved) => scheduler.moved(moment, moved),
             Input::Upkept(upkept) => scheduler.upkept(moment, upkept),
             _ => {}
         }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -1,12 +1,14 @@
 //! Where a unit runs.
 //!
-//! Answers wide steps, racks with data, waves and correlated loss: near its data
-//! first, then where the most room is left, so that steps end together and no
-//! worker carries more of a pool than it has to. Lasting work goes to machines
-//! that stay.
+//! Answers surges by turns, racks with data, waves and correlated loss: near its
+//! data first, then where the least room is left, so that machines run empty and
+//! can be moved when a surge is over. Lasting work is spread over racks, and goes
+//! to few machines, and to machines that stay.
 
 use crate::worker::Worker;
 use jobs::{Step, StepKey};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// What a choice of a worker rests on, besides the workers.
@@ -20,11 +22,13 @@
     pub now: Duration,
     /// Silence after which a worker gets no new work.
     pub silence: Duration,
+    /// Units of the step on each rack; counted for lasting work only.
+    pub racks: &'a BTreeMap<String, u32>,
 }
 
 /// Whether a unit of the step may run on a worker.
 pub fn fits(worker: &Worker, terms: &Terms<'_>) -> bool {
-    let Terms { key, step, now, silence } = terms;
+    let Terms { key, step, now, silence, .. } = terms;
     if !worker.is_open(*now, *silence) || !worker.free().holds(&step.counted_room()) {
         return false;
     }
@@ -41,8 +45,13 @@
     let labels = worker.report.as_ref().map(|report| report.labels.as_slice()).unwrap_or_default();
     let near = step.affinity.as_ref().is_none_or(|rack| labels.contains(rack));
     let trusted = worker.strikes == 0;
-    let alike = if step.lasting { worker.runs_of(&terms.key) } else { 0 };
-    let settled = !step.lasting || !worker.due;
+    let hosts = worker.runs.values().any(|run| run.lasting);
     let free = worker.free();
-    (trusted, settled, near, std::cmp::Reverse(alike), free.cpu_milli, free.memory_mb)
+    let tight = Reverse((free.cpu_milli, free.memory_mb));
+    if !step.lasting {
+        return (trusted, true, near, Reverse(0), hosts, tight);
+    }
+    let rack = worker.report.as_ref().and_then(|report| report.rack());
+    let beside = rack.and_then(|rack| terms.racks.get(rack)).copied().unwrap_or(0);
+    (trusted, !worker.due, near, Reverse(beside), hosts, tight)
 }
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -104,7 +104,10 @@
         {
             return Hearing::Old; // a later life has the address already
         }
-        self.workers.retain(|_, heard| !replaced(heard));
+        let earlier = |heard: &Heard| {
+            heard.report.machine == report.machine && heard.report.life.born < report.life.born
+        };
+        self.workers.retain(|_, heard| !replaced(heard) && !earlier(heard));
         let news = self.workers.get(&report.life.worker).is_none_or(|heard| {
             let held = &heard.report;
             held.life != report.life
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -131,7 +131,7 @@
             mean_size: BTreeMap::new(),
             machines: BTreeMap::new(),
             upkeep: upkeep::Progress::default(),
-            balance: balance::Balance::new(moment.now),
+            balance: balance::Balance::default(),
             looked: Duration::ZERO,
             batch: Batch::default(),
             changes: Vec::new(),
@@ -229,6 +229,7 @@
         }
         if known.is_none_or(|life| life != report.life) {
             self.new_life_reported(moment, report);
+            self.machine_arrived(&report.machine, &report.pool);
         }
         let worker = self.worker(moment, &report.life);
         let same = worker
@@ -260,6 +261,7 @@
             Event::Accepted(number) => {
                 self.accepted.insert(*number, moment.now);
                 self.learn_size(ledger, *number);
+                self.work_arrived(moment, ledger, *number);
                 self.open_job(moment, ledger, *number);
             }
             Event::Finished(number, _) => self.close_job(moment, ledger, *number),
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -54,7 +54,8 @@
             if !largest.holds(&step.counted_room()) {
                 continue;
             }
-            let terms = Terms { key, step, now: moment.now, silence: SILENCE };
+            let racks = self.racks_of(&key, step);
+            let terms = Terms { key, step, now: moment.now, silence: SILENCE, racks: &racks };
             let done = if step.gang {
                 self.place_gang(moment, ledger, &terms, &candidates, placed)
             } else {
@@ -66,6 +67,20 @@
         }
     }
 
+    /// Units of a lasting step on each rack.
+    fn racks_of(&self, key: &StepKey, step: &jobs::Step) -> BTreeMap<String, u32> {
+        let mut racks = BTreeMap::new();
+        if step.lasting {
+            for worker in self.workers.values() {
+                let rack = worker.report.as_ref().and_then(|report| report.rack());
+                if let Some(rack) = rack {
+                    *racks.entry(rack.clone()).or_default() += worker.runs_of(key);
+                }
+            }
+        }
+        racks
+    }
+
     fn largest_room(&self, candidates: &[WorkerId]) -> Room {
         let mut largest = Room::default();
         for id in candidates {
@@ -102,6 +117,8 @@
         let mut count = 0;
         for index in self.units_of(moment, ledger, &terms.key) {
             let unit = terms.key.unit(index);
+            let racks = self.racks_of(&terms.key, terms.step);
+            let terms = &Terms { racks: &racks, ..*terms };
             let Some(id) = self.best(terms, candidates, &unit) else { break };
             let number = self.next_run(ledger, &unit);
             self.put(moment, terms, &id, unit, number);
--- a/crates/sched/src/scheduler/upkeep.rs
+++ b/crates/sched/src/scheduler/upkeep.rs
@@ -143,6 +143,7 @@
         for (machine, wave) in over {
             self.upkeep_done(wave, machine);
         }
+        self.machines_listed(moment);
     }
 
     /// Takes in the answer to an order for upkeep.
@@ -173,8 +174,16 @@
     }
 
     /// Takes in the answer to an order to move.
-    pub fn moved(&mut self, moment: Moment, ledger: &Ledger, moved: MovedMachine) {
-        self.machine_moved(moment, ledger, moved);
+    pub fn moved(&mut self, moment: Moment, moved: MovedMachine) {
+        self.machine_moved(moment, moved);
+    }
+
+    /// Whether a machine is being emptied for its upkeep, or has it.
+    pub(super) fn is_kept_up(&self, machine: &MachineId) -> bool {
+        self.upkeep.emptying.contains_key(machine)
+            || self.upkeep.ordered.contains_key(machine)
+            || self.upkeep.begun.contains_key(machine)
+            || self.upkeep.changing.contains_key(machine)
     }
 }
 
@@ -200,6 +209,7 @@
                 .iter()
                 .filter(|(machine, upkeep)| {
                     **upkeep == Upkeep::Due
+                        && !self.is_moving(machine)
                         && !self.upkeep.emptying.contains_key(*machine)
                         && self.upkeep.later.get(*machine).is_none_or(|at| moment.now >= *at)
                 })
@@ -423,6 +433,4 @@
         let change = UpkeepChange { wave, machine: machine.clone(), upkeep };
         self.changes.push(Command::Upkeep(change));
     }
-
-    fn machine_moved(&mut self, _moment: Moment, _ledger: &Ledger, _moved: MovedMachine) {}
 }
