Follow a rejected probe by the next at once, and skip whole terms

Change: a rejection of the newest probe is followed at once; the hint goes to the entry before the whole term that disagrees. Two tests fail first.

--- a/crates/quorum/src/node/follow.rs
+++ b/crates/quorum/src/node/follow.rs
@@ -16,7 +16,7 @@
         let agreed = append.prev_index <= self.log.base_index()
             || self.log.term(append.prev_index) == Some(append.prev_term);
         if !agreed {
-            let hint = self.log.last_index().min(append.prev_index.saturating_sub(1));
+            let hint = self.hint(append.prev_index);
             self.answer(from, false, hint, append.sent);
             return;
         }
@@ -28,6 +28,17 @@
         self.answer(from, true, last, append.sent);
     }
 
+    /// Last entry that may agree with a leader whose entry before `index` does not:
+    /// the one before the whole term that is in its place here.
+    fn hint(&self, index: Index) -> Index {
+        let Some(term) = self.log.term(index) else { return self.log.last_index().min(index - 1) };
+        let mut hint = index - 1;
+        while hint > self.log.base_index() && self.log.term(hint) == Some(term) {
+            hint -= 1;
+        }
+        hint
+    }
+
     pub(super) fn accept(&mut self, entry: Entry) {
         if entry.index <= self.log.base_index() {
             return;
--- a/crates/quorum/src/node/lead.rs
+++ b/crates/quorum/src/node/lead.rs
@@ -3,7 +3,7 @@
 use super::{Error, INSTALL_RETRY, MAX_ENTRIES_PER_APPEND, Node, Result};
 use crate::log::{Entry, Payload};
 use crate::message::{Append, Appended, Install, Message};
-use crate::progress::Progress;
+use crate::progress::{Flow, Progress};
 use crate::{Id, Index};
 use std::time::Duration;
 
@@ -82,11 +82,11 @@
     pub(super) fn send_append(&mut self, id: &Id) {
         let now = self.now;
         let Some(progress) = self.others.get_mut(id) else { return };
-        if let Some(since) = &mut progress.probing {
-            if *since != Duration::ZERO && now < *since + self.settings.heartbeat {
+        if let Flow::Probing { sent } = &mut progress.flow {
+            if sent.is_some_and(|at| now < at + self.settings.heartbeat) {
                 return;
             }
-            *since = now;
+            *sent = Some(now);
         }
         progress.sent = Some(now);
         let prev_index = progress.next - 1;
@@ -133,8 +133,7 @@
         if appended.accepted {
             progress.accept(appended.matched);
         } else {
-            progress.reject(appended.matched);
-            progress.probing.get_or_insert(Duration::ZERO);
+            progress.reject(appended.matched, appended.sent);
         }
         let behind = progress.next <= last;
         self.advance();
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::log::{Entry, Log, Payload, Snapshot};
 use crate::message::{Envelope, Message};
-use crate::progress::Progress;
+use crate::progress::{Flow, Progress};
 use crate::{Id, Index, Membership, Term};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -353,6 +353,7 @@
             let progress = self.others.entry(id.clone()).or_insert_with(|| Progress::new(next));
             progress.next = progress.matched.max(next - 1) + 1;
             progress.installing = None;
+            progress.flow = Flow::Streaming; // answers to what was sent before may be lost
             self.send_append(&id);
         }
     }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -16,9 +16,20 @@
     pub sent: Option<Duration>,
     /// A snapshot is under way since then.
     pub installing: Option<Duration>,
-    /// The node lacked what it was sent; since then one message at a time goes to
-    /// it, until it accepts one.
-    pub probing: Option<Duration>,
+    /// How entries are sent to it.
+    pub flow: Flow,
+}
+
+/// How entries are sent to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// As they come, without waiting for answers.
+    Streaming,
+    /// One message at a time, since the node lacked what it was sent.
+    Probing {
+        /// When the last one was sent; none while the next is due.
+        sent: Option<Duration>,
+    },
 }
 
 impl Progress {
@@ -28,7 +39,14 @@
     /// assert_eq!(quorum::progress::Progress::new(8).matched, 0);
     /// ```
     pub fn new(next: Index) -> Progress {
-        Progress { next, matched: 0, answered: None, sent: None, installing: None, probing: None }
+        Progress {
+            next,
+            matched: 0,
+            answered: None,
+            sent: None,
+            installing: None,
+            flow: Flow::Streaming,
+        }
     }
 
     /// Takes in that the node holds all entries up to an index.
@@ -36,11 +54,15 @@
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
         self.installing = None;
-        self.probing = None;
+        self.flow = Flow::Streaming;
     }
 
-    /// Takes in that the node lacks the entry before the ones sent.
-    pub fn reject(&mut self, hint: Index) {
+    /// Takes in that the node lacks the entry before the ones sent at a time.
+    pub fn reject(&mut self, hint: Index, sent: Duration) {
+        match self.flow {
+            Flow::Probing { sent: Some(probe) } if sent < probe => return, // answered already
+            _ => self.flow = Flow::Probing { sent: None },
+        }
         self.next = (hint + 1).min(self.next.saturating_sub(1)).max(self.matched + 1);
         self.installing = None;
     }
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -222,3 +222,39 @@
     other.receive(millis(5011), &id("c"), Message::Poll(poll));
     assert!(granted(&drain(&mut other)), "the leader itself asked for it");
 }
+
+#[test]
+fn a_rejected_probe_is_followed_by_the_next_at_once() {
+    let mut node = leader(300);
+    let rejected = |matched, sent| {
+        Message::Appended(Appended { term: 2, accepted: false, matched, sent: millis(sent) })
+    };
+    node.receive(millis(5003), &id("a"), rejected(200, 5001));
+    assert!(entries_in(&drain(&mut node)) > 0);
+    for step in 1..=100 {
+        let now = 5003 + step;
+        node.receive(millis(now), &id("a"), rejected(200 - step, now - 1));
+        assert!(entries_in(&drain(&mut node)) > 0, "step {step} waits");
+    }
+}
+
+#[test]
+fn a_follower_skips_a_whole_term_that_the_leader_does_not_have() {
+    let mut entries: Vec<Entry> = (1..=10).map(|index| entry(index, 1)).collect();
+    entries.extend((11..=200).map(|index| entry(index, 2)));
+    let hard = Hard { term: 2, vote: None };
+    let state = State { hard, entries, commit: 5, ..State::default() };
+    let mut node = Node::restore(id("b"), true, Settings::default(), 1, state);
+    let append = Append {
+        term: 3,
+        prev_index: 150,
+        prev_term: 3,
+        entries: Vec::new(),
+        commit: 5,
+        sent: Duration::ZERO,
+    };
+    node.receive(millis(10), &id("a"), Message::Append(append));
+    let answers = drain(&mut node);
+    let Some(Message::Appended(appended)) = answers.first() else { panic!("{answers:?}") };
+    assert_eq!((appended.accepted, appended.matched), (false, 10));
+}
