--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -337,6 +337,9 @@
                 report.number
             );
         }
+        if hearing == Hearing::News && pass_on {
+            self.spread(&report);
+        }
         if let Some(reign) = &mut self.reign {
             let report = self.roster.get(&report.life.worker).map(|heard| heard.report.clone());
             if let Some(report) = report {
@@ -346,9 +349,14 @@
             self.unsent.retain(|held| held.life != report.life);
             self.unsent.push(report);
             self.unsent_since.get_or_insert(moment.now);
-            if hearing == Hearing::News {
-                self.pass_reports_on();
-            }
+        }
+    }
+
+    /// Tells the other core processes news of a worker, so that each of them could
+    /// lead without waiting for the next reports.
+    fn spread(&self, report: &Report) {
+        for peer in self.outside.peers().iter().filter(|peer| peer.control.is_some()) {
+            self.outside.send(&peer.name, Frame::Reports(vec![report.clone()]));
         }
     }
 
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -29,6 +29,14 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Inputs taken together before their changes are synced.
 const BATCH_INPUTS: usize = 1024;
+/// Spans of the agreement: an election has to outlast a few slow syncs of the disk
+/// (30 times 6 ms each) and is most of the time without a leader.
+const SPANS: quorum::Settings = quorum::Settings {
+    heartbeat: Duration::from_millis(200),
+    learner_heartbeat: Duration::from_millis(500),
+    election: Duration::from_millis(900),
+    lease: Duration::from_millis(750),
+};
 /// Longest wait for the reply to a request that names no deadline.
 pub const ASK_TIMEOUT: Duration = Duration::from_millis(1800);
 
@@ -159,7 +167,7 @@
             bootstrap: start.bootstrap,
             retention: start.retention,
             sched: start.sched,
-            spans: quorum::Settings::default(),
+            spans: SPANS,
             outside: surroundings.clone(),
             opener: start.opener,
             seed: rand::random(),
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -2,7 +2,7 @@
 
 use jobs::command::{Command, How, Submit};
 use jobs::order::{Order as JobOrder, Room, Step};
-use jobs::{Config, Ledger, Life, Pool, Queue, RunNumber, UnitKey};
+use jobs::{Config, Ledger, Life, Pool, Queue, RunNumber};
 use sched::machine::{self, Machine};
 use sched::order::{Address, Answer, Finished, Hold, Holding, Order, Refusal, Row, Start};
 use sched::scheduler::{Held, Moment, MovedMachine, Started, Stopped, UpkeptMachine};
@@ -414,10 +414,6 @@
         self.ledger.find(&queue.to_string(), id).unwrap().state
     }
 
-    /// The first unit of a job's first step.
-    pub fn unit(&self, id: &str, index: u32) -> UnitKey {
-        self.ledger.unit_named(&format!("{id}.0.0.{index}")).unwrap()
-    }
 }
 
 impl Worker {
