--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -196,7 +196,11 @@
     ) {
         let Some(job) = ledger.job(unit.job) else { return };
         let step = &job.order.steps[usize::from(unit.step)];
-        let run = Run::new(RunState::Inherited, step.counted_room(), step.lasting, moment.now);
+        let mut run = Run::new(RunState::Inherited, step.counted_room(), step.lasting, moment.now);
+        if job.state.is_final() || ledger.unit(&unit).is_some_and(|unit| unit.done) {
+            run.stopped_for = Some(StopReason::Unwanted);
+            run.state = RunState::Stopping { sent: None, acknowledged: None };
+        }
         self.worker(moment, life).add(unit, number, run);
         let last = self.last_runs.entry(unit).or_default();
         *last = (*last).max(number);
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -167,3 +167,16 @@
     }
     assert!(world.ledger.waves()[&1].is_completed(), "{:?}", world.ledger.waves());
 }
+
+#[test]
+fn a_new_leader_stops_what_its_predecessor_did_not_come_to_stop() {
+    let mut world = World::new(3);
+    world.submit("q", "a", vec![lasting(2, 1000)]);
+    world.run(seconds(1.0));
+    assert_eq!(world.runs_of("a.0.0.0").len(), 1);
+    let cancel = jobs::command::Cancel { queue: "q".into(), id: "a".into(), at: 1_000_000 };
+    world.ledger.apply(jobs::Command::Cancel(cancel)); // the leader dies before it acts
+    world.take_over();
+    world.run(seconds(2.5));
+    assert!(world.runs_of("a.0.0.0").is_empty() && world.runs_of("a.0.0.1").is_empty());
+}
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -413,7 +413,6 @@
     pub fn state(&self, queue: &str, id: &str) -> jobs::State {
         self.ledger.find(&queue.to_string(), id).unwrap().state
     }
-
 }
 
 impl Worker {
