End reading at a syntax error; part what entries share from who uses it

check: a record file with a syntax error made the reader go over the same error until memory ran out; the first one now ends it, named with document, line and column. A file without records is refused. Two tests fail first. entry: once, relay and shared imported each other in a circle; the functions that serve a request now stand in dispatch, and the state they use below shared.

--- a/crates/entry/src/http/callers.rs
+++ b/crates/entry/src/http/callers.rs
@@ -1,9 +1,8 @@
 //! Requests of callers, and the balancer's health check.
 
+use crate::dispatch;
 use crate::forward::{DEADLINE_MS, OUTCOME, Terms, passed_on, spread};
 use crate::http::reply::{self, Result};
-use crate::once;
-use crate::relay;
 use crate::shared::Shared;
 use route::claim::Key;
 use route::outcome::{Reason, Refusal};
@@ -79,8 +78,8 @@
 async fn answer(shared: &Shared, asked: Asked) -> Outcome {
     let Asked { call, terms, key } = asked;
     match key {
-        Some(key) => once::serve(shared, &key, &call, &terms).await,
-        None => relay::dispatch(shared, &call, &terms).await,
+        Some(key) => dispatch::serve(shared, &key, &call, &terms).await,
+        None => dispatch::dispatch(shared, &call, &terms).await,
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agreement;
 pub mod clock;
+pub mod dispatch;
 pub mod dump;
 pub mod forward;
 pub mod gate;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -1,11 +1,7 @@
 //! Requests that must not run twice, wherever they arrive.
 
-use crate::forward::Terms;
-use crate::relay;
-use crate::shared::Shared;
 use async_std::channel::{Receiver, Sender, bounded};
-use async_std::future::timeout;
-use route::claim::{Claims, Inherited, Key, Taken};
+use route::claim::{Claims, Digest as CallDigest, Inherited, Key, Taken};
 use route::outcome::{Reason, Refusal};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
@@ -63,7 +59,12 @@
         self.inherited.lock().expect("no holder panics").take_over(settled);
     }
 
-    fn begin(&self, key: &Key, digest: Vec<u8>) -> Begun {
+    /// Outcome of a request that an entry settled before it stopped.
+    pub(crate) fn inherited(&self, key: &Key, digest: &CallDigest) -> Option<Outcome> {
+        self.inherited.lock().expect("no holder panics").outcome(key, digest)
+    }
+
+    pub(crate) fn begin(&self, key: &Key, digest: Vec<u8>) -> Begun {
         let mut under_way = self.under_way.lock().expect("no holder panics");
         match self.claims.lock().expect("no holder panics").take(key, digest) {
             Taken::Run => {
@@ -79,7 +80,7 @@
         }
     }
 
-    fn end(&self, key: &Key, outcome: Outcome) {
+    pub(crate) fn end(&self, key: &Key, outcome: Outcome) {
         let mut under_way = self.under_way.lock().expect("no holder panics");
         let bytes = match &outcome {
             Outcome::Answered(whole) => whole.body.len(),
@@ -90,74 +91,18 @@
     }
 }
 
-enum Begun {
+/// What to do with a request under a key.
+pub(crate) enum Begun {
+    /// Run it, then settle it.
     Run,
+    /// Another request under the key is under way.
     Wait(Option<Receiver<()>>),
+    /// It has run.
     Settled(Outcome),
 }
 
-/// Settles a claim as unknown if its request is dropped half-way.
-struct Guard<'a> {
-    once: &'a Once,
-    key: &'a Key,
-    ended: bool,
-}
-
-impl Drop for Guard<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            let refusal = Refusal::new(Reason::Silent, "it was given up while it ran");
-            self.once.end(self.key, Outcome::Unknown(refusal));
-        }
-    }
-}
-
-/// Serves a request under a key: here if this life minted the key, through the
-/// life that did otherwise.
-pub async fn serve(shared: &Shared, key: &Key, call: &Call, terms: &Terms) -> Outcome {
-    let identity = &shared.identity;
-    if key.entry == identity.name && key.life == identity.life {
-        return run(shared, key, call, terms).await;
-    }
-    let links = shared.links();
-    let owner =
-        links.iter().find(|link| link.identity.name == key.entry && link.identity.life == key.life);
-    if let Some(owner) = owner {
-        return relay::send(shared, owner.id(), Some(key), call, terms).await;
-    }
-    let inherited = shared.once.inherited.lock().expect("no holder panics");
-    inherited.outcome(key, &digest(call)).unwrap_or_else(|| {
-        let detail = format!("entry \"{}\" that minted the key can't be reached", key.entry);
-        Outcome::Unknown(Refusal::new(Reason::KeyLost, detail))
-    })
-}
-
-/// Runs a request under a key of this life at most once.
-pub async fn run(shared: &Shared, key: &Key, call: &Call, terms: &Terms) -> Outcome {
-    loop {
-        match shared.once.begin(key, digest(call)) {
-            Begun::Settled(outcome) => return outcome,
-            Begun::Wait(settled) => {
-                let left = terms.deadline.saturating_sub(shared.clock.now());
-                let Some(settled) = settled else { continue };
-                if timeout(left, settled.recv()).await.is_err() {
-                    let detail = "it is still under way";
-                    return Outcome::Unknown(Refusal::new(Reason::Silent, detail));
-                }
-            }
-            Begun::Run => {
-                let mut guard = Guard { once: &shared.once, key, ended: false };
-                let outcome = relay::dispatch(shared, call, terms).await;
-                guard.ended = true;
-                shared.once.end(key, kept(&outcome));
-                return outcome;
-            }
-        }
-    }
-}
-
 /// What is remembered of an outcome: a large answer only as that it ran.
-fn kept(outcome: &Outcome) -> Outcome {
+pub(crate) fn kept(outcome: &Outcome) -> Outcome {
     match outcome {
         Outcome::Answered(whole) if whole.body.len() > MAX_KEPT_BYTES => {
             let detail = "it ran, and its answer was too large to keep";
@@ -167,7 +112,7 @@
     }
 }
 
-fn digest(call: &Call) -> Vec<u8> {
+pub(crate) fn digest(call: &Call) -> Vec<u8> {
     let mut hash = Sha256::new();
     for part in [call.pool.as_bytes(), call.method.as_bytes(), call.path.as_bytes(), &call.body] {
         hash.update((part.len() as u64).to_le_bytes());
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,8 +1,8 @@
 //! Connections between entries: of each pair, the lower name connects.
 
 use crate::agreement::Input;
+use crate::dispatch;
 use crate::link::{Link, QUEUE_FRAMES, Traffic};
-use crate::relay;
 use crate::shared::Shared;
 use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
@@ -291,7 +291,7 @@
             Frame::Sightings(sightings) => hear(shared, sightings),
             Frame::Relay(relay) => {
                 let (parent, from) = (shared.clone(), id.clone());
-                shared.relays.spawn(async move { relay::answer(&parent, from, relay).await });
+                shared.relays.spawn(async move { dispatch::answer(&parent, from, relay).await });
             }
             Frame::Serving(pools) => {
                 shared.serving.lock().expect("no holder panics").insert(id.clone(), pools);
--- a/crates/record/src/document.rs
+++ b/crates/record/src/document.rs
@@ -84,7 +84,8 @@
 
 /// Reads a YAML stream of documents, separated by `---`.
 ///
-/// Reports every document that does not parse, not only the first.
+/// Reports every document that is no record, not only the first. A syntax error
+/// ends the reading, since nothing behind it can be told apart.
 ///
 /// ```
 /// let text = "kind: team\nschema: 1\nname: gate\nspec: {quota: 3, weight: 1}\n";
@@ -95,10 +96,18 @@
     let mut documents = Vec::new();
     let mut faults = Vec::new();
     for (position, part) in serde_norway::Deserializer::from_str(text).enumerate() {
-        match serde_path_to_error::deserialize::<_, Option<Document>>(part) {
+        let number = position + 1;
+        let value = match serde_norway::Value::deserialize(part) {
+            Ok(value) => value,
+            Err(error) => {
+                faults.push(syntax_fault(number, &error));
+                break;
+            }
+        };
+        match serde_path_to_error::deserialize::<_, Option<Document>>(value) {
             Ok(document) => documents.extend(document),
             Err(error) => {
-                let field = format!("document {}, {}", position + 1, error.path());
+                let field = format!("document {number}, {}", error.path());
                 faults.push(Fault::new(field, error.into_inner().to_string()));
             }
         }
@@ -106,6 +115,13 @@
     if faults.is_empty() { Ok(documents) } else { Err(faults) }
 }
 
+fn syntax_fault(document: usize, error: &serde_norway::Error) -> Fault {
+    let place = error.location().map_or(String::new(), |location| {
+        format!(", line {}, column {}", location.line(), location.column())
+    });
+    Fault::new(format!("document {document}{place}"), error.to_string())
+}
+
 fn name_fault(name: &str) -> Option<Fault> {
     let valid = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
     if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(valid) {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -55,6 +55,9 @@
         });
     }
     let documents = match record::document::parse_all(&text) {
+        Ok(documents) if documents.is_empty() => {
+            return Ok(Checked::Faulty(vec![format!("{}: holds no record", path.display())]));
+        }
         Ok(documents) => documents,
         Err(faults) => return Ok(Checked::Faulty(named(faults))),
     };
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -78,3 +78,26 @@
     let text = stderr(&output);
     assert!(text.contains("plan p: spec.pool: budget b lets no instance of pool"), "{text}");
 }
+
+#[test]
+fn a_syntax_error_ends_the_reading_and_is_named_with_its_place() {
+    let workdir = Workdir::new();
+    workdir.write("torn.yaml", &format!("{RECORDS}\n---\n: : [\n"));
+    let output = workdir.run("a1", &["check", "torn.yaml"]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = stderr(&output);
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.contains("torn.yaml: document ") && text.contains(" line "), "{text}");
+    assert!(text.contains(" column "), "{text}");
+}
+
+#[test]
+fn a_file_without_records_is_refused() {
+    let workdir = Workdir::new();
+    for (name, content) in [("empty.yaml", ""), ("bare.yaml", "---\n---\n")] {
+        workdir.write(name, content);
+        let output = workdir.run("a1", &["check", name]);
+        assert_eq!(output.status.code(), Some(2), "{name}");
+        assert!(stderr(&output).contains(&format!("{name}: holds no record")), "{name}");
+    }
+}
