End a gang's step once, and break a gang that lacks a member

Change: only the end that makes a unit done ends its step; members of a gang share their checkpoint; when one is lost the others are stopped. Tests fail first.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -281,17 +281,32 @@
         let placed = |p: &Placement| p.run == end.run && p.life == *life;
         let Some(position) = unit.placements.iter().position(placed) else { return };
         unit.placements.remove(position);
+        let saved = end.checkpoint.clone();
+        let was_done = unit.done; // by a copy, or by another member of its gang
         unit.end(end.how, &end.checkpoint);
         let freed = Freed { unit: key, run: end.run, life: life.clone(), how: Some(end.how) };
         events.push(Event::Freed(freed));
+        self.share_checkpoint(&key, &saved);
         match end.how {
-            How::Done => self.unit_done(key, at, events),
+            How::Done if !was_done => self.unit_done(key, at, events),
             How::Failed => self.unit_failed(key, at, events),
-            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+            How::Done | How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
         self.drop_units(key.job);
     }
 
+    /// A checkpoint of one member of a gang is good for all, and all have to start
+    /// from the same.
+    fn share_checkpoint(&mut self, key: &UnitKey, saved: &str) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        if saved.is_empty() || !job.order.steps[usize::from(key.step)].gang {
+            return;
+        }
+        for unit in &mut job.occurrence_mut(key.occurrence).steps[usize::from(key.step)] {
+            unit.checkpoint = saved.to_string();
+        }
+    }
+
     fn unit_done(&mut self, key: UnitKey, at: UnixMs, events: &mut Vec<Event>) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let step = &job.order.steps[usize::from(key.step)];
--- /dev/null
+++ b/crates/jobs/tests/ledger.rs
@@ -0,0 +1,202 @@
+//! Rules of the ledger, each on its own.
+
+use jobs::command::{Batch, Cancel, Command, End, Ended, How, Placed, Submit, Voided};
+use jobs::ledger::Event;
+use jobs::order::{Order, Room, Schedule, Step};
+use jobs::{Config, Ledger, Life, Outcome, Pool, Queue, State, UnitKey};
+use std::time::Duration;
+
+fn config(version: u64) -> Config {
+    let mut config = Config { version, ..Config::default() };
+    let queue = Queue {
+        host: "h".to_string(),
+        prefix: "/q/".to_string(),
+        pool: "p".to_string(),
+        timeout: Duration::from_secs(3),
+        max_attempts: 2,
+        ..Queue::default()
+    };
+    config.queues.insert("q".to_string(), queue);
+    config.pools.insert("p".to_string(), Pool::default());
+    config.document = version.to_string().into_bytes();
+    config
+}
+
+fn ledger() -> Ledger {
+    let mut ledger = Ledger::new(Duration::from_secs(120));
+    ledger.apply(Command::Configure(Box::new(config(5))));
+    ledger
+}
+
+fn step(count: u32) -> Step {
+    let room = Room { cpu_milli: 100, ..Room::default() };
+    Step { count, room, estimate: Duration::from_secs(1), ..Step::default() }
+}
+
+fn submit(ledger: &mut Ledger, id: &str, steps: Vec<Step>) -> Outcome {
+    let order = Order { spec: "s".to_string(), steps, schedule: None };
+    let submit = Submit { queue: "q".to_string(), id: id.to_string(), order, at: 1000 };
+    ledger.apply(Command::Submit(submit)).0
+}
+
+fn life(born: u64) -> Life {
+    Life::new("w", born)
+}
+
+fn place(ledger: &mut Ledger, unit: UnitKey, run: u64) -> Vec<Event> {
+    let placed = vec![Placed { life: life(1), runs: vec![(unit, run)] }];
+    ledger.apply(Command::Runs(Batch { at: 2000, placed, ..Batch::default() })).1
+}
+
+fn end(ledger: &mut Ledger, number: u64, unit: UnitKey, run: u64, how: How) -> Vec<Event> {
+    let end = End { number, unit: Some(unit), run, how, checkpoint: String::new() };
+    let ended = vec![Ended { life: life(1), ends: vec![end] }];
+    ledger.apply(Command::Runs(Batch { at: 3000, ended, ..Batch::default() })).1
+}
+
+fn state(ledger: &Ledger, id: &str) -> State {
+    ledger.find(&"q".to_string(), id).unwrap().state
+}
+
+#[test]
+fn the_highest_version_is_in_force_and_read_back_as_it_was_sent() {
+    let mut ledger = ledger();
+    for version in [4, 5, 9, 7] {
+        ledger.apply(Command::Configure(Box::new(config(version))));
+    }
+    let held = ledger.config().unwrap();
+    assert_eq!((held.version, held.document.as_slice()), (9, b"9".as_slice()));
+}
+
+#[test]
+fn a_job_is_one_job_however_often_it_comes() {
+    let mut ledger = ledger();
+    for _ in 0..3 {
+        assert_eq!(submit(&mut ledger, "a", vec![step(1)]), Outcome::Accepted);
+    }
+    assert_eq!(ledger.jobs().len(), 1);
+    let cancel = Cancel { queue: "q".to_string(), id: "a".to_string(), at: 1500 };
+    assert_eq!(ledger.apply(Command::Cancel(cancel)).0, Outcome::Done);
+    assert_eq!(submit(&mut ledger, "a", vec![step(1)]), Outcome::Accepted);
+    assert_eq!(state(&ledger, "a"), State::Cancelled, "a late copy does not bring it back");
+}
+
+#[test]
+fn an_end_counts_once_and_only_for_the_life_that_was_told() {
+    let mut ledger = ledger();
+    submit(&mut ledger, "a", vec![step(1)]);
+    let unit = ledger.unit_named("a.0.0.0").unwrap();
+    place(&mut ledger, unit, 1);
+    let stranger =
+        End { number: 1, unit: Some(unit), run: 1, how: How::Done, checkpoint: String::new() };
+    let ended = vec![Ended { life: life(2), ends: vec![stranger] }];
+    ledger.apply(Command::Runs(Batch { ended, ..Batch::default() }));
+    assert_eq!(state(&ledger, "a"), State::Running, "another life never ran it");
+    let mut ledger = crate::ledger();
+    submit(&mut ledger, "a", vec![step(2)]);
+    place(&mut ledger, unit, 1);
+    assert!(!end(&mut ledger, 1, unit, 1, How::Failed).is_empty());
+    assert!(end(&mut ledger, 1, unit, 1, How::Failed).is_empty(), "it is noted already");
+    assert_eq!(ledger.unit(&unit).unwrap().failures, 1);
+}
+
+#[test]
+fn a_unit_that_fails_too_often_fails_its_job() {
+    let mut ledger = ledger();
+    submit(&mut ledger, "a", vec![step(1)]);
+    let unit = ledger.unit_named("a.0.0.0").unwrap();
+    place(&mut ledger, unit, 1);
+    end(&mut ledger, 1, unit, 1, How::Failed);
+    assert_eq!(state(&ledger, "a"), State::Running);
+    place(&mut ledger, unit, 2);
+    end(&mut ledger, 2, unit, 2, How::Stopped);
+    assert_eq!(state(&ledger, "a"), State::Running, "a stop is no failure");
+    place(&mut ledger, unit, 3);
+    end(&mut ledger, 3, unit, 3, How::Failed);
+    assert_eq!(state(&ledger, "a"), State::Failed);
+    assert!(place(&mut ledger, unit, 4).is_empty(), "nothing is placed behind the end");
+}
+
+#[test]
+fn lasting_work_has_no_bound_on_failures() {
+    let mut ledger = ledger();
+    submit(&mut ledger, "a", vec![Step { lasting: true, ..step(1) }]);
+    let unit = ledger.unit_named("a.0.0.0").unwrap();
+    for run in 1..=9 {
+        place(&mut ledger, unit, run);
+        end(&mut ledger, run, unit, run, How::Failed);
+    }
+    assert_eq!(state(&ledger, "a"), State::Running);
+}
+
+#[test]
+fn ends_of_gang_members_end_their_step_once() {
+    let mut ledger = ledger();
+    let gang = Step { gang: true, ..step(3) };
+    let last = Step { after: vec![0], ..step(1) };
+    submit(&mut ledger, "a", vec![gang, last]);
+    let units: Vec<UnitKey> =
+        (0..3).map(|n| ledger.unit_named(&format!("a.0.0.{n}")).unwrap()).collect();
+    for unit in &units {
+        place(&mut ledger, *unit, 1);
+    }
+    let mut done = 0;
+    for (number, unit) in units.iter().enumerate() {
+        let events = end(&mut ledger, number as u64 + 1, *unit, 1, How::Done);
+        done += events.iter().filter(|event| matches!(event, Event::StepDone(_))).count();
+    }
+    assert_eq!(done, 1, "what follows would be opened again");
+}
+
+#[test]
+fn a_scheduled_job_completes_with_its_last_occurrence() {
+    let mut ledger = ledger();
+    let schedule = Schedule { first: 0, interval: Duration::from_secs(1), times: 2 };
+    let steps = vec![Step { gang: true, ..step(2) }];
+    let order = Order { spec: String::new(), steps, schedule: Some(schedule) };
+    let submit = Submit { queue: "q".to_string(), id: "a".to_string(), order, at: 0 };
+    ledger.apply(Command::Submit(submit));
+    let mut number = 0;
+    for occurrence in 0..2 {
+        assert_ne!(state(&ledger, "a"), State::Completed);
+        let units: Vec<UnitKey> =
+            (0..2).map(|n| ledger.unit_named(&format!("a.{occurrence}.0.{n}")).unwrap()).collect();
+        for unit in &units {
+            place(&mut ledger, *unit, 1);
+        }
+        for unit in units {
+            number += 1;
+            end(&mut ledger, number, unit, 1, How::Done);
+        }
+    }
+    assert_eq!(state(&ledger, "a"), State::Completed);
+}
+
+#[test]
+fn a_voided_run_frees_its_unit_and_a_late_end_of_it_changes_nothing() {
+    let mut ledger = ledger();
+    submit(&mut ledger, "a", vec![step(1)]);
+    let unit = ledger.unit_named("a.0.0.0").unwrap();
+    place(&mut ledger, unit, 1);
+    let voided = vec![Voided { unit, run: 1 }];
+    ledger.apply(Command::Runs(Batch { voided, ..Batch::default() }));
+    assert!(ledger.unit(&unit).unwrap().placements.is_empty());
+    end(&mut ledger, 1, unit, 1, How::Done);
+    assert!(!ledger.unit(&unit).unwrap().done);
+    assert_eq!(ledger.noted(&life(1)), 1, "the worker may still forget it");
+}
+
+#[test]
+fn jobs_are_forgotten_some_time_after_their_end() {
+    let mut ledger = ledger();
+    submit(&mut ledger, "a", vec![step(1)]);
+    let cancel = Cancel { queue: "q".to_string(), id: "a".to_string(), at: 2000 };
+    ledger.apply(Command::Cancel(cancel));
+    let order = Order { spec: String::new(), steps: vec![step(1)], schedule: None };
+    for (id, at, kept) in [("b", 122_000, true), ("c", 122_001, false)] {
+        let submit =
+            Submit { queue: "q".to_string(), id: id.to_string(), order: order.clone(), at };
+        ledger.apply(Command::Submit(submit));
+        assert_eq!(ledger.find(&"q".to_string(), "a").is_some(), kept);
+    }
+}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -50,6 +50,8 @@
     Leaving,
     /// It makes no progress.
     Stuck,
+    /// Another member of its gang does not run.
+    Broken,
 }
 
 /// What the leader knows of a run.
