--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,8 +1,9 @@
 //! Calls to workers and the cloud, as an interface.
 
 use futures::future::BoxFuture;
+use jobs::WorkerId;
 use sched::machine::Machine;
-use sched::order::{Address, Answer, Hold, Holding, Move, Pace, Start, Stop, Upkeep};
+use sched::order::{Address, Advise, Answer, Hold, Holding, Move, Pace, Start, Stop, Upkeep};
 
 /// Carries orders out; every call ends within a bound of its own.
 pub trait Calls: Send + Sync {
@@ -14,6 +15,8 @@
     fn stop(&self, to: Address, stop: Stop) -> BoxFuture<'static, Answer<()>>;
     /// Sets the share at which a run works.
     fn pace(&self, to: Address, pace: Pace) -> BoxFuture<'static, Answer<()>>;
+    /// Asks the policy of a queue who may run a step.
+    fn advise(&self, order: Advise) -> BoxFuture<'static, Answer<Vec<(WorkerId, String)>>>;
     /// Reads the list of machines.
     fn list(&self) -> BoxFuture<'static, Answer<Vec<Machine>>>;
     /// Moves a machine to another pool.
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -17,7 +17,9 @@
 use sched::machine::Machine;
 use sched::order::{Answer, Order};
 use sched::roster::Hearing;
-use sched::scheduler::{Held, Moment, MovedMachine, Started, Stopped, UpkeptMachine};
+use sched::scheduler::{
+    Advised, Held, Moment, MovedMachine, Paced, Started, Stopped, UpkeptMachine,
+};
 use sched::{Report, Roster};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -92,6 +94,10 @@
     Started(Started),
     /// A worker answered to a stop.
     Stopped(Stopped),
+    /// A worker answered to a change of a run's share.
+    Paced(Paced),
+    /// The policy of a queue answered.
+    Advised(Advised),
     /// The cloud answered with its machines.
     Listed(Answer<Vec<Machine>>),
     /// The cloud answered to a move.
@@ -256,6 +262,8 @@
             Input::Held(_)
             | Input::Started(_)
             | Input::Stopped(_)
+            | Input::Paced(_)
+            | Input::Advised(_)
             | Input::Listed(_)
             | Input::Moved(_)
             | Input::Upkept(_) => self.answered(moment, input),
--- a/crates/control/src/core/reign.rs
+++ b/crates/control/src/core/reign.rs
@@ -117,6 +117,8 @@
             Input::Held(held) => scheduler.held(moment, &self.ledger, held),
             Input::Started(started) => scheduler.started(moment, &self.ledger, started),
             Input::Stopped(stopped) => scheduler.stopped(moment, stopped),
+            Input::Paced(paced) => scheduler.paced(paced),
+            Input::Advised(advised) => scheduler.advised(moment, &self.ledger, advised),
             Input::Listed(Answer::Done(machines)) => scheduler.listed(moment, machines),
             Input::Moved(moved) => scheduler.moved(moment, moved),
             Input::Upkept(upkept) => scheduler.upkept(moment, upkept),
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -10,8 +10,8 @@
 use log::{info, warn};
 use mesh::{Ask, Clock, Event, Frame, Hello, Net, Reply, Standing};
 use sched::Report;
-use sched::order::{Answer, Order};
-use sched::scheduler::{Held, MovedMachine, Started, Stopped, UpkeptMachine};
+use sched::order::Order;
+use sched::scheduler::{Advised, Held, MovedMachine, Paced, Started, Stopped, UpkeptMachine};
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
@@ -286,9 +286,7 @@
         let calls = self.calls.clone();
         task::spawn(async move {
             let input = carry_out(calls.as_ref(), order).await;
-            if let Some(input) = input {
-                push(&inputs, input).await;
-            }
+            push(&inputs, input).await;
         });
     }
 
@@ -297,8 +295,8 @@
     }
 }
 
-async fn carry_out(calls: &dyn Calls, order: Order) -> Option<Input> {
-    let input = match order {
+async fn carry_out(calls: &dyn Calls, order: Order) -> Input {
+    match order {
         Order::Hold(to, hold) => {
             let (life, sent) = (to.life.clone(), hold.sent);
             let answer = calls.hold(to, hold).await;
@@ -315,10 +313,15 @@
             Input::Stopped(Stopped { life, unit, run, answer })
         }
         Order::Pace(to, pace) => {
-            if calls.pace(to, pace).await == Answer::Unknown {
-                metrics::counter!("paces_unanswered_total").increment(1);
-            }
-            return None;
+            let (life, unit, run) = (to.life.clone(), pace.unit, pace.run);
+            let percent = pace.percent;
+            let answer = calls.pace(to, pace).await;
+            Input::Paced(Paced { life, unit, run, percent, answer })
+        }
+        Order::Advise(advise) => {
+            let (step, named) = (advise.step, advise.workers.clone());
+            let answer = calls.advise(advise).await;
+            Input::Advised(Advised { step, named, answer })
         }
         Order::List => Input::Listed(calls.list().await),
         Order::Move(order) => {
@@ -331,8 +334,7 @@
             let answer = calls.upkeep(order).await;
             Input::Upkept(UpkeptMachine { machine, wave, answer })
         }
-    };
-    Some(input)
+    }
 }
 
 /// Waits for room: the answer of a worker must not be lost.
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -2,7 +2,7 @@
 
 use crate::Fence;
 use jobs::command::How;
-use jobs::{Life, MachineId, PoolName, RunNumber, UnitKey, UnixMs, WaveId};
+use jobs::{Life, MachineId, PoolName, RunNumber, StepKey, UnitKey, UnixMs, WaveId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +18,8 @@
     Stop(Address, Stop),
     /// Sets the share at which a run works.
     Pace(Address, Pace),
+    /// Asks the policy of a queue who may run a step.
+    Advise(Advise),
     /// Asks for the machines.
     List,
     /// Moves a machine to another pool.
@@ -99,6 +101,17 @@
     pub fence: Fence,
 }
 
+/// Asks the policy of a queue who may run a step.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Advise {
+    /// The step.
+    pub step: StepKey,
+    /// Its name at the policy.
+    pub name: String,
+    /// Workers to decide on.
+    pub workers: Vec<Life>,
+}
+
 /// Moves a machine to another pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Move {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -48,6 +48,19 @@
     let hosts = worker.runs.values().any(|run| run.lasting);
     let free = worker.free();
     let tight = Reverse((free.cpu_milli, free.memory_mb));
+    if step.filling {
+        // Far from work that serves, and where the most is left over.
+        let serves = worker.runs.values().any(|run| run.tail_target.is_some());
+        let others = worker.runs.values().filter(|run| run.filling).count() as u32;
+        return (
+            trusted,
+            !serves,
+            near,
+            Reverse(others),
+            false,
+            Reverse((worker.used.cpu_milli, 0)),
+        );
+    }
     if !step.lasting {
         return (trusted, true, near, Reverse(0), hosts, tight);
     }
--- a/crates/sched/src/scheduler/attend.rs
+++ b/crates/sched/src/scheduler/attend.rs
@@ -81,6 +81,7 @@
         number: RunNumber,
     ) {
         let lease = LEASE.min(self.settings.max_lease);
+        let ticket = self.ticket(moment, &unit.step_key(), id).cloned();
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(report) = &worker.report else { return };
         let Some(expires) = worker.lease.extend(moment.now, lease) else { return };
@@ -98,7 +99,7 @@
             expires,
             fence: self.fence,
             checkpoint: placement.from.clone(),
-            ticket: None,
+            ticket,
         };
         let address = Address { life: worker.life.clone(), address: report.address };
         self.orders.push(Order::Start(address, start));
@@ -160,6 +161,11 @@
                 run.state = RunState::Stopping { sent: Some(moment.now), acknowledged };
             }
             _ if certain => {
+                if refusal == Refusal::Ticket {
+                    self.advice_refused(&unit, id);
+                }
+                let Some(worker) = self.workers.get_mut(id) else { return };
+                let Some(run) = worker.runs.get_mut(&key) else { return };
                 run.state = RunState::Ending;
                 self.batch.voided.push(Voided { unit, run: number });
                 if refusal == Refusal::Busy && worker.failed(moment.now) {
@@ -171,6 +177,10 @@
         }
     }
 
+    fn advice_refused(&mut self, unit: &UnitKey, id: &WorkerId) {
+        self.drop_ticket(&unit.step_key(), id);
+    }
+
     /// Takes in the answer to a stop.
     pub fn stopped(&mut self, moment: Moment, stopped: Stopped) {
         let Stopped { life, unit, run: number, answer } = stopped;
@@ -249,5 +259,5 @@
     let Some(job) = ledger.job(unit.job) else { return false };
     let expected = job.order.steps[usize::from(unit.step)].estimate;
     let patience = STUCK_AFTER.max(expected.mul_f64(STUCK_PART));
-    run.started.is_some() && run.pace > 0 && !at_work && now >= since + patience
+    run.started.is_some() && run.pace != Some(0) && !at_work && now >= since + patience
 }
--- a/crates/sched/src/scheduler/hold.rs
+++ b/crates/sched/src/scheduler/hold.rs
@@ -12,6 +12,9 @@
 /// Longest wait of a call to a worker that runs something: its lease is renewed
 /// at least this often, and a silent worker is noticed soon after.
 const BUSY_WAIT: Duration = Duration::from_millis(800);
+/// Longest wait of a call to a worker whose tails decide on filling work: a few
+/// readings have to fit into the time for which a tail may be over its target.
+const SHARED_WAIT: Duration = Duration::from_millis(400);
 /// Longest wait of a call to an idle worker.
 const IDLE_WAIT: Duration = Duration::from_millis(2000);
 /// Least time between two calls to one worker; ends that come closer together
@@ -67,6 +70,7 @@
                 (false, _) => Duration::ZERO,
                 (true, true) => IDLE_WAIT,
                 (true, false) if worker.has_unclear() => Duration::ZERO,
+                (true, false) if worker.is_shared() => SHARED_WAIT,
                 (true, false) => BUSY_WAIT,
             };
             // A worker that does not answer must lose its lease at some time.
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler: state of one leader's reign.
 
+mod advice;
 mod attend;
 mod balance;
 mod hold;
@@ -24,8 +25,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+pub use advice::Advised;
 pub use attend::{Started, Stopped};
 pub use hold::Held;
+pub use pacing::Paced;
 pub use upkeep::{MovedMachine, UpkeptMachine};
 
 /// Lease that runs get. A leader that dies is replaced within about 3 s, which
@@ -89,6 +92,7 @@
     estimate: Estimate,
     mean_size: BTreeMap<QueueName, f64>,
     machines: BTreeMap<MachineId, Machine>,
+    advice: advice::Advice,
     upkeep: upkeep::Progress,
     balance: balance::Balance,
     looked: Duration,
@@ -130,6 +134,7 @@
             estimate: Estimate::default(),
             mean_size: BTreeMap::new(),
             machines: BTreeMap::new(),
+            advice: advice::Advice::default(),
             upkeep: upkeep::Progress::default(),
             balance: balance::Balance::default(),
             looked: Duration::ZERO,
@@ -196,7 +201,8 @@
     ) {
         let Some(job) = ledger.job(unit.job) else { return };
         let step = &job.order.steps[usize::from(unit.step)];
-        let mut run = Run::new(RunState::Inherited, step.counted_room(), step.lasting, moment.now);
+        let mut run = Run::new(RunState::Inherited, step, moment.now);
+        run.pace = None; // the leader before may have changed it
         if job.state.is_final() || ledger.unit(&unit).is_some_and(|unit| unit.done) {
             run.stopped_for = Some(StopReason::Unwanted);
             run.state = RunState::Stopping { sent: None, acknowledged: None };
@@ -294,7 +300,7 @@
                 self.look(moment, ledger);
                 self.keep_up(moment, ledger);
                 self.balance(moment, ledger);
-                self.pace(ledger);
+                self.pace(moment, ledger);
             }
             self.place(moment, ledger);
         }
@@ -426,6 +432,7 @@
         self.avoid.retain(|unit, _| unit.job != number);
         self.last_runs.retain(|unit, _| unit.job != number);
         self.accepted.remove(&number);
+        self.forget_advice(number);
         for (worker, unit, run) in self.runs_where(|unit| unit.job == number) {
             self.stop(moment, ledger, &worker, unit, run, StopReason::Unwanted);
         }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -56,11 +56,15 @@
             }
             let racks = self.racks_of(&key, step);
             let terms = Terms { key, step, now: moment.now, silence: SILENCE, racks: &racks };
+            let permitted = self.permitted(moment, ledger, &key, &candidates);
             let done = if step.gang {
-                self.place_gang(moment, ledger, &terms, &candidates, placed)
+                self.place_gang(moment, ledger, &terms, &permitted, placed)
             } else {
-                self.place_units(moment, ledger, &terms, &candidates, placed)
+                self.place_units(moment, ledger, &terms, &permitted, placed)
             };
+            if !self.units_of(moment, ledger, &key).is_empty() {
+                self.ask_policy(moment, ledger, &key, &candidates);
+            }
             if done > 0 {
                 largest = self.largest_room(&candidates);
             }
@@ -220,8 +224,7 @@
         number: RunNumber,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let room = terms.step.counted_room();
-        let run = Run::new(RunState::Proposed, room, terms.step.lasting, moment.now);
+        let run = Run::new(RunState::Proposed, terms.step, moment.now);
         worker.add(unit, number, run);
         self.last_runs.insert(unit, number);
         for steps in self.waiting.values_mut() {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -3,7 +3,7 @@
 use crate::lease::Lease;
 use crate::roster::Report;
 use jobs::order::Room;
-use jobs::{Life, RunNumber, UnitKey};
+use jobs::{Life, RunNumber, Step, UnitKey};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -23,6 +23,10 @@
     pub room: Room,
     /// The step lasts until the job is cancelled.
     pub lasting: bool,
+    /// It uses only processor time that others leave.
+    pub filling: bool,
+    /// Bound on its tail, if it serves users of its own.
+    pub tail_target: Option<Duration>,
     /// When it was placed or inherited.
     pub since: Duration,
     /// When it was first seen at work.
@@ -31,8 +35,11 @@
     pub unanswered: u32,
     /// Newest progress in percent, and since when it is the same.
     pub progress: (u32, Duration),
-    /// Share that it was last told to work at.
-    pub pace: u32,
+    /// Share in percent that it was last told to work at; none when the worker may
+    /// not have heard it.
+    pub pace: Option<u32>,
+    /// When that was told.
+    pub paced: Duration,
     /// Tail or processor use that the worker last named.
     pub reading: u64,
     /// Why it is being stopped.
@@ -188,6 +195,12 @@
         self.runs.range(step.range()).count() as u32
     }
 
+    /// Whether filling work runs beside work that serves.
+    pub fn is_shared(&self) -> bool {
+        self.runs.values().any(|run| run.filling)
+            && self.runs.values().any(|run| run.tail_target.is_some())
+    }
+
     /// Whether its lists decide what becomes of a run.
     pub fn has_unclear(&self) -> bool {
         let barred = |run: &Run| {
@@ -218,17 +231,20 @@
 }
 
 impl Run {
-    /// A run in a state.
-    pub fn new(state: RunState, room: Room, lasting: bool, now: Duration) -> Run {
+    /// A run of a step in a state.
+    pub fn new(state: RunState, step: &Step, now: Duration) -> Run {
         Run {
             state,
-            room,
-            lasting,
+            room: step.counted_room(),
+            lasting: step.lasting,
+            filling: step.filling,
+            tail_target: step.tail_target,
             since: now,
             started: None,
             unanswered: 0,
             progress: (0, now),
-            pace: 100,
+            pace: Some(100),
+            paced: now,
             reading: 0,
             stopped_for: None,
         }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -180,3 +180,65 @@
     world.run(seconds(2.5));
     assert!(world.runs_of("a.0.0.0").is_empty() && world.runs_of("a.0.0.1").is_empty());
 }
+
+#[test]
+fn a_queue_with_a_policy_runs_only_where_it_allows() {
+    let mut world = World::new(4);
+    world.allowed = vec!["w1".to_string(), "w3".to_string()];
+    for number in 0..5 {
+        let id = format!("a{number}");
+        world.span.insert(id.clone(), seconds(0.4));
+        world.submit("r", &id, vec![step(4, 1000, 400)]);
+    }
+    world.run(seconds(4.0));
+    for number in 0..5 {
+        assert_eq!(world.state("r", &format!("a{number}")), State::Completed);
+    }
+    assert!(world.begun.iter().all(|begun| world.allowed.contains(&begun.worker)));
+    assert_eq!(world.asked, 5, "one call a step decides on all workers");
+}
+
+#[test]
+fn filling_work_gives_way_before_a_tail_is_over_its_target_for_long() {
+    let mut world = World::new(1);
+    let serving = jobs::Step { tail_target: Some(Duration::from_millis(100)), ..lasting(1, 1000) };
+    let filling = jobs::Step { filling: true, ..step(1, 4000, 60_000) };
+    world.span.insert("filling".to_string(), seconds(60.0));
+    world.submit("q", "serving", vec![serving]);
+    world.run(seconds(1.0));
+    world.submit("q", "filling", vec![filling]);
+    let (mut over, mut longest, mut work, mut steps) = (0, 0, 0, 0);
+    for _ in 0..2000 {
+        world.run(world::STEP);
+        let worker = &world.workers["w0"];
+        over = if worker.tail() > 100 { over + 1 } else { 0 };
+        longest = longest.max(over);
+        steps += 1;
+        work += worker.tail() - 20;
+    }
+    assert!(longest < 200, "the tail was over its target for {longest} steps of 10 ms");
+    assert!(work / steps >= 30, "filling work got {} percent", work / steps);
+}
+
+#[test]
+fn idle_machines_follow_the_work_and_are_parked_after_it() {
+    let mut world = World::new(6);
+    world.run(seconds(10.0));
+    let parked = |world: &World| {
+        world.workers.values().filter(|worker| worker.report.pool == world::STANDBY).count()
+    };
+    assert!(parked(&world) >= 3, "idle machines cost nothing once parked");
+    for number in 0..40 {
+        let id = format!("a{number}");
+        world.span.insert(id.clone(), seconds(0.5));
+        world.submit("q", &id, vec![step(4, 1000, 500)]);
+        world.run(seconds(0.05));
+    }
+    world.run(seconds(2.0));
+    assert_eq!(parked(&world), 0, "a surge beyond the pool brings them back");
+    world.run(seconds(12.0));
+    assert!(parked(&world) >= 3);
+    for number in 0..40 {
+        assert_eq!(world.state("q", &format!("a{number}")), State::Completed);
+    }
+}
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -1,11 +1,14 @@
 //! A scheduler, its ledger and scripted workers on a fake clock.
 
 use jobs::command::{Command, How, Submit};
+use jobs::config::Advice;
 use jobs::order::{Order as JobOrder, Room, Step};
 use jobs::{Config, Ledger, Life, Pool, Queue, RunNumber};
 use sched::machine::{self, Machine};
 use sched::order::{Address, Answer, Finished, Hold, Holding, Order, Refusal, Row, Start};
-use sched::scheduler::{Held, Moment, MovedMachine, Started, Stopped, UpkeptMachine};
+use sched::scheduler::{
+    Advised, Held, Moment, MovedMachine, Paced, Started, Stopped, UpkeptMachine,
+};
 use sched::{Report, Roster, Scheduler, Settings};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,6 +41,8 @@
     pub finished: Vec<Finished>,
     pub ends: u64,
     pub barred: BTreeMap<String, RunNumber>,
+    /// Shares of runs that were told one.
+    pub shares: BTreeMap<(String, RunNumber), u32>,
     hold: Option<(Address, Hold, Duration)>,
 }
 
@@ -59,6 +64,9 @@
     pub upkeeps: Vec<(Duration, String)>,
     pub moves: Vec<(Duration, String, String)>,
     pub span: BTreeMap<String, Duration>,
+    /// Workers that the policy of queue `r` allows, and how often it was asked.
+    pub allowed: Vec<String>,
+    pub asked: usize,
     /// Machines that come back: when, and in which pool.
     back: BTreeMap<String, (Duration, String)>,
     born: u64,
@@ -93,7 +101,9 @@
             ..Queue::default()
         };
         config.queues.insert("q".to_string(), queue("/q/"));
-        config.queues.insert("r".to_string(), queue("/r/"));
+        let valid = Duration::from_secs(20);
+        let advice = Some(Advice { valid, ..Advice::default() });
+        config.queues.insert("r".to_string(), Queue { advice, ..queue("/r/") });
         config.pools.insert("p".to_string(), Pool::default());
         config.pools.insert(STANDBY.to_string(), Pool { standby: true, ..Pool::default() });
         ledger.apply(Command::Configure(Box::new(config)));
@@ -110,6 +120,8 @@
             upkeeps: Vec::new(),
             moves: Vec::new(),
             span: BTreeMap::new(),
+            allowed: Vec::new(),
+            asked: 0,
             back: BTreeMap::new(),
             born: 1,
             fence: 1,
@@ -150,6 +162,7 @@
             finished: Vec::new(),
             ends: 0,
             barred: BTreeMap::new(),
+            shares: BTreeMap::new(),
             hold: None,
         };
         self.workers.insert(id.to_string(), worker);
@@ -306,7 +319,21 @@
                 let machines = self.workers.iter().map(|(id, w)| w.machine(away(id))).collect();
                 self.scheduler.listed(moment, machines);
             }
-            Order::Pace(..) => {}
+            Order::Pace(to, pace) => {
+                if let Some(worker) = self.workers.get_mut(&to.life.worker) {
+                    worker.shares.insert((pace.name, pace.run), pace.percent);
+                }
+                let (life, unit, run, percent) = (to.life, pace.unit, pace.run, pace.percent);
+                let answer = Answer::Done(());
+                self.scheduler.paced(Paced { life, unit, run, percent, answer });
+            }
+            Order::Advise(advise) => {
+                self.asked += 1;
+                let allowed = self.allowed.iter().map(|id| (id.clone(), format!("for {id}")));
+                let answer = Answer::Done(allowed.collect());
+                let advised = Advised { step: advise.step, named: advise.workers, answer };
+                self.scheduler.advised(moment, &self.ledger, advised);
+            }
         }
     }
 
@@ -352,6 +379,10 @@
         if worker.barred.get(&start.name).is_some_and(|barred| start.run <= *barred) {
             return Answer::Refused(Refusal::Old);
         }
+        let restricted = self.ledger.jobs()[&start.unit.job].queue == "r";
+        if restricted && start.ticket != Some(format!("for {}", to.life.worker)) {
+            return Answer::Refused(Refusal::Ticket);
+        }
         if !worker.mute || worker.carries_out {
             worker.expires = worker.expires.max(Duration::from_millis(start.expires));
             let key = (start.name.clone(), start.run);
@@ -434,6 +465,13 @@
         self.finished.push(Finished { number: self.ends, name, run, how, checkpoint });
     }
 
+    /// Tail of serving work: each percent of filling work beside it adds to it.
+    pub fn tail(&self) -> u64 {
+        let filling = self.runs.keys().filter(|(name, _)| name.starts_with("filling"));
+        let share = |key: &(String, RunNumber)| self.shares.get(key).copied().unwrap_or(100);
+        20 + filling.map(share).map(u64::from).sum::<u64>()
+    }
+
     fn lists(&self, now: Duration, spans: &BTreeMap<String, Duration>) -> Holding {
         let row = |((name, run), began): (&(String, RunNumber), &Duration)| Row {
             name: name.clone(),
@@ -447,7 +485,7 @@
                     (now.saturating_sub(*began).as_secs_f64() / span.as_secs_f64() * 100.0) as u32
                 }
             }),
-            reading: 0,
+            reading: if name.starts_with("serving") { self.tail() } else { 0 },
         };
         Holding {
             born: Some(self.report.life.born),
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -106,6 +106,7 @@
         calls: Arc::new(platform::client::Client::new(
             settings.name.clone(),
             cloud.map(|cloud| cloud.address),
+            settings.advice,
         )),
     }
 }
