--- /dev/null
+++ b/tests/roles.rs
@@ -0,0 +1,288 @@
+//! The roles `core` and `edge` as real processes against stand-in workers.
+
+use async_std::task::block_on;
+use http_types::Method;
+use platform_standin::{RunKey, Worker, call};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Output};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_skylarkwinch");
+const CALLERS: u16 = 7001;
+const HEALTH: u16 = 7002;
+const CONTROL: u16 = 7003;
+const INTERNAL: (u16, u16) = (7010, 7020);
+/// A test fails when a condition is not met by then; no step takes as long.
+const PATIENCE: Duration = Duration::from_secs(60);
+const PREFIX: &str = "/plugs/";
+
+static NEXT_NETWORK: AtomicU8 = AtomicU8::new(120);
+
+/// Three core processes and an edge, each at an address of its own.
+struct System {
+    folder: tempfile::TempDir,
+    network: u8,
+    processes: BTreeMap<u8, Child>,
+}
+
+const CORES: [u8; 3] = [1, 2, 3];
+const EDGE: u8 = 4;
+
+impl System {
+    fn start() -> System {
+        let folder = tempfile::tempdir().unwrap();
+        let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
+        let mut system = System { folder, network, processes: BTreeMap::new() };
+        for host in CORES.into_iter().chain([EDGE]) {
+            system.run(host, true);
+        }
+        system
+    }
+
+    /// Addresses of the loopback network that no other test process uses.
+    fn ip(&self, host: u8) -> IpAddr {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        Ipv4Addr::new(127, self.network, high ^ (host << 5), low.max(1)).into()
+    }
+
+    fn address(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(host), port)
+    }
+
+    fn settings(&self, host: u8, founding: bool) -> Value {
+        let seeds: Vec<SocketAddr> = CORES.map(|core| self.address(core, CONTROL)).to_vec();
+        let mut settings = json!({
+            "name": format!("p{host}"),
+            "data_centre": "north",
+            "founding": founding,
+            "seeds": seeds,
+            "listen": {"ip": self.ip(host), "internal": [INTERNAL.0, INTERNAL.1]},
+        });
+        if host == EDGE {
+            settings["listen"]["callers"] = json!(self.address(host, CALLERS));
+            settings["listen"]["health"] = json!(self.address(host, HEALTH));
+        } else {
+            let data = self.folder.path().join(format!("data{host}"));
+            std::fs::create_dir_all(&data).unwrap();
+            settings["data_folder"] = json!(data);
+            settings["listen"]["control"] = json!(self.address(host, CONTROL));
+        }
+        settings
+    }
+
+    fn run(&mut self, host: u8, founding: bool) {
+        let path = self.folder.path().join(format!("p{host}.yaml"));
+        std::fs::write(&path, self.settings(host, founding).to_string()).unwrap();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("p{host}.log")))
+            .unwrap();
+        let role = if host == EDGE { "edge" } else { "core" };
+        let child = Command::new(BINARY)
+            .arg(role)
+            .arg(&path)
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.processes.insert(host, child);
+    }
+
+    fn kill(&mut self, host: u8) {
+        let mut child = self.processes.remove(&host).unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    fn dump(&self, host: u8) -> Option<Value> {
+        let address = self.address(host, INTERNAL.1);
+        block_on(call(address, Method::Get, "/dump", None)).ok().map(|(_, dump)| dump)
+    }
+
+    fn leader(&self) -> Option<u8> {
+        CORES.into_iter().find(|core| {
+            self.processes.contains_key(core)
+                && self.dump(*core).is_some_and(|dump| !dump["reign"].is_null())
+        })
+    }
+
+    fn wait_for_leader(&self) -> u8 {
+        until("a core process leads", || self.leader().is_some());
+        self.leader().unwrap()
+    }
+
+    /// Puts a configuration in force, resent until it is acknowledged.
+    fn configure(&self, version: u64) {
+        let host = self.ip(EDGE).to_string();
+        let config = json!({
+            "version": version,
+            "routes": [{
+                "name": "plugs", "host": host, "path_prefix": PREFIX, "service": "gate",
+                "timeout_ms": 3000, "slo_ms": 600, "max_attempts": 3, "stretch": 1.6,
+            }],
+            "services": [{"name": "gate"}],
+            "limits": {},
+        });
+        until("the configuration is acknowledged", || {
+            let address = self.address(CORES[0], CONTROL);
+            let put = call(address, Method::Put, "/api/config", Some(config.clone()));
+            matches!(block_on(put), Ok((200, _)))
+        });
+    }
+
+    fn ask(&self, method: Method, id: &str, body: Option<Value>) -> (u16, Value) {
+        let path = format!("{PREFIX}{id}");
+        let asked = call(self.address(EDGE, CALLERS), method, &path, body);
+        block_on(asked).unwrap_or((0, Value::Null))
+    }
+
+    /// Hands a job in as clients do: again, while the answer is not clear.
+    fn submit(&self, id: &str, job: &Value) {
+        until("the job is accepted", || self.ask(Method::Post, id, Some(job.clone())).0 == 200);
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for child in self.processes.values_mut() {
+            let _ = child.kill(); // it may have ended
+            let _ = child.wait();
+        }
+    }
+}
+
+fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+fn workers(system: &System) -> Vec<Worker> {
+    let control: Vec<SocketAddr> = CORES.map(|core| system.address(core, CONTROL)).to_vec();
+    let start = |id: &str| block_on(Worker::start(id, "gate", control.clone())).unwrap();
+    ["w0", "w1", "w2"].map(start).into()
+}
+
+fn job(steps: u32, count: u32, millis: u32) -> Value {
+    let step = |number: u32| {
+        let after: Vec<u32> = number.checked_sub(1).into_iter().collect();
+        json!({
+            "count": count, "cpu": 500, "mem_mb": 10, "est_runtime_ms": millis, "after": after,
+        })
+    };
+    json!({"spec": millis.to_string(), "steps": (0..steps).map(step).collect::<Vec<_>>()})
+}
+
+fn id(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+#[test]
+fn every_accepted_job_is_done_once_though_the_leader_is_killed() {
+    let mut system = System::start();
+    let first = system.wait_for_leader();
+    system.configure(3);
+    let workers = workers(&system);
+    for number in 0..12 {
+        system.submit(&id(number), &job(2, 4, 400));
+        if number == 6 {
+            system.kill(first);
+        }
+    }
+    let second = system.wait_for_leader();
+    assert_ne!(first, second);
+    system.run(first, false);
+    for number in 0..12 {
+        until("the job is completed", || {
+            system.ask(Method::Get, &id(number), None).1["state"] == "completed"
+        });
+    }
+    let done: Vec<RunKey> = workers.iter().flat_map(Worker::done).collect();
+    let units: BTreeSet<&String> = done.iter().map(|(name, _)| name).collect();
+    assert_eq!(done.len(), 12 * 8, "each unit is done once");
+    assert_eq!(units.len(), 12 * 8);
+    until("the killed one holds everything again", || {
+        let jobs = system.dump(first).map(|dump| dump["jobs"].clone());
+        jobs.is_some_and(|jobs| jobs.as_object().is_some_and(|jobs| jobs.len() == 12))
+    });
+    block_on(async {
+        for worker in workers {
+            worker.stop().await;
+        }
+    });
+}
+
+#[test]
+fn a_cancelled_job_stops_and_unknown_ones_are_gone() {
+    let system = System::start();
+    system.wait_for_leader();
+    assert_eq!(system.ask(Method::Get, &id(1), None).0, 503, "no configuration is in force");
+    system.configure(1);
+    let workers = workers(&system);
+    assert_eq!(system.ask(Method::Get, &id(1), None).0, 410);
+    assert_eq!(system.ask(Method::Get, "", None).1["pending"], 0);
+    system.submit(&id(1), &job(1, 2, 60_000));
+    until("both units run", || workers.iter().map(|w| w.started().len()).sum::<usize>() == 2);
+    assert_eq!(system.ask(Method::Delete, &id(1), None).0, 200);
+    assert_eq!(system.ask(Method::Get, &id(1), None).1["state"], "canceled");
+    let bad = json!({"steps": [{"count": 0}]});
+    let (status, answer) = system.ask(Method::Post, &id(2), Some(bad));
+    assert_eq!(status, 400);
+    assert_eq!(answer["error"], "steps.0.count: must be at least 1");
+    let health = call(system.address(EDGE, HEALTH), Method::Get, "/api/ready", None);
+    assert_eq!(block_on(health).unwrap().0, 200);
+    block_on(async {
+        for worker in workers {
+            worker.stop().await;
+        }
+    });
+}
+
+#[test]
+fn a_leader_that_is_told_to_stop_hands_over_and_ends() {
+    let mut system = System::start();
+    let first = system.wait_for_leader();
+    system.configure(1);
+    let mut child = system.processes.remove(&first).unwrap();
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    until("another one leads", || system.leader().is_some());
+    assert!(child.wait().unwrap().success());
+    let log = std::fs::read_to_string(system.folder.path().join(format!("p{first}.log"))).unwrap();
+    assert!(log.contains("reign.ended") && log.contains("process.stopped"), "{log}");
+}
+
+#[test]
+fn wrong_settings_are_refused_with_the_field() {
+    let folder = tempfile::tempdir().unwrap();
+    let good = json!({
+        "name": "p1", "data_centre": "north", "founding": true, "seeds": ["127.0.0.1:1"],
+        "listen": {"ip": "127.0.0.1", "internal": [7, 9]},
+    });
+    let mut cases = Vec::new();
+    let mut case = |field: &str, value: Value, expected: &'static str| {
+        let mut bad = good.clone();
+        bad[field] = value;
+        cases.push((bad, expected));
+    };
+    case("seeds", json!(["here"]), "seeds");
+    case("seeds", json!([]), "seeds: names no address");
+    case("nick", json!("x"), "nick");
+    case("listen", json!({"ip": "127.0.0.1", "internal": [9, 7]}), "listen.internal: the first");
+    case("founding", json!(true), "listen.control: is missing");
+    for (settings, expected) in cases {
+        let path = folder.path().join("settings.yaml");
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let output: Output = Command::new(BINARY).arg("core").arg(&path).output().unwrap();
+        assert_eq!(output.status.code(), Some(2), "{expected}");
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert!(text.contains(expected), "missing {expected:?} in {text}");
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -9,4 +9,5 @@
 mod record;
 mod recover;
 mod refusals;
+mod roles;
 mod workdir;
