--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -19,6 +19,7 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, SystemTime};
+use store::Store;
 
 /// Result of starting a core process.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -37,6 +38,11 @@
     election: Duration::from_millis(900),
     lease: Duration::from_millis(750),
 };
+/// Tries to open the disk at the start, and the pause after each: a disk that is
+/// full or hangs for some seconds must not end the process.
+const DISK_TRIES: usize = 20;
+/// Pause after a try to open the disk.
+const DISK_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for the reply to a request that names no deadline.
 pub const ASK_TIMEOUT: Duration = Duration::from_millis(1800);
 
@@ -161,6 +167,7 @@
             standing,
             learnt: Mutex::default(),
         });
+        wait_for_disk(&start.opener);
         let core = Core::open(Setup {
             hello: start.hello,
             founders: start.founders,
@@ -214,6 +221,18 @@
     }
 }
 
+/// Waits some time for a disk that takes nothing; what it says then is reported by
+/// the one who opens it next.
+fn wait_for_disk(opener: &Opener) {
+    for _ in 0..DISK_TRIES {
+        match opener().and_then(Store::open) {
+            Err(reason @ store::Error::Io { .. }) => warn!("disk.closed reason={reason:?}"),
+            Ok(_) | Err(_) => return,
+        }
+        thread::sleep(DISK_PAUSE);
+    }
+}
+
 fn run(mut core: Core, inputs: &Receiver<Input>) {
     loop {
         match inputs.recv_timeout(TICK) {
--- /dev/null
+++ b/crates/control/tests/cluster.rs
@@ -0,0 +1,193 @@
+//! What is acknowledged stays, and is read back as new as it was acknowledged,
+//! through random faults of three cores.
+
+mod world;
+
+use async_std::channel::Receiver;
+use jobs::order::{Order, Room, Step};
+use jobs::{Config, Pool, Queue};
+use mesh::ask::Place;
+use mesh::{Ask, Reply};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+use world::{CORES, World};
+
+/// Schedules in CI; by hand `CLUSTER_SCHEDULES` plays more.
+const SCHEDULES: u64 = 500;
+const STEPS: usize = 60;
+
+fn config(version: u64) -> Config {
+    let mut config = Config { version, ..Config::default() };
+    let queue = Queue {
+        host: "h".to_string(),
+        prefix: "/q/".to_string(),
+        pool: "p".to_string(),
+        timeout: Duration::from_secs(3),
+        ..Queue::default()
+    };
+    config.queues.insert("q".to_string(), queue);
+    config.pools.insert("p".to_string(), Pool::default());
+    config.document = version.to_string().into_bytes();
+    config
+}
+
+fn place(id: u64) -> Place {
+    Place { host: "h".to_string(), path: format!("/q/{id:016x}") }
+}
+
+fn submit(id: u64) -> Ask {
+    let room = Room { cpu_milli: 100, ..Room::default() };
+    let steps = vec![Step { count: 1, room, ..Step::default() }];
+    Ask::Submit { place: place(id), order: Box::new(Order { steps, ..Order::default() }) }
+}
+
+/// What was asked and not answered yet, and what was acknowledged.
+#[derive(Default)]
+struct Log {
+    jobs: Vec<(u64, Receiver<Reply>)>,
+    configs: Vec<(u64, Receiver<Reply>)>,
+    reads: Vec<(u64, Receiver<Reply>)>,
+    acked_jobs: Vec<u64>,
+    refused_jobs: Vec<u64>,
+    acked_version: u64,
+}
+
+impl Log {
+    fn collect(&mut self) {
+        self.jobs.retain(|(id, reply)| match reply.try_recv() {
+            Ok(Reply::Done) => {
+                self.acked_jobs.push(*id);
+                false
+            }
+            Ok(Reply::NotTaken(_) | Reply::NoQueue) => {
+                self.refused_jobs.push(*id);
+                false
+            }
+            Ok(_) => false,
+            Err(error) => error.is_empty(),
+        });
+        self.configs.retain(|(version, reply)| match reply.try_recv() {
+            Ok(Reply::Done) => {
+                self.acked_version = self.acked_version.max(*version);
+                false
+            }
+            Ok(_) => false,
+            Err(error) => error.is_empty(),
+        });
+        self.reads.retain(|(least, reply)| match reply.try_recv() {
+            Ok(Reply::Config(document)) => {
+                let version: u64 = String::from_utf8(document).unwrap().parse().unwrap();
+                assert!(version >= *least, "read {version}, acknowledged was {least}");
+                false
+            }
+            Ok(_) => false,
+            Err(error) => error.is_empty(),
+        });
+    }
+}
+
+/// At most one disk may be lost until all have caught up; any number of cores may
+/// be killed, without power, frozen or cut off.
+fn fault(world: &mut World, rng: &mut StdRng, wiped: &mut bool) {
+    let index = rng.random_range(0..CORES);
+    let leader = world.leader().unwrap_or(index);
+    match rng.random_range(0..11) {
+        0 => world.kill(leader),
+        1 => {
+            world.kill(index);
+            world.disks[index].lose_power();
+        }
+        2 => {
+            for index in 0..CORES {
+                world.kill(index);
+                world.disks[index].lose_power();
+            }
+        }
+        3 if !*wiped => {
+            *wiped = true;
+            world.kill(index);
+            world.disks[index].wipe();
+        }
+        4 => world.frozen[leader] = true,
+        5 => world.frozen[index] = !world.frozen[index],
+        6 => world.set_link(index, (index + 1) % CORES, false),
+        7 => {
+            world.set_link(leader, (leader + 1) % CORES, false);
+            world.set_link(leader, (leader + 2) % CORES, false);
+        }
+        8 => world.disks[index].fill(true),
+        9 => {
+            for index in 0..CORES {
+                if world.cores[index].is_none() {
+                    world.start(index, false);
+                }
+            }
+        }
+        _ => {
+            world.heal();
+            *wiped = false;
+        }
+    }
+}
+
+fn play(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = World::new(seed);
+    let mut log = Log::default();
+    world.run(Duration::from_secs(3));
+    let reply = world.ask(0, Ask::Configure(Box::new(config(1))));
+    log.configs.push((1, reply));
+    let mut wiped = false;
+    let (mut job, mut version) = (1, 1);
+    for _ in 0..STEPS {
+        match rng.random_range(0..10) {
+            0..=3 => {
+                job += 1;
+                let reply = world.ask(rng.random_range(0..CORES), submit(job));
+                log.jobs.push((job, reply));
+            }
+            4..=5 => {
+                version += rng.random_range(1..4);
+                let ask = Ask::Configure(Box::new(config(version)));
+                let reply = world.ask(rng.random_range(0..CORES), ask);
+                log.configs.push((version, reply));
+            }
+            6..=7 => {
+                let reply = world.ask(rng.random_range(0..CORES), Ask::Config);
+                log.reads.push((log.acked_version, reply));
+            }
+            _ => fault(&mut world, &mut rng, &mut wiped),
+        }
+        world.run(Duration::from_millis(rng.random_range(10..900)));
+        log.collect();
+    }
+    world.heal();
+    log.collect();
+    let leader = world.leader().unwrap();
+    let reply = world.ask(leader, Ask::Config);
+    world.run(Duration::from_millis(100));
+    match reply.try_recv() {
+        Ok(Reply::Config(document)) => {
+            let read: u64 = String::from_utf8(document).unwrap().parse().unwrap();
+            assert!(read >= log.acked_version, "seed {seed}: {read} after {}", log.acked_version);
+        }
+        reply => assert_eq!(log.acked_version, 0, "seed {seed}: {reply:?}"),
+    }
+    let ledger = world.cores[leader].as_ref().unwrap().ledger();
+    for id in &log.acked_jobs {
+        assert!(ledger.number(&format!("{id:016x}")).is_some(), "seed {seed}: job {id} is lost");
+    }
+    for id in &log.refused_jobs {
+        let known = ledger.number(&format!("{id:016x}")).is_some();
+        assert!(!known, "seed {seed}: job {id} was refused and is known");
+    }
+}
+
+#[test]
+fn what_is_acknowledged_stays_through_random_faults() {
+    let schedules = std::env::var("CLUSTER_SCHEDULES").ok().and_then(|text| text.parse().ok());
+    for seed in 0..schedules.unwrap_or(SCHEDULES) {
+        play(seed);
+    }
+}
--- /dev/null
+++ b/crates/control/tests/world/mod.rs
@@ -0,0 +1,304 @@
+//! Three cores with disks and links of memory, on a fake clock.
+
+use async_std::channel::{Receiver, bounded};
+use control::core::ReplyTo;
+use control::{Core, Input, Outside, Setup};
+use mesh::{Ask, Frame, Hello, Reply, Standing};
+use sched::order::Order;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime};
+use store::Folder;
+
+pub const CORES: usize = 3;
+pub const TICK: Duration = Duration::from_millis(10);
+
+/// Files of one disk; what is not synced is lost with the power.
+#[derive(Clone, Default)]
+pub struct Disk(Arc<Mutex<Files>>);
+
+#[derive(Default)]
+struct Files {
+    current: BTreeMap<String, Vec<u8>>,
+    synced: BTreeMap<String, Vec<u8>>,
+    full: bool,
+}
+
+impl Disk {
+    fn files(&self) -> MutexGuard<'_, Files> {
+        self.0.lock().unwrap()
+    }
+
+    pub fn lose_power(&self) {
+        let mut files = self.files();
+        files.current = files.synced.clone();
+    }
+
+    pub fn wipe(&self) {
+        *self.files() = Files::default();
+    }
+
+    pub fn fill(&self, full: bool) {
+        self.files().full = full;
+    }
+}
+
+impl Folder for Disk {
+    fn read(&self, name: &str) -> store::Result<Option<Vec<u8>>> {
+        Ok(self.files().current.get(name).cloned())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> store::Result<()> {
+        let mut files = self.files();
+        if files.full {
+            return Err(store::Error::Failed);
+        }
+        files.current.entry(name.to_string()).or_default().extend(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> store::Result<()> {
+        let mut files = self.files();
+        let content = files.current.get(name).cloned().unwrap_or_default();
+        files.synced.insert(name.to_string(), content);
+        Ok(())
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> store::Result<()> {
+        let mut files = self.files();
+        if files.full {
+            return Err(store::Error::Failed);
+        }
+        files.current.insert(name.to_string(), bytes.to_vec());
+        files.synced.insert(name.to_string(), bytes.to_vec());
+        Ok(())
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> store::Result<()> {
+        let mut files = self.files();
+        if let Some(content) = files.current.get_mut(name) {
+            content.truncate(length as usize);
+        }
+        let content = files.current.get(name).cloned().unwrap_or_default();
+        files.synced.insert(name.to_string(), content);
+        Ok(())
+    }
+}
+
+struct Shared {
+    now: Duration,
+    hellos: Vec<Option<Hello>>,
+    cut: BTreeSet<(usize, usize)>,
+    inboxes: Vec<Vec<Input>>,
+}
+
+impl Shared {
+    fn linked(&self, a: usize, b: usize) -> bool {
+        a != b && !self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    fn index(&self, name: &str) -> Option<usize> {
+        self.hellos.iter().position(|hello| hello.as_ref().is_some_and(|h| h.name == name))
+    }
+}
+
+struct Around {
+    own: usize,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Outside for Around {
+    fn now(&self) -> Duration {
+        self.shared.lock().unwrap().now
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1000) + self.now()
+    }
+
+    fn send(&self, to: &str, frame: Frame) -> bool {
+        let mut shared = self.shared.lock().unwrap();
+        let Some(to) = shared.index(to) else { return false };
+        let own = shared.hellos[self.own].clone();
+        match own {
+            Some(own) if shared.linked(self.own, to) => {
+                shared.inboxes[to].push(Input::Frame(own, frame));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn peers(&self) -> Vec<Hello> {
+        let shared = self.shared.lock().unwrap();
+        (0..CORES)
+            .filter(|other| shared.linked(self.own, *other))
+            .filter_map(|other| shared.hellos[other].clone())
+            .collect()
+    }
+
+    fn learn(&self, _: BTreeSet<SocketAddr>) {}
+
+    fn order(&self, _: Order) {}
+
+    fn standing(&self, _: &Standing) {}
+}
+
+pub struct World {
+    pub cores: Vec<Option<Core>>,
+    pub disks: Vec<Disk>,
+    pub frozen: Vec<bool>,
+    shared: Arc<Mutex<Shared>>,
+    seed: u64,
+}
+
+fn control(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 80))
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let shared = Shared {
+            now: Duration::from_secs(1),
+            hellos: vec![None; CORES],
+            cut: BTreeSet::new(),
+            inboxes: (0..CORES).map(|_| Vec::new()).collect(),
+        };
+        let mut world = World {
+            cores: (0..CORES).map(|_| None).collect(),
+            disks: vec![Disk::default(), Disk::default(), Disk::default()],
+            frozen: vec![false; CORES],
+            shared: Arc::new(Mutex::new(shared)),
+            seed,
+        };
+        for index in 0..CORES {
+            world.start(index, true);
+        }
+        world
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap()
+    }
+
+    pub fn start(&mut self, index: usize, bootstrap: bool) {
+        let disk = self.disks[index].clone();
+        self.seed += 1;
+        let setup = Setup {
+            hello: Hello {
+                name: format!("c{index}"),
+                incarnation: 0,
+                durable: true,
+                peers: control(index),
+                control: Some(control(index)),
+            },
+            founders: (0..CORES).map(control).collect(),
+            bootstrap,
+            retention: Duration::from_secs(120),
+            sched: sched::Settings::default(),
+            spans: quorum::Settings::default(),
+            outside: Arc::new(Around { own: index, shared: self.shared.clone() }),
+            opener: Box::new(move || Ok(Box::new(disk.clone()) as Box<dyn Folder>)),
+            seed: self.seed,
+        };
+        let Ok(core) = Core::open(setup) else { return }; // a full disk takes nothing
+        let hello = core.hello().clone();
+        self.cores[index] = Some(core);
+        let mut shared = self.shared();
+        shared.hellos[index] = Some(hello.clone());
+        shared.inboxes[index].clear();
+        for other in 0..CORES {
+            if shared.linked(index, other)
+                && let Some(theirs) = shared.hellos[other].clone()
+            {
+                shared.inboxes[index].push(Input::Up(theirs));
+                shared.inboxes[other].push(Input::Up(hello.clone()));
+            }
+        }
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.cores[index] = None;
+        let mut shared = self.shared();
+        let Some(hello) = shared.hellos[index].take() else { return };
+        for other in (0..CORES).filter(|other| *other != index) {
+            shared.inboxes[other].push(Input::Down(hello.clone()));
+        }
+    }
+
+    pub fn set_link(&mut self, a: usize, b: usize, up: bool) {
+        let mut shared = self.shared();
+        let pair = (a.min(b), a.max(b));
+        let changed = if up { shared.cut.remove(&pair) } else { shared.cut.insert(pair) };
+        if !changed {
+            return;
+        }
+        for (from, to) in [(a, b), (b, a)] {
+            let Some(hello) = shared.hellos[from].clone() else { continue };
+            let input = if up { Input::Up(hello) } else { Input::Down(hello) };
+            shared.inboxes[to].push(input);
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.shared().now + span;
+        loop {
+            {
+                let mut shared = self.shared();
+                if shared.now >= end {
+                    return;
+                }
+                shared.now += TICK;
+            }
+            for index in 0..CORES {
+                if self.frozen[index] {
+                    continue;
+                }
+                let inputs = std::mem::take(&mut self.shared().inboxes[index]);
+                if let Some(core) = &mut self.cores[index] {
+                    inputs.into_iter().for_each(|input| core.input(input));
+                    core.settle();
+                }
+            }
+        }
+    }
+
+    pub fn ask(&mut self, index: usize, ask: Ask) -> Receiver<Reply> {
+        let (sender, reply) = bounded(1);
+        self.shared().inboxes[index].push(Input::Ask(ask, ReplyTo::Local(sender)));
+        reply
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        (0..CORES).find(|index| self.cores[*index].as_ref().is_some_and(Core::reigns))
+    }
+
+    /// Ends every fault and waits until a leader acts.
+    pub fn heal(&mut self) {
+        for index in 0..CORES {
+            self.disks[index].fill(false);
+            self.frozen[index] = false;
+            if self.cores[index].is_none() {
+                self.start(index, false);
+            }
+        }
+        for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+            self.set_link(a, b, true);
+        }
+        for _ in 0..200 {
+            self.run(Duration::from_millis(100));
+            let settled = self.leader().is_some_and(|leader| {
+                let last = self.cores[leader].as_ref().unwrap().node().last_index();
+                let holds = |core: &Option<Core>| {
+                    core.as_ref().is_some_and(|core| core.node().commit() >= last)
+                };
+                self.cores.iter().all(holds)
+            });
+            if settled {
+                return;
+            }
+        }
+        panic!("no leader within 20 s after all faults");
+    }
+}
