--- a/crates/edge/src/leaders.rs
+++ b/crates/edge/src/leaders.rs
@@ -8,8 +8,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time without a leader within which a fail-over ends, with one lost election.
-const FAIL_OVER: Duration = Duration::from_millis(3000);
+/// Time without a leader within which a fail-over ends: an election takes up to
+/// 1.4 s. Without one by then, this process is cut off or the core is down.
+const FAIL_OVER: Duration = Duration::from_millis(2000);
 
 /// What to do with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
