Repeat trial rounds soon; say nothing of calls to machines that were taken

Trials change nothing, so they are now repeated after one to two heartbeats. Calls that were open when the cloud took a machine were logged as silent workers.

--- a/crates/quorum/src/node/elect.rs
+++ b/crates/quorum/src/node/elect.rs
@@ -17,6 +17,11 @@
             self.output.hard = Some(self.hard.clone());
             term = self.hard.term;
         }
+        if trial {
+            // It changes nothing, so it is repeated as soon as answers are due.
+            let span = self.settings.heartbeat;
+            self.deadline = self.now + span + span.mul_f64(self.rng.random_range(0.0..1.0));
+        }
         self.grants = [self.id.clone()].into();
         let poll = Poll {
             term,
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -258,3 +258,21 @@
     let Some(Message::Appended(appended)) = answers.first() else { panic!("{answers:?}") };
     assert_eq!((appended.accepted, appended.matched), (false, 10));
 }
+
+#[test]
+fn a_trial_that_nobody_answers_is_repeated_soon() {
+    let mut node = voter(3, 3);
+    drain(&mut node);
+    let mut trials = Vec::new();
+    for now in (0..4000).step_by(10) {
+        node.tick(millis(now));
+        let asked = drain(&mut node).iter().any(|m| matches!(m, Message::Poll(p) if p.trial));
+        if asked {
+            trials.push(now);
+        }
+    }
+    assert!(trials[0] >= 1200, "the leader before may live");
+    let longest = trials.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap();
+    assert!(longest <= 600, "a voter that was quiet is asked again after {longest} ms");
+    assert_eq!(node.term(), 1, "trials change nothing");
+}
--- a/crates/sched/src/scheduler/hold.rs
+++ b/crates/sched/src/scheduler/hold.rs
@@ -99,6 +99,9 @@
             return;
         }
         worker.asking.sent = None;
+        if worker.gone {
+            return; // its machine was taken while the call was open
+        }
         match held.answer {
             Answer::Done(holding) => {
                 let born = holding.born.unwrap_or(held.life.born);
