--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -92,6 +92,8 @@
     estimate: Estimate,
     mean_size: BTreeMap<QueueName, f64>,
     machines: BTreeMap<MachineId, Machine>,
+    /// Worker that reported last from each machine, by when it was born.
+    by_machine: BTreeMap<MachineId, WorkerId>,
     advice: advice::Advice,
     upkeep: upkeep::Progress,
     balance: balance::Balance,
@@ -134,6 +136,7 @@
             estimate: Estimate::default(),
             mean_size: BTreeMap::new(),
             machines: BTreeMap::new(),
+            by_machine: BTreeMap::new(),
             advice: advice::Advice::default(),
             upkeep: upkeep::Progress::default(),
             balance: balance::Balance::default(),
@@ -251,11 +254,23 @@
         }
         let drains = report.draining && !worker.report.as_ref().is_some_and(|r| r.draining);
         worker.report = Some(report.clone());
+        self.note_machine(report);
         if drains {
             self.leave_worker(moment, ledger, &report.life.worker);
         }
     }
 
+    fn note_machine(&mut self, report: &Report) {
+        let born = |id: &WorkerId| {
+            let worker = self.workers.get(id).filter(|worker| worker.report.is_some());
+            worker.map(|worker| worker.life.born)
+        };
+        let held = self.by_machine.get(&report.machine).and_then(born);
+        if held.is_none_or(|born| born <= report.life.born) {
+            self.by_machine.insert(report.machine.clone(), report.life.worker.clone());
+        }
+    }
+
     /// Takes in that a life has said that it ends. Its lease still has to end,
     /// since its last work may go on for a moment.
     pub fn left(&mut self, worker: &WorkerId) {
--- a/crates/sched/src/scheduler/upkeep.rs
+++ b/crates/sched/src/scheduler/upkeep.rs
@@ -268,12 +268,11 @@
         closed < ((all as f64 * POOL_SHARE) as usize).max(1)
     }
 
+    /// The newest worker that has reported from a machine, while it lives.
     pub(super) fn worker_of(&self, machine: &MachineId) -> Option<WorkerId> {
-        self.workers
-            .iter()
-            .filter(|(_, worker)| worker.report.as_ref().is_some_and(|r| r.machine == *machine))
-            .max_by_key(|(_, worker)| worker.life.born)
-            .map(|(id, _)| id.clone())
+        let id = self.by_machine.get(machine)?;
+        let report = self.workers.get(id)?.report.as_ref()?;
+        (report.machine == *machine).then(|| id.clone())
     }
 
     pub(super) fn close(&mut self, machine: &MachineId) {
