--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -6,7 +6,8 @@
 
 /// Validate settings and record files without talking to an entry.
 ///
-/// A file with the field `entries` is read as settings, any other as records.
+/// A file with the field `entries` is read as settings of an entry, one with the
+/// field `seeds` as settings of a core or edge process, any other as records.
 /// Records are checked together: references must be met within the files given.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -48,7 +49,13 @@
     let named = |faults: Vec<record::Fault>| {
         faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect()
     };
-    if is_settings(&text) {
+    if has_field(&text, "seeds") {
+        return Ok(match mesh::Settings::parse(&text) {
+            Ok(_) => Checked::Settings,
+            Err(error) => Checked::Faulty(vec![format!("{}: {error}", path.display())]),
+        });
+    }
+    if has_field(&text, "entries") {
         return Ok(match entry::Settings::load(path) {
             Ok(_) => Checked::Settings,
             Err(faults) => Checked::Faulty(named(faults)),
@@ -74,9 +81,8 @@
     Ok(if faults.is_empty() { Checked::Records(documents) } else { Checked::Faulty(named(faults)) })
 }
 
-fn is_settings(text: &str) -> bool {
-    serde_norway::from_str::<serde_json::Value>(text)
-        .is_ok_and(|value| value.get("entries").is_some())
+fn has_field(text: &str, field: &str) -> bool {
+    serde_norway::from_str::<serde_json::Value>(text).is_ok_and(|value| value.get(field).is_some())
 }
 
 /// Faults of the records taken together.
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -101,3 +101,17 @@
         assert!(stderr(&output).contains(&format!("{name}: holds no record")), "{name}");
     }
 }
+
+#[test]
+fn settings_of_the_other_roles_are_checked_too() {
+    let workdir = Workdir::new();
+    let good = "name: p1\ndata_centre: north\nfounding: true\nseeds: [\"127.0.0.1:1\"]\n\
+                listen: {ip: 127.0.0.1, internal: [7, 9]}\n";
+    workdir.write("good.yaml", good);
+    workdir.succeed("a1", &["check", "good.yaml"]);
+    workdir.write("bad.yaml", &good.replace("[7, 9]", "[9, 7]"));
+    let output = workdir.run("a1", &["check", "bad.yaml"]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = stderr(&output);
+    assert!(text.contains("bad.yaml: listen.internal: the first port is above"), "{text}");
+}
