--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -9,7 +9,7 @@
 mod voters;
 
 use async_std::channel::Sender;
-use jobs::{Ledger, WorkerId};
+use jobs::{Decision, Ledger, WorkerId};
 use log::info;
 use mesh::frame::AskId;
 use mesh::{Ask, Frame, Hello, Reply, Standing};
@@ -106,6 +106,8 @@
     Upkept(UpkeptMachine),
     /// Someone wants to see the state.
     Dump(Sender<String>),
+    /// Someone wants to see the decisions about a subject, or all.
+    Explain(String, Sender<Vec<Decision>>),
     /// The process is about to end: hand leadership over.
     Leave,
     /// The process ends.
@@ -270,6 +272,14 @@
             Input::Dump(reply) => {
                 let _ = reply.try_send(self.dump()); // who asked may have gone
             }
+            Input::Explain(subject, reply) => {
+                let journal = self.ledger.journal();
+                let decisions = match subject.as_str() {
+                    "" => journal.all().cloned().collect(),
+                    subject => journal.about(subject).cloned().collect(),
+                };
+                let _ = reply.try_send(decisions); // who asked may have gone
+            }
             Input::Leave => {
                 self.leaving = true;
                 self.node.hand_over_lead();
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -6,7 +6,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
-use jobs::WorkerId;
+use jobs::{Decision, WorkerId};
 use log::{info, warn};
 use mesh::{Ask, Clock, Event, Frame, Hello, Net, Reply, Standing};
 use sched::Report;
@@ -128,6 +128,14 @@
         timeout(ASK_TIMEOUT, text.recv()).await.ok()?.ok()
     }
 
+    /// Decisions about a subject, or all for an empty one, as far as this process
+    /// knows them.
+    pub async fn explain(&self, subject: String) -> Option<Vec<Decision>> {
+        let (sender, decisions) = bounded(1);
+        self.push(Input::Explain(subject, sender));
+        timeout(ASK_TIMEOUT, decisions.recv()).await.ok()?.ok()
+    }
+
     /// Where the core stands.
     pub fn standing(&self) -> Standing {
         self.standing.read().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -2,7 +2,8 @@
 
 use crate::wave::Upkeep;
 use crate::{
-    Config, JobId, Life, MachineId, Order, QueueName, RunNumber, UnitKey, UnixMs, Wave, WaveId,
+    Config, Decision, JobId, Life, MachineId, Order, QueueName, RunNumber, UnitKey, UnixMs, Wave,
+    WaveId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,8 @@
     StartWave(Wave),
     /// Notes how far a machine's upkeep is.
     Upkeep(UpkeepChange),
+    /// Puts a decision on record that changes nothing else here.
+    Note(Decision),
 }
 
 /// A job to take in.
@@ -144,4 +147,7 @@
     pub machine: MachineId,
     /// How far its upkeep is now.
     pub upkeep: Upkeep,
+    /// Time of day at the leader.
+    #[serde(default)]
+    pub at: UnixMs,
 }
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -4,8 +4,8 @@
 use crate::job::{Job, Placement, State, Unit};
 use crate::wave::{Upkeep, Wave};
 use crate::{
-    Config, JobId, JobNumber, Life, MachineId, QueueName, RunNumber, StepKey, UnitKey, UnixMs,
-    WaveId, WorkerId,
+    Config, Decision, JobId, JobNumber, Journal, Life, MachineId, QueueName, RunNumber, StepKey,
+    UnitKey, UnixMs, WaveId, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -88,6 +88,11 @@
     noted: BTreeMap<WorkerId, Noted>,
     waves: BTreeMap<WaveId, Wave>,
     finished: BTreeMap<(UnixMs, JobNumber), ()>,
+    #[serde(default)]
+    journal: Journal,
+    /// Latest time that a command named.
+    #[serde(default)]
+    latest: UnixMs,
 }
 
 /// Queries.
@@ -103,6 +108,8 @@
             noted: BTreeMap::new(),
             waves: BTreeMap::new(),
             finished: BTreeMap::new(),
+            journal: Journal::default(),
+            latest: 0,
         }
     }
 
@@ -163,6 +170,11 @@
         }
     }
 
+    /// Decisions that are on record.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
     /// All waves.
     pub fn waves(&self) -> &BTreeMap<WaveId, Wave> {
         &self.waves
@@ -187,8 +199,13 @@
             Command::Runs(batch) => self.runs(batch, &mut events),
             Command::StartWave(wave) => self.start_wave(wave, &mut events),
             Command::Upkeep(change) => {
+                self.latest = self.latest.max(change.at);
                 self.upkeep(change.wave, change.machine, change.upkeep, &mut events)
             }
+            Command::Note(decision) => {
+                self.journal.add(decision);
+                Outcome::Done
+            }
         };
         (outcome, events)
     }
@@ -202,12 +219,25 @@
                 job.pool = queue.pool.clone();
             }
         }
+        let before = self.config.as_ref().map_or("none".to_string(), |c| c.version.to_string());
+        let text = format!(
+            "version {} is in force after version {before}: {} queues, {} pools",
+            config.version,
+            config.queues.len(),
+            config.pools.len()
+        );
+        self.record("configuration".to_string(), text);
         self.config = Some(config);
         events.push(Event::Configured);
         Outcome::Done
     }
 
+    fn record(&mut self, subject: String, text: String) {
+        self.journal.add(Decision { at: self.latest, subject, text });
+    }
+
     fn submit(&mut self, submit: Submit, events: &mut Vec<Event>) -> Outcome {
+        self.latest = self.latest.max(submit.at);
         self.forget(submit.at);
         if let Some(number) = self.by_id.get(&submit.id) {
             let same = self.jobs.get(number).is_some_and(|job| job.queue == submit.queue);
@@ -252,6 +282,7 @@
     }
 
     fn runs(&mut self, batch: Batch, events: &mut Vec<Event>) -> Outcome {
+        self.latest = self.latest.max(batch.at);
         for Ended { life, ends } in batch.ended {
             for end in ends {
                 self.end(&life, end, batch.at, events);
@@ -410,6 +441,12 @@
 
     fn start_wave(&mut self, wave: Wave, events: &mut Vec<Event>) -> Outcome {
         let id = wave.id;
+        self.latest = self.latest.max(wave.since);
+        if !self.waves.contains_key(&id) {
+            let (machines, cap) = (wave.machines.len(), wave.cap);
+            let text = format!("an operator asks for {machines} machines, {cap} at one time");
+            self.record(format!("wave {id}"), text);
+        }
         if let std::collections::btree_map::Entry::Vacant(slot) = self.waves.entry(id) {
             slot.insert(wave);
             events.push(Event::Wave(id));
@@ -428,6 +465,7 @@
         let Some(held) = held else { return Outcome::Missing };
         if !matches!(held, Upkeep::Done | Upkeep::Gone) {
             *held = upkeep;
+            self.record(format!("machine {machine}"), format!("wave {id}: {upkeep:?}"));
             events.push(Event::Upkeep(id, machine, upkeep));
         }
         Outcome::Done
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod config;
 pub mod job;
+pub mod journal;
 pub mod ledger;
 pub mod order;
 pub mod wave;
@@ -15,6 +16,7 @@
 pub use command::{Batch, Command};
 pub use config::{Config, Limits, Pool, Queue};
 pub use job::{Job, State, Unit};
+pub use journal::{Decision, Journal};
 pub use ledger::{Event, Ledger, Outcome};
 pub use order::{Order, Step};
 pub use wave::Wave;
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -9,7 +9,8 @@
 use crate::machine::State;
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::{Class, work};
-use jobs::{JobNumber, Ledger, MachineId, PoolName, StepKey};
+use jobs::command::Command;
+use jobs::{Decision, JobNumber, Ledger, MachineId, PoolName, StepKey};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -143,7 +144,9 @@
         for (pool, share) in &shares {
             for _ in share.machines.len()..share.wanted {
                 let Some(machine) = spare.pop() else { break };
-                self.order_move(moment, machine, pool);
+                let (has, wants) = (share.machines.len(), share.wanted);
+                let reason = format!("it has {has} machines, its work needs {wants}");
+                self.order_move(moment, machine, pool, &reason);
             }
         }
         self.park(moment, &shares, &spare, &standby);
@@ -298,16 +301,19 @@
             .cloned()
             .collect();
         for machine in long_idle {
-            self.order_move(moment, machine, standby);
+            self.order_move(moment, machine, standby, "no pool needs the machine");
         }
     }
 
-    fn order_move(&mut self, moment: Moment, machine: MachineId, pool: &PoolName) {
+    fn order_move(&mut self, moment: Moment, machine: MachineId, pool: &PoolName, reason: &str) {
         let moving =
             Moving { pool: pool.clone(), sent: moment.now, accepted: None, unanswered: false };
         self.balance.moving.insert(machine.clone(), moving);
         self.close(&machine);
-        self.note(machine.clone(), format!("moves to pool {pool}"));
+        let text = format!("moves to pool {pool}: {reason}");
+        let subject = format!("machine {machine}");
+        self.changes.push(Command::Note(Decision { at: moment.wall, subject, text: text.clone() }));
+        self.note(machine.clone(), text);
         self.orders.push(Order::Move(Move { machine, pool: pool.clone(), fence: self.fence }));
     }
 
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -97,6 +97,7 @@
     advice: advice::Advice,
     upkeep: upkeep::Progress,
     balance: balance::Balance,
+    moment: Moment,
     looked: Duration,
     batch: Batch,
     changes: Vec<Command>,
@@ -140,6 +141,7 @@
             advice: advice::Advice::default(),
             upkeep: upkeep::Progress::default(),
             balance: balance::Balance::default(),
+            moment,
             looked: Duration::ZERO,
             batch: Batch::default(),
             changes: Vec::new(),
@@ -307,6 +309,7 @@
 
     /// Decides what is to be done now.
     pub fn decide(&mut self, moment: Moment, ledger: &Ledger) -> Decision {
+        self.moment = moment;
         if !self.superseded {
             self.open_due(moment, ledger);
             self.ask_workers(moment, ledger);
--- a/crates/sched/src/scheduler/upkeep.rs
+++ b/crates/sched/src/scheduler/upkeep.rs
@@ -442,7 +442,8 @@
     pub(super) fn change(&mut self, wave: WaveId, machine: &MachineId, upkeep: Upkeep) {
         self.note(machine.clone(), format!("wave {wave}: {upkeep:?}"));
         self.upkeep.changing.insert(machine.clone(), upkeep);
-        let change = UpkeepChange { wave, machine: machine.clone(), upkeep };
+        let at = self.moment.wall;
+        let change = UpkeepChange { wave, machine: machine.clone(), upkeep, at };
         self.changes.push(Command::Upkeep(change));
     }
 }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -238,6 +238,14 @@
     assert_eq!(parked(&world), 0, "a surge beyond the pool brings them back");
     world.run(seconds(12.0));
     assert!(parked(&world) >= 3);
+    let (_, machine, _) = &world.moves[0];
+    let told: Vec<&str> = world
+        .ledger
+        .journal()
+        .about(&format!("machine {machine}"))
+        .map(|decision| decision.text.as_str())
+        .collect();
+    assert!(told[0].contains("no pool needs the machine"), "{told:?}");
     for number in 0..40 {
         assert_eq!(world.state("q", &format!("a{number}")), State::Completed);
     }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,23 +1,32 @@
 //! Shows what was decided and why.
 
-use crate::config::Client;
+use crate::config::{self, Client};
 use crate::util::{self, Error, Result};
 use argh::FromArgs;
 use async_std::task;
 use entry::http::operators::Notes;
 use fleet::journal::{Author, Note};
+use jobs::Decision;
 use record::Kind;
+use standin::client::Call;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
 
 /// Show what was decided and why.
 ///
 /// The subject is `instance NAME`, `pool NAME`, `record KIND NAME`, `decision
-/// NUMBER` or `since NUMBER`, which exports all notes from a number on.
+/// NUMBER` or `since NUMBER`, which exports all notes from a number on. With --core
+/// it is `configuration`, `wave NUMBER`, `machine NAME`, or nothing for all.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Args {
     /// instance NAME | pool NAME | record KIND NAME | decision NUMBER | since NUMBER
     #[argh(positional)]
     subject: Vec<String>,
+    /// status address of a core process, which explains machines, waves and the
+    /// configuration of queues
+    #[argh(option)]
+    core: Option<SocketAddr>,
     /// operators' address of an entry
     #[argh(option)]
     entry: Option<String>,
@@ -31,6 +40,9 @@
 
 /// Runs the command.
 pub fn run(args: Args) -> Result<()> {
+    if let Some(core) = args.core {
+        return explain_core(core, &args.subject.join(" "), args.json);
+    }
     let path = path(&args.subject)?;
     let client = Client::new(args.entry, args.token)?;
     let notes: Notes = task::block_on(client.get(&path))?;
@@ -50,6 +62,26 @@
     Ok(())
 }
 
+/// Prints what a core process has on record.
+fn explain_core(core: SocketAddr, subject: &str, json: bool) -> Result<()> {
+    let query = if subject.is_empty() { "" } else { "?about=" };
+    let call = Call::new(core, format!("/decisions{query}{}", subject.replace(' ', "+")));
+    let answer = task::block_on(call.send());
+    let answer = answer.map_err(|error| Error::NotTaken(format!("core at {core}: {error}")))?;
+    let decisions: Vec<Decision> = config::parse(&answer)?;
+    if decisions.is_empty() {
+        return Err(Error::Missing(format!("no decision about {subject} is kept")));
+    }
+    if json {
+        return util::print_json(&decisions);
+    }
+    for Decision { at, subject, text } in &decisions {
+        let at = SystemTime::UNIX_EPOCH + Duration::from_millis(*at);
+        println!("{} {subject}: {text}", util::time(at));
+    }
+    Ok(())
+}
+
 fn path(subject: &[String]) -> Result<String> {
     let words: Vec<&str> = subject.iter().map(String::as_str).collect();
     match words.as_slice() {
--- a/src/util.rs
+++ b/src/util.rs
@@ -253,6 +253,15 @@
     }
 }
 
+impl Status {
+    async fn decisions(&self, query: Option<&str>) -> String {
+        let State::Core(handle) = &self.state else { return "[]".to_string() };
+        let subject = query.and_then(|query| query.strip_prefix("about=")).unwrap_or_default();
+        let decisions = handle.explain(subject.replace('+', " ")).await.unwrap_or_default();
+        serde_json::to_string(&decisions).expect("values serialise to memory")
+    }
+}
+
 impl App for Status {
     fn respond(&self, request: Request) -> BoxFuture<'_, http_types::Result<Response>> {
         Box::pin(async move {
@@ -260,6 +269,7 @@
             match request.url().path() {
                 "/metrics" => response.set_body(self.metrics.render()),
                 "/dump" => response.set_body(self.dump().await),
+                "/decisions" => response.set_body(self.decisions(request.url().query()).await),
                 _ => response.set_status(http_types::StatusCode::NotFound),
             }
             Ok(response)
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -237,6 +237,14 @@
     let (status, answer) = system.ask(Method::Post, &id(2), Some(bad));
     assert_eq!(status, 400);
     assert_eq!(answer["error"], "steps.0.count: must be at least 1");
+    let core = system.address(CORES[0], INTERNAL.1).to_string();
+    let explain = |subject: &[&str]| {
+        let mut command = Command::new(BINARY);
+        command.arg("explain").args(subject).args(["--core", &core]).output().unwrap()
+    };
+    let told = String::from_utf8(explain(&["configuration"]).stdout).unwrap();
+    assert!(told.contains("configuration: version 1 is in force after version none"), "{told}");
+    assert_eq!(explain(&["wave", "9"]).status.code(), Some(6));
     let health = call(system.address(EDGE, HEALTH), Method::Get, "/api/ready", None);
     assert_eq!(block_on(health).unwrap().0, 200);
     block_on(async {
