--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -39,32 +39,47 @@
     step.anti_affinity == 0 || worker.runs_of(key) < step.anti_affinity
 }
 
-/// How good a worker is for a unit of the step; the greatest wins.
-pub fn score(worker: &Worker, terms: &Terms<'_>) -> impl Ord + use<> {
+/// How good a worker is for a unit; the greatest wins.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Score {
+    /// Its last run did not fail.
+    trusted: bool,
+    /// Its machine stays, or serves no users beside filling work.
+    settled: bool,
+    /// It has the data.
+    near: bool,
+    /// Units of the step on its rack, or filling work beside this.
+    beside: Reverse<u32>,
+    /// It runs lasting work already, so its machine is not moved.
+    hosts: bool,
+    /// Room that is left: little for most work, much for filling work.
+    room: Reverse<(u64, u64)>,
+}
+
+/// How good a worker is for a unit of the step.
+pub fn score(worker: &Worker, terms: &Terms<'_>) -> Score {
     let step = terms.step;
-    let labels = worker.report.as_ref().map(|report| report.labels.as_slice()).unwrap_or_default();
-    let near = step.affinity.as_ref().is_none_or(|rack| labels.contains(rack));
-    let trusted = worker.strikes == 0;
-    let hosts = worker.runs.values().any(|run| run.lasting);
+    let report = worker.report.as_ref();
+    let labels = report.map(|report| report.labels.as_slice()).unwrap_or_default();
     let free = worker.free();
-    let tight = Reverse((free.cpu_milli, free.memory_mb));
+    let score = Score {
+        trusted: worker.strikes == 0,
+        settled: true,
+        near: step.affinity.as_ref().is_none_or(|rack| labels.contains(rack)),
+        beside: Reverse(0),
+        hosts: worker.runs.values().any(|run| run.lasting),
+        room: Reverse((free.cpu_milli, free.memory_mb)),
+    };
     if step.filling {
-        // Far from work that serves, and where the most is left over.
         let serves = worker.runs.values().any(|run| run.tail_target.is_some());
-        let others = worker.runs.values().filter(|run| run.filling).count() as u32;
-        return (
-            trusted,
-            !serves,
-            near,
-            Reverse(others),
-            false,
-            Reverse((worker.used.cpu_milli, 0)),
-        );
+        let fillers = worker.runs.values().filter(|run| run.filling).count() as u32;
+        let room = Reverse((worker.used.cpu_milli, worker.used.memory_mb));
+        return Score { settled: !serves, beside: Reverse(fillers), hosts: false, room, ..score };
     }
-    if !step.lasting {
-        return (trusted, true, near, Reverse(0), hosts, tight);
+    if step.lasting {
+        let rack = report.and_then(|report| report.rack());
+        let alike = rack.and_then(|rack| terms.racks.get(rack)).copied().unwrap_or(0);
+        return Score { settled: !worker.due, beside: Reverse(alike), ..score };
     }
-    let rack = worker.report.as_ref().and_then(|report| report.rack());
-    let beside = rack.and_then(|rack| terms.racks.get(rack)).copied().unwrap_or(0);
-    (trusted, !worker.due, near, Reverse(beside), hosts, tight)
+    score
 }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -10,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time beyond the wait of an open call after which a worker counts as silent.
+/// Time since a worker's last answer after which it gets no new work: the longest
+/// wait of a call for its lists, and the time after which that call is given up.
 const SILENCE: Duration = Duration::from_millis(2800);
 
 impl Scheduler {
