Break a gang that lacks a member

Members now stop when one of their gang is lost, and a try that finds no room for all uses no run number up. The test fails first (the others ran on; then run 158 instead of 2).

--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -169,6 +169,7 @@
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.remove(unit, number);
                 }
+                self.last_runs.insert(unit, number - 1); // the number was not used
                 self.enqueue(ledger, unit, moment.now);
             }
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -36,6 +36,7 @@
         {
             self.avoid.entry(*unit).or_default().insert(life.worker.clone());
         }
+        self.break_gang(moment, ledger, unit);
         let idle =
             ledger.unit(unit).is_some_and(|state| !state.done && state.placements.is_empty());
         if idle {
@@ -43,6 +44,18 @@
         }
     }
 
+    /// A gang that lacks a member does no work: the others make room.
+    fn break_gang(&mut self, moment: Moment, ledger: &Ledger, unit: &UnitKey) {
+        let Some(job) = ledger.job(unit.job) else { return };
+        let key = unit.step_key();
+        if !job.order.steps[usize::from(key.step)].gang {
+            return;
+        }
+        for (worker, unit, number) in self.runs_where(|other| other.step_key() == key) {
+            self.stop(moment, ledger, &worker, unit, number, StopReason::Broken);
+        }
+    }
+
     pub(super) fn learn_span(
         &mut self,
         moment: Moment,
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -250,3 +250,20 @@
         assert_eq!(world.state("q", &format!("a{number}")), State::Completed);
     }
 }
+
+#[test]
+fn a_gang_that_lost_a_member_starts_anew_as_a_whole() {
+    let mut world = World::new(4);
+    world.span.insert("a".to_string(), seconds(60.0));
+    let gang = jobs::Step { gang: true, anti_affinity: 1, ..step(3, 1000, 60_000) };
+    world.submit("q", "a", vec![gang]);
+    world.run(seconds(1.0));
+    let first = world.runs_of("a.0.0.1")[0].clone();
+    world.workers.get_mut(&first).unwrap().dead = true;
+    world.run(seconds(9.0));
+    for index in 0..3 {
+        let starts = world.starts_of(&format!("a.0.0.{index}"));
+        let runs: Vec<u64> = starts.iter().map(|begun| begun.run).collect();
+        assert_eq!(runs, [1, 2], "unit {index}");
+    }
+}
