--- a/crates/sched/src/scheduler/attend.rs
+++ b/crates/sched/src/scheduler/attend.rs
@@ -58,12 +58,12 @@
             return;
         };
         let same = worker.life == *life;
+        let refuses = worker.asking.failures > 0 || !worker.takes_starts();
         let Some(run) = worker.runs.get_mut(&(unit, number)) else {
             self.batch.voided.push(Voided { unit, run: number });
             return;
         };
-        let silent = worker.asking.failures > 0;
-        if !same || silent || run.stopped_for.is_some() {
+        if !same || refuses || run.stopped_for.is_some() {
             run.state = RunState::Ending;
             self.batch.voided.push(Voided { unit, run: number });
             return;
@@ -213,6 +213,9 @@
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
                 match run.state {
+                    RunState::Ready | RunState::Unclear { .. } if !worker.takes_starts() => {
+                        stops.push((key, Some(StopReason::Unclear)));
+                    }
                     RunState::Ready if !silent => again.push(key),
                     RunState::Unclear { since } if !silent && moment.now >= since + RETRY_AFTER => {
                         if run.unanswered >= MAX_UNANSWERED {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -178,14 +178,18 @@
         capacity.minus(&self.used)
     }
 
+    /// Whether a start may be sent to it, be it for the first time or again.
+    pub fn takes_starts(&self) -> bool {
+        let draining = self.report.as_ref().is_none_or(|report| report.draining);
+        !draining && !self.closing && !self.gone
+    }
+
     /// Whether new work may go to it.
     pub fn is_open(&self, now: Duration, silence: Duration) -> bool {
-        let Some(report) = &self.report else { return false };
         let heard = self.asking.answered.is_some_and(|at| now < at + silence);
         self.verified
             && heard
-            && !report.draining
-            && !self.closing
+            && self.takes_starts()
             && now >= self.resting
             && (self.strikes < STRIKES_FOR_TRIAL || self.runs.is_empty())
     }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -267,3 +267,23 @@
         assert_eq!(runs, [1, 2], "unit {index}");
     }
 }
+
+#[test]
+fn a_start_without_an_answer_is_not_repeated_at_a_worker_that_drains() {
+    let mut world = World::new(1);
+    world.span.insert("a".to_string(), seconds(1.0));
+    let worker = world.workers.get_mut("w0").unwrap();
+    (worker.mute, worker.carries_out) = (true, false);
+    world.submit("q", "a", vec![step(2, 1000, 1000)]);
+    world.run(seconds(0.05));
+    let worker = world.workers.get_mut("w0").unwrap();
+    (worker.report.draining, worker.report.number) = (true, 2);
+    worker.mute = false;
+    let (report, moment) = (worker.report.clone(), world.moment());
+    world.scheduler.report(moment, &world.ledger, &report);
+    world.run(seconds(3.0));
+    assert!(world.begun.is_empty(), "{:?}", world.begun);
+    world.add("w1", "p", 9);
+    world.run(seconds(3.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
