--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::process::{Child, Command, Output};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -267,6 +267,23 @@
     assert!(log.contains("reign.ended") && log.contains("process.stopped"), "{log}");
 }
 
+#[test]
+fn a_reader_of_the_log_that_stalls_holds_nothing_up() {
+    let mut system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    system.kill(EDGE);
+    // Nobody reads this pipe, which holds 64 KiB; each request writes a line.
+    let path = system.folder.path().join(format!("p{EDGE}.yaml"));
+    let mut command = Command::new(BINARY);
+    let edge = command.arg("edge").arg(&path).stdout(Stdio::piped()).spawn().unwrap();
+    system.processes.insert(EDGE, edge);
+    until("the edge answers", || system.ask(Method::Get, "", None).0 == 200);
+    for number in 0..1500 {
+        assert_eq!(system.ask(Method::Get, &id(number), None).0, 410, "request {number}");
+    }
+}
+
 #[test]
 fn wrong_settings_are_refused_with_the_field() {
     let folder = tempfile::tempdir().unwrap();
