--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -92,15 +92,12 @@
     }
 }
 
-/// The cloud's address and what it takes.
+/// The cloud.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cloud {
     /// Its address.
     pub address: SocketAddr,
-    /// Orders for machines a second, from all processes together.
-    #[serde(default)]
-    pub orders_per_s: Option<f64>,
 }
 
 /// Bounds that the platform states; what is missing keeps its default.
@@ -109,18 +106,12 @@
 pub struct Bounds {
     /// Longest lease that a worker grants, in milliseconds.
     pub max_lease_ms: Option<f64>,
-    /// Longest time that a stopped run may go on, in milliseconds.
-    pub stop_timeout_ms: Option<f64>,
     /// Factor on the run time of a unit that is far from its data.
     pub far_factor: Option<f64>,
-    /// Time in which interrupted lasting work counts as away, in milliseconds.
-    pub notice_ms: Option<f64>,
     /// Time that a machine takes to join another pool, in seconds.
     pub move_s: Option<f64>,
     /// Time that a machine's upkeep takes, in seconds.
     pub upkeep_s: Option<f64>,
-    /// Time for which a tail over its target counts as harm, in milliseconds.
-    pub harm_ms: Option<f64>,
     /// Time between a stop signal and the kill, in seconds.
     pub grace_s: Option<f64>,
     /// How long a job's state is kept after its end, in seconds.
@@ -209,23 +200,18 @@
     }
 
     /// Bounds of the scheduler.
-    pub fn sched(&self, cloud: Option<&Cloud>) -> sched::Settings {
+    pub fn sched(&self) -> sched::Settings {
         let defaults = sched::Settings::default();
         let ms = |value: Option<f64>, default: Duration| {
             value.map_or(default, |ms| Duration::from_secs_f64(ms / 1000.0))
         };
         let s =
             |value: Option<f64>, default: Duration| value.map_or(default, Duration::from_secs_f64);
-        let orders = cloud.and_then(|cloud| cloud.orders_per_s);
         sched::Settings {
             max_lease: ms(self.max_lease_ms, defaults.max_lease),
-            stop_timeout: ms(self.stop_timeout_ms, defaults.stop_timeout),
             far_factor: self.far_factor.unwrap_or(defaults.far_factor),
-            notice: ms(self.notice_ms, defaults.notice),
             move_time: s(self.move_s, defaults.move_time),
             upkeep_time: s(self.upkeep_s, defaults.upkeep_time),
-            harm: ms(self.harm_ms, defaults.harm),
-            cloud_orders_per_s: orders.unwrap_or(defaults.cloud_orders_per_s),
         }
     }
 }
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -100,7 +100,7 @@
         founders: settings.seeds.0.clone(),
         bootstrap: settings.founding,
         retention: settings.bounds.retention(),
-        sched: settings.bounds.sched(cloud),
+        sched: settings.bounds.sched(),
         opener: Box::new(open),
         clock,
         calls: Arc::new(platform::client::Client::new(
