Put moves of machines into the log before they are ordered

Cause: an order to move a machine that gets no answer may be carried out up to 12 s later. The leader forgot it once a repeat was answered, and moved the machine on; the late order then took it back and ended lasting work. A new leader did not know of its predecessor's open orders at all. Both shown by two tests on scripted workers that failed first (late orders in the world of the scheduler's tests).

Change: a move is a command of the log (it was only a note), ordered once it is committed; an answer that leaves no doubt settles it. A machine whose order had no answer stays in the pool it comes to for 15 s. A new leader takes up what is not settled under its own fence.

--- a/crates/control/src/core/settle.rs
+++ b/crates/control/src/core/settle.rs
@@ -205,6 +205,9 @@
             Event::Upkeep(wave, machine, upkeep) => {
                 info!("wave.machine wave={wave} machine={machine} upkeep={upkeep:?} index={index}");
             }
+            Event::Move(machine, pool) => {
+                info!("machine.move machine={machine} pool={pool} index={index}");
+            }
             Event::StepDone(_) | Event::Noted(..) => {}
         }
     }
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::wave::Upkeep;
 use crate::{
-    Config, Decision, JobId, Life, MachineId, Order, QueueName, RunNumber, UnitKey, UnixMs, Wave,
+    Config, JobId, Life, MachineId, Order, PoolName, QueueName, RunNumber, UnitKey, UnixMs, Wave,
     WaveId,
 };
 use serde::{Deserialize, Serialize};
@@ -22,8 +22,9 @@
     StartWave(Wave),
     /// Notes how far a machine's upkeep is.
     Upkeep(UpkeepChange),
-    /// Puts a decision on record that changes nothing else here.
-    Note(Decision),
+    /// Notes that a machine is about to be ordered to another pool, or that no such
+    /// order is open any more.
+    Move(MoveChange),
 }
 
 /// A job to take in.
@@ -151,3 +152,16 @@
     #[serde(default)]
     pub at: UnixMs,
 }
+
+/// Move of a machine to another pool.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MoveChange {
+    /// The machine.
+    pub machine: MachineId,
+    /// Pool that it is about to be ordered to; none once no order can come late.
+    pub pool: Option<PoolName>,
+    /// Why.
+    pub reason: String,
+    /// Time of day at the leader.
+    pub at: UnixMs,
+}
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -1,11 +1,11 @@
 //! The ledger: replicated state of configuration, jobs, runs and waves.
 
-use crate::command::{Batch, Cancel, Command, End, Ended, How, Placed, Submit, Voided};
+use crate::command::{Batch, Cancel, Command, End, Ended, How, MoveChange, Placed, Submit, Voided};
 use crate::job::{Job, Placement, State, Unit};
 use crate::wave::{Upkeep, Wave};
 use crate::{
-    Config, Decision, JobId, JobNumber, Journal, Life, MachineId, QueueName, RunNumber, StepKey,
-    UnitKey, UnixMs, WaveId, WorkerId,
+    Config, Decision, JobId, JobNumber, Journal, Life, MachineId, PoolName, QueueName, RunNumber,
+    StepKey, UnitKey, UnixMs, WaveId, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -45,6 +45,8 @@
     Wave(WaveId),
     /// A machine's upkeep has come further.
     Upkeep(WaveId, MachineId, Upkeep),
+    /// A machine is to be ordered to another pool.
+    Move(MachineId, PoolName),
 }
 
 /// A run that is on no worker any more.
@@ -67,6 +69,15 @@
     through: u64,
 }
 
+/// A move of a machine whose order may still be carried out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moved {
+    /// Pool that it was ordered to.
+    pub pool: PoolName,
+    /// When the order was last given, by the leader's time of day.
+    pub at: UnixMs,
+}
+
 /// Replicated state.
 ///
 /// ```
@@ -87,6 +98,8 @@
     next_job: JobNumber,
     noted: BTreeMap<WorkerId, Noted>,
     waves: BTreeMap<WaveId, Wave>,
+    #[serde(default)]
+    moves: BTreeMap<MachineId, Moved>,
     finished: BTreeMap<(UnixMs, JobNumber), ()>,
     #[serde(default)]
     journal: Journal,
@@ -107,6 +120,7 @@
             next_job: 1,
             noted: BTreeMap::new(),
             waves: BTreeMap::new(),
+            moves: BTreeMap::new(),
             finished: BTreeMap::new(),
             journal: Journal::default(),
             latest: 0,
@@ -180,6 +194,11 @@
         &self.waves
     }
 
+    /// Moves whose orders may still be carried out; those without an answer stay.
+    pub fn moves(&self) -> &BTreeMap<MachineId, Moved> {
+        &self.moves
+    }
+
     /// Accepted jobs of a queue none of whose units has been started.
     pub fn pending(&self, queue: &QueueName) -> usize {
         let queued = |job: &&Job| job.state == State::Queued && job.queue == *queue;
@@ -202,10 +221,7 @@
                 self.latest = self.latest.max(change.at);
                 self.upkeep(change.wave, change.machine, change.upkeep, &mut events)
             }
-            Command::Note(decision) => {
-                self.journal.add(decision);
-                Outcome::Done
-            }
+            Command::Move(change) => self.move_machine(change, &mut events),
         };
         (outcome, events)
     }
@@ -454,6 +470,24 @@
         Outcome::Done
     }
 
+    fn move_machine(&mut self, change: MoveChange, events: &mut Vec<Event>) -> Outcome {
+        let MoveChange { machine, pool, reason, at } = change;
+        self.latest = self.latest.max(at);
+        let subject = format!("machine {machine}");
+        match pool {
+            Some(pool) => {
+                self.record(subject, format!("moves to pool {pool}: {reason}"));
+                self.moves.insert(machine.clone(), Moved { pool: pool.clone(), at });
+                events.push(Event::Move(machine, pool));
+            }
+            None => {
+                self.record(subject, reason);
+                self.moves.remove(&machine);
+            }
+        }
+        Outcome::Done
+    }
+
     fn upkeep(
         &mut self,
         id: WaveId,
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -9,8 +9,8 @@
 use crate::machine::State;
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::{Class, work};
-use jobs::command::Command;
-use jobs::{Decision, JobNumber, Ledger, MachineId, PoolName, StepKey};
+use jobs::command::{Command, MoveChange};
+use jobs::{JobNumber, Ledger, MachineId, PoolName, StepKey};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -34,6 +34,10 @@
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 /// Time beyond the span of a move after which its machine is looked up in the list.
 const LATE_MARGIN: Duration = Duration::from_millis(1000);
+/// Time after which an order without an answer is not carried out any more. The
+/// longest delay that the platform names is 12 s; the rest is for a time of day
+/// that differs between two leaders.
+const LATE_ORDER: Duration = Duration::from_secs(15);
 
 /// State of the moves.
 #[derive(Clone, Debug, Default)]
@@ -46,17 +50,30 @@
     idle: BTreeMap<MachineId, Duration>,
     /// Machines that can't be moved before a time.
     later: BTreeMap<MachineId, Duration>,
+    /// Until when an order without an answer may bring a machine to the pool that
+    /// it is in: until then it stays there.
+    doubtful: BTreeMap<MachineId, Duration>,
     listed: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
 struct Moving {
     pool: PoolName,
-    sent: Duration,
-    accepted: Option<Duration>,
+    stage: Stage,
+    /// An order of it had no answer and may be carried out late.
     unanswered: bool,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// It is on its way into the log.
+    Noting,
+    /// The order was sent.
+    Sent(Duration),
+    /// The cloud has taken the machine.
+    Accepted(Duration),
+}
+
 /// A pool as the balance sees it.
 #[derive(Clone, Debug, Default)]
 struct Share {
@@ -68,6 +85,28 @@
 
 /// Inputs.
 impl Scheduler {
+    /// Takes up moves of the leader before that may have had no answer.
+    pub(super) fn inherit_moves(&mut self, moment: Moment, ledger: &Ledger) {
+        for (machine, moved) in ledger.moves() {
+            let age = Duration::from_millis(moment.wall.saturating_sub(moved.at));
+            let Some(rest) = LATE_ORDER.checked_sub(age) else { continue };
+            let pool = moved.pool.clone();
+            let moving = Moving { pool, stage: Stage::Sent(Duration::ZERO), unanswered: true };
+            self.balance.moving.insert(machine.clone(), moving);
+            self.balance.doubtful.insert(machine.clone(), moment.now + rest);
+        }
+    }
+
+    /// The log has a move: it may be ordered now.
+    pub(super) fn move_noted(&mut self, moment: Moment, machine: &MachineId, pool: &PoolName) {
+        let Some(moving) = self.balance.moving.get_mut(machine) else { return };
+        if moving.pool == *pool && moving.stage == Stage::Noting {
+            moving.stage = Stage::Sent(moment.now);
+            let (machine, pool) = (machine.clone(), pool.clone());
+            self.orders.push(Order::Move(Move { machine, pool, fence: self.fence }));
+        }
+    }
+
     pub(super) fn work_arrived(&mut self, moment: Moment, ledger: &Ledger, number: JobNumber) {
         let Some(job) = ledger.job(number) else { return };
         if job.order.steps.iter().any(|step| step.lasting) || job.order.schedule.is_some() {
@@ -85,11 +124,12 @@
             let Some(machine) = machines.get(id) else { return false };
             let arrived = machine.state == State::Up && machine.pool == moving.pool;
             // The list may be older than the order.
-            !arrived || moving.accepted.is_none()
+            !arrived || !matches!(moving.stage, Stage::Accepted(_))
         });
     }
 
-    /// A new life has reported: a machine that was on its way has arrived.
+    /// A life has reported for the first time: a machine that was on its way has
+    /// arrived, or has yet to leave.
     pub(super) fn machine_arrived(&mut self, machine: &MachineId, pool: &PoolName) {
         if self.balance.moving.get(machine).is_some_and(|moving| moving.pool == *pool) {
             self.balance.moving.remove(machine);
@@ -103,11 +143,16 @@
     pub(super) fn machine_moved(&mut self, moment: Moment, moved: MovedMachine) {
         let MovedMachine { machine, answer } = moved;
         let Some(moving) = self.balance.moving.get_mut(&machine) else { return };
-        let first = !moving.unanswered;
+        let in_doubt = self.balance.doubtful.get(&machine).is_some_and(|at| moment.now < *at);
+        let certain = !(moving.unanswered && in_doubt);
         match answer {
             Answer::Done(()) => {
-                moving.accepted = Some(moment.now);
+                moving.stage = Stage::Accepted(moment.now);
                 let pool = moving.pool.clone();
+                if certain {
+                    let reason = format!("the cloud takes it to pool {pool}");
+                    self.note_move(moment, machine.clone(), None, reason);
+                }
                 if let Some(held) = self.machines.get_mut(&machine) {
                     held.pool = pool;
                     held.state = State::Moving;
@@ -115,14 +160,19 @@
                 self.machine_emptied(&machine);
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&machine),
-            Answer::Refused(_) if first => {
+            Answer::Refused(_) if certain => {
                 self.balance.moving.remove(&machine);
                 self.balance.later.insert(machine.clone(), moment.now + REFUSED_PAUSE);
                 self.reopen(&machine);
-                self.note(machine, "the cloud refuses to move it".to_string());
+                let reason = "the cloud refuses to move it".to_string();
+                self.note(machine.clone(), reason.clone());
+                self.note_move(moment, machine, None, reason);
             }
             Answer::Refused(_) => {}
-            Answer::Gone | Answer::Unknown => moving.unanswered = true,
+            Answer::Gone | Answer::Unknown => {
+                moving.unanswered = true;
+                self.balance.doubtful.insert(machine, moment.now + LATE_ORDER);
+            }
         }
     }
 }
@@ -258,6 +308,7 @@
         !self.balance.moving.contains_key(machine)
             && !self.is_kept_up(machine)
             && self.balance.later.get(machine).is_none_or(|at| moment.now >= *at)
+            && self.balance.doubtful.get(machine).is_none_or(|at| moment.now >= *at)
     }
 
     /// Whether a machine works for a pool and runs nothing.
@@ -306,15 +357,24 @@
     }
 
     fn order_move(&mut self, moment: Moment, machine: MachineId, pool: &PoolName, reason: &str) {
-        let moving =
-            Moving { pool: pool.clone(), sent: moment.now, accepted: None, unanswered: false };
+        let moving = Moving { pool: pool.clone(), stage: Stage::Noting, unanswered: false };
         self.balance.moving.insert(machine.clone(), moving);
         self.close(&machine);
-        let text = format!("moves to pool {pool}: {reason}");
-        let subject = format!("machine {machine}");
-        self.changes.push(Command::Note(Decision { at: moment.wall, subject, text: text.clone() }));
-        self.note(machine.clone(), text);
-        self.orders.push(Order::Move(Move { machine, pool: pool.clone(), fence: self.fence }));
+        self.note(machine.clone(), format!("moves to pool {pool}: {reason}"));
+        self.note_move(moment, machine, Some(pool.clone()), reason.to_string());
+    }
+
+    /// Puts into the log that a machine is to be ordered to a pool, or that no order
+    /// to it can be carried out late.
+    fn note_move(
+        &mut self,
+        moment: Moment,
+        machine: MachineId,
+        pool: Option<PoolName>,
+        reason: String,
+    ) {
+        let at = moment.wall;
+        self.changes.push(Command::Move(MoveChange { machine, pool, reason, at }));
     }
 
     /// Orders again what got no answer, and looks for machines that are late.
@@ -323,17 +383,18 @@
         let mut overdue = false;
         let mut again = Vec::new();
         for (machine, moving) in &mut self.balance.moving {
-            match moving.accepted {
-                Some(at) => overdue |= moment.now >= at + late,
-                None if moving.unanswered && moment.now >= moving.sent + ORDER_AGAIN => {
-                    moving.sent = moment.now;
+            match moving.stage {
+                Stage::Accepted(at) => overdue |= moment.now >= at + late,
+                Stage::Sent(at) if moving.unanswered && moment.now >= at + ORDER_AGAIN => {
+                    moving.stage = Stage::Noting;
                     again.push((machine.clone(), moving.pool.clone()));
                 }
-                None => {}
+                Stage::Sent(_) | Stage::Noting => {}
             }
         }
         for (machine, pool) in again {
-            self.orders.push(Order::Move(Move { machine, pool, fence: self.fence }));
+            self.close(&machine);
+            self.note_move(moment, machine, Some(pool), "no answer to the order yet".to_string());
         }
         if overdue {
             self.ask_for_list(moment);
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -196,6 +196,7 @@
             }
         }
         self.inherit_waves(moment, ledger);
+        self.inherit_moves(moment, ledger);
     }
 
     fn inherit_run(
@@ -246,9 +247,15 @@
         }
         if known.is_none_or(|life| life != report.life) {
             self.new_life_reported(moment, report);
+        }
+        if self.workers.get(&report.life.worker).is_none_or(|worker| worker.report.is_none()) {
             self.machine_arrived(&report.machine, &report.pool);
         }
+        let leaves = self.is_moving(&report.machine);
         let worker = self.worker(moment, &report.life);
+        if worker.report.is_none() && leaves {
+            worker.closing = true; // a move of it may still be carried out
+        }
         let same = worker
             .report
             .as_ref()
@@ -306,6 +313,7 @@
             Event::Upkeep(wave, machine, upkeep) => {
                 self.upkeep_changed(moment, *wave, machine, *upkeep);
             }
+            Event::Move(machine, pool) => self.move_noted(moment, machine, pool),
         }
     }
 
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -251,6 +251,38 @@
     }
 }
 
+#[test]
+fn a_move_without_an_answer_that_is_carried_out_late_ends_no_work() {
+    let mut world = World::new(6);
+    world.late_moves = 1; // the first machine to be parked
+    world.run(seconds(4.5));
+    let first = world.moves[0].1.clone();
+    world.span.insert("a".to_string(), seconds(60.0));
+    world.submit("q", "a", vec![lasting(6, 1000)]);
+    world.run(seconds(25.0));
+    assert!(world.cut_short.is_empty(), "on {first}: {:?}", world.cut_short);
+    for index in 0..6 {
+        assert_eq!(world.runs_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
+#[test]
+fn a_new_leader_heeds_a_move_of_its_predecessor_that_may_come_late() {
+    let mut world = World::new(6);
+    world.late_moves = 1;
+    while world.late_moves > 0 {
+        world.run(world::STEP);
+    }
+    world.take_over();
+    world.span.insert("a".to_string(), seconds(60.0));
+    world.submit("q", "a", vec![lasting(5, 1000)]);
+    world.run(seconds(12.0));
+    assert!(world.cut_short.is_empty(), "{:?}", world.cut_short);
+    for index in 0..5 {
+        assert_eq!(world.runs_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
 #[test]
 fn a_gang_that_lost_a_member_starts_anew_as_a_whole() {
     let mut world = World::new(4);
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -5,7 +5,7 @@
 use jobs::order::{Order as JobOrder, Room, Step};
 use jobs::{Config, Ledger, Life, Pool, Queue, RunNumber};
 use sched::machine::{self, Machine};
-use sched::order::{Address, Answer, Finished, Hold, Holding, Order, Refusal, Row, Start};
+use sched::order::{Address, Answer, Finished, Hold, Holding, Move, Order, Refusal, Row, Start};
 use sched::scheduler::{
     Advised, Held, Moment, MovedMachine, Paced, Started, Stopped, UpkeptMachine,
 };
@@ -19,6 +19,8 @@
 pub const REPORTS: Duration = Duration::from_millis(1500);
 /// Pool whose machines are off.
 pub const STANDBY: &str = "spare";
+/// Time after which an order that gets no answer is carried out.
+pub const LATE: Duration = Duration::from_secs(9);
 
 /// A worker that does what it is told.
 #[derive(Clone, Debug)]
@@ -67,6 +69,14 @@
     /// Workers that the policy of queue `r` allows, and how often it was asked.
     pub allowed: Vec<String>,
     pub asked: usize,
+    /// Orders to move that are yet to get no answer and to be carried out late.
+    pub late_moves: usize,
+    /// Orders that are on their way.
+    late: Vec<(Duration, Move)>,
+    /// Highest fence that the cloud has seen for each machine.
+    fences: BTreeMap<String, u64>,
+    /// Units that a move or an upkeep ended.
+    pub cut_short: Vec<(Duration, String)>,
     /// Machines that come back: when, and in which pool.
     back: BTreeMap<String, (Duration, String)>,
     born: u64,
@@ -122,6 +132,10 @@
             span: BTreeMap::new(),
             allowed: Vec::new(),
             asked: 0,
+            late_moves: 0,
+            late: Vec::new(),
+            fences: BTreeMap::new(),
+            cut_short: Vec::new(),
             back: BTreeMap::new(),
             born: 1,
             fence: 1,
@@ -213,6 +227,11 @@
     fn tick(&mut self) {
         self.now += STEP;
         self.bring_back();
+        let now = self.now;
+        let due = |(at, _): &mut (Duration, Move)| *at <= now;
+        for (_, order) in self.late.extract_if(.., due).collect::<Vec<_>>() {
+            self.move_machine(&order);
+        }
         if self.now.as_millis().is_multiple_of(REPORTS.as_millis()) {
             let moment = self.moment();
             for worker in self.workers.values().filter(|worker| !worker.dead && !worker.cut) {
@@ -309,9 +328,15 @@
                 self.scheduler.upkept(moment, upkept);
             }
             Order::Move(order) => {
-                self.moves.push((self.now, order.machine.clone(), order.pool.clone()));
-                self.take(&order.machine, Some(order.pool), Settings::default().move_time);
-                let moved = MovedMachine { machine: order.machine, answer: Answer::Done(()) };
+                let answer = match self.late_moves {
+                    0 => self.move_machine(&order),
+                    _ => {
+                        self.late_moves -= 1;
+                        self.late.push((self.now + LATE, order.clone()));
+                        Answer::Unknown
+                    }
+                };
+                let moved = MovedMachine { machine: order.machine, answer };
                 self.scheduler.moved(moment, moved);
             }
             Order::List => {
@@ -337,12 +362,32 @@
         }
     }
 
+    /// The cloud carries out a move, unless the machine is in that pool already.
+    fn move_machine(&mut self, order: &Move) -> Answer<()> {
+        let fence = self.fences.entry(order.machine.clone()).or_default();
+        if order.fence < *fence {
+            return Answer::Refused(Refusal::Fence);
+        }
+        *fence = order.fence;
+        let worker = self.workers.values().find(|w| w.report.machine == order.machine).unwrap();
+        let pool = match self.back.get(&worker.report.life.worker) {
+            Some((_, pool)) => pool,
+            None => &worker.report.pool,
+        };
+        if *pool != order.pool {
+            self.moves.push((self.now, order.machine.clone(), order.pool.clone()));
+            self.take(&order.machine, Some(order.pool.clone()), Settings::default().move_time);
+        }
+        Answer::Done(())
+    }
+
     /// The cloud takes a machine; all that ran on it is over.
     fn take(&mut self, machine: &str, pool: Option<String>, span: Duration) {
         let back = self.now + span;
         for worker in self.workers.values_mut().filter(|w| w.report.machine == machine) {
             worker.dead = true;
-            worker.runs.clear();
+            let ended = std::mem::take(&mut worker.runs).into_keys();
+            self.cut_short.extend(ended.map(|(name, _)| (self.now, name)));
             let pool = pool.clone().unwrap_or(worker.report.pool.clone());
             self.back.insert(worker.report.life.worker.clone(), (back, pool));
         }
