Take an upkeep for over only by a life born after the one it ended

Cause: a leader that takes over while a machine has its upkeep knows no life of its worker; the first report, even a late one of the life before the upkeep, counted as the machine's return once a second had passed. The next machine then began beside it (LIMIT: more than the cap are down).

Change: the log keeps with an ordered upkeep when the life began that it ends; only a later life ends the upkeep, else the list of machines. The test (a late report after a change of leaders, cap 1) failed first with two machines down.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -148,6 +148,9 @@
     pub machine: MachineId,
     /// How far its upkeep is now.
     pub upkeep: Upkeep,
+    /// When the life of its worker began, if the leader knows one.
+    #[serde(default)]
+    pub born: Option<UnixMs>,
     /// Time of day at the leader.
     #[serde(default)]
     pub at: UnixMs,
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -1,6 +1,8 @@
 //! The ledger: replicated state of configuration, jobs, runs and waves.
 
-use crate::command::{Batch, Cancel, Command, End, Ended, How, MoveChange, Placed, Submit, Voided};
+use crate::command::{
+    Batch, Cancel, Command, End, Ended, How, MoveChange, Placed, Submit, UpkeepChange, Voided,
+};
 use crate::job::{Job, Placement, State, Unit};
 use crate::wave::{Upkeep, Wave};
 use crate::{
@@ -219,7 +221,7 @@
             Command::StartWave(wave) => self.start_wave(wave, &mut events),
             Command::Upkeep(change) => {
                 self.latest = self.latest.max(change.at);
-                self.upkeep(change.wave, change.machine, change.upkeep, &mut events)
+                self.upkeep(change, &mut events)
             }
             Command::Move(change) => self.move_machine(change, &mut events),
         };
@@ -488,17 +490,15 @@
         Outcome::Done
     }
 
-    fn upkeep(
-        &mut self,
-        id: WaveId,
-        machine: MachineId,
-        upkeep: Upkeep,
-        events: &mut Vec<Event>,
-    ) -> Outcome {
-        let held = self.waves.get_mut(&id).and_then(|wave| wave.machines.get_mut(&machine));
-        let Some(held) = held else { return Outcome::Missing };
+    fn upkeep(&mut self, change: UpkeepChange, events: &mut Vec<Event>) -> Outcome {
+        let UpkeepChange { wave: id, machine, upkeep, born, .. } = change;
+        let Some(wave) = self.waves.get_mut(&id) else { return Outcome::Missing };
+        let Some(held) = wave.machines.get_mut(&machine) else { return Outcome::Missing };
         if !matches!(held, Upkeep::Done | Upkeep::Gone) {
             *held = upkeep;
+            if let Some(born) = born {
+                wave.lives.insert(machine.clone(), born);
+            }
             self.record(format!("machine {machine}"), format!("wave {id}: {upkeep:?}"));
             events.push(Event::Upkeep(id, machine, upkeep));
         }
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves: machines that are due for upkeep.
 
-use crate::{MachineId, WaveId};
+use crate::{MachineId, UnixMs, WaveId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -15,9 +15,12 @@
     /// Most machines that may be down for it at one time.
     pub cap: u32,
     /// When it was accepted.
-    pub since: crate::UnixMs,
+    pub since: UnixMs,
     /// Its machines and how far each is.
     pub machines: BTreeMap<MachineId, Upkeep>,
+    /// When the lives began that the upkeep of their machines ends.
+    #[serde(default)]
+    pub lives: BTreeMap<MachineId, UnixMs>,
 }
 
 /// How far a machine's upkeep is.
@@ -48,10 +51,10 @@
         machines: BTreeSet<MachineId>,
         duration: Duration,
         cap: u32,
-        since: crate::UnixMs,
+        since: UnixMs,
     ) -> Wave {
         let machines = machines.into_iter().map(|machine| (machine, Upkeep::Due)).collect();
-        Wave { id, duration, cap, since, machines }
+        Wave { id, duration, cap, since, machines, lives: BTreeMap::new() }
     }
 
     /// Whether every machine that stays has had its upkeep.
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -246,7 +246,7 @@
             return; // it was sent before the life ended
         }
         if known.is_none_or(|life| life != report.life) {
-            self.new_life_reported(moment, report);
+            self.new_life_reported(moment, ledger, report);
         }
         if self.workers.get(&report.life.worker).is_none_or(|worker| worker.report.is_none()) {
             self.machine_arrived(&report.machine, &report.pool);
--- a/crates/sched/src/scheduler/upkeep.rs
+++ b/crates/sched/src/scheduler/upkeep.rs
@@ -118,8 +118,12 @@
 
     /// A new life has reported from a machine: if it was born after the machine's
     /// upkeep began, the upkeep is over.
-    pub(super) fn new_life_reported(&mut self, moment: Moment, report: &Report) {
+    pub(super) fn new_life_reported(&mut self, moment: Moment, ledger: &Ledger, report: &Report) {
         let Some(begun) = self.upkeep.begun.get(&report.machine) else { return };
+        let ended = ledger.waves().get(&begun.wave).and_then(|w| w.lives.get(&report.machine));
+        if ended.is_none_or(|born| report.life.born <= *born) {
+            return; // it may be the life that the upkeep ended; the list will tell
+        }
         if moment.now < begun.since + self.settings.upkeep_time / 2 {
             return; // a report from before, or one that the leader before had heard
         }
@@ -443,7 +447,9 @@
         self.note(machine.clone(), format!("wave {wave}: {upkeep:?}"));
         self.upkeep.changing.insert(machine.clone(), upkeep);
         let at = self.moment.wall;
-        let change = UpkeepChange { wave, machine: machine.clone(), upkeep, at };
+        let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
+        let born = worker.map(|worker| worker.life.born);
+        let change = UpkeepChange { wave, machine: machine.clone(), upkeep, born, at };
         self.changes.push(Command::Upkeep(change));
     }
 }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -182,6 +182,30 @@
     assert!(world.ledger.waves()[&1].is_completed(), "{:?}", world.ledger.waves());
 }
 
+#[test]
+fn a_report_from_before_an_upkeep_that_comes_late_does_not_end_it() {
+    let mut world = World::new(4);
+    // The next leader hears of their workers late.
+    let machines = ["m1".to_string(), "m3".to_string()].into();
+    let wave = jobs::Wave::new(1, machines, seconds(30.0), 1, world.moment().wall);
+    world.apply(jobs::Command::StartWave(wave));
+    while world.upkeeps.is_empty() {
+        world.run(world::STEP);
+    }
+    let down = world.upkeeps[0].1.clone();
+    let of = |worker: &&world::Worker| worker.report.machine == down;
+    let mut report = world.workers.values().find(of).unwrap().report.clone();
+    world.take_over();
+    world.run(seconds(1.1));
+    report.number += 1;
+    let moment = world.moment();
+    world.scheduler.report(moment, &world.ledger, &report);
+    world.run(seconds(0.7));
+    assert_eq!(world.upkeeps.len(), 1, "the cap is 1");
+    world.run(seconds(20.0));
+    assert!(world.ledger.waves()[&1].is_completed());
+}
+
 #[test]
 fn a_new_leader_stops_what_its_predecessor_did_not_come_to_stop() {
     let mut world = World::new(3);
