Give the cores of the cluster test seeds that can't meet

Cause: schedule 57167 of 100,000 ended with 'no leader within 20 s'. Two cores split each vote for good: their random deadlines were equal. A core that opens its disk anew after a failed write takes its seed plus one, and the test gave its cores neighbouring seeds, so two of them drew the same numbers. A running process draws its first seed at random from 64 bits; there the case can't come. Ruled out by the messages of the schedule: lost votes, unequal logs, a disk that stayed away.

Change: in the test only, seeds lie 2^20 apart. No bound or check is changed. Before: fails at 57167 each time; after: 57167 passes, 100,000 schedules are being played. Conclusion: a fault of the test, not of the elections.

--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -202,7 +202,9 @@
             spans: quorum::Settings::default(),
             outside: Arc::new(Around { own: index, shared: self.shared.clone() }),
             opener: Box::new(move || Ok(Box::new(disk.clone()) as Box<dyn Folder>)),
-            seed: self.seed,
+            // A core that opens its disk anew adds one; equal seeds would make two
+            // cores campaign in step for good.
+            seed: self.seed << 20,
         };
         let Ok(core) = Core::open(setup) else { return }; // a full disk takes nothing
         let hello = core.hello().clone();
