Let a newcomer vote before a silent voter loses its vote

One voter was frozen, another was replaced; the leader took the frozen one's vote first, which left {the dead machine, itself}: it died with this change uncommitted, and neither the old nor the new voters could elect any more.

Change: newcomers join first; only then, and only while the number of voters is even, a silent one goes. A wiped disk's former self still goes first, as it is lost for good.

--- a/crates/control/src/core/voters.rs
+++ b/crates/control/src/core/voters.rs
@@ -10,6 +10,8 @@
 
 /// Most voters; more would only make a majority slower.
 const MAX_VOTERS: usize = 9;
+/// Voters that bear the loss of one.
+const LEAST_VOTERS: usize = 3;
 /// Silence after which a voter gives way to a newcomer that has taken its place. The
 /// loss of another machine has to be borne 4 s after the newcomer's start; as long as
 /// the silent one votes, two of four are lost then.
@@ -79,8 +81,10 @@
     }
 }
 
-/// Voters that the leader wants: a process whose disk is new replaces its former
-/// self, newcomers join, and those gone for long give way to newcomers.
+/// Voters that the leader wants. A process whose disk is new replaces its former self,
+/// which is lost for good. Newcomers join first; a silent voter goes only after that,
+/// since it may be frozen, and without it and the one that is really gone the rest
+/// could not agree on anything. An even number tells that one is too many.
 fn wanted(present: &BTreeSet<Id>, peers: &[Hello], is_gone: impl Fn(&Id) -> bool) -> BTreeSet<Id> {
     let mut wanted = present.clone();
     for peer in peers.iter().filter(|peer| peer.durable) {
@@ -93,15 +97,12 @@
             wanted.insert(id);
         }
     }
-    let newcomers =
-        wanted.difference(present).count() + usize::from(present.len().is_multiple_of(2));
-    if newcomers > 0 || present.len() > 3 {
-        let gone: Vec<Id> = wanted.iter().filter(|id| is_gone(id)).cloned().collect();
-        for id in gone.into_iter().take(1) {
-            if wanted.len() > 3 {
-                wanted.remove(&id);
-            }
-        }
+    if wanted == *present
+        && present.len() > LEAST_VOTERS
+        && present.len().is_multiple_of(2)
+        && let Some(gone) = present.iter().find(|id| is_gone(id))
+    {
+        wanted.remove(gone);
     }
     wanted
 }
