Do not count on machines whose workers do not answer

Cause: found by a test for cut data centres: a pool counted machines of silent workers as its own, so with only those left nothing was moved to it, and work waited for as long as the cut lasted while idle machines were parked.

Change: a machine whose worker has left two calls in a row without an answer is not counted on when a pool's need is compared with what it has. The test (both hosts of a job cut off, four other machines parked) left the job running for 14 s before.

--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -9,6 +9,7 @@
 use crate::machine::State;
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::{Class, work};
+use crate::worker::Worker;
 use jobs::command::{Command, MoveChange};
 use jobs::{JobNumber, Ledger, MachineId, PoolName, StepKey};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -26,6 +27,8 @@
 /// Idle time after which a machine is parked; shorter than a move there and back
 /// costs, it would only be moved to and fro.
 const PARK_AFTER: Duration = Duration::from_millis(2000);
+/// Calls in a row without an answer after which a machine is not counted on.
+const ABSENT_AFTER: u32 = 2;
 /// Time after which the list of machines is read again.
 const LIST_AGE: Duration = Duration::from_secs(6);
 /// Time after which a move without an answer is ordered again.
@@ -216,7 +219,11 @@
                 .values()
                 .filter(|machine| match self.balance.moving.get(&machine.machine) {
                     Some(moving) => moving.pool == *pool,
-                    None => machine.pool == *pool && machine.state != State::Down,
+                    None => {
+                        machine.pool == *pool
+                            && machine.state != State::Down
+                            && !self.is_absent(&machine.machine)
+                    }
                 })
                 .map(|machine| machine.machine.clone())
                 .collect();
@@ -311,6 +318,13 @@
             && self.balance.doubtful.get(machine).is_none_or(|at| moment.now >= *at)
     }
 
+    /// Whether the worker of a machine has been heard of and does not answer.
+    fn is_absent(&self, machine: &MachineId) -> bool {
+        let Some(id) = self.by_machine.get(machine) else { return false };
+        let silent = |worker: &Worker| worker.asking.failures >= ABSENT_AFTER;
+        self.workers.get(id).is_none_or(silent)
+    }
+
     /// Whether a machine works for a pool and runs nothing.
     fn is_idle(&self, moment: Moment, machine: &MachineId) -> bool {
         let Some(worker) = self.worker_of(machine).and_then(|id| self.workers.get(&id)) else {
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -145,6 +145,21 @@
     assert_eq!(held_up, 1, "of 3 jobs, for a third of the workers");
 }
 
+#[test]
+fn work_of_a_pool_whose_machines_do_not_answer_gets_others() {
+    let mut world = World::new(6);
+    world.span.insert("a".to_string(), seconds(1.0));
+    world.submit("q", "a", vec![step(8, 1500, 1000)]);
+    world.run(seconds(0.3));
+    let hosts: Vec<String> =
+        (0..8).flat_map(|n| world.runs_of(&format!("a.0.0.{n}"))).cloned().collect();
+    for host in hosts {
+        world.workers.get_mut(&host).unwrap().cut = true;
+    }
+    world.run(seconds(14.0));
+    assert_eq!(world.state("q", "a"), State::Completed, "{:?}", world.moves);
+}
+
 #[test]
 fn a_workers_room_is_never_exceeded() {
     let mut world = World::new(2);
