End a wave without a machine that is gone for good

Change: a refused machine is given up for a second and leaves its place in the wave to others; one that two lists in a row do not name is gone, which the log records. What the list says of machines that go down or vanish is logged.

--- a/crates/sched/src/scheduler/upkeep.rs
+++ b/crates/sched/src/scheduler/upkeep.rs
@@ -19,6 +19,9 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(1000);
 /// Least time between two readings of the list of machines.
 const LIST_INTERVAL: Duration = Duration::from_millis(1500);
+/// Lists in a row without a machine after which it is gone for good; one may have been
+/// read in pages while it changed.
+const GONE_AFTER: u32 = 2;
 /// Part of a wave's time after which a machine no longer waits for short work.
 const HASTE: f64 = 0.75;
 /// Machines of one pool that are emptied at one time, as a part of the pool.
@@ -57,6 +60,8 @@
     seen: BTreeMap<WaveId, Duration>,
     /// Machines that can't be had before a time.
     later: BTreeMap<MachineId, Duration>,
+    /// Machines whose upkeep the cloud refuses, and the lists since without them.
+    refused: BTreeMap<MachineId, (WaveId, u32)>,
     /// Changes that are on their way into the log.
     changing: BTreeMap<MachineId, Upkeep>,
     /// When the list was last asked for.
@@ -110,6 +115,7 @@
                 self.upkeep.begun.insert(machine.clone(), begun);
             }
             Upkeep::Done | Upkeep::Gone => {
+                self.upkeep.refused.remove(machine);
                 self.upkeep.emptying.remove(machine);
                 self.reopen(machine);
             }
@@ -132,7 +138,10 @@
 
     /// Takes in the list of machines.
     pub fn listed(&mut self, moment: Moment, machines: Vec<Machine>) {
+        let before = std::mem::take(&mut self.machines);
         self.machines = machines.into_iter().map(|m| (m.machine.clone(), m)).collect();
+        self.note_listed(&before);
+        self.note_gone();
         let over: Vec<(MachineId, WaveId)> = self
             .upkeep
             .begun
@@ -150,6 +159,41 @@
         self.machines_listed(moment);
     }
 
+    /// Notes machines that went down, came back, or are not in the list any more.
+    fn note_listed(&mut self, before: &BTreeMap<MachineId, Machine>) {
+        let mut changes = Vec::new();
+        for (id, machine) in &self.machines {
+            let held = before.get(id).map(|held| held.state);
+            let down = machine.state == State::Down;
+            if down != (held == Some(State::Down)) {
+                changes.push((id.clone(), format!("is listed as {:?}", machine.state)));
+            }
+        }
+        for id in before.keys().filter(|id| !self.machines.contains_key(*id)) {
+            changes.push((id.clone(), "is not listed any more".to_string()));
+        }
+        for (machine, text) in changes {
+            self.note(machine, text);
+        }
+    }
+
+    /// A machine whose upkeep is refused and that no list names is gone for good.
+    fn note_gone(&mut self) {
+        let mut gone = Vec::new();
+        for (machine, (wave, lists)) in &mut self.upkeep.refused {
+            *lists = if self.machines.contains_key(machine) { 0 } else { *lists + 1 };
+            if *lists >= GONE_AFTER {
+                gone.push((machine.clone(), *wave));
+            }
+        }
+        for (machine, wave) in gone {
+            if !self.is_changing(&machine) && !self.upkeep.ordered.contains_key(&machine) {
+                self.upkeep.refused.remove(&machine);
+                self.change(wave, &machine, Upkeep::Gone);
+            }
+        }
+    }
+
     /// Takes in the answer to an order for upkeep.
     pub fn upkept(&mut self, moment: Moment, upkept: UpkeptMachine) {
         let UpkeptMachine { machine, wave, answer } = upkept;
@@ -170,6 +214,12 @@
                 // It has certainly not begun; others may go before it.
                 self.upkeep.ordered.remove(&machine);
                 self.upkeep.later.insert(machine.clone(), moment.now + ORDER_AGAIN);
+                self.upkeep.emptying.remove(&machine);
+                self.upkeep.refused.entry(machine.clone()).or_insert((wave, 0));
+                self.reopen(&machine);
+                self.ask_for_list(moment);
+                let state = self.machines.get(&machine).map(|machine| machine.state);
+                self.note(machine.clone(), format!("its upkeep is refused, listed as {state:?}"));
                 self.change(wave, &machine, Upkeep::Due);
             }
             Answer::Refused(_) => {}
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -238,6 +238,19 @@
     assert!(world.ledger.waves()[&1].is_completed());
 }
 
+#[test]
+fn a_wave_does_not_wait_for_a_machine_that_is_gone_for_good() {
+    let mut world = World::new(4);
+    let machines = ["m0".to_string(), "m1".to_string()].into();
+    world.workers.remove("w1"); // it is in no list any more, and the cloud refuses
+    let wave = jobs::Wave::new(1, machines, seconds(30.0), 1, world.moment().wall);
+    world.apply(jobs::Command::StartWave(wave));
+    world.run(seconds(20.0));
+    let asked = world.upkeeps.iter().filter(|(_, machine)| machine == "m1").count();
+    assert!(asked <= 20, "it was asked for {asked} times in 20 s");
+    assert!(world.ledger.waves()[&1].is_completed(), "{:?}", world.ledger.waves());
+}
+
 #[test]
 fn a_new_leader_stops_what_its_predecessor_did_not_come_to_stop() {
     let mut world = World::new(3);
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -325,9 +325,14 @@
             }
             Order::Upkeep(order) => {
                 self.upkeeps.push((self.now, order.machine.clone()));
+                let answer = match self.workers.values().any(|w| w.report.machine == order.machine)
+                {
+                    true => Answer::Done(()),
+                    false => Answer::Refused(Refusal::State),
+                };
                 self.take(&order.machine, None, Settings::default().upkeep_time);
                 let (machine, wave) = (order.machine, order.wave);
-                let upkept = UpkeptMachine { machine, wave, answer: Answer::Done(()) };
+                let upkept = UpkeptMachine { machine, wave, answer };
                 self.scheduler.upkept(moment, upkept);
             }
             Order::Move(order) => {
@@ -367,12 +372,15 @@
 
     /// The cloud carries out a move, unless the machine is in that pool already.
     fn move_machine(&mut self, order: &Move) -> Answer<()> {
+        let mut workers = self.workers.values();
+        let Some(worker) = workers.find(|w| w.report.machine == order.machine) else {
+            return Answer::Refused(Refusal::State);
+        };
         let fence = self.fences.entry(order.machine.clone()).or_default();
         if order.fence < *fence {
             return Answer::Refused(Refusal::Fence);
         }
         *fence = order.fence;
-        let worker = self.workers.values().find(|w| w.report.machine == order.machine).unwrap();
         let pool = match self.back.get(&worker.report.life.worker) {
             Some((_, pool)) => pool,
             None => &worker.report.pool,
