Tests: fences, order of steps, and an edge that is told to stop

Rules without a test of ours: ONE, ORDER, LOST around planned stops. The random schedules of three cores now have workers report all the time and check that a fence belongs to one life of one core and that nothing is sent under a lower fence once a higher one was used; steps are followed through changes of leaders, a dead and a cut-off worker (30 seeds); an edge gets SIGTERM while four callers ask without pause.

--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -5,11 +5,14 @@
 
 use async_std::channel::Receiver;
 use jobs::order::{Order, Room, Step};
-use jobs::{Config, Pool, Queue};
+use jobs::{Config, Life, Pool, Queue};
 use mesh::ask::Place;
-use mesh::{Ask, Reply};
+use mesh::{Ask, Hello, Reply};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use sched::{Fence, Report};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use world::{CORES, World};
 
@@ -148,7 +151,7 @@
     let reply = world.ask(0, Ask::Configure(Box::new(config(1))));
     log.configs.push((1, reply));
     let mut wiped = false;
-    let (mut job, mut version) = (1, 1);
+    let (mut job, mut version, mut workers) = (1, 1, 0);
     for _ in 0..STEPS {
         match rng.random_range(0..10) {
             0..=3 => {
@@ -168,11 +171,14 @@
             }
             _ => fault(&mut world, &mut rng, &mut wiped),
         }
+        workers += 1;
+        world.report(rng.random_range(0..CORES), report(workers));
         world.run(Duration::from_millis(rng.random_range(10..900)));
         log.collect();
     }
     world.heal();
     log.collect();
+    check_fences(seed, &world);
     let leader = world.leader().unwrap();
     let reply = world.ask(leader, Ask::Config);
     world.run(Duration::from_millis(100));
@@ -196,6 +202,37 @@
 /// Time in which the rest has to serve again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// A new worker, which the leader asks for its lists at once.
+fn report(number: u64) -> Report {
+    Report {
+        life: Life::new(format!("w{number}"), 1),
+        machine: format!("m{number}"),
+        address: SocketAddr::from(([10, 1, 0, 1], 1 + number as u16)),
+        pool: "p".to_string(),
+        data_centre: "north".to_string(),
+        labels: Vec::new(),
+        capacity: Room::default(),
+        draining: false,
+        remaining: None,
+        number: 1,
+    }
+}
+
+/// A fence belongs to one life of one core, and no leader sends anything more once
+/// another has sent under a higher one.
+fn check_fences(seed: u64, world: &World) {
+    let orders = world.orders();
+    let mut holders: BTreeMap<Fence, Hello> = BTreeMap::new();
+    let mut highest = 0;
+    for (fence, sender) in orders {
+        let holder = holders.entry(fence).or_insert_with(|| sender.clone());
+        assert_eq!(*holder, sender, "seed {seed}: two hold fence {fence}");
+        assert!(fence >= highest, "seed {seed}: fence {fence} is used after {highest}");
+        highest = highest.max(fence);
+    }
+    assert!(highest > 0, "seed {seed}: nothing was ordered");
+}
+
 #[test]
 fn a_machine_that_took_anothers_place_leaves_room_for_the_next_loss() {
     for seed in 0..60 {
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -5,6 +5,7 @@
 use control::{Core, Input, Outside, Setup};
 use mesh::{Ask, Frame, Hello, Reply, Standing};
 use sched::order::Order;
+use sched::{Fence, Report};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -91,6 +92,8 @@
     hellos: Vec<Option<Hello>>,
     cut: BTreeSet<(usize, usize)>,
     inboxes: Vec<Vec<Input>>,
+    /// Fences of the orders that were sent, and who sent them.
+    sent: Vec<(Fence, Hello)>,
 }
 
 impl Shared {
@@ -140,7 +143,13 @@
 
     fn learn(&self, _: BTreeSet<SocketAddr>) {}
 
-    fn order(&self, _: Order) {}
+    fn order(&self, order: Order) {
+        if let Order::Hold(_, hold) = order {
+            let mut shared = self.shared.lock().unwrap();
+            let own = shared.hellos[self.own].clone().unwrap();
+            shared.sent.push((hold.fence, own));
+        }
+    }
 
     fn standing(&self, _: &Standing) {}
 }
@@ -167,6 +176,7 @@
             hellos: vec![None; CORES],
             cut: BTreeSet::new(),
             inboxes: (0..CORES).map(|_| Vec::new()).collect(),
+            sent: Vec::new(),
         };
         let mut world = World {
             cores: (0..CORES).map(|_| None).collect(),
@@ -286,6 +296,16 @@
         reply
     }
 
+    /// A worker reports to a core.
+    pub fn report(&mut self, index: usize, report: Report) {
+        self.shared().inboxes[index].push(Input::Report(report));
+    }
+
+    /// Orders to workers so far: fence and sender, in the order of their times.
+    pub fn orders(&self) -> Vec<(Fence, Hello)> {
+        self.shared().sent.clone()
+    }
+
     pub fn leader(&self) -> Option<usize> {
         (0..CORES).find(|index| self.cores[*index].as_ref().is_some_and(Core::reigns))
     }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -23,6 +23,40 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn no_step_starts_before_the_one_it_waits_for_is_done_whatever_is_lost() {
+    for seed in 0..30 {
+        let mut world = World::new(4);
+        for number in 0..4 {
+            let id = format!("a{number}");
+            world.span.insert(id.clone(), seconds(0.3));
+            let after = jobs::Step { after: [0].into(), ..step(4, 1000, 300) };
+            world.submit("q", &id, vec![step(4, 1000, 300), after]);
+        }
+        for tick in 0..1200 {
+            world.run(world::STEP);
+            if tick < 400 && tick % 40 == seed {
+                world.take_over();
+            }
+            if tick == 20 + seed {
+                world.workers.get_mut("w1").unwrap().dead = true;
+            }
+            if tick == 30 + seed {
+                world.workers.get_mut("w2").unwrap().cut = true;
+            }
+            for begun in world.begun.iter().filter(|begun| begun.name.contains(".0.1.")) {
+                let job = world.ledger.find(&"q".to_string(), &begun.name[..2]).unwrap();
+                let over = job.state == State::Completed || job.step_done(0, 0);
+                assert!(over, "seed {seed}: {begun:?} before its step's turn");
+            }
+        }
+        for number in 0..4 {
+            let state = world.state("q", &format!("a{number}"));
+            assert_eq!(state, State::Completed, "seed {seed}, job {number}");
+        }
+    }
+}
+
 #[test]
 fn a_unit_of_a_worker_that_died_starts_elsewhere_once_its_lease_is_over() {
     let mut world = World::new(3);
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -7,7 +7,8 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -267,6 +268,52 @@
     assert!(log.contains("reign.ended") && log.contains("process.stopped"), "{log}");
 }
 
+/// Time after the signal in which an edge still answers what comes to it.
+const STILL_SERVING: Duration = Duration::from_millis(1500);
+
+#[test]
+fn an_edge_that_is_told_to_stop_answers_every_request_that_reaches_it() {
+    let mut system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    system.submit(&id(0), &job(1, 1, 100));
+    let address = system.address(EDGE, CALLERS);
+    let callers: Vec<_> = (0..4)
+        .map(|caller| {
+            std::thread::spawn(move || {
+                let end = Instant::now() + STILL_SERVING;
+                let mut answers = Vec::new();
+                while Instant::now() < end {
+                    answers.push(request(address, &id(100 + caller)));
+                }
+                answers
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(100));
+    let mut child = system.processes.remove(&EDGE).unwrap();
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    for caller in callers {
+        for (written, answer) in caller.join().unwrap() {
+            let whole = answer.starts_with("HTTP/1.1 ") && answer.contains("\r\n\r\n");
+            assert!(whole || !written, "a request got {answer:?}");
+        }
+    }
+    assert!(child.wait().unwrap().success());
+}
+
+/// Asks for a job's state on a connection of its own. Tells whether the whole request
+/// was taken, and what came back.
+fn request(address: SocketAddr, id: &str) -> (bool, String) {
+    let Ok(mut stream) = TcpStream::connect(address) else { return (false, String::new()) };
+    let host = address.ip();
+    let text = format!("GET {PREFIX}{id} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n");
+    let written = stream.write_all(text.as_bytes()).is_ok();
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    (written, if read.is_ok() { answer } else { String::new() })
+}
+
 #[test]
 fn a_reader_of_the_log_that_stalls_holds_nothing_up() {
     let mut system = System::start();
