--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -273,12 +273,7 @@
                 let _ = reply.try_send(self.dump()); // who asked may have gone
             }
             Input::Explain(subject, reply) => {
-                let journal = self.ledger.journal();
-                let decisions = match subject.as_str() {
-                    "" => journal.all().cloned().collect(),
-                    subject => journal.about(subject).cloned().collect(),
-                };
-                let _ = reply.try_send(decisions); // who asked may have gone
+                let _ = reply.try_send(self.ledger.about(&subject)); // who asked may have gone
             }
             Input::Leave => {
                 self.leaving = true;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,7 +1,7 @@
 //! Jobs as the ledger keeps them.
 
 use crate::command::How;
-use crate::{JobId, Life, Order, PoolName, QueueName, RunNumber, UnixMs};
+use crate::{Decision, JobId, Life, Order, PoolName, QueueName, RunNumber, UnixMs};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -144,6 +144,48 @@
         self.state != State::Queued
     }
 
+    /// What is known of the job, for someone who asks after it: when it was accepted,
+    /// how far each step is, and how it ended.
+    pub fn facts(&self) -> Vec<Decision> {
+        let subject = format!("job {}", self.id);
+        let fact = |at, text| Decision { at, subject: subject.clone(), text };
+        let accepted = format!("accepted in queue {} for pool {}", self.queue, self.pool);
+        let mut facts = vec![fact(self.accepted, accepted)];
+        for (number, occurrence) in &self.occurrences {
+            for step in 0..occurrence.steps.len() as u16 {
+                facts.push(fact(self.accepted, self.step_text(*number, step)));
+            }
+        }
+        if let Some(finished) = self.finished {
+            let took = finished.saturating_sub(self.accepted);
+            facts.push(fact(finished, format!("{:?} {took} ms after it was accepted", self.state)));
+        }
+        facts
+    }
+
+    fn step_text(&self, occurrence: u32, step: u16) -> String {
+        let units = &self.occurrences[&occurrence].steps[usize::from(step)];
+        let done = units.iter().filter(|unit| unit.done).count();
+        let failures: u32 = units.iter().map(|unit| unit.failures).sum();
+        let mut text = format!(
+            "occurrence {occurrence}, step {step}: {done} of {} units done, {failures} runs failed",
+            units.len()
+        );
+        for (index, unit) in units.iter().enumerate() {
+            for Placement { life, run, .. } in &unit.placements {
+                text.push_str(&format!("; unit {index} run {run} is on {}", life.worker));
+            }
+        }
+        let waits = units.iter().filter(|unit| !unit.done && unit.placements.is_empty()).count();
+        if waits > 0 && self.step_open(occurrence, step) {
+            text.push_str(&format!("; {waits} wait for room"));
+        } else if waits > 0 {
+            let after = &self.order.steps[usize::from(step)].after;
+            text.push_str(&format!("; {waits} wait for steps {after:?}"));
+        }
+        text
+    }
+
     /// Whether a run may still be on a worker.
     pub fn has_placements(&self) -> bool {
         let units = self.occurrences.values().flat_map(|o| o.steps.iter().flatten());
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -191,6 +191,22 @@
         &self.journal
     }
 
+    /// What is known about a subject: `job NAME`, or a subject of the journal; all of
+    /// the journal for none.
+    ///
+    /// ```
+    /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
+    /// assert!(ledger.about("job 1").is_empty());
+    /// ```
+    pub fn about(&self, subject: &str) -> Vec<Decision> {
+        let id = subject.strip_prefix("job ").and_then(|id| self.by_id.get(id));
+        match id.and_then(|number| self.jobs.get(number)) {
+            Some(job) => job.facts(),
+            None if subject.is_empty() => self.journal.all().cloned().collect(),
+            None => self.journal.about(subject).cloned().collect(),
+        }
+    }
+
     /// All waves.
     pub fn waves(&self) -> &BTreeMap<WaveId, Wave> {
         &self.waves
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -68,6 +68,26 @@
     assert_eq!((held.version, held.document.as_slice()), (9, b"9".as_slice()));
 }
 
+#[test]
+fn what_is_known_of_a_job_tells_what_each_unit_waits_for() {
+    let mut ledger = ledger();
+    submit(&mut ledger, "a", vec![step(2), Step { after: [0].into(), ..step(1) }]);
+    let unit = |step, index| UnitKey { job: 1, occurrence: 0, step, index };
+    place(&mut ledger, unit(0, 0), 1);
+    end(&mut ledger, 1, unit(0, 0), 1, How::Failed);
+    place(&mut ledger, unit(0, 0), 2);
+    let texts: Vec<String> = ledger.about("job a").into_iter().map(|fact| fact.text).collect();
+    let first = "occurrence 0, step 0: 0 of 2 units done, 1 runs failed; \
+                 unit 0 run 2 is on w; 1 wait for room";
+    let second = "occurrence 0, step 1: 0 of 1 units done, 0 runs failed; 1 wait for steps [0]";
+    assert_eq!(texts, ["accepted in queue q for pool p", first, second]);
+    let cancel = Cancel { queue: "q".to_string(), id: "a".to_string(), at: 1500 };
+    ledger.apply(Command::Cancel(cancel));
+    let last = ledger.about("job a").pop().unwrap();
+    assert_eq!((last.at, last.text.as_str()), (1500, "Cancelled 500 ms after it was accepted"));
+    assert!(ledger.about("job b").is_empty());
+}
+
 #[test]
 fn a_job_is_one_job_however_often_it_comes() {
     let mut ledger = ledger();
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -16,14 +16,15 @@
 ///
 /// The subject is `instance NAME`, `pool NAME`, `record KIND NAME`, `decision
 /// NUMBER` or `since NUMBER`, which exports all notes from a number on. With --core
-/// it is `configuration`, `wave NUMBER`, `machine NAME`, or nothing for all.
+/// it is `configuration`, `wave NUMBER`, `machine NAME`, `job NAME`, or nothing for all
+/// decisions.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Args {
     /// instance NAME | pool NAME | record KIND NAME | decision NUMBER | since NUMBER
     #[argh(positional)]
     subject: Vec<String>,
-    /// status address of a core process, which explains machines, waves and the
+    /// status address of a core process, which explains machines, waves, jobs and the
     /// configuration of queues
     #[argh(option)]
     core: Option<SocketAddr>,
