Read logs that were written before moves were commands

Cause: read as a newcomer: moves became a command in place of notes, and a disk of the version before could not have been opened.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -2,8 +2,8 @@
 
 use crate::wave::Upkeep;
 use crate::{
-    Config, JobId, Life, MachineId, Order, PoolName, QueueName, RunNumber, UnitKey, UnixMs, Wave,
-    WaveId,
+    Config, Decision, JobId, Life, MachineId, Order, PoolName, QueueName, RunNumber, UnitKey,
+    UnixMs, Wave, WaveId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,9 @@
     /// Notes that a machine is about to be ordered to another pool, or that no such
     /// order is open any more.
     Move(MoveChange),
+    /// Puts a decision on record that changes nothing else here. Logs written before
+    /// moves were commands hold it.
+    Note(Decision),
 }
 
 /// A job to take in.
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -240,6 +240,10 @@
                 self.upkeep(change, &mut events)
             }
             Command::Move(change) => self.move_machine(change, &mut events),
+            Command::Note(decision) => {
+                self.journal.add(decision);
+                Outcome::Done
+            }
         };
         (outcome, events)
     }
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -3,7 +3,7 @@
 use jobs::command::{Batch, Cancel, Command, End, Ended, How, Placed, Submit, Voided};
 use jobs::ledger::Event;
 use jobs::order::{Order, Room, Schedule, Step};
-use jobs::{Config, Ledger, Life, Outcome, Pool, Queue, State, UnitKey};
+use jobs::{Config, Decision, Ledger, Life, Outcome, Pool, Queue, State, UnitKey};
 use std::time::Duration;
 
 fn config(version: u64) -> Config {
@@ -68,6 +68,16 @@
     assert_eq!((held.version, held.document.as_slice()), (9, b"9".as_slice()));
 }
 
+#[test]
+fn a_log_written_before_moves_were_commands_is_read() {
+    let decision = Decision { at: 7, subject: "machine m1".into(), text: "moves".into() };
+    let written = serde_json::json!({"Note": {"at": 7, "subject": "machine m1", "text": "moves"}});
+    let command: Command = serde_json::from_value(written).unwrap();
+    let mut ledger = ledger();
+    ledger.apply(command);
+    assert_eq!(ledger.about("machine m1"), [decision]);
+}
+
 #[test]
 fn what_is_known_of_a_job_tells_what_each_unit_waits_for() {
     let mut ledger = ledger();
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -27,7 +27,8 @@
 /// Idle time after which a machine is parked; shorter than a move there and back
 /// costs, it would only be moved to and fro.
 const PARK_AFTER: Duration = Duration::from_millis(2000);
-/// Calls in a row without an answer after which a machine is not counted on.
+/// Calls in a row without an answer after which a machine is not counted on; one may be
+/// lost with its connection.
 const ABSENT_AFTER: u32 = 2;
 /// Time after which the list of machines is read again.
 const LIST_AGE: Duration = Duration::from_secs(6);
