Tests: no process is started while another test holds ports

A test finds free ports by binding them, closes them and starts its processes; a child that another test thread is starting has the sockets too until its exec, and the port stays taken.

Change: one lock around finding ports and around starting a process, in the tests' work folder; all tests start processes through it. No check is changed and no test is skipped.

--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -1,5 +1,6 @@
 //! The roles `core` and `edge` as real processes against stand-in workers.
 
+use crate::workdir;
 use async_std::task::block_on;
 use http_types::Method;
 use platform_standin::{RunKey, Worker, call};
@@ -9,7 +10,7 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -85,14 +86,9 @@
             .open(self.folder.path().join(format!("p{host}.log")))
             .unwrap();
         let role = if host == EDGE { "edge" } else { "core" };
-        let child = Command::new(BINARY)
-            .arg(role)
-            .arg(&path)
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        self.processes.insert(host, child);
+        let mut command = Command::new(BINARY);
+        command.arg(role).arg(&path).stdout(log.try_clone().unwrap()).stderr(log);
+        self.processes.insert(host, workdir::start(&mut command));
     }
 
     fn kill(&mut self, host: u8) {
@@ -241,7 +237,7 @@
     let core = system.address(CORES[0], INTERNAL.1).to_string();
     let explain = |subject: &[&str]| {
         let mut command = Command::new(BINARY);
-        command.arg("explain").args(subject).args(["--core", &core]).output().unwrap()
+        workdir::output(command.arg("explain").args(subject).args(["--core", &core]))
     };
     let told = String::from_utf8(explain(&["configuration"]).stdout).unwrap();
     assert!(told.contains("configuration: version 1 is in force after version none"), "{told}");
@@ -323,7 +319,7 @@
     // Nobody reads this pipe, which holds 64 KiB; each request writes a line.
     let path = system.folder.path().join(format!("p{EDGE}.yaml"));
     let mut command = Command::new(BINARY);
-    let edge = command.arg("edge").arg(&path).stdout(Stdio::piped()).spawn().unwrap();
+    let edge = workdir::start(command.arg("edge").arg(&path).stdout(Stdio::piped()));
     system.processes.insert(EDGE, edge);
     until("the edge answers", || system.ask(Method::Get, "", None).0 == 200);
     for number in 0..1500 {
@@ -352,7 +348,7 @@
     for (settings, expected) in cases {
         let path = folder.path().join("settings.yaml");
         std::fs::write(&path, settings.to_string()).unwrap();
-        let output: Output = Command::new(BINARY).arg("core").arg(&path).output().unwrap();
+        let output = workdir::output(Command::new(BINARY).arg("core").arg(&path));
         assert_eq!(output.status.code(), Some(2), "{expected}");
         let text = String::from_utf8_lossy(&output.stderr);
         assert!(text.contains(expected), "missing {expected:?} in {text}");
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod once;
 mod path;
+mod ports;
 mod record;
 mod recover;
 mod refusals;
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 pub const OPERATOR_TOKEN: &str = "operator-token-of-ana";
@@ -21,6 +22,10 @@
 const POLL: Duration = Duration::from_millis(20);
 
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+/// Held while sockets are open that only find free ports, and while a process is
+/// started: between fork and exec a child has every open socket of this process, and a
+/// port that was given back would still be taken.
+static STARTING: Mutex<()> = Mutex::new(());
 
 /// Addresses of one entry.
 #[derive(Clone, Copy, Debug)]
@@ -81,8 +86,11 @@
     /// Settings for entries with name, data centre and whether they vote.
     pub fn with_shape(shape: &[(&'static str, &'static str, bool)]) -> Workdir {
         let host = next_host();
+        let held = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         let (listeners, entries): (Vec<_>, Vec<_>) =
             shape.iter().map(|shape| entry(host, *shape)).unzip();
+        drop(listeners); // the ports are free for the processes now
+        drop(held);
         let workdir =
             Workdir { folder: tempfile::tempdir().unwrap(), entries, processes: BTreeMap::new() };
         for entry in &workdir.entries {
@@ -91,7 +99,6 @@
                 std::fs::create_dir(workdir.path(entry.name)).unwrap();
             }
         }
-        drop(listeners); // the ports are free for the processes now
         workdir
     }
 
@@ -152,14 +159,13 @@
     }
 
     pub fn start(&mut self, name: &'static str) {
-        let child = Command::new(BINARY)
+        let mut command = Command::new(BINARY);
+        command
             .arg("entry")
             .arg(self.path(&format!("{name}.yaml")))
             .stdout(Stdio::null())
-            .stderr(std::fs::File::create(self.path(&format!("{name}.log"))).unwrap())
-            .spawn()
-            .unwrap();
-        self.processes.insert(name, child);
+            .stderr(std::fs::File::create(self.path(&format!("{name}.log"))).unwrap());
+        self.processes.insert(name, start(&mut command));
     }
 
     pub fn signal(&self, name: &str, signal: Signal) {
@@ -213,13 +219,13 @@
 
     /// Runs a command as operator ana at an entry.
     pub fn run(&self, entry: &str, args: &[&str]) -> Output {
-        Command::new(BINARY)
+        let mut command = Command::new(BINARY);
+        command
             .args(args)
             .env("SKYLARKWINCH_ENTRY", self.entry(entry).ports.operators.to_string())
             .env("SKYLARKWINCH_TOKEN", OPERATOR_TOKEN)
-            .current_dir(self.folder.path())
-            .output()
-            .unwrap()
+            .current_dir(self.folder.path());
+        output(&mut command)
     }
 
     /// Runs a command that has to succeed.
@@ -322,6 +328,18 @@
     }
 }
 
+/// Starts a process.
+pub fn start(command: &mut Command) -> Child {
+    let _held = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().unwrap()
+}
+
+/// Runs a process to its end.
+pub fn output(command: &mut Command) -> Output {
+    let command = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    start(command).wait_with_output().unwrap()
+}
+
 pub fn stdout(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
