--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -189,8 +189,10 @@
     }
     world.heal();
     log.collect();
-    check_fences(seed, &world);
     let leader = world.leader().unwrap();
+    world.report(leader, report(workers + 1));
+    world.run(Duration::from_millis(100));
+    check_fences(seed, &world);
     let reply = world.ask(leader, Ask::Config);
     world.run(Duration::from_millis(100));
     match reply.try_recv() {
