Control, sched: tell an overloaded core from one that waits for its disk

Callers of a grown site saw jobs start 10 s late, and no log or metric could say whether the leader lacked processor time, waited for syncs or had no room. A core now measures each second how long inputs waited for its deciding thread, which share of a processor the process used, and which share of the time went into syncs; it logs core.behind when an input waited over 250 ms. The scheduler counts the workers and runs that its decisions look at. No decision changes.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -78,7 +78,10 @@
         if !output.needs_sync() {
             return true;
         }
-        match store.save(output) {
+        let started_at = self.environment.now();
+        let saved = store.save(output);
+        self.disk_time += self.environment.now().saturating_sub(started_at);
+        match saved {
             Ok(()) => true,
             Err(reason) => {
                 self.on_disk_failure(&reason);
--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -78,6 +78,9 @@
     fn run_scheduler(&mut self, time: Time) {
         let Some(leadership) = &mut self.leadership else { return };
         let output = leadership.scheduler.decide(time, &self.ledger);
+        let effort = leadership.scheduler.effort();
+        metrics::counter!("scheduler_workers_examined_total").absolute(effort.workers_examined);
+        metrics::counter!("scheduler_runs_examined_total").absolute(effort.runs_examined);
         for explanation in &output.explanations {
             info!(
                 "decided subject={} term={} decision={:?}",
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -192,6 +192,8 @@
     /// Voters without a link to this process, with the time since which it is missing.
     unlinked_since: BTreeMap<Id, Duration>,
     last_expiry_at: Duration,
+    /// Time spent in writes and syncs of the disk since it was last taken.
+    disk_time: Duration,
     /// The process is about to end.
     stopping: bool,
 }
@@ -239,6 +241,7 @@
             status: Status::default(),
             unlinked_since: BTreeMap::new(),
             last_expiry_at: Duration::ZERO,
+            disk_time: Duration::ZERO,
             stopping: false,
         };
         core.restore_ledger(&snapshot, base);
@@ -265,6 +268,11 @@
         self.leadership.is_some()
     }
 
+    /// Returns the time spent in writes and syncs of the disk since the last call.
+    pub fn take_disk_time(&mut self) -> Duration {
+        std::mem::take(&mut self.disk_time)
+    }
+
     fn time(&self) -> Time {
         let wall = mesh::clock::unix_ms(self.environment.wall());
         Time { monotonic: self.environment.now(), wall }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 pub mod core;
+pub mod load;
 pub mod process;
 
 pub use calls::Calls;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -3,6 +3,7 @@
 
 use crate::calls::Calls;
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
+use crate::load::{Meter, Reading};
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -95,10 +96,29 @@
     pub calls: Arc<dyn Calls>,
 }
 
+/// An input with the time at which it was queued.
+struct Queued {
+    at: Duration,
+    input: Input,
+}
+
+/// Queue of inputs for the core's thread.
+#[derive(Clone)]
+struct Queue {
+    inputs: SyncSender<Queued>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Queue {
+    fn queued(&self, input: Input) -> Queued {
+        Queued { at: self.clock.now(), input }
+    }
+}
+
 /// Sends requests and reports to the core's thread.
 #[derive(Clone)]
 pub struct Handle {
-    inputs: SyncSender<Input>,
+    queue: Queue,
     status: Arc<RwLock<Status>>,
 }
 
@@ -151,7 +171,7 @@
 
     /// Queues an input unless the queue is full or the core has ended.
     fn push(&self, input: Input) -> bool {
-        match self.inputs.try_send(input) {
+        match self.queue.inputs.try_send(self.queue.queued(input)) {
             Ok(()) => true,
             Err(TrySendError::Full(_)) => {
                 metrics::counter!("inputs_dropped_total").increment(1);
@@ -173,14 +193,15 @@
 impl Process {
     /// Opens the data folder and starts the core's thread and the listener for links.
     pub fn start(options: Options, peers: TcpListener) -> Result<Process> {
-        let (inputs, queue) = sync_channel(INPUT_QUEUE_CAPACITY);
+        let (sender, inputs) = sync_channel(INPUT_QUEUE_CAPACITY);
+        let queue = Queue { inputs: sender, clock: options.clock.clone() };
         let status = Arc::new(RwLock::default());
-        let handle = Handle { inputs: inputs.clone(), status: status.clone() };
+        let handle = Handle { queue: queue.clone(), status: status.clone() };
         let environment = Arc::new(ProcessEnvironment {
             clock: options.clock.clone(),
             calls: options.calls,
             net: OnceLock::new(),
-            inputs: inputs.clone(),
+            queue: queue.clone(),
             status,
             known_addresses: Mutex::default(),
         });
@@ -197,10 +218,10 @@
             seed: rand::random(),
         })?;
         info!("core.opened name={} jobs={}", core.process_info().name, core.ledger().jobs().len());
-        let event_queue = inputs.clone();
+        let event_queue = queue.clone();
         let net = Net::new(
             core.process_info().clone(),
-            options.clock,
+            options.clock.clone(),
             Box::new(move |event| queue_event(&event_queue, event)),
         );
         let _ = environment.net.set(net.clone()); // set once, here
@@ -208,7 +229,7 @@
         let listener = task::spawn(net.clone().listen(peers));
         let core = thread::Builder::new()
             .name("core".to_string())
-            .spawn(move || run_core(core, &queue))
+            .spawn(move || run_core(core, &inputs, options.clock.as_ref()))
             .map_err(Error::Thread)?;
         Ok(Process { handle, net, listener, core })
     }
@@ -252,31 +273,41 @@
 }
 
 /// Loop of the core's thread: handles inputs in batches and advances the core after each.
-fn run_core(mut core: Core, inputs: &Receiver<Input>) {
+fn run_core(mut core: Core, inputs: &Receiver<Queued>, clock: &dyn Clock) {
+    let read = || Reading { now: clock.now(), process_time: clock.process_time() };
+    let mut meter = Meter::new(read());
     loop {
-        match inputs.recv_timeout(TICK_INTERVAL) {
-            Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-            Ok(input) => core.input(input),
-            Err(RecvTimeoutError::Timeout) => {}
-        }
-        for input in inputs.try_iter().take(MAX_BATCHED_INPUTS) {
+        let first = match inputs.recv_timeout(TICK_INTERVAL) {
+            Ok(queued) => Some(queued),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        let now = clock.now();
+        for Queued { at, input } in
+            first.into_iter().chain(inputs.try_iter().take(MAX_BATCHED_INPUTS))
+        {
             if matches!(input, Input::Stop) {
                 return;
             }
+            meter.record_input(now.saturating_sub(at));
             core.input(input);
         }
         core.advance();
+        meter.record_disk_time(core.take_disk_time());
+        if let Some(window) = meter.end_window(read()) {
+            window.publish();
+        }
     }
 }
 
 /// Queues an event of a link for the core's thread.
-fn queue_event(inputs: &SyncSender<Input>, event: Event) {
+fn queue_event(queue: &Queue, event: Event) {
     let input = match event {
         Event::LinkUp(peer) => Input::LinkUp(peer),
         Event::LinkDown(peer) => Input::LinkDown(peer),
         Event::Frame(from, frame) => Input::Frame(from, frame),
     };
-    if inputs.try_send(input).is_err() {
+    if queue.inputs.try_send(queue.queued(input)).is_err() {
         metrics::counter!("inputs_dropped_total").increment(1);
         warn!("core.full: the input queue is full, a link event was dropped");
     }
@@ -287,7 +318,7 @@
     clock: Arc<dyn Clock>,
     calls: Arc<dyn Calls>,
     net: OnceLock<Arc<Net>>,
-    inputs: SyncSender<Input>,
+    queue: Queue,
     status: Arc<RwLock<Status>>,
     known_addresses: Mutex<BTreeSet<SocketAddr>>,
 }
@@ -321,11 +352,11 @@
     }
 
     fn dispatch(&self, order: Order) {
-        let inputs = self.inputs.clone();
+        let queue = self.queue.clone();
         let calls = self.calls.clone();
         task::spawn(async move {
             let input = execute(calls.as_ref(), order).await;
-            queue_reply(&inputs, input).await;
+            queue_reply(&queue, input).await;
         });
     }
 
@@ -379,11 +410,12 @@
 
 /// Queues the answer to an order, waiting while the queue is full: an answer must not be
 /// lost.
-async fn queue_reply(inputs: &SyncSender<Input>, mut input: Input) {
+async fn queue_reply(queue: &Queue, input: Input) {
+    let mut queued = queue.queued(input);
     loop {
-        match inputs.try_send(input) {
+        match queue.inputs.try_send(queued) {
             Ok(()) | Err(TrySendError::Disconnected(_)) => return,
-            Err(TrySendError::Full(returned)) => input = returned,
+            Err(TrySendError::Full(returned)) => queued = returned,
         }
         task::sleep(Duration::from_millis(5)).await;
     }
--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -10,9 +10,12 @@
     fn now(&self) -> Duration;
     /// Returns the wall-clock time.
     fn wall(&self) -> SystemTime;
+    /// Returns the processor time that this process has used so far.
+    fn process_time(&self) -> Duration;
 }
 
-/// The clocks of the operating system: `CLOCK_BOOTTIME` and the system time.
+/// The clocks of the operating system: `CLOCK_BOOTTIME`, the system time and
+/// `CLOCK_PROCESS_CPUTIME_ID`.
 ///
 /// ```
 /// use mesh::clock::{Clock, System};
@@ -23,13 +26,21 @@
 
 impl Clock for System {
     fn now(&self) -> Duration {
-        let time = clock_gettime(ClockId::Boottime);
-        Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+        read(ClockId::Boottime)
     }
 
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn process_time(&self) -> Duration {
+        read(ClockId::ProcessCPUTime)
+    }
+}
+
+fn read(id: ClockId) -> Duration {
+    let time = clock_gettime(id);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
 }
 
 /// Returns the milliseconds since the Unix epoch, or 0 for a time before it.
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -88,6 +88,15 @@
     criteria: Criteria,
 }
 
+/// How much the decisions so far have looked at. Their cost grows with it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Effort {
+    /// Workers that were looked at to poll them or to place units.
+    pub workers_examined: u64,
+    /// Runs that were looked at to find those of a unit, step or job.
+    pub runs_examined: u64,
+}
+
 /// Scheduler state of one leadership.
 pub struct Scheduler {
     settings: Settings,
@@ -118,6 +127,7 @@
     advice: advice::AdviceState,
     maintenance: maintenance::MaintenanceState,
     balance: balance::BalanceState,
+    effort: Effort,
     /// Time of the latest call of `decide`.
     time: Time,
     /// When the periodic tasks last ran.
@@ -166,6 +176,7 @@
             advice: advice::AdviceState::default(),
             maintenance: maintenance::MaintenanceState::default(),
             balance: balance::BalanceState::default(),
+            effort: Effort::default(),
             time,
             last_periodic_tasks: Duration::ZERO,
             batch: Batch::default(),
@@ -186,6 +197,11 @@
         self.superseded
     }
 
+    /// Returns how much the decisions so far have looked at.
+    pub fn effort(&self) -> Effort {
+        self.effort
+    }
+
     /// Returns the known workers, including those known only through their runs.
     pub fn workers(&self) -> &BTreeMap<WorkerId, Worker> {
         &self.workers
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -44,6 +44,7 @@
         pool: &PoolName,
         placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
     ) {
+        self.effort.workers_examined += self.workers.len() as u64;
         let candidates: Vec<WorkerId> = self
             .workers
             .iter()
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -52,6 +52,7 @@
     /// expired, and removes workers that no longer report or answer.
     pub(super) fn poll_workers(&mut self, time: Time, ledger: &Ledger) {
         let now = time.monotonic;
+        self.effort.workers_examined += self.workers.len() as u64;
         let lease = LEASE_DURATION.min(self.settings.max_lease);
         let mut lost = Vec::new();
         let mut unreachable = Vec::new();
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -148,11 +148,12 @@
 
     /// Returns the runs, on any worker, of the units that match.
     pub(super) fn find_runs(
-        &self,
+        &mut self,
         matches: impl Fn(&UnitKey) -> bool,
     ) -> Vec<(WorkerId, UnitKey, RunNumber)> {
         let mut found = Vec::new();
         for (id, worker) in &self.workers {
+            self.effort.runs_examined += worker.runs.len() as u64;
             for (unit, run) in worker.runs.keys().filter(|(unit, _)| matches(unit)) {
                 found.push((id.clone(), *unit, *run));
             }
