--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -301,3 +301,21 @@
         run_schedule(seed);
     }
 }
+
+#[test]
+fn no_core_sends_the_orders_for_a_whole_large_fleet() {
+    let mut world = World::new(1);
+    world.heal();
+    let leader = world.leader().unwrap();
+    for number in 0..200 {
+        world.report(leader, report(number));
+    }
+    world.run(Duration::from_secs(2));
+    let mut sent: BTreeMap<String, usize> = BTreeMap::new();
+    for (_, sender) in world.orders() {
+        *sent.entry(sender.name).or_default() += 1;
+    }
+    let total: usize = sent.values().sum();
+    assert!(total >= 200, "each worker is polled: {sent:?}");
+    assert!(sent.values().all(|count| count * 3 <= total * 2), "{sent:?}");
+}
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -313,3 +313,24 @@
     assert!(longest <= 600, "the pre-vote is repeated only after {longest} ms");
     assert_eq!(node.term(), 1, "a pre-vote must not change the term");
 }
+
+#[test]
+fn proposals_of_one_round_go_to_each_voter_in_one_request() {
+    let mut node = leader(3);
+    let sent_at = millis(5001);
+    let response = AppendResponse { term: 2, accepted: true, match_index: 4, sent_at };
+    node.receive(millis(5002), &id("c"), Message::AppendResponse(response));
+    drain(&mut node);
+    for _ in 0..20 {
+        node.propose(millis(5003), vec![1]).unwrap();
+    }
+    let requests: Vec<AppendRequest> = drain(&mut node)
+        .into_iter()
+        .filter_map(|message| match message {
+            Message::AppendRequest(request) => Some(request),
+            _ => None,
+        })
+        .collect();
+    let entries: Vec<usize> = requests.iter().map(|request| request.entries.len()).collect();
+    assert_eq!(entries, [20, 20], "entries in each request, to two voters");
+}
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -461,3 +461,34 @@
     world.run(seconds(3.0));
     assert_eq!(world.state("q", "a"), State::Completed);
 }
+
+#[test]
+fn an_end_does_not_examine_the_runs_of_all_workers() {
+    let mut world = World::new(40);
+    for number in 0..40 {
+        let id = format!("a{number}");
+        world.run_times.insert(id.clone(), seconds(0.3));
+        world.submit("q", &id, vec![step(8, 1000, 300)]);
+    }
+    world.run(seconds(2.0));
+    assert_eq!(world.starts.len(), 320);
+    let examined = world.scheduler.effort().runs_examined;
+    assert!(examined <= 2 * 320, "{examined} runs were examined for 320 ends");
+}
+
+#[test]
+fn events_in_quick_succession_do_not_each_examine_all_workers() {
+    let mut world = World::new(40);
+    for number in 0..60 {
+        world.submit("q", &format!("a{number}"), vec![step(8, 1000, 60_000)]);
+    }
+    world.run(seconds(0.5));
+    let before = world.scheduler.effort().workers_examined;
+    let mut time = world.time();
+    for _ in 0..100 {
+        time.monotonic += Duration::from_micros(50);
+        world.scheduler.decide(time, &world.ledger);
+    }
+    let examined = world.scheduler.effort().workers_examined - before;
+    assert!(examined <= 4 * 40, "{examined} workers were examined within 5 ms, there are 40");
+}
