Quorum: encode an entry's bytes as bytes

What callers saw: on a grown site jobs started seconds late while the leader's processor was at its limit. Cause: Payload::Data is a Vec<u8> that serde writes as a list of numbers, so each byte of each entry was encoded once per follower and for the disk, and decoded one by one. Both forms are read by old and new processes, since the decoder accepts bytes where it expects a list and the reverse.

--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -12,7 +12,7 @@
     /// Voters in effect from this entry on, committed or not.
     Voters(Membership),
     /// A command of the caller's state machine.
-    Data(Vec<u8>),
+    Data(#[serde(with = "serde_bytes")] Vec<u8>),
 }
 
 /// One log entry.
