--- a/crates/control/src/core/voters.rs
+++ b/crates/control/src/core/voters.rs
@@ -27,7 +27,7 @@
             return;
         }
         let peers = self.environment.peers();
-        let current = self.node.membership().voters;
+        let current = self.node.membership().voters.clone();
         self.record_unlinked_voters(time, &current, &peers);
         if self.leadership.is_some() && self.node.has_lease(time.monotonic) {
             self.change_voters(time, &current, &peers);
--- a/crates/entry/src/agreement/effects.rs
+++ b/crates/entry/src/agreement/effects.rs
@@ -135,7 +135,7 @@
             commit_index: self.node.commit_index(),
             last_index: self.node.last_index(),
             base_index: self.node.base_index(),
-            membership: self.node.membership(),
+            membership: self.node.membership().clone(),
             leader_silence: self.node.time_since_contact(now),
             uninitialized: self.node.is_uninitialized(),
             apply_failure: self.apply_failure.clone(),
--- a/crates/entry/src/agreement/voters.rs
+++ b/crates/entry/src/agreement/voters.rs
@@ -61,7 +61,7 @@
             return;
         }
         self.founders_proposed_term = Some(self.node.term());
-        let voters = self.node.membership().voters;
+        let voters = &self.node.membership().voters;
         let changes = voters.iter().map(|id| fleet::Change::Put(voter_document(id))).collect();
         let submission = fleet::Submission {
             operator: FOUNDING.to_string(),
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -222,7 +222,7 @@
             let Some(process) = &site.process else { continue };
             let node = process.agreement.node();
             let (role, term, commit) = (node.role(), node.term(), node.commit_index());
-            let (last, voters) = (node.last_index(), node.membership().voters);
+            let (last, voters) = (node.last_index(), node.membership().voters.clone());
             let applied = process.fleet.read().unwrap().applied();
             text += &format!(", {} {role:?} of term {term}, commit {commit}", process.id());
             text += &format!(", last {last}, applied {applied}, voters {voters:?}");
@@ -245,7 +245,7 @@
         let committed = leader
             .map(|process| process.agreement.node())
             .filter(|node| node.commit_index() == node.last_index());
-        committed.map_or(Vec::new(), |node| node.membership().voters.into_iter().collect())
+        committed.map_or(Vec::new(), |node| node.membership().voters.iter().cloned().collect())
     }
 
     pub fn is_awake(&self, site: usize) -> bool {
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -46,6 +46,9 @@
     base_term: Term,
     base_membership: Membership,
     entries: Vec<Entry>,
+    /// Index of the last entry that sets the voters; `base_index` if there is none.
+    membership_index: Index,
+    membership: Membership,
 }
 
 impl Log {
@@ -60,6 +63,7 @@
         let mut log = Log::default();
         log.reset(snapshot);
         log.entries = entries.into_iter().filter(|e| e.index > snapshot.index).collect();
+        log.update_membership();
         log
     }
 
@@ -99,6 +103,10 @@
     /// Appends an entry, whose index has to follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        if let Payload::Voters(membership) = &entry.payload {
+            self.membership_index = entry.index;
+            self.membership = membership.clone();
+        }
         self.entries.push(entry);
     }
 
@@ -106,6 +114,9 @@
     pub fn truncate(&mut self, from: Index) {
         let keep = from.saturating_sub(self.base_index + 1) as usize;
         self.entries.truncate(keep);
+        if from <= self.membership_index {
+            self.update_membership();
+        }
     }
 
     /// Drops the entries up to an index that a snapshot now covers.
@@ -115,6 +126,7 @@
         self.entries.drain(..(index - self.base_index) as usize);
         self.base_index = index;
         self.base_term = term;
+        self.membership_index = self.membership_index.max(index);
     }
 
     /// Drops all entries and starts after a snapshot.
@@ -123,11 +135,12 @@
         self.base_term = snapshot.term;
         self.base_membership = snapshot.membership.clone();
         self.entries.clear();
+        self.update_membership();
     }
 
     /// Voters by the last entry that sets them, committed or not.
-    pub fn membership(&self) -> Membership {
-        self.membership_at(self.last_index())
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
     /// Voters by the last entry up to an index that sets them.
@@ -143,7 +156,14 @@
 
     /// Index of the last entry that sets the voters.
     pub fn membership_index(&self) -> Index {
+        self.membership_index
+    }
+
+    /// Finds the last entry that sets the voters.
+    fn update_membership(&mut self) {
         let sets_voters = |entry: &&Entry| matches!(entry.payload, Payload::Voters(_));
-        self.entries.iter().rev().find(sets_voters).map_or(self.base_index, |entry| entry.index)
+        let last = self.entries.iter().rev().find(sets_voters);
+        self.membership_index = last.map_or(self.base_index, |entry| entry.index);
+        self.membership = self.membership_at(self.last_index());
     }
 }
--- a/crates/quorum/src/node/elect.rs
+++ b/crates/quorum/src/node/elect.rs
@@ -33,7 +33,7 @@
             pre_vote,
             leadership_transfer: self.leadership_transfer,
         };
-        for voter in self.log.membership().voters {
+        for voter in self.log.membership().voters.clone() {
             if voter != self.id {
                 self.send(&voter, Message::VoteRequest(vote_request.clone()));
             }
@@ -119,7 +119,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id.clone());
         let next = self.log.last_index() + 1;
-        let voters = self.log.membership().voters;
+        let voters = &self.log.membership().voters;
         self.progress_by_id = voters
             .union(&self.connected)
             .filter(|id| **id != self.id)
--- a/crates/quorum/src/node/lead.rs
+++ b/crates/quorum/src/node/lead.rs
@@ -46,7 +46,7 @@
             self.become_follower(self.hard_state.term, None);
             return;
         }
-        let voters = self.log.membership().voters;
+        let voters = &self.log.membership().voters;
         let due: Vec<Id> = self
             .progress_by_id
             .iter()
@@ -76,10 +76,10 @@
 
     /// Sends an append request to every voter and connected learner.
     pub(super) fn send_to_all(&mut self) {
-        let voters = self.log.membership().voters;
-        for id in &voters {
+        let next = self.log.last_index() + 1;
+        for id in &self.log.membership().voters {
             if *id != self.id && !self.progress_by_id.contains_key(id) {
-                self.progress_by_id.insert(id.clone(), Progress::new(self.log.last_index() + 1));
+                self.progress_by_id.insert(id.clone(), Progress::new(next));
             }
         }
         let ids: Vec<Id> = self.progress_by_id.keys().cloned().collect();
@@ -162,6 +162,7 @@
     /// current term. Steps down if this node is no voter in a committed change.
     pub(super) fn advance_commit_index(&mut self) {
         let membership = self.log.membership();
+        let is_voter = membership.voters.contains(&self.id);
         let mut match_indexes: Vec<Index> = membership
             .voters
             .iter()
@@ -183,7 +184,7 @@
         self.commit_index = index;
         self.send_to_all();
         let voters_committed = self.log.membership_index() <= self.commit_index;
-        if voters_committed && !membership.voters.contains(&self.id) {
+        if voters_committed && !is_voter {
             self.become_follower(self.hard_state.term, None); // this node was removed
         }
     }
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -303,7 +303,7 @@
     }
 
     /// Voters by the last entry that sets them, committed or not.
-    pub fn membership(&self) -> Membership {
+    pub fn membership(&self) -> &Membership {
         self.log.membership()
     }
 
@@ -419,7 +419,7 @@
         if !self.is_leader() {
             return;
         }
-        let voters = self.log.membership().voters;
+        let voters = &self.log.membership().voters;
         let successor = self
             .progress_by_id
             .iter()
@@ -469,7 +469,7 @@
         wanted: &BTreeSet<Id>,
         durable: &BTreeSet<Id>,
     ) -> Result<bool> {
-        let mut next = self.log.membership().voters;
+        let mut next = self.log.membership().voters.clone();
         let removed = next.difference(wanted).next().cloned();
         let is_caught_up = |id: &&Id| {
             let match_index =
