Quorum: send what was proposed in one round as one request

Cause: each proposal and each commit sent a request of its own to every follower, so a job of ten units cost a leader with five followers some hundred frames, each encoded, framed, sent and answered.

--- a/crates/quorum/src/node/lead.rs
+++ b/crates/quorum/src/node/lead.rs
@@ -65,17 +65,30 @@
         }
     }
 
+    /// Sends entries that are not sent yet, and the commit index if it is due.
+    pub(super) fn send_unsent(&mut self) {
+        let is_commit_due = self.commit_sent_index < self.commit_index
+            && self.now >= self.commit_sent_at + self.timing.commit_interval;
+        if self.has_unsent_entries || is_commit_due {
+            self.send_to_all();
+        }
+    }
+
     /// Appends an entry of the current term and returns its index.
     pub(super) fn append_payload(&mut self, payload: Payload) -> Index {
         let index = self.log.last_index() + 1;
         let entry = Entry { index, term: self.hard_state.term, payload };
         self.log.push(entry.clone());
         self.output.append.push(entry);
+        self.has_unsent_entries = true;
         index
     }
 
     /// Sends an append request to every voter and connected learner.
     pub(super) fn send_to_all(&mut self) {
+        self.has_unsent_entries = false;
+        self.commit_sent_index = self.commit_index;
+        self.commit_sent_at = self.now;
         let next = self.log.last_index() + 1;
         for id in &self.log.membership().voters {
             if *id != self.id && !self.progress_by_id.contains_key(id) {
@@ -182,9 +195,9 @@
             return;
         }
         self.commit_index = index;
-        self.send_to_all();
         let voters_committed = self.log.membership_index() <= self.commit_index;
         if voters_committed && !is_voter {
+            self.send_to_all();
             self.become_follower(self.hard_state.term, None); // this node was removed
         }
     }
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -52,6 +52,9 @@
     /// How long a leader may act after a majority answered a request, counted from the
     /// sending of the request. Shorter than `election_timeout`, to allow for clock drift.
     pub lease_duration: Duration,
+    /// Shortest time between two requests that carry only a higher commit index. Requests
+    /// with entries and heartbeats carry it too.
+    pub commit_interval: Duration,
 }
 
 impl Default for Timing {
@@ -61,6 +64,7 @@
             learner_heartbeat_interval: Duration::from_millis(1000),
             election_timeout: Duration::from_millis(1200),
             lease_duration: Duration::from_millis(1000),
+            commit_interval: Duration::ZERO,
         }
     }
 }
@@ -215,6 +219,11 @@
     persisting_index: Index,
     /// Whether the leader asked for the election that is starting.
     leadership_transfer: bool,
+    /// Whether this leader has appended entries since it last sent to all nodes.
+    has_unsent_entries: bool,
+    /// Commit index that this leader last sent to all nodes, and when.
+    commit_sent_index: Index,
+    commit_sent_at: Duration,
 }
 
 /// Construction and queries.
@@ -257,6 +266,9 @@
             connected: BTreeSet::new(),
             output: Output::default(),
             leadership_transfer: false,
+            has_unsent_entries: false,
+            commit_sent_index: 0,
+            commit_sent_at: Duration::ZERO,
         };
         node.reset_election_deadline();
         node
@@ -432,14 +444,13 @@
         self.become_follower(self.hard_state.term, None);
     }
 
-    /// Appends a command to the log and returns its index. The command takes effect when
+    /// Appends a command to the log and returns its index. It is sent with the next output,
+    /// together with all others that were proposed until then. The command takes effect when
     /// an entry with this index and the current term comes out as committed.
     pub fn propose(&mut self, now: Duration, data: Vec<u8>) -> Result<Index> {
         self.tick(now);
         self.check_leadership()?;
-        let index = self.append_payload(Payload::Data(data));
-        self.send_to_all();
-        Ok(index)
+        Ok(self.append_payload(Payload::Data(data)))
     }
 
     /// Appends a change that adds or removes exactly one voter, and returns its index.
@@ -454,9 +465,7 @@
             return Err(Error::VotersBusy);
         }
         let membership = Membership { cluster: current.cluster, voters };
-        let index = self.append_payload(Payload::Voters(membership));
-        self.send_to_all();
-        Ok(index)
+        Ok(self.append_payload(Payload::Voters(membership)))
     }
 
     /// Proposes one step from the current voters towards the wanted ones: first the
@@ -524,6 +533,9 @@
     /// Returns the next work for the caller, or none. The caller calls
     /// [`Node::output_persisted`] once it has synced the output.
     pub fn take_output(&mut self) -> Option<Output> {
+        if self.is_leader() {
+            self.send_unsent();
+        }
         self.deliver_committed();
         if self.output.is_empty() {
             return None;
