Sched: find the runs of a unit, step or job by an index

What callers saw: in a surge jobs started seconds late on a grown site. Cause: each end of a run looked through all runs of all workers for copies of its unit, each finished job through all runs, waiting steps, avoided workers and run numbers, each balancing through all jobs of the last two minutes for long-running ones, and each look for stuck runs searched the ledger for every run before it compared two times. All of them grow with what is known, not with what the event touches.

--- a/crates/sched/src/scheduler/advice.rs
+++ b/crates/sched/src/scheduler/advice.rs
@@ -4,11 +4,13 @@
 //! so a waiting step has at most one open call, which asks for all candidates at once up to
 //! the limit of a call.
 
+use super::waiting::remove_range;
 use super::{Scheduler, Time};
 use crate::order::{Advise, Answer, Order, Refusal};
 use jobs::config;
 use jobs::{Incarnation, Ledger, StepKey, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Most workers that one call asks for; the service takes some time for each.
@@ -170,9 +172,9 @@
         }
     }
 
-    /// Removes the tickets and refusals of a finished job.
-    pub(super) fn remove_tickets(&mut self, job: jobs::JobNumber) {
-        self.advice.steps.retain(|key, _| key.job != job);
+    /// Removes the tickets and refusals of a finished job's steps.
+    pub(super) fn remove_tickets(&mut self, steps: RangeInclusive<StepKey>) {
+        remove_range(&mut self.advice.steps, steps);
     }
 }
 
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -298,7 +298,8 @@
     /// for a failure.
     fn long_running_instances(&self, ledger: &Ledger, pool: &PoolName) -> usize {
         let mut instances = 0;
-        for job in ledger.jobs().values().filter(|job| job.pool == *pool && !job.state.is_final()) {
+        let jobs = self.long_running_jobs.iter().filter_map(|number| ledger.job(*number));
+        for job in jobs.filter(|job| job.pool == *pool) {
             for step in job.definition.steps.iter().filter(|step| step.long_running) {
                 let per_instance =
                     if step.anti_affinity == 0 { step.count } else { step.anti_affinity };
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -112,6 +112,10 @@
     due_occurrences: BTreeSet<(UnixMs, JobNumber, u32)>,
     /// When each job was accepted, on this leader's monotonic clock.
     accepted_at: BTreeMap<JobNumber, Duration>,
+    /// Workers on which each unit of an unfinished job was placed. Runs there may have ended.
+    placed_on: BTreeMap<UnitKey, BTreeSet<WorkerId>>,
+    /// Unfinished jobs that have a long-running step.
+    long_running_jobs: BTreeSet<JobNumber>,
     /// Workers on which a run of the unit failed, got stuck or had an unanswered
     /// start. They are chosen only if no other worker fits.
     avoided_workers: BTreeMap<UnitKey, BTreeSet<WorkerId>>,
@@ -167,6 +171,8 @@
             waiting: BTreeMap::new(),
             due_occurrences: BTreeSet::new(),
             accepted_at: BTreeMap::new(),
+            placed_on: BTreeMap::new(),
+            long_running_jobs: BTreeSet::new(),
             avoided_workers: BTreeMap::new(),
             last_run_numbers: BTreeMap::new(),
             estimator: Estimator::default(),
@@ -264,6 +270,7 @@
             run.state = RunState::Stopping { sent: None, acknowledged: None };
         }
         self.worker_or_inherited(time, incarnation).add(unit, number, run);
+        self.placed_on.entry(unit).or_default().insert(incarnation.worker.clone());
         let highest = self.last_run_numbers.entry(unit).or_default();
         *highest = (*highest).max(number);
     }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -311,6 +311,7 @@
         let run = Run::new(RunState::Proposed, request.step, time.monotonic);
         worker.add(unit, number, run);
         self.last_run_numbers.insert(unit, number);
+        self.placed_on.entry(unit).or_default().insert(id.clone());
         for steps in self.waiting.values_mut() {
             if let Some(waiting) = steps.get_mut(&request.key) {
                 waiting.units.remove(&unit.index);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -24,7 +24,7 @@
             Some(EndReason::Done) => {
                 worker.record_success();
                 self.record_run_time(time, ledger, unit, &incarnation.worker, &run);
-                for (worker, unit, number) in self.find_runs(|other| other == unit) {
+                for (worker, unit, number) in self.find_runs(*unit..=*unit) {
                     self.stop(time, ledger, &worker, unit, number, StopReason::Unneeded);
                 }
                 return;
@@ -62,7 +62,7 @@
         if !job.definition.steps[usize::from(key.step)].gang {
             return;
         }
-        for (worker, unit, number) in self.find_runs(|other| other.step_key() == key) {
+        for (worker, unit, number) in self.find_runs(key.unit(0)..=key.unit(u32::MAX)) {
             self.stop(time, ledger, &worker, unit, number, StopReason::GangBroken);
         }
     }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -286,12 +286,15 @@
     answered_at: Duration,
 ) -> bool {
     let (percent, since) = run.progress;
-    let fully_started = run.long_running && percent >= 100;
+    if answered_at < since + MIN_STUCK_DURATION
+        || run.started_at.is_none()
+        || run.share_percent == Some(0)
+        || (run.long_running && percent >= 100)
+    {
+        return false;
+    }
     let Some(job) = ledger.job(unit.job) else { return false };
     let expected = job.definition.steps[usize::from(unit.step)].estimate;
     let max_stall = MIN_STUCK_DURATION.max(expected.mul_f64(STUCK_RUN_TIME_FRACTION));
-    run.started_at.is_some()
-        && run.share_percent != Some(0)
-        && !fully_started
-        && answered_at >= since + max_stall
+    answered_at >= since + max_stall
 }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -8,6 +8,7 @@
 use crate::worker::StopReason;
 use jobs::{JobNumber, Ledger, RunNumber, StepKey, UnitKey, WorkerId};
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 impl Scheduler {
@@ -23,6 +24,9 @@
     /// wait in `due_occurrences`.
     pub(super) fn enqueue_job(&mut self, time: Time, ledger: &Ledger, number: JobNumber) {
         let Some(job) = ledger.job(number) else { return };
+        if job.definition.steps.iter().any(|step| step.long_running) {
+            self.long_running_jobs.insert(number);
+        }
         for occurrence in 0..job.definition.occurrences() {
             match job.definition.due(occurrence) {
                 Some(due) if !job.occurrences.contains_key(&occurrence) => {
@@ -133,31 +137,52 @@
 
     /// Removes a finished job's waiting units and stops the runs that it still has.
     pub(super) fn on_job_finished(&mut self, time: Time, ledger: &Ledger, number: JobNumber) {
-        for steps in self.waiting.values_mut() {
-            steps.retain(|key, _| key.job != number);
+        let units = units_of_job(number);
+        let steps = units.start().step_key()..=units.end().step_key();
+        for waiting in self.waiting.values_mut() {
+            remove_range(waiting, steps.clone());
         }
         self.due_occurrences.retain(|(_, job, _)| *job != number);
-        self.avoided_workers.retain(|unit, _| unit.job != number);
-        self.last_run_numbers.retain(|unit, _| unit.job != number);
+        self.long_running_jobs.remove(&number);
+        remove_range(&mut self.avoided_workers, units.clone());
+        remove_range(&mut self.last_run_numbers, units.clone());
         self.accepted_at.remove(&number);
-        self.remove_tickets(number);
-        for (worker, unit, run) in self.find_runs(|unit| unit.job == number) {
+        self.remove_tickets(steps);
+        for (worker, unit, run) in self.find_runs(units.clone()) {
             self.stop(time, ledger, &worker, unit, run, StopReason::Unneeded);
         }
+        remove_range(&mut self.placed_on, units);
     }
 
-    /// Returns the runs, on any worker, of the units that match.
+    /// Returns the runs, on any worker, of a range of units of unfinished jobs.
     pub(super) fn find_runs(
         &mut self,
-        matches: impl Fn(&UnitKey) -> bool,
+        units: RangeInclusive<UnitKey>,
     ) -> Vec<(WorkerId, UnitKey, RunNumber)> {
         let mut found = Vec::new();
-        for (id, worker) in &self.workers {
-            self.effort.runs_examined += worker.runs.len() as u64;
-            for (unit, run) in worker.runs.keys().filter(|(unit, _)| matches(unit)) {
-                found.push((id.clone(), *unit, *run));
+        for (unit, ids) in self.placed_on.range(units) {
+            for id in ids {
+                let Some(worker) = self.workers.get(id) else { continue };
+                let runs = worker.runs.range((*unit, 0)..=(*unit, RunNumber::MAX));
+                found.extend(runs.map(|((unit, run), _)| (id.clone(), *unit, *run)));
             }
         }
+        self.effort.runs_examined += found.len() as u64;
         found
     }
 }
+
+/// Returns the range of the keys of a job's units.
+fn units_of_job(job: JobNumber) -> RangeInclusive<UnitKey> {
+    UnitKey { job, occurrence: 0, step: 0, index: 0 }..=UnitKey {
+        job,
+        occurrence: u32::MAX,
+        step: u16::MAX,
+        index: u32::MAX,
+    }
+}
+
+/// Removes the entries with a key in the range.
+pub(super) fn remove_range<K: Ord + Copy, V>(map: &mut BTreeMap<K, V>, keys: RangeInclusive<K>) {
+    map.extract_if(keys, |_, _| true).for_each(drop);
+}
