Sched: look at all workers at most every 10 ms

Cause: each batch of inputs, often a single one, made the scheduler go through all workers to poll those that are due, and through the candidates and waiting steps of every pool; a queue that grew made each of these dearer, and so grew further.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -21,7 +21,7 @@
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
 };
-use sched::{Report, Roster};
+use sched::{Report, Roster, Scheduler};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -35,6 +35,8 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time between a disk failure and the attempt to reopen the disk, and between attempts.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest wait for an input, the resolution of timers.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Time between two removals of expired reports and of forwarded requests that timed out.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -268,6 +270,16 @@
         self.leadership.is_some()
     }
 
+    /// Returns how long to wait for an input before the next call of [`Core::advance`]: until
+    /// the scheduler's next decision if one was deferred, and at most `max_wait`.
+    pub fn max_wait(&self, max_wait: Duration) -> Duration {
+        let scheduler = self.leadership.as_ref().map(|leadership| &leadership.scheduler);
+        match scheduler.and_then(Scheduler::deferred_decision) {
+            Some(at) => at.saturating_sub(self.environment.now()).clamp(MIN_WAIT, max_wait),
+            None => max_wait,
+        }
+    }
+
     /// Returns the time spent in writes and syncs of the disk since the last call.
     pub fn take_disk_time(&mut self) -> Duration {
         std::mem::take(&mut self.disk_time)
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -279,7 +279,7 @@
     let read = || Reading { now: clock.now(), process_time: clock.process_time() };
     let mut meter = Meter::new(read());
     loop {
-        let first = match inputs.recv_timeout(TICK_INTERVAL) {
+        let first = match inputs.recv_timeout(core.max_wait(TICK_INTERVAL)) {
             Ok(queued) => Some(queued),
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -46,6 +46,10 @@
 /// Interval between two runs of the periodic tasks: retries, maintenance, balancing
 /// of pools and adjustment of processor shares.
 const PERIODIC_TASKS_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between two decisions on polls and placements, so that the cost of looking
+/// at all workers is not paid for each event. It is short beside the time that a unit takes
+/// to start: two syncs of the log and two calls.
+const DECISION_INTERVAL: Duration = Duration::from_millis(10);
 /// Weight of one job in the moving average of the declared work of a queue's jobs.
 const JOB_WORK_WEIGHT: f64 = 0.05;
 
@@ -134,6 +138,10 @@
     effort: Effort,
     /// Time of the latest call of `decide`.
     time: Time,
+    /// Earliest time of the next polls and placements.
+    next_decision: Duration,
+    /// Whether `decide` was called before that time.
+    is_decision_deferred: bool,
     /// When the periodic tasks last ran.
     last_periodic_tasks: Duration,
     /// Run changes for the next proposal; they go before `commands`.
@@ -184,6 +192,8 @@
             balance: balance::BalanceState::default(),
             effort: Effort::default(),
             time,
+            next_decision: Duration::ZERO,
+            is_decision_deferred: false,
             last_periodic_tasks: Duration::ZERO,
             batch: Batch::default(),
             commands: Vec::new(),
@@ -208,6 +218,12 @@
         self.effort
     }
 
+    /// Returns the time of the next decision if one was due too early; `None` if all that
+    /// happened was decided on.
+    pub fn deferred_decision(&self) -> Option<Duration> {
+        self.is_decision_deferred.then_some(self.next_decision)
+    }
+
     /// Returns the known workers, including those known only through their runs.
     pub fn workers(&self) -> &BTreeMap<WorkerId, Worker> {
         &self.workers
@@ -390,11 +406,15 @@
         }
     }
 
-    /// Decides what to propose and which orders to send at the given time. The
-    /// periodic tasks run at most once per `PERIODIC_TASKS_INTERVAL`; placement runs on each call.
+    /// Decides what to propose and which orders to send at the given time. What events have
+    /// brought about is returned at once. Polls and placements, which look at all workers, are
+    /// decided at most once per `DECISION_INTERVAL`, and the periodic tasks run at most once
+    /// per `PERIODIC_TASKS_INTERVAL`.
     pub fn decide(&mut self, time: Time, ledger: &Ledger) -> Output {
         self.time = time;
-        if !self.superseded {
+        self.is_decision_deferred = time.monotonic < self.next_decision;
+        if !self.superseded && !self.is_decision_deferred {
+            self.next_decision = time.monotonic + DECISION_INTERVAL;
             self.enqueue_due(time, ledger);
             self.poll_workers(time, ledger);
             if time.monotonic >= self.last_periodic_tasks + PERIODIC_TASKS_INTERVAL {
