Control: the other cores send the orders of a large fleet

What callers saw: in a surge jobs started seconds late on a grown site. Cause: the leader made every HTTP call to every worker itself, some 500 polls and up to 1,000 starts a second, while the other cores were idle. Above 100 workers the leader now sends a worker's orders in batches to another core, in the worker's data centre if there is one, which makes the calls and returns the replies in batches. A process of a version that can't do so says so in its Hello by leaving the field out, and gets none. A lost link or a late answer counts as an unanswered order, which the scheduler handles as before. no_core_sends_the_orders_for_a_whole_large_fleet failed before and passes.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -4,9 +4,11 @@
 use super::{Core, Input};
 use jobs::Command;
 use log::info;
+use mesh::Frame;
+use mesh::frame::OrderId;
 use quorum::Term;
 use sched::Scheduler;
-use sched::order::Answer;
+use sched::order::{Answer, Order};
 use sched::scheduler::Time;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -70,12 +72,14 @@
         if let Some(leadership) = self.leadership.take() {
             info!("reign.ended term={} reason={reason:?}", leadership.term);
             self.proposal_queue.clear();
+            self.relays.clear();
             self.roster_sent_to = None;
         }
     }
 
     /// Lets the scheduler decide, proposes its commands and dispatches its orders.
     fn run_scheduler(&mut self, time: Time) {
+        self.expire_orders(time);
         let Some(leadership) = &mut self.leadership else { return };
         let output = leadership.scheduler.decide(time, &self.ledger);
         let effort = leadership.scheduler.effort();
@@ -99,8 +103,54 @@
             }
             self.proposal_queue.pop_front();
         }
-        for order in output.orders {
-            self.environment.dispatch(order);
+        self.send_orders(time, output.orders);
+    }
+
+    /// Sends the orders, those to workers through other processes where that is cheaper.
+    fn send_orders(&mut self, time: Time, orders: Vec<Order>) {
+        if orders.is_empty() {
+            return;
+        }
+        let peers = self.environment.peers();
+        let worker_count = self.roster.workers().len();
+        let mut relayed: BTreeMap<&str, Vec<(OrderId, Order)>> = BTreeMap::new();
+        for order in orders {
+            let process = order.destination().and_then(|to| {
+                let worker = &to.incarnation.worker;
+                let received = self.roster.get(worker);
+                let data_centre = received.map(|received| received.report.data_centre.as_str());
+                self.relays.choose(time.monotonic, &peers, worker_count, worker, data_centre)
+            });
+            let id = process.and_then(|to| self.relays.record(time.monotonic, &to.name, &order));
+            match (process, id) {
+                (Some(process), Some(id)) => {
+                    relayed.entry(&process.name).or_default().push((id, order));
+                }
+                _ => self.environment.dispatch(order),
+            }
+        }
+        let mut unlinked = Vec::new();
+        for (process, orders) in relayed {
+            if !self.environment.send(process, Frame::Orders(orders)) {
+                unlinked.push(process.to_string());
+            }
+        }
+        for process in unlinked {
+            self.fail_orders(time, &process);
+        }
+    }
+
+    /// Takes orders as unanswered that a process without a link was asked to send.
+    pub(super) fn fail_orders(&mut self, time: Time, process: &str) {
+        for reply in self.relays.take_lost(process) {
+            self.on_order_reply(time, Input::WorkerReply(reply));
+        }
+    }
+
+    /// Takes orders as unanswered whose answer through another process is overdue.
+    pub(super) fn expire_orders(&mut self, time: Time) {
+        for reply in self.relays.take_overdue(time.monotonic) {
+            self.on_order_reply(time, Input::WorkerReply(reply));
         }
     }
 
@@ -132,10 +182,7 @@
         let Some(leadership) = &mut self.leadership else { return };
         let scheduler = &mut leadership.scheduler;
         match input {
-            Input::PollReply(reply) => scheduler.on_poll_reply(time, &self.ledger, reply),
-            Input::StartReply(reply) => scheduler.on_start_reply(time, &self.ledger, reply),
-            Input::StopReply(reply) => scheduler.on_stop_reply(time, reply),
-            Input::PaceReply(reply) => scheduler.on_pace_reply(reply),
+            Input::WorkerReply(reply) => scheduler.on_worker_reply(time, &self.ledger, reply),
             Input::AdviseReply(reply) => scheduler.on_advise_reply(time, &self.ledger, reply),
             Input::InstanceList(Answer::Done(instances)) => {
                 scheduler.on_instance_list(time, instances)
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod voters;
 
+use crate::relay::Relays;
 use async_std::channel::Sender;
 use jobs::{Decision, Ledger, WorkerId};
 use log::info;
@@ -16,11 +17,9 @@
 use mesh::{Frame, LeaderRequest, ProcessInfo, Reply, Status};
 use quorum::{Id, Index, Node, Term};
 use sched::instance::Instance;
-use sched::order::{Answer, Order};
+use sched::order::{self, Answer, Order};
 use sched::roster::Freshness;
-use sched::scheduler::{
-    AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
-};
+use sched::scheduler::{AdviseReply, MaintenanceReply, MoveReply, Time};
 use sched::{Report, Roster, Scheduler};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -93,14 +92,8 @@
     Report(Report),
     /// A worker announced to this process that its incarnation is ending.
     WorkerLeft(WorkerId),
-    /// A worker answered a poll, or the poll failed.
-    PollReply(PollReply),
-    /// A worker answered a start order, or the call failed.
-    StartReply(StartReply),
-    /// A worker answered a stop order, or the call failed.
-    StopReply(StopReply),
-    /// A worker answered a change of a run's share, or the call failed.
-    PaceReply(PaceReply),
+    /// A worker replied to an order, or the call failed.
+    WorkerReply(order::Reply),
     /// A queue's policy answered, or the call failed.
     AdviseReply(AdviseReply),
     /// The cloud answered with its list of instances, or the call failed.
@@ -185,6 +178,8 @@
     pending_proposals: BTreeMap<Index, PendingProposal>,
     /// The scheduler's commands that aren't proposed yet.
     proposal_queue: VecDeque<jobs::Command>,
+    /// Orders that other processes send for this leader.
+    relays: Relays,
     forwarded: BTreeMap<RequestId, ForwardedRequest>,
     next_request: RequestId,
     /// Latest status of each other process.
@@ -237,6 +232,7 @@
             roster_sent_to: None,
             pending_proposals: BTreeMap::new(),
             proposal_queue: VecDeque::new(),
+            relays: Relays::default(),
             forwarded: BTreeMap::new(),
             next_request: 1,
             statuses: BTreeMap::new(),
@@ -301,10 +297,7 @@
             Input::Request(request, reply) => self.on_request(time, request, reply),
             Input::Report(report) => self.on_report(time, report, true),
             Input::WorkerLeft(worker) => self.on_worker_left(time, worker, true),
-            Input::PollReply(_)
-            | Input::StartReply(_)
-            | Input::StopReply(_)
-            | Input::PaceReply(_)
+            Input::WorkerReply(_)
             | Input::AdviseReply(_)
             | Input::InstanceList(_)
             | Input::MoveReply(_)
@@ -341,6 +334,8 @@
             self.roster_sent_to = None;
         }
         self.fail_forwarded(|forwarded| forwarded.leader == lost.name);
+        let time = self.time();
+        self.fail_orders(time, &lost.name);
     }
 
     fn on_frame(&mut self, time: Time, from: &ProcessInfo, frame: Frame) {
@@ -373,7 +368,15 @@
                 }
             }
             Frame::Left(worker) => self.on_worker_left(time, worker, false),
-            Frame::Hello(_) | Frame::Ping => {}
+            Frame::OrderReplies(replies) => {
+                for (id, reply) in replies {
+                    if self.relays.complete(id) {
+                        self.on_order_reply(time, Input::WorkerReply(reply));
+                    }
+                }
+            }
+            // Orders are sent out by the process, which needs no state of the core for it.
+            Frame::Orders(_) | Frame::Hello(_) | Frame::Ping => {}
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod load;
 pub mod process;
+pub mod relay;
 
 pub use calls::Calls;
 pub use core::{Core, Environment, Input, Setup};
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -10,13 +10,14 @@
 use async_std::task::{self, JoinHandle};
 use jobs::{Decision, WorkerId};
 use log::{info, warn};
-use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Reply, Status};
+use mesh::frame::OrderId;
+use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Status};
 use sched::Report;
-use sched::order::Order;
+use sched::order::{Order, Reply};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
@@ -46,6 +47,8 @@
     lease_duration: Duration::from_millis(750),
     commit_interval: Duration::from_millis(50),
 };
+/// Time for which replies to the leader's orders are collected for one frame.
+const REPLY_BATCH_INTERVAL: Duration = Duration::from_millis(8);
 /// Attempts to open the disk at the start. A disk that is full or hangs for some seconds
 /// must not end the process.
 const DISK_OPEN_ATTEMPTS: usize = 20;
@@ -126,16 +129,16 @@
 
 impl Handle {
     /// Sends a request and waits for the reply, at most [`REQUEST_TIMEOUT`].
-    pub async fn request(&self, request: LeaderRequest) -> Reply {
+    pub async fn request(&self, request: LeaderRequest) -> mesh::Reply {
         let is_write = request.is_write();
         let (sender, reply) = bounded(1);
         if !self.push(Input::Request(request, ReplyTo::Local(sender))) {
-            return Reply::NotTaken("too much waits here already".to_string());
+            return mesh::Reply::NotTaken("too much waits here already".to_string());
         }
         match timeout(REQUEST_TIMEOUT, reply.recv()).await {
             Ok(Ok(reply)) => reply,
-            _ if is_write => Reply::Unknown("no reply in time".to_string()),
-            _ => Reply::NotTaken("no reply in time".to_string()),
+            _ if is_write => mesh::Reply::Unknown("no reply in time".to_string()),
+            _ => mesh::Reply::NotTaken("no reply in time".to_string()),
         }
     }
 
@@ -206,6 +209,7 @@
             queue: queue.clone(),
             status,
             known_addresses: Mutex::default(),
+            replies: Mutex::default(),
         });
         wait_for_disk(&options.open_folder);
         let core = Core::open(Setup {
@@ -221,10 +225,18 @@
         })?;
         info!("core.opened name={} jobs={}", core.process_info().name, core.ledger().jobs().len());
         let event_queue = queue.clone();
+        let relay = Arc::downgrade(&environment);
         let net = Net::new(
             core.process_info().clone(),
             options.clock.clone(),
-            Box::new(move |event| queue_event(&event_queue, event)),
+            Box::new(move |event| match event {
+                Event::Frame(from, Frame::Orders(orders)) => {
+                    if let Some(environment) = relay.upgrade() {
+                        environment.relay_orders(&from.name, orders);
+                    }
+                }
+                event => queue_event(&event_queue, event),
+            }),
         );
         let _ = environment.net.set(net.clone()); // set once, here
         net.add_addresses(options.seeds, true);
@@ -323,6 +335,8 @@
     queue: Queue,
     status: Arc<RwLock<Status>>,
     known_addresses: Mutex<BTreeSet<SocketAddr>>,
+    /// Replies to relayed orders that are collected for one frame, by leader.
+    replies: Mutex<BTreeMap<String, Vec<(OrderId, Reply)>>>,
 }
 
 impl Environment for ProcessEnvironment {
@@ -367,29 +381,64 @@
     }
 }
 
+impl ProcessEnvironment {
+    /// Sends each order of a leader to its worker, and the replies to the leader.
+    fn relay_orders(self: &Arc<ProcessEnvironment>, leader: &str, orders: Vec<(OrderId, Order)>) {
+        for (id, order) in orders {
+            let (environment, leader) = (self.clone(), leader.to_string());
+            task::spawn(async move {
+                let calls = environment.calls.clone();
+                if let Input::WorkerReply(reply) = execute(calls.as_ref(), order).await {
+                    environment.relay_reply(leader, id, reply).await;
+                }
+            });
+        }
+    }
+
+    /// Adds a reply to those for a leader. The first one sends them all a little later.
+    async fn relay_reply(&self, leader: String, id: OrderId, reply: Reply) {
+        let is_first = {
+            let mut replies = self.replies.lock().unwrap_or_else(PoisonError::into_inner);
+            let collected = replies.entry(leader.clone()).or_default();
+            collected.push((id, reply));
+            collected.len() == 1
+        };
+        if !is_first {
+            return;
+        }
+        task::sleep(REPLY_BATCH_INTERVAL).await;
+        let replies = {
+            let mut replies = self.replies.lock().unwrap_or_else(PoisonError::into_inner);
+            replies.remove(&leader).unwrap_or_default()
+        };
+        // Without a link the leader takes them as lost.
+        self.send(&leader, Frame::OrderReplies(replies));
+    }
+}
+
 /// Sends an order and turns its answer into an input of the core.
 async fn execute(calls: &dyn Calls, order: Order) -> Input {
     match order {
         Order::Poll(to, poll) => {
             let (incarnation, sent_at) = (to.incarnation.clone(), poll.sent_at);
             let answer = calls.poll(to, poll).await;
-            Input::PollReply(PollReply { incarnation, sent_at, answer })
+            Input::WorkerReply(Reply::Poll(PollReply { incarnation, sent_at, answer }))
         }
         Order::Start(to, start) => {
             let (incarnation, unit, run) = (to.incarnation.clone(), start.unit, start.run);
             let answer = calls.start(to, start).await;
-            Input::StartReply(StartReply { incarnation, unit, run, answer })
+            Input::WorkerReply(Reply::Start(StartReply { incarnation, unit, run, answer }))
         }
         Order::Stop(to, stop) => {
             let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
             let answer = calls.stop(to, stop).await;
-            Input::StopReply(StopReply { incarnation, unit, run, answer })
+            Input::WorkerReply(Reply::Stop(StopReply { incarnation, unit, run, answer }))
         }
         Order::Pace(to, pace) => {
             let (incarnation, unit, run) = (to.incarnation.clone(), pace.unit, pace.run);
             let percent = pace.percent;
             let answer = calls.pace(to, pace).await;
-            Input::PaceReply(PaceReply { incarnation, unit, run, percent, answer })
+            Input::WorkerReply(Reply::Pace(PaceReply { incarnation, unit, run, percent, answer }))
         }
         Order::Advise(advise) => {
             let (step, workers) = (advise.step, advise.workers.clone());
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -128,6 +128,14 @@
         let own = shared.processes[self.own].clone();
         match own {
             Some(own) if shared.linked(self.own, to) => {
+                if let Frame::Orders(orders) = &frame {
+                    let relay = shared.processes[to].clone().unwrap();
+                    for (_, order) in orders {
+                        if let Order::Poll(_, poll) = order {
+                            shared.orders.push((poll.fence, relay.clone()));
+                        }
+                    }
+                }
                 shared.inboxes[to].push(Input::Frame(own, frame));
                 true
             }
@@ -215,6 +223,8 @@
                 durable: true,
                 peer_address: control(index, instance),
                 control_address: Some(control(index, instance)),
+                data_centre: None,
+                relays_orders: true,
             },
             founders: (0..CORES).map(|index| control(index, 0)).collect(),
             bootstrap,
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -3,7 +3,7 @@
 use crate::{LeaderRequest, Reply};
 use jobs::WorkerId;
 use quorum::{Id, Term};
-use sched::Report;
+use sched::{Order, Report};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -22,6 +22,9 @@
 /// Identifies a forwarded request; unique per sender, so that a reply finds its request.
 pub type RequestId = u64;
 
+/// Identifies an order that another process sends out; unique per leader.
+pub type OrderId = u64;
+
 /// A message from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -43,6 +46,10 @@
     Reports(Vec<Report>),
     /// A worker announced the end of its present incarnation.
     Left(WorkerId),
+    /// Orders to workers that the receiver sends for the leader.
+    Orders(Vec<(OrderId, Order)>),
+    /// The workers' replies to orders that the receiver had sent out.
+    OrderReplies(Vec<(OrderId, sched::order::Reply)>),
 }
 
 /// Identity and addresses of a process.
@@ -60,6 +67,13 @@
     /// Address for workers and operators; `None` on an edge process.
     #[serde(rename = "control")]
     pub control_address: Option<SocketAddr>,
+    /// Data centre of the process; `None` if it is not known.
+    #[serde(default)]
+    pub data_centre: Option<String>,
+    /// Whether it sends orders to workers for the leader. False for processes of versions
+    /// that can't.
+    #[serde(default)]
+    pub relays_orders: bool,
 }
 
 impl ProcessInfo {
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -4,6 +4,7 @@
 //! a replaced leader are refused.
 
 use crate::Fence;
+use crate::scheduler::{PaceReply, PollReply, StartReply, StopReply};
 use jobs::command::EndReason;
 use jobs::{Incarnation, InstanceId, PoolName, RunNumber, StepKey, UnitKey, UnixMs, WaveId};
 use serde::{Deserialize, Serialize};
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 /// A call that the leader wants sent.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Order {
     /// Reads a worker's run lists and may extend its lease.
     Poll(Destination, Poll),
@@ -31,8 +32,67 @@
     Maintain(Maintenance),
 }
 
+impl Order {
+    /// Returns the worker that the order is for; `None` for an order to the cloud or to the
+    /// policy service.
+    pub fn destination(&self) -> Option<&Destination> {
+        match self {
+            Order::Poll(to, _) | Order::Start(to, _) | Order::Stop(to, _) | Order::Pace(to, _) => {
+                Some(to)
+            }
+            Order::Advise(_) | Order::ListInstances | Order::Move(_) | Order::Maintain(_) => None,
+        }
+    }
+
+    /// Returns the reply to an order to a worker whose answer is lost: the order may have been
+    /// carried out. `None` for other orders.
+    pub fn lost_reply(&self) -> Option<Reply> {
+        let incarnation = self.destination()?.incarnation.clone();
+        match self {
+            Order::Poll(_, poll) => Some(Reply::Poll(PollReply {
+                incarnation,
+                sent_at: poll.sent_at,
+                answer: Answer::Unknown,
+            })),
+            Order::Start(_, Start { unit, run, .. }) => Some(Reply::Start(StartReply {
+                incarnation,
+                unit: *unit,
+                run: *run,
+                answer: Answer::Unknown,
+            })),
+            Order::Stop(_, Stop { unit, run, .. }) => Some(Reply::Stop(StopReply {
+                incarnation,
+                unit: *unit,
+                run: *run,
+                answer: Answer::Unknown,
+            })),
+            Order::Pace(_, Pace { unit, run, percent, .. }) => Some(Reply::Pace(PaceReply {
+                incarnation,
+                unit: *unit,
+                run: *run,
+                percent: *percent,
+                answer: Answer::Unknown,
+            })),
+            Order::Advise(_) | Order::ListInstances | Order::Move(_) | Order::Maintain(_) => None,
+        }
+    }
+}
+
+/// Reply to an order to a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The worker answered a poll, or the call failed.
+    Poll(PollReply),
+    /// The worker answered a start, or the call failed.
+    Start(StartReply),
+    /// The worker answered a stop, or the call failed.
+    Stop(StopReply),
+    /// The worker answered a change of a run's share, or the call failed.
+    Pace(PaceReply),
+}
+
 /// Worker that an order is for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Destination {
     /// Incarnation that the order is for; another one at the address does not carry it out.
     pub incarnation: Incarnation,
@@ -41,7 +101,7 @@
 }
 
 /// Reads the run lists of a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Poll {
     /// Fence of the leader that sends the order.
     pub fence: Fence,
@@ -56,7 +116,7 @@
 }
 
 /// Starts a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Start {
     /// Key of the unit.
     pub unit: UnitKey,
@@ -77,7 +137,7 @@
 }
 
 /// Stops a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Stop {
     /// Key of the unit.
     pub unit: UnitKey,
@@ -90,7 +150,7 @@
 }
 
 /// Sets the processor share of a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pace {
     /// Key of the unit.
     pub unit: UnitKey,
@@ -105,7 +165,7 @@
 }
 
 /// Asks a queue's policy which workers may run a step.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Advise {
     /// Key of the step.
     pub step: StepKey,
@@ -116,7 +176,7 @@
 }
 
 /// Moves an instance to another pool.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Move {
     /// Instance to move.
     pub instance: InstanceId,
@@ -127,7 +187,7 @@
 }
 
 /// Starts the maintenance of an instance.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Maintenance {
     /// Instance to maintain.
     pub instance: InstanceId,
@@ -138,7 +198,7 @@
 }
 
 /// Run lists of a worker: its answer to a poll.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunLists {
     /// Start of the incarnation that answered; `None` if the answer doesn't name it.
     pub started_at: Option<UnixMs>,
@@ -151,23 +211,28 @@
 }
 
 /// Status of a run on a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunStatus {
     /// Name of the unit at workers.
+    #[serde(rename = "n")]
     pub name: String,
     /// Number of the run.
+    #[serde(rename = "r")]
     pub run: RunNumber,
     /// Newest checkpoint; empty for none.
+    #[serde(rename = "c")]
     pub checkpoint: String,
     /// Progress in percent; 100 for long-running work once it has started up.
+    #[serde(rename = "p")]
     pub progress_percent: u32,
     /// Tail latency in milliseconds for runs that serve requests, else processor use
     /// in thousandths of a core.
+    #[serde(rename = "m")]
     pub measurement: u64,
 }
 
 /// End of a run as a worker lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Finished {
     /// Sequence number of the end within the incarnation, from 1.
     pub number: u64,
@@ -206,7 +271,7 @@
 }
 
 /// Outcome of an order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer<T> {
     /// The order was carried out.
     Done(T),
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -166,7 +166,7 @@
     }
 
     /// Returns all workers, ordered by name.
-    pub fn workers(&self) -> impl Iterator<Item = &Received> {
+    pub fn workers(&self) -> impl ExactSizeIterator<Item = &Received> {
         self.workers.values()
     }
 
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
 use crate::estimate::Estimator;
 use crate::instance::Instance;
 use crate::lease::Lease;
-use crate::order::Order;
+use crate::order::{Order, Reply};
 use crate::rank::Criteria;
 use crate::roster::{Report, Roster};
 use crate::worker::{Run, RunState, StopReason, Worker};
@@ -377,6 +377,16 @@
         }
     }
 
+    /// Handles a worker's reply to an order.
+    pub fn on_worker_reply(&mut self, time: Time, ledger: &Ledger, reply: Reply) {
+        match reply {
+            Reply::Poll(reply) => self.on_poll_reply(time, ledger, reply),
+            Reply::Start(reply) => self.on_start_reply(time, ledger, reply),
+            Reply::Stop(reply) => self.on_stop_reply(time, reply),
+            Reply::Pace(reply) => self.on_pace_reply(reply),
+        }
+    }
+
     /// Applies an event of a committed log entry.
     pub fn on_event(&mut self, time: Time, ledger: &Ledger, event: &Event) {
         match event {
--- a/crates/sched/src/scheduler/pacing.rs
+++ b/crates/sched/src/scheduler/pacing.rs
@@ -9,6 +9,7 @@
 use crate::order::{Answer, Destination, Order, Pace};
 use crate::worker::{Run, RunState, Worker};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Ratio of latency to target above which the share is halved.
@@ -24,7 +25,7 @@
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Reply to an order that sets the share of a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PaceReply {
     /// Incarnation that the order was sent to.
     pub incarnation: Incarnation,
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -10,6 +10,7 @@
 use crate::worker::{RunState, Worker};
 use jobs::command::{Discarded, End, EndList};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -36,7 +37,7 @@
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Reply to a poll for a worker's run lists.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PollReply {
     /// Incarnation that was polled.
     pub incarnation: Incarnation,
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -10,6 +10,7 @@
 use crate::worker::{RunState, StopReason};
 use jobs::command::Discarded;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Unanswered starts after which the run is stopped and its unit placed elsewhere.
@@ -26,7 +27,7 @@
 const STUCK_RUN_TIME_FRACTION: f64 = 0.1;
 
 /// Reply to an order to start a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartReply {
     /// Incarnation that the order was sent to.
     pub incarnation: Incarnation,
@@ -39,7 +40,7 @@
 }
 
 /// Reply to an order to stop a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StopReply {
     /// Incarnation that the order was sent to.
     pub incarnation: Incarnation,
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -97,6 +97,8 @@
             durable: true,
             peer_address: settings.peer_address(),
             control_address: settings.listen.control,
+            data_centre: Some(settings.data_centre.clone()),
+            relays_orders: true,
         },
         seeds: settings.seed_addresses(),
         founders: settings.seeds.0.clone(),
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -57,6 +57,8 @@
             durable: false,
             peer_address: settings.peer_address(),
             control_address: None,
+            data_centre: Some(settings.data_centre.clone()),
+            relays_orders: false,
         };
         let gateway = Gateway::start(process_info, clock, settings.seed_addresses());
         let stopping = Arc::new(AtomicBool::new(false));
