Sched: plan the placements of a pool on one list of its workers

What callers saw: in a surge jobs started late on a grown site. Cause: for each unit each worker of the pool was looked up by name several times, and its runs were walked to score it, so a placement cost the workers of the pool times their runs; it was paid again for a plan that was thrown away. The workers of a pool are now summarized once for each decision, units are planned on the summaries, and the scheduler's state changes when the plan of the pool is complete. Which worker is chosen does not change.

--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -9,11 +9,11 @@
 //! Long-running work is spread over racks, packed on few instances, and kept off
 //! instances that are due for maintenance.
 
-use crate::worker::Worker;
-use jobs::{Step, StepKey};
+use crate::worker::{Run, Worker};
+use jobs::definition::Resources;
+use jobs::{Step, StepKey, WorkerId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// Parameters of a placement, common to all candidate workers.
 #[derive(Clone, Copy, Debug)]
@@ -22,10 +22,6 @@
     pub key: StepKey,
     /// Description of the step.
     pub step: &'a Step,
-    /// Present time on the leader's monotonic clock.
-    pub now: Duration,
-    /// Time without an answer after which a worker gets no new work.
-    pub max_silence: Duration,
     /// Units of the step on each rack; empty unless the step is long-running.
     pub units_per_rack: &'a BTreeMap<String, u32>,
     /// Data centre in which the step's units should run; `None` for no preference, as
@@ -33,19 +29,87 @@
     pub preferred_data_centre: Option<&'a str>,
 }
 
-/// Returns whether a unit of the step may run on a worker.
-pub fn is_feasible(worker: &Worker, request: &Request<'_>) -> bool {
-    let Request { key, step, now, max_silence, .. } = request;
-    if !worker.is_schedulable(*now, *max_silence)
-        || !worker.free_resources().covers(&step.reserved_resources())
-    {
-        return false;
+/// A schedulable worker, with what it runs and what was placed on it in this decision.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// Name of the worker.
+    pub id: &'a WorkerId,
+    /// The worker as it was before this decision.
+    pub worker: &'a Worker,
+    /// Resources that are free.
+    pub free: Resources,
+    /// Resources that runs reserve.
+    reserved: Resources,
+    has_long_running: bool,
+    serves_requests: bool,
+    best_effort_runs: u32,
+    is_idle: bool,
+    /// Units placed in this decision, by step.
+    placed: BTreeMap<StepKey, u32>,
+}
+
+impl<'a> Candidate<'a> {
+    /// Summarizes the runs of a worker.
+    pub fn new(id: &'a WorkerId, worker: &'a Worker) -> Candidate<'a> {
+        let mut candidate = Candidate {
+            id,
+            worker,
+            free: worker.free_resources(),
+            reserved: worker.reserved,
+            has_long_running: false,
+            serves_requests: false,
+            best_effort_runs: 0,
+            is_idle: worker.runs.is_empty(),
+            placed: BTreeMap::new(),
+        };
+        worker.runs.values().for_each(|run| candidate.count(run));
+        candidate
+    }
+
+    /// Adds a unit that was placed on the worker.
+    pub fn place(&mut self, key: StepKey, run: &Run) {
+        self.free = self.free.minus(&run.resources);
+        self.reserved = self.reserved.plus(&run.resources);
+        self.is_idle = false;
+        self.count(run);
+        *self.placed.entry(key).or_default() += 1;
+    }
+
+    /// Returns the data centre of the worker.
+    pub fn data_centre(&self) -> Option<&'a str> {
+        self.worker.report.as_ref().map(|report| report.data_centre.as_str())
+    }
+
+    /// Returns the rack of the worker.
+    pub fn rack(&self) -> Option<&'a String> {
+        self.worker.report.as_ref().and_then(|report| report.rack())
+    }
+
+    fn labels(&self) -> &'a [String] {
+        self.worker.report.as_ref().map_or(&[], |report| report.labels.as_slice())
+    }
+
+    fn count(&mut self, run: &Run) {
+        self.has_long_running |= run.long_running;
+        self.serves_requests |= run.tail_latency_target.is_some();
+        self.best_effort_runs += u32::from(run.best_effort);
     }
-    let labels = worker.report.as_ref().map(|report| report.labels.as_slice()).unwrap_or_default();
-    if step.requires.as_ref().is_some_and(|label| !labels.contains(label)) {
-        return false;
+
+    /// Returns whether a unit of the step may run on the worker.
+    pub fn is_feasible(&self, request: &Request<'_>) -> bool {
+        let Request { key, step, .. } = request;
+        if !self.free.covers(&step.reserved_resources())
+            || (self.worker.is_on_probation() && !self.is_idle)
+        {
+            return false;
+        }
+        if step.requires.as_ref().is_some_and(|label| !self.labels().contains(label)) {
+            return false;
+        }
+        let units =
+            || self.worker.count_runs(key) + self.placed.get(key).copied().unwrap_or_default();
+        step.anti_affinity == 0 || units() < step.anti_affinity
     }
-    step.anti_affinity == 0 || worker.count_runs(key) < step.anti_affinity
 }
 
 /// Suitability of a worker for a unit, compared field by field; the greatest wins.
@@ -71,41 +135,35 @@
 }
 
 /// Scores a worker for a unit of the step.
-pub fn score(worker: &Worker, request: &Request<'_>) -> Score {
+pub fn score(candidate: &Candidate<'_>, request: &Request<'_>) -> Score {
     let step = request.step;
-    let report = worker.report.as_ref();
-    let labels = report.map(|report| report.labels.as_slice()).unwrap_or_default();
-    let free = worker.free_resources();
+    let free = candidate.free;
     let score = Score {
-        healthy: worker.consecutive_failures == 0,
+        healthy: candidate.worker.consecutive_failures == 0,
         undisturbed: true,
-        data_local: step.affinity.as_ref().is_none_or(|rack| labels.contains(rack)),
+        data_local: step.affinity.as_ref().is_none_or(|rack| candidate.labels().contains(rack)),
         in_preferred_data_centre: request
             .preferred_data_centre
-            .is_none_or(|preferred| report.is_some_and(|r| r.data_centre == preferred)),
+            .is_none_or(|preferred| candidate.data_centre() == Some(preferred)),
         crowding: Reverse(0),
-        has_long_running: worker.runs.values().any(|run| run.long_running),
+        has_long_running: candidate.has_long_running,
         resources: Reverse((free.cpu_milli, free.memory_mb)),
     };
     if step.best_effort {
-        let serves_requests = worker.runs.values().any(|run| run.tail_latency_target.is_some());
-        let best_effort_runs = worker.runs.values().filter(|run| run.best_effort).count() as u32;
-        let resources = Reverse((worker.reserved.cpu_milli, worker.reserved.memory_mb));
+        let reserved = candidate.reserved;
         return Score {
-            undisturbed: !serves_requests,
-            crowding: Reverse(best_effort_runs),
+            undisturbed: !candidate.serves_requests,
+            crowding: Reverse(candidate.best_effort_runs),
             has_long_running: false,
-            resources,
+            resources: Reverse((reserved.cpu_milli, reserved.memory_mb)),
             ..score
         };
     }
     if step.long_running {
-        let rack = report.and_then(|report| report.rack());
-        let units_on_rack =
-            rack.and_then(|rack| request.units_per_rack.get(rack)).copied().unwrap_or(0);
+        let units_on_rack = candidate.rack().and_then(|rack| request.units_per_rack.get(rack));
         return Score {
-            undisturbed: !worker.maintenance_due,
-            crowding: Reverse(units_on_rack),
+            undisturbed: !candidate.worker.maintenance_due,
+            crowding: Reverse(units_on_rack.copied().unwrap_or(0)),
             ..score
         };
     }
--- a/crates/sched/src/scheduler/advice.rs
+++ b/crates/sched/src/scheduler/advice.rs
@@ -65,22 +65,6 @@
 }
 
 impl Scheduler {
-    /// Returns the candidates that have a ticket for a step, or all of them if its queue has
-    /// no policy.
-    pub(super) fn permitted(
-        &self,
-        time: Time,
-        ledger: &Ledger,
-        key: &StepKey,
-        candidates: &[WorkerId],
-    ) -> Vec<WorkerId> {
-        if policy(ledger, key).is_none() {
-            return candidates.to_vec();
-        }
-        let has_ticket = |id: &&WorkerId| self.ticket(time, key, id).is_some();
-        candidates.iter().filter(has_ticket).cloned().collect()
-    }
-
     /// Returns the usable ticket of a step for the current incarnation of a worker.
     pub(super) fn ticket(&self, time: Time, key: &StepKey, id: &WorkerId) -> Option<&String> {
         let ticket = self.advice.steps.get(key)?.tickets.get(id)?;
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -3,13 +3,13 @@
 //! In each pool, waiting steps are tried in the order of their rank. A step that does not
 //! fit is skipped, so that steps behind it can use the free resources.
 
-use super::{Scheduler, Time};
-use crate::place::{self, Request};
+use super::{Scheduler, Time, Waiting, advice};
+use crate::place::{self, Candidate, Request};
 use crate::rank::Rank;
-use crate::worker::{Run, RunState};
+use crate::worker::{Run, RunState, Worker};
 use jobs::command::Placed;
 use jobs::definition::Resources;
-use jobs::{Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
+use jobs::{Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -17,13 +17,44 @@
 /// poll plus the time after which an unanswered poll is given up.
 const MAX_SILENCE: Duration = Duration::from_millis(2800);
 
+/// Placements of one pool, decided and not carried out yet.
+#[derive(Debug, Default)]
+struct Plan<'a> {
+    placements: Vec<Placement<'a>>,
+    /// Steps of queues with a policy that have ready units left.
+    undecided_steps: Vec<StepKey>,
+    /// Workers for which those steps need tickets.
+    candidate_ids: Vec<WorkerId>,
+}
+
+/// Decision to run a unit on a worker.
+#[derive(Clone, Debug)]
+struct Placement<'a> {
+    unit: UnitKey,
+    number: RunNumber,
+    step: &'a Step,
+    worker: WorkerId,
+}
+
+/// Placement of waiting units.
 impl Scheduler {
     /// Places waiting units of all pools and adds the placements to the next proposal.
     pub(super) fn place(&mut self, time: Time, ledger: &Ledger) {
         let mut placed: BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>> = BTreeMap::new();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
         for pool in pools {
-            self.place_pool(time, ledger, &pool, &mut placed);
+            self.effort.workers_examined += self.workers.len() as u64;
+            let plan = self.plan_pool(time, ledger, &pool);
+            for placement in plan.placements {
+                self.add_proposed_run(time, &placement);
+                placed
+                    .entry(placement.worker)
+                    .or_default()
+                    .push((placement.unit, placement.number));
+            }
+            for key in plan.undecided_steps {
+                self.request_tickets(time, ledger, &key, &plan.candidate_ids);
+            }
         }
         self.waiting.retain(|_, steps| {
             steps.retain(|_, waiting| !waiting.units.is_empty());
@@ -35,62 +66,75 @@
         }
     }
 
-    /// Places the waiting units of one pool, and asks the policy for tickets for steps that
-    /// still have waiting units.
-    fn place_pool(
-        &mut self,
-        time: Time,
-        ledger: &Ledger,
-        pool: &PoolName,
-        placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
-    ) {
-        self.effort.workers_examined += self.workers.len() as u64;
-        let candidates: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.is_schedulable(time.monotonic, MAX_SILENCE)
-                    && worker.polling.unanswered == 0
-                    && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        let mut largest = self.largest_resources(&candidates);
-        for (_, key) in self.ranked_steps(time, ledger, pool) {
+    /// Decides where the waiting units of one pool run.
+    fn plan_pool<'a>(&self, time: Time, ledger: &'a Ledger, pool: &PoolName) -> Plan<'a> {
+        let mut plan = Plan::default();
+        let Some(steps) = self.waiting.get(pool) else { return plan };
+        let mut candidates = self.candidates(time, pool);
+        let mut largest = largest_free(&candidates);
+        for (_, key) in self.ranked_steps(time, ledger, steps) {
             let Some(job) = ledger.job(key.job) else { continue };
             let step = &job.definition.steps[usize::from(key.step)];
             if !largest.covers(&step.reserved_resources()) {
                 continue;
             }
-            let racks = self.count_units_per_rack(&key, step);
-            let permitted = self.permitted(time, ledger, &key, &candidates);
-            let data_centre = self.choose_data_centre(time, ledger, &key, &permitted);
-            let (now, max_silence, preferred_data_centre) =
-                (time.monotonic, MAX_SILENCE, data_centre.as_deref());
+            let indices = ready_units(time, &steps[&key]);
+            let has_policy = advice::policy(ledger, &key).is_some();
+            let mut permitted: Vec<&mut Candidate<'_>> = candidates
+                .iter_mut()
+                .filter(|candidate| !has_policy || self.ticket(time, &key, candidate.id).is_some())
+                .collect();
+            let units_per_rack = self.count_units_per_rack(&key, step);
+            let data_centre = self.choose_data_centre(ledger, &key, indices.len(), &permitted);
             let request = Request {
                 key,
                 step,
-                now,
-                max_silence,
-                units_per_rack: &racks,
-                preferred_data_centre,
+                units_per_rack: &units_per_rack,
+                preferred_data_centre: data_centre.as_deref(),
             };
-            let placed_count = if step.gang {
-                self.place_gang(time, ledger, &request, &permitted, placed)
+            let placements = if step.gang {
+                self.plan_gang(time, ledger, &request, &indices, &mut permitted)
             } else {
-                self.place_units(time, ledger, &request, &permitted, placed)
+                self.plan_units(time, ledger, &request, &indices, &mut permitted)
             };
-            if !self.ready_units(time, ledger, &key).is_empty() {
-                self.request_tickets(time, ledger, &key, &candidates);
+            let placed_count = placements.len();
+            plan.placements.extend(
+                placements.into_iter().map(|(unit, number, worker)| Placement {
+                    unit,
+                    number,
+                    step,
+                    worker,
+                }),
+            );
+            if has_policy && placed_count < indices.len() {
+                plan.undecided_steps.push(key);
             }
             if placed_count > 0 {
-                largest = self.largest_resources(&candidates);
+                largest = largest_free(&candidates);
             }
         }
+        if !plan.undecided_steps.is_empty() {
+            plan.candidate_ids = candidates.iter().map(|candidate| candidate.id.clone()).collect();
+        }
+        plan
+    }
+
+    /// Returns the workers of a pool that may get new work.
+    fn candidates(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
+        let is_candidate = |worker: &Worker| {
+            worker.polling.unanswered == 0
+                && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
+                && worker.is_schedulable(time.monotonic, MAX_SILENCE)
+        };
+        self.workers
+            .iter()
+            .filter(|(_, worker)| is_candidate(worker))
+            .map(|(id, worker)| Candidate::new(id, worker))
+            .collect()
     }
 
     /// Counts the units of a long-running step on each rack; other steps have no counts.
-    fn count_units_per_rack(&self, key: &StepKey, step: &jobs::Step) -> BTreeMap<String, u32> {
+    fn count_units_per_rack(&self, key: &StepKey, step: &Step) -> BTreeMap<String, u32> {
         let mut racks = BTreeMap::new();
         if step.long_running {
             for worker in self.workers.values() {
@@ -105,59 +149,48 @@
 
     /// Returns the data centre that a step should run in: the one where a unit of it runs
     /// already, else the one with the least free processor capacity that suffices for all
-    /// waiting units, else the one with the most. None for long-running steps and for steps
-    /// of one unit.
+    /// `unit_count` waiting units, else the one with the most. None for long-running steps and
+    /// for steps of one unit.
     fn choose_data_centre(
         &self,
-        time: Time,
         ledger: &Ledger,
         key: &StepKey,
-        candidates: &[WorkerId],
+        unit_count: usize,
+        candidates: &[&mut Candidate<'_>],
     ) -> Option<String> {
-        let step = &ledger.job(key.job)?.definition.steps[usize::from(key.step)];
+        let job = ledger.job(key.job)?;
+        let step = &job.definition.steps[usize::from(key.step)];
         if step.long_running || step.count < 2 {
             return None;
         }
-        let data_centre_of =
-            |id: &WorkerId| Some(&self.workers.get(id)?.report.as_ref()?.data_centre);
-        let units =
-            ledger.job(key.job)?.occurrences.get(&key.occurrence)?.steps.get(key.step as usize)?;
+        let units = job.occurrences.get(&key.occurrence)?.steps.get(usize::from(key.step))?;
         let placed = units.iter().flat_map(|unit| &unit.placements).next();
         if let Some(placement) = placed {
-            return data_centre_of(&placement.incarnation.worker).cloned();
+            let worker = self.workers.get(&placement.incarnation.worker)?;
+            return worker.report.as_ref().map(|report| report.data_centre.clone());
         }
-        let needed_cpu_milli =
-            self.ready_units(time, ledger, key).len() as u64 * step.resources.cpu_milli;
-        let mut free: BTreeMap<&String, u64> = BTreeMap::new();
-        for id in candidates {
-            if let Some(data_centre) = data_centre_of(id) {
-                *free.entry(data_centre).or_default() +=
-                    self.workers[id].free_resources().cpu_milli;
+        let needed_cpu_milli = unit_count as u64 * step.resources.cpu_milli;
+        let mut free: BTreeMap<&str, u64> = BTreeMap::new();
+        for candidate in candidates {
+            if let Some(data_centre) = candidate.data_centre() {
+                *free.entry(data_centre).or_default() += candidate.free.cpu_milli;
             }
         }
         let sufficient = free
             .iter()
-            .filter(|(_, resources)| **resources >= needed_cpu_milli)
-            .min_by_key(|(_, resources)| **resources);
-        let chosen = sufficient.or_else(|| free.iter().max_by_key(|(_, resources)| **resources));
-        chosen.map(|(data_centre, _)| (*data_centre).clone())
-    }
-
-    /// Returns the largest free amount of each resource among the candidates.
-    fn largest_resources(&self, candidates: &[WorkerId]) -> Resources {
-        let mut largest = Resources::default();
-        for id in candidates {
-            let free = self.workers[id].free_resources();
-            largest.cpu_milli = largest.cpu_milli.max(free.cpu_milli);
-            largest.memory_mb = largest.memory_mb.max(free.memory_mb);
-            largest.accelerators = largest.accelerators.max(free.accelerators);
-        }
-        largest
+            .filter(|(_, cpu_milli)| **cpu_milli >= needed_cpu_milli)
+            .min_by_key(|(_, cpu_milli)| **cpu_milli);
+        let chosen = sufficient.or_else(|| free.iter().max_by_key(|(_, cpu_milli)| **cpu_milli));
+        chosen.map(|(data_centre, _)| data_centre.to_string())
     }
 
-    /// Returns the waiting steps of a pool, the most urgent first.
-    fn ranked_steps(&self, time: Time, ledger: &Ledger, pool: &PoolName) -> Vec<(Rank, StepKey)> {
-        let Some(steps) = self.waiting.get(pool) else { return Vec::new() };
+    /// Returns the steps, the most urgent first.
+    fn ranked_steps(
+        &self,
+        time: Time,
+        ledger: &Ledger,
+        steps: &BTreeMap<StepKey, Waiting>,
+    ) -> Vec<(Rank, StepKey)> {
         let mut ranked_steps: Vec<(Rank, StepKey)> = steps
             .iter()
             .filter_map(|(key, waiting)| {
@@ -174,121 +207,82 @@
         ranked_steps
     }
 
-    /// Places the ready units of a step one by one until no worker fits. Returns their
-    /// number.
-    fn place_units(
-        &mut self,
+    /// Places the units of a step one by one until no worker fits.
+    fn plan_units(
+        &self,
         time: Time,
         ledger: &Ledger,
         request: &Request<'_>,
-        candidates: &[WorkerId],
-        placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
-    ) -> usize {
-        let mut count = 0;
-        for index in self.ready_units(time, ledger, &request.key) {
-            let unit = request.key.unit(index);
-            let racks = self.count_units_per_rack(&request.key, request.step);
-            let request = &Request { units_per_rack: &racks, ..*request };
-            let Some(id) = self.best_worker(request, candidates, &unit) else { break };
-            let number = self.next_run(ledger, &unit);
-            self.add_proposed_run(time, request, &id, unit, number);
-            placed.entry(id).or_default().push((unit, number));
-            count += 1;
+        indices: &[u32],
+        candidates: &mut [&mut Candidate<'_>],
+    ) -> Vec<(UnitKey, RunNumber, WorkerId)> {
+        let mut units_per_rack = request.units_per_rack.clone();
+        let mut placements = Vec::new();
+        for index in indices {
+            let unit = request.key.unit(*index);
+            let request = &Request { units_per_rack: &units_per_rack, ..*request };
+            let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
+            best.place(request.key, &Run::new(RunState::Proposed, request.step, time.monotonic));
+            placements.push((unit, self.next_run(ledger, &unit), best.id.clone()));
+            if let Some(rack) = best.rack().filter(|_| request.step.long_running) {
+                *units_per_rack.entry(rack.clone()).or_default() += 1;
+            }
         }
-        count
+        placements
     }
 
-    /// Places all members of a gang or none. Returns their number.
-    fn place_gang(
-        &mut self,
+    /// Places all members of a gang or none.
+    fn plan_gang(
+        &self,
         time: Time,
         ledger: &Ledger,
         request: &Request<'_>,
-        candidates: &[WorkerId],
-        placed: &mut BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>>,
-    ) -> usize {
-        let indices = self.ready_units(time, ledger, &request.key);
+        indices: &[u32],
+        candidates: &mut [&mut Candidate<'_>],
+    ) -> Vec<(UnitKey, RunNumber, WorkerId)> {
         if indices.len() < request.step.count as usize {
-            return 0; // members of an earlier run have not been released yet
+            return Vec::new(); // members of an earlier run have not been released yet
         }
         let number = indices
             .iter()
             .map(|index| self.next_run(ledger, &request.key.unit(*index)))
             .max()
             .unwrap_or(1);
-        for group in self.candidate_groups(request, candidates) {
-            let mut chosen: Vec<(WorkerId, UnitKey)> = Vec::new();
-            for index in &indices {
-                let unit = request.key.unit(*index);
-                let Some(id) = self.best_worker(request, &group, &unit) else { break };
-                self.add_proposed_run(time, request, &id, unit, number);
-                chosen.push((id, unit));
-            }
-            if chosen.len() == indices.len() {
-                for (id, unit) in chosen {
-                    placed.entry(id).or_default().push((unit, number));
-                }
-                return indices.len();
+        for group in candidate_groups(request, candidates) {
+            let mut group: Vec<Candidate<'_>> =
+                group.into_iter().map(|position| candidates[position].clone()).collect();
+            let mut members: Vec<&mut Candidate<'_>> = group.iter_mut().collect();
+            let placements = self.plan_units(time, ledger, request, indices, &mut members);
+            if placements.len() < indices.len() {
+                continue;
             }
-            for (id, unit) in chosen {
-                if let Some(worker) = self.workers.get_mut(&id) {
-                    worker.remove(unit, number);
+            let run = Run::new(RunState::Proposed, request.step, time.monotonic);
+            for (_, _, worker) in &placements {
+                if let Some(candidate) = candidates.iter_mut().find(|other| other.id == worker) {
+                    candidate.place(request.key, &run);
                 }
-                self.last_run_numbers.insert(unit, number - 1); // the number was not used
-                self.enqueue(ledger, unit, time.monotonic);
             }
+            // All members of a gang have the same number.
+            return placements.into_iter().map(|(unit, _, id)| (unit, number, id)).collect();
         }
-        0
-    }
-
-    /// Returns the sets of workers to try for a gang: for a step that should run on one rack
-    /// first each rack, then all candidates.
-    fn candidate_groups(
-        &self,
-        request: &Request<'_>,
-        candidates: &[WorkerId],
-    ) -> Vec<Vec<WorkerId>> {
-        let mut candidate_groups = Vec::new();
-        if request.step.same_rack {
-            let mut racks: BTreeMap<&str, Vec<WorkerId>> = BTreeMap::new();
-            for id in candidates {
-                let report = self.workers[id].report.as_ref();
-                if let Some(rack) = report.and_then(|report| report.rack()) {
-                    racks.entry(rack).or_default().push(id.clone());
-                }
-            }
-            candidate_groups.extend(racks.into_values());
-        }
-        candidate_groups.push(candidates.to_vec());
-        candidate_groups
-    }
-
-    /// Returns the indices of a step's waiting units that may be placed now.
-    fn ready_units(&self, time: Time, ledger: &Ledger, key: &StepKey) -> Vec<u32> {
-        let Some(job) = ledger.job(key.job) else { return Vec::new() };
-        let waiting = self.waiting.get(&job.pool).and_then(|steps| steps.get(key));
-        let ready = |(index, not_before): (&u32, &Duration)| {
-            (*not_before <= time.monotonic).then_some(*index)
-        };
-        waiting.map(|waiting| waiting.units.iter().filter_map(ready).collect()).unwrap_or_default()
+        Vec::new()
     }
 
     /// Returns the feasible worker with the best score. Workers to be avoided for the unit
     /// are chosen only if no other is feasible.
-    fn best_worker(
+    fn best_candidate<'b, 'a>(
         &self,
         request: &Request<'_>,
-        candidates: &[WorkerId],
+        candidates: &'b mut [&mut Candidate<'a>],
         unit: &UnitKey,
-    ) -> Option<WorkerId> {
+    ) -> Option<&'b mut Candidate<'a>> {
         let none = BTreeSet::new();
         let avoid = self.avoided_workers.get(unit).unwrap_or(&none);
-        let is_feasible = |id: &&WorkerId| place::is_feasible(&self.workers[*id], request);
-        candidates
-            .iter()
-            .filter(is_feasible)
-            .max_by_key(|id| (!avoid.contains(*id), place::score(&self.workers[*id], request)))
-            .cloned()
+        let best =
+            candidates.iter_mut().filter(|candidate| candidate.is_feasible(request)).max_by_key(
+                |candidate| (!avoid.contains(candidate.id), place::score(candidate, request)),
+            )?;
+        Some(&mut **best)
     }
 
     /// Returns the next run number of a unit, higher than all used by any leader.
@@ -299,23 +293,53 @@
 
     /// Reserves a worker's resources for a new run and removes its unit from the waiting
     /// units.
-    fn add_proposed_run(
-        &mut self,
-        time: Time,
-        request: &Request<'_>,
-        id: &WorkerId,
-        unit: UnitKey,
-        number: RunNumber,
-    ) {
+    fn add_proposed_run(&mut self, time: Time, placement: &Placement<'_>) {
+        let Placement { unit, number, step, worker: id } = placement;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let run = Run::new(RunState::Proposed, request.step, time.monotonic);
-        worker.add(unit, number, run);
-        self.last_run_numbers.insert(unit, number);
-        self.placed_on.entry(unit).or_default().insert(id.clone());
+        worker.add(*unit, *number, Run::new(RunState::Proposed, step, time.monotonic));
+        self.last_run_numbers.insert(*unit, *number);
+        self.placed_on.entry(*unit).or_default().insert(id.clone());
         for steps in self.waiting.values_mut() {
-            if let Some(waiting) = steps.get_mut(&request.key) {
+            if let Some(waiting) = steps.get_mut(&unit.step_key()) {
                 waiting.units.remove(&unit.index);
             }
         }
     }
 }
+
+/// Returns the indices of a step's waiting units that may be placed now.
+fn ready_units(time: Time, waiting: &Waiting) -> Vec<u32> {
+    let units = waiting.units.iter();
+    units
+        .filter(|(_, not_before)| **not_before <= time.monotonic)
+        .map(|(index, _)| *index)
+        .collect()
+}
+
+/// Returns the largest free amount of each resource among the candidates.
+fn largest_free(candidates: &[Candidate<'_>]) -> Resources {
+    let mut largest = Resources::default();
+    for Candidate { free, .. } in candidates {
+        largest.cpu_milli = largest.cpu_milli.max(free.cpu_milli);
+        largest.memory_mb = largest.memory_mb.max(free.memory_mb);
+        largest.accelerators = largest.accelerators.max(free.accelerators);
+    }
+    largest
+}
+
+/// Returns the sets of candidates to try for a gang, as positions in the list: for a step that
+/// should run on one rack first each rack, then all candidates.
+fn candidate_groups(request: &Request<'_>, candidates: &[&mut Candidate<'_>]) -> Vec<Vec<usize>> {
+    let mut groups = Vec::new();
+    if request.step.same_rack {
+        let mut racks: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (position, candidate) in candidates.iter().enumerate() {
+            if let Some(rack) = candidate.rack() {
+                racks.entry(rack).or_default().push(position);
+            }
+        }
+        groups.extend(racks.into_values());
+    }
+    groups.push((0..candidates.len()).collect());
+    groups
+}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -199,7 +199,12 @@
             && reachable
             && self.accepts_starts()
             && now >= self.backoff_until
-            && (self.consecutive_failures < PROBATION_FAILURES || self.runs.is_empty())
+            && (!self.is_on_probation() || self.runs.is_empty())
+    }
+
+    /// Returns whether the worker failed so often that it gets one unit at a time.
+    pub fn is_on_probation(&self) -> bool {
+        self.consecutive_failures >= PROBATION_FAILURES
     }
 
     /// Returns the number of runs of a step on the worker.
