Sched: a job is pending until a worker is known to have begun it

Cause: the count took a job as begun once a run was placed in the log. The start follows after the commit, by a call that can wait or get no answer; with a leader far behind, hundreds of placed jobs had begun nowhere. The leader now counts a job until an answer to a start, or a worker's lists, show a unit of it.

--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -118,7 +118,10 @@
         };
         match config.route(&location.host, &location.path) {
             None => Reply::NoQueue,
-            Some((queue, "")) => Reply::Pending(self.ledger.queued_count(queue) as u64),
+            Some((queue, "")) => {
+                let scheduler = self.leadership.as_ref().map(|leadership| &leadership.scheduler);
+                Reply::Pending(scheduler.map_or(0, |s| s.pending_count(queue)) as u64)
+            }
             Some((queue, id)) => match self.ledger.find_job(queue, id) {
                 Some(job) => Reply::State(job.state),
                 None => Reply::Missing,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -155,6 +155,12 @@
         self.state != State::Queued
     }
 
+    /// Returns whether a run of the job is known to have ended on a worker, done or failed.
+    pub fn has_ended_run(&self) -> bool {
+        let mut units = self.occurrences.values().flat_map(|o| o.steps.iter().flatten());
+        units.any(|unit| unit.done || unit.failures > 0 || !unit.checkpoint.is_empty())
+    }
+
     /// Explains the job to an operator: when it was accepted, the progress of each step
     /// and what its units wait for, and how the job ended.
     pub fn explain(&self) -> Vec<Decision> {
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -229,12 +229,6 @@
     pub fn pending_moves(&self) -> &BTreeMap<InstanceId, PendingMove> {
         &self.moves
     }
-
-    /// Returns the number of jobs of a queue none of whose units has been started.
-    pub fn queued_count(&self, queue: &QueueName) -> usize {
-        let queued = |job: &&Job| job.state == State::Queued && job.queue == *queue;
-        self.jobs.values().filter(queued).count()
-    }
 }
 
 /// Commands.
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -118,6 +118,9 @@
     accepted_at: BTreeMap<JobNumber, Duration>,
     /// Workers on which each unit of an unfinished job was placed. Runs there may have ended.
     placed_on: BTreeMap<UnitKey, BTreeSet<WorkerId>>,
+    /// Unfinished jobs that no worker is known to have begun, by queue. A placed run may still
+    /// be on its way to its worker.
+    pending_jobs: BTreeMap<QueueName, BTreeSet<JobNumber>>,
     /// Unfinished jobs that have a long-running step.
     long_running_jobs: BTreeSet<JobNumber>,
     /// Workers on which a run of the unit failed, got stuck or had an unanswered
@@ -180,6 +183,7 @@
             due_occurrences: BTreeSet::new(),
             accepted_at: BTreeMap::new(),
             placed_on: BTreeMap::new(),
+            pending_jobs: BTreeMap::new(),
             long_running_jobs: BTreeSet::new(),
             avoided_workers: BTreeMap::new(),
             last_run_numbers: BTreeMap::new(),
@@ -237,6 +241,11 @@
         self.waiting.iter().map(|(pool, steps)| (pool.clone(), count(steps))).collect()
     }
 
+    /// Returns the number of jobs of a queue that no worker is known to have begun.
+    pub fn pending_count(&self, queue: &QueueName) -> usize {
+        self.pending_jobs.get(queue).map_or(0, BTreeSet::len)
+    }
+
     /// Takes over the jobs, runs, waves and moves that the ledger holds.
     fn inherit(&mut self, time: Time, ledger: &Ledger) {
         for (number, job) in ledger.jobs() {
@@ -260,6 +269,9 @@
                 }
             }
             if !job.state.is_final() {
+                if !job.has_ended_run() {
+                    self.pending_jobs.entry(job.queue.clone()).or_default().insert(*number);
+                }
                 self.enqueue_job(time, ledger, *number);
             }
         }
@@ -393,6 +405,9 @@
             Event::Configured => self.regroup_by_pool(ledger),
             Event::Accepted(number) => {
                 self.accepted_at.insert(*number, time.monotonic);
+                if let Some(job) = ledger.job(*number) {
+                    self.pending_jobs.entry(job.queue.clone()).or_default().insert(*number);
+                }
                 self.record_job_work(ledger, *number);
                 self.record_arrival(time, ledger, *number);
                 self.enqueue_job(time, ledger, *number);
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -234,6 +234,9 @@
             self.batch.ended.push(EndList { incarnation: incarnation.clone(), ends });
         }
         let address = worker.report.as_ref().map(|report| report.address);
+        for (unit, _) in running.keys().chain(&finished_runs) {
+            self.record_begun(ledger, unit.job);
+        }
         for status in unplaced {
             let Some(address) = address else { break };
             // A start that was given up was carried out late. The unit may be unknown by
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -136,6 +136,7 @@
                 run.state = RunState::Running;
                 run.started_at = Some(time.monotonic);
                 run.progress = (0, time.monotonic);
+                self.record_begun(ledger, unit.job);
             }
             Answer::Unknown => {
                 run.unanswered_starts += 1;
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -144,6 +144,7 @@
         }
         self.due_occurrences.retain(|(_, job, _)| *job != number);
         self.long_running_jobs.remove(&number);
+        self.record_begun(ledger, number);
         remove_range(&mut self.avoided_workers, units.clone());
         remove_range(&mut self.last_run_numbers, units.clone());
         self.accepted_at.remove(&number);
@@ -154,6 +155,14 @@
         remove_range(&mut self.placed_on, units);
     }
 
+    /// Records that a worker has begun a unit of a job, or that the job is finished.
+    pub(super) fn record_begun(&mut self, ledger: &Ledger, number: JobNumber) {
+        let Some(job) = ledger.job(number) else { return };
+        if let Some(pending) = self.pending_jobs.get_mut(&job.queue) {
+            pending.remove(&number);
+        }
+    }
+
     /// Returns the runs, on any worker, of a range of units of unfinished jobs.
     pub(super) fn find_runs(
         &mut self,
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -492,3 +492,33 @@
     let examined = world.scheduler.effort().workers_examined - before;
     assert!(examined <= 4 * 40, "{examined} workers were examined within 5 ms, there are 40");
 }
+
+#[test]
+fn a_job_whose_start_has_not_arrived_is_still_pending() {
+    let mut world = World::new(1);
+    let queue = "q".to_string();
+    let worker = world.workers.get_mut("w0").unwrap();
+    (worker.loses_start_answers, worker.executes_lost_starts) = (true, false);
+    world.submit("q", "a", vec![step(2, 1000, 1000)]);
+    world.run(seconds(0.1));
+    assert_eq!(world.state("q", "a"), State::Running, "the run is placed in the log");
+    assert_eq!(world.scheduler.pending_count(&queue), 1);
+    world.workers.get_mut("w0").unwrap().loses_start_answers = false;
+    world.run(seconds(6.0));
+    assert!(!world.starts.is_empty());
+    assert_eq!(world.scheduler.pending_count(&queue), 0);
+}
+
+#[test]
+fn pending_jobs_are_known_to_the_next_leader() {
+    let mut world = World::new(1);
+    let queue = "q".to_string();
+    for number in 0..3 {
+        world.submit("q", &format!("a{number}"), vec![step(1, 6000, 60_000)]);
+    }
+    world.run(seconds(1.0));
+    assert_eq!(world.scheduler.pending_count(&queue), 2, "one of them runs");
+    world.replace_leader();
+    world.run(seconds(2.0));
+    assert_eq!(world.scheduler.pending_count(&queue), 2);
+}
