--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -5,7 +5,7 @@
 use jobs::definition::Resources;
 use jobs::{Incarnation, InstanceId, PoolName, WorkerId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -67,6 +67,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     workers: BTreeMap<WorkerId, Received>,
+    /// Workers by their address and by their instance. Both hold at most a few for each, until
+    /// the next report from there replaces the others.
+    by_address: BTreeMap<SocketAddr, BTreeSet<WorkerId>>,
+    by_instance: BTreeMap<InstanceId, BTreeSet<WorkerId>>,
     /// Last incarnation of each worker that announced its end or is known to have ended,
     /// and when that was recorded.
     ended: BTreeMap<WorkerId, (Incarnation, Duration)>,
@@ -106,21 +110,22 @@
                 report.draining |= newest.draining;
             }
         }
-        let has_same_address = |received: &Received| {
-            received.report.address == report.address
-                && received.report.incarnation.worker != report.incarnation.worker
+        let own_id = &report.incarnation.worker;
+        let started_at = report.incarnation.started_at;
+        let others_at_address = ids_at(&self.by_address, &report.address, own_id);
+        let is_later = |id: &WorkerId| {
+            self.workers.get(id).is_some_and(|r| r.report.incarnation.started_at > started_at)
         };
-        if self.workers.values().any(|received| {
-            has_same_address(received)
-                && received.report.incarnation.started_at > report.incarnation.started_at
-        }) {
+        if others_at_address.iter().any(is_later) {
             return Freshness::Stale; // a later incarnation already has the address
         }
-        let is_predecessor = |received: &Received| {
-            received.report.instance == report.instance
-                && received.report.incarnation.started_at < report.incarnation.started_at
-        };
-        self.workers.retain(|_, received| !has_same_address(received) && !is_predecessor(received));
+        let mut predecessors = ids_at(&self.by_instance, &report.instance, own_id);
+        predecessors.retain(|id| {
+            self.workers.get(id).is_some_and(|r| r.report.incarnation.started_at < started_at)
+        });
+        for id in others_at_address.iter().chain(&predecessors) {
+            self.remove(id);
+        }
         let changed = self.workers.get(&report.incarnation.worker).is_none_or(|received| {
             let newest = &received.report;
             newest.incarnation != report.incarnation
@@ -128,8 +133,11 @@
                 || newest.address != report.address
                 || newest.pool != report.pool
         });
-        self.workers
-            .insert(report.incarnation.worker.clone(), Received { report, received_at: now });
+        let id = report.incarnation.worker.clone();
+        self.remove(&id);
+        self.by_address.entry(report.address).or_default().insert(id.clone());
+        self.by_instance.entry(report.instance.clone()).or_default().insert(id.clone());
+        self.workers.insert(id, Received { report, received_at: now });
         if changed { Freshness::Changed } else { Freshness::Unchanged }
     }
 
@@ -140,7 +148,7 @@
         now: Duration,
         worker: &WorkerId,
     ) -> Option<Incarnation> {
-        let received = self.workers.remove(worker)?;
+        let received = self.remove(worker)?;
         let incarnation = received.report.incarnation;
         self.ended.insert(worker.clone(), (incarnation.clone(), now));
         Some(incarnation)
@@ -153,7 +161,7 @@
             .get(&incarnation.worker)
             .is_some_and(|received| received.report.incarnation == *incarnation)
         {
-            self.workers.remove(&incarnation.worker);
+            self.remove(&incarnation.worker);
         }
         self.ended.insert(incarnation.worker.clone(), (incarnation.clone(), now));
     }
@@ -161,10 +169,27 @@
     /// Drops workers that have not reported for `REPORT_EXPIRY`, and ended incarnations
     /// after the same time.
     pub fn expire(&mut self, now: Duration) {
-        self.workers.retain(|_, received| now < received.received_at + REPORT_EXPIRY);
+        let is_expired = |received: &Received| now >= received.received_at + REPORT_EXPIRY;
+        let expired: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, received)| is_expired(received))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in expired {
+            self.remove(&id);
+        }
         self.ended.retain(|_, (_, ended_at)| now < *ended_at + REPORT_EXPIRY);
     }
 
+    /// Removes a worker and its entries in the indexes.
+    fn remove(&mut self, id: &WorkerId) -> Option<Received> {
+        let received = self.workers.remove(id)?;
+        remove_id(&mut self.by_address, &received.report.address, id);
+        remove_id(&mut self.by_instance, &received.report.instance, id);
+        Some(received)
+    }
+
     /// Returns all workers, ordered by name.
     pub fn workers(&self) -> impl ExactSizeIterator<Item = &Received> {
         self.workers.values()
@@ -175,3 +200,22 @@
         self.workers.get(worker)
     }
 }
+
+/// Returns the other workers that an index has under a key.
+fn ids_at<K: Ord>(
+    index: &BTreeMap<K, BTreeSet<WorkerId>>,
+    key: &K,
+    own: &WorkerId,
+) -> Vec<WorkerId> {
+    index.get(key).into_iter().flatten().filter(|id| *id != own).cloned().collect()
+}
+
+/// Removes a worker from an index.
+fn remove_id<K: Ord>(index: &mut BTreeMap<K, BTreeSet<WorkerId>>, key: &K, id: &WorkerId) {
+    if let Some(ids) = index.get_mut(key) {
+        ids.remove(id);
+        if ids.is_empty() {
+            index.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/roster.rs
@@ -0,0 +1,65 @@
+//! Which report of a worker counts when addresses and instances are used again.
+
+use jobs::Incarnation;
+use jobs::definition::Resources;
+use sched::roster::Freshness;
+use sched::{Report, Roster};
+use std::time::Duration;
+
+fn report(worker: &str, started_at: u64, instance: &str, port: u16) -> Report {
+    Report {
+        incarnation: Incarnation::new(worker, started_at),
+        instance: instance.to_string(),
+        address: ([10, 0, 0, 1], port).into(),
+        pool: "p".to_string(),
+        data_centre: "north".to_string(),
+        labels: Vec::new(),
+        capacity: Resources::default(),
+        draining: false,
+        remaining: None,
+        number: 1,
+    }
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn names(roster: &Roster) -> Vec<&str> {
+    roster.workers().map(|received| received.report.incarnation.worker.as_str()).collect()
+}
+
+#[test]
+fn a_later_incarnation_at_an_address_replaces_the_earlier_worker() {
+    let mut roster = Roster::default();
+    roster.record(at(0), report("a", 1, "m1", 80));
+    assert_eq!(roster.record(at(1), report("b", 2, "m2", 80)), Freshness::Changed);
+    assert_eq!(names(&roster), ["b"]);
+    let mut late = report("a", 1, "m1", 80);
+    late.number = 2;
+    assert_eq!(roster.record(at(2), late), Freshness::Stale);
+    assert_eq!(names(&roster), ["b"]);
+}
+
+#[test]
+fn a_later_worker_of_an_instance_replaces_the_earlier_one() {
+    let mut roster = Roster::default();
+    roster.record(at(0), report("a", 1, "m1", 80));
+    roster.record(at(1), report("b", 2, "m1", 81));
+    assert_eq!(names(&roster), ["b"]);
+}
+
+#[test]
+fn an_address_and_an_instance_are_free_after_their_worker_moved_on_or_expired() {
+    let mut roster = Roster::default();
+    roster.record(at(0), report("a", 5, "m1", 80));
+    let mut moved = report("a", 6, "m2", 81);
+    moved.number = 2;
+    roster.record(at(1), moved);
+    roster.record(at(2), report("b", 1, "m1", 80));
+    assert_eq!(names(&roster), ["a", "b"], "nothing is left of the first report");
+    roster.expire(at(22));
+    assert!(names(&roster).is_empty());
+    roster.record(at(23), report("c", 1, "m2", 81));
+    assert_eq!(names(&roster), ["c"]);
+}
