--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -23,6 +23,7 @@
         if self.store.is_none() && !self.reopen_disk(time.monotonic) {
             return;
         }
+        self.update_peers();
         self.node.tick(time.monotonic);
         self.manage_voters(time);
         self.flush();
@@ -248,9 +249,8 @@
     /// Sends this process's status to the other processes if it has changed.
     pub(super) fn update_status(&mut self) {
         let mut core_addresses: std::collections::BTreeSet<_> = self
-            .environment
-            .peers()
-            .into_iter()
+            .peers
+            .iter()
             .filter(|peer| peer.control_address.is_some())
             .map(|peer| peer.peer_address)
             .collect();
--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -111,7 +111,6 @@
         if orders.is_empty() {
             return;
         }
-        let peers = self.environment.peers();
         let worker_count = self.roster.workers().len();
         let mut relayed: BTreeMap<&str, Vec<(OrderId, Order)>> = BTreeMap::new();
         for order in orders {
@@ -119,7 +118,7 @@
                 let worker = &to.incarnation.worker;
                 let received = self.roster.get(worker);
                 let data_centre = received.map(|received| received.report.data_centre.as_str());
-                self.relays.choose(time.monotonic, &peers, worker_count, worker, data_centre)
+                self.relays.choose(time.monotonic, &self.peers, worker_count, worker, data_centre)
             });
             let id = process.and_then(|to| self.relays.record(time.monotonic, &to.name, &order));
             match (process, id) {
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -182,6 +182,10 @@
     relays: Relays,
     forwarded: BTreeMap<RequestId, ForwardedRequest>,
     next_request: RequestId,
+    /// Processes with a link to this one, as of the last change of a link.
+    peers: Vec<ProcessInfo>,
+    /// Whether a link has changed since the peers were read.
+    links_changed: bool,
     /// Latest status of each other process.
     statuses: BTreeMap<Id, Status>,
     /// Status that this process published last.
@@ -235,6 +239,8 @@
             relays: Relays::default(),
             forwarded: BTreeMap::new(),
             next_request: 1,
+            peers: Vec::new(),
+            links_changed: true,
             statuses: BTreeMap::new(),
             status: Status::default(),
             unlinked_since: BTreeMap::new(),
@@ -276,6 +282,13 @@
         }
     }
 
+    /// Reads the linked processes again if a link has changed.
+    fn update_peers(&mut self) {
+        if std::mem::take(&mut self.links_changed) {
+            self.peers = self.environment.peers();
+        }
+    }
+
     /// Returns the time spent in writes and syncs of the disk since the last call.
     pub fn take_disk_time(&mut self) -> Duration {
         std::mem::take(&mut self.disk_time)
@@ -317,6 +330,7 @@
     }
 
     fn on_link_up(&mut self, peer: &ProcessInfo) {
+        self.links_changed = true;
         self.environment.send(&peer.name, Frame::Status(self.status.clone()));
         if peer.durable {
             self.node.connect(peer.id());
@@ -325,6 +339,7 @@
     }
 
     fn on_link_down(&mut self, lost: &ProcessInfo) {
+        self.links_changed = true;
         if self.environment.peers().iter().any(|peer| peer.id() == lost.id()) {
             return; // a new link was established before this input was handled
         }
@@ -476,6 +491,7 @@
             return;
         }
         self.last_expiry_at = time.monotonic;
+        self.links_changed = true;
         self.roster.expire(time.monotonic);
         self.fail_forwarded(|forwarded| time.monotonic > forwarded.forwarded_at + FORWARD_TIMEOUT);
     }
--- a/crates/control/src/core/voters.rs
+++ b/crates/control/src/core/voters.rs
@@ -26,11 +26,10 @@
             self.bootstrap_if_first_founder();
             return;
         }
-        let peers = self.environment.peers();
         let current = self.node.membership().voters.clone();
-        self.record_unlinked_voters(time, &current, &peers);
+        self.record_unlinked_voters(time, &current);
         if self.leadership.is_some() && self.node.has_lease(time.monotonic) {
-            self.change_voters(time, &current, &peers);
+            self.change_voters(time, &current);
         }
     }
 
@@ -41,7 +40,7 @@
         if !self.bootstrap || own.is_none() || own != self.founders.first().copied() {
             return;
         }
-        let peers = self.environment.peers();
+        let peers = &self.peers;
         let mut voters = BTreeSet::from([self.process_info.id()]);
         for founder in self.founders.iter().skip(1) {
             let peer =
@@ -60,8 +59,8 @@
     }
 
     /// Proposes one step from the current voters towards the linked durable processes.
-    fn change_voters(&mut self, time: Time, current: &BTreeSet<Id>, peers: &[ProcessInfo]) {
-        let wanted = wanted_voters(current, peers, |id| {
+    fn change_voters(&mut self, time: Time, current: &BTreeSet<Id>) {
+        let wanted = wanted_voters(current, &self.peers, |id| {
             self.unlinked_since
                 .get(id)
                 .is_some_and(|since| time.monotonic >= *since + UNLINKED_VOTER_TIMEOUT)
@@ -70,7 +69,7 @@
             return;
         }
         let mut durable: BTreeSet<Id> =
-            peers.iter().filter(|peer| peer.durable).map(ProcessInfo::id).collect();
+            self.peers.iter().filter(|peer| peer.durable).map(ProcessInfo::id).collect();
         durable.insert(self.process_info.id());
         if self
             .node
@@ -83,14 +82,12 @@
 
     /// Records since when each voter has had no link to this process. Every process does
     /// so, not only the leader, so that a new leader knows it at once.
-    fn record_unlinked_voters(
-        &mut self,
-        time: Time,
-        current: &BTreeSet<Id>,
-        peers: &[ProcessInfo],
-    ) {
+    fn record_unlinked_voters(&mut self, time: Time, current: &BTreeSet<Id>) {
         let own = self.process_info.id();
-        let is_unlinked = |id: &Id| *id != own && !peers.iter().any(|peer| peer.id() == *id);
+        let is_linked = |id: &Id| {
+            self.peers.iter().any(|peer| peer.name == id.name && peer.incarnation == id.incarnation)
+        };
+        let is_unlinked = |id: &Id| *id != own && !is_linked(id);
         self.unlinked_since.retain(|id, _| current.contains(id) && is_unlinked(id));
         for id in current.iter().filter(|id| is_unlinked(id)) {
             self.unlinked_since.entry(id.clone()).or_insert(time.monotonic);
