--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -4,6 +4,7 @@
 use crate::calls::Calls;
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
 use crate::load::{Meter, Reading};
+use crate::relay::CALL_TIMEOUT;
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -385,12 +386,16 @@
     /// Sends each order of a leader to its worker, and the replies to the leader.
     fn relay_orders(self: &Arc<ProcessEnvironment>, leader: &str, orders: Vec<(OrderId, Order)>) {
         for (id, order) in orders {
+            let Some(lost_reply) = order.lost_reply() else { continue };
             let (environment, leader) = (self.clone(), leader.to_string());
             task::spawn(async move {
                 let calls = environment.calls.clone();
-                if let Input::WorkerReply(reply) = execute(calls.as_ref(), order).await {
-                    environment.relay_reply(leader, id, reply).await;
-                }
+                let max_time = order.max_wait() + CALL_TIMEOUT;
+                let reply = match timeout(max_time, execute(calls.as_ref(), order)).await {
+                    Ok(Input::WorkerReply(reply)) => reply,
+                    _ => lost_reply,
+                };
+                environment.relay_reply(leader, id, reply).await;
             });
         }
     }
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -16,9 +16,12 @@
 /// Number of workers up to which the leader sends all orders itself: for so few, the frames
 /// cost more than the calls that they save.
 const MAX_DIRECT_WORKERS: usize = 100;
-/// Time in which the answer to an order has to arrive: the timeouts of connecting and of the
-/// call, with a margin for the links. The wait of a poll is added.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1600);
+/// Time after which a process that sends an order gives up on the worker and says so. It
+/// covers the timeouts of connecting and of one call. The wait of a poll is added.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time after which the leader gives up on the process: the call and a margin for the links.
+/// A worker that does not answer must not make the process look lost.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Time for which a process gets no orders after one that it did not answer.
 const AVOID_AFTER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -76,13 +79,9 @@
     /// `None` for orders that only the leader sends.
     pub fn record(&mut self, now: Duration, process: &str, order: &Order) -> Option<OrderId> {
         let lost_reply = order.lost_reply()?;
-        let wait = match order {
-            Order::Poll(_, poll) => poll.max_wait,
-            _ => Duration::ZERO,
-        };
         let id = self.next_id;
         self.next_id += 1;
-        let deadline = now + wait + REPLY_TIMEOUT;
+        let deadline = now + order.max_wait() + REPLY_TIMEOUT;
         self.deadlines.insert((deadline, id));
         self.sent.insert(id, Sent { process: process.to_string(), lost_reply, deadline });
         Some(id)
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Returns how long the worker may wait before it answers; zero but for polls.
+    pub fn max_wait(&self) -> Duration {
+        match self {
+            Order::Poll(_, poll) => poll.max_wait,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns the reply to an order to a worker whose answer is lost: the order may have been
     /// carried out. `None` for other orders.
     pub fn lost_reply(&self) -> Option<Reply> {
