--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -37,10 +37,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Further inputs handled after the first one before their changes are synced together.
 const MAX_BATCHED_INPUTS: usize = 1024;
-/// Timing of the consensus protocol. Followers use the commit index only to apply entries
-/// ahead of a change of leader, so it need not be sent with each commit. The election timeout has to outlast a few slow syncs
+/// Timing of the consensus protocol. The election timeout has to outlast a few slow syncs
 /// of the disk, 30 times 6 ms each, and accounts for most of the time without
-/// a leader.
+/// a leader. Followers use the commit index only to apply entries ahead of a change of
+/// leader, so it need not be sent with each commit.
 const TIMING: quorum::Timing = quorum::Timing {
     heartbeat_interval: Duration::from_millis(200),
     learner_heartbeat_interval: Duration::from_millis(500),
