Control: a core that is about to end gets no more orders to send

Found by reading: a core that is told to stop still takes requests for some seconds, and the leader went on sending it orders until its links closed; each of their workers then looked silent for a moment. It now says so in its status, and the leader chooses other cores from there on. a_process_that_is_about_to_end_gets_no_more_orders is new.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -261,6 +261,7 @@
             leader: self.node.leader().filter(|_| !disk_failed).cloned(),
             is_leader: self.leadership.is_some(),
             uninitialized: self.node.is_uninitialized(),
+            stopping: self.stopping,
             configured: self.ledger.config().is_some(),
             core_addresses,
         };
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -362,6 +362,9 @@
             }
             Frame::Status(status) => {
                 self.environment.add_addresses(status.core_addresses.clone());
+                if status.stopping {
+                    self.relays.record_stopping(time.monotonic, &from.name);
+                }
                 self.statuses.insert(from.id(), status);
             }
             Frame::Request(id, request) => {
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -24,6 +24,9 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Time for which a process gets no orders after one that it did not answer.
 const AVOID_AFTER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a process gets no orders after it said that it is about to end; longer than
+/// its end takes.
+const AVOID_WHILE_STOPPING: Duration = Duration::from_secs(10);
 
 /// An order that another process was asked to send.
 #[derive(Clone, Debug)]
@@ -75,6 +78,11 @@
         })
     }
 
+    /// Records that a process is about to end and gets no more orders.
+    pub fn record_stopping(&mut self, now: Duration, process: &str) {
+        self.avoided_until.insert(process.to_string(), now + AVOID_WHILE_STOPPING);
+    }
+
     /// Records that a process is asked to send an order, and returns the number of the order.
     /// `None` for orders that only the leader sends.
     pub fn record(&mut self, now: Duration, process: &str, order: &Order) -> Option<OrderId> {
--- a/crates/control/tests/relay.rs
+++ b/crates/control/tests/relay.rs
@@ -90,6 +90,15 @@
     assert!(choose(&relays, given_up_at, &[process("a", "north")], 1).is_some());
 }
 
+#[test]
+fn a_process_that_is_about_to_end_gets_no_more_orders() {
+    let mut relays = Relays::default();
+    let peers = [process("a", "north"), process("b", "south")];
+    assert_eq!(choose(&relays, at(0), &peers, 1), Some("a".to_string()));
+    relays.record_stopping(at(0), "a");
+    assert_eq!(choose(&relays, at(1), &peers, 1), Some("b".to_string()));
+}
+
 #[test]
 fn the_orders_of_a_process_whose_link_is_lost_are_unanswered_at_once() {
     let mut relays = Relays::default();
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -96,6 +96,9 @@
     /// Whether its log is empty, so that it holds no state of any cluster.
     #[serde(rename = "blank")]
     pub uninitialized: bool,
+    /// Whether it is about to end, so that it takes no more orders to send.
+    #[serde(default)]
+    pub stopping: bool,
     /// Whether it has applied a configuration of queues and pools.
     pub configured: bool,
     /// Peer addresses of the sender and of the core processes linked to it.
