Control: say how busy the core's thread is, not the processor time of its process

The line core.behind gave the share of a processor that the process used, by its processor clock. On the platform that clock runs with time: a trial with a line each second read 1.000 for every core, idle ones too. The share could not tell a thread without processor time from an idle one. The line now gives the share of the time in which the thread handled inputs, without syncs, by the monotonic clock.

--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -1,7 +1,7 @@
 //! Load of the core's thread: how long inputs wait, and what the thread spends its time on.
 //!
-//! Tells an overloaded thread from one that waits for its disk: both make inputs wait, but
-//! only the first uses processor time meanwhile.
+//! Tells a thread that lacks processor time from one that waits for its disk: both make inputs
+//! wait, but only the second spends the time in syncs.
 
 use log::warn;
 use std::time::Duration;
@@ -12,22 +12,14 @@
 /// sync of the disk, and below what a client notices.
 const MAX_WAIT: Duration = Duration::from_millis(250);
 
-/// Clock readings of the core's thread.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Reading {
-    /// Monotonic time.
-    pub now: Duration,
-    /// Processor time that the whole process has used so far.
-    pub process_time: Duration,
-}
-
 /// What the thread did in one window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Window {
     /// Length of the window.
     pub duration: Duration,
-    /// Processor time that the whole process used.
-    pub process_time: Duration,
+    /// Time in which the thread handled inputs, with the time in which it waited for a processor
+    /// meanwhile, and without `disk_time`.
+    pub busy_time: Duration,
     /// Time spent in writes and syncs of the disk.
     pub disk_time: Duration,
     /// Number of inputs that were handled.
@@ -39,23 +31,24 @@
 /// Collects the load of the core's thread.
 ///
 /// ```
-/// use control::load::{Meter, Reading};
+/// use control::load::Meter;
 /// use std::time::Duration;
-/// let mut meter = Meter::new(Reading::default());
+/// let mut meter = Meter::new(Duration::ZERO);
 /// meter.record_input(Duration::from_millis(3));
-/// let later = Reading { now: Duration::from_secs(2), ..Reading::default() };
-/// assert_eq!(meter.end_window(later).unwrap().inputs, 1);
+/// meter.record_round(Duration::from_millis(9), Duration::from_millis(6));
+/// let window = meter.end_window(Duration::from_secs(2)).unwrap();
+/// assert_eq!(window.busy_time, Duration::from_millis(3));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Meter {
-    started: Reading,
+    started_at: Duration,
     window: Window,
 }
 
 impl Meter {
     /// Starts the first window.
-    pub fn new(started: Reading) -> Meter {
-        Meter { started, window: Window::default() }
+    pub fn new(now: Duration) -> Meter {
+        Meter { started_at: now, window: Window::default() }
     }
 
     /// Records an input and how long it waited.
@@ -64,20 +57,21 @@
         self.window.longest_wait = self.window.longest_wait.max(wait);
     }
 
-    /// Records time spent in writes and syncs of the disk.
-    pub fn record_disk_time(&mut self, time: Duration) {
-        self.window.disk_time += time;
+    /// Records a round of handling inputs that took `time`, `disk_time` of it in writes and
+    /// syncs of the disk.
+    pub fn record_round(&mut self, time: Duration, disk_time: Duration) {
+        self.window.busy_time += time.saturating_sub(disk_time);
+        self.window.disk_time += disk_time;
     }
 
     /// Ends the window if it is long enough, and starts the next one.
-    pub fn end_window(&mut self, reading: Reading) -> Option<Window> {
-        let duration = reading.now.saturating_sub(self.started.now);
+    pub fn end_window(&mut self, now: Duration) -> Option<Window> {
+        let duration = now.saturating_sub(self.started_at);
         if duration < WINDOW {
             return None;
         }
-        let process_time = reading.process_time.saturating_sub(self.started.process_time);
-        self.started = reading;
-        Some(Window { duration, process_time, ..std::mem::take(&mut self.window) })
+        self.started_at = now;
+        Some(Window { duration, ..std::mem::take(&mut self.window) })
     }
 }
 
@@ -87,24 +81,18 @@
         self.longest_wait > MAX_WAIT
     }
 
-    /// Returns the share of a processor that the process used.
-    pub fn process_share(&self) -> f64 {
-        self.process_time.as_secs_f64() / self.duration.as_secs_f64().max(f64::MIN_POSITIVE)
-    }
-
     /// Publishes the metrics of the window, and logs a line if inputs waited too long.
     pub fn publish(&self) {
-        let disk_share =
-            self.disk_time.as_secs_f64() / self.duration.as_secs_f64().max(f64::MIN_POSITIVE);
-        metrics::gauge!("process_processor_share").set(self.process_share());
+        let share = |time: Duration| time.as_secs_f64() / self.duration.as_secs_f64();
+        let (busy_share, disk_share) = (share(self.busy_time), share(self.disk_time));
+        metrics::gauge!("core_busy_share").set(busy_share);
         metrics::gauge!("core_disk_share").set(disk_share);
         metrics::gauge!("core_longest_input_wait_seconds").set(self.longest_wait.as_secs_f64());
         if self.is_behind() {
             warn!(
-                "core.behind longest_wait_ms={} inputs={} processor_share={:.3} disk_share={disk_share:.3}",
+                "core.behind longest_wait_ms={} inputs={} busy_share={busy_share:.3} disk_share={disk_share:.3}",
                 self.longest_wait.as_millis(),
                 self.inputs,
-                self.process_share(),
             );
         }
     }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::Calls;
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
-use crate::load::{Meter, Reading};
+use crate::load::Meter;
 use crate::relay::CALL_TIMEOUT;
 use async_std::channel::bounded;
 use async_std::future::timeout;
@@ -289,8 +289,7 @@
 
 /// Loop of the core's thread: handles inputs in batches and advances the core after each.
 fn run_core(mut core: Core, inputs: &Receiver<Queued>, clock: &dyn Clock) {
-    let read = || Reading { now: clock.now(), process_time: clock.process_time() };
-    let mut meter = Meter::new(read());
+    let mut meter = Meter::new(clock.now());
     loop {
         let first = match inputs.recv_timeout(core.max_wait(TICK_INTERVAL)) {
             Ok(queued) => Some(queued),
@@ -308,8 +307,9 @@
             core.input(input);
         }
         core.advance();
-        meter.record_disk_time(core.take_disk_time());
-        if let Some(window) = meter.end_window(read()) {
+        let ended_at = clock.now();
+        meter.record_round(ended_at.saturating_sub(now), core.take_disk_time());
+        if let Some(window) = meter.end_window(ended_at) {
             window.publish();
         }
     }
--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -10,12 +10,9 @@
     fn now(&self) -> Duration;
     /// Returns the wall-clock time.
     fn wall(&self) -> SystemTime;
-    /// Returns the processor time that this process has used so far.
-    fn process_time(&self) -> Duration;
 }
 
-/// The clocks of the operating system: `CLOCK_BOOTTIME`, the system time and
-/// `CLOCK_PROCESS_CPUTIME_ID`.
+/// The clocks of the operating system: `CLOCK_BOOTTIME` and the system time.
 ///
 /// ```
 /// use mesh::clock::{Clock, System};
@@ -26,21 +23,13 @@
 
 impl Clock for System {
     fn now(&self) -> Duration {
-        read(ClockId::Boottime)
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
     }
 
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
-
-    fn process_time(&self) -> Duration {
-        read(ClockId::ProcessCPUTime)
-    }
-}
-
-fn read(id: ClockId) -> Duration {
-    let time = clock_gettime(id);
-    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
 }
 
 /// Returns the milliseconds since the Unix epoch, or 0 for a time before it.
