Sched: an order that is lost with its relay says nothing about the worker

What callers would see: for some seconds after a core was killed or restarted, a fifth of the workers get no or little new work. Cause: the leader took every order that it had given to that core as unanswered by the worker: three lost starts put a worker into a backoff of 2 s and more and on probation, and each lost order doubled the time to its next poll.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -14,7 +14,7 @@
 use mesh::frame::OrderId;
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Status};
 use sched::Report;
-use sched::order::{Order, Reply};
+use sched::order::{Answer, Order, Reply};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply,
 };
@@ -386,14 +386,14 @@
     /// Sends each order of a leader to its worker, and the replies to the leader.
     fn relay_orders(self: &Arc<ProcessEnvironment>, leader: &str, orders: Vec<(OrderId, Order)>) {
         for (id, order) in orders {
-            let Some(lost_reply) = order.lost_reply() else { continue };
+            let Some(unanswered) = order.reply_with(Answer::Unknown) else { continue };
             let (environment, leader) = (self.clone(), leader.to_string());
             task::spawn(async move {
                 let calls = environment.calls.clone();
                 let max_time = order.max_wait() + CALL_TIMEOUT;
                 let reply = match timeout(max_time, execute(calls.as_ref(), order)).await {
                     Ok(Input::WorkerReply(reply)) => reply,
-                    _ => lost_reply,
+                    _ => unanswered,
                 };
                 environment.relay_reply(leader, id, reply).await;
             });
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -8,7 +8,7 @@
 use mesh::ProcessInfo;
 use mesh::frame::OrderId;
 use sched::Order;
-use sched::order::Reply;
+use sched::order::{Answer, Reply};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -86,7 +86,7 @@
     /// Records that a process is asked to send an order, and returns the number of the order.
     /// `None` for orders that only the leader sends.
     pub fn record(&mut self, now: Duration, process: &str, order: &Order) -> Option<OrderId> {
-        let lost_reply = order.lost_reply()?;
+        let lost_reply = order.reply_with(Answer::Lost)?;
         let id = self.next_id;
         self.next_id += 1;
         let deadline = now + order.max_wait() + REPLY_TIMEOUT;
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -52,35 +52,25 @@
         }
     }
 
-    /// Returns the reply to an order to a worker whose answer is lost: the order may have been
-    /// carried out. `None` for other orders.
-    pub fn lost_reply(&self) -> Option<Reply> {
+    /// Returns the reply of a worker with an answer that carries no run lists. `None` for
+    /// orders to others.
+    pub fn reply_with(&self, answer: Answer<()>) -> Option<Reply> {
         let incarnation = self.destination()?.incarnation.clone();
         match self {
-            Order::Poll(_, poll) => Some(Reply::Poll(PollReply {
-                incarnation,
-                sent_at: poll.sent_at,
-                answer: Answer::Unknown,
-            })),
-            Order::Start(_, Start { unit, run, .. }) => Some(Reply::Start(StartReply {
-                incarnation,
-                unit: *unit,
-                run: *run,
-                answer: Answer::Unknown,
-            })),
-            Order::Stop(_, Stop { unit, run, .. }) => Some(Reply::Stop(StopReply {
-                incarnation,
-                unit: *unit,
-                run: *run,
-                answer: Answer::Unknown,
-            })),
-            Order::Pace(_, Pace { unit, run, percent, .. }) => Some(Reply::Pace(PaceReply {
-                incarnation,
-                unit: *unit,
-                run: *run,
-                percent: *percent,
-                answer: Answer::Unknown,
-            })),
+            Order::Poll(_, poll) => {
+                let answer = answer.map(|()| RunLists::default());
+                Some(Reply::Poll(PollReply { incarnation, sent_at: poll.sent_at, answer }))
+            }
+            Order::Start(_, Start { unit, run, .. }) => {
+                Some(Reply::Start(StartReply { incarnation, unit: *unit, run: *run, answer }))
+            }
+            Order::Stop(_, Stop { unit, run, .. }) => {
+                Some(Reply::Stop(StopReply { incarnation, unit: *unit, run: *run, answer }))
+            }
+            Order::Pace(_, Pace { unit, run, percent, .. }) => {
+                let (unit, run, percent) = (*unit, *run, *percent);
+                Some(Reply::Pace(PaceReply { incarnation, unit, run, percent, answer }))
+            }
             Order::Advise(_) | Order::ListInstances | Order::Move(_) | Order::Maintain(_) => None,
         }
     }
@@ -289,6 +279,9 @@
     Misdirected,
     /// No answer arrived: the order may have been carried out, or may be later.
     Unknown,
+    /// As [`Answer::Unknown`], but the process that was to send the order did not reply, which
+    /// says nothing about the receiver.
+    Lost,
 }
 
 impl<T> Answer<T> {
@@ -304,6 +297,7 @@
             Answer::Refused(refusal) => Answer::Refused(refusal),
             Answer::Misdirected => Answer::Misdirected,
             Answer::Unknown => Answer::Unknown,
+            Answer::Lost => Answer::Lost,
         }
     }
 }
--- a/crates/sched/src/scheduler/advice.rs
+++ b/crates/sched/src/scheduler/advice.rs
@@ -142,7 +142,10 @@
                     }
                 }
             }
-            Answer::Refused(Refusal::Busy) | Answer::Unknown | Answer::Misdirected => {
+            Answer::Refused(Refusal::Busy)
+            | Answer::Unknown
+            | Answer::Lost
+            | Answer::Misdirected => {
                 step_tickets.not_before = time.monotonic + RETRY_DELAY;
             }
             Answer::Refused(refusal) => {
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -192,7 +192,7 @@
                 self.propose_move(time, instance, None, reason);
             }
             Answer::Refused(_) => {}
-            Answer::Misdirected | Answer::Unknown => {
+            Answer::Misdirected | Answer::Unknown | Answer::Lost => {
                 moving.unanswered = true;
                 self.balance.uncertain_until.insert(instance, time.monotonic + LATE_ORDER_WINDOW);
             }
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -251,7 +251,7 @@
                 self.propose_phase(wave, &instance, Phase::Due);
             }
             Answer::Refused(_) => {}
-            Answer::Misdirected | Answer::Unknown => pending.unanswered = true,
+            Answer::Misdirected | Answer::Unknown | Answer::Lost => pending.unanswered = true,
         }
     }
 
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -144,6 +144,7 @@
                 self.on_refusal(&id, refusal);
             }
             Answer::Unknown => self.record_unanswered(time, &id),
+            Answer::Lost => self.record_lost(time, &id),
         }
     }
 
@@ -158,6 +159,17 @@
         }
     }
 
+    /// Records an order that was lost with the process that was to send it. The worker gets no
+    /// new work until it answers a poll, which is sent soon, by another process.
+    pub(super) fn record_lost(&mut self, time: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.polling.next_at = time.monotonic + FIRST_RETRY_DELAY;
+        if worker.polling.unanswered == 0 {
+            worker.polling.unanswered = 1;
+            self.explain(id.clone(), "an order to it was lost: no new work".to_string());
+        }
+    }
+
     /// Handles an answer from another incarnation at the worker's address, which means
     /// that the known one has ended.
     pub(super) fn on_incarnation_ended(&mut self, id: &WorkerId) {
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -138,11 +138,15 @@
                 run.progress = (0, time.monotonic);
                 self.record_begun(ledger, unit.job);
             }
-            Answer::Unknown => {
+            Answer::Unknown | Answer::Lost => {
                 run.unanswered_starts += 1;
                 run.state = RunState::Unclear { since: time.monotonic };
-                worker.record_failure(time.monotonic);
-                self.record_unanswered(time, &id);
+                if answer == Answer::Lost {
+                    self.record_lost(time, &id);
+                } else {
+                    worker.record_failure(time.monotonic);
+                    self.record_unanswered(time, &id);
+                }
             }
             Answer::Misdirected => self.on_incarnation_ended(&id),
             Answer::Refused(refusal) => {
@@ -217,7 +221,7 @@
             }
             Answer::Misdirected => self.on_incarnation_ended(&id),
             Answer::Refused(refusal) => self.on_refusal(&id, refusal),
-            Answer::Unknown => {}
+            Answer::Unknown | Answer::Lost => {}
         }
     }
 
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -522,3 +522,16 @@
     world.run(seconds(2.0));
     assert_eq!(world.scheduler.pending_count(&queue), 2);
 }
+
+#[test]
+fn orders_that_are_lost_with_a_relay_do_not_count_against_the_worker() {
+    let mut world = World::new(1);
+    world.submit("q", "a", vec![step(6, 1000, 1000)]);
+    world.relay_is_gone = true;
+    world.run(world::TICK * 2);
+    world.lose_relay();
+    assert!(world.starts.is_empty());
+    world.relay_is_gone = false;
+    world.run(seconds(0.5));
+    assert_eq!(world.starts.len(), 6, "the worker is neither in backoff nor polled late");
+}
