Mesh: bound the queue of a link before it takes an instance's memory

Cause, by a trial build that logs queues: links to two followers were so slow for ten seconds that 1,400 frames waited for each. The queue held 2,048 frames, which was little while each frame was one proposal; since the requests of a round and the orders of a decision go in one frame, it is a hundred megabytes and more. It is now 512 frames, some four seconds of a leader's rounds; then the link is closed, as before, and set up again.

--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -39,8 +39,10 @@
 /// An address without a link is dropped this long after it was last announced,
 /// unless it is a seed.
 const ADDRESS_EXPIRY: Duration = Duration::from_secs(60);
-/// Frames queued for one peer; its connection is closed when the queue is full.
-const MAX_QUEUED_FRAMES: usize = 2048;
+/// Frames queued for one peer; its connection is closed when the queue is full. A leader queues
+/// up to two hundred a second for a follower, of some tens of kilobytes in a surge, so that the
+/// queues of all followers together stay far below an instance's memory.
+const MAX_QUEUED_FRAMES: usize = 512;
 /// Read buffer of each link; the library's default is 128 KiB.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
