Mesh: a process that stops takes no link that comes up late

Cause: Net::stop closes the links that it finds and waits for the tasks of all. A link whose handshake ended after that was registered as usual, and its peer's pings kept it alive.

Change: a link is registered only while the process does not stop, under the lock that stop takes to close the links.

Evidence: a_process_that_stops_takes_no_link_that_comes_up_late failed before, with 'the process does not stop' after 10 s, and passes.

--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -305,12 +305,13 @@
         let (queue, queued) = bounded(MAX_QUEUED_FRAMES);
         let link = Link { serial, peer: peer.clone(), queue };
         let name = peer.name.clone();
-        self.links
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .entry(name.clone())
-            .or_default()
-            .push(link);
+        {
+            let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
+            if self.stopping.load(Ordering::Acquire) {
+                return Err(Error::Closed); // `stop` has closed the links that it found
+            }
+            links.entry(name.clone()).or_default().push(link);
+        }
         info!("link.up peer={name} incarnation={:016x} serial={serial}", peer.incarnation);
         if peer.control_address.is_some() {
             self.add_addresses([peer.peer_address], false);
