Quorum: bound the entries in flight to a voter in bytes

Cause: a leader sent entries to a voter without waiting for answers and without a limit. A voter that is slow, or that starts from an empty disk, is then sent the log as fast as the leader can copy it, and all of it is in the leader's memory until the link has taken it.

Change: the entries sent to one voter and not answered are at most 4 MiB and one request; a request is at most 1 MiB. Answers, or the rejection of a request, free the rest.

Evidence: a_voter_that_does_not_answer_is_not_sent_the_whole_log counted 33,554,432 bytes for one voter before, that is every byte proposed, and at most 6 MiB now.

--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -26,6 +26,23 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Size in memory and, about, in a message, in bytes.
+    ///
+    /// ```
+    /// use quorum::{Entry, Payload};
+    /// let entry = Entry { index: 1, term: 1, payload: Payload::Data(vec![0; 100]) };
+    /// assert!(entry.size() > 100);
+    /// ```
+    pub fn size(&self) -> usize {
+        let data = match &self.payload {
+            Payload::Data(data) => data.len(),
+            Payload::Voters(_) | Payload::Noop => 0,
+        };
+        size_of::<Entry>() + data
+    }
+}
+
 /// State of the caller's state machine after all entries up to an index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -94,10 +111,17 @@
         self.entries.get(offset as usize)
     }
 
-    /// Returns at most `max` entries from an index on.
-    pub fn entries_from(&self, index: Index, max: usize) -> Vec<Entry> {
+    /// Returns at most `max` entries from an index on, whose size is at most `max_bytes` unless
+    /// the first one alone is larger.
+    pub fn entries_from(&self, index: Index, max: usize, max_bytes: usize) -> Vec<Entry> {
         let skip = index.saturating_sub(self.base_index + 1) as usize;
-        self.entries.iter().skip(skip).take(max).cloned().collect()
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let is_first = bytes == 0;
+            bytes += entry.size();
+            is_first || bytes <= max_bytes
+        };
+        self.entries.iter().skip(skip).take(max).take_while(fits).cloned().collect()
     }
 
     /// Appends an entry, whose index has to follow the last one.
--- a/crates/quorum/src/node/lead.rs
+++ b/crates/quorum/src/node/lead.rs
@@ -1,6 +1,9 @@
 //! Leader: lease, replication and commit index.
 
-use super::{Error, INSTALL_RETRY_INTERVAL, MAX_ENTRIES_PER_APPEND, Node, Result};
+use super::{
+    Error, INSTALL_RETRY_INTERVAL, MAX_APPEND_BYTES, MAX_ENTRIES_PER_APPEND, MAX_IN_FLIGHT_BYTES,
+    Node, Result,
+};
 use crate::log::{Entry, Payload};
 use crate::message::{AppendRequest, AppendResponse, InstallSnapshot, Message};
 use crate::progress::{Mode, Progress};
@@ -101,8 +104,8 @@
         }
     }
 
-    /// Sends the next entries to a node, or a heartbeat if there are none, or the snapshot
-    /// if the node lacks entries that are compacted. A node that is probed gets one request
+    /// Sends the next entries to a node, or a heartbeat if there are none or too many are not
+    /// answered, or the snapshot if the node lacks entries that are compacted. A node that is probed gets one request
     /// per heartbeat interval until it answers.
     pub(super) fn send_append(&mut self, id: &Id) {
         let now = self.now;
@@ -119,8 +122,12 @@
             self.send_snapshot(&id.clone());
             return;
         };
-        let entries = self.log.entries_from(progress.next_index, MAX_ENTRIES_PER_APPEND);
-        progress.next_index += entries.len() as Index;
+        let entries = if progress.in_flight_bytes() < MAX_IN_FLIGHT_BYTES {
+            self.log.entries_from(progress.next_index, MAX_ENTRIES_PER_APPEND, MAX_APPEND_BYTES)
+        } else {
+            Vec::new()
+        };
+        progress.record_sent(&entries);
         let append = AppendRequest {
             term: self.hard_state.term,
             prev_index,
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::log::{Entry, Log, Payload, Snapshot};
 use crate::message::{Envelope, Message};
-use crate::progress::{Mode, Progress};
+use crate::progress::Progress;
 use crate::{Id, Index, Membership, Term};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -19,6 +19,12 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 const MAX_ENTRIES_PER_APPEND: usize = 256;
+/// Size of the entries of one append request, in bytes. A single entry may be larger.
+const MAX_APPEND_BYTES: usize = 1 << 20;
+/// Size of the entries sent to one node and not answered, in bytes, above which it gets no
+/// more. The requests are in the leader's memory until the link has taken them, so that a slow
+/// node costs the leader at most this much and one request.
+const MAX_IN_FLIGHT_BYTES: usize = 4 << 20;
 /// Time without an answer after which a snapshot is sent again.
 const INSTALL_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -391,9 +397,7 @@
             let next = self.log.last_index() + 1;
             let progress =
                 self.progress_by_id.entry(id.clone()).or_insert_with(|| Progress::new(next));
-            progress.next_index = progress.match_index.max(next - 1) + 1;
-            progress.snapshot_sent_at = None;
-            progress.mode = Mode::Replicating; // requests in flight and their answers may be lost
+            progress.restart(progress.match_index.max(next - 1) + 1);
             self.send_append(&id);
         }
     }
@@ -513,7 +517,7 @@
 
     /// Returns the entries after an index, for the caller to write after a snapshot.
     pub fn entries_after(&self, index: Index) -> Vec<Entry> {
-        self.log.entries_from(index + 1, usize::MAX)
+        self.log.entries_from(index + 1, usize::MAX, usize::MAX)
     }
 
     /// Whether a majority of these voters, this node included, has answered this leader
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -1,6 +1,7 @@
 //! A leader's record of how far another node has replicated the log.
 
-use crate::Index;
+use crate::{Entry, Index};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Leader's view of how far the log is replicated to one node.
@@ -19,6 +20,11 @@
     pub snapshot_sent_at: Option<Duration>,
     /// How entries are sent to the node.
     pub mode: Mode,
+    /// Requests with entries that the node has not answered, oldest first: the index of the last
+    /// entry and the size of all entries in bytes.
+    in_flight: VecDeque<(Index, usize)>,
+    /// Sum of the sizes in `in_flight`.
+    in_flight_bytes: usize,
 }
 
 /// How entries are sent to a node.
@@ -49,15 +55,48 @@
             last_sent_at: None,
             snapshot_sent_at: None,
             mode: Mode::Replicating,
+            in_flight: VecDeque::new(),
+            in_flight_bytes: 0,
         }
     }
 
+    /// Size in bytes of the entries that were sent and are not answered.
+    pub fn in_flight_bytes(&self) -> usize {
+        self.in_flight_bytes
+    }
+
+    /// Records that entries, starting with the one at `next_index`, are sent.
+    pub fn record_sent(&mut self, entries: &[Entry]) {
+        let Some(last) = entries.last() else { return };
+        self.next_index = last.index + 1;
+        let bytes = entries.iter().map(Entry::size).sum();
+        self.in_flight.push_back((last.index, bytes));
+        self.in_flight_bytes += bytes;
+    }
+
+    /// Sends from `next_index` on as to a node that has just connected. Requests in flight and
+    /// their answers may be lost.
+    pub fn restart(&mut self, next_index: Index) {
+        self.next_index = next_index;
+        self.snapshot_sent_at = None;
+        self.mode = Mode::Replicating;
+        self.forget_in_flight();
+    }
+
+    fn forget_in_flight(&mut self) {
+        self.in_flight.clear();
+        self.in_flight_bytes = 0;
+    }
+
     /// Records that the node's log agrees up to an index, and returns to replicating.
     pub fn accept(&mut self, match_index: Index) {
         self.match_index = self.match_index.max(match_index);
         self.next_index = self.next_index.max(self.match_index + 1);
         self.snapshot_sent_at = None;
         self.mode = Mode::Replicating;
+        while let Some((_, bytes)) = self.in_flight.pop_front_if(|(last, _)| *last <= match_index) {
+            self.in_flight_bytes -= bytes;
+        }
     }
 
     /// Records that the node rejected the request sent at `sent_at`, and goes back to the
@@ -70,5 +109,6 @@
         self.next_index =
             (hint + 1).min(self.next_index.saturating_sub(1)).max(self.match_index + 1);
         self.snapshot_sent_at = None;
+        self.forget_in_flight();
     }
 }
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -35,12 +35,17 @@
 
 /// Persists all output and returns the messages in it.
 fn drain(node: &mut Node) -> Vec<Message> {
-    let mut messages = Vec::new();
+    drain_envelopes(node).into_iter().map(|Envelope { message, .. }| message).collect()
+}
+
+/// Persists all output and returns the messages in it with their destinations.
+fn drain_envelopes(node: &mut Node) -> Vec<Envelope> {
+    let mut envelopes = Vec::new();
     while let Some(output) = node.take_output() {
         node.output_persisted();
-        messages.extend(output.messages.into_iter().map(|Envelope { message, .. }| message));
+        envelopes.extend(output.messages);
     }
-    messages
+    envelopes
 }
 
 fn vote_request(term: u64, last_index: u64, pre_vote: bool) -> Message {
@@ -334,3 +339,59 @@
     let entries: Vec<usize> = requests.iter().map(|request| request.entries.len()).collect();
     assert_eq!(entries, [20, 20], "entries in each request, to two voters");
 }
+
+/// Index of the last entry of an append request.
+fn last_entry(message: &Message) -> Option<u64> {
+    let Message::AppendRequest(append) = message else { return None };
+    append.entries.last().map(|entry| entry.index)
+}
+
+/// Size of the data in the entries of an append request.
+fn data_bytes(message: &Message) -> usize {
+    let Message::AppendRequest(append) = message else { return 0 };
+    let data = append.entries.iter().map(|entry| match &entry.payload {
+        Payload::Data(data) => data.len(),
+        _ => 0,
+    });
+    data.sum()
+}
+
+#[test]
+fn a_voter_that_does_not_answer_is_not_sent_the_whole_log() {
+    const ENTRY_BYTES: usize = 64 << 10;
+    const ENTRIES: u64 = 512;
+    let mut node = leader(3);
+    let accepted = |match_index| {
+        let sent_at = millis(5001);
+        Message::AppendResponse(AppendResponse { term: 2, accepted: true, match_index, sent_at })
+    };
+    node.receive(millis(5002), &id("a"), accepted(4));
+    node.receive(millis(5002), &id("c"), accepted(4));
+    drain(&mut node);
+    let mut unanswered = 0;
+    let mut match_index = 4;
+    for _ in 0..ENTRIES {
+        let index = node.propose(millis(5003), vec![0; ENTRY_BYTES]).unwrap();
+        for Envelope { to, message } in drain_envelopes(&mut node) {
+            if to == id("a") {
+                unanswered += data_bytes(&message);
+                match_index = last_entry(&message).unwrap_or(match_index);
+            }
+        }
+        node.receive(millis(5003), &id("c"), accepted(index));
+        drain(&mut node);
+    }
+    assert_eq!(node.commit_index(), 4 + ENTRIES, "the majority goes on without it");
+    assert!(unanswered <= 6 << 20, "{unanswered} bytes wait for one voter");
+
+    for _ in 0..ENTRIES {
+        node.receive(millis(5004), &id("a"), accepted(match_index));
+        for Envelope { to, message } in drain_envelopes(&mut node) {
+            assert!(data_bytes(&message) <= 1 << 20, "a request of {}", data_bytes(&message));
+            if to == id("a") {
+                match_index = last_entry(&message).unwrap_or(match_index);
+            }
+        }
+    }
+    assert_eq!(match_index, 4 + ENTRIES, "it gets the rest once it answers");
+}
