--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -53,6 +53,7 @@
     /// Voters as of that entry.
     pub membership: Membership,
     /// Serialized state.
+    #[serde(with = "serde_bytes")]
     pub data: Vec<u8>,
 }
 
