Mesh: bound what is queued for slow links in bytes

A link whose peer still sent but read nothing stayed up with 512 frames, whatever their size, and nothing more went through it.

Cause: the queue of a link was bounded in frames, which hold from a few bytes to megabytes, and was only closed when full; the connection went on until all that was queued was written.

Change: frames are queued encoded and counted in bytes until the connection has taken them: 8 MiB for a link, one frame more, and 32 MiB for all links of a process, beyond which the fullest end. A full link ends at once. A frame for several processes is encoded once. A stopping process goes on sending for 0.5 s at most. Logged as link.full with the bytes, counted in links_full_total.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -5,7 +5,7 @@
 use jobs::{Command, Event, Ledger};
 use log::{error, info, warn};
 use mesh::{Frame, Status};
-use quorum::{Entry, Index, Message, Node, Output, Payload};
+use quorum::{Entry, Envelope, Index, Message, Node, Output, Payload};
 use serde::Serialize;
 use std::time::Duration;
 use store::Store;
@@ -62,9 +62,17 @@
         self.abandon_pending_proposals();
     }
 
-    fn send(&self, envelopes: Vec<quorum::message::Envelope>) {
-        for envelope in envelopes {
-            self.environment.send(&envelope.to.name, Frame::Quorum(envelope.message));
+    /// Sends messages in order. Equal ones in a row, as append requests to several followers
+    /// are, go out as one frame, which is encoded once.
+    fn send(&self, envelopes: Vec<Envelope>) {
+        let mut envelopes = envelopes.into_iter().peekable();
+        while let Some(Envelope { to, message }) = envelopes.next() {
+            let mut receivers = vec![to];
+            while let Some(next) = envelopes.next_if(|next| next.message == message) {
+                receivers.push(next.to);
+            }
+            let names: Vec<&str> = receivers.iter().map(|id| id.name.as_str()).collect();
+            self.environment.send_all(&names, Frame::Quorum(message));
         }
     }
 
@@ -276,9 +284,9 @@
         }
         self.status = status.clone();
         self.environment.publish_status(&status);
-        for peer in self.environment.peers() {
-            self.environment.send(&peer.name, Frame::Status(status.clone()));
-        }
+        let peers = self.environment.peers();
+        let names: Vec<&str> = peers.iter().map(|peer| peer.name.as_str()).collect();
+        self.environment.send_all(&names, Frame::Status(status));
     }
 }
 
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -47,6 +47,12 @@
     fn wall(&self) -> SystemTime;
     /// Queues a frame for the named process. Returns whether a link accepted it.
     fn send(&self, to: &str, frame: Frame) -> bool;
+    /// Queues a frame for each of the named processes.
+    fn send_all(&self, to: &[&str], frame: Frame) {
+        for name in to {
+            self.send(name, frame.clone());
+        }
+    }
     /// Processes with a link to this one.
     fn peers(&self) -> Vec<ProcessInfo>;
     /// Adds addresses of core processes to connect to.
@@ -436,9 +442,13 @@
     /// Sends a changed report to the other core processes, so that any of them can
     /// become leader without waiting for the workers' next reports.
     fn broadcast_report(&self, report: &Report) {
-        for peer in self.environment.peers().iter().filter(|peer| peer.control_address.is_some()) {
-            self.environment.send(&peer.name, Frame::Reports(vec![report.clone()]));
-        }
+        let peers = self.environment.peers();
+        let cores: Vec<&str> = peers
+            .iter()
+            .filter(|peer| peer.control_address.is_some())
+            .map(|peer| peer.name.as_str())
+            .collect();
+        self.environment.send_all(&cores, Frame::Reports(vec![report.clone()]));
     }
 
     fn on_worker_left(&mut self, time: Time, worker: WorkerId, is_local: bool) {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -350,7 +350,13 @@
     }
 
     fn send(&self, to: &str, frame: Frame) -> bool {
-        self.net.get().is_some_and(|net| net.send(to, frame))
+        self.net.get().is_some_and(|net| net.send(to, &frame))
+    }
+
+    fn send_all(&self, to: &[&str], frame: Frame) {
+        if let Some(net) = self.net.get() {
+            net.send_all(to, &frame);
+        }
     }
 
     fn peers(&self) -> Vec<ProcessInfo> {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -155,8 +155,10 @@
             state.pending.insert(id, pending);
             id
         };
-        let linked =
-            self.net.get().is_some_and(|net| net.send(leader, Frame::Request(id, request.clone())));
+        let linked = self
+            .net
+            .get()
+            .is_some_and(|net| net.send(leader, &Frame::Request(id, request.clone())));
         if !linked {
             self.state().pending.remove(&id);
             return Attempt::NoLink;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod frame;
 pub mod net;
+pub mod queue;
 pub mod request;
 pub mod settings;
 
--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -1,26 +1,29 @@
 //! WebSocket links to the other processes of the cluster.
 //!
 //! [`Net`] dials every address that it knows until a link to it exists, accepts
-//! links from others, pings idle links and closes those whose peer is silent or
+//! links from others, pings idle links and ends those whose peer is silent or
 //! too slow. Two processes may be linked twice when both dial at once.
 
 use crate::frame::{Frame, MAX_FRAME_BYTES, ProcessInfo};
+use crate::queue::{self, Queued, Refusal};
 use crate::{Clock, frame};
-use async_std::channel::{Receiver, Sender, TrySendError, bounded};
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use futures::stream::{SplitSink, SplitStream};
-use futures::{SinkExt, StreamExt};
+use futures::{FutureExt, SinkExt, StreamExt};
 use log::{info, warn};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::tungstenite::{self, Message};
+use tokio_tungstenite::tungstenite::{self, Bytes, Message};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
 /// Result of an operation on one connection.
@@ -39,10 +42,8 @@
 /// An address without a link is dropped this long after it was last announced,
 /// unless it is a seed.
 const ADDRESS_EXPIRY: Duration = Duration::from_secs(60);
-/// Frames queued for one peer; its connection is closed when the queue is full. A leader queues
-/// up to two hundred a second for a follower, of some tens of kilobytes in a surge, so that the
-/// queues of all followers together stay far below an instance's memory.
-const MAX_QUEUED_FRAMES: usize = 512;
+/// Time for which a stopping process goes on sending the frames that are queued.
+const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Read buffer of each link; the library's default is 128 KiB.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -63,6 +64,9 @@
     /// The peer has the name of this process, which happens when a process dials itself.
     #[error("connected to itself")]
     SelfConnection,
+    /// Too many bytes are queued for the peer.
+    #[error("the peer reads too slowly")]
+    Full,
     /// The bytes received are not a valid frame.
     #[error(transparent)]
     Frame(#[from] frame::Error),
@@ -105,8 +109,18 @@
     /// Number of the link, unique in this process.
     serial: u64,
     peer: ProcessInfo,
-    /// Frames to send; closing it ends the link.
-    queue: Sender<Frame>,
+    /// Frames to send; closing it ends the link once they are sent.
+    queue: queue::Input,
+    /// Ends the link at once, whatever is queued.
+    end: Sender<Error>,
+}
+
+impl Link {
+    /// Ends the link at once. Returns false if it is ending already.
+    fn end(&self, reason: Error) -> bool {
+        self.queue.close();
+        self.end.try_send(reason).is_ok()
+    }
 }
 
 /// An address of another process that this process keeps a link to.
@@ -126,6 +140,8 @@
     next_serial: AtomicU64,
     /// Links by the name of the peer, the newest at the end.
     links: RwLock<BTreeMap<String, Vec<Link>>>,
+    /// Bytes queued on all links.
+    queued: queue::Total,
     known_addresses: Mutex<BTreeMap<SocketAddr, KnownAddress>>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
     stopping: AtomicBool,
@@ -140,6 +156,7 @@
             event_handler,
             next_serial: AtomicU64::new(1),
             links: RwLock::default(),
+            queued: queue::Total::default(),
             known_addresses: Mutex::default(),
             tasks: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -148,18 +165,39 @@
 
     /// Queues a frame for the process of this name, on its newest link. Returns whether
     /// it was queued; delivery is not guaranteed.
-    pub fn send(&self, to: &str, frame: Frame) -> bool {
+    pub fn send(&self, to: &str, frame: &Frame) -> bool {
+        self.send_all(&[to], frame).is_empty()
+    }
+
+    /// Queues a frame for each of the processes, which encodes it only once. Returns those for
+    /// which it could not be queued.
+    pub fn send_all<'a>(&self, to: &[&'a str], frame: &Frame) -> Vec<&'a str> {
         let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(link) = links.get(to).and_then(|links| links.last()) else { return false };
-        match link.queue.try_send(frame) {
-            Ok(()) => true,
-            Err(TrySendError::Full(_)) => {
-                warn!("link.full peer={to}");
-                link.queue.close(); // the peer reads too slowly: end the link
-                false
-            }
-            Err(TrySendError::Closed(_)) => false,
+        let newest = |name: &str| links.get(name).and_then(|links| links.last());
+        if !to.iter().any(|name| newest(name).is_some()) {
+            return to.to_vec();
         }
+        let content = Bytes::from(frame.encode());
+        let is_refused = |name: &&&str| {
+            newest(name).is_none_or(|link| match link.queue.push(content.clone()) {
+                Ok(()) => false,
+                Err(Refusal::Full) => {
+                    end_full_link(link);
+                    true
+                }
+                Err(Refusal::Closed) => true,
+            })
+        };
+        let refused = to.iter().filter(is_refused).copied().collect();
+        if self.queued.bytes() > queue::MAX_TOTAL_BYTES {
+            end_fullest_links(links.values().flatten(), self.queued.bytes());
+        }
+        refused
+    }
+
+    /// Returns the size in bytes of the frames that are queued on all links.
+    pub fn queued_bytes(&self) -> usize {
+        self.queued.bytes()
     }
 
     /// Returns the processes that are linked at present.
@@ -216,20 +254,31 @@
         }
     }
 
-    /// Closes all links and waits for their tasks to end.
+    /// Closes all links and waits for their tasks to end. Frames that are queued are still
+    /// sent, for a limited time.
     pub async fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
-        for links in self.links.read().unwrap_or_else(PoisonError::into_inner).values() {
-            links.iter().for_each(|link| {
-                link.queue.close();
-            });
-        }
+        self.for_each_link(|link| link.queue.close());
         let tasks = std::mem::take(&mut *self.tasks.lock().unwrap_or_else(PoisonError::into_inner));
-        for task in tasks {
-            task.await;
+        let ended = async {
+            for task in tasks {
+                task.await;
+            }
+        };
+        futures::pin_mut!(ended);
+        if timeout(STOP_TIMEOUT, ended.as_mut()).await.is_err() {
+            self.for_each_link(|link| {
+                link.end(Error::Timeout);
+            });
+            ended.await;
         }
     }
 
+    fn for_each_link(&self, action: impl FnMut(&Link)) {
+        let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
+        links.values().flatten().for_each(action);
+    }
+
     fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
         let handle = task::spawn(future);
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).push(handle);
@@ -302,8 +351,9 @@
             return Err(Error::SelfConnection);
         }
         let serial = self.next_serial.fetch_add(1, Ordering::Relaxed);
-        let (queue, queued) = bounded(MAX_QUEUED_FRAMES);
-        let link = Link { serial, peer: peer.clone(), queue };
+        let (queue, queued) = queue::new(&self.queued);
+        let (end, ended) = bounded(1);
+        let link = Link { serial, peer: peer.clone(), queue, end };
         let name = peer.name.clone();
         {
             let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
@@ -319,10 +369,14 @@
         (self.event_handler)(Event::LinkUp(peer.clone()));
         let (sink, stream) = socket.split();
         let result = {
-            let write = write_frames(sink, queued);
-            let read = self.read_frames(stream, &peer);
-            futures::pin_mut!(write, read);
-            futures::future::select(write, read).await.factor_first().0
+            let mut write = pin!(write_frames(sink, queued).fuse());
+            let mut read = pin!(self.read_frames(stream, &peer).fuse());
+            let mut ended = pin!(ended.recv().fuse());
+            futures::select! {
+                result = write => result,
+                result = read => result,
+                reason = ended => Err(reason.unwrap_or(Error::Closed)),
+            }
         };
         let reason = result.as_ref().err().map_or("ended".to_string(), ToString::to_string);
         info!("link.down peer={name} serial={serial} reason={reason:?}");
@@ -391,17 +445,42 @@
     }
 }
 
+/// Ends the fullest links until the others hold at most [`queue::MAX_TOTAL_BYTES`].
+fn end_fullest_links<'a>(links: impl Iterator<Item = &'a Link>, queued_bytes: usize) {
+    let mut links: Vec<&Link> = links.collect();
+    links.sort_by_key(|link| Reverse(link.queue.bytes()));
+    let mut remaining = queued_bytes;
+    for link in links {
+        if remaining <= queue::MAX_TOTAL_BYTES {
+            return;
+        }
+        remaining = remaining.saturating_sub(link.queue.bytes());
+        end_full_link(link);
+    }
+}
+
+/// Ends a link whose peer reads too slowly.
+fn end_full_link(link: &Link) {
+    let queued_bytes = link.queue.bytes();
+    if link.end(Error::Full) {
+        warn!("link.full peer={} queued_bytes={queued_bytes}", link.peer.name);
+        metrics::counter!("links_full_total").increment(1);
+    }
+}
+
 /// Sends queued frames, and pings while there are none, until the queue is closed.
-async fn write_frames(mut sink: SplitSink<Socket, Message>, queued: Receiver<Frame>) -> Result<()> {
+async fn write_frames(
+    mut sink: SplitSink<Socket, Message>,
+    queued: Receiver<Queued>,
+) -> Result<()> {
     loop {
-        let frame = match timeout(PING_INTERVAL, queued.recv()).await {
-            Ok(Ok(frame)) => frame,
+        match timeout(PING_INTERVAL, queued.recv()).await {
+            Ok(Ok(frame)) => sink.feed(Message::Binary(frame.content())).await?,
             Ok(Err(_)) => return Err(Error::Closed),
-            Err(_) => Frame::Ping,
-        };
-        sink.feed(Message::Binary(frame.encode().into())).await?;
+            Err(_) => sink.feed(Message::Binary(Frame::Ping.encode().into())).await?,
+        }
         while let Ok(frame) = queued.try_recv() {
-            sink.feed(Message::Binary(frame.encode().into())).await?;
+            sink.feed(Message::Binary(frame.content())).await?;
         }
         sink.flush().await?;
     }
--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -1,13 +1,15 @@
-//! Links of processes that stop.
+//! Links between processes that stop, or that read too slowly.
 
 use async_std::future::timeout;
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use mesh::clock::System;
-use mesh::{Net, ProcessInfo};
+use mesh::{Frame, Net, ProcessInfo, queue};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 /// Longest time that a test waits for an event.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -34,6 +36,15 @@
     Net::new(process(name, address), Arc::new(System), Box::new(|_| {}))
 }
 
+async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
+    let reached = async {
+        while !is_reached() {
+            task::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(timeout(PATIENCE, reached).await.is_ok(), "{what}: not within {PATIENCE:?}");
+}
+
 #[test]
 fn a_process_that_stops_takes_no_link_that_comes_up_late() {
     task::block_on(async {
@@ -56,3 +67,83 @@
         listening.await;
     });
 }
+
+/// Links a peer that sends pings but reads nothing after its first frame.
+async fn link_slow_peer(address: SocketAddr, name: &str) -> task::JoinHandle<()> {
+    use futures::{SinkExt, StreamExt};
+    let stream = TcpStream::connect(address).await.unwrap();
+    let url = format!("ws://{address}/");
+    let (mut socket, _) = tokio_tungstenite::client_async(url, stream.compat()).await.unwrap();
+    let hello = Frame::Hello(process(name, "127.0.0.1:9".parse().unwrap()));
+    socket.send(Message::Binary(hello.encode().into())).await.unwrap();
+    socket.next().await.unwrap().unwrap();
+    task::spawn(async move {
+        while socket.send(Message::Binary(Frame::Ping.encode().into())).await.is_ok() {
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    })
+}
+
+/// A frame of about a megabyte.
+fn large_frame() -> Frame {
+    let data = vec![7; 1 << 20];
+    let snapshot = quorum::Snapshot { index: 1, term: 1, data, ..quorum::Snapshot::default() };
+    let install = quorum::message::InstallSnapshot { term: 1, snapshot, sent_at: Duration::ZERO };
+    Frame::Quorum(quorum::Message::InstallSnapshot(install))
+}
+
+#[test]
+fn a_link_whose_peer_reads_nothing_ends_before_it_takes_the_memory() {
+    task::block_on(async {
+        let (own_listener, own_address) = listener().await;
+        let own = net("own", own_address);
+        let listening = task::spawn(own.clone().listen(own_listener));
+        let slow = link_slow_peer(own_address, "slow").await;
+        wait_until("the link is up", || !own.peers().is_empty()).await;
+        let frame = large_frame();
+        let mut peak = 0;
+        for _ in 0..64 {
+            own.send("slow", &frame);
+            peak = peak.max(own.queued_bytes());
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        assert!(peak <= queue::MAX_LINK_BYTES + (2 << 20), "{peak} bytes are queued");
+        wait_until("the link has ended", || own.peers().is_empty()).await;
+        wait_until("its queue is freed", || own.queued_bytes() == 0).await;
+        own.stop().await;
+        listening.await;
+        slow.await;
+    });
+}
+
+#[test]
+fn many_slow_links_together_stay_within_one_bound() {
+    task::block_on(async {
+        let (own_listener, own_address) = listener().await;
+        let own = net("own", own_address);
+        let listening = task::spawn(own.clone().listen(own_listener));
+        let names: Vec<String> = (0..12).map(|number| format!("slow-{number}")).collect();
+        let mut slow = Vec::new();
+        for name in &names {
+            slow.push(link_slow_peer(own_address, name).await);
+        }
+        wait_until("all links are up", || own.peers().len() == names.len()).await;
+        let receivers: Vec<&str> = names.iter().map(String::as_str).collect();
+        let frame = large_frame();
+        let mut peak = 0;
+        for _ in 0..7 {
+            own.send_all(&receivers, &frame);
+            peak = peak.max(own.queued_bytes());
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        let bound = queue::MAX_TOTAL_BYTES + names.len() * (frame.encode().len() + 1024);
+        assert!(peak <= bound, "{peak} bytes are queued on {} links", names.len());
+        wait_until("queues shrink", || own.queued_bytes() <= queue::MAX_TOTAL_BYTES).await;
+        assert!(!own.peers().is_empty(), "only the fullest links end");
+        own.stop().await;
+        listening.await;
+        for peer in slow {
+            peer.await;
+        }
+    });
+}
