Control: a message to a former incarnation does not reach its successor

Cause: messages of the log are addressed to an incarnation and were delivered by the name of the process. What the leader sent to the voter whose disk was lost went to its successor, which rejected it as its own; each such answer made the leader take the successor's progress back and send the same entries again.

Change: a message whose incarnation is not linked is dropped.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -4,8 +4,8 @@
 use super::{Core, REOPEN_INTERVAL};
 use jobs::{Command, Event, Ledger};
 use log::{error, info, warn};
-use mesh::{Frame, Status};
-use quorum::{Entry, Envelope, Index, Message, Node, Output, Payload};
+use mesh::{Frame, ProcessInfo, Status};
+use quorum::{Entry, Envelope, Id, Index, Message, Node, Output, Payload};
 use serde::Serialize;
 use std::time::Duration;
 use store::Store;
@@ -63,9 +63,16 @@
     }
 
     /// Sends messages in order. Equal ones in a row, as append requests to several followers
-    /// are, go out as one frame, which is encoded once.
+    /// are, go out as one frame, which is encoded once. A message to an incarnation that is not
+    /// linked is dropped: its successor at the same address would answer it for itself.
     fn send(&self, envelopes: Vec<Envelope>) {
-        let mut envelopes = envelopes.into_iter().peekable();
+        let is_linked = |to: &Id| {
+            let is_it =
+                |peer: &ProcessInfo| peer.name == to.name && peer.incarnation == to.incarnation;
+            self.peers.iter().any(is_it)
+        };
+        let mut envelopes =
+            envelopes.into_iter().filter(|envelope| is_linked(&envelope.to)).peekable();
         while let Some(Envelope { to, message }) = envelopes.next() {
             let mut receivers = vec![to];
             while let Some(next) = envelopes.next_if(|next| next.message == message) {
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -319,3 +319,33 @@
     assert!(total >= 200, "each worker is polled: {sent:?}");
     assert!(sent.values().all(|count| count * 3 <= total * 2), "{sent:?}");
 }
+
+#[test]
+fn a_core_with_an_empty_disk_is_sent_the_log_once() {
+    const JOBS: u64 = 3000;
+    let mut world = World::new(1);
+    world.heal();
+    let leader = world.leader().unwrap();
+    let mut replies = vec![world.request(leader, LeaderRequest::Configure(Box::new(config(1))))];
+    world.run(Duration::from_secs(1));
+    for id in 0..JOBS {
+        replies.push(world.request(leader, submit(id)));
+    }
+    world.run(Duration::from_secs(2));
+    let wiped = (leader + 1) % CORES;
+    world.kill(wiped);
+    world.disks[wiped].wipe();
+    world.run(Duration::from_secs(1));
+    let before = world.entries_sent(wiped);
+    world.start(wiped, false);
+    for id in JOBS..JOBS + 200 {
+        replies.push(world.request(leader, submit(id)));
+        world.run(world::TICK);
+    }
+    world.run(Duration::from_secs(2));
+    let last = world.cores[leader].as_ref().unwrap().node().last_index();
+    let core = world.cores[wiped].as_ref().unwrap();
+    assert_eq!(core.node().commit_index(), last, "it has caught up");
+    let sent = world.entries_sent(wiped) - before;
+    assert!(sent as u64 <= last * 3 / 2, "{sent} entries were sent of a log of {last}");
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -4,6 +4,7 @@
 use control::core::ReplyTo;
 use control::{Core, Environment, Input, Setup};
 use mesh::{Frame, LeaderRequest, ProcessInfo, Reply, Status};
+use quorum::Message;
 use sched::order::Order;
 use sched::{Fence, Report};
 use std::collections::{BTreeMap, BTreeSet};
@@ -96,6 +97,8 @@
     inboxes: Vec<Vec<Input>>,
     /// Fence and sender of each poll order that was sent.
     orders: Vec<(Fence, ProcessInfo)>,
+    /// Number of log entries that were sent to each core.
+    entries_sent: Vec<usize>,
 }
 
 impl Shared {
@@ -136,6 +139,9 @@
                         }
                     }
                 }
+                if let Frame::Quorum(Message::AppendRequest(append)) = &frame {
+                    shared.entries_sent[to] += append.entries.len();
+                }
                 shared.inboxes[to].push(Input::Frame(own, frame));
                 true
             }
@@ -192,6 +198,7 @@
             links_down: BTreeSet::new(),
             inboxes: (0..CORES).map(|_| Vec::new()).collect(),
             orders: Vec::new(),
+            entries_sent: vec![0; CORES],
         };
         let mut world = World {
             cores: (0..CORES).map(|_| None).collect(),
@@ -326,6 +333,11 @@
         self.shared().orders.clone()
     }
 
+    /// Number of log entries that were sent to a core so far, with repetitions.
+    pub fn entries_sent(&self, index: usize) -> usize {
+        self.shared().entries_sent[index]
+    }
+
     pub fn leader(&self) -> Option<usize> {
         (0..CORES).find(|index| self.cores[*index].as_ref().is_some_and(Core::is_active_leader))
     }
