Sched: waves and pools no longer look at all workers for each instance

Cause: each 50 ms a wave asked for every instance that is due whether its pool may lose another worker, and counted all workers for the answer; a unit that lasts was looked for on all workers before it was stopped, and on all workers for its racks; each pool with queues went through all instances.

Change: workers are counted by pool once for a wave, instances are grouped by pool once, and units are found by the workers on which they were placed. The result of each decision is the same.

Evidence: a_wave_does_not_examine_all_workers_for_each_of_its_instances.

--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -231,39 +231,55 @@
     fn demands(&mut self, time: Time, ledger: &Ledger) -> BTreeMap<PoolName, PoolDemand> {
         let Some(config) = ledger.config() else { return BTreeMap::new() };
         let pools: BTreeSet<&PoolName> = config.queues.values().map(|queue| &queue.pool).collect();
+        let mut instances = self.instances_by_pool();
+        let cores_per_instance = self.cores_per_instance();
         let mut demands = BTreeMap::new();
         for pool in pools {
             if config.pools.get(pool).is_some_and(|pool| pool.standby) {
                 continue;
             }
-            let instances = self
-                .instances
-                .values()
-                .filter(|instance| match self.balance.moving.get(&instance.id) {
-                    Some(moving) => moving.pool == *pool,
-                    None => {
-                        instance.pool == *pool
-                            && instance.state != State::Down
-                            && !self.is_absent(&instance.id)
-                    }
-                })
-                .map(|instance| instance.id.clone())
-                .collect();
-            let desired = self.desired_instances(time, ledger, pool);
+            let instances = instances.remove(pool).unwrap_or_default();
+            let desired = self.desired_instances(time, ledger, pool, cores_per_instance);
             demands.insert(pool.clone(), PoolDemand { instances, desired });
         }
         demands
     }
 
+    /// Returns the instances that each pool has or will have, without those that are down or
+    /// absent.
+    fn instances_by_pool(&self) -> BTreeMap<PoolName, Vec<InstanceId>> {
+        let mut by_pool: BTreeMap<PoolName, Vec<InstanceId>> = BTreeMap::new();
+        for instance in self.instances.values() {
+            let pool = match self.balance.moving.get(&instance.id) {
+                Some(moving) => &moving.pool,
+                None if instance.state == State::Down || self.is_absent(&instance.id) => continue,
+                None => &instance.pool,
+            };
+            match by_pool.get_mut(pool) {
+                Some(instances) => instances.push(instance.id.clone()),
+                None => {
+                    by_pool.insert(pool.clone(), vec![instance.id.clone()]);
+                }
+            }
+        }
+        by_pool
+    }
+
+    /// Returns the number of cores of the largest instance; 1 if none is known.
+    fn cores_per_instance(&self) -> f64 {
+        let cores = self.instances.values().map(|instance| instance.capacity.cpu_milli);
+        (cores.max().unwrap_or_default() as f64 / 1000.0).max(1.0)
+    }
+
     /// Returns how many instances a pool needs for its work.
-    fn desired_instances(&mut self, time: Time, ledger: &Ledger, pool: &PoolName) -> usize {
+    fn desired_instances(
+        &mut self,
+        time: Time,
+        ledger: &Ledger,
+        pool: &PoolName,
+        cores_per_instance: f64,
+    ) -> usize {
         let cores = self.arriving_cores(time, pool).max(self.queued_cores(time, ledger, pool));
-        let cores_per_instance = self
-            .instances
-            .values()
-            .map(|instance| instance.capacity.cpu_milli as f64 / 1000.0)
-            .fold(0.0, f64::max)
-            .max(1.0);
         let for_work = (cores / (cores_per_instance * MEAN_UTILIZATION)).ceil() as usize;
         self.long_running_instances(ledger, pool).max(MIN_INSTANCES) + for_work
     }
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -12,7 +12,7 @@
 use crate::worker::{RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
-use jobs::{InstanceId, Ledger, RunNumber, UnitKey, WaveId, WorkerId};
+use jobs::{InstanceId, Ledger, PoolName, RunNumber, UnitKey, WaveId, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -71,6 +71,20 @@
     list_requested_at: Option<Duration>,
 }
 
+/// Number of workers of a pool.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkerCount {
+    all: usize,
+    cordoned: usize,
+}
+
+impl WorkerCount {
+    /// Whether few enough workers are cordoned to evacuate another instance.
+    fn allows_evacuation(&self) -> bool {
+        self.cordoned < ((self.all as f64 * MAX_CORDONED_FRACTION) as usize).max(1)
+    }
+}
+
 /// An order for maintenance that has to be sent or answered.
 #[derive(Clone, Debug)]
 struct PendingOrder {
@@ -284,6 +298,7 @@
     /// evacuation of those chosen before.
     fn evacuate_instances(&mut self, time: Time, ledger: &Ledger) {
         self.mark_due(ledger);
+        let mut pools = self.count_cordoned();
         for (id, wave) in ledger.waves() {
             if wave.is_completed() {
                 continue;
@@ -311,7 +326,9 @@
                 if remaining == 0 {
                     break;
                 }
-                if self.pool_allows_evacuation(&instance) {
+                let pool = self.pool_of(&instance).and_then(|pool| pools.get_mut(&pool));
+                if pool.as_ref().is_none_or(|pool| pool.allows_evacuation()) {
+                    pool.into_iter().for_each(|pool| pool.cordoned += 1);
                     self.maintenance.evacuating.insert(instance.clone(), *id);
                     self.cordon(&instance);
                     self.explain(instance, format!("is evacuated for wave {id}"));
@@ -347,18 +364,26 @@
         due
     }
 
-    /// Whether the instance's pool has few enough cordoned workers to evacuate another.
-    fn pool_allows_evacuation(&self, instance: &InstanceId) -> bool {
-        let Some(id) = self.worker_of(instance) else { return true };
-        let Some(report) = self.workers.get(&id).and_then(|worker| worker.report.as_ref()) else {
-            return true;
-        };
-        let in_pool = |worker: &&crate::Worker| {
-            worker.report.as_ref().is_some_and(|other| other.pool == report.pool)
-        };
-        let all = self.workers.values().filter(in_pool).count();
-        let cordoned_count = self.workers.values().filter(in_pool).filter(|w| w.cordoned).count();
-        cordoned_count < ((all as f64 * MAX_CORDONED_FRACTION) as usize).max(1)
+    /// Counts the workers of each pool.
+    fn count_cordoned(&mut self) -> BTreeMap<PoolName, WorkerCount> {
+        self.effort.workers_examined += self.workers.len() as u64;
+        let mut pools: BTreeMap<PoolName, WorkerCount> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let Some(report) = &worker.report else { continue };
+            let pool = match pools.get_mut(&report.pool) {
+                Some(pool) => pool,
+                None => pools.entry(report.pool.clone()).or_default(),
+            };
+            pool.all += 1;
+            pool.cordoned += usize::from(worker.cordoned);
+        }
+        pools
+    }
+
+    /// Returns the pool of the latest worker that has reported from an instance.
+    fn pool_of(&self, instance: &InstanceId) -> Option<PoolName> {
+        let worker = self.workers.get(&self.worker_of(instance)?)?;
+        Some(worker.report.as_ref()?.pool.clone())
     }
 
     /// Returns the latest worker that has reported from an instance, unless it has ended.
@@ -465,18 +490,18 @@
     /// Whether the scheduler may interrupt a unit: only while fewer other units of its
     /// step than `max_unavailable` are unavailable. A unit counts as available only if
     /// its worker answers and lists it at 100 percent.
-    fn may_interrupt(&self, ledger: &Ledger, unit: &UnitKey) -> bool {
+    fn may_interrupt(&mut self, ledger: &Ledger, unit: &UnitKey) -> bool {
         let Some(job) = ledger.job(unit.job) else { return true };
         let step = &job.definition.steps[usize::from(unit.step)];
         let Some(max_unavailable) = step.max_unavailable else { return true };
         let key = unit.step_key();
         let mut available_units = BTreeSet::new();
-        for worker in self.workers.values() {
-            for ((other, _), run) in worker.runs.range(key.range()) {
-                let available = run.state == RunState::Running && run.progress.0 >= 100;
-                if available && worker.answered_under_fence && worker.polling.unanswered == 0 {
-                    available_units.insert(other.index);
-                }
+        for (id, other, number) in self.find_runs(key.unit(0)..=key.unit(u32::MAX)) {
+            let worker = &self.workers[&id];
+            let run = &worker.runs[&(other, number)];
+            let available = run.state == RunState::Running && run.progress.0 >= 100;
+            if available && worker.answered_under_fence && worker.polling.unanswered == 0 {
+                available_units.insert(other.index);
             }
         }
         available_units.remove(&unit.index);
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -137,10 +137,13 @@
     fn count_units_per_rack(&self, key: &StepKey, step: &Step) -> BTreeMap<String, u32> {
         let mut racks = BTreeMap::new();
         if step.long_running {
-            for worker in self.workers.values() {
-                let rack = worker.report.as_ref().and_then(|report| report.rack());
-                if let Some(rack) = rack {
-                    *racks.entry(rack.clone()).or_default() += worker.count_runs(key);
+            for (unit, ids) in self.placed_on.range(key.unit(0)..=key.unit(u32::MAX)) {
+                for worker in ids.iter().filter_map(|id| self.workers.get(id)) {
+                    let rack = worker.report.as_ref().and_then(|report| report.rack());
+                    let runs = worker.runs.range((*unit, 0)..=(*unit, RunNumber::MAX)).count();
+                    if let Some(rack) = rack.filter(|_| runs > 0) {
+                        *racks.entry(rack.clone()).or_default() += runs as u32;
+                    }
                 }
             }
         }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -535,3 +535,22 @@
     world.run(seconds(0.5));
     assert_eq!(world.starts.len(), 6, "the worker is neither in backoff nor polled late");
 }
+
+#[test]
+fn a_wave_does_not_examine_all_workers_for_each_of_its_instances() {
+    let mut world = World::new(40);
+    for number in 0..40 {
+        world.submit("q", &format!("a{number}"), vec![step(1, 6000, 60_000)]);
+    }
+    world.run(seconds(0.5));
+    let before = world.scheduler.effort().workers_examined;
+    world.run(seconds(1.0));
+    let without = world.scheduler.effort().workers_examined - before;
+    let instances = (0..40).map(|number| format!("m{number}")).collect();
+    let wave = jobs::Wave::new(1, instances, seconds(60.0), 30, world.time().wall);
+    world.apply(jobs::Command::StartWave(wave));
+    let before = world.scheduler.effort().workers_examined;
+    world.run(seconds(1.0));
+    let examined = world.scheduler.effort().workers_examined - before;
+    assert!(examined <= 2 * without, "{examined} workers were examined, {without} without a wave");
+}
