Sched: a worker is silent only when nothing of it was heard for half a second

What was seen: with half of the orders left unanswered, workers that answered all the time were taken for silent, since orders that are sent together are given up together and count one by one; their placed runs were discarded, and the wait for their answers went up to its bound at once.

Change: a worker is silent after three in a row without an answer and 0.5 s without any. The wait doubles once for calls that were open together.

--- a/crates/control/src/answer_time.rs
+++ b/crates/control/src/answer_time.rs
@@ -27,13 +27,21 @@
 pub struct AnswerTimes {
     /// Mean and mean deviation in seconds; `None` before the first answer.
     seen: Option<(f64, f64)>,
-    /// Calls since the last answer, by the worker's address.
-    unanswered: BTreeMap<SocketAddr, u32>,
+    /// Rounds of calls since the last answer, by the worker's address.
+    unanswered: BTreeMap<SocketAddr, Unanswered>,
+}
+
+/// Calls to one worker without an answer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unanswered {
+    rounds: u32,
+    /// When the last round was given up.
+    at: Duration,
 }
 
 impl AnswerTimes {
-    /// Returns how long to wait for the answer to an order; it doubles with each call to that
-    /// address that got none.
+    /// Returns how long to wait for the answer to an order. It doubles when calls to that address
+    /// got none, once for calls that were open at the same time.
     ///
     /// ```
     /// use std::time::Duration;
@@ -42,15 +50,15 @@
     /// assert_eq!(times.timeout(worker), Duration::from_millis(800));
     /// times.record_answer(worker, Duration::from_millis(20));
     /// assert_eq!(times.timeout(worker), Duration::from_millis(170));
-    /// times.record_unanswered(worker);
+    /// times.record_unanswered(worker, Duration::ZERO, Duration::from_millis(170));
     /// assert_eq!(times.timeout(worker), Duration::from_millis(340));
     /// ```
     pub fn timeout(&self, address: SocketAddr) -> Duration {
         let Some((mean, deviation)) = self.seen else { return MAX_TIMEOUT };
         let margin = Duration::from_secs_f64(DEVIATIONS * deviation).max(MIN_MARGIN);
         let usual = Duration::from_secs_f64(mean) + margin;
-        let unanswered = self.unanswered.get(&address).copied().unwrap_or(0);
-        usual.saturating_mul(2u32.saturating_pow(unanswered)).min(MAX_TIMEOUT)
+        let rounds = self.unanswered.get(&address).map_or(0, |unanswered| unanswered.rounds);
+        usual.saturating_mul(2u32.saturating_pow(rounds)).min(MAX_TIMEOUT)
     }
 
     /// Returns how long to wait for the answer to a poll that the worker may hold back for
@@ -81,9 +89,11 @@
         self.unanswered.remove(&address);
     }
 
-    /// Records that a call was not answered in time.
-    pub fn record_unanswered(&mut self, address: SocketAddr) {
+    /// Records that a call sent at `sent_at` was given up without an answer.
+    pub fn record_unanswered(&mut self, address: SocketAddr, sent_at: Duration, now: Duration) {
         let unanswered = self.unanswered.entry(address).or_default();
-        *unanswered = unanswered.saturating_add(1);
+        if sent_at >= unanswered.at {
+            *unanswered = Unanswered { rounds: unanswered.rounds.saturating_add(1), at: now };
+        }
     }
 }
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -362,7 +362,7 @@
     /// Whether an instance's worker has reported before and no longer answers.
     fn is_absent(&self, instance: &InstanceId) -> bool {
         let Some(id) = self.worker_by_instance.get(instance) else { return false };
-        self.workers.get(id).is_none_or(|worker| worker.polling.is_silent())
+        self.workers.get(id).is_none_or(|worker| worker.polling.is_silent(self.time.monotonic))
     }
 
     /// Whether an instance accepts work, runs nothing and may be moved.
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -122,7 +122,7 @@
     /// Returns the workers of a pool that may get new work.
     fn candidates(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
         let is_candidate = |worker: &Worker| {
-            !worker.polling.is_silent()
+            !worker.polling.is_silent(time.monotonic)
                 && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
                 && worker.is_schedulable(time.monotonic, MAX_SILENCE)
         };
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -130,7 +130,7 @@
                     self.on_new_incarnation(time, ledger, &id, started_at);
                     return;
                 }
-                worker.polling.unanswered = 0;
+                worker.polling.record_answer(time.monotonic);
                 worker.polling.unanswered_polls = 0;
                 worker.polling.answered_at = Some(time.monotonic);
                 worker.polling.next_at = time.monotonic + MIN_POLL_GAP;
@@ -163,7 +163,8 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.polling.unanswered += 1;
         worker.polling.next_at = time.monotonic + FIRST_RETRY_DELAY;
-        if worker.polling.has_become_silent() {
+        if worker.polling.is_silent(time.monotonic) && !worker.polling.silence_explained {
+            worker.polling.silence_explained = true;
             self.explain(id.clone(), "does not answer: no new work".to_string());
         }
     }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -70,7 +70,7 @@
             return;
         };
         let same_incarnation = worker.incarnation == *incarnation;
-        let unavailable = worker.polling.is_silent() || !worker.accepts_starts();
+        let unavailable = worker.polling.is_silent(time.monotonic) || !worker.accepts_starts();
         let Some(run) = worker.runs.get_mut(&(unit, number)) else {
             self.batch.discarded.push(Discarded { unit, run: number });
             return;
@@ -134,7 +134,7 @@
             return;
         }
         if matches!(answer, Answer::Done(()) | Answer::Refused(_)) {
-            worker.polling.unanswered = 0;
+            worker.polling.record_answer(time.monotonic);
         }
         match answer {
             Answer::Done(()) => {
@@ -226,7 +226,7 @@
             }
             Answer::Misdirected => self.on_incarnation_ended(&id),
             Answer::Refused(refusal) => self.on_refusal(&id, refusal),
-            Answer::Unknown | Answer::Lost if worker.polling.is_silent() => {}
+            Answer::Unknown | Answer::Lost if worker.polling.is_silent(time.monotonic) => {}
             Answer::Unknown | Answer::Lost => {
                 if let Some(run) = worker.runs.get_mut(&(unit, number))
                     && let RunState::Stopping { sent, acknowledged: None } = &mut run.state
@@ -244,7 +244,7 @@
         let mut stuck = Vec::new();
         let mut given_up = Vec::new();
         for (id, worker) in &self.workers {
-            let silent = worker.polling.is_silent();
+            let silent = worker.polling.is_silent(time.monotonic);
             let answered_at = worker.polling.answered_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -15,9 +15,11 @@
 /// First backoff after [`PROBATION_FAILURES`]; doubles each time until a run
 /// succeeds.
 const INITIAL_BACKOFF: Duration = Duration::from_secs(2);
-/// Consecutive orders and polls without an answer after which a worker counts as silent. Single
-/// answers are lost with a connection, or left out by a worker that carries out all the same.
+/// Consecutive orders and polls without an answer, and time without any, after which a worker
+/// counts as silent. Single answers are lost with a connection, or left out by a worker that
+/// carries out all the same; orders that are sent together are given up together.
 const SILENT_AFTER_UNANSWERED: u32 = 3;
+const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// Upper bound of the backoff.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
@@ -108,17 +110,24 @@
     pub unanswered: u32,
     /// Consecutive polls without a usable answer.
     pub unanswered_polls: u32,
+    /// When an order or poll was last answered.
+    pub heard_at: Option<Duration>,
+    /// Whether the present silence was explained in the process log.
+    pub silence_explained: bool,
 }
 
 impl Polling {
-    /// Returns whether the worker has left so many orders unanswered that it gets no new ones.
-    pub fn is_silent(&self) -> bool {
+    /// Returns whether the worker has answered nothing for so long that it gets no new work.
+    pub fn is_silent(&self, now: Duration) -> bool {
         self.unanswered >= SILENT_AFTER_UNANSWERED
+            && self.heard_at.is_none_or(|at| now >= at + SILENT_AFTER)
     }
 
-    /// Returns whether the worker has just become silent.
-    pub fn has_become_silent(&self) -> bool {
-        self.unanswered == SILENT_AFTER_UNANSWERED
+    /// Records that an order or poll was answered.
+    pub fn record_answer(&mut self, now: Duration) {
+        self.heard_at = Some(now);
+        self.unanswered = 0;
+        self.silence_explained = false;
     }
 }
 
