Mesh, control, sched: names by house style, and a gauge of queued bytes

The reasons for which a frame is not queued are an error of their module with its result alias; names of private types repeat their module no more; link_queued_bytes shows what waits to be sent. No change of behaviour.

--- a/crates/control/src/answer_time.rs
+++ b/crates/control/src/answer_time.rs
@@ -24,7 +24,7 @@
 
 /// Times of the answers of all workers that a process calls.
 #[derive(Clone, Debug, Default)]
-pub struct AnswerTimes {
+pub struct Times {
     /// Mean and mean deviation in seconds; `None` before the first answer.
     seen: Option<(f64, f64)>,
     /// Rounds of calls since the last answer, by the worker's address.
@@ -39,13 +39,13 @@
     at: Duration,
 }
 
-impl AnswerTimes {
+impl Times {
     /// Returns how long to wait for the answer to an order. It doubles when calls to that address
     /// got none, once for calls that were open at the same time.
     ///
     /// ```
     /// use std::time::Duration;
-    /// let mut times = control::answer_time::AnswerTimes::default();
+    /// let mut times = control::answer_time::Times::default();
     /// let worker = "10.0.0.1:80".parse().unwrap();
     /// assert_eq!(times.timeout(worker), Duration::from_millis(800));
     /// times.record_answer(worker, Duration::from_millis(20));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod process;
 pub mod relay;
 
-pub use answer_time::AnswerTimes;
 pub use calls::Calls;
 pub use core::{Core, Environment, Input, Setup};
 pub use process::{Handle, Process};
--- a/crates/control/tests/answer_time.rs
+++ b/crates/control/tests/answer_time.rs
@@ -1,6 +1,6 @@
 //! The wait for a worker's answer under loads that workers and the network bring.
 
-use control::AnswerTimes;
+use control::answer_time::Times;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,8 +13,8 @@
 }
 
 /// Returns times learned from workers that answer within 5 to 20 ms.
-fn quick_answers() -> AnswerTimes {
-    let mut times = AnswerTimes::default();
+fn quick_answers() -> Times {
+    let mut times = Times::default();
     for number in 0..200 {
         times.record_answer(worker(number), millis(5 + u64::from(number) % 16));
     }
--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -5,7 +5,7 @@
 //! too slow. Two processes may be linked twice when both dial at once.
 
 use crate::frame::{Frame, MAX_FRAME_BYTES, ProcessInfo};
-use crate::queue::{self, Queued, Refusal};
+use crate::queue::{self, Queued};
 use crate::{Clock, frame};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
@@ -181,14 +181,15 @@
         let is_refused = |name: &&&str| {
             newest(name).is_none_or(|link| match link.queue.push(content.clone()) {
                 Ok(()) => false,
-                Err(Refusal::Full) => {
+                Err(queue::Error::Full) => {
                     end_full_link(link);
                     true
                 }
-                Err(Refusal::Closed) => true,
+                Err(queue::Error::Closed) => true,
             })
         };
         let refused = to.iter().filter(is_refused).copied().collect();
+        metrics::gauge!("link_queued_bytes").set(self.queued.bytes() as f64);
         if self.queued.bytes() > queue::MAX_TOTAL_BYTES {
             end_fullest_links(links.values().flatten(), self.queued.bytes());
         }
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -18,12 +18,17 @@
 /// Bytes that a queued frame takes in addition to its content.
 const FRAME_OVERHEAD_BYTES: usize = 64;
 
+/// Result of queueing a frame.
+pub type Result<T> = std::result::Result<T, Error>;
+
 /// Why a frame was not queued.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
     /// The link holds [`MAX_LINK_BYTES`] or more.
+    #[error("the link holds {MAX_LINK_BYTES} bytes or more")]
     Full,
     /// The link has ended.
+    #[error("the link has ended")]
     Closed,
 }
 
@@ -92,15 +97,15 @@
 
 impl Input {
     /// Queues an encoded frame.
-    pub fn push(&self, content: Bytes) -> Result<(), Refusal> {
+    pub fn push(&self, content: Bytes) -> Result<()> {
         if self.bytes() >= MAX_LINK_BYTES {
-            return Err(Refusal::Full);
+            return Err(Error::Full);
         }
         let bytes = content.len() + FRAME_OVERHEAD_BYTES;
         self.link.fetch_add(bytes, Ordering::AcqRel);
         self.total.0.fetch_add(bytes, Ordering::AcqRel);
         let count = Count { bytes, link: self.link.clone(), total: self.total.clone() };
-        self.frames.try_send(Queued { content, _count: count }).map_err(|_| Refusal::Closed)
+        self.frames.try_send(Queued { content, _count: count }).map_err(|_| Error::Closed)
     }
 
     /// Returns the size in bytes of the frames that are queued.
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -73,12 +73,12 @@
 
 /// Number of workers of a pool.
 #[derive(Clone, Copy, Debug, Default)]
-struct WorkerCount {
+struct Count {
     all: usize,
     cordoned: usize,
 }
 
-impl WorkerCount {
+impl Count {
     /// Whether few enough workers are cordoned to evacuate another instance.
     fn allows_evacuation(&self) -> bool {
         self.cordoned < ((self.all as f64 * MAX_CORDONED_FRACTION) as usize).max(1)
@@ -365,9 +365,9 @@
     }
 
     /// Counts the workers of each pool.
-    fn count_cordoned(&mut self) -> BTreeMap<PoolName, WorkerCount> {
+    fn count_cordoned(&mut self) -> BTreeMap<PoolName, Count> {
         self.effort.workers_examined += self.workers.len() as u64;
-        let mut pools: BTreeMap<PoolName, WorkerCount> = BTreeMap::new();
+        let mut pools: BTreeMap<PoolName, Count> = BTreeMap::new();
         for worker in self.workers.values() {
             let Some(report) = &worker.report else { continue };
             let pool = match pools.get_mut(&report.pool) {
