Sched, control: tell which discarded runs had an unconfirmed start

Nothing in the log told the hypotheses of the incident apart. A run now records since when a start of it is sent without the present incarnation having listed the run, or with a copy unanswered. Lines for discarded runs say how many had one and the age of the oldest; the line for a run that is not placed on its worker names the incarnation; such runs are counted in scheduler_unplaced_runs_total. No decision changes.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -85,6 +85,7 @@
         let effort = leadership.scheduler.effort();
         metrics::counter!("scheduler_workers_examined_total").absolute(effort.workers_examined);
         metrics::counter!("scheduler_runs_examined_total").absolute(effort.runs_examined);
+        metrics::counter!("scheduler_unplaced_runs_total").absolute(effort.unplaced_runs);
         for explanation in &output.explanations {
             info!(
                 "decided subject={} term={} decision={:?}",
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -174,7 +174,7 @@
                     listed.pool = pool;
                     listed.state = State::Moving;
                 }
-                self.on_instance_down(&instance);
+                self.on_instance_down(time, &instance);
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&instance),
             Answer::Refused(_) if certain => {
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -238,7 +238,7 @@
             Answer::Done(()) => {
                 self.maintenance.ordered.remove(&instance);
                 self.propose_phase(wave, &instance, Phase::Begun);
-                self.on_instance_down(&instance);
+                self.on_instance_down(time, &instance);
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&instance),
             Answer::Refused(Refusal::Wave | Refusal::Invalid) => {
@@ -561,9 +561,9 @@
 
     /// Handles that an instance is down for maintenance or a move: its worker has ended,
     /// and its runs are discarded.
-    pub(super) fn on_instance_down(&mut self, instance: &InstanceId) {
+    pub(super) fn on_instance_down(&mut self, time: Time, instance: &InstanceId) {
         if let Some(id) = self.worker_of(instance) {
-            self.discard_all(&id, "its instance is down for maintenance or a move");
+            self.discard_all(time, &id, "its instance is down for maintenance or a move");
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.report = None;
                 worker.answered_under_fence = false;
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -97,6 +97,8 @@
     pub workers_examined: u64,
     /// Runs that were looked at to find those of a unit, step or job.
     pub runs_examined: u64,
+    /// Runs that workers listed without a placement, once for each list.
+    pub unplaced_runs: u64,
 }
 
 /// Scheduler state of one leadership.
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -101,7 +101,7 @@
             self.orders.push(Order::Poll(destination, poll));
         }
         for id in lost {
-            self.discard_all(&id, "its lease has expired");
+            self.discard_all(time, &id, "its lease has expired");
         }
         for id in unreachable {
             if self.workers.get(&id).is_some_and(|worker| worker.runs.is_empty()) {
@@ -139,7 +139,7 @@
                 worker.lease.record_clock(reading);
                 self.apply_run_lists(time, ledger, &id, reply.sent_at, run_lists);
             }
-            Answer::Misdirected => self.on_incarnation_ended(&id),
+            Answer::Misdirected => self.on_incarnation_ended(time, &id),
             Answer::Refused(refusal) => {
                 self.record_unanswered_poll(time, &id);
                 self.on_refusal(&id, refusal);
@@ -179,8 +179,8 @@
 
     /// Handles an answer from another incarnation at the worker's address, which means
     /// that the known one has ended.
-    pub(super) fn on_incarnation_ended(&mut self, id: &WorkerId) {
-        self.discard_all(id, "another incarnation is at its address");
+    pub(super) fn on_incarnation_ended(&mut self, time: Time, id: &WorkerId) {
+        self.discard_all(time, id, "another incarnation is at its address");
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.report = None;
         worker.answered_under_fence = false;
@@ -269,9 +269,10 @@
             let stop = Stop { unit, name: status.name.clone(), run: status.run, fence: self.fence };
             let destination = Destination { incarnation: incarnation.clone(), address };
             self.orders.push(Order::Stop(destination, stop));
+            self.effort.unplaced_runs += 1;
             let text = format!(
-                "runs unit {} run {}, which is not placed there: stopped",
-                status.name, status.run
+                "incarnation {} runs unit {} run {}, which is not placed there: stopped",
+                incarnation.started_at, status.name, status.run
             );
             self.explanations.push(super::Explanation { subject: id.clone(), text });
         }
@@ -315,6 +316,9 @@
 ) {
     let Some(run) = worker.runs.get_mut(key) else { return };
     run.started_at = run.started_at.or(Some(now));
+    if run.unanswered_starts == 0 && run.state != RunState::Inherited {
+        run.unconfirmed_since = None;
+    }
     run.measurement = status.measurement;
     if run.progress.0 != status.progress_percent {
         run.progress = (status.progress_percent, now);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -11,6 +11,7 @@
 use jobs::command::{Discarded, EndReason};
 use jobs::ledger::Release;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
+use std::time::Duration;
 
 impl Scheduler {
     /// Handles the committed end of a run: updates the worker's failure count and the
@@ -155,18 +156,22 @@
     }
 
     /// Discards the runs of a worker that can no longer run them.
-    pub(super) fn discard_all(&mut self, id: &WorkerId, reason: &str) {
+    pub(super) fn discard_all(&mut self, time: Time, id: &WorkerId, reason: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let mut count = 0;
-        for ((unit, number), run) in &mut worker.runs {
+        let mut runs = Vec::new();
+        for (key, run) in &mut worker.runs {
             if !matches!(run.state, RunState::Proposed | RunState::Ending) {
+                runs.push((*key, run.unconfirmed_since));
                 run.state = RunState::Ending;
-                self.batch.discarded.push(Discarded { unit: *unit, run: *number });
-                count += 1;
+                self.batch.discarded.push(Discarded { unit: key.0, run: key.1 });
             }
         }
-        if count > 0 {
-            self.explain(id.clone(), format!("{count} runs discarded: {reason}"));
+        if !runs.is_empty() {
+            let unconfirmed = describe_unconfirmed(time, runs.iter().map(|(_, since)| *since));
+            self.explain(
+                id.clone(),
+                format!("{} runs discarded: {reason}{unconfirmed}", runs.len()),
+            );
         }
     }
 
@@ -183,6 +188,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let mut unanswered = Vec::new();
         let mut discarded = Vec::new();
+        let mut unconfirmed = Vec::new();
         for ((unit, number), run) in &mut worker.runs {
             match run.state {
                 RunState::Proposed | RunState::Ending => {}
@@ -194,6 +200,7 @@
                 }
                 _ => {
                     run.state = RunState::Ending;
+                    unconfirmed.push(run.unconfirmed_since);
                     discarded.push(Discarded { unit: *unit, run: *number });
                 }
             }
@@ -214,8 +221,9 @@
             }
         }
         let text = format!(
-            "new incarnation started at {started_at}: {} runs discarded, {} starts to be stopped",
+            "new incarnation started at {started_at}: {} runs discarded{}, {} starts to be stopped",
             discarded.len(),
+            describe_unconfirmed(time, unconfirmed.into_iter()),
             unanswered.len()
         );
         self.batch.discarded.extend(discarded);
@@ -256,3 +264,16 @@
         }
     }
 }
+
+/// Describes how many of the discarded runs had a start without a confirmed effect, and the age
+/// of the oldest; empty if none had.
+fn describe_unconfirmed(time: Time, sent: impl Iterator<Item = Option<Duration>>) -> String {
+    let ages: Vec<Duration> = sent.flatten().map(|at| time.monotonic.saturating_sub(at)).collect();
+    match ages.iter().max() {
+        None => String::new(),
+        Some(oldest) => {
+            let (count, oldest_ms) = (ages.len(), oldest.as_millis());
+            format!(" ({count} with an unconfirmed start, the oldest of {oldest_ms} ms ago)")
+        }
+    }
+}
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -105,6 +105,7 @@
         let Some(placement) = placement else { return };
         let Some(run) = worker.runs.get_mut(&(unit, number)) else { return };
         run.state = RunState::Starting;
+        run.unconfirmed_since = Some(time.monotonic);
         let start = Start {
             unit,
             name: format!("{}.{}.{}.{}", job.id, unit.occurrence, unit.step, unit.index),
@@ -153,7 +154,7 @@
                 run.state = RunState::Unclear;
                 self.record_lost(time, &id);
             }
-            Answer::Misdirected => self.on_incarnation_ended(&id),
+            Answer::Misdirected => self.on_incarnation_ended(time, &id),
             Answer::Refused(refusal) => {
                 let certain = run.unanswered_starts == 0;
                 self.on_refusal(&id, refusal);
@@ -224,7 +225,7 @@
                     acknowledged.get_or_insert(time.monotonic);
                 }
             }
-            Answer::Misdirected => self.on_incarnation_ended(&id),
+            Answer::Misdirected => self.on_incarnation_ended(time, &id),
             Answer::Refused(refusal) => self.on_refusal(&id, refusal),
             Answer::Unknown | Answer::Lost if worker.polling.is_silent(time.monotonic) => {}
             Answer::Unknown | Answer::Lost => {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -42,6 +42,10 @@
     pub started_at: Option<Duration>,
     /// Number of start orders that got no answer.
     pub unanswered_starts: u32,
+    /// When the last start was sent whose effect is not confirmed: the present incarnation has
+    /// not listed the run, or a copy of the start got no answer. For an inherited run, when it
+    /// was inherited. `None` if no start can be under way.
+    pub unconfirmed_since: Option<Duration>,
     /// Last reported progress in percent, and when that value was first seen.
     pub progress: (u32, Duration),
     /// Processor share in percent of the last pace order; `None` if that order failed
@@ -283,6 +287,7 @@
             placed_at: now,
             started_at: None,
             unanswered_starts: 0,
+            unconfirmed_since: (state == RunState::Inherited).then_some(now),
             progress: (0, now),
             share_percent: Some(100),
             share_ordered_at: now,
