Sched: tests that show units run twice and workers overloaded after restarts

The simulated worker's clock starts anew with each incarnation, refuses starts whose lease is over, shortens leases, and is checked against its capacity at each start; it can restart under its id, report 100 ms later, and be reached by a start that was sent to its predecessor.

--- /dev/null
+++ b/crates/sched/tests/incarnations.rs
@@ -0,0 +1,286 @@
+//! Tests of the scheduler against workers that start again under their ids, with orders that
+//! reach another incarnation than the one that they were meant for.
+
+mod world;
+
+use jobs::State;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use world::{World, step};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Advances the simulation, and checks at each tick that no unit runs on two workers.
+fn run_checked(world: &mut World, duration: Duration) {
+    let end = world.now + duration;
+    while world.now < end {
+        world.run(world::TICK);
+        let twice = world.running_twice();
+        assert!(twice.is_empty(), "{twice:?} run twice at {:?}: {:?}", world.now, world.starts);
+    }
+}
+
+#[test]
+fn a_start_answered_by_a_restarted_worker_is_not_repeated_elsewhere() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(6.0));
+    for id in ["w0", "w1", "w2"] {
+        world.restart(id, world::TICK);
+    }
+    world.run(world::TICK); // all run again, and none has reported yet
+    world.submit("q", "a", vec![step(1, 6000, 6000)]);
+    world.run(world::TICK * 2);
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    world.workers.get_mut(&first).unwrap().polls_hang = true;
+    world.report(&first);
+    run_checked(&mut world, seconds(1.0));
+    world.workers.get_mut(&first).unwrap().polls_hang = false;
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_start_that_outlives_its_worker_does_not_run_beside_its_successor() {
+    let mut world = World::new(3);
+    world.start_delay = seconds(9.0);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(1);
+    }
+    world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+    world.run(world::TICK * 3);
+    let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+    world.restart(&first, seconds(7.0));
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = None;
+    }
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_repeated_start_that_outlives_its_run_does_not_run_twice() {
+    let mut world = World::new(2);
+    world.start_delay = seconds(6.0);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(2);
+        worker.start_orders = 1; // the first start is left unanswered, its copy is not
+    }
+    world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+    world.run(seconds(1.0));
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    world.restart(&first, seconds(2.0));
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+    world.run(world::TICK * 3);
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    world.restart(&first, world::TICK);
+    world.run(world::TICK * 2);
+    world.workers.get_mut(&first).unwrap().polls_hang = true;
+    world.start_late(&first, "a.0.0.0", 1);
+    world.replace_leader();
+    world.report(&first);
+    run_checked(&mut world, seconds(2.0));
+    world.workers.get_mut(&first).unwrap().polls_hang = false;
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_new_leader_keeps_runs_of_a_restarted_worker_beside_those_of_its_predecessor() {
+    let mut world = World::new(1);
+    world.run_times.insert("a".to_string(), seconds(30.0));
+    world.run_times.insert("b".to_string(), seconds(30.0));
+    world.workers.get_mut("w0").unwrap().omits_one_start_in = Some(1);
+    world.submit("q", "a", vec![step(1, 4000, 30_000)]);
+    world.run(world::TICK * 3);
+    world.restart("w0", world::TICK);
+    world.run(world::TICK);
+    let worker = world.workers.get_mut("w0").unwrap();
+    worker.omits_one_start_in = None;
+    (worker.loses_stop_answers, worker.ignores_stops) = (true, true);
+    world.report("w0");
+    world.run(seconds(1.0)); // the start of `a` is being stopped at the new incarnation
+    world.submit("q", "b", vec![step(1, 4000, 30_000)]);
+    world.run(seconds(1.0));
+    assert_eq!(world.workers_running("b.0.0.0").len(), 1);
+    let worker = world.workers.get_mut("w0").unwrap();
+    (worker.loses_stop_answers, worker.ignores_stops) = (false, false);
+    world.replace_leader();
+    run_checked(&mut world, seconds(100.0));
+    let runs: Vec<u64> = world.starts_of("b.0.0.0").iter().map(|start| start.run).collect();
+    assert_eq!(runs, [1], "it never stopped running");
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_run_that_is_not_placed_on_its_worker_holds_its_room() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(60.0));
+    world.run_times.insert("b".to_string(), seconds(1.0));
+    world.submit("q", "a", vec![step(1, 6000, 60_000)]);
+    world.run(seconds(0.5));
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    let other = if first == "w0" { "w1" } else { "w0" };
+    let worker = world.workers.get_mut(other).unwrap();
+    (worker.loses_stop_answers, worker.ignores_stops) = (true, true);
+    world.start_late(other, "a.0.0.0", 1);
+    world.run(seconds(2.5)); // an idle worker is polled every 2 s
+    world.submit("q", "b", vec![step(1, 6000, 1000)]);
+    world.run(seconds(3.0));
+    assert_eq!(world.overloads, [], "the run is still there");
+    let worker = world.workers.get_mut(other).unwrap();
+    (worker.loses_stop_answers, worker.ignores_stops) = (false, false);
+    world.run(seconds(4.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "b"), State::Completed);
+}
+
+#[test]
+fn a_unit_that_ended_at_a_successor_of_its_worker_does_not_start_again() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(0.05));
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(world::TICK);
+    world.submit("q", "a", vec![step(4, 1000, 50)]);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..4 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
+#[test]
+fn a_unit_of_a_deleted_instance_does_not_wait_for_a_late_start() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    for worker in world.workers.values_mut() {
+        (worker.loses_start_answers, worker.executes_lost_starts) = (true, false);
+    }
+    world.submit("q", "a", vec![step(1, 1000, 1000)]);
+    world.run(world::TICK * 3);
+    let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+    world.delete(&first);
+    for worker in world.workers.values_mut() {
+        worker.loses_start_answers = false;
+    }
+    world.run(seconds(9.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+/// Time between two steps of a random schedule.
+const STEP: Duration = Duration::from_millis(100);
+/// Shortest time between two restarts of one worker. A start that is under way across two
+/// restarts is not covered.
+const MIN_RESTART_GAP: Duration = Duration::from_secs(20);
+
+/// Random faults of four workers: each leaves one start order in three unanswered and carries
+/// it out 2 to 12 s later; they restart, are cut off, or restart while cut off.
+struct Schedule {
+    world: World,
+    rng: StdRng,
+    restarted_at: BTreeMap<String, Duration>,
+    cut_until: BTreeMap<String, Duration>,
+    job_count: u32,
+}
+
+impl Schedule {
+    fn new(seed: u64) -> Schedule {
+        let mut world = World::new(4);
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = Some(3);
+        }
+        let (restarted_at, cut_until) = Default::default();
+        let rng = StdRng::seed_from_u64(seed);
+        Schedule { world, rng, restarted_at, cut_until, job_count: 0 }
+    }
+
+    fn random_duration(&mut self, least_ms: u64, most_ms: u64) -> Duration {
+        Duration::from_millis(self.rng.random_range(least_ms..most_ms))
+    }
+
+    /// Brings about the faults and jobs of one step.
+    fn step(&mut self) {
+        self.world.start_delay = self.random_duration(2000, 12_000);
+        if self.rng.random_bool(0.12) {
+            let id = format!("a{}", self.job_count);
+            self.job_count += 1;
+            let run_time = self.random_duration(200, 4000);
+            self.world.run_times.insert(id.clone(), run_time);
+            let (count, cpu) = (self.rng.random_range(1..4), self.rng.random_range(1..6) * 1000);
+            self.world.submit("q", &id, vec![step(count, cpu, run_time.as_millis() as u64)]);
+        }
+        let id = format!("w{}", self.rng.random_range(0..4));
+        let now = self.world.now;
+        let may_restart = self.restarted_at.get(&id).is_none_or(|at| now >= *at + MIN_RESTART_GAP);
+        if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
+            let cut_for = self.random_duration(300, 8000);
+            self.cut_until.insert(id.clone(), now + cut_for);
+            self.world.workers.get_mut(&id).unwrap().partitioned = true;
+        }
+        if may_restart && self.rng.random_bool(0.03) {
+            let down_for = self.random_duration(10, 7000);
+            self.restarted_at.insert(id.clone(), now);
+            self.world.restart(&id, down_for);
+        }
+        self.cut_until.retain(|id, until| {
+            let is_over = now >= *until;
+            if is_over {
+                self.world.workers.get_mut(id).unwrap().partitioned = false;
+            }
+            !is_over
+        });
+    }
+
+    /// Ends all faults but the late orders that are under way.
+    fn heal(&mut self) {
+        for worker in self.world.workers.values_mut() {
+            worker.partitioned = false;
+            worker.omits_one_start_in = None;
+        }
+    }
+}
+
+#[test]
+fn no_unit_runs_twice_and_no_worker_is_overloaded_while_workers_restart() {
+    for seed in 0..30 {
+        let mut schedule = Schedule::new(seed);
+        let start = schedule.world.now;
+        while schedule.world.now < start + seconds(80.0) {
+            if schedule.world.now < start + seconds(40.0) {
+                schedule.step();
+            } else {
+                schedule.heal();
+            }
+            for _ in 0..STEP.as_millis() / world::TICK.as_millis() {
+                schedule.world.run(world::TICK);
+                let world = &schedule.world;
+                let twice = world.running_twice();
+                assert!(twice.is_empty(), "seed {seed}: {twice:?} twice at {:?}", world.now);
+                assert_eq!(world.overloads, [], "seed {seed}");
+            }
+        }
+        for job in 0..schedule.job_count {
+            let state = schedule.world.state("q", &format!("a{job}"));
+            assert_eq!(state, State::Completed, "seed {seed}, job {job}");
+        }
+    }
+}
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -1,19 +1,21 @@
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
 //! Simulation of a scheduler, its ledger, scripted workers and a cloud on a fake clock.
 
 use jobs::command::{Command, EndReason, Submit};
 use jobs::config::Advice;
 use jobs::definition::{Definition as JobDefinition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
-use sched::instance::{self, Instance};
-use sched::order::{
-    Answer, Destination, Finished, Move, Order, Poll, Refusal, RunLists, RunStatus, Start,
-};
+use sched::order::{Answer, Destination, Move, Order, Refusal, Start};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
 };
 use sched::{Report, Roster, Scheduler, Settings};
 use std::collections::BTreeMap;
 use std::time::Duration;
+pub use worker::Worker;
+
+mod worker;
 
 /// Time between two steps of the simulation.
 pub const TICK: Duration = Duration::from_millis(10);
@@ -24,50 +26,14 @@
 /// Delay with which a move order without an answer is carried out.
 pub const MOVE_DELAY: Duration = Duration::from_secs(9);
 
-/// Delay with which a start order that a worker leaves unanswered is carried out.
+/// Time from the start of a restarted worker to its first report.
+pub const FIRST_REPORT_DELAY: Duration = Duration::from_millis(100);
+/// Delay with which a start order that a worker leaves unanswered is carried out, unless a
+/// test sets another one.
 pub const START_DELAY: Duration = Duration::from_secs(3);
 /// Time after which the sender of a start order gives up on the answer.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// A scripted worker with configurable faults.
-#[derive(Clone, Debug)]
-pub struct Worker {
-    pub report: Report,
-    /// The worker answers nothing and runs nothing.
-    pub is_down: bool,
-    /// The worker keeps running but can't be reached.
-    pub partitioned: bool,
-    /// Start orders get no answer.
-    pub loses_start_answers: bool,
-    /// Whether start orders without an answer are carried out.
-    pub executes_lost_starts: bool,
-    /// One start order in this many gets no answer and is carried out after [`START_DELAY`].
-    pub omits_one_start_in: Option<u32>,
-    /// Start orders so far.
-    start_orders: u32,
-    /// Every run fails right after its start.
-    pub fails_runs: bool,
-    /// Polls get no answer while this is set.
-    pub polls_hang: bool,
-    /// Runs make no progress and don't end.
-    pub is_stuck: bool,
-    /// Highest fence that the worker has seen.
-    pub fence: u64,
-    /// End of the lease on the simulated clock; runs lapse after it.
-    pub lease_expiry: Duration,
-    /// Present runs by unit name and run number, with the time of their start.
-    pub runs: BTreeMap<(String, RunNumber), Duration>,
-    /// Ends that the leader has not acknowledged.
-    pub finished: Vec<Finished>,
-    pub end_count: u64,
-    /// Highest run of each unit that was stopped or has ended; runs up to it are not started.
-    pub stopped_runs: BTreeMap<String, RunNumber>,
-    /// Processor share in percent of each paced run.
-    pub paces: BTreeMap<(String, RunNumber), u32>,
-    /// Open poll and when it arrived.
-    poll: Option<(Destination, Poll, Duration)>,
-}
-
 /// A start that a worker carried out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RecordedStart {
@@ -99,6 +65,14 @@
     pub moves_to_delay: usize,
     /// Delayed move orders, each with the time when it is carried out.
     delayed_moves: Vec<(Duration, Move)>,
+    /// Delay with which start orders without an answer are carried out.
+    pub start_delay: Duration,
+    /// Workers whose process is restarting, with the time of its start.
+    restarting: BTreeMap<String, Duration>,
+    /// Restarted workers that have not reported, with the time of their first report.
+    first_reports: BTreeMap<String, Duration>,
+    /// Starts that brought a worker over its capacity, with the time and the worker.
+    pub overloads: Vec<(Duration, String)>,
     /// Start orders without an answer, each with the time when it is carried out.
     delayed_starts: Vec<(Duration, Destination, Start)>,
     /// Replies that stand for answers that did not come, with the time when they are due.
@@ -174,6 +148,10 @@
             advise_calls: 0,
             moves_to_delay: 0,
             delayed_moves: Vec::new(),
+            start_delay: START_DELAY,
+            restarting: BTreeMap::new(),
+            first_reports: BTreeMap::new(),
+            overloads: Vec::new(),
             delayed_starts: Vec::new(),
             overdue_replies: Vec::new(),
             relay_is_gone: false,
@@ -205,26 +183,7 @@
             remaining: None,
             number: 1,
         };
-        let worker = Worker {
-            report: report.clone(),
-            is_down: false,
-            partitioned: false,
-            loses_start_answers: false,
-            executes_lost_starts: true,
-            omits_one_start_in: None,
-            start_orders: 0,
-            fails_runs: false,
-            polls_hang: false,
-            is_stuck: false,
-            fence: 0,
-            lease_expiry: Duration::ZERO,
-            runs: BTreeMap::new(),
-            finished: Vec::new(),
-            end_count: 0,
-            stopped_runs: BTreeMap::new(),
-            paces: BTreeMap::new(),
-            poll: None,
-        };
+        let worker = Worker::new(report.clone(), self.now);
         self.workers.insert(id.to_string(), worker);
         let time = self.time();
         self.scheduler.on_report(time, &self.ledger, &report);
@@ -284,8 +243,71 @@
         }
     }
 
+    /// Ends the process of a worker, whose open poll is answered by a closed connection. It
+    /// starts again under its id after `down_for`, and reports 100 ms later.
+    pub fn restart(&mut self, id: &str, down_for: Duration) {
+        let time = self.time();
+        self.restarting.insert(id.to_string(), self.now + down_for);
+        let worker = self.workers.get_mut(id).unwrap();
+        worker.is_down = true;
+        let Some((to, poll, _)) = worker.poll.take() else { return };
+        let reply = PollReply {
+            incarnation: to.incarnation,
+            sent_at: poll.sent_at,
+            answer: Answer::Unknown,
+        };
+        self.scheduler.on_poll_reply(time, &self.ledger, reply);
+    }
+
+    /// Lets a start that was under way since before the worker's last restart arrive there now.
+    pub fn start_late(&mut self, id: &str, name: &str, run: RunNumber) {
+        let unit = self.ledger.find_unit(name).unwrap();
+        let report = self.workers[id].report.clone();
+        let to = Destination { incarnation: report.incarnation, address: report.address };
+        let (name, spec) = (name.to_string(), String::new());
+        let lease_end_ms = Settings::default().max_lease.as_millis() as u64;
+        let (checkpoint, ticket, fence) = (String::new(), None, self.fence);
+        let start = Start { unit, name, run, spec, lease_end_ms, fence, checkpoint, ticket };
+        self.start(&to, &start);
+    }
+
+    /// Passes a worker's present report to the leader, if the worker can reach it.
+    pub fn report(&mut self, id: &str) {
+        let (time, worker) = (self.time(), &self.workers[id]);
+        if !worker.is_down && !worker.partitioned {
+            self.scheduler.on_report(time, &self.ledger, &worker.report);
+        }
+    }
+
+    /// Ends a worker for good; its instance no longer exists.
+    pub fn delete(&mut self, id: &str) {
+        self.workers.remove(id);
+    }
+
+    /// Starts the new incarnations of workers that are restarting, and passes on their first
+    /// reports.
+    fn start_restarted(&mut self) {
+        let now = self.now;
+        let reports: Vec<_> = self.first_reports.extract_if(.., |_, at| now >= *at).collect();
+        for (id, _) in reports {
+            self.report(&id);
+        }
+        let due: Vec<_> = self.restarting.extract_if(.., |_, at| now >= *at).collect();
+        for (id, _) in due {
+            self.first_reports.insert(id.clone(), now + FIRST_REPORT_DELAY);
+            self.started_at += 1;
+            let before = &self.workers[&id];
+            let (partitioned, mut report) = (before.partitioned, before.report.clone());
+            let omits_one_start_in = before.omits_one_start_in;
+            report.incarnation.started_at = self.started_at;
+            let worker = Worker { partitioned, omits_one_start_in, ..Worker::new(report, now) };
+            self.workers.insert(id, worker);
+        }
+    }
+
     fn tick(&mut self) {
         self.now += TICK;
+        self.start_restarted();
         self.return_instances();
         let now = self.now;
         let is_due = |(at, _): &mut (Duration, Move)| *at <= now;
@@ -384,7 +406,7 @@
                 let answer = Answer::Unknown;
                 let reply = StartReply { incarnation, unit, run, answer };
                 self.overdue_replies.push((self.now + ORDER_TIMEOUT, reply));
-                self.delayed_starts.push((self.now + START_DELAY, to, start));
+                self.delayed_starts.push((self.now + self.start_delay, to, start));
             }
             Order::Start(to, start) => {
                 let answer = match self.relay_is_gone {
@@ -396,25 +418,17 @@
                 self.scheduler.on_start_reply(time, &self.ledger, reply);
             }
             Order::Stop(to, stop) => {
+                let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
                 let answer = match self.workers.get_mut(&to.incarnation.worker) {
                     Some(worker) if !worker.is_down && !worker.partitioned => {
-                        worker.fence = worker.fence.max(stop.fence);
-                        let last_stopped =
-                            worker.stopped_runs.entry(stop.name.clone()).or_default();
-                        *last_stopped = (*last_stopped).max(stop.run);
-                        if worker.runs.remove(&(stop.name.clone(), stop.run)).is_some() {
-                            worker.end(stop.name, stop.run, EndReason::Stopped);
+                        if !worker.ignores_stops {
+                            worker.stop(stop);
                         }
-                        Answer::Done(())
+                        if worker.loses_stop_answers { Answer::Unknown } else { Answer::Done(()) }
                     }
                     _ => Answer::Unknown,
                 };
-                let reply = StopReply {
-                    incarnation: to.incarnation,
-                    unit: stop.unit,
-                    run: stop.run,
-                    answer,
-                };
+                let reply = StopReply { incarnation, unit, run, answer };
                 self.scheduler.on_stop_reply(time, reply);
             }
             Order::Maintain(order) => {
@@ -545,13 +559,15 @@
         if worker.stopped_runs.get(&start.name).is_some_and(|run| start.run <= *run) {
             return Answer::Refused(Refusal::Old);
         }
+        if worker.clock_origin + Duration::from_millis(start.lease_end_ms) <= self.now {
+            return Answer::Refused(Refusal::Late);
+        }
         let restricted = self.ledger.jobs()[&start.unit.job].queue == "r";
         if restricted && start.ticket != Some(format!("for {}", to.incarnation.worker)) {
             return Answer::Refused(Refusal::Ticket);
         }
         if !worker.loses_start_answers || worker.executes_lost_starts {
-            worker.lease_expiry =
-                worker.lease_expiry.max(Duration::from_millis(start.lease_end_ms));
+            worker.extend_lease(self.now, start.lease_end_ms, Settings::default().max_lease);
             let key = (start.name.clone(), start.run);
             if let std::collections::btree_map::Entry::Vacant(slot) = worker.runs.entry(key) {
                 slot.insert(self.now);
@@ -568,7 +584,23 @@
                 }
             }
         }
-        if worker.loses_start_answers { Answer::Unknown } else { Answer::Done(()) }
+        let answer = if worker.loses_start_answers { Answer::Unknown } else { Answer::Done(()) };
+        self.record_overload(&to.incarnation.worker);
+        answer
+    }
+
+    /// Records the worker if its runs together need more than its capacity.
+    fn record_overload(&mut self, id: &str) {
+        let worker = &self.workers[id];
+        let cpu_milli = |name: &String| {
+            let unit = self.ledger.find_unit(name).unwrap();
+            let steps = &self.ledger.jobs()[&unit.job].definition.steps;
+            steps[usize::from(unit.step)].reserved_resources().cpu_milli
+        };
+        let used: u64 = worker.runs.keys().map(|(name, _)| cpu_milli(name)).sum();
+        if used > worker.report.capacity.cpu_milli {
+            self.overloads.push((self.now, id.to_string()));
+        }
     }
 
     fn answer_poll(&mut self, id: &str) {
@@ -595,8 +627,8 @@
         } else {
             worker.fence = poll.fence;
             let run_times = &self.run_times;
-            if let Some(lease_expiry) = poll.lease_end_ms {
-                worker.lease_expiry = worker.lease_expiry.max(Duration::from_millis(lease_expiry));
+            if let Some(lease_end_ms) = poll.lease_end_ms {
+                worker.extend_lease(now, lease_end_ms, Settings::default().max_lease);
             }
             Answer::Done(worker.run_lists(now, run_times))
         };
@@ -609,6 +641,17 @@
         self.starts.iter().filter(|start| start.name == name).collect()
     }
 
+    /// Returns the units that are running on more than one worker.
+    pub fn running_twice(&self) -> Vec<String> {
+        let mut counts: BTreeMap<&String, u32> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| !worker.is_down) {
+            for (name, _) in worker.runs.keys() {
+                *counts.entry(name).or_default() += 1;
+            }
+        }
+        counts.into_iter().filter(|(_, count)| *count > 1).map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns the workers on which a unit is running.
     pub fn workers_running(&self, name: &str) -> Vec<&String> {
         let runs = |worker: &Worker| worker.runs.keys().any(|(unit, _)| unit == name);
@@ -620,58 +663,3 @@
         self.ledger.find_job(&queue.to_string(), id).unwrap().state
     }
 }
-
-impl Worker {
-    fn instance(&self, in_maintenance: bool) -> Instance {
-        Instance {
-            id: self.report.instance.clone(),
-            pool: self.report.pool.clone(),
-            state: if in_maintenance { instance::State::Upkeep } else { instance::State::Up },
-            data_centre: self.report.data_centre.clone(),
-            labels: self.report.labels.clone(),
-            capacity: self.report.capacity,
-            worker: Some(self.report.incarnation.worker.clone()),
-        }
-    }
-
-    fn end(&mut self, name: String, run: RunNumber, reason: EndReason) {
-        let last = self.stopped_runs.entry(name.clone()).or_default();
-        *last = (*last).max(run);
-        self.end_count += 1;
-        let checkpoint = String::new();
-        self.finished.push(Finished { number: self.end_count, name, run, reason, checkpoint });
-    }
-
-    /// Tail latency of serving work in milliseconds: 20, plus 1 for each percent of
-    /// processor share of the best-effort work on the worker.
-    pub fn tail_latency_ms(&self) -> u64 {
-        let best_effort = self.runs.keys().filter(|(name, _)| name.starts_with("background"));
-        let share = |key: &(String, RunNumber)| self.paces.get(key).copied().unwrap_or(100);
-        20 + best_effort.map(share).map(u64::from).sum::<u64>()
-    }
-
-    fn run_lists(&self, now: Duration, run_times: &BTreeMap<String, Duration>) -> RunLists {
-        let row = |((name, run), started_at): (&(String, RunNumber), &Duration)| RunStatus {
-            name: name.clone(),
-            run: *run,
-            checkpoint: String::new(),
-            progress_percent: 100.min(match self.is_stuck {
-                true => 1,
-                false => {
-                    let job = name.split('.').next().unwrap_or_default();
-                    let duration =
-                        run_times.get(job).copied().unwrap_or(Duration::from_millis(500));
-                    (now.saturating_sub(*started_at).as_secs_f64() / duration.as_secs_f64() * 100.0)
-                        as u32
-                }
-            }),
-            measurement: if name.starts_with("serving") { self.tail_latency_ms() } else { 0 },
-        };
-        RunLists {
-            started_at: Some(self.report.incarnation.started_at),
-            clock_ms: now.as_millis() as u64,
-            running: self.runs.iter().map(row).collect(),
-            finished: self.finished.clone(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/sched/tests/world/worker.rs
@@ -0,0 +1,153 @@
+//! A scripted worker.
+
+use jobs::RunNumber;
+use jobs::command::EndReason;
+use sched::Report;
+use sched::instance::{self, Instance};
+use sched::order::{Destination, Finished, Poll, RunLists, RunStatus, Stop};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A scripted worker with configurable faults.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub report: Report,
+    /// The worker answers nothing and runs nothing.
+    pub is_down: bool,
+    /// The worker keeps running but can't be reached.
+    pub partitioned: bool,
+    /// Start orders get no answer.
+    pub loses_start_answers: bool,
+    /// Whether start orders without an answer are carried out.
+    pub executes_lost_starts: bool,
+    /// One start order in this many gets no answer and is carried out after [`START_DELAY`].
+    pub omits_one_start_in: Option<u32>,
+    /// Start orders so far.
+    pub start_orders: u32,
+    /// Stop orders get no answer.
+    pub loses_stop_answers: bool,
+    /// Stop orders are not carried out.
+    pub ignores_stops: bool,
+    /// Every run fails right after its start.
+    pub fails_runs: bool,
+    /// Polls get no answer while this is set.
+    pub polls_hang: bool,
+    /// Runs make no progress and don't end.
+    pub is_stuck: bool,
+    /// Highest fence that the worker has seen.
+    pub fence: u64,
+    /// Time of the simulation at which the worker's own clock shows zero.
+    pub clock_origin: Duration,
+    /// End of the lease in the time of the simulation; runs lapse after it.
+    pub lease_expiry: Duration,
+    /// Present runs by unit name and run number, with the time of their start.
+    pub runs: BTreeMap<(String, RunNumber), Duration>,
+    /// Ends that the leader has not acknowledged.
+    pub finished: Vec<Finished>,
+    pub end_count: u64,
+    /// Highest run of each unit that was stopped or has ended; runs up to it are not started.
+    pub stopped_runs: BTreeMap<String, RunNumber>,
+    /// Processor share in percent of each paced run.
+    pub paces: BTreeMap<(String, RunNumber), u32>,
+    /// Open poll and when it arrived.
+    pub poll: Option<(Destination, Poll, Duration)>,
+}
+
+impl Worker {
+    /// Creates the first incarnation of a worker, or a new one.
+    pub fn new(report: Report, now: Duration) -> Worker {
+        Worker {
+            report,
+            is_down: false,
+            partitioned: false,
+            loses_start_answers: false,
+            executes_lost_starts: true,
+            omits_one_start_in: None,
+            start_orders: 0,
+            loses_stop_answers: false,
+            ignores_stops: false,
+            fails_runs: false,
+            polls_hang: false,
+            is_stuck: false,
+            fence: 0,
+            clock_origin: now.saturating_sub(Duration::from_secs(1)),
+            lease_expiry: Duration::ZERO,
+            runs: BTreeMap::new(),
+            finished: Vec::new(),
+            end_count: 0,
+            stopped_runs: BTreeMap::new(),
+            paces: BTreeMap::new(),
+            poll: None,
+        }
+    }
+
+    /// Carries out an order to stop a run.
+    pub fn stop(&mut self, stop: Stop) {
+        self.fence = self.fence.max(stop.fence);
+        let last_stopped = self.stopped_runs.entry(stop.name.clone()).or_default();
+        *last_stopped = (*last_stopped).max(stop.run);
+        if self.runs.remove(&(stop.name.clone(), stop.run)).is_some() {
+            self.end(stop.name, stop.run, EndReason::Stopped);
+        }
+    }
+
+    /// Extends the lease to the given time of the worker's clock, at most by `max_lease` from
+    /// now.
+    pub fn extend_lease(&mut self, now: Duration, lease_end_ms: u64, max_lease: Duration) {
+        let end = self.clock_origin + Duration::from_millis(lease_end_ms);
+        self.lease_expiry = self.lease_expiry.max(end.min(now + max_lease));
+    }
+
+    pub fn instance(&self, in_maintenance: bool) -> Instance {
+        Instance {
+            id: self.report.instance.clone(),
+            pool: self.report.pool.clone(),
+            state: if in_maintenance { instance::State::Upkeep } else { instance::State::Up },
+            data_centre: self.report.data_centre.clone(),
+            labels: self.report.labels.clone(),
+            capacity: self.report.capacity,
+            worker: Some(self.report.incarnation.worker.clone()),
+        }
+    }
+
+    pub fn end(&mut self, name: String, run: RunNumber, reason: EndReason) {
+        let last = self.stopped_runs.entry(name.clone()).or_default();
+        *last = (*last).max(run);
+        self.end_count += 1;
+        let checkpoint = String::new();
+        self.finished.push(Finished { number: self.end_count, name, run, reason, checkpoint });
+    }
+
+    /// Tail latency of serving work in milliseconds: 20, plus 1 for each percent of
+    /// processor share of the best-effort work on the worker.
+    pub fn tail_latency_ms(&self) -> u64 {
+        let best_effort = self.runs.keys().filter(|(name, _)| name.starts_with("background"));
+        let share = |key: &(String, RunNumber)| self.paces.get(key).copied().unwrap_or(100);
+        20 + best_effort.map(share).map(u64::from).sum::<u64>()
+    }
+
+    pub fn run_lists(&self, now: Duration, run_times: &BTreeMap<String, Duration>) -> RunLists {
+        let row = |((name, run), started_at): (&(String, RunNumber), &Duration)| RunStatus {
+            name: name.clone(),
+            run: *run,
+            checkpoint: String::new(),
+            progress_percent: 100.min(match self.is_stuck {
+                true => 1,
+                false => {
+                    let job = name.split('.').next().unwrap_or_default();
+                    let duration =
+                        run_times.get(job).copied().unwrap_or(Duration::from_millis(500));
+                    (now.saturating_sub(*started_at).as_secs_f64() / duration.as_secs_f64() * 100.0)
+                        as u32
+                }
+            }),
+            measurement: if name.starts_with("serving") { self.tail_latency_ms() } else { 0 },
+        };
+        RunLists {
+            started_at: Some(self.report.incarnation.started_at),
+            clock_ms: now.saturating_sub(self.clock_origin).as_millis() as u64,
+            running: self.runs.iter().map(row).collect(),
+            finished: self.finished.clone(),
+        }
+    }
+}
