Sched: a run that is not placed on its worker holds its room

Callers saw a worker over its capacity (LIMIT). Cause: a run that a worker lists and the ledger does not place there is stopped, but until its end is listed its room counted as free, and work was placed into it. It is a record of its own now, with the resources of its unit (all of the worker's if the job is not known), and counts for anti-affinity too; it is forgotten when the lists no longer name it.

--- /dev/null
+++ b/crates/sched/src/late.rs
@@ -0,0 +1,50 @@
+//! Runs on a worker that the ledger does not place there.
+
+use jobs::UnitKey;
+use jobs::definition::Resources;
+use std::time::Duration;
+
+/// A run that is, or may come to be, on a worker's present incarnation and is not placed there.
+/// It is stopped, and holds resources until it is certainly gone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unplaced {
+    /// Key of the unit; `None` if no job of the ledger has it.
+    pub unit: Option<UnitKey>,
+    /// Resources that the run uses; `None` if they are not known.
+    pub resources: Option<Resources>,
+    /// Whether the last run lists named the run.
+    pub is_listed: bool,
+    /// When the stop was last sent; `None` before the first time.
+    pub stop_sent_at: Option<Duration>,
+    /// When the worker confirmed that the run is stopped, or will never start.
+    pub stop_acknowledged_at: Option<Duration>,
+}
+
+impl Unplaced {
+    /// Creates the record of a run whose stop has not been sent.
+    pub fn new(unit: Option<UnitKey>, resources: Option<Resources>) -> Unplaced {
+        Unplaced {
+            unit,
+            resources,
+            is_listed: false,
+            stop_sent_at: None,
+            stop_acknowledged_at: None,
+        }
+    }
+
+    /// Returns whether the run is certainly gone, given that the answer to a poll sent at
+    /// `sent_at` does not name it: it was listed before, or its stop was confirmed before the
+    /// poll was sent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut late = sched::late::Unplaced::new(None, None);
+    /// let polled_at = Duration::from_secs(2);
+    /// assert!(!late.is_gone(polled_at), "it may still start");
+    /// late.stop_acknowledged_at = Some(Duration::from_secs(1));
+    /// assert!(late.is_gone(polled_at));
+    /// ```
+    pub fn is_gone(&self, sent_at: Duration) -> bool {
+        self.is_listed || self.stop_acknowledged_at.is_some_and(|at| at <= sent_at)
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod estimate;
 pub mod instance;
+pub mod late;
 pub mod lease;
 pub mod order;
 pub mod place;
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod poll;
 mod runs;
 mod starts;
+mod unplaced;
 mod waiting;
 
 use crate::estimate::Estimator;
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -6,7 +6,7 @@
 
 use super::{LEASE_DURATION, Scheduler, Time};
 use crate::lease::ClockReading;
-use crate::order::{Answer, Destination, Order, Poll, RunLists, RunStatus, Stop};
+use crate::order::{Answer, Destination, Order, Poll, RunLists, RunStatus};
 use crate::worker::{RunState, Worker};
 use jobs::command::{Discarded, End, EndList};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
@@ -240,42 +240,14 @@
             }
             self.batch.discarded.push(Discarded { unit: key.0, run: key.1 });
         }
-        let incarnation = worker.incarnation.clone();
-        let unplaced: Vec<&RunStatus> = run_lists
-            .running
-            .iter()
-            .filter(|status| {
-                let key = ledger.find_unit(&status.name).map(|unit| (unit, status.run));
-                key.is_none_or(|key| !worker.runs.contains_key(&key))
-            })
-            .collect();
         if !ends.is_empty() {
-            self.batch.ended.push(EndList { incarnation: incarnation.clone(), ends });
+            let incarnation = worker.incarnation.clone();
+            self.batch.ended.push(EndList { incarnation, ends });
         }
-        let address = worker.report.as_ref().map(|report| report.address);
         for (unit, _) in running.keys().chain(&finished_runs) {
             self.record_begun(ledger, unit.job);
         }
-        for status in unplaced {
-            let Some(address) = address else { break };
-            // A start that was given up was carried out late. The unit may be unknown by
-            // now; the worker needs only its name.
-            let unit = ledger.find_unit(&status.name).unwrap_or(UnitKey {
-                job: 0,
-                occurrence: 0,
-                step: 0,
-                index: 0,
-            });
-            let stop = Stop { unit, name: status.name.clone(), run: status.run, fence: self.fence };
-            let destination = Destination { incarnation: incarnation.clone(), address };
-            self.orders.push(Order::Stop(destination, stop));
-            self.effort.unplaced_runs += 1;
-            let text = format!(
-                "incarnation {} runs unit {} run {}, which is not placed there: stopped",
-                incarnation.started_at, status.name, status.run
-            );
-            self.explanations.push(super::Explanation { subject: id.clone(), text });
-        }
+        self.apply_unplaced(time, ledger, id, sent_at, &run_lists.running);
     }
 }
 
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -210,6 +210,7 @@
         worker.answered_under_fence = false;
         worker.lease = Lease::inherited(time.monotonic, self.settings.max_lease);
         worker.polling = Default::default();
+        worker.unplaced.clear();
         worker.proposed_through = 0;
         worker.consecutive_failures = 0;
         worker.cordoned = false;
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -224,6 +224,7 @@
                 {
                     acknowledged.get_or_insert(time.monotonic);
                 }
+                worker.acknowledge_unplaced(time.monotonic, unit, number);
             }
             Answer::Misdirected => self.on_incarnation_ended(time, &id),
             Answer::Refused(refusal) => self.on_refusal(&id, refusal),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -3,6 +3,7 @@
 //! A worker whose runs fail several times in a row gets no new work for a growing
 //! backoff and then one unit at a time, until a run succeeds.
 
+use crate::late::Unplaced;
 use crate::lease::Lease;
 use crate::roster::Report;
 use jobs::definition::Resources;
@@ -152,6 +153,8 @@
     pub runs: BTreeMap<(UnitKey, RunNumber), Run>,
     /// Sum of the resources that the runs reserve.
     pub reserved: Resources,
+    /// Runs that are not placed on the worker, by unit name and run number.
+    pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
     /// Number of the last end that was proposed to the log; 0 for none.
     pub proposed_through: u64,
     /// Failures since the last success.
@@ -180,6 +183,7 @@
             polling: Polling::default(),
             runs: BTreeMap::new(),
             reserved: Resources::default(),
+            unplaced: BTreeMap::new(),
             proposed_through: 0,
             consecutive_failures: 0,
             backoffs: 0,
@@ -205,10 +209,27 @@
         Some(run)
     }
 
-    /// Returns the resources that no run reserves; zero without a report.
+    /// Records that the worker confirmed the stop of an unplaced run.
+    pub fn acknowledge_unplaced(&mut self, now: Duration, unit: UnitKey, number: RunNumber) {
+        for ((_, run), unplaced) in &mut self.unplaced {
+            if *run == number && unplaced.unit == Some(unit) {
+                unplaced.stop_acknowledged_at.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Returns the resources that neither runs nor unplaced runs use; zero without a report, or
+    /// if the resources of an unplaced run are not known.
     pub fn free_resources(&self) -> Resources {
         let capacity = self.report.as_ref().map(|report| report.capacity).unwrap_or_default();
-        capacity.minus(&self.reserved)
+        let mut free = capacity.minus(&self.reserved);
+        for unplaced in self.unplaced.values() {
+            free = match &unplaced.resources {
+                Some(resources) => free.minus(resources),
+                None => Resources::default(),
+            };
+        }
+        free
     }
 
     /// Returns whether a start may be sent to the worker, first or repeated.
@@ -234,9 +255,12 @@
         self.consecutive_failures >= PROBATION_FAILURES
     }
 
-    /// Returns the number of runs of a step on the worker.
+    /// Returns the number of runs of a step on the worker, also of those not placed there.
     pub fn count_runs(&self, step: &jobs::StepKey) -> u32 {
-        self.runs.range(step.range()).count() as u32
+        let is_of_step =
+            |unplaced: &&Unplaced| unplaced.unit.is_some_and(|unit| unit.step_key() == *step);
+        let unplaced = self.unplaced.values().filter(is_of_step).count();
+        (self.runs.range(step.range()).count() + unplaced) as u32
     }
 
     /// Returns whether best-effort runs share the worker with runs that serve requests.
