Sched, jobs: what one incarnation of a worker said or leased does not bind the next

Callers saw one unit running twice at the same time (TWICE) and workers over their capacity (LIMIT). Cause: a worker may start again under its id; orders name the id, and the successor knows neither runs nor fence, and its clock started anew. The leader took an answer of the successor for one of its predecessor (the run was then discarded as lost with it, while it ran), took the end of the predecessor's lease for the end of all starts that it had been sent, and a new leader discarded all inherited runs of a worker when one of them was placed on an earlier incarnation.

Now a start counts as carried out by an incarnation only once that incarnation lists the run. Until then, and for 15 s after a start without an answer (the platform carries orders out at most 12 s late), it may still arrive: at a new incarnation it is stopped first and holds its room; its unit waits beyond the lease, unless two instance lists show that the worker can't return. Inherited runs are decided by the first poll of the incarnation that is there. An end that a successor lists names the incarnation that the run was placed on, so that the ledger applies it; logs without that field are applied as before. A worker that fell silent gets new work only after a poll, whose answer names the incarnation; answers to starts don't.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -1,9 +1,29 @@
-//! Runs on a worker that the ledger does not place there.
+//! Starts that a worker may carry out late, and runs on a worker that the ledger does not place
+//! there.
+//!
+//! An order names a worker, not an incarnation. One without an answer may reach the worker's
+//! next incarnation, which knows neither its predecessor's runs nor its fence, and whose clock
+//! started anew, so that a lease given to the predecessor has not expired there.
 
 use jobs::UnitKey;
 use jobs::definition::Resources;
 use std::time::Duration;
 
+/// Time after which an order without an answer can no longer be carried out. The longest delay
+/// that the platform states is 12 s; the rest allows for different wall clocks of two
+/// leaders.
+pub const LATE_ORDER_WINDOW: Duration = Duration::from_secs(15);
+
+/// A start of a run that is no longer placed on the worker, but that may still reach a later
+/// incarnation of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LateStart {
+    /// Resources that the run would use.
+    pub resources: Resources,
+    /// Time after which the start can no longer be carried out.
+    pub until: Duration,
+}
+
 /// A run that is, or may come to be, on a worker's present incarnation and is not placed there.
 /// It is stopped, and holds resources until it is certainly gone.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -7,6 +7,7 @@
 
 use super::{MoveReply, Scheduler, Time};
 use crate::instance::State;
+use crate::late::LATE_ORDER_WINDOW;
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::{Class, remaining_work};
 use jobs::command::{Command, MoveChange};
@@ -36,10 +37,6 @@
 /// Time beyond the expected duration of a move after which the instance list is requested
 /// to find the instance.
 const MOVE_OVERDUE_MARGIN: Duration = Duration::from_millis(1000);
-/// Time after which an unanswered order can no longer be carried out. The longest delay
-/// that the platform states is 12 s; the rest allows for different wall clocks of two
-/// leaders.
-const LATE_ORDER_WINDOW: Duration = Duration::from_secs(15);
 
 /// State of the moves and of the demand that they follow.
 #[derive(Clone, Debug, Default)]
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -22,7 +22,7 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(1500);
 /// Consecutive lists without an instance after which it is considered deleted. A list
 /// that changes while its pages are read may miss an instance once.
-const GONE_AFTER_LISTS: u32 = 2;
+pub(super) const GONE_AFTER_LISTS: u32 = 2;
 /// Part of a wave's duration after which an instance no longer waits for its short work
 /// to finish.
 const SHORT_WORK_WAIT_FRACTION: f64 = 0.75;
@@ -173,6 +173,7 @@
         let previous = std::mem::take(&mut self.instances);
         self.instances = instances.into_iter().map(|m| (m.id.clone(), m)).collect();
         self.explain_listing_changes(&previous);
+        self.count_lists_without_workers();
         self.propose_gone();
         let finished: Vec<(InstanceId, WaveId)> = self
             .maintenance
@@ -209,6 +210,23 @@
         }
     }
 
+    /// Counts for each worker the consecutive lists by which it can't start again under its id:
+    /// its instance does not exist any more, or another worker is on it.
+    fn count_lists_without_workers(&mut self) {
+        let on_instances: BTreeSet<&WorkerId> =
+            self.instances.values().filter_map(|instance| instance.worker.as_ref()).collect();
+        for (id, worker) in &mut self.workers {
+            let can_return = match &worker.report {
+                None => on_instances.contains(id),
+                Some(report) => self.instances.get(&report.instance).is_some_and(|instance| {
+                    instance.state != State::Up
+                        || instance.worker.as_ref().is_none_or(|worker| worker == id)
+                }),
+            };
+            worker.lists_without = if can_return { 0 } else { worker.lists_without + 1 };
+        }
+    }
+
     /// Proposes the phase `Gone` for instances whose maintenance was refused and that were
     /// missing from several lists.
     fn propose_gone(&mut self) {
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -292,13 +292,16 @@
     ) {
         let Some(job) = ledger.job(unit.job) else { return };
         let step = &job.definition.steps[usize::from(unit.step)];
-        let mut run = Run::new(RunState::Inherited, step, time.monotonic);
+        let placed_on = incarnation.started_at;
+        let mut run = Run::new(RunState::Inherited, step, placed_on, time.monotonic);
         run.share_percent = None; // the previous leader may have changed it
         if job.state.is_final() || ledger.unit(&unit).is_some_and(|unit| unit.done) {
             run.stop_reason = Some(StopReason::Unneeded);
             run.state = RunState::Stopping { sent: None, acknowledged: None };
         }
-        self.worker_or_inherited(time, incarnation).add(unit, number, run);
+        let worker = self.worker_or_inherited(time, incarnation);
+        worker.incarnation.started_at = worker.incarnation.started_at.max(placed_on);
+        worker.add(unit, number, run);
         self.placed_on.entry(unit).or_default().insert(incarnation.worker.clone());
         let highest = self.last_run_numbers.entry(unit).or_default();
         *highest = (*highest).max(number);
@@ -361,8 +364,12 @@
         }
         let starts_draining =
             report.draining && !worker.report.as_ref().is_some_and(|r| r.draining);
+        let is_first = worker.report.is_none();
         worker.report = Some(report.clone());
         self.record_instance_worker(report);
+        if is_first {
+            self.send_first_stops(time, ledger, &report.incarnation.worker);
+        }
         if starts_draining {
             self.on_worker_draining(time, ledger, &report.incarnation.worker);
         }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -225,7 +225,7 @@
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
             let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
-            best.place(request.key, &Run::new(RunState::Proposed, request.step, time.monotonic));
+            best.place(request.key, &Run::new(RunState::Proposed, request.step, 0, time.monotonic));
             placements.push((unit, self.next_run(ledger, &unit), best.id.clone()));
             if let Some(rack) = best.rack().filter(|_| request.step.long_running) {
                 *units_per_rack.entry(rack.clone()).or_default() += 1;
@@ -259,7 +259,7 @@
             if placements.len() < indices.len() {
                 continue;
             }
-            let run = Run::new(RunState::Proposed, request.step, time.monotonic);
+            let run = Run::new(RunState::Proposed, request.step, 0, time.monotonic);
             for (_, _, worker) in &placements {
                 if let Some(candidate) = candidates.iter_mut().find(|other| other.id == worker) {
                     candidate.place(request.key, &run);
@@ -299,7 +299,9 @@
     fn add_proposed_run(&mut self, time: Time, placement: &Placement<'_>) {
         let Placement { unit, number, step, worker: id } = placement;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.add(*unit, *number, Run::new(RunState::Proposed, step, time.monotonic));
+        let placed_on = worker.incarnation.started_at;
+        let run = Run::new(RunState::Proposed, step, placed_on, time.monotonic);
+        worker.add(*unit, *number, run);
         self.last_run_numbers.insert(*unit, *number);
         self.placed_on.entry(*unit).or_default().insert(id.clone());
         for steps in self.waiting.values_mut() {
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -66,6 +66,7 @@
                     unreachable.push(id.clone());
                 }
             }
+            worker.late_starts.retain(|_, start| now < start.until);
             let Some(report) = &worker.report else { continue };
             if worker.polling.sent_at.is_some() || now < worker.polling.next_at {
                 continue;
@@ -101,10 +102,11 @@
             self.orders.push(Order::Poll(destination, poll));
         }
         for id in lost {
-            self.discard_all(time, &id, "its lease has expired");
+            self.discard_lapsed(time, &id);
         }
         for id in unreachable {
-            if self.workers.get(&id).is_some_and(|worker| worker.runs.is_empty()) {
+            let is_idle = |worker: &Worker| worker.runs.is_empty() && worker.late_starts.is_empty();
+            if self.workers.get(&id).is_some_and(is_idle) {
                 self.workers.remove(&id);
             }
         }
@@ -210,11 +212,8 @@
             });
         }
         let running = statuses_by_run(ledger, &run_lists.running);
-        let ends = ends(
-            ledger,
-            &run_lists,
-            worker.proposed_through.max(ledger.acknowledged_through(&worker.incarnation)),
-        );
+        let after = worker.proposed_through.max(ledger.acknowledged_through(&worker.incarnation));
+        let ends = ends(ledger, worker, &run_lists, after);
         let finished_runs: Vec<(UnitKey, RunNumber)> = run_lists
             .finished
             .iter()
@@ -225,6 +224,7 @@
         }
         for key in &finished_runs {
             if let Some(run) = worker.runs.get_mut(key) {
+                run.confirm();
                 run.state = RunState::Ending;
             }
         }
@@ -262,17 +262,23 @@
 }
 
 /// Returns the ends numbered above `after`, the last one that is in the log or proposed.
-fn ends(ledger: &Ledger, run_lists: &RunLists, after: u64) -> Vec<End> {
+fn ends(ledger: &Ledger, worker: &Worker, run_lists: &RunLists, after: u64) -> Vec<End> {
     let mut ends: Vec<End> = run_lists
         .finished
         .iter()
         .filter(|end| end.number > after)
-        .map(|end| End {
-            number: end.number,
-            unit: ledger.find_unit(&end.name),
-            run: end.run,
-            reason: end.reason,
-            checkpoint: end.checkpoint.clone(),
+        .map(|end| {
+            let unit = ledger.find_unit(&end.name);
+            let run = unit.and_then(|unit| worker.runs.get(&(unit, end.run)));
+            let placed_on = run.map(|run| run.placed_on);
+            End {
+                number: end.number,
+                unit,
+                run: end.run,
+                reason: end.reason,
+                checkpoint: end.checkpoint.clone(),
+                placed_on: placed_on.filter(|at| *at != worker.incarnation.started_at),
+            }
         })
         .collect();
     ends.sort_by_key(|end| end.number);
@@ -288,9 +294,7 @@
 ) {
     let Some(run) = worker.runs.get_mut(key) else { return };
     run.started_at = run.started_at.or(Some(now));
-    if run.unanswered_starts == 0 && run.state != RunState::Inherited {
-        run.unconfirmed_since = None;
-    }
+    run.confirm();
     run.measurement = status.measurement;
     if run.progress.0 != status.progress_percent {
         run.progress = (status.progress_percent, now);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -4,6 +4,7 @@
 //! Handles committed ends, stops runs that are no longer needed, and discards the runs
 //! of a worker that was lost or restarted, so that their units are placed again.
 
+use super::maintenance::GONE_AFTER_LISTS;
 use super::{Scheduler, Time};
 use crate::lease::Lease;
 use crate::order::{Destination, Order, Refusal, Stop};
@@ -20,7 +21,7 @@
     pub(super) fn on_released(&mut self, time: Time, ledger: &Ledger, release: &Release) {
         let Release { unit, run: number, incarnation, reason } = release;
         let Some(worker) = self.workers.get_mut(&incarnation.worker) else { return };
-        let Some(run) = worker.remove(*unit, *number) else { return };
+        let Some(run) = worker.release(time.monotonic, *unit, *number) else { return };
         match reason {
             Some(EndReason::Done) => {
                 worker.record_success();
@@ -155,29 +156,49 @@
         }
     }
 
-    /// Discards the runs of a worker that can no longer run them.
+    /// Discards the runs of an incarnation that has certainly ended.
     pub(super) fn discard_all(&mut self, time: Time, id: &WorkerId, reason: &str) {
+        self.discard_where(time, id, reason, |_| true);
+    }
+
+    /// Discards the runs of a worker whose lease has expired, except those with an unanswered
+    /// start that may still be carried out: the lease bounds only the incarnation that had it.
+    pub(super) fn discard_lapsed(&mut self, time: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let cannot_return = worker.lists_without >= GONE_AFTER_LISTS;
+        self.discard_where(time, id, "its lease has expired", |run| {
+            cannot_return || !run.has_unanswered_start(time.monotonic)
+        });
+    }
+
+    /// Discards the runs of a worker that fulfil a condition.
+    fn discard_where(
+        &mut self,
+        time: Time,
+        id: &WorkerId,
+        reason: &str,
+        is_over: impl Fn(&Run) -> bool,
+    ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let mut runs = Vec::new();
-        for (key, run) in &mut worker.runs {
-            if !matches!(run.state, RunState::Proposed | RunState::Ending) {
-                runs.push((*key, run.unconfirmed_since));
+        let mut unconfirmed = Vec::new();
+        for ((unit, number), run) in &mut worker.runs {
+            if !matches!(run.state, RunState::Proposed | RunState::Ending) && is_over(run) {
                 run.state = RunState::Ending;
-                self.batch.discarded.push(Discarded { unit: key.0, run: key.1 });
+                self.batch.discarded.push(Discarded { unit: *unit, run: *number });
+                unconfirmed.push(run.unconfirmed_since);
             }
         }
-        if !runs.is_empty() {
-            let unconfirmed = describe_unconfirmed(time, runs.iter().map(|(_, since)| *since));
-            self.explain(
-                id.clone(),
-                format!("{} runs discarded: {reason}{unconfirmed}", runs.len()),
-            );
+        if !unconfirmed.is_empty() {
+            let count = unconfirmed.len();
+            let unconfirmed = describe_unconfirmed(time, unconfirmed.into_iter());
+            self.explain(id.clone(), format!("{count} runs discarded: {reason}{unconfirmed}"));
         }
     }
 
-    /// Handles a restart of a worker under the same id. The runs of the previous
-    /// incarnation are discarded. A start that it has not answered may still reach the
-    /// new incarnation, so such a run is stopped there first.
+    /// Handles a restart of a worker under the same id. Runs that the previous incarnation had
+    /// listed are discarded. Any other start may have been carried out by the new incarnation,
+    /// or may still reach it, so such a run is stopped there first. Inherited runs are decided
+    /// by the first poll of the new incarnation, which raises its fence.
     pub(super) fn on_new_incarnation(
         &mut self,
         time: Time,
@@ -186,52 +207,47 @@
         started_at: UnixMs,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let mut unanswered = Vec::new();
         let mut discarded = Vec::new();
         let mut unconfirmed = Vec::new();
+        let mut ending = Vec::new();
         for ((unit, number), run) in &mut worker.runs {
             match run.state {
-                RunState::Proposed | RunState::Ending => {}
-                RunState::Starting | RunState::Unclear => unanswered.push((*unit, *number)),
-                RunState::Stopping { .. }
-                    if run.stop_reason == Some(StopReason::UnansweredStart) =>
-                {
-                    unanswered.push((*unit, *number));
+                RunState::Proposed | RunState::Inherited => {}
+                RunState::Ending => ending.push((*unit, *number, run.clone())),
+                _ if run.may_start_late(time.monotonic) => {
+                    run.stop_reason.get_or_insert(StopReason::UnansweredStart);
+                    run.state = RunState::Stopping { sent: None, acknowledged: None };
+                    unconfirmed.push(run.unconfirmed_since);
                 }
                 _ => {
                     run.state = RunState::Ending;
-                    unconfirmed.push(run.unconfirmed_since);
                     discarded.push(Discarded { unit: *unit, run: *number });
                 }
             }
         }
+        for (unit, number, run) in ending {
+            worker.record_late_start(time.monotonic, unit, number, &run);
+        }
         worker.incarnation = Incarnation::new(id.clone(), started_at);
         worker.report = None;
         worker.answered_under_fence = false;
         worker.lease = Lease::inherited(time.monotonic, self.settings.max_lease);
         worker.polling = Default::default();
-        worker.unplaced.clear();
         worker.proposed_through = 0;
         worker.consecutive_failures = 0;
         worker.cordoned = false;
         worker.ended = false;
-        for (unit, number) in &unanswered {
-            if let Some(run) = worker.runs.get_mut(&(*unit, *number)) {
-                run.stop_reason = Some(StopReason::UnansweredStart);
-                run.state = RunState::Stopping { sent: None, acknowledged: None };
-            }
-        }
+        worker.lists_without = 0;
         let text = format!(
-            "new incarnation started at {started_at}: {} runs discarded{}, {} starts to be stopped",
+            "new incarnation started at {started_at}: {} runs discarded, {} starts to be \
+             stopped{}",
             discarded.len(),
+            unconfirmed.len(),
             describe_unconfirmed(time, unconfirmed.into_iter()),
-            unanswered.len()
         );
         self.batch.discarded.extend(discarded);
         self.explain(id.clone(), text);
-        for (unit, number) in unanswered {
-            self.send_stop(time, ledger, id, unit, number);
-        }
+        self.bar_late_starts(time, ledger, id);
     }
 
     /// Handles a worker's notice that it will leave: stops its long-running runs, which
@@ -266,7 +282,7 @@
     }
 }
 
-/// Describes how many of the discarded runs had a start without a confirmed effect, and the age
+/// Describes how many of some runs had a start without a confirmed effect, and the age
 /// of the oldest; empty if none had.
 fn describe_unconfirmed(time: Time, sent: impl Iterator<Item = Option<Duration>>) -> String {
     let ages: Vec<Duration> = sent.flatten().map(|at| time.monotonic.saturating_sub(at)).collect();
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -7,7 +7,7 @@
 
 use super::{LEASE_DURATION, Scheduler, Time};
 use crate::order::{Answer, Destination, Order, Refusal, Start};
-use crate::worker::{RunState, StopReason};
+use crate::worker::{Run, RunState, StopReason};
 use jobs::command::Discarded;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -19,7 +19,7 @@
 const MAX_UNANSWERED_STARTS: u32 = 6;
 /// Delay after which a stop is sent again while its run has not ended, whether the
 /// stop was acknowledged or not.
-const STOP_RETRY_DELAY: Duration = Duration::from_millis(600);
+pub(super) const STOP_RETRY_DELAY: Duration = Duration::from_millis(600);
 /// Shortest time without progress after which a run counts as stuck. A worker's run
 /// lists are about a second old.
 const MIN_STUCK_DURATION: Duration = Duration::from_millis(2500);
@@ -134,7 +134,11 @@
         if run.state != RunState::Starting {
             return;
         }
-        if matches!(answer, Answer::Done(()) | Answer::Refused(_)) {
+        // The answer to a start names no incarnation, so it does not end a silence in which the
+        // worker may have restarted.
+        if matches!(answer, Answer::Done(()) | Answer::Refused(_))
+            && !worker.polling.is_silent(time.monotonic)
+        {
             worker.polling.record_answer(time.monotonic);
         }
         match answer {
@@ -157,6 +161,7 @@
             Answer::Misdirected => self.on_incarnation_ended(time, &id),
             Answer::Refused(refusal) => {
                 let certain = run.unanswered_starts == 0;
+                run.confirm();
                 self.on_refusal(&id, refusal);
                 self.start_refused(time, ledger, &id, (unit, number), refusal, certain);
             }
@@ -245,8 +250,11 @@
         let mut stops = Vec::new();
         let mut stuck = Vec::new();
         let mut given_up = Vec::new();
+        let mut needs_list = false;
         for (id, worker) in &self.workers {
             let silent = worker.polling.is_silent(time.monotonic);
+            let is_held = |run: &Run| run.has_unanswered_start(time.monotonic);
+            needs_list |= silent && worker.runs.values().any(is_held);
             let answered_at = worker.polling.answered_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
@@ -289,6 +297,10 @@
                 None => self.send_stop(time, ledger, &id, unit, number),
             }
         }
+        self.retry_unplaced_stops(time);
+        if needs_list {
+            self.request_instance_list(time); // shows whether the worker can return
+        }
         for (id, unit, number) in stuck {
             let name = ledger.unit_name(&unit).unwrap_or_default();
             self.explain(name, format!("run {number} makes no progress on {id}: stopped"));
@@ -304,12 +316,7 @@
 /// at `answered_at`. The time since then does not count, since a worker that does not
 /// answer reports no progress either. Paused runs and long-running ones that have fully
 /// started make no progress and are not stuck.
-fn is_stuck(
-    ledger: &Ledger,
-    unit: &UnitKey,
-    run: &crate::worker::Run,
-    answered_at: Duration,
-) -> bool {
+fn is_stuck(ledger: &Ledger, unit: &UnitKey, run: &Run, answered_at: Duration) -> bool {
     let (percent, since) = run.progress;
     if answered_at < since + MIN_STUCK_DURATION
         || run.started_at.is_none()
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -1,9 +1,14 @@
-//! Runs on workers that the ledger does not place there. They are stopped, and hold resources
-//! until they are certainly gone.
+//! Runs on workers that the ledger does not place there, and starts that may bring such runs
+//! about.
+//!
+//! Such a run holds resources until it is certainly gone. When a worker has restarted, all
+//! starts that may still be under way to it are barred at the new incarnation by stops.
 
+use super::starts::STOP_RETRY_DELAY;
 use super::{Scheduler, Time};
 use crate::late::Unplaced;
 use crate::order::{Destination, Order, RunStatus, Stop};
+use crate::worker::RunState;
 use jobs::definition::Resources;
 use jobs::{Ledger, RunNumber, UnitKey, WorkerId};
 use std::collections::BTreeSet;
@@ -54,6 +59,55 @@
         }
     }
 
+    /// Bars at a new incarnation the starts of removed runs that may still arrive there.
+    pub(super) fn bar_late_starts(&mut self, time: Time, ledger: &Ledger, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.unplaced.clear();
+        for ((unit, number), start) in &worker.late_starts {
+            let Some(name) = ledger.unit_name(unit).filter(|_| time.monotonic < start.until) else {
+                continue;
+            };
+            let run = Unplaced::new(Some(*unit), Some(start.resources));
+            worker.unplaced.insert((name, *number), run);
+        }
+    }
+
+    /// Sends the stops that wait for a worker's first report, which brings its address.
+    pub(super) fn send_first_stops(&mut self, time: Time, ledger: &Ledger, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let is_unsent = |state: &RunState| matches!(state, RunState::Stopping { sent: None, .. });
+        let runs = worker.runs.iter().filter(|(_, run)| is_unsent(&run.state));
+        let runs: Vec<(UnitKey, RunNumber)> = runs.map(|(key, _)| *key).collect();
+        let unplaced: Vec<(String, RunNumber)> = worker.unplaced.keys().cloned().collect();
+        for (unit, number) in runs {
+            self.send_stop(time, ledger, id, unit, number);
+        }
+        for key in unplaced {
+            self.stop_unplaced(time, id, &key);
+        }
+    }
+
+    /// Sends again the stops of unplaced runs that are not confirmed. Listed runs are stopped
+    /// again with each list.
+    pub(super) fn retry_unplaced_stops(&mut self, time: Time) {
+        let is_due = |run: &Unplaced| {
+            !run.is_listed
+                && run.stop_acknowledged_at.is_none()
+                && run.stop_sent_at.is_none_or(|at| time.monotonic >= at + STOP_RETRY_DELAY)
+        };
+        let due: Vec<(WorkerId, (String, RunNumber))> = self
+            .workers
+            .iter()
+            .flat_map(|(id, worker)| {
+                let due = worker.unplaced.iter().filter(|(_, run)| is_due(run));
+                due.map(|(key, _)| (id.clone(), key.clone()))
+            })
+            .collect();
+        for (id, key) in due {
+            self.stop_unplaced(time, &id, &key);
+        }
+    }
+
     /// Orders a worker to stop an unplaced run, once its address is known.
     fn stop_unplaced(&mut self, time: Time, id: &WorkerId, key: &(String, RunNumber)) {
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -3,11 +3,11 @@
 //! A worker whose runs fail several times in a row gets no new work for a growing
 //! backoff and then one unit at a time, until a run succeeds.
 
-use crate::late::Unplaced;
+use crate::late::{LATE_ORDER_WINDOW, LateStart, Unplaced};
 use crate::lease::Lease;
 use crate::roster::Report;
 use jobs::definition::Resources;
-use jobs::{Incarnation, RunNumber, Step, UnitKey};
+use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -29,6 +29,9 @@
 pub struct Run {
     /// Progress of the run from proposal to end.
     pub state: RunState,
+    /// Start of the incarnation that the ledger places the run on. The run may be on a later
+    /// one, if its start arrived after the worker had restarted.
+    pub placed_on: UnixMs,
     /// Resources that it reserves on the worker.
     pub resources: Resources,
     /// Whether the run lasts until its job is cancelled.
@@ -153,8 +156,12 @@
     pub runs: BTreeMap<(UnitKey, RunNumber), Run>,
     /// Sum of the resources that the runs reserve.
     pub reserved: Resources,
+    /// Starts of removed runs that may still reach a later incarnation.
+    pub late_starts: BTreeMap<(UnitKey, RunNumber), LateStart>,
     /// Runs that are not placed on the worker, by unit name and run number.
     pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
+    /// Consecutive instance lists by which the worker can't start again under its id.
+    pub lists_without: u32,
     /// Number of the last end that was proposed to the log; 0 for none.
     pub proposed_through: u64,
     /// Failures since the last success.
@@ -183,7 +190,9 @@
             polling: Polling::default(),
             runs: BTreeMap::new(),
             reserved: Resources::default(),
+            late_starts: BTreeMap::new(),
             unplaced: BTreeMap::new(),
+            lists_without: 0,
             proposed_through: 0,
             consecutive_failures: 0,
             backoffs: 0,
@@ -209,6 +218,28 @@
         Some(run)
     }
 
+    /// Removes a run that is no longer placed on the worker, and remembers its start if that
+    /// may still be carried out.
+    pub fn release(&mut self, now: Duration, unit: UnitKey, number: RunNumber) -> Option<Run> {
+        let run = self.remove(unit, number)?;
+        self.record_late_start(now, unit, number, &run);
+        Some(run)
+    }
+
+    /// Remembers the start of a run if it may still be carried out.
+    pub fn record_late_start(
+        &mut self,
+        now: Duration,
+        unit: UnitKey,
+        number: RunNumber,
+        run: &Run,
+    ) {
+        if let Some(until) = run.late_until().filter(|until| now < *until) {
+            let resources = run.resources;
+            self.late_starts.insert((unit, number), LateStart { resources, until });
+        }
+    }
+
     /// Records that the worker confirmed the stop of an unplaced run.
     pub fn acknowledge_unplaced(&mut self, now: Duration, unit: UnitKey, number: RunNumber) {
         for ((_, run), unplaced) in &mut self.unplaced {
@@ -301,9 +332,10 @@
 
 impl Run {
     /// Creates a run of a step with a processor share of 100 percent.
-    pub fn new(state: RunState, step: &Step, now: Duration) -> Run {
+    pub fn new(state: RunState, step: &Step, placed_on: UnixMs, now: Duration) -> Run {
         Run {
             state,
+            placed_on,
             resources: step.reserved_resources(),
             long_running: step.long_running,
             best_effort: step.best_effort,
@@ -320,6 +352,32 @@
         }
     }
 
+    /// Returns the time after which no start of the run can be carried out any more; `None` if
+    /// none is under way.
+    pub fn late_until(&self) -> Option<Duration> {
+        self.unconfirmed_since.map(|at| at + LATE_ORDER_WINDOW)
+    }
+
+    /// Returns whether a start of the run may still be carried out, by the present incarnation
+    /// of its worker or by a later one.
+    pub fn may_start_late(&self, now: Duration) -> bool {
+        self.late_until().is_some_and(|until| now < until)
+    }
+
+    /// Returns whether a start of the run that got no answer may still be carried out.
+    pub fn has_unanswered_start(&self, now: Duration) -> bool {
+        let unanswered = self.unanswered_starts > 0 || self.state == RunState::Starting;
+        unanswered && self.may_start_late(now)
+    }
+
+    /// Records that the present incarnation lists the run, or has refused its start. No start is
+    /// under way then, unless a copy of it got no answer.
+    pub fn confirm(&mut self) {
+        if self.unanswered_starts == 0 {
+            self.unconfirmed_since = None;
+        }
+    }
+
     /// Returns whether the run is being stopped or has ended.
     pub fn is_stopping_or_ending(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. } | RunState::Ending)
