--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -4,7 +4,7 @@
 use jobs::WorkerId;
 use sched::instance::Instance;
 use sched::order::{
-    Advise, Answer, Destination, Maintenance, Move, Pace, Poll, RunLists, Start, Stop,
+    Advise, Answer, Destination, Maintenance, Move, Pace, Poll, RunLists, Start, StartOutcome, Stop,
 };
 
 /// Sends the leader's orders. Every call has its own timeout.
@@ -12,7 +12,7 @@
     /// Reads a worker's run lists and renews its lease.
     fn poll(&self, to: Destination, poll: Poll) -> BoxFuture<'static, Answer<RunLists>>;
     /// Starts a run on a worker.
-    fn start(&self, to: Destination, start: Start) -> BoxFuture<'static, Answer<()>>;
+    fn start(&self, to: Destination, start: Start) -> BoxFuture<'static, StartOutcome>;
     /// Stops a run on a worker.
     fn stop(&self, to: Destination, stop: Stop) -> BoxFuture<'static, Answer<()>>;
     /// Sets the processor share of a run.
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -437,8 +437,8 @@
         }
         Order::Start(to, start) => {
             let (incarnation, unit, run) = (to.incarnation.clone(), start.unit, start.run);
-            let answer = calls.start(to, start).await;
-            Input::WorkerReply(Reply::Start(StartReply { incarnation, unit, run, answer }))
+            let outcome = calls.start(to, start).await;
+            Input::WorkerReply(Reply::Start(StartReply::new(incarnation, unit, run, outcome)))
         }
         Order::Stop(to, stop) => {
             let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -110,10 +110,6 @@
     /// Newest checkpoint; empty for none.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
-    /// Start of the incarnation that the run is placed on, if it is an earlier one than that
-    /// which lists the end.
-    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
-    pub placed_on: Option<UnixMs>,
 }
 
 /// How a run ended on its worker.
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -370,11 +370,7 @@
         events.push(Event::EndsAcknowledged(incarnation.clone(), end.number));
         let Some(key) = end.unit else { return };
         let Some(unit) = unit_mut(&mut self.jobs, &key) else { return };
-        let placed_on = Incarnation {
-            started_at: end.placed_on.unwrap_or(incarnation.started_at),
-            ..incarnation.clone()
-        };
-        let placed = |p: &Placement| p.run == end.run && p.incarnation == placed_on;
+        let placed = |p: &Placement| p.run == end.run && p.incarnation == *incarnation;
         let Some(position) = unit.placements.iter().position(placed) else { return };
         unit.placements.remove(position);
         let checkpoint = end.checkpoint.clone();
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -49,8 +49,7 @@
 }
 
 fn end(ledger: &mut Ledger, number: u64, unit: UnitKey, run: u64, reason: EndReason) -> Vec<Event> {
-    let end =
-        End { number, unit: Some(unit), run, reason, checkpoint: String::new(), placed_on: None };
+    let end = End { number, unit: Some(unit), run, reason, checkpoint: String::new() };
     let ended = vec![EndList { incarnation: incarnation(1), ends: vec![end] }];
     ledger.apply(Command::Runs(Batch { at: 3000, ended, ..Batch::default() })).1
 }
@@ -128,7 +127,6 @@
         run: 1,
         reason: EndReason::Done,
         checkpoint: String::new(),
-        placed_on: None,
     };
     let ended = vec![EndList { incarnation: incarnation(2), ends: vec![foreign_end] }];
     ledger.apply(Command::Runs(Batch { ended, ..Batch::default() }));
--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -158,7 +158,7 @@
                 worker.runs.insert((start.name, start.run), now + RUN_TIME);
                 self.started += 1;
                 let (incarnation, unit, run) = (to.incarnation, start.unit, start.run);
-                let reply = StartReply { incarnation, unit, run, answer: Answer::Done(()) };
+                let reply = StartReply::new(incarnation, unit, run, Answer::Done(()).into());
                 self.timed(|scheduler, ledger, time| scheduler.on_start_reply(time, ledger, reply));
             }
             _ => {}
--- a/crates/sched/src/lease.rs
+++ b/crates/sched/src/lease.rs
@@ -10,6 +10,9 @@
 /// Time that a worker may need to kill its runs after a lease has expired.
 const KILL_MARGIN: Duration = Duration::from_millis(150);
 
+/// Longest time for which an answer that carries a reading may have been under way.
+const MAX_READING_AGE: Duration = Duration::from_secs(2);
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -19,6 +22,17 @@
     pub received_at: Duration,
 }
 
+/// Whose clock a reading shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The clock that was read last.
+    Same,
+    /// The clock of another incarnation.
+    Other,
+    /// Both are possible.
+    Unknown,
+}
+
 /// Time for which a worker may keep running its runs.
 #[derive(Clone, Debug, Default)]
 pub struct Lease {
@@ -44,6 +58,30 @@
         self.reading = Some(reading);
     }
 
+    /// Compares a reading of a clock that arrives at `now` with the worker's clock. The clock of
+    /// another incarnation starts anew.
+    ///
+    /// ```
+    /// use sched::lease::{ClockReading, Lease, Origin};
+    /// use std::time::Duration;
+    /// let mut lease = Lease::default();
+    /// lease.record_clock(ClockReading { clock_ms: 60_000, received_at: Duration::from_secs(5) });
+    /// assert_eq!(lease.origin_of(Duration::from_secs(6), 61_000), Origin::Same);
+    /// assert_eq!(lease.origin_of(Duration::from_secs(6), 500), Origin::Other);
+    /// ```
+    pub fn origin_of(&self, now: Duration, clock_ms: u64) -> Origin {
+        let Some(reading) = self.reading else { return Origin::Unknown };
+        let elapsed = now.saturating_sub(reading.received_at).mul_f64(1.0 + CLOCK_DRIFT);
+        let longest_ms = (elapsed + MAX_READING_AGE).as_millis() as u64;
+        if !(reading.clock_ms..=reading.clock_ms + longest_ms).contains(&clock_ms) {
+            Origin::Other
+        } else if clock_ms > longest_ms {
+            Origin::Same // one that started since the last reading shows less
+        } else {
+            Origin::Unknown
+        }
+    }
+
     /// Extends the lease to `duration` from now and returns its end on the worker's
     /// clock in milliseconds; `None` before the first reading of that clock.
     pub fn extend(&mut self, now: Duration, duration: Duration) -> Option<u64> {
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -62,7 +62,8 @@
                 Some(Reply::Poll(PollReply { incarnation, sent_at: poll.sent_at, answer }))
             }
             Order::Start(_, Start { unit, run, .. }) => {
-                Some(Reply::Start(StartReply { incarnation, unit: *unit, run: *run, answer }))
+                let outcome = StartOutcome::from(answer);
+                Some(Reply::Start(StartReply::new(incarnation, *unit, *run, outcome)))
             }
             Order::Stop(_, Stop { unit, run, .. }) => {
                 Some(Reply::Stop(StopReply { incarnation, unit: *unit, run: *run, answer }))
@@ -284,6 +285,23 @@
     Lost,
 }
 
+/// Outcome of a start, with what else the exchange shows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartOutcome {
+    /// `Done` if the worker started the run, or had started it before.
+    pub answer: Answer<()>,
+    /// The clock of the incarnation that answered, in milliseconds; `None` if it is not known.
+    pub clock_ms: Option<u64>,
+    /// No part of the order left the process, so it is not carried out.
+    pub is_unsent: bool,
+}
+
+impl From<Answer<()>> for StartOutcome {
+    fn from(answer: Answer<()>) -> StartOutcome {
+        StartOutcome { answer, clock_ms: None, is_unsent: false }
+    }
+}
+
 impl<T> Answer<T> {
     /// Maps the value of an order that was carried out.
     ///
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -583,9 +583,7 @@
         if let Some(id) = self.worker_of(instance) {
             self.discard_all(time, &id, "its instance is down for maintenance or a move");
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.report = None;
-                worker.answered_under_fence = false;
-                worker.ended = true;
+                worker.end();
             }
         }
     }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -150,6 +150,8 @@
     last_periodic_tasks: Duration,
     /// Run changes for the next proposal; they go before `commands`.
     batch: Batch,
+    /// Runs to place anew before the ends in `batch` are applied.
+    adoptions: Batch,
     /// Other commands for the next proposals.
     commands: Vec<Command>,
     orders: Vec<Order>,
@@ -201,6 +203,7 @@
             is_decision_deferred: false,
             last_periodic_tasks: Duration::ZERO,
             batch: Batch::default(),
+            adoptions: Batch::default(),
             commands: Vec::new(),
             orders: Vec::new(),
             explanations: Vec::new(),
@@ -366,6 +369,7 @@
             report.draining && !worker.report.as_ref().is_some_and(|r| r.draining);
         let is_first = worker.report.is_none();
         worker.report = Some(report.clone());
+        worker.address = Some(report.address);
         self.record_instance_worker(report);
         if is_first {
             self.send_first_stops(time, ledger, &report.incarnation.worker);
@@ -460,10 +464,11 @@
             self.place(time, ledger);
         }
         let mut proposals = std::mem::take(&mut self.commands);
-        let mut batch = std::mem::take(&mut self.batch);
-        if !batch.is_empty() {
-            batch.at = time.wall;
-            proposals.insert(0, Command::Runs(batch));
+        for mut batch in [std::mem::take(&mut self.batch), std::mem::take(&mut self.adoptions)] {
+            if !batch.is_empty() {
+                batch.at = time.wall;
+                proposals.insert(0, Command::Runs(batch));
+            }
         }
         let orders = std::mem::take(&mut self.orders);
         Output { proposals, orders, explanations: std::mem::take(&mut self.explanations) }
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -6,7 +6,7 @@
 
 use super::{LEASE_DURATION, Scheduler, Time};
 use crate::lease::ClockReading;
-use crate::order::{Answer, Destination, Order, Poll, RunLists, RunStatus};
+use crate::order::{Answer, Order, Poll, RunLists, RunStatus};
 use crate::worker::{RunState, Worker};
 use jobs::command::{Discarded, End, EndList};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
@@ -67,7 +67,7 @@
                 }
             }
             worker.late_starts.retain(|_, start| now < start.until);
-            let Some(report) = &worker.report else { continue };
+            let Some(destination) = worker.destination() else { continue };
             if worker.polling.sent_at.is_some() || now < worker.polling.next_at {
                 continue;
             }
@@ -80,18 +80,16 @@
             }
             let max_wait = match (worker.answered_under_fence, worker.runs.is_empty()) {
                 (false, _) => Duration::ZERO,
-                (true, true) => MAX_WAIT_IDLE,
-                (true, false) if worker.next_poll_settles_run() => Duration::ZERO,
-                (true, false) if worker.mixes_best_effort_and_serving() => MAX_WAIT_MIXED,
-                (true, false) => MAX_WAIT_WITH_RUNS,
+                (true, true) if worker.unplaced.is_empty() => MAX_WAIT_IDLE,
+                (true, _) if worker.next_poll_settles_run() => Duration::ZERO,
+                (true, _) if worker.mixes_best_effort_and_serving() => MAX_WAIT_MIXED,
+                (true, _) => MAX_WAIT_WITH_RUNS,
             };
             // Extending the lease of a worker that does not answer would keep it from
             // ever expiring.
             let extend_lease = worker.polling.unanswered == 0 && !worker.runs.is_empty();
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
             worker.polling.sent_at = Some(now);
-            let destination =
-                Destination { incarnation: worker.incarnation.clone(), address: report.address };
             let poll = Poll {
                 fence: self.fence,
                 acknowledged_through,
@@ -130,6 +128,7 @@
                 let started_at = run_lists.started_at.unwrap_or(reply.incarnation.started_at);
                 if started_at > reply.incarnation.started_at {
                     self.on_new_incarnation(time, ledger, &id, started_at);
+                    self.send_first_stops(time, ledger, &id);
                     return;
                 }
                 worker.polling.record_answer(time.monotonic);
@@ -184,9 +183,7 @@
     pub(super) fn on_incarnation_ended(&mut self, time: Time, id: &WorkerId) {
         self.discard_all(time, id, "another incarnation is at its address");
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.report = None;
-        worker.answered_under_fence = false;
-        worker.ended = true;
+        worker.end();
     }
 }
 
@@ -213,7 +210,7 @@
         }
         let running = statuses_by_run(ledger, &run_lists.running);
         let after = worker.proposed_through.max(ledger.acknowledged_through(&worker.incarnation));
-        let ends = ends(ledger, worker, &run_lists, after);
+        let mut ends = ends(ledger, &run_lists, after);
         let finished_runs: Vec<(UnitKey, RunNumber)> = run_lists
             .finished
             .iter()
@@ -222,6 +219,8 @@
         if let Some(last) = ends.last() {
             worker.proposed_through = last.number;
         }
+        self.adopt_ended_runs(ledger, id, &mut ends);
+        let Some(worker) = self.workers.get_mut(id) else { return };
         for key in &finished_runs {
             if let Some(run) = worker.runs.get_mut(key) {
                 run.confirm();
@@ -262,23 +261,17 @@
 }
 
 /// Returns the ends numbered above `after`, the last one that is in the log or proposed.
-fn ends(ledger: &Ledger, worker: &Worker, run_lists: &RunLists, after: u64) -> Vec<End> {
+fn ends(ledger: &Ledger, run_lists: &RunLists, after: u64) -> Vec<End> {
     let mut ends: Vec<End> = run_lists
         .finished
         .iter()
         .filter(|end| end.number > after)
-        .map(|end| {
-            let unit = ledger.find_unit(&end.name);
-            let run = unit.and_then(|unit| worker.runs.get(&(unit, end.run)));
-            let placed_on = run.map(|run| run.placed_on);
-            End {
-                number: end.number,
-                unit,
-                run: end.run,
-                reason: end.reason,
-                checkpoint: end.checkpoint.clone(),
-                placed_on: placed_on.filter(|at| *at != worker.incarnation.started_at),
-            }
+        .map(|end| End {
+            number: end.number,
+            unit: ledger.find_unit(&end.name),
+            run: end.run,
+            reason: end.reason,
+            checkpoint: end.checkpoint.clone(),
         })
         .collect();
     ends.sort_by_key(|end| end.number);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -7,9 +7,9 @@
 use super::maintenance::GONE_AFTER_LISTS;
 use super::{Scheduler, Time};
 use crate::lease::Lease;
-use crate::order::{Destination, Order, Refusal, Stop};
+use crate::order::{Order, Refusal, Stop};
 use crate::worker::{Run, RunState, StopReason};
-use jobs::command::{Discarded, EndReason};
+use jobs::command::{Discarded, End, EndReason, Placed};
 use jobs::ledger::Release;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
 use std::time::Duration;
@@ -21,7 +21,10 @@
     pub(super) fn on_released(&mut self, time: Time, ledger: &Ledger, release: &Release) {
         let Release { unit, run: number, incarnation, reason } = release;
         let Some(worker) = self.workers.get_mut(&incarnation.worker) else { return };
-        let Some(run) = worker.release(time.monotonic, *unit, *number) else { return };
+        let Some(run) = worker.release(time.monotonic, *unit, *number) else {
+            self.drop_rejected_adoptions(ledger, unit, &incarnation.worker);
+            return;
+        };
         match reason {
             Some(EndReason::Done) => {
                 worker.record_success();
@@ -56,6 +59,60 @@
         }
     }
 
+    /// Places anew, on the incarnation that lists their ends, runs that the ledger places on an
+    /// earlier incarnation of the worker: the ledger applies an end only to a run of the
+    /// incarnation that lists it.
+    pub(super) fn adopt_ended_runs(&mut self, ledger: &Ledger, id: &WorkerId, ends: &mut [End]) {
+        let Some(incarnation) = self.workers.get(id).map(|worker| worker.incarnation.clone())
+        else {
+            return;
+        };
+        let mut runs = Vec::new();
+        for end in ends {
+            let Some(unit) = end.unit else { continue };
+            let Some(worker) = self.workers.get(id) else { continue };
+            let Some(run) = worker.runs.get(&(unit, end.run)) else { continue };
+            if run.placed_on == incarnation.started_at || run.state == RunState::Ending {
+                continue;
+            }
+            let number = self.next_run(ledger, &unit);
+            self.last_run_numbers.insert(unit, number);
+            self.adoptions.discarded.push(Discarded { unit, run: end.run });
+            runs.push((unit, number));
+            if let Some(worker) = self.workers.get_mut(id)
+                && let Some(mut run) = worker.remove(unit, end.run)
+            {
+                run.placed_on = incarnation.started_at;
+                run.state = RunState::Ending;
+                run.confirm();
+                worker.add(unit, number, run);
+            }
+            end.run = number;
+        }
+        if !runs.is_empty() {
+            self.adoptions.placed.push(Placed { incarnation, runs });
+        }
+    }
+
+    /// Removes a unit's adopted runs that the ledger has not placed, since the unit's job had
+    /// ended by then.
+    fn drop_rejected_adoptions(&mut self, ledger: &Ledger, unit: &UnitKey, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let is_placed = |number: RunNumber| {
+            let placements = ledger.unit(unit).into_iter().flat_map(|unit| &unit.placements);
+            placements.into_iter().any(|placement| placement.run == number)
+        };
+        let rejected: Vec<RunNumber> = worker
+            .runs
+            .range((*unit, 0)..=(*unit, RunNumber::MAX))
+            .filter(|((_, number), run)| run.state == RunState::Ending && !is_placed(*number))
+            .map(|((_, number), _)| *number)
+            .collect();
+        for number in rejected {
+            worker.remove(*unit, number);
+        }
+    }
+
     /// Stops the other members of a unit's gang: a gang that lacks a member does no
     /// work and would only hold resources.
     fn break_gang(&mut self, time: Time, ledger: &Ledger, unit: &UnitKey) {
@@ -145,10 +202,8 @@
         run: RunNumber,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(report) = &worker.report else { return };
+        let Some(destination) = worker.destination() else { return };
         let Some(name) = ledger.unit_name(&unit) else { return };
-        let destination =
-            Destination { incarnation: worker.incarnation.clone(), address: report.address };
         let Some(entry) = worker.runs.get_mut(&(unit, run)) else { return };
         if let RunState::Stopping { sent, .. } = &mut entry.state {
             *sent = Some(time.monotonic);
@@ -161,13 +216,14 @@
         self.discard_where(time, id, reason, |_| true);
     }
 
-    /// Discards the runs of a worker whose lease has expired, except those with an unanswered
-    /// start that may still be carried out: the lease bounds only the incarnation that had it.
+    /// Discards the runs of a worker whose lease has expired, except those that may be on a later
+    /// incarnation: the lease bounds only the one that had it.
     pub(super) fn discard_lapsed(&mut self, time: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
         let cannot_return = worker.lists_without >= GONE_AFTER_LISTS;
+        let max_lease = self.settings.max_lease;
         self.discard_where(time, id, "its lease has expired", |run| {
-            cannot_return || !run.has_unanswered_start(time.monotonic)
+            cannot_return || !run.may_run_unseen(time.monotonic, max_lease)
         });
     }
 
@@ -195,9 +251,9 @@
         }
     }
 
-    /// Handles a restart of a worker under the same id. Runs that the previous incarnation had
-    /// listed are discarded. Any other start may have been carried out by the new incarnation,
-    /// or may still reach it, so such a run is stopped there first. Inherited runs are decided
+    /// Handles a restart of a worker under the same id. Runs whose starts the previous incarnation
+    /// is known to have received are discarded. Any other start may have been carried out by the
+    /// new incarnation, or may still reach it, so such a run is stopped there first. Inherited runs are decided
     /// by the first poll of the new incarnation, which raises its fence.
     pub(super) fn on_new_incarnation(
         &mut self,
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -6,7 +6,8 @@
 //! before its unit is placed elsewhere.
 
 use super::{LEASE_DURATION, Scheduler, Time};
-use crate::order::{Answer, Destination, Order, Refusal, Start};
+use crate::lease::Origin;
+use crate::order::{Answer, Order, Refusal, Start, StartOutcome};
 use crate::worker::{Run, RunState, StopReason};
 use jobs::command::Discarded;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
@@ -39,6 +40,25 @@
     pub run: RunNumber,
     /// `Done` if the worker started the run.
     pub answer: Answer<()>,
+    /// The clock of the incarnation that answered, in milliseconds; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<u64>,
+    /// No part of the order left the process that was to send it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unsent: bool,
+}
+
+impl StartReply {
+    /// Creates the reply to the start of a run.
+    pub fn new(
+        incarnation: Incarnation,
+        unit: UnitKey,
+        run: RunNumber,
+        outcome: StartOutcome,
+    ) -> StartReply {
+        let StartOutcome { answer, clock_ms, is_unsent } = outcome;
+        StartReply { incarnation, unit, run, answer, clock_ms, is_unsent }
+    }
 }
 
 /// Reply to an order to stop a run.
@@ -69,6 +89,9 @@
             self.batch.discarded.push(Discarded { unit, run: number });
             return;
         };
+        if worker.runs.get(&(unit, number)).is_some_and(|run| run.state == RunState::Ending) {
+            return; // it has been adopted with its end
+        }
         let same_incarnation = worker.incarnation == *incarnation;
         let unavailable = worker.polling.is_silent(time.monotonic) || !worker.accepts_starts();
         let Some(run) = worker.runs.get_mut(&(unit, number)) else {
@@ -97,7 +120,7 @@
         let lease = LEASE_DURATION.min(self.settings.max_lease);
         let ticket = self.ticket(time, &unit.step_key(), id).cloned();
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(report) = &worker.report else { return };
+        let Some(destination) = worker.destination() else { return };
         let Some(lease_end_ms) = worker.lease.extend(time.monotonic, lease) else { return };
         let Some(job) = ledger.job(unit.job) else { return };
         let Some(state) = ledger.unit(&unit) else { return };
@@ -116,15 +139,13 @@
             checkpoint: placement.checkpoint.clone(),
             ticket,
         };
-        let destination =
-            Destination { incarnation: worker.incarnation.clone(), address: report.address };
         self.orders.push(Order::Start(destination, start));
     }
 
     /// Handles the reply to a start. Replies to other incarnations, or for runs that are
     /// no longer starting, are ignored.
     pub fn on_start_reply(&mut self, time: Time, ledger: &Ledger, reply: StartReply) {
-        let StartReply { incarnation, unit, run: number, answer } = reply;
+        let StartReply { incarnation, unit, run: number, answer, clock_ms, is_unsent } = reply;
         let id = incarnation.worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if worker.incarnation != incarnation {
@@ -134,6 +155,11 @@
         if run.state != RunState::Starting {
             return;
         }
+        match clock_ms.map(|clock_ms| worker.lease.origin_of(time.monotonic, clock_ms)) {
+            Some(Origin::Same) => run.confirm(),
+            Some(Origin::Other) => run.unanswered_starts += 1, // the worker itself has not answered
+            Some(Origin::Unknown) | None => {}
+        }
         // The answer to a start names no incarnation, so it does not end a silence in which the
         // worker may have restarted.
         if matches!(answer, Answer::Done(()) | Answer::Refused(_))
@@ -148,6 +174,13 @@
                 run.progress = (0, time.monotonic);
                 self.record_begun(ledger, unit.job);
             }
+            Answer::Unknown if is_unsent && run.unanswered_starts == 0 => {
+                run.confirm();
+                run.stop_reason = Some(StopReason::UnansweredStart);
+                run.state = RunState::Ending;
+                self.batch.discarded.push(Discarded { unit, run: number });
+                self.record_unanswered(time, &id);
+            }
             Answer::Unknown => {
                 run.unanswered_starts += 1;
                 run.state = RunState::Unclear;
@@ -253,7 +286,7 @@
         let mut needs_list = false;
         for (id, worker) in &self.workers {
             let silent = worker.polling.is_silent(time.monotonic);
-            let is_held = |run: &Run| run.has_unanswered_start(time.monotonic);
+            let is_held = |run: &Run| run.may_run_unseen(time.monotonic, self.settings.max_lease);
             needs_list |= silent && worker.runs.values().any(is_held);
             let answered_at = worker.polling.answered_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -7,7 +7,7 @@
 use super::starts::STOP_RETRY_DELAY;
 use super::{Scheduler, Time};
 use crate::late::Unplaced;
-use crate::order::{Destination, Order, RunStatus, Stop};
+use crate::order::{Order, RunStatus, Stop};
 use crate::worker::RunState;
 use jobs::definition::Resources;
 use jobs::{Ledger, RunNumber, UnitKey, WorkerId};
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Sends the stops that wait for a worker's first report, which brings its address.
+    /// Sends the stops that a new incarnation has not been sent, if its address is known.
     pub(super) fn send_first_stops(&mut self, time: Time, ledger: &Ledger, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
         let is_unsent = |state: &RunState| matches!(state, RunState::Stopping { sent: None, .. });
@@ -111,13 +111,11 @@
     /// Orders a worker to stop an unplaced run, once its address is known.
     fn stop_unplaced(&mut self, time: Time, id: &WorkerId, key: &(String, RunNumber)) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(report) = &worker.report else { return };
+        let Some(destination) = worker.destination() else { return };
         let Some(unplaced) = worker.unplaced.get_mut(key) else { return };
         unplaced.stop_sent_at = Some(time.monotonic);
         let (name, run) = key.clone();
         let unit = unplaced.unit.unwrap_or(UNKNOWN_UNIT);
-        let destination =
-            Destination { incarnation: worker.incarnation.clone(), address: report.address };
         self.orders.push(Order::Stop(destination, Stop { unit, name, run, fence: self.fence }));
     }
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -5,10 +5,12 @@
 
 use crate::late::{LATE_ORDER_WINDOW, LateStart, Unplaced};
 use crate::lease::Lease;
+use crate::order::Destination;
 use crate::roster::Report;
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Consecutive failures after which a worker gets one unit at a time.
@@ -40,15 +42,17 @@
     pub best_effort: bool,
     /// Upper bound for its tail latency; `None` unless the run serves requests.
     pub tail_latency_target: Option<Duration>,
+    /// Whether an earlier leader placed the run. Which of its starts got no answer is not known.
+    pub is_inherited: bool,
     /// When this leader placed the run, or inherited it from an earlier leader.
     pub placed_at: Duration,
     /// When the worker first listed it as running.
     pub started_at: Option<Duration>,
     /// Number of start orders that got no answer.
     pub unanswered_starts: u32,
-    /// When the last start was sent whose effect is not confirmed: the present incarnation has
-    /// not listed the run, or a copy of the start got no answer. For an inherited run, when it
-    /// was inherited. `None` if no start can be under way.
+    /// When the last start was sent, if one may be under way: the present incarnation is not known
+    /// to have received it, or a copy of it got no answer. For an inherited run, when it was
+    /// inherited.
     pub unconfirmed_since: Option<Duration>,
     /// Last reported progress in percent, and when that value was first seen.
     pub progress: (u32, Duration),
@@ -146,6 +150,9 @@
     pub incarnation: Incarnation,
     /// Newest report; `None` if the incarnation is known only from its runs.
     pub report: Option<Report>,
+    /// Address at which it accepts orders. Kept when a poll is answered by a new incarnation,
+    /// which then has the address and has not reported yet.
+    pub address: Option<SocketAddr>,
     /// Lease under which the worker may keep running its runs.
     pub lease: Lease,
     /// Whether it has answered a poll under this leader's fence.
@@ -185,6 +192,7 @@
         Worker {
             incarnation,
             report: None,
+            address: None,
             lease,
             answered_under_fence: false,
             polling: Polling::default(),
@@ -203,6 +211,20 @@
         }
     }
 
+    /// Records that the present incarnation has certainly ended.
+    pub fn end(&mut self) {
+        self.report = None;
+        self.address = None;
+        self.answered_under_fence = false;
+        self.ended = true;
+    }
+
+    /// Returns where to send an order to the present incarnation; `None` while its address is not
+    /// known.
+    pub fn destination(&self) -> Option<Destination> {
+        Some(Destination { incarnation: self.incarnation.clone(), address: self.address? })
+    }
+
     /// Adds a run and reserves its resources.
     pub fn add(&mut self, unit: UnitKey, number: RunNumber, run: Run) {
         self.reserved = self.reserved.plus(&run.resources);
@@ -307,7 +329,8 @@
             matches!(run.state, RunState::Stopping { acknowledged: Some(_), .. })
                 || matches!(run.state, RunState::Unclear)
         };
-        self.runs.values().any(is_unsettled)
+        let is_barred = |run: &Unplaced| run.stop_acknowledged_at.is_some() && !run.is_listed;
+        self.runs.values().any(is_unsettled) || self.unplaced.values().any(is_barred)
     }
 
     /// Records that a run succeeded.
@@ -340,6 +363,7 @@
             long_running: step.long_running,
             best_effort: step.best_effort,
             tail_latency_target: step.tail_latency_target,
+            is_inherited: state == RunState::Inherited,
             placed_at: now,
             started_at: None,
             unanswered_starts: 0,
@@ -364,16 +388,19 @@
         self.late_until().is_some_and(|until| now < until)
     }
 
-    /// Returns whether a start of the run that got no answer may still be carried out.
-    pub fn has_unanswered_start(&self, now: Duration) -> bool {
+    /// Returns whether the run may be on an incarnation that the leader can't reach: one of its
+    /// own starts got no answer, and may have been carried out with a lease of `max_lease` until
+    /// it could come no more. Starts of earlier leaders are not known here.
+    pub fn may_run_unseen(&self, now: Duration, max_lease: Duration) -> bool {
         let unanswered = self.unanswered_starts > 0 || self.state == RunState::Starting;
-        unanswered && self.may_start_late(now)
+        let lapses_at = |until: Duration| Lease::inherited(until, max_lease).expiry();
+        unanswered && self.late_until().and_then(lapses_at).is_some_and(|at| now <= at)
     }
 
-    /// Records that the present incarnation lists the run, or has refused its start. No start is
-    /// under way then, unless a copy of it got no answer.
+    /// Records that the present incarnation is known to have received the start. No other is under
+    /// way then, unless a copy of it got no answer.
     pub fn confirm(&mut self) {
-        if self.unanswered_starts == 0 {
+        if self.unanswered_starts == 0 && !self.is_inherited {
             self.unconfirmed_since = None;
         }
     }
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -44,6 +44,25 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_start_answered_by_a_restarted_worker_that_is_cut_off_is_not_repeated_elsewhere() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(9.0));
+    for id in ["w0", "w1", "w2"] {
+        world.restart(id, world::TICK);
+    }
+    world.run(world::TICK);
+    world.submit("q", "a", vec![step(1, 6000, 9000)]);
+    world.run(world::TICK * 2);
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    world.workers.get_mut(&first).unwrap().partitioned = true;
+    run_checked(&mut world, seconds(8.0));
+    world.workers.get_mut(&first).unwrap().partitioned = false;
+    run_checked(&mut world, seconds(30.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_start_that_outlives_its_worker_does_not_run_beside_its_successor() {
     let mut world = World::new(3);
@@ -220,10 +239,10 @@
     /// Brings about the faults and jobs of one step.
     fn step(&mut self) {
         self.world.start_delay = self.random_duration(2000, 12_000);
-        if self.rng.random_bool(0.12) {
+        if self.rng.random_bool(0.06) {
             let id = format!("a{}", self.job_count);
             self.job_count += 1;
-            let run_time = self.random_duration(200, 4000);
+            let run_time = self.random_duration(200, 12_000);
             self.world.run_times.insert(id.clone(), run_time);
             let (count, cpu) = (self.rng.random_range(1..4), self.rng.random_range(1..6) * 1000);
             self.world.submit("q", &id, vec![step(count, cpu, run_time.as_millis() as u64)]);
@@ -232,7 +251,7 @@
         let now = self.world.now;
         let may_restart = self.restarted_at.get(&id).is_none_or(|at| now >= *at + MIN_RESTART_GAP);
         if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
-            let cut_for = self.random_duration(300, 8000);
+            let cut_for = self.random_duration(300, 15_000);
             self.cut_until.insert(id.clone(), now + cut_for);
             self.world.workers.get_mut(&id).unwrap().partitioned = true;
         }
@@ -264,7 +283,7 @@
     for seed in 0..30 {
         let mut schedule = Schedule::new(seed);
         let start = schedule.world.now;
-        while schedule.world.now < start + seconds(80.0) {
+        while schedule.world.now < start + seconds(100.0) {
             if schedule.world.now < start + seconds(40.0) {
                 schedule.step();
             } else {
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -6,12 +6,12 @@
 use jobs::config::Advice;
 use jobs::definition::{Definition as JobDefinition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
-use sched::order::{Answer, Destination, Move, Order, Refusal, Start};
+use sched::order::{Answer, Destination, Maintenance, Move, Order, Refusal, Start, StartOutcome};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
 };
 use sched::{Report, Roster, Scheduler, Settings};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 pub use worker::Worker;
 
@@ -26,6 +26,8 @@
 /// Delay with which a move order without an answer is carried out.
 pub const MOVE_DELAY: Duration = Duration::from_secs(9);
 
+/// Time for which the first workers run when the simulation begins.
+const FIRST_UPTIME: Duration = Duration::from_secs(60);
 /// Time from the start of a restarted worker to its first report.
 pub const FIRST_REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Delay with which a start order that a worker leaves unanswered is carried out, unless a
@@ -77,6 +79,16 @@
     delayed_starts: Vec<(Duration, Destination, Start)>,
     /// Replies that stand for answers that did not come, with the time when they are due.
     overdue_replies: Vec<(Duration, StartReply)>,
+    /// Instances that were maintained, with the wave.
+    maintained: BTreeSet<(String, jobs::WaveId)>,
+    /// When the maintenance of each instance began, in order.
+    pub maintenances_begun: Vec<(Duration, String)>,
+    /// Time by which maintenance takes longer than expected.
+    pub maintenance_overrun: Duration,
+    /// Time that the cloud takes to answer a maintenance order that it has carried out.
+    pub maintenance_answer_delay: Duration,
+    /// Answers of the cloud that are under way, with the time when they arrive.
+    overdue_maintenance: Vec<(Duration, MaintenanceReply)>,
     /// The process that sends the leader's orders is gone; polls and starts are lost with it.
     pub relay_is_gone: bool,
     /// Highest fence that the cloud has seen for each instance.
@@ -154,6 +166,11 @@
             overloads: Vec::new(),
             delayed_starts: Vec::new(),
             overdue_replies: Vec::new(),
+            maintained: BTreeSet::new(),
+            maintenances_begun: Vec::new(),
+            maintenance_overrun: Duration::ZERO,
+            maintenance_answer_delay: Duration::ZERO,
+            overdue_maintenance: Vec::new(),
             relay_is_gone: false,
             fences: BTreeMap::new(),
             interrupted: Vec::new(),
@@ -162,7 +179,9 @@
             fence: 1,
         };
         for number in 0..count {
-            world.add(&format!("w{number}"), "p", 1);
+            let id = format!("w{number}");
+            world.add(&id, "p", 1);
+            world.workers.get_mut(&id).unwrap().clock_origin = now - FIRST_UPTIME;
         }
         world.run(Duration::from_millis(200));
         world
@@ -315,6 +334,7 @@
             self.move_instance(&order);
         }
         self.carry_out_delayed_starts();
+        self.answer_maintenance();
         if self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
             let time = self.time();
             for worker in
@@ -348,6 +368,14 @@
         }
     }
 
+    fn answer_maintenance(&mut self) {
+        let (now, time) = (self.now, self.time());
+        let due: Vec<_> = self.overdue_maintenance.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, reply) in due {
+            self.scheduler.on_maintenance_reply(time, reply);
+        }
+    }
+
     fn carry_out_delayed_starts(&mut self) {
         let (now, time) = (self.now, self.time());
         let starts: Vec<_> = self.delayed_starts.extract_if(.., |(at, _, _)| *at <= now).collect();
@@ -403,8 +431,7 @@
             }
             Order::Start(to, start) if self.omits_start(&to) => {
                 let (incarnation, unit, run) = (to.incarnation.clone(), start.unit, start.run);
-                let answer = Answer::Unknown;
-                let reply = StartReply { incarnation, unit, run, answer };
+                let reply = StartReply::new(incarnation, unit, run, Answer::Unknown.into());
                 self.overdue_replies.push((self.now + ORDER_TIMEOUT, reply));
                 self.delayed_starts.push((self.now + self.start_delay, to, start));
             }
@@ -414,7 +441,11 @@
                     false => self.start(&to, &start),
                 };
                 let (unit, run) = (start.unit, start.run);
-                let reply = StartReply { incarnation: to.incarnation, unit, run, answer };
+                let worker = self.workers.get(&to.incarnation.worker);
+                let clock_ms = worker.filter(|_| answer != Answer::Unknown);
+                let clock_ms = clock_ms.map(|worker| worker.clock_ms(self.now));
+                let outcome = StartOutcome { answer, clock_ms, is_unsent: false };
+                let reply = StartReply::new(to.incarnation, unit, run, outcome);
                 self.scheduler.on_start_reply(time, &self.ledger, reply);
             }
             Order::Stop(to, stop) => {
@@ -432,16 +463,11 @@
                 self.scheduler.on_stop_reply(time, reply);
             }
             Order::Maintain(order) => {
-                self.maintenances.push((self.now, order.instance.clone()));
-                let answer =
-                    match self.workers.values().any(|w| w.report.instance == order.instance) {
-                        true => Answer::Done(()),
-                        false => Answer::Refused(Refusal::State),
-                    };
-                self.take_down(&order.instance, None, Settings::default().maintenance_duration);
+                let (answer, delay) = self.maintain(&order);
                 let (instance, wave) = (order.instance, order.wave);
                 let reply = MaintenanceReply { instance, wave, answer };
-                self.scheduler.on_maintenance_reply(time, reply);
+                self.overdue_maintenance.push((self.now + delay, reply));
+                self.answer_maintenance();
             }
             Order::Move(order) => {
                 let answer = match self.moves_to_delay {
@@ -480,6 +506,26 @@
         }
     }
 
+    /// Carries out maintenance in the cloud unless that was done before, and returns the answer
+    /// and how long it takes.
+    fn maintain(&mut self, order: &Maintenance) -> (Answer<()>, Duration) {
+        self.maintenances.push((self.now, order.instance.clone()));
+        let Some(worker) = self.workers.values().find(|w| w.report.instance == order.instance)
+        else {
+            return (Answer::Refused(Refusal::State), Duration::ZERO);
+        };
+        if self.returning.contains_key(&worker.report.incarnation.worker) {
+            return (Answer::Refused(Refusal::State), Duration::ZERO);
+        }
+        if !self.maintained.insert((order.instance.clone(), order.wave)) {
+            return (Answer::Done(()), Duration::ZERO);
+        }
+        self.maintenances_begun.push((self.now, order.instance.clone()));
+        let down_for = Settings::default().maintenance_duration + self.maintenance_overrun;
+        self.take_down(&order.instance, None, down_for);
+        (Answer::Done(()), self.maintenance_answer_delay)
+    }
+
     /// Carries out a move in the cloud, unless the instance is already in that pool.
     fn move_instance(&mut self, order: &Move) -> Answer<()> {
         let mut workers = self.workers.values();
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -20,7 +20,7 @@
     pub loses_start_answers: bool,
     /// Whether start orders without an answer are carried out.
     pub executes_lost_starts: bool,
-    /// One start order in this many gets no answer and is carried out after [`START_DELAY`].
+    /// One start order in this many gets no answer and is carried out late.
     pub omits_one_start_in: Option<u32>,
     /// Start orders so far.
     pub start_orders: u32,
@@ -54,7 +54,7 @@
 }
 
 impl Worker {
-    /// Creates the first incarnation of a worker, or a new one.
+    /// Creates an incarnation that starts now.
     pub fn new(report: Report, now: Duration) -> Worker {
         Worker {
             report,
@@ -70,7 +70,7 @@
             polls_hang: false,
             is_stuck: false,
             fence: 0,
-            clock_origin: now.saturating_sub(Duration::from_secs(1)),
+            clock_origin: now,
             lease_expiry: Duration::ZERO,
             runs: BTreeMap::new(),
             finished: Vec::new(),
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns the worker's clock in milliseconds.
+    pub fn clock_ms(&self, now: Duration) -> u64 {
+        now.saturating_sub(self.clock_origin).as_millis() as u64
+    }
+
     /// Extends the lease to the given time of the worker's clock, at most by `max_lease` from
     /// now.
     pub fn extend_lease(&mut self, now: Duration, lease_end_ms: u64, max_lease: Duration) {
@@ -145,7 +150,7 @@
         };
         RunLists {
             started_at: Some(self.report.incarnation.started_at),
-            clock_ms: now.saturating_sub(self.clock_origin).as_millis() as u64,
+            clock_ms: self.clock_ms(now),
             running: self.runs.iter().map(row).collect(),
             finished: self.finished.clone(),
         }
