Sched: a maintenance order without an answer yet keeps its place in the wave

Callers could see more instances of a wave down than its cap (LIMIT). Cause: an order is sent again after 1 s, and a refusal of the copy (the instance is down already) was taken for proof that no copy was carried out, since the first had no answer yet: the instance went back to Due and did not count as down. An order that is sent again now counts as having an unanswered copy.

Test: a_maintenance_order_without_an_answer_yet_keeps_its_place_in_the_wave; before, the second instance went down 1.1 s after the first of two with cap 1 and 2 s each.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -533,6 +533,9 @@
         let mut due = Vec::new();
         for (instance, pending) in &mut self.maintenance.ordered {
             if pending.sent_at.is_none_or(|at| time.monotonic >= at + MAINTENANCE_RETRY_DELAY) {
+                // The earlier copy has no answer yet, and a refusal of this one does not tell
+                // whether it was carried out.
+                pending.unanswered |= pending.sent_at.is_some();
                 pending.sent_at = Some(time.monotonic);
                 due.push((instance.clone(), pending.wave));
             }
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -205,6 +205,21 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_maintenance_order_without_an_answer_yet_keeps_its_place_in_the_wave() {
+    let mut world = World::new(3);
+    let down_for = sched::Settings::default().maintenance_duration;
+    world.maintenance_answer_delay = down_for - seconds(0.2);
+    let instances = ["m0".to_string(), "m1".to_string()].into();
+    let wave = jobs::Wave::new(1, instances, seconds(30.0), 1, 0);
+    world.apply(jobs::Command::StartWave(wave));
+    world.run(seconds(20.0));
+    let begun: Vec<Duration> = world.maintenances_begun.iter().map(|(at, _)| *at).collect();
+    assert_eq!(begun.len(), 2);
+    assert!(begun[1] >= begun[0] + down_for, "one instance may be down: {begun:?}");
+    assert!(world.ledger.waves()[&1].is_completed());
+}
+
 /// Time between two steps of a random schedule.
 const STEP: Duration = Duration::from_millis(100);
 /// Shortest time between two restarts of one worker. A start that is under way across two
