--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -12,7 +12,7 @@
 use crate::worker::{RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
-use jobs::{InstanceId, Ledger, PoolName, RunNumber, UnitKey, WaveId, WorkerId};
+use jobs::{InstanceId, Ledger, PoolName, RunNumber, UnitKey, UnixMs, WaveId, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -92,6 +92,8 @@
     sent_at: Option<Duration>,
     /// An earlier copy of the order had no answer and may still be carried out.
     unanswered: bool,
+    /// Start of the incarnation that the maintenance ends, as the ledger has it.
+    ends_incarnation_of: Option<UnixMs>,
 }
 
 /// Maintenance that has begun, and when this leader learned of it.
@@ -129,7 +131,9 @@
         match phase {
             Phase::Due => {}
             Phase::Ordered => {
-                let pending = PendingOrder { wave, sent_at: None, unanswered: false };
+                let (sent_at, ends_incarnation_of) = (None, None);
+                let pending =
+                    PendingOrder { wave, sent_at, unanswered: false, ends_incarnation_of };
                 self.maintenance.ordered.insert(instance.clone(), pending);
             }
             Phase::Begun => {
@@ -254,9 +258,13 @@
         let only_copy = !pending.unanswered;
         match answer {
             Answer::Done(()) => {
+                let ended = pending.ends_incarnation_of;
                 self.maintenance.ordered.remove(&instance);
                 self.propose_phase(wave, &instance, Phase::Begun);
-                self.on_instance_down(time, &instance);
+                // An answer may come after the instance is back.
+                if !self.has_restarted_since(&instance, ended) {
+                    self.on_instance_down(time, &instance);
+                }
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&instance),
             Answer::Refused(Refusal::Wave | Refusal::Invalid) => {
@@ -287,6 +295,13 @@
         }
     }
 
+    /// Whether a later incarnation than the given one reports from an instance.
+    fn has_restarted_since(&self, instance: &InstanceId, started_at: Option<UnixMs>) -> bool {
+        let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
+        let present = worker.map(|worker| worker.incarnation.started_at);
+        started_at.is_some() && present > started_at
+    }
+
     /// Handles the reply to an order to move an instance.
     pub fn on_move_reply(&mut self, time: Time, reply: MoveReply) {
         self.apply_move_reply(time, reply);
@@ -537,6 +552,9 @@
                 // whether it was carried out.
                 pending.unanswered |= pending.sent_at.is_some();
                 pending.sent_at = Some(time.monotonic);
+                let wave = ledger.waves().get(&pending.wave);
+                pending.ends_incarnation_of =
+                    wave.and_then(|wave| wave.worker_started_at.get(instance)).copied();
                 due.push((instance.clone(), pending.wave));
             }
         }
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -205,6 +205,27 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_late_answer_to_a_maintenance_order_does_not_end_runs_of_the_next_incarnation() {
+    for ticks in 0..5 {
+        let mut world = World::new(3);
+        let down_for = sched::Settings::default().maintenance_duration;
+        world.maintenance_overrun = world::TICK * ticks;
+        world.maintenance_answer_delay = down_for + seconds(0.2);
+        for number in 0..30 {
+            let id = format!("a{number}");
+            world.run_times.insert(id.clone(), seconds(2.0));
+            world.submit("q", &id, vec![step(1, 8000, 2000)]);
+        }
+        let wave = jobs::Wave::new(1, ["m0".to_string()].into(), seconds(30.0), 1, 0);
+        world.apply(jobs::Command::StartWave(wave));
+        run_checked(&mut world, seconds(40.0));
+        assert_eq!(world.overloads, []);
+        assert!(world.ledger.waves()[&1].is_completed());
+        assert_eq!(world.starts.len(), 30, "each unit runs once");
+    }
+}
+
 #[test]
 fn a_maintenance_order_without_an_answer_yet_keeps_its_place_in_the_wave() {
     let mut world = World::new(3);
