Sched: answers that overtake each other are no sign of a restart

A start's answer that was read before the last poll's, and arrives after it, shows an earlier clock; it counted as another incarnation's, so the run would have waited longer than it need and a refusal would have cost a stop. The bound below allows for the time under way; the doc example of Lease::origin_of has the case. An adopted run's other starts are remembered like those of a released run.

--- a/crates/sched/src/lease.rs
+++ b/crates/sched/src/lease.rs
@@ -10,7 +10,8 @@
 /// Time that a worker may need to kill its runs after a lease has expired.
 const KILL_MARGIN: Duration = Duration::from_millis(150);
 
-/// Longest time for which an answer that carries a reading may have been under way.
+/// Longest time for which an answer that carries a reading may have been under way. Answers
+/// overtake each other.
 const MAX_READING_AGE: Duration = Duration::from_secs(2);
 
 /// A reading of a worker's clock.
@@ -67,13 +68,15 @@
     /// let mut lease = Lease::default();
     /// lease.record_clock(ClockReading { clock_ms: 60_000, received_at: Duration::from_secs(5) });
     /// assert_eq!(lease.origin_of(Duration::from_secs(6), 61_000), Origin::Same);
+    /// assert_eq!(lease.origin_of(Duration::from_secs(6), 59_900), Origin::Same); // overtaken
     /// assert_eq!(lease.origin_of(Duration::from_secs(6), 500), Origin::Other);
     /// ```
     pub fn origin_of(&self, now: Duration, clock_ms: u64) -> Origin {
         let Some(reading) = self.reading else { return Origin::Unknown };
         let elapsed = now.saturating_sub(reading.received_at).mul_f64(1.0 + CLOCK_DRIFT);
         let longest_ms = (elapsed + MAX_READING_AGE).as_millis() as u64;
-        if !(reading.clock_ms..=reading.clock_ms + longest_ms).contains(&clock_ms) {
+        let earliest_ms = reading.clock_ms.saturating_sub(MAX_READING_AGE.as_millis() as u64);
+        if !(earliest_ms..=reading.clock_ms + longest_ms).contains(&clock_ms) {
             Origin::Other
         } else if clock_ms > longest_ms {
             Origin::Same // one that started since the last reading shows less
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -225,7 +225,9 @@
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
             let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
-            best.place(request.key, &Run::new(RunState::Proposed, request.step, 0, time.monotonic));
+            let placed_on = best.worker.incarnation.started_at;
+            let run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
+            best.place(request.key, &run);
             placements.push((unit, self.next_run(ledger, &unit), best.id.clone()));
             if let Some(rack) = best.rack().filter(|_| request.step.long_running) {
                 *units_per_rack.entry(rack.clone()).or_default() += 1;
@@ -259,9 +261,10 @@
             if placements.len() < indices.len() {
                 continue;
             }
-            let run = Run::new(RunState::Proposed, request.step, 0, time.monotonic);
             for (_, _, worker) in &placements {
                 if let Some(candidate) = candidates.iter_mut().find(|other| other.id == worker) {
+                    let placed_on = candidate.worker.incarnation.started_at;
+                    let run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
                     candidate.place(request.key, &run);
                 }
             }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -80,7 +80,7 @@
             self.adoptions.discarded.push(Discarded { unit, run: end.run });
             runs.push((unit, number));
             if let Some(worker) = self.workers.get_mut(id)
-                && let Some(mut run) = worker.remove(unit, end.run)
+                && let Some(mut run) = worker.release(self.time.monotonic, unit, end.run)
             {
                 run.placed_on = incarnation.started_at;
                 run.state = RunState::Ending;
@@ -251,10 +251,11 @@
         }
     }
 
-    /// Handles a restart of a worker under the same id. Runs whose starts the previous incarnation
-    /// is known to have received are discarded. Any other start may have been carried out by the
-    /// new incarnation, or may still reach it, so such a run is stopped there first. Inherited runs are decided
-    /// by the first poll of the new incarnation, which raises its fence.
+    /// Handles a restart of a worker under the same id. Runs whose starts the previous
+    /// incarnation is known to have received are discarded. Any other start may have been carried
+    /// out by the new incarnation, or may still reach it, so such a run is stopped there first.
+    /// Inherited runs are decided by the first poll of the new incarnation, which raises its
+    /// fence.
     pub(super) fn on_new_incarnation(
         &mut self,
         time: Time,
@@ -338,8 +339,8 @@
     }
 }
 
-/// Describes how many of some runs had a start without a confirmed effect, and the age
-/// of the oldest; empty if none had.
+/// Describes how many of some runs had a start that may still be under way, and the age of the
+/// oldest; empty if none had.
 fn describe_unconfirmed(time: Time, sent: impl Iterator<Item = Option<Duration>>) -> String {
     let ages: Vec<Duration> = sent.flatten().map(|at| time.monotonic.saturating_sub(at)).collect();
     match ages.iter().max() {
