--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -6,7 +6,7 @@
 use jobs::config::Advice;
 use jobs::definition::{Definition as JobDefinition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
-use sched::order::{Answer, Destination, Maintenance, Move, Order, Refusal, Start, StartOutcome};
+use sched::order::{Answer, Destination, Move, Order, Refusal, Start, StartOutcome};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
 };
@@ -15,6 +15,7 @@
 use std::time::Duration;
 pub use worker::Worker;
 
+mod cloud;
 mod worker;
 
 /// Time between two steps of the simulation.
@@ -368,14 +369,6 @@
         }
     }
 
-    fn answer_maintenance(&mut self) {
-        let (now, time) = (self.now, self.time());
-        let due: Vec<_> = self.overdue_maintenance.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, reply) in due {
-            self.scheduler.on_maintenance_reply(time, reply);
-        }
-    }
-
     fn carry_out_delayed_starts(&mut self) {
         let (now, time) = (self.now, self.time());
         let starts: Vec<_> = self.delayed_starts.extract_if(.., |(at, _, _)| *at <= now).collect();
@@ -506,85 +499,6 @@
         }
     }
 
-    /// Carries out maintenance in the cloud unless that was done before, and returns the answer
-    /// and how long it takes.
-    fn maintain(&mut self, order: &Maintenance) -> (Answer<()>, Duration) {
-        self.maintenances.push((self.now, order.instance.clone()));
-        let Some(worker) = self.workers.values().find(|w| w.report.instance == order.instance)
-        else {
-            return (Answer::Refused(Refusal::State), Duration::ZERO);
-        };
-        if self.returning.contains_key(&worker.report.incarnation.worker) {
-            return (Answer::Refused(Refusal::State), Duration::ZERO);
-        }
-        if !self.maintained.insert((order.instance.clone(), order.wave)) {
-            return (Answer::Done(()), Duration::ZERO);
-        }
-        self.maintenances_begun.push((self.now, order.instance.clone()));
-        let down_for = Settings::default().maintenance_duration + self.maintenance_overrun;
-        self.take_down(&order.instance, None, down_for);
-        (Answer::Done(()), self.maintenance_answer_delay)
-    }
-
-    /// Carries out a move in the cloud, unless the instance is already in that pool.
-    fn move_instance(&mut self, order: &Move) -> Answer<()> {
-        let mut workers = self.workers.values();
-        let Some(worker) = workers.find(|w| w.report.instance == order.instance) else {
-            return Answer::Refused(Refusal::State);
-        };
-        let fence = self.fences.entry(order.instance.clone()).or_default();
-        if order.fence < *fence {
-            return Answer::Refused(Refusal::Fence);
-        }
-        *fence = order.fence;
-        let pool = match self.returning.get(&worker.report.incarnation.worker) {
-            Some((_, pool)) => pool,
-            None => &worker.report.pool,
-        };
-        if *pool != order.pool {
-            self.moves.push((self.now, order.instance.clone(), order.pool.clone()));
-            self.take_down(
-                &order.instance,
-                Some(order.pool.clone()),
-                Settings::default().move_duration,
-            );
-        }
-        Answer::Done(())
-    }
-
-    /// Takes an instance down in the cloud, which ends all runs on it.
-    fn take_down(&mut self, instance: &str, pool: Option<String>, duration: Duration) {
-        let returning = self.now + duration;
-        for worker in self.workers.values_mut().filter(|w| w.report.instance == instance) {
-            worker.is_down = true;
-            let ended = std::mem::take(&mut worker.runs).into_keys();
-            self.interrupted.extend(ended.map(|(name, _)| (self.now, name)));
-            let pool = pool.clone().unwrap_or(worker.report.pool.clone());
-            self.returning.insert(worker.report.incarnation.worker.clone(), (returning, pool));
-        }
-    }
-
-    /// Brings instances back with a new incarnation of their workers; those in the
-    /// standby pool stay off.
-    fn return_instances(&mut self) {
-        let now = self.now;
-        let returning: Vec<(String, String)> = self
-            .returning
-            .iter()
-            .filter(|(_, (at, _))| now >= *at)
-            .map(|(id, (_, pool))| (id.clone(), pool.clone()))
-            .collect();
-        for (id, pool) in returning {
-            self.returning.remove(&id);
-            if pool == STANDBY {
-                self.workers.get_mut(&id).unwrap().report.pool = pool;
-            } else {
-                self.started_at += 1;
-                self.add(&id, &pool, self.started_at);
-            }
-        }
-    }
-
     /// Counts a start order to a worker, and returns whether the worker leaves it unanswered.
     fn omits_start(&mut self, to: &Destination) -> bool {
         let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
