--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -67,10 +67,10 @@
                 }
             }
             worker.late_starts.retain(|_, start| now < start.until);
-            let Some(destination) = worker.destination() else { continue };
             if worker.polling.sent_at.is_some() || now < worker.polling.next_at {
                 continue;
             }
+            let Some(destination) = worker.destination() else { continue };
             let acknowledged_through = ledger.acknowledged_through(&worker.incarnation);
             let answered_at = worker.polling.answered_at.unwrap_or_default();
             if worker.proposed_through > acknowledged_through
