--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -3,7 +3,8 @@
 //! An HTTP call costs the leader more than the decision behind it. In a large fleet the calls
 //! are spread over the linked core processes; a frame to one of them carries many orders. A
 //! worker obeys only the highest fence and a start carries the end of its lease, so an order
-//! that a process sends late is harmless.
+//! that a process sends late is harmless, unless the worker has restarted meanwhile: see
+//! [`sched::late`].
 
 use mesh::ProcessInfo;
 use mesh::frame::OrderId;
