Sched: tests that show units run twice after two restarts, late polls and clocks set back

The simulated worker leaves polls unanswered and carries them out late, forgets acknowledged ends also then, and may come back with an earlier start time.

--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -101,6 +101,119 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_start_that_outlives_two_incarnations_does_not_run_beside_the_next_run() {
+    for ticks in 0..20 {
+        let mut world = World::new(3);
+        world.start_delay = seconds(3.3);
+        world.run_times.insert("a".to_string(), seconds(20.0));
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = Some(1);
+        }
+        world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+        world.run(world::TICK * 3);
+        let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = None;
+        }
+        world.restart(&first, seconds(0.3));
+        run_checked(&mut world, seconds(2.75));
+        world.restart(&first, seconds(0.35) + world::TICK * ticks);
+        run_checked(&mut world, seconds(60.0));
+        assert_eq!(world.overloads, []);
+        assert_eq!(world.state("q", "a"), State::Completed);
+    }
+}
+
+#[test]
+fn a_repeated_start_that_outlives_its_failed_run_does_not_run_beside_the_next_run() {
+    for ticks in 0..20 {
+        let mut world = World::new(2);
+        world.start_delay = seconds(3.0);
+        world.run_times.insert("a".to_string(), seconds(20.0));
+        world.run_times.insert("b".to_string(), seconds(0.1));
+        world.submit("q", "b", vec![step(1, 6000, 100)]);
+        world.run(world::TICK * 3);
+        let other = world.workers_running("b.0.0.0")[0].clone();
+        let first = if other == "w0" { "w1" } else { "w0" };
+        let worker = world.workers.get_mut(first).unwrap();
+        worker.omits_one_start_in = Some(2);
+        worker.start_orders = 1; // the first start is left unanswered, its copy is not
+        worker.fails_runs = true;
+        world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+        world.run(seconds(0.25));
+        let worker = world.workers.get_mut(first).unwrap();
+        (worker.omits_one_start_in, worker.fails_runs) = (None, false);
+        run_checked(&mut world, seconds(2.6));
+        world.restart(first, world::TICK * ticks);
+        run_checked(&mut world, seconds(60.0));
+        assert_eq!(world.overloads, []);
+        assert_eq!(world.state("q", "a"), State::Completed);
+    }
+}
+
+#[test]
+fn an_acknowledgement_of_a_workers_ends_does_not_erase_those_of_its_successor() {
+    let mut world = World::new(2);
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.run_times.insert("a".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    assert_eq!(world.state("q", "b"), State::Completed);
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(world::TICK);
+    world.submit("q", "a", vec![step(4, 1000, 50)]);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..4 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
+#[test]
+fn a_lease_that_a_late_poll_grants_to_a_successor_is_waited_for() {
+    let mut world = World::new(2);
+    world.start_delay = seconds(8.0);
+    world.run_times.insert("a".to_string(), seconds(40.0));
+    world.run_times.insert("b".to_string(), seconds(9.0));
+    world.submit("q", "a", vec![step(1, 6000, 40_000)]);
+    world.submit("q", "b", vec![step(1, 6000, 9000)]);
+    world.run(seconds(0.5));
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    world.workers.get_mut(&first).unwrap().omits_one_poll_in = Some(1);
+    world.run(seconds(2.0)); // polls that would extend the lease are under way
+    world.restart(&first, seconds(0.3));
+    world.workers.get_mut(&first).unwrap().omits_one_poll_in = None;
+    run_checked(&mut world, seconds(7.0));
+    assert_eq!(world.workers_running("a.0.0.0"), [&first]);
+    world.workers.get_mut(&first).unwrap().partitioned = true;
+    run_checked(&mut world, seconds(25.0));
+    world.workers.get_mut(&first).unwrap().partitioned = false;
+    run_checked(&mut world, seconds(80.0));
+    assert_eq!(world.overloads, []);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_restarted_worker_whose_wall_clock_was_set_back_is_another_incarnation() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(0.5));
+    world.submit("q", "a", vec![step(4, 1000, 1000)]);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..4 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
@@ -243,12 +356,12 @@
 
 /// Time between two steps of a random schedule.
 const STEP: Duration = Duration::from_millis(100);
-/// Shortest time between two restarts of one worker. A start that is under way across two
-/// restarts is not covered.
-const MIN_RESTART_GAP: Duration = Duration::from_secs(20);
+/// Shortest time between two restarts of one worker, which is down for up to 7 s of it.
+const MIN_RESTART_GAP: Duration = Duration::from_millis(500);
 
-/// Random faults of four workers: each leaves one start order in three unanswered and carries
-/// it out 2 to 12 s later; they restart, are cut off, or restart while cut off.
+/// Random faults of four workers: each leaves one start order in three and one poll in seven
+/// unanswered and carries it out 2 to 12 s later; they restart, are cut off, or restart while cut
+/// off.
 struct Schedule {
     world: World,
     rng: StdRng,
@@ -262,6 +375,7 @@
         let mut world = World::new(4);
         for worker in world.workers.values_mut() {
             worker.omits_one_start_in = Some(3);
+            worker.omits_one_poll_in = Some(7);
         }
         let (restarted_at, cut_until) = Default::default();
         let rng = StdRng::seed_from_u64(seed);
@@ -309,7 +423,7 @@
     fn heal(&mut self) {
         for worker in self.world.workers.values_mut() {
             worker.partitioned = false;
-            worker.omits_one_start_in = None;
+            (worker.omits_one_start_in, worker.omits_one_poll_in) = (None, None);
         }
     }
 }
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -6,7 +6,7 @@
 use jobs::config::Advice;
 use jobs::definition::{Definition as JobDefinition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
-use sched::order::{Answer, Destination, Move, Order, Refusal, Start, StartOutcome};
+use sched::order::{Answer, Destination, Move, Order, Poll, Refusal, Reply, Start, StartOutcome};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
 };
@@ -70,6 +70,8 @@
     delayed_moves: Vec<(Duration, Move)>,
     /// Delay with which start orders without an answer are carried out.
     pub start_delay: Duration,
+    /// Wall clocks were set back, so that a restarted worker names an earlier start than before.
+    pub wall_clocks_set_back: bool,
     /// Workers whose process is restarting, with the time of its start.
     restarting: BTreeMap<String, Duration>,
     /// Restarted workers that have not reported, with the time of their first report.
@@ -78,8 +80,10 @@
     pub overloads: Vec<(Duration, String)>,
     /// Start orders without an answer, each with the time when it is carried out.
     delayed_starts: Vec<(Duration, Destination, Start)>,
+    /// Polls without an answer, each with the time when it is carried out.
+    delayed_polls: Vec<(Duration, Destination, Poll)>,
     /// Replies that stand for answers that did not come, with the time when they are due.
-    overdue_replies: Vec<(Duration, StartReply)>,
+    overdue_replies: Vec<(Duration, Reply)>,
     /// Instances that were maintained, with the wave.
     maintained: BTreeSet<(String, jobs::WaveId)>,
     /// When the maintenance of each instance began, in order.
@@ -162,10 +166,12 @@
             moves_to_delay: 0,
             delayed_moves: Vec::new(),
             start_delay: START_DELAY,
+            wall_clocks_set_back: false,
             restarting: BTreeMap::new(),
             first_reports: BTreeMap::new(),
             overloads: Vec::new(),
             delayed_starts: Vec::new(),
+            delayed_polls: Vec::new(),
             overdue_replies: Vec::new(),
             maintained: BTreeSet::new(),
             maintenances_begun: Vec::new(),
@@ -319,8 +325,17 @@
             let before = &self.workers[&id];
             let (partitioned, mut report) = (before.partitioned, before.report.clone());
             let omits_one_start_in = before.omits_one_start_in;
-            report.incarnation.started_at = self.started_at;
-            let worker = Worker { partitioned, omits_one_start_in, ..Worker::new(report, now) };
+            let omits_one_poll_in = before.omits_one_poll_in;
+            report.incarnation.started_at = match self.wall_clocks_set_back {
+                true => report.incarnation.started_at - 1,
+                false => self.started_at,
+            };
+            let worker = Worker {
+                partitioned,
+                omits_one_start_in,
+                omits_one_poll_in,
+                ..Worker::new(report, now)
+            };
             self.workers.insert(id, worker);
         }
     }
@@ -334,7 +349,7 @@
         for (_, order) in self.delayed_moves.extract_if(.., is_due).collect::<Vec<_>>() {
             self.move_instance(&order);
         }
-        self.carry_out_delayed_starts();
+        self.carry_out_delayed_orders();
         self.answer_maintenance();
         if self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
             let time = self.time();
@@ -369,15 +384,22 @@
         }
     }
 
-    fn carry_out_delayed_starts(&mut self) {
+    fn carry_out_delayed_orders(&mut self) {
         let (now, time) = (self.now, self.time());
+        let polls: Vec<_> = self.delayed_polls.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, to, poll) in polls {
+            let worker = self.workers.get_mut(&to.incarnation.worker);
+            if let Some(worker) = worker.filter(|worker| !worker.is_down) {
+                worker.apply_poll(now, &poll, Settings::default().max_lease);
+            }
+        }
         let starts: Vec<_> = self.delayed_starts.extract_if(.., |(at, _, _)| *at <= now).collect();
         for (_, to, start) in starts {
             self.start(&to, &start);
         }
         let replies: Vec<_> = self.overdue_replies.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, reply) in replies {
-            self.scheduler.on_start_reply(time, &self.ledger, reply);
+            self.scheduler.on_worker_reply(time, &self.ledger, reply);
         }
     }
 
@@ -417,6 +439,13 @@
                 let reply = PollReply { incarnation, sent_at, answer: Answer::Lost };
                 self.scheduler.on_poll_reply(time, &self.ledger, reply);
             }
+            Order::Poll(to, poll) if self.omits_poll(&to) => {
+                let (incarnation, sent_at) = (to.incarnation.clone(), poll.sent_at);
+                let reply = PollReply { incarnation, sent_at, answer: Answer::Unknown };
+                let due = self.now + poll.max_wait + ORDER_TIMEOUT;
+                self.overdue_replies.push((due, Reply::Poll(reply)));
+                self.delayed_polls.push((self.now + self.start_delay, to, poll));
+            }
             Order::Poll(to, poll) => {
                 if let Some(worker) = self.workers.get_mut(&to.incarnation.worker) {
                     worker.poll = Some((to, poll, self.now));
@@ -425,7 +454,7 @@
             Order::Start(to, start) if self.omits_start(&to) => {
                 let (incarnation, unit, run) = (to.incarnation.clone(), start.unit, start.run);
                 let reply = StartReply::new(incarnation, unit, run, Answer::Unknown.into());
-                self.overdue_replies.push((self.now + ORDER_TIMEOUT, reply));
+                self.overdue_replies.push((self.now + ORDER_TIMEOUT, Reply::Start(reply)));
                 self.delayed_starts.push((self.now + self.start_delay, to, start));
             }
             Order::Start(to, start) => {
@@ -506,6 +535,13 @@
         worker.omits_one_start_in.is_some_and(|share| worker.start_orders.is_multiple_of(share))
     }
 
+    /// Counts a poll of a worker, and returns whether the worker leaves it unanswered.
+    fn omits_poll(&mut self, to: &Destination) -> bool {
+        let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
+        worker.polls += 1;
+        worker.omits_one_poll_in.is_some_and(|share| worker.polls.is_multiple_of(share))
+    }
+
     fn start(&mut self, to: &Destination, start: &Start) -> Answer<()> {
         let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else {
             return Answer::Unknown;
@@ -575,7 +611,9 @@
         if silent && now < since + poll.max_wait + Duration::from_millis(700) {
             return;
         }
-        worker.finished.retain(|end| end.number > poll.acknowledged_through);
+        if !silent && poll.fence >= worker.fence {
+            worker.apply_poll(now, &poll, Settings::default().max_lease);
+        }
         if !silent && !due && worker.finished.is_empty() {
             return;
         }
@@ -585,12 +623,7 @@
         } else if poll.fence < worker.fence {
             Answer::Refused(Refusal::Fence)
         } else {
-            worker.fence = poll.fence;
-            let run_times = &self.run_times;
-            if let Some(lease_end_ms) = poll.lease_end_ms {
-                worker.extend_lease(now, lease_end_ms, Settings::default().max_lease);
-            }
-            Answer::Done(worker.run_lists(now, run_times))
+            Answer::Done(worker.run_lists(now, &self.run_times))
         };
         let reply = PollReply { incarnation: to.incarnation, sent_at: poll.sent_at, answer };
         self.scheduler.on_poll_reply(time, &self.ledger, reply);
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -24,6 +24,10 @@
     pub omits_one_start_in: Option<u32>,
     /// Start orders so far.
     pub start_orders: u32,
+    /// One poll in this many gets no answer and is carried out late.
+    pub omits_one_poll_in: Option<u32>,
+    /// Polls so far.
+    pub polls: u32,
     /// Stop orders get no answer.
     pub loses_stop_answers: bool,
     /// Stop orders are not carried out.
@@ -64,6 +68,8 @@
             executes_lost_starts: true,
             omits_one_start_in: None,
             start_orders: 0,
+            omits_one_poll_in: None,
+            polls: 0,
             loses_stop_answers: false,
             ignores_stops: false,
             fails_runs: false,
@@ -91,6 +97,15 @@
         }
     }
 
+    /// Carries out a poll: forgets the acknowledged ends, and extends the lease.
+    pub fn apply_poll(&mut self, now: Duration, poll: &Poll, max_lease: Duration) {
+        self.fence = self.fence.max(poll.fence);
+        self.finished.retain(|end| end.number > poll.acknowledged_through);
+        if let Some(lease_end_ms) = poll.lease_end_ms {
+            self.extend_lease(now, lease_end_ms, max_lease);
+        }
+    }
+
     /// Returns the worker's clock in milliseconds.
     pub fn clock_ms(&self, now: Duration) -> u64 {
         now.saturating_sub(self.clock_origin).as_millis() as u64
