Sched: a unit is not placed again while a start of it may still run at a restarted worker

Callers saw a unit run twice at the same time. A start without an answer may be carried out 12 s later, also by a later incarnation of its worker. It was barred at the first successor, whose confirmation ended the wait; a second restart forgets the bar. The same with one restart for a copy of a start whose run had begun and has failed, was stopped or lapsed.

Such a unit now waits until the start can come no more (15 s, and a lease if the worker can't be reached), until two instance lists show that the worker can't return, or until another worker answers at its address. The copies that got no answer from any incarnation are counted by themselves, so that a start that a successor has answered is not waited for; a start that the client repeated on a new connection counts as one without an answer. A run that never began is stopped by a confirmed order and placed elsewhere at once as before: existing tests ask for that, and a worker that leaves starts unanswered would hold most units otherwise.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -22,6 +22,10 @@
     pub resources: Resources,
     /// Time after which the start can no longer be carried out.
     pub until: Duration,
+    /// Whether the unit is not placed again before the start is over: the worker has restarted
+    /// since, or the run had begun. A run that never began is stopped by a confirmed order, and its
+    /// unit does not wait for a worker that leaves starts unanswered.
+    pub holds_unit: bool,
 }
 
 /// A run that is, or may come to be, on a worker's present incarnation and is not placed there.
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -294,11 +294,13 @@
     pub clock_ms: Option<u64>,
     /// No part of the order left the process, so it is not carried out.
     pub is_unsent: bool,
+    /// The order was sent a second time, since the first connection closed without an answer.
+    pub is_repeated: bool,
 }
 
 impl From<Answer<()>> for StartOutcome {
     fn from(answer: Answer<()>) -> StartOutcome {
-        StartOutcome { answer, clock_ms: None, is_unsent: false }
+        StartOutcome { answer, clock_ms: None, is_unsent: false, is_repeated: false }
     }
 }
 
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -9,7 +9,7 @@
 use crate::instance::{Instance, State};
 use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
 use crate::roster::Report;
-use crate::worker::{RunState, StopReason};
+use crate::worker::{GONE_AFTER_LISTS, RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
 use jobs::{InstanceId, Ledger, PoolName, RunNumber, UnitKey, UnixMs, WaveId, WorkerId};
@@ -20,9 +20,6 @@
 const MAINTENANCE_RETRY_DELAY: Duration = Duration::from_millis(1000);
 /// Shortest interval between two requests for the instance list.
 const LIST_INTERVAL: Duration = Duration::from_millis(1500);
-/// Consecutive lists without an instance after which it is considered deleted. A list
-/// that changes while its pages are read may miss an instance once.
-pub(super) const GONE_AFTER_LISTS: u32 = 2;
 /// Part of a wave's duration after which an instance no longer waits for its short work
 /// to finish.
 const SHORT_WORK_WAIT_FRACTION: f64 = 0.75;
@@ -177,7 +174,7 @@
         let previous = std::mem::take(&mut self.instances);
         self.instances = instances.into_iter().map(|m| (m.id.clone(), m)).collect();
         self.explain_listing_changes(&previous);
-        self.count_lists_without_workers();
+        self.count_lists_without_workers(time);
         self.propose_gone();
         let finished: Vec<(InstanceId, WaveId)> = self
             .maintenance
@@ -216,7 +213,8 @@
 
     /// Counts for each worker the consecutive lists by which it can't start again under its id:
     /// its instance does not exist any more, or another worker is on it.
-    fn count_lists_without_workers(&mut self) {
+    fn count_lists_without_workers(&mut self, time: Time) {
+        let mut late_units = Vec::new();
         let on_instances: BTreeSet<&WorkerId> =
             self.instances.values().filter_map(|instance| instance.worker.as_ref()).collect();
         for (id, worker) in &mut self.workers {
@@ -228,7 +226,11 @@
                 }),
             };
             worker.lists_without = if can_return { 0 } else { worker.lists_without + 1 };
+            if worker.lists_without == GONE_AFTER_LISTS {
+                late_units.extend(worker.late_units());
+            }
         }
+        self.release_held(time, late_units);
     }
 
     /// Proposes the phase `Gone` for instances whose maintenance was refused and that were
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -57,6 +57,7 @@
         let lease = LEASE_DURATION.min(self.settings.max_lease);
         let mut lost = Vec::new();
         let mut unreachable = Vec::new();
+        let mut late_units = Vec::new();
         for (id, worker) in &mut self.workers {
             if worker.lease.is_expired(now) {
                 if !worker.runs.is_empty() {
@@ -66,7 +67,7 @@
                     unreachable.push(id.clone());
                 }
             }
-            worker.late_starts.retain(|_, start| now < start.until);
+            late_units.extend(worker.remove_late_starts(now, self.settings.max_lease));
             if worker.polling.sent_at.is_some() || now < worker.polling.next_at {
                 continue;
             }
@@ -99,6 +100,7 @@
             };
             self.orders.push(Order::Poll(destination, poll));
         }
+        self.release_held(time, late_units);
         for id in lost {
             self.discard_lapsed(time, &id);
         }
@@ -184,6 +186,9 @@
         self.discard_all(time, id, "another incarnation is at its address");
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.end();
+        worker.address_is_reused = true;
+        let units = worker.late_units();
+        self.release_held(time, units);
     }
 }
 
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -4,7 +4,6 @@
 //! Handles committed ends, stops runs that are no longer needed, and discards the runs
 //! of a worker that was lost or restarted, so that their units are placed again.
 
-use super::maintenance::GONE_AFTER_LISTS;
 use super::{Scheduler, Time};
 use crate::lease::Lease;
 use crate::order::{Order, Refusal, Stop};
@@ -55,7 +54,7 @@
         let needs_placement =
             ledger.unit(unit).is_some_and(|state| !state.done && state.placements.is_empty());
         if needs_placement {
-            self.enqueue(ledger, *unit, time.monotonic);
+            self.enqueue(time, ledger, *unit);
         }
     }
 
@@ -220,10 +219,10 @@
     /// incarnation: the lease bounds only the one that had it.
     pub(super) fn discard_lapsed(&mut self, time: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
-        let cannot_return = worker.lists_without >= GONE_AFTER_LISTS;
+        let can_return = worker.can_return();
         let max_lease = self.settings.max_lease;
         self.discard_where(time, id, "its lease has expired", |run| {
-            cannot_return || !run.may_run_unseen(time.monotonic, max_lease)
+            !can_return || !run.may_run_unseen(time.monotonic, max_lease)
         });
     }
 
@@ -295,6 +294,7 @@
         worker.cordoned = false;
         worker.ended = false;
         worker.lists_without = 0;
+        worker.address_is_reused = false;
         let text = format!(
             "new incarnation started at {started_at}: {} runs discarded, {} starts to be \
              stopped{}",
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -46,6 +46,9 @@
     /// No part of the order left the process that was to send it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_unsent: bool,
+    /// The order was sent a second time, since the first connection closed without an answer.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_repeated: bool,
 }
 
 impl StartReply {
@@ -56,8 +59,8 @@
         run: RunNumber,
         outcome: StartOutcome,
     ) -> StartReply {
-        let StartOutcome { answer, clock_ms, is_unsent } = outcome;
-        StartReply { incarnation, unit, run, answer, clock_ms, is_unsent }
+        let StartOutcome { answer, clock_ms, is_unsent, is_repeated } = outcome;
+        StartReply { incarnation, unit, run, answer, clock_ms, is_unsent, is_repeated }
     }
 }
 
@@ -129,6 +132,7 @@
         let Some(run) = worker.runs.get_mut(&(unit, number)) else { return };
         run.state = RunState::Starting;
         run.unconfirmed_since = Some(time.monotonic);
+        run.start_sent_at = Some(time.monotonic);
         let start = Start {
             unit,
             name: format!("{}.{}.{}.{}", job.id, unit.occurrence, unit.step, unit.index),
@@ -145,14 +149,19 @@
     /// Handles the reply to a start. Replies to other incarnations, or for runs that are
     /// no longer starting, are ignored.
     pub fn on_start_reply(&mut self, time: Time, ledger: &Ledger, reply: StartReply) {
-        let StartReply { incarnation, unit, run: number, answer, clock_ms, is_unsent } = reply;
+        let StartReply { incarnation, unit, run: number, answer, clock_ms, is_unsent, is_repeated } =
+            reply;
         let id = incarnation.worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        if worker.incarnation != incarnation {
-            return;
-        }
         let Some(run) = worker.runs.get_mut(&(unit, number)) else { return };
-        if run.state != RunState::Starting {
+        let sent_at = run.start_sent_at.take();
+        if matches!(answer, Answer::Unknown | Answer::Lost) && !is_unsent || is_repeated {
+            run.unanswered_start_at = sent_at.or(run.unanswered_start_at);
+        }
+        if is_repeated {
+            run.unanswered_starts += 1; // the first copy
+        }
+        if worker.incarnation != incarnation || run.state != RunState::Starting {
             return;
         }
         match clock_ms.map(|clock_ms| worker.lease.origin_of(time.monotonic, clock_ms)) {
@@ -287,7 +296,8 @@
         for (id, worker) in &self.workers {
             let silent = worker.polling.is_silent(time.monotonic);
             let is_held = |run: &Run| run.may_run_unseen(time.monotonic, self.settings.max_lease);
-            needs_list |= silent && worker.runs.values().any(is_held);
+            let holds_units = worker.late_starts.values().any(|start| start.holds_unit);
+            needs_list |= silent && (holds_units || worker.runs.values().any(is_held));
             let answered_at = worker.polling.answered_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -72,7 +72,7 @@
                 .unit(key.occurrence, key.step, index)
                 .is_none_or(|unit| !unit.done && unit.placements.is_empty());
             if needs_placement {
-                self.enqueue(ledger, key.unit(index), time.monotonic);
+                self.enqueue(time, ledger, key.unit(index));
             }
         }
     }
@@ -88,20 +88,42 @@
         }
     }
 
-    /// Lets a unit wait for resources. It is not placed before the time `not_before`.
-    pub(super) fn enqueue(&mut self, ledger: &Ledger, unit: UnitKey, not_before: Duration) {
+    /// Lets a unit wait for resources, and first for the starts of its earlier runs that may
+    /// still be carried out.
+    pub(super) fn enqueue(&mut self, time: Time, ledger: &Ledger, unit: UnitKey) {
         let Some(job) = ledger.job(unit.job) else { return };
         if job.state.is_final() {
             return;
         }
         let key = unit.step_key();
         let criteria = self.criteria(ledger, &key);
+        let not_before = if self.is_held(&unit) { Duration::MAX } else { time.monotonic };
         let steps = self.waiting.entry(job.pool.clone()).or_default();
         let waiting =
             steps.entry(key).or_insert_with(|| Waiting { units: BTreeMap::new(), criteria });
         waiting.units.insert(unit.index, not_before);
     }
 
+    /// Lets waiting units be placed that no late start holds any more.
+    pub(super) fn release_held(&mut self, time: Time, units: Vec<UnitKey>) {
+        for unit in units {
+            if self.is_held(&unit) {
+                continue;
+            }
+            let waiting =
+                self.waiting.values_mut().filter_map(|steps| steps.get_mut(&unit.step_key()));
+            for not_before in waiting.filter_map(|waiting| waiting.units.get_mut(&unit.index)) {
+                *not_before = time.monotonic.min(*not_before);
+            }
+        }
+    }
+
+    /// Returns whether a start of an earlier run of the unit may still be carried out.
+    fn is_held(&self, unit: &UnitKey) -> bool {
+        let ids = self.placed_on.get(unit).into_iter().flatten();
+        ids.filter_map(|id| self.workers.get(id)).any(|worker| worker.holds_unit(unit))
+    }
+
     /// Returns the criteria by which a step is ranked. Each occurrence of a scheduled
     /// job counts as accepted when it is due.
     pub(super) fn criteria(&self, ledger: &Ledger, key: &StepKey) -> Criteria {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -23,6 +23,10 @@
 /// carries out all the same; orders that are sent together are given up together.
 const SILENT_AFTER_UNANSWERED: u32 = 3;
 const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// Consecutive lists without an instance after which it is considered deleted, or without a worker
+/// on its instance after which it can't start again under its id. A list that changes while its
+/// pages are read may miss an instance once.
+pub(crate) const GONE_AFTER_LISTS: u32 = 2;
 /// Upper bound of the backoff.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
@@ -54,6 +58,10 @@
     /// to have received it, or a copy of it got no answer. For an inherited run, when it was
     /// inherited.
     pub unconfirmed_since: Option<Duration>,
+    /// When the last start was sent, while it has no answer.
+    pub start_sent_at: Option<Duration>,
+    /// When the last start that got no answer was sent.
+    pub unanswered_start_at: Option<Duration>,
     /// Last reported progress in percent, and when that value was first seen.
     pub progress: (u32, Duration),
     /// Processor share in percent of the last pace order; `None` if that order failed
@@ -165,6 +173,11 @@
     pub reserved: Resources,
     /// Starts of removed runs that may still reach a later incarnation.
     pub late_starts: BTreeMap<(UnitKey, RunNumber), LateStart>,
+    /// Time before which none of the late starts is over.
+    pub late_starts_end: Duration,
+    /// Another worker has answered at the address, so no order that was sent there is carried out
+    /// by this one any more.
+    pub address_is_reused: bool,
     /// Runs that are not placed on the worker, by unit name and run number.
     pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
     /// Consecutive instance lists by which the worker can't start again under its id.
@@ -199,6 +212,8 @@
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             late_starts: BTreeMap::new(),
+            late_starts_end: Duration::ZERO,
+            address_is_reused: false,
             unplaced: BTreeMap::new(),
             lists_without: 0,
             proposed_through: 0,
@@ -257,9 +272,63 @@
         run: &Run,
     ) {
         if let Some(until) = run.late_until().filter(|until| now < *until) {
-            let resources = run.resources;
-            self.late_starts.insert((unit, number), LateStart { resources, until });
+            let has_restarted = run.placed_on != self.incarnation.started_at;
+            let may_arrive = run.has_unanswered_start() || run.is_inherited;
+            let holds_unit = may_arrive && has_restarted
+                || run.has_unanswered_start() && run.started_at.is_some();
+            let start = LateStart { resources: run.resources, until, holds_unit };
+            if self.late_starts.is_empty() || until < self.late_starts_end {
+                self.late_starts_end = until;
+            }
+            self.late_starts.insert((unit, number), start);
+        }
+    }
+
+    /// Returns whether the worker may start again under its id and carry out orders that were
+    /// sent to an earlier incarnation.
+    pub fn can_return(&self) -> bool {
+        !self.address_is_reused && self.lists_without < GONE_AFTER_LISTS
+    }
+
+    /// Returns whether a start of the unit that is no longer placed here may still be carried out
+    /// here, or may have been without the leader's knowledge.
+    pub fn holds_unit(&self, unit: &UnitKey) -> bool {
+        let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
+        self.can_return() && starts.any(|(_, start)| start.holds_unit)
+    }
+
+    /// Returns the units of late starts.
+    pub fn late_units(&self) -> Vec<UnitKey> {
+        self.late_starts.keys().map(|(unit, _)| *unit).collect()
+    }
+
+    /// Removes the late starts that are over, and returns their units. One is over when it can no
+    /// longer be carried out; if it holds its unit, also a list received since then shows no run
+    /// of the unit, or a lease of `max_lease` that it may have been given has expired.
+    pub fn remove_late_starts(&mut self, now: Duration, max_lease: Duration) -> Vec<UnitKey> {
+        if self.late_starts.is_empty() || now < self.late_starts_end {
+            return Vec::new();
         }
+        let is_listed = |unit| self.unplaced.values().any(|run| run.unit == Some(unit));
+        let answered_at = self.polling.answered_at.unwrap_or_default();
+        let is_over = |unit: UnitKey, start: &LateStart| {
+            now >= start.until
+                && (!start.holds_unit
+                    || answered_at >= start.until && !is_listed(unit)
+                    || Lease::inherited(start.until, max_lease).is_expired(now))
+        };
+        let over: Vec<(UnitKey, RunNumber)> = self
+            .late_starts
+            .iter()
+            .filter(|((unit, _), start)| is_over(*unit, start))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in &over {
+            self.late_starts.remove(key);
+        }
+        let ends = self.late_starts.values().map(|start| start.until);
+        self.late_starts_end = ends.min().unwrap_or_default();
+        over.into_iter().map(|(unit, _)| unit).collect()
     }
 
     /// Records that the worker confirmed the stop of an unplaced run.
@@ -368,6 +437,8 @@
             started_at: None,
             unanswered_starts: 0,
             unconfirmed_since: (state == RunState::Inherited).then_some(now),
+            start_sent_at: None,
+            unanswered_start_at: None,
             progress: (0, now),
             share_percent: Some(100),
             share_ordered_at: now,
@@ -382,6 +453,11 @@
         self.unconfirmed_since.map(|at| at + LATE_ORDER_WINDOW)
     }
 
+    /// Returns whether one of this leader's starts of the run got no answer from any incarnation.
+    pub fn has_unanswered_start(&self) -> bool {
+        self.start_sent_at.or(self.unanswered_start_at).is_some()
+    }
+
     /// Returns whether a start of the run may still be carried out, by the present incarnation
     /// of its worker or by a later one.
     pub fn may_start_late(&self, now: Duration) -> bool {
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -466,7 +466,8 @@
                 let worker = self.workers.get(&to.incarnation.worker);
                 let clock_ms = worker.filter(|_| answer != Answer::Unknown);
                 let clock_ms = clock_ms.map(|worker| worker.clock_ms(self.now));
-                let outcome = StartOutcome { answer, clock_ms, is_unsent: false };
+                let outcome =
+                    StartOutcome { answer, clock_ms, is_unsent: false, is_repeated: false };
                 let reply = StartReply::new(to.incarnation, unit, run, outcome);
                 self.scheduler.on_start_reply(time, &self.ledger, reply);
             }
