Sched, platform: acknowledgements of a worker's ends do not erase those of its successor

A unit that was done ran again after a restart of its worker, without any late order. Ends are acknowledged by their number, and each incarnation counts from 1: the first poll after an unseen restart carried the predecessor's number and made the successor forget ends that were not in the log. Their units looked stuck, were stopped and placed again.

What a worker still lists counts as not acknowledged, so a lost acknowledgement is repeated.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -72,11 +72,9 @@
                 continue;
             }
             let Some(destination) = worker.destination() else { continue };
-            let acknowledged_through = ledger.acknowledged_through(&worker.incarnation);
+            let committed_through = ledger.acknowledged_through(&worker.incarnation);
             let answered_at = worker.polling.answered_at.unwrap_or_default();
-            if worker.proposed_through > acknowledged_through
-                && now < answered_at + PROPOSAL_TIMEOUT
-            {
+            if worker.proposed_through > committed_through && now < answered_at + PROPOSAL_TIMEOUT {
                 continue; // wait, so that the next poll acknowledges the proposed ends
             }
             let max_wait = match (worker.answered_under_fence, worker.runs.is_empty()) {
@@ -90,6 +88,7 @@
             // ever expiring.
             let extend_lease = worker.polling.unanswered == 0 && !worker.runs.is_empty();
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
+            let acknowledged_through = worker.polling.acknowledge(committed_through);
             worker.polling.sent_at = Some(now);
             let poll = Poll {
                 fence: self.fence,
@@ -134,6 +133,7 @@
                     return;
                 }
                 worker.polling.record_answer(time.monotonic);
+                worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
                 worker.polling.answered_at = Some(time.monotonic);
                 worker.polling.next_at = time.monotonic + MIN_POLL_GAP;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -5,7 +5,7 @@
 
 use crate::late::{LATE_ORDER_WINDOW, LateStart, Unplaced};
 use crate::lease::Lease;
-use crate::order::Destination;
+use crate::order::{Destination, RunLists};
 use crate::roster::Report;
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
@@ -122,6 +122,14 @@
 pub struct Polling {
     /// When the open poll was sent; `None` if none is open.
     pub sent_at: Option<Duration>,
+    /// Number of the last end that the open poll acknowledges; 0 for none.
+    pub acknowledging: u64,
+    /// Number of the last end that an answered poll acknowledged; 0 for none.
+    pub acknowledged_through: u64,
+    /// Whether the open or the last poll extends the lease.
+    pub grants_lease: bool,
+    /// When the last poll that extends the lease and got no answer was sent.
+    pub unanswered_grant_at: Option<Duration>,
     /// Earliest time of the next poll.
     pub next_at: Duration,
     /// When the last answer arrived.
@@ -143,6 +151,25 @@
             && self.heard_at.is_none_or(|at| now >= at + SILENT_AFTER)
     }
 
+    /// Returns the number of the last end that the next poll acknowledges, when the ends up to
+    /// `committed_through` are in the log; 0 for none. Ends are numbered anew by each incarnation,
+    /// so a poll acknowledges none that is acknowledged already, and none after a poll without an
+    /// answer, which may have been sent to an incarnation that has ended.
+    pub fn acknowledge(&mut self, committed_through: u64) -> u64 {
+        let is_needed = committed_through > self.acknowledged_through;
+        self.acknowledging =
+            if is_needed && self.unanswered_polls == 0 { committed_through } else { 0 };
+        self.acknowledging
+    }
+
+    /// Records which ends the worker still lists, and so which ones it has forgotten.
+    pub fn record_listed_ends(&mut self, run_lists: &RunLists) {
+        let first_listed = run_lists.finished.iter().map(|end| end.number).min();
+        let acknowledged = self.acknowledged_through.max(self.acknowledging);
+        self.acknowledged_through =
+            first_listed.map_or(acknowledged, |first| acknowledged.min(first.saturating_sub(1)));
+    }
+
     /// Records that an order or poll was answered.
     pub fn record_answer(&mut self, now: Duration) {
         self.heard_at = Some(now);
