Sched, jobs: a restarted worker whose wall clock was set back is another incarnation

Units that were done ran again, up to three times. A worker states its start by its wall clock; a clock that was set back makes a successor state an earlier start than its predecessor. Its reports were then ignored as old, its lists taken for the predecessor's, and its ends, which are numbered anew, passed over as known; the ledger would not have applied them either.

A poll that is answered with another start time than that of the present incarnation now ends that one, whichever is later. The scheduler keeps what the worker states apart from the start that the log names, which always rises, so that the ledger and what older cores do with it stay as they are. Reports of an incarnation that is known to have ended are ignored though they state a later start. A new leader begins above the last start that the ledger has ends of.

Not covered: the list of reports that cores keep still ignores such a worker's reports for up to 20 s and gives it no new work meanwhile.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -198,6 +198,17 @@
         }
     }
 
+    /// Returns when the incarnation of a worker that listed the last end in the log started; `None`
+    /// if no end of the worker is in the log.
+    ///
+    /// ```
+    /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
+    /// assert_eq!(ledger.last_start(&"i-1".to_string()), None);
+    /// ```
+    pub fn last_start(&self, worker: &WorkerId) -> Option<UnixMs> {
+        self.acknowledged_ends.get(worker).map(|ends| ends.started_at)
+    }
+
     /// Returns the decisions that are on record.
     pub fn journal(&self) -> &Journal {
         &self.journal
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -304,6 +304,7 @@
         }
         let worker = self.worker_or_inherited(time, incarnation);
         worker.incarnation.started_at = worker.incarnation.started_at.max(placed_on);
+        worker.stated_start = worker.incarnation.started_at;
         worker.add(unit, number, run);
         self.placed_on.entry(unit).or_default().insert(incarnation.worker.clone());
         let highest = self.last_run_numbers.entry(unit).or_default();
@@ -329,20 +330,23 @@
     /// Handles a worker's report. A report of an older incarnation is ignored; one of a
     /// newer incarnation releases or stops the runs of the previous one.
     pub fn on_report(&mut self, time: Time, ledger: &Ledger, report: &Report) {
-        let known_incarnation =
-            self.workers.get(&report.incarnation.worker).map(|worker| worker.incarnation.clone());
-        match &known_incarnation {
-            Some(incarnation) if incarnation.started_at > report.incarnation.started_at => return,
-            Some(incarnation) if incarnation.started_at < report.incarnation.started_at => {
-                self.on_new_incarnation(
-                    time,
-                    ledger,
-                    &incarnation.worker,
-                    report.incarnation.started_at,
-                );
+        let id = &report.incarnation.worker;
+        let known_incarnation = self.workers.get(id).map(|worker| worker.incarnation.clone());
+        if let Some(worker) = self.workers.get(id) {
+            match report.incarnation.started_at {
+                stated_start if worker.has_ended(stated_start) => return,
+                stated_start if stated_start > worker.stated_start => {
+                    self.on_new_incarnation(time, ledger, id, stated_start);
+                }
+                _ => {}
             }
-            _ => {}
         }
+        let incarnation = match self.workers.get(id) {
+            Some(worker) => worker.incarnation.clone(),
+            None => successor_in_ledger(ledger, &report.incarnation),
+        };
+        let stated_start = report.incarnation.started_at;
+        let report = &Report { incarnation, ..report.clone() };
         if self.workers.get(&report.incarnation.worker).is_some_and(|worker| worker.ended) {
             return; // the report was sent before the incarnation ended
         }
@@ -355,6 +359,7 @@
         }
         let moving = self.is_moving(&report.instance);
         let worker = self.worker_or_inherited(time, &report.incarnation);
+        worker.stated_start = stated_start;
         if worker.report.is_none() && moving {
             worker.cordoned = true; // the move may still be carried out
         }
@@ -474,3 +479,12 @@
         Output { proposals, orders, explanations: std::mem::take(&mut self.explanations) }
     }
 }
+
+/// Returns an incarnation that states its start time, with a later one if the ledger has ends of an
+/// incarnation that started later: the ledger applies no ends of an earlier one.
+fn successor_in_ledger(ledger: &Ledger, stated: &Incarnation) -> Incarnation {
+    match ledger.last_start(&stated.worker) {
+        Some(last) if last > stated.started_at => Incarnation::new(stated.worker.clone(), last + 1),
+        _ => stated.clone(),
+    }
+}
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -126,9 +126,9 @@
         }
         match reply.answer {
             Answer::Done(run_lists) => {
-                let started_at = run_lists.started_at.unwrap_or(reply.incarnation.started_at);
-                if started_at > reply.incarnation.started_at {
-                    self.on_new_incarnation(time, ledger, &id, started_at);
+                let stated_start = run_lists.started_at.unwrap_or(worker.stated_start);
+                if stated_start != worker.stated_start {
+                    self.on_new_incarnation(time, ledger, &id, stated_start);
                     self.send_first_stops(time, ledger, &id);
                     return;
                 }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -10,7 +10,7 @@
 use crate::worker::{Run, RunState, StopReason};
 use jobs::command::{Discarded, End, EndReason, Placed};
 use jobs::ledger::Release;
-use jobs::{Incarnation, Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
+use jobs::{Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
 use std::time::Duration;
 
 impl Scheduler {
@@ -260,7 +260,7 @@
         time: Time,
         ledger: &Ledger,
         id: &WorkerId,
-        started_at: UnixMs,
+        stated_start: UnixMs,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let mut discarded = Vec::new();
@@ -284,7 +284,7 @@
         for (unit, number, run) in ending {
             worker.record_late_start(time.monotonic, unit, number, &run);
         }
-        worker.incarnation = Incarnation::new(id.clone(), started_at);
+        let former = worker.replace_incarnation(stated_start);
         worker.report = None;
         worker.answered_under_fence = false;
         worker.lease = Lease::inherited(time.monotonic, self.settings.max_lease);
@@ -296,8 +296,8 @@
         worker.lists_without = 0;
         worker.address_is_reused = false;
         let text = format!(
-            "new incarnation started at {started_at}: {} runs discarded, {} starts to be \
-             stopped{}",
+            "new incarnation started at {stated_start}, after {former}: {} runs discarded, {} starts \
+             to be stopped{}",
             discarded.len(),
             unconfirmed.len(),
             describe_unconfirmed(time, unconfirmed.into_iter()),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,7 +9,7 @@
 use crate::roster::Report;
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -181,8 +181,14 @@
 /// A worker as the leader knows it.
 #[derive(Clone, Debug)]
 pub struct Worker {
-    /// Present incarnation.
+    /// Present incarnation. Its start time is later than those of its predecessors, also if the
+    /// worker states an earlier one.
     pub incarnation: Incarnation,
+    /// Start time that the present incarnation states. It may be earlier than that of its
+    /// predecessor, since wall clocks are set back.
+    pub stated_start: UnixMs,
+    /// Later start times that earlier incarnations stated.
+    pub ended_starts: BTreeSet<UnixMs>,
     /// Newest report; `None` if the incarnation is known only from its runs.
     pub report: Option<Report>,
     /// Address at which it accepts orders. Kept when a poll is answered by a new incarnation,
@@ -230,7 +236,9 @@
     /// Creates a worker that is known only by its incarnation.
     pub fn new(incarnation: Incarnation, lease: Lease) -> Worker {
         Worker {
+            stated_start: incarnation.started_at,
             incarnation,
+            ended_starts: BTreeSet::new(),
             report: None,
             address: None,
             lease,
@@ -253,6 +261,20 @@
         }
     }
 
+    /// Returns whether the incarnation that states the given start time has ended.
+    pub fn has_ended(&self, stated_start: UnixMs) -> bool {
+        stated_start < self.stated_start || self.ended_starts.contains(&stated_start)
+    }
+
+    /// Begins a new incarnation, and returns the start time that the previous one stated.
+    pub fn replace_incarnation(&mut self, stated_start: UnixMs) -> UnixMs {
+        let former = std::mem::replace(&mut self.stated_start, stated_start);
+        self.ended_starts.insert(former);
+        self.ended_starts.retain(|ended| *ended > stated_start);
+        self.incarnation.started_at = stated_start.max(self.incarnation.started_at + 1);
+        former
+    }
+
     /// Records that the present incarnation has certainly ended.
     pub fn end(&mut self) {
         self.report = None;
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -214,6 +214,27 @@
     }
 }
 
+#[test]
+fn a_new_leader_takes_the_ends_of_a_worker_whose_wall_clock_was_set_back() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.replace_leader();
+    world.run(seconds(2.0));
+    world.submit("q", "a", vec![step(4, 1000, 1000)]);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..4 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
