Sched: a lease that a late order grants to a restarted worker is waited for

Callers saw a unit run twice, and a worker over its capacity. An order that extends a lease names a time of the worker's clock. One that was meant for the predecessor and is carried out late names a time that the successor's young clock reaches only a minute later, so its lease lasts the longest time allowed (10 s) from that moment. The leader counted 10 s from the restart and 5 s from its own grants, and placed the units of a successor that was cut off elsewhere while they still ran.

After a restart the lease is assumed to last as long as the last order without an answer could grant it: 15 s after it was sent, and the longest lease. Only a worker that restarts under its id and is then lost waits longer for it.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -90,6 +90,7 @@
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
             let acknowledged_through = worker.polling.acknowledge(committed_through);
             worker.polling.sent_at = Some(now);
+            worker.polling.grants_lease = lease_end_ms.is_some();
             let poll = Poll {
                 fence: self.fence,
                 acknowledged_through,
@@ -121,6 +122,9 @@
             return;
         }
         worker.polling.sent_at = None;
+        if worker.polling.grants_lease && !matches!(reply.answer, Answer::Done(_)) {
+            worker.polling.unanswered_grant_at = Some(reply.sent_at);
+        }
         if worker.ended {
             return; // the incarnation ended while the poll was open
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -5,9 +5,10 @@
 //! of a worker that was lost or restarted, so that their units are placed again.
 
 use super::{Scheduler, Time};
+use crate::late::LATE_ORDER_WINDOW;
 use crate::lease::Lease;
 use crate::order::{Order, Refusal, Stop};
-use crate::worker::{Run, RunState, StopReason};
+use crate::worker::{Polling, Run, RunState, StopReason};
 use jobs::command::{Discarded, End, EndReason, Placed};
 use jobs::ledger::Release;
 use jobs::{Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
@@ -284,11 +285,16 @@
         for (unit, number, run) in ending {
             worker.record_late_start(time.monotonic, unit, number, &run);
         }
+        // The clock of the new incarnation reaches the end of a lease that was given to its
+        // predecessor much later.
+        let unanswered_grant_at = worker.last_unanswered_grant();
+        let last_arrival = unanswered_grant_at.map(|at| at + LATE_ORDER_WINDOW);
+        let granted_until = last_arrival.unwrap_or_default().max(time.monotonic);
         let former = worker.replace_incarnation(stated_start);
         worker.report = None;
         worker.answered_under_fence = false;
-        worker.lease = Lease::inherited(time.monotonic, self.settings.max_lease);
-        worker.polling = Default::default();
+        worker.lease = Lease::inherited(granted_until, self.settings.max_lease);
+        worker.polling = Polling { unanswered_grant_at, ..Polling::default() };
         worker.proposed_through = 0;
         worker.consecutive_failures = 0;
         worker.cordoned = false;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -275,6 +275,17 @@
         former
     }
 
+    /// Returns when the last order that extends the lease and has no answer was sent; `None` if
+    /// all were answered.
+    pub fn last_unanswered_grant(&self) -> Option<Duration> {
+        let open_poll = self.polling.sent_at.filter(|_| self.polling.grants_lease);
+        let starts = self.runs.values().map(|run| run.start_sent_at.max(run.unconfirmed_since));
+        let late_starts =
+            self.late_starts.values().map(|start| start.until.checked_sub(LATE_ORDER_WINDOW));
+        let polls = [open_poll, self.polling.unanswered_grant_at];
+        starts.chain(late_starts).chain(polls).max().flatten()
+    }
+
     /// Records that the present incarnation has certainly ended.
     pub fn end(&mut self) {
         self.report = None;
