Sched: the first poll of a new leader does not erase ends of a restarted worker

A new leader knows a worker from the log and from an old report. If the worker had restarted since, the leader's first poll acknowledged ends by the predecessor's number and made the successor forget ends that were not in the log; their units were done and ran again. A poll now acknowledges only when the poll before it was answered under this fence. A poll that is lost with the process that was to send it counts as unanswered there too.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -88,7 +88,7 @@
             // ever expiring.
             let extend_lease = worker.polling.unanswered == 0 && !worker.runs.is_empty();
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
-            let acknowledged_through = worker.polling.acknowledge(committed_through);
+            let acknowledged_through = worker.acknowledge(committed_through);
             worker.polling.sent_at = Some(now);
             worker.polling.grants_lease = lease_end_ms.is_some();
             let poll = Poll {
@@ -152,7 +152,10 @@
                 self.on_refusal(&id, refusal);
             }
             Answer::Unknown => self.record_unanswered_poll(time, &id),
-            Answer::Lost => self.record_lost(time, &id),
+            Answer::Lost => {
+                worker.polling.unanswered_polls = worker.polling.unanswered_polls.max(1);
+                self.record_lost(time, &id);
+            }
         }
     }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -151,17 +151,6 @@
             && self.heard_at.is_none_or(|at| now >= at + SILENT_AFTER)
     }
 
-    /// Returns the number of the last end that the next poll acknowledges, when the ends up to
-    /// `committed_through` are in the log; 0 for none. Ends are numbered anew by each incarnation,
-    /// so a poll acknowledges none that is acknowledged already, and none after a poll without an
-    /// answer, which may have been sent to an incarnation that has ended.
-    pub fn acknowledge(&mut self, committed_through: u64) -> u64 {
-        let is_needed = committed_through > self.acknowledged_through;
-        self.acknowledging =
-            if is_needed && self.unanswered_polls == 0 { committed_through } else { 0 };
-        self.acknowledging
-    }
-
     /// Records which ends the worker still lists, and so which ones it has forgotten.
     pub fn record_listed_ends(&mut self, run_lists: &RunLists) {
         let first_listed = run_lists.finished.iter().map(|end| end.number).min();
@@ -275,6 +264,18 @@
         former
     }
 
+    /// Returns the number of the last end that the next poll acknowledges, when the ends up to
+    /// `committed_through` are in the log; 0 for none. Ends are numbered anew by each incarnation,
+    /// so a poll acknowledges none that is acknowledged already, and none unless the poll before
+    /// it was answered under this fence: the incarnation may have ended.
+    pub fn acknowledge(&mut self, committed_through: u64) -> u64 {
+        let polling = &mut self.polling;
+        let is_known = self.answered_under_fence && polling.unanswered_polls == 0;
+        let is_needed = committed_through > polling.acknowledged_through;
+        polling.acknowledging = if is_known && is_needed { committed_through } else { 0 };
+        polling.acknowledging
+    }
+
     /// Returns when the last order that extends the lease and has no answer was sent; `None` if
     /// all were answered.
     pub fn last_unanswered_grant(&self) -> Option<Duration> {
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -171,6 +171,36 @@
     }
 }
 
+#[test]
+fn the_first_poll_of_a_new_leader_does_not_erase_ends_of_a_restarted_worker() {
+    for ticks in 0..20 {
+        let mut world = World::new(2);
+        world.run_times.insert("b".to_string(), seconds(0.5));
+        world.run_times.insert("c".to_string(), seconds(30.0));
+        world.run_times.insert("a".to_string(), seconds(0.05));
+        world.submit("q", "b", vec![step(2, 5000, 500)]);
+        world.run(seconds(2.0));
+        world.submit("q", "c", vec![step(2, 5000, 30_000)]);
+        world.run(seconds(1.0));
+        assert_eq!(world.state("q", "b"), State::Completed);
+        let reports: Vec<_> = world.workers.values().map(|worker| worker.report.clone()).collect();
+        world.restart("w0", world::TICK);
+        world.restart("w1", world::TICK);
+        world.run(world::TICK);
+        world.submit("q", "a", vec![step(6, 1000, 50)]);
+        world.run(world::TICK * ticks);
+        world.replace_leader();
+        for report in &reports {
+            world.scheduler.on_report(world.time(), &world.ledger, report);
+        }
+        run_checked(&mut world, seconds(60.0));
+        for index in 0..6 {
+            let starts = world.starts_of(&format!("a.0.0.{index}")).len();
+            assert_eq!(starts, 1, "unit {index}, {ticks} ticks");
+        }
+    }
+}
+
 #[test]
 fn a_lease_that_a_late_poll_grants_to_a_successor_is_waited_for() {
     let mut world = World::new(2);
