Sched, platform: a poll that is repeated on a new connection hides no lease

Found by the review, by reading. The client repeats a poll when a kept connection turns out to be closed. The first copy may still be carried out and extend the lease, but the answer to the second counted as the answer to both. The answer now says that the poll was repeated, and the repeat returns at once, so that the next poll, on the new connection, extends the lease and acknowledges what it can. Frames of older cores leave the field out.

--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -188,7 +188,13 @@
         };
         let running = worker.runs.keys().map(status).collect();
         let finished = worker.finished.clone();
-        let run_lists = RunLists { started_at: Some(1), clock_ms: wall, running, finished };
+        let run_lists = RunLists {
+            started_at: Some(1),
+            clock_ms: wall,
+            running,
+            finished,
+            ..RunLists::default()
+        };
         let incarnation = worker.report.incarnation.clone();
         let reply = PollReply { incarnation, sent_at, answer: Answer::Done(run_lists) };
         self.timed(|scheduler, ledger, time| scheduler.on_poll_reply(time, ledger, reply));
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -201,6 +201,9 @@
 pub struct RunLists {
     /// Start of the incarnation that answered; `None` if the answer doesn't name it.
     pub started_at: Option<UnixMs>,
+    /// The poll was sent a second time, since the first connection closed without an answer.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_repeated: bool,
     /// The worker's clock in milliseconds.
     pub clock_ms: u64,
     /// Runs that are in progress.
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -122,7 +122,9 @@
             return;
         }
         worker.polling.sent_at = None;
-        if worker.polling.grants_lease && !matches!(reply.answer, Answer::Done(_)) {
+        let is_answered =
+            matches!(&reply.answer, Answer::Done(run_lists) if !run_lists.is_repeated);
+        if worker.polling.grants_lease && !is_answered {
             worker.polling.unanswered_grant_at = Some(reply.sent_at);
         }
         if worker.ended {
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -165,6 +165,7 @@
         };
         RunLists {
             started_at: Some(self.report.incarnation.started_at),
+            is_repeated: false,
             clock_ms: self.clock_ms(now),
             running: self.runs.iter().map(row).collect(),
             finished: self.finished.clone(),
