Sched: a worker that answers polls is not forgotten for want of a report

Found by the review. A worker whose wall clock was set back reports an earlier start, which the cores' lists of reports pass over for 20 s. Meanwhile it was forgotten when its lease had expired, though it answered, and its next report began from the start that it states, of which the ledger applies no ends: its jobs never completed. It is kept while it answers.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -63,7 +63,9 @@
                 if !worker.runs.is_empty() {
                     lost.push(id.clone());
                 }
-                if worker.report.is_none() || worker.polling.unanswered >= REMOVE_AFTER_UNANSWERED {
+                let is_unknown = worker.report.is_none()
+                    && (worker.address.is_none() || worker.polling.unanswered > 0);
+                if is_unknown || worker.polling.unanswered >= REMOVE_AFTER_UNANSWERED {
                     unreachable.push(id.clone());
                 }
             }
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -265,6 +265,61 @@
     }
 }
 
+#[test]
+fn a_job_at_a_worker_whose_wall_clock_was_set_back_outlives_a_change_of_leader() {
+    let mut world = World::new(1);
+    world.run_times.insert("a".to_string(), seconds(8.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 1000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.run(seconds(0.5));
+    world.submit("q", "a", vec![step(1, 1000, 8000)]);
+    world.run(seconds(1.0));
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+    world.replace_leader();
+    run_checked(&mut world, seconds(180.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_forgotten_worker_whose_wall_clock_was_set_back_gets_work_done() {
+    let mut world = World::new(1);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 1000, 50)]);
+    world.run(seconds(2.0));
+    world.workers.get_mut("w0").unwrap().partitioned = true;
+    world.run(seconds(40.0));
+    assert!(world.scheduler.workers().is_empty());
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.run(seconds(0.1));
+    world.workers.get_mut("w0").unwrap().partitioned = false;
+    world.run(seconds(1.0));
+    world.submit("q", "a", vec![step(4, 1000, 1000)]);
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_worker_whose_reports_are_taken_for_old_ones_gets_work_done_later() {
+    let mut world = World::new(1);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 1000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.loses_reports = true;
+    world.restart("w0", world::TICK);
+    world.run(seconds(20.0));
+    world.loses_reports = false;
+    world.submit("q", "a", vec![step(4, 1000, 1000)]);
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -72,6 +72,10 @@
     pub start_delay: Duration,
     /// Wall clocks were set back, so that a restarted worker names an earlier start than before.
     pub wall_clocks_set_back: bool,
+    /// Starts are repeated on a new connection; the first copy is carried out late.
+    pub repeats_starts: bool,
+    /// Reports do not reach the leader.
+    pub loses_reports: bool,
     /// Workers whose process is restarting, with the time of its start.
     restarting: BTreeMap<String, Duration>,
     /// Restarted workers that have not reported, with the time of their first report.
@@ -167,6 +171,8 @@
             delayed_moves: Vec::new(),
             start_delay: START_DELAY,
             wall_clocks_set_back: false,
+            repeats_starts: false,
+            loses_reports: false,
             restarting: BTreeMap::new(),
             first_reports: BTreeMap::new(),
             overloads: Vec::new(),
@@ -300,7 +306,7 @@
     /// Passes a worker's present report to the leader, if the worker can reach it.
     pub fn report(&mut self, id: &str) {
         let (time, worker) = (self.time(), &self.workers[id]);
-        if !worker.is_down && !worker.partitioned {
+        if !worker.is_down && !worker.partitioned && !self.loses_reports {
             self.scheduler.on_report(time, &self.ledger, &worker.report);
         }
     }
@@ -351,7 +357,8 @@
         }
         self.carry_out_delayed_orders();
         self.answer_maintenance();
-        if self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
+        let is_report_due = self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis());
+        if is_report_due && !self.loses_reports {
             let time = self.time();
             for worker in
                 self.workers.values().filter(|worker| !worker.is_down && !worker.partitioned)
