Sched: late starts of workers that are down, and of runs that are listed still

A unit with a start without an answer at an instance that goes down for maintenance waits as after a restart, since the worker returns under its id. A unit whose late start is listed as running is not placed again before the leases that the leader gave have expired. The late starts of a silent worker are looked at each 100 ms, not with each decision.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -23,6 +23,8 @@
 /// carries out all the same; orders that are sent together are given up together.
 const SILENT_AFTER_UNANSWERED: u32 = 3;
 const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// Shortest time between two looks at the late starts of a worker.
+const LATE_STARTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Consecutive lists without an instance after which it is considered deleted, or without a worker
 /// on its instance after which it can't start again under its id. A list that changes while its
 /// pages are read may miss an instance once.
@@ -333,7 +335,7 @@
         run: &Run,
     ) {
         if let Some(until) = run.late_until().filter(|until| now < *until) {
-            let has_restarted = run.placed_on != self.incarnation.started_at;
+            let has_restarted = self.ended || run.placed_on != self.incarnation.started_at;
             let may_arrive = run.has_unanswered_start() || run.is_inherited;
             let holds_unit = may_arrive && has_restarted
                 || run.has_unanswered_start() && run.started_at.is_some();
@@ -365,7 +367,7 @@
 
     /// Removes the late starts that are over, and returns their units. One is over when it can no
     /// longer be carried out; if it holds its unit, also a list received since then shows no run
-    /// of the unit, or a lease of `max_lease` that it may have been given has expired.
+    /// of the unit, or all leases have expired, one of `max_lease` that it was given included.
     pub fn remove_late_starts(&mut self, now: Duration, max_lease: Duration) -> Vec<UnitKey> {
         if self.late_starts.is_empty() || now < self.late_starts_end {
             return Vec::new();
@@ -376,7 +378,8 @@
             now >= start.until
                 && (!start.holds_unit
                     || answered_at >= start.until && !is_listed(unit)
-                    || Lease::inherited(start.until, max_lease).is_expired(now))
+                    || Lease::inherited(start.until, max_lease).is_expired(now)
+                        && self.lease.is_expired(now))
         };
         let over: Vec<(UnitKey, RunNumber)> = self
             .late_starts
@@ -388,7 +391,7 @@
             self.late_starts.remove(key);
         }
         let ends = self.late_starts.values().map(|start| start.until);
-        self.late_starts_end = ends.min().unwrap_or_default();
+        self.late_starts_end = ends.min().unwrap_or_default().max(now + LATE_STARTS_INTERVAL);
         over.into_iter().map(|(unit, _)| unit).collect()
     }
 
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -171,6 +171,24 @@
     }
 }
 
+#[test]
+fn a_start_that_was_repeated_on_a_new_connection_does_not_run_beside_the_next_run() {
+    for ticks in 0..40 {
+        let mut world = World::new(2);
+        world.start_delay = seconds(4.0);
+        world.repeats_starts = true;
+        world.run_times.insert("a".to_string(), seconds(20.0));
+        world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+        world.run(seconds(1.0));
+        let first = world.workers_running("a.0.0.0")[0].clone();
+        world.repeats_starts = false;
+        run_checked(&mut world, seconds(2.8));
+        world.restart(&first, world::TICK * ticks);
+        run_checked(&mut world, seconds(60.0));
+        assert_eq!(world.state("q", "a"), State::Completed);
+    }
+}
+
 #[test]
 fn the_first_poll_of_a_new_leader_does_not_erase_ends_of_a_restarted_worker() {
     for ticks in 0..20 {
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -470,11 +470,14 @@
                     false => self.start(&to, &start),
                 };
                 let (unit, run) = (start.unit, start.run);
+                let is_repeated = self.repeats_starts;
+                if is_repeated {
+                    self.delayed_starts.push((self.now + self.start_delay, to.clone(), start));
+                }
                 let worker = self.workers.get(&to.incarnation.worker);
                 let clock_ms = worker.filter(|_| answer != Answer::Unknown);
                 let clock_ms = clock_ms.map(|worker| worker.clock_ms(self.now));
-                let outcome =
-                    StartOutcome { answer, clock_ms, is_unsent: false, is_repeated: false };
+                let outcome = StartOutcome { answer, clock_ms, is_unsent: false, is_repeated };
                 let reply = StartReply::new(to.incarnation, unit, run, outcome);
                 self.scheduler.on_start_reply(time, &self.ledger, reply);
             }
