--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -478,6 +478,58 @@
     assert!(world.ledger.waves()[&1].is_completed());
 }
 
+#[test]
+fn a_start_that_never_began_and_was_stopped_does_not_run_at_a_successor() {
+    for ticks in 0..30 {
+        let mut world = World::new(3);
+        world.start_delay = seconds(6.0);
+        world.run_times.insert("a".to_string(), seconds(20.0));
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = Some(1);
+        }
+        world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+        world.run(world::TICK * 3);
+        let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+        for (_, worker) in world.workers.iter_mut().filter(|(id, _)| **id != first) {
+            worker.omits_one_start_in = None;
+        }
+        run_checked(&mut world, seconds(5.8));
+        world.restart(&first, world::TICK * ticks);
+        run_checked(&mut world, seconds(60.0));
+        assert_eq!(world.overloads, []);
+    }
+}
+
+#[test]
+fn an_acknowledgement_that_is_carried_out_late_does_not_erase_ends_of_a_successor() {
+    for ticks in 0..20 {
+        let mut world = World::new(1);
+        world.start_delay = seconds(6.0) + world::TICK * ticks;
+        world.run_times.insert("b".to_string(), seconds(0.05));
+        world.submit("q", "b", vec![step(8, 1000, 50)]);
+        while world.state("q", "b") != State::Completed {
+            world.run(world::TICK);
+        }
+        world.workers.get_mut("w0").unwrap().omits_one_poll_in = Some(1);
+        world.run(seconds(0.1));
+        world.restart("w0", seconds(0.3));
+        world.workers.get_mut("w0").unwrap().omits_one_poll_in = None;
+        run_checked(&mut world, seconds(5.75));
+        for number in 0..150 {
+            let id = format!("c{number}");
+            world.run_times.insert(id.clone(), seconds(0.05));
+            world.submit("q", &id, vec![step(1, 500, 50)]);
+            world.workers.get_mut("w0").unwrap().polls_hang = number < 20;
+            run_checked(&mut world, seconds(0.02));
+        }
+        run_checked(&mut world, seconds(20.0));
+        for number in 0..150 {
+            let starts = world.starts_of(&format!("c{number}.0.0.0")).len();
+            assert_eq!(starts, 1, "job {number}, {ticks} ticks");
+        }
+    }
+}
+
 /// Time between two steps of a random schedule.
 const STEP: Duration = Duration::from_millis(100);
 /// Shortest time between two restarts of one worker that each come alone.
