Sched: units do not wait for a worker whose instance has run another one since

A unit whose start got no answer waits up to 25 s for a worker that may start again under its id, unless two instance lists in a row show another worker on the instance. A rack fell silent and came back with other workers 3.6 s later, which reported; 0.1 s after that their instances were moved to another pool, and later to the standby pool. An instance that is moving, or has no worker, does not count as evidence, so two lists in a row may not come.

A report of a later worker from the instance now is evidence enough, as an answer of another worker at the address was.

Evidence: a_unit_does_not_wait_for_a_worker_whose_instance_has_run_another_one_since failed before (not done 9 s after its worker fell silent, with the next worker reporting after 4 s). The simulated cloud lists no worker for an instance that is switched off.

--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -85,7 +85,8 @@
 /// Units of a step that wait for free resources.
 #[derive(Clone, Debug)]
 struct Waiting {
-    /// Earliest time at which each unit may be placed, by index of the unit.
+    /// Earliest time at which each unit may be placed, by index of the unit; `Duration::MAX` while
+    /// a start of an earlier run may still be carried out.
     units: BTreeMap<u32, Duration>,
     /// Criteria by which the step is ranked against other waiting steps.
     criteria: Criteria,
@@ -375,7 +376,7 @@
         let is_first = worker.report.is_none();
         worker.report = Some(report.clone());
         worker.address = Some(report.address);
-        self.record_instance_worker(report);
+        self.record_instance_worker(time, report);
         if is_first {
             self.send_first_stops(time, ledger, &report.incarnation.worker);
         }
@@ -386,15 +387,26 @@
 
     /// Records the reporting worker for its instance unless a worker that started
     /// later has reported from there.
-    fn record_instance_worker(&mut self, report: &Report) {
+    fn record_instance_worker(&mut self, time: Time, report: &Report) {
         let started_at = |id: &WorkerId| {
             let worker = self.workers.get(id).filter(|worker| worker.report.is_some());
             worker.map(|worker| worker.incarnation.started_at)
         };
         let latest = self.worker_by_instance.get(&report.instance).and_then(started_at);
         if latest.is_none_or(|started_at| started_at <= report.incarnation.started_at) {
-            self.worker_by_instance
-                .insert(report.instance.clone(), report.incarnation.worker.clone());
+            let id = &report.incarnation.worker;
+            let previous = self.worker_by_instance.insert(report.instance.clone(), id.clone());
+            let is_earlier = |id: &WorkerId| {
+                let worker = self.workers.get(id);
+                worker.is_some_and(|worker| {
+                    worker.incarnation.started_at < report.incarnation.started_at
+                })
+            };
+            if let Some(previous) =
+                previous.filter(|previous| previous != id && is_earlier(previous))
+            {
+                self.on_replaced(time, &previous);
+            }
         }
     }
 
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -197,7 +197,14 @@
         self.discard_all(time, id, "another incarnation is at its address");
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.end();
-        worker.address_is_reused = true;
+        self.on_replaced(time, id);
+    }
+
+    /// Handles that another worker has answered at the worker's address or reported from its
+    /// instance: units no longer wait for starts that it may carry out late.
+    pub(super) fn on_replaced(&mut self, time: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.is_replaced = true;
         let units = worker.late_units();
         self.release_held(time, units);
     }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -300,7 +300,7 @@
         worker.cordoned = false;
         worker.ended = false;
         worker.lists_without = 0;
-        worker.address_is_reused = false;
+        worker.is_replaced = false;
         let text = format!(
             "new incarnation started at {stated_start}, after {former}: {} runs discarded, {} starts \
              to be stopped{}",
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -199,9 +199,9 @@
     pub late_starts: BTreeMap<(UnitKey, RunNumber), LateStart>,
     /// Time before which none of the late starts is over.
     pub late_starts_end: Duration,
-    /// Another worker has answered at the address, so no order that was sent there is carried out
-    /// by this one any more.
-    pub address_is_reused: bool,
+    /// Another worker has answered at its address or reported from its instance since, so that it
+    /// does not start again under its id there.
+    pub is_replaced: bool,
     /// Runs that are not placed on the worker, by unit name and run number.
     pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
     /// Consecutive instance lists by which the worker can't start again under its id.
@@ -239,7 +239,7 @@
             reserved: Resources::default(),
             late_starts: BTreeMap::new(),
             late_starts_end: Duration::ZERO,
-            address_is_reused: false,
+            is_replaced: false,
             unplaced: BTreeMap::new(),
             lists_without: 0,
             proposed_through: 0,
@@ -350,7 +350,7 @@
     /// Returns whether the worker may start again under its id and carry out orders that were
     /// sent to an earlier incarnation.
     pub fn can_return(&self) -> bool {
-        !self.address_is_reused && self.lists_without < GONE_AFTER_LISTS
+        !self.is_replaced && self.lists_without < GONE_AFTER_LISTS
     }
 
     /// Returns whether a start of the unit that is no longer placed here may still be carried out
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -442,6 +442,30 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_unit_does_not_wait_for_a_worker_whose_instance_has_run_another_one_since() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    for worker in world.workers.values_mut() {
+        (worker.loses_start_answers, worker.executes_lost_starts) = (true, false);
+    }
+    world.submit("q", "a", vec![step(1, 1000, 1000)]);
+    world.run(world::TICK * 3);
+    let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+    world.workers.get_mut(&first).unwrap().is_down = true;
+    for worker in world.workers.values_mut() {
+        worker.loses_start_answers = false;
+    }
+    world.run(seconds(4.0));
+    world.delete(&first);
+    let next = first.replace('w', "x");
+    world.add(&next, "p", 9); // on the same instance
+    world.run(seconds(0.1));
+    world.workers.get_mut(&next).unwrap().report.pool = world::STANDBY.to_string();
+    world.run(seconds(4.9));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_late_answer_to_a_maintenance_order_does_not_end_runs_of_the_next_incarnation() {
     for ticks in 0..5 {
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -1,5 +1,6 @@
 //! A scripted worker.
 
+use super::STANDBY;
 use jobs::RunNumber;
 use jobs::command::EndReason;
 use sched::Report;
@@ -126,7 +127,7 @@
             data_centre: self.report.data_centre.clone(),
             labels: self.report.labels.clone(),
             capacity: self.report.capacity,
-            worker: Some(self.report.incarnation.worker.clone()),
+            worker: (self.report.pool != STANDBY).then(|| self.report.incarnation.worker.clone()),
         }
     }
 
