Sched: a log line and a counter for workers that crash with runs

A crash is shown by a successor under the worker's id, at its address or on its instance, without a notice to leave and without an order that ends it; silence alone is none. No decision changes.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -86,6 +86,7 @@
         metrics::counter!("scheduler_workers_examined_total").absolute(effort.workers_examined);
         metrics::counter!("scheduler_runs_examined_total").absolute(effort.runs_examined);
         metrics::counter!("scheduler_unplaced_runs_total").absolute(effort.unplaced_runs);
+        metrics::counter!("scheduler_worker_crashes_total").absolute(effort.worker_crashes);
         for explanation in &output.explanations {
             info!(
                 "decided subject={} term={} decision={:?}",
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod command;
 pub mod config;
+pub mod crash;
 pub mod definition;
 pub mod job;
 pub mod journal;
--- /dev/null
+++ b/crates/sched/src/crash.rs
@@ -0,0 +1,71 @@
+//! Runs that were on a worker when it crashed, as far as its answers show.
+//!
+//! A worker that is only silent has not crashed. What shows a crash is a successor: another
+//! incarnation under the worker's id, at its address or on its instance, without a notice to
+//! leave and without an order that ends the worker.
+
+use jobs::{Incarnation, InstanceId, RunNumber, StepKey, UnitKey};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time after which runs that were lost with a worker are no longer attributed to a crash. The
+/// worker may have crashed for any reason since the lease of its runs expired.
+pub const MAX_LOSS_AGE: Duration = Duration::from_secs(30);
+
+/// A run that was, or may have been, on a lost worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LostRun {
+    /// Key of the unit.
+    pub unit: UnitKey,
+    /// Number of the run.
+    pub run: RunNumber,
+    /// How long the worker is known to have answered after the run had begun; `None` if the run
+    /// is not known to have begun.
+    pub survived: Option<Duration>,
+}
+
+/// Runs of a worker that was lost, in the order of their units.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Loss {
+    /// The lost incarnation.
+    pub incarnation: Incarnation,
+    /// Instance of the worker.
+    pub instance: InstanceId,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    /// When the runs were given up.
+    pub lost_at: Duration,
+    /// The runs.
+    pub runs: Vec<LostRun>,
+    /// Whether the worker also had runs that are not placed there.
+    pub has_unplaced: bool,
+}
+
+impl Loss {
+    /// Returns whether a worker started later than the lost one, on its instance or at its address.
+    pub fn is_succeeded_by(
+        &self,
+        incarnation: &Incarnation,
+        instance: &InstanceId,
+        address: &SocketAddr,
+    ) -> bool {
+        incarnation.started_at > self.incarnation.started_at
+            && (*instance == self.instance || *address == self.address)
+    }
+
+    /// Returns the runs that had begun only just before the crash, or all if there are none. Work
+    /// that crashes its worker does so soon after its start, most of the time.
+    pub fn recent_runs(&self) -> Vec<&LostRun> {
+        let is_recent = |run: &&LostRun| run.survived.is_none_or(|at| at < jobs::crash::RECENT);
+        let recent: Vec<&LostRun> = self.runs.iter().filter(is_recent).collect();
+        if recent.is_empty() { self.runs.iter().collect() } else { recent }
+    }
+
+    /// Returns the step that all given runs belong to; `None` if there are several, or if the
+    /// worker also had runs that are not placed there.
+    pub fn only_step(&self, runs: &[&LostRun]) -> Option<StepKey> {
+        let first = runs.first()?.unit.step_key();
+        let is_only = runs.iter().all(|run| run.unit.step_key() == first);
+        (is_only && !self.has_unplaced).then_some(first)
+    }
+}
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod balance;
+mod crashes;
 mod maintenance;
 mod pacing;
 mod placing;
@@ -15,6 +16,7 @@
 mod unplaced;
 mod waiting;
 
+use crate::crash::Loss;
 use crate::estimate::Estimator;
 use crate::instance::Instance;
 use crate::lease::Lease;
@@ -92,7 +94,7 @@
     criteria: Criteria,
 }
 
-/// How much the decisions so far have looked at. Their cost grows with it.
+/// How much the decisions so far have looked at and met. Their cost grows with it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Effort {
     /// Workers that were looked at to poll them or to place units.
@@ -101,6 +103,8 @@
     pub runs_examined: u64,
     /// Runs that workers listed without a placement, once for each list.
     pub unplaced_runs: u64,
+    /// Workers that crashed with runs.
+    pub worker_crashes: u64,
 }
 
 /// Scheduler state of one leadership.
@@ -140,6 +144,10 @@
     advice: advice::AdviceState,
     maintenance: maintenance::MaintenanceState,
     balance: balance::BalanceState,
+    /// Runs of workers that were lost without a sign of a crash so far.
+    unexplained_losses: BTreeMap<WorkerId, Loss>,
+    /// Crashes since the last decision.
+    crashes: Vec<Loss>,
     effort: Effort,
     /// Time of the latest call of `decide`.
     time: Time,
@@ -198,6 +206,8 @@
             advice: advice::AdviceState::default(),
             maintenance: maintenance::MaintenanceState::default(),
             balance: balance::BalanceState::default(),
+            unexplained_losses: BTreeMap::new(),
+            crashes: Vec::new(),
             effort: Effort::default(),
             time,
             next_decision: Duration::ZERO,
@@ -357,6 +367,7 @@
         if self.workers.get(&report.incarnation.worker).is_none_or(|worker| worker.report.is_none())
         {
             self.end_arrived_move(&report.instance, &report.pool);
+            self.explain_losses(report);
         }
         let moving = self.is_moving(&report.instance);
         let worker = self.worker_or_inherited(time, &report.incarnation);
@@ -466,6 +477,7 @@
     /// per `PERIODIC_TASKS_INTERVAL`.
     pub fn decide(&mut self, time: Time, ledger: &Ledger) -> Output {
         self.time = time;
+        self.apply_crashes(ledger);
         self.is_decision_deferred = time.monotonic < self.next_decision;
         if !self.superseded && !self.is_decision_deferred {
             self.next_decision = time.monotonic + DECISION_INTERVAL;
@@ -473,6 +485,7 @@
             self.poll_workers(time, ledger);
             if time.monotonic >= self.last_periodic_tasks + PERIODIC_TASKS_INTERVAL {
                 self.last_periodic_tasks = time.monotonic;
+                self.expire_losses(time);
                 self.retry_orders(time, ledger);
                 self.run_maintenance(time, ledger);
                 self.balance(time, ledger);
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -140,6 +140,7 @@
                     self.send_first_stops(time, ledger, &id);
                     return;
                 }
+                self.unexplained_losses.remove(&id);
                 worker.polling.record_answer(time.monotonic);
                 worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
@@ -194,6 +195,7 @@
     /// Handles an answer from another incarnation at the worker's address, which means
     /// that the known one has ended.
     pub(super) fn on_incarnation_ended(&mut self, time: Time, id: &WorkerId) {
+        self.record_crash(time, id);
         self.discard_all(time, id, "another incarnation is at its address");
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.end();
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -219,6 +219,7 @@
     /// Discards the runs of a worker whose lease has expired, except those that may be on a later
     /// incarnation: the lease bounds only the one that had it.
     pub(super) fn discard_lapsed(&mut self, time: Time, id: &WorkerId) {
+        self.record_loss(time, id);
         let Some(worker) = self.workers.get(id) else { return };
         let can_return = worker.can_return();
         let max_lease = self.settings.max_lease;
@@ -263,6 +264,7 @@
         id: &WorkerId,
         stated_start: UnixMs,
     ) {
+        self.record_crash(time, id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let mut discarded = Vec::new();
         let mut unconfirmed = Vec::new();
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -7,6 +7,7 @@
 use crate::lease::Lease;
 use crate::order::{Destination, RunLists};
 use crate::roster::Report;
+use jobs::crash::RECENT;
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
 use std::collections::{BTreeMap, BTreeSet};
@@ -418,6 +419,12 @@
         free
     }
 
+    /// Returns when the worker last answered a poll or, if later, the start of one of its runs.
+    pub fn last_proof_of_life(&self) -> Duration {
+        let begun = self.runs.values().filter_map(|run| run.started_at).max();
+        self.polling.answered_at.max(begun).unwrap_or_default()
+    }
+
     /// Returns whether a start may be sent to the worker, first or repeated.
     pub fn accepts_starts(&self) -> bool {
         let draining = self.report.as_ref().is_none_or(|report| report.draining);
@@ -517,6 +524,14 @@
         self.unconfirmed_since.map(|at| at + LATE_ORDER_WINDOW)
     }
 
+    /// Returns how long the run is known to have gone on, if its worker last answered at
+    /// `alive_at`; `None` if it is not known to have begun. Of an inherited run only its time under
+    /// this leader is known, so that one counts as no longer recent.
+    pub fn survived_until(&self, alive_at: Duration) -> Option<Duration> {
+        let survived = alive_at.saturating_sub(self.started_at?);
+        Some(if self.is_inherited { survived.max(RECENT) } else { survived })
+    }
+
     /// Returns whether one of this leader's starts of the run got no answer from any incarnation.
     pub fn has_unanswered_start(&self) -> bool {
         self.start_sent_at.or(self.unanswered_start_at).is_some()
