--- /dev/null
+++ b/crates/sched/tests/crashes.rs
@@ -0,0 +1,303 @@
+//! Tests of the scheduler with units that crash the workers that start them, and with workers that
+//! crash for other reasons.
+
+mod world;
+
+use jobs::State;
+use jobs::definition::Step;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+use world::{World, long_running, step};
+
+/// Starts of a unit that crash their workers, after which no other may follow: three times more
+/// after three crashes breaks the platform's rule.
+const MAX_STARTS: usize = 5;
+/// Time from the start of a deadly run to the crash.
+const SOON: Duration = Duration::from_millis(10);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn submit(world: &mut World, id: &str, millis: u64, steps: Vec<Step>) {
+    world.run_times.insert(id.to_string(), Duration::from_millis(millis));
+    world.submit("q", id, steps);
+}
+
+/// Hands in a job of four units each 100 ms, for the given time.
+fn run_with_load(world: &mut World, prefix: &str, duration: Duration) -> Vec<String> {
+    let mut ids = Vec::new();
+    let end = world.now + duration;
+    while world.now < end {
+        let id = format!("{prefix}{}", ids.len());
+        submit(world, &id, 600, vec![step(4, 1500, 600)]);
+        ids.push(id);
+        world.run(Duration::from_millis(100));
+    }
+    ids
+}
+
+fn assert_completed(world: &World, ids: &[String]) {
+    for id in ids {
+        assert_eq!(world.state("q", id), State::Completed, "job {id}");
+    }
+}
+
+#[test]
+fn a_unit_that_crashes_its_workers_is_given_up_before_a_sixth_start() {
+    let mut world = World::new(6);
+    world.deadly.insert("a.".to_string(), SOON);
+    submit(&mut world, "a", 600, vec![step(1, 1000, 600)]);
+    world.run(seconds(60.0));
+    let starts = world.starts_of("a.0.0.0");
+    assert!(starts.len() <= MAX_STARTS, "{starts:?}");
+    assert_eq!(world.state("q", "a"), State::Failed);
+}
+
+#[test]
+fn units_beside_one_that_crashes_its_workers_complete() {
+    let mut world = World::new(8);
+    world.deadly.insert("bad.0.0.0".to_string(), SOON);
+    let mut others = run_with_load(&mut world, "a", seconds(1.0));
+    submit(&mut world, "bad", 600, vec![step(3, 1500, 600)]);
+    others.extend(run_with_load(&mut world, "b", seconds(10.0)));
+    world.run(seconds(40.0));
+    assert_eq!(world.state("q", "bad"), State::Failed);
+    assert!(world.starts_of("bad.0.0.0").len() <= MAX_STARTS);
+    assert_completed(&world, &others);
+}
+
+#[test]
+fn a_unit_that_crashes_its_workers_before_they_answer_is_given_up() {
+    let mut world = World::new(6);
+    world.deadly.insert("a.".to_string(), Duration::ZERO);
+    world.workers.values_mut().for_each(|worker| worker.loses_start_answers = true);
+    submit(&mut world, "a", 600, vec![step(1, 1000, 600)]);
+    for _ in 0..600 {
+        world.run(seconds(0.1));
+        world.workers.values_mut().for_each(|worker| worker.loses_start_answers = true);
+    }
+    let starts = world.starts_of("a.0.0.0");
+    assert!(starts.len() <= MAX_STARTS, "{starts:?}");
+    assert_eq!(world.state("q", "a"), State::Failed);
+}
+
+#[test]
+fn a_unit_that_crashes_its_workers_is_given_up_under_changing_leaders() {
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = World::new(6);
+        world.deadly.insert("a.".to_string(), SOON);
+        submit(&mut world, "a", 600, vec![step(1, 1000, 600)]);
+        for _ in 0..12 {
+            world.run(Duration::from_millis(rng.random_range(3000..9000)));
+            world.replace_leader();
+        }
+        world.run(seconds(30.0));
+        let starts = world.starts_of("a.0.0.0");
+        assert!(starts.len() <= MAX_STARTS, "seed {seed}: {starts:?}");
+        assert_eq!(world.state("q", "a"), State::Failed, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_unit_that_crashes_its_workers_under_their_ids_is_given_up() {
+    let mut world = World::new(4);
+    submit(&mut world, "a", 600_000, vec![step(1, 1000, 600)]);
+    for _ in 0..6000 {
+        world.run(world::TICK);
+        for id in world.workers_running("a.0.0.0").into_iter().cloned().collect::<Vec<_>>() {
+            world.restart(&id, seconds(3.3));
+        }
+    }
+    let starts = world.starts_of("a.0.0.0");
+    assert!(starts.len() <= MAX_STARTS, "{starts:?}");
+    assert_eq!(world.state("q", "a"), State::Failed);
+}
+
+#[test]
+fn a_unit_whose_workers_stay_down_longer_than_their_lease_is_given_up() {
+    let mut world = World::new(8);
+    world.crash_downtime = seconds(8.0);
+    world.deadly.insert("a.".to_string(), SOON);
+    submit(&mut world, "a", 600, vec![step(1, 1000, 600)]);
+    world.run(seconds(120.0));
+    let starts = world.starts_of("a.0.0.0");
+    assert!(starts.len() <= MAX_STARTS, "{starts:?}");
+    assert_eq!(world.state("q", "a"), State::Failed);
+}
+
+#[test]
+fn a_step_of_many_deadly_units_does_not_take_its_pool_down() {
+    let mut world = World::new(10);
+    world.deadly.insert("bad.".to_string(), SOON);
+    submit(&mut world, "bad", 600, vec![step(24, 1000, 600)]);
+    world.run(seconds(0.5));
+    let first = world.crashes.len();
+    world.run(seconds(60.0));
+    assert_eq!(world.state("q", "bad"), State::Failed);
+    let trials = world.crashes.len() - first;
+    assert!(trials <= 2, "one worker at a time is risked: {:?}", world.crashes);
+}
+
+#[test]
+fn a_gang_whose_member_crashes_its_worker_is_given_up() {
+    let mut world = World::new(8);
+    world.deadly.insert("a.0.0.1".to_string(), SOON);
+    let gang = Step { gang: true, ..step(3, 5000, 600) };
+    submit(&mut world, "a", 600, vec![gang]);
+    world.run(seconds(90.0));
+    let starts = world.starts_of("a.0.0.1");
+    assert!(starts.len() <= MAX_STARTS, "{starts:?}");
+    assert_eq!(world.state("q", "a"), State::Failed);
+}
+
+#[test]
+fn long_running_work_that_crashes_its_workers_at_its_start_is_given_up() {
+    let mut world = World::new(6);
+    world.deadly.insert("a.0.0.0".to_string(), SOON);
+    world.submit("q", "a", vec![long_running(3, 1000)]);
+    world.run(seconds(60.0));
+    let starts = world.starts_of("a.0.0.0");
+    assert!(starts.len() <= MAX_STARTS, "{starts:?}");
+    assert_eq!(world.state("q", "a"), State::Failed);
+}
+
+#[test]
+fn long_running_work_whose_worker_crashes_now_and_then_goes_on() {
+    let mut world = World::new(4);
+    world.submit("q", "a", vec![long_running(1, 1000)]);
+    for _ in 0..12 {
+        world.run(seconds(15.0));
+        let id = world.workers_running("a.0.0.0")[0].clone();
+        world.crash(&id);
+    }
+    world.run(seconds(10.0));
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+    assert_eq!(world.state("q", "a"), State::Running);
+}
+
+#[test]
+fn a_suspected_unit_is_tried_where_every_worker_has_long_running_work() {
+    let mut world = World::new(3);
+    world.submit("q", "keep", vec![long_running(3, 1000)]);
+    world.run(seconds(3.0));
+    submit(&mut world, "a", 600, vec![step(1, 1000, 600)]);
+    world.run(seconds(0.1));
+    let id = world.workers_running("a.0.0.0")[0].clone();
+    world.crash(&id);
+    world.run(seconds(10.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn nothing_starts_beside_a_suspected_unit_until_it_has_outlived_its_crash() {
+    let mut world = World::new(3);
+    submit(&mut world, "a", 5000, vec![step(1, 1000, 5000)]);
+    world.run(seconds(0.1));
+    let id = world.workers_running("a.0.0.0")[0].clone();
+    world.crash(&id);
+    while world.starts_of("a.0.0.0").len() < 2 {
+        world.run(world::TICK);
+    }
+    let trial = world.workers_running("a.0.0.0")[0].clone();
+    let started_at = world.now;
+    for number in 0..20 {
+        let id = format!("b{number}");
+        submit(&mut world, &id, 1000, vec![step(2, 1500, 1000)]);
+        world.run(seconds(0.05));
+    }
+    let beside = |world: &World| world.workers[&trial].runs.len() > 1;
+    while world.now < started_at + seconds(0.9) {
+        assert!(!beside(&world), "{:?}", world.workers[&trial].runs);
+        world.run(world::TICK);
+    }
+    world.run(seconds(2.0));
+    assert!(world.starts.iter().any(|start| start.worker == trial && start.name.starts_with('b')));
+    world.run(seconds(10.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_worker_that_is_cut_off_puts_no_unit_under_suspicion() {
+    let mut world = World::new(4);
+    submit(&mut world, "a", 700, vec![step(2, 1000, 700)]);
+    world.run(seconds(0.1));
+    let id = world.workers_running("a.0.0.0")[0].clone();
+    world.workers.get_mut(&id).unwrap().partitioned = true;
+    world.run(seconds(9.0));
+    world.workers.get_mut(&id).unwrap().partitioned = false;
+    world.run(seconds(5.0));
+    assert_eq!(world.scheduler.effort().worker_crashes, 0);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_worker_that_was_about_to_leave_has_not_crashed() {
+    let mut world = World::new(4);
+    submit(&mut world, "a", 700, vec![step(2, 1000, 700)]);
+    world.run(seconds(0.1));
+    let id = world.workers_running("a.0.0.0")[0].clone();
+    let worker = world.workers.get_mut(&id).unwrap();
+    worker.report.draining = true;
+    worker.report.number += 1;
+    world.report(&id);
+    world.crash(&id);
+    world.run(seconds(10.0));
+    assert_eq!(world.scheduler.effort().worker_crashes, 0);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+/// Plays 30 s in which workers crash at random, alone or several at once, beside jobs of which
+/// some crash their workers.
+fn play_random_crashes(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = World::new(12);
+    let (mut innocent, mut deadly) = (Vec::new(), Vec::new());
+    for number in 0..300 {
+        if rng.random_bool(0.5) {
+            let millis = rng.random_range(200..2500);
+            let count = rng.random_range(1..6);
+            if deadly.len() < 3 && rng.random_bool(0.03) {
+                let id = format!("bad{number}");
+                world.deadly.insert(format!("{id}.0.0.0"), SOON);
+                submit(&mut world, &id, millis, vec![step(count, 1500, millis)]);
+                deadly.push(id);
+            } else {
+                let id = format!("a{number}");
+                submit(&mut world, &id, millis, vec![step(count, 1500, millis)]);
+                innocent.push(id);
+            }
+        }
+        let crashes = match rng.random_range(0..1000) {
+            0..25 => 1,
+            25..30 => 4,
+            _ => 0,
+        };
+        for _ in 0..crashes {
+            let up = world.workers_up();
+            if !up.is_empty() {
+                world.crash(&up[rng.random_range(0..up.len())]);
+            }
+        }
+        world.run(Duration::from_millis(100));
+    }
+    world.run(seconds(60.0));
+    for id in &innocent {
+        assert_eq!(world.state("q", id), State::Completed, "seed {seed}, job {id}");
+    }
+    for id in &deadly {
+        assert_eq!(world.state("q", id), State::Failed, "seed {seed}, job {id}");
+        let starts = world.starts_of(&format!("{id}.0.0.0"));
+        assert!(starts.len() <= MAX_STARTS, "seed {seed}: {starts:?}");
+    }
+    assert_eq!(world.overloads, [], "seed {seed}");
+}
+
+#[test]
+fn only_units_that_crash_their_workers_are_given_up_while_workers_crash_at_random() {
+    for seed in 0..30 {
+        play_random_crashes(seed);
+    }
+}
--- a/crates/sched/tests/roster.rs
+++ b/crates/sched/tests/roster.rs
@@ -63,3 +63,18 @@
     roster.record(at(23), report("c", 1, "m2", 81));
     assert_eq!(names(&roster), ["c"]);
 }
+
+#[test]
+fn a_report_of_another_capacity_or_of_other_labels_is_a_change() {
+    let mut roster = Roster::default();
+    roster.record(at(0), report("a", 1, "m1", 80));
+    let mut next = report("a", 1, "m1", 80);
+    next.number = 2;
+    assert_eq!(roster.record(at(1), next.clone()), Freshness::Unchanged);
+    next.number = 3;
+    next.capacity.cpu_milli = 4000;
+    assert_eq!(roster.record(at(2), next.clone()), Freshness::Changed);
+    next.number = 4;
+    next.labels = vec!["large".to_string()];
+    assert_eq!(roster.record(at(3), next), Freshness::Changed);
+}
--- a/crates/sched/tests/world/cloud.rs
+++ b/crates/sched/tests/world/cloud.rs
@@ -1,6 +1,6 @@
 //! The simulated cloud: moves and maintenance of instances.
 
-use super::{STANDBY, World};
+use super::{STANDBY, Worker, World};
 use sched::Settings;
 use sched::order::{Answer, Maintenance, Move, Refusal};
 use std::time::Duration;
@@ -10,8 +10,7 @@
     /// and how long it takes.
     pub(super) fn maintain(&mut self, order: &Maintenance) -> (Answer<()>, Duration) {
         self.maintenances.push((self.now, order.instance.clone()));
-        let Some(worker) = self.workers.values().find(|w| w.report.instance == order.instance)
-        else {
+        let Some(worker) = self.worker_on(&order.instance) else {
             return (Answer::Refused(Refusal::State), Duration::ZERO);
         };
         if self.returning.contains_key(&worker.report.incarnation.worker) {
@@ -36,8 +35,7 @@
 
     /// Carries out a move in the cloud, unless the instance is already in that pool.
     pub(super) fn move_instance(&mut self, order: &Move) -> Answer<()> {
-        let mut workers = self.workers.values();
-        let Some(worker) = workers.find(|w| w.report.instance == order.instance) else {
+        let Some(worker) = self.worker_on(&order.instance).cloned() else {
             return Answer::Refused(Refusal::State);
         };
         let fence = self.fences.entry(order.instance.clone()).or_default();
@@ -60,10 +58,20 @@
         Answer::Done(())
     }
 
+    /// Returns the worker on an instance, unless the worker has crashed.
+    fn worker_on(&self, instance: &str) -> Option<&Worker> {
+        let mut present = self.workers.values().filter(|worker| !worker.is_succeeded);
+        let worker = present.find(|worker| worker.report.instance == instance)?;
+        (!self.crashed.contains_key(&worker.report.incarnation.worker)).then_some(worker)
+    }
+
     /// Takes an instance down in the cloud, which ends all runs on it.
     pub(super) fn take_down(&mut self, instance: &str, pool: Option<String>, duration: Duration) {
         let returning = self.now + duration;
-        for worker in self.workers.values_mut().filter(|w| w.report.instance == instance) {
+        for worker in self.workers.values_mut() {
+            if worker.report.instance != instance || worker.is_succeeded {
+                continue;
+            }
             worker.is_down = true;
             let ended = std::mem::take(&mut worker.runs).into_keys();
             self.interrupted.extend(ended.map(|(name, _)| (self.now, name)));
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -37,6 +37,9 @@
 /// Time after which the sender of a start order gives up on the answer.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for which a worker is down after a crash, unless a test sets another one.
+pub const CRASH_DOWNTIME: Duration = Duration::from_millis(3300);
+
 /// A start that a worker carried out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RecordedStart {
@@ -80,6 +83,14 @@
     restarting: BTreeMap<String, Duration>,
     /// Restarted workers that have not reported, with the time of their first report.
     first_reports: BTreeMap<String, Duration>,
+    /// Runs of the units whose names begin so crash their workers this long after their start.
+    pub deadly: BTreeMap<String, Duration>,
+    /// Time for which a worker is down after a crash.
+    pub crash_downtime: Duration,
+    /// Crashes of workers, with the time and the worker.
+    pub crashes: Vec<(Duration, String)>,
+    /// Crashed workers, with the time at which their successors start.
+    crashed: BTreeMap<String, Duration>,
     /// Starts that brought a worker over its capacity, with the time and the worker.
     pub overloads: Vec<(Duration, String)>,
     /// Start orders without an answer, each with the time when it is carried out.
@@ -175,6 +186,10 @@
             loses_reports: false,
             restarting: BTreeMap::new(),
             first_reports: BTreeMap::new(),
+            deadly: BTreeMap::new(),
+            crash_downtime: CRASH_DOWNTIME,
+            crashes: Vec::new(),
+            crashed: BTreeMap::new(),
             overloads: Vec::new(),
             delayed_starts: Vec::new(),
             delayed_polls: Vec::new(),
@@ -278,10 +293,16 @@
     /// Ends the process of a worker, whose open poll is answered by a closed connection. It
     /// starts again under its id after `down_for`, and reports 100 ms later.
     pub fn restart(&mut self, id: &str, down_for: Duration) {
-        let time = self.time();
         self.restarting.insert(id.to_string(), self.now + down_for);
+        self.end_process(id);
+    }
+
+    /// Ends the process of a worker, whose open poll is answered by a closed connection.
+    fn end_process(&mut self, id: &str) {
+        let time = self.time();
         let worker = self.workers.get_mut(id).unwrap();
         worker.is_down = true;
+        worker.runs.clear();
         let Some((to, poll, _)) = worker.poll.take() else { return };
         let reply = PollReply {
             incarnation: to.incarnation,
@@ -291,6 +312,47 @@
         self.scheduler.on_poll_reply(time, &self.ledger, reply);
     }
 
+    /// Crashes a worker. After `crash_downtime` another one, with an id of its own, is on its
+    /// instance and at its address.
+    pub fn crash(&mut self, id: &str) {
+        self.crashes.push((self.now, id.to_string()));
+        self.crashed.insert(id.to_string(), self.now + self.crash_downtime);
+        self.end_process(id);
+    }
+
+    /// Crashes the workers that run deadly units, and starts the successors of crashed workers.
+    fn run_crashes(&mut self) {
+        let now = self.now;
+        let is_due = |(name, _): &(String, RunNumber), started_at: &Duration| {
+            let mut deadly = self.deadly.iter();
+            deadly.any(|(prefix, delay)| name.starts_with(prefix) && now >= *started_at + *delay)
+        };
+        let crashing: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.runs.iter().any(|(key, at)| is_due(key, at)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in crashing {
+            self.crash(&id);
+        }
+        let due: Vec<_> = self.crashed.extract_if(.., |_, at| now >= *at).collect();
+        for (id, _) in due {
+            let worker = self.workers.get_mut(&id).unwrap();
+            worker.is_succeeded = true;
+            let pool = worker.report.pool.clone();
+            self.started_at += 1;
+            let (next, started_at) = (format!("w{id}"), self.started_at);
+            self.add(&next, &pool, started_at);
+        }
+    }
+
+    /// Returns the workers that are up.
+    pub fn workers_up(&self) -> Vec<String> {
+        let up = self.workers.iter().filter(|(_, worker)| !worker.is_down);
+        up.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Lets a start that was under way since before the worker's last restart arrive there now.
     pub fn start_late(&mut self, id: &str, name: &str, run: RunNumber) {
         let unit = self.ledger.find_unit(name).unwrap();
@@ -349,6 +411,7 @@
     fn tick(&mut self) {
         self.now += TICK;
         self.start_restarted();
+        self.run_crashes();
         self.return_instances();
         let now = self.now;
         let is_due = |(at, _): &mut (Duration, Move)| *at <= now;
@@ -490,6 +553,7 @@
                         }
                         if worker.loses_stop_answers { Answer::Unknown } else { Answer::Done(()) }
                     }
+                    Some(worker) if worker.is_succeeded => Answer::Misdirected,
                     _ => Answer::Unknown,
                 };
                 let reply = StopReply { incarnation, unit, run, answer };
@@ -516,8 +580,8 @@
             }
             Order::ListInstances => {
                 let in_maintenance = |id: &String| self.returning.contains_key(id);
-                let instances =
-                    self.workers.iter().map(|(id, w)| w.instance(in_maintenance(id))).collect();
+                let present = self.workers.iter().filter(|(_, worker)| !worker.is_succeeded);
+                let instances = present.map(|(id, w)| w.instance(in_maintenance(id))).collect();
                 self.scheduler.on_instance_list(time, instances);
             }
             Order::Pace(to, pace) => {
@@ -557,6 +621,9 @@
         let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else {
             return Answer::Unknown;
         };
+        if worker.is_succeeded {
+            return Answer::Misdirected;
+        }
         if worker.is_down || worker.partitioned {
             return Answer::Unknown;
         }
@@ -617,19 +684,21 @@
             return;
         }
         let Some((to, poll, since)) = worker.poll.clone() else { return };
-        let silent = worker.is_down || worker.partitioned;
+        let silent = (worker.is_down || worker.partitioned) && !worker.is_succeeded;
         let due = now >= since + poll.max_wait;
         if silent && now < since + poll.max_wait + Duration::from_millis(700) {
             return;
         }
-        if !silent && poll.fence >= worker.fence {
+        if !worker.is_down && !silent && poll.fence >= worker.fence {
             worker.apply_poll(now, &poll, Settings::default().max_lease);
         }
-        if !silent && !due && worker.finished.is_empty() {
+        if !silent && !due && worker.finished.is_empty() && !worker.is_succeeded {
             return;
         }
         worker.poll = None;
-        let answer = if silent {
+        let answer = if worker.is_succeeded {
+            Answer::Misdirected
+        } else if silent {
             Answer::Unknown
         } else if poll.fence < worker.fence {
             Answer::Refused(Refusal::Fence)
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -15,6 +15,8 @@
     pub report: Report,
     /// The worker answers nothing and runs nothing.
     pub is_down: bool,
+    /// Another worker is at the address.
+    pub is_succeeded: bool,
     /// The worker keeps running but can't be reached.
     pub partitioned: bool,
     /// Start orders get no answer.
@@ -64,6 +66,7 @@
         Worker {
             report,
             is_down: false,
+            is_succeeded: false,
             partitioned: false,
             loses_start_answers: false,
             executes_lost_starts: true,
