Sched, jobs: a unit that crashes the workers that start it is given up

Cause: only ends that a worker lists as failed count as failed runs; a run that ends with its worker was discarded without a reason and its unit placed again without limit, beside those that were lost with it, on a worker packed with others.

A crash puts the units whose runs had just begun under suspicion; the units of such a step are tried on one worker at a time, with nothing else that is recent beside them, until they have gone on for 0.5 s. Company proves nothing, so that bystanders and workers that crash for other reasons fail no job. Machines are fetched for trials that wait. A roster keeps the last report of a replaced worker, so that a new leader learns of a crash that fell into the change. The reasons are in explain, job.given_up and unit.crashed, and counted by queue.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -2,7 +2,7 @@
 //! committed entries and compacts the log. Also handles disk failures.
 
 use super::{Core, REOPEN_INTERVAL};
-use jobs::{Command, Event, Ledger};
+use jobs::{Command, Event, Job, Ledger};
 use log::{error, info, warn};
 use mesh::{Frame, ProcessInfo, Status};
 use quorum::{Entry, Envelope, Id, Index, Message, Node, Output, Payload};
@@ -14,6 +14,9 @@
 /// the disk has to hold the log, the snapshot and the next snapshot.
 const MAX_LOG_BYTES: u64 = 12 << 20;
 
+/// Lines at most that name the crashes for which a job was given up.
+const MAX_LOGGED_CRASHES: usize = 8;
+
 impl Core {
     /// Does one round of work, after each batch of inputs and on each tick: reopens a failed
     /// disk, ticks the node, manages the voters, runs the scheduler on the leader, flushes
@@ -194,6 +197,17 @@
         }
     }
 
+    /// Logs the crashes for which a job was given up, those of one unit at least.
+    fn log_fatal_crashes(&self, job: &Job) {
+        if job.fatal_crashes.is_empty() {
+            return;
+        }
+        metrics::counter!("jobs_given_up_total", "queue" => job.queue.clone()).increment(1);
+        for crash in job.fatal_crashes.iter().take(MAX_LOGGED_CRASHES) {
+            info!("job.given_up id={} queue={} reason={:?}", job.id, job.queue, crash.text);
+        }
+    }
+
     /// Logs and counts an event of the ledger. Only the leader does so, so that each
     /// event appears once in the cluster.
     fn log_event(&self, event: &Event, index: Index) {
@@ -221,6 +235,7 @@
                         "job.finished id={} state={state:?} took_ms={duration_ms} index={index}",
                         job.id
                     );
+                    self.log_fatal_crashes(job);
                 }
             }
             Event::Released(release) => {
@@ -241,6 +256,19 @@
             Event::Move(instance, pool) => {
                 info!("machine.move machine={instance} pool={pool} index={index}");
             }
+            Event::Crashed(unit) => {
+                let name = self.ledger.unit_name(unit).unwrap_or_default();
+                let crash = self.ledger.unit(unit).and_then(|unit| unit.crashes.last());
+                if let Some(crash) = crash {
+                    info!(
+                        "unit.crashed unit={name} run={} worker={} survived_ms={} alone={} index={index}",
+                        crash.run,
+                        crash.incarnation.worker,
+                        crash.survived.as_millis(),
+                        crash.is_alone
+                    );
+                }
+            }
             Event::StepDone(_) | Event::EndsAcknowledged(..) => {}
         }
     }
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -6,6 +6,7 @@
     UnitKey, UnixMs, Wave, WaveId,
 };
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A change of the ledger, stored as a log entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -65,6 +66,9 @@
     /// Ends of runs that workers listed.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<EndList>,
+    /// Workers that crashed with runs. Processes from before the field existed ignore it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<CrashList>,
     /// Runs that are on no worker any more, or never started, and whose end no worker
     /// listed.
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -78,7 +82,10 @@
 impl Batch {
     /// Returns whether the batch has no changes.
     pub fn is_empty(&self) -> bool {
-        self.ended.is_empty() && self.discarded.is_empty() && self.placed.is_empty()
+        self.ended.is_empty()
+            && self.crashed.is_empty()
+            && self.discarded.is_empty()
+            && self.placed.is_empty()
     }
 }
 
@@ -92,6 +99,36 @@
     pub ends: Vec<End>,
 }
 
+/// Runs that may have crashed a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashList {
+    /// Incarnation that crashed.
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
+    /// Instance of the worker.
+    #[serde(rename = "machine")]
+    pub instance: InstanceId,
+    /// The runs that it had, without those that are known not to be the cause.
+    pub runs: Vec<CrashedRun>,
+}
+
+/// A run that was on a worker when it crashed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Key of the unit.
+    #[serde(rename = "u")]
+    pub unit: UnitKey,
+    /// Number of the run.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+    /// How long the run is known to have gone on.
+    #[serde(rename = "ran")]
+    pub survived: Duration,
+    /// Whether the run had begun, and no other step had recent runs on the worker.
+    #[serde(rename = "alone", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_alone: bool,
+}
+
 /// End of a run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct End {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs and the state of their units, as the ledger stores them.
 
 use crate::command::EndReason;
+use crate::crash::Crash;
 use crate::{Decision, Definition, Incarnation, JobId, PoolName, QueueName, RunNumber, UnixMs};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -15,7 +16,8 @@
     Running,
     /// All units of all occurrences are done.
     Completed,
-    /// The failed runs of a unit, or of a gang together, reached the queue's `max_attempts`.
+    /// The failed runs of a unit, or of a gang together, reached the queue's `max_attempts`, or
+    /// a unit crashed the workers that started it.
     Failed,
     /// A client cancelled the job.
     Cancelled,
@@ -60,6 +62,9 @@
     /// When the job reached a final state; `None` before.
     #[serde(rename = "finished")]
     pub finished_at: Option<UnixMs>,
+    /// The crashes for which the job was given up.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fatal_crashes: Vec<Decision>,
     /// Occurrences by number, each from its first placement on; without a schedule,
     /// occurrence 0 from acceptance on. Cleared once the job is finished and all its runs
     /// are released.
@@ -95,6 +100,9 @@
     /// Runs that are, or may be, on a worker.
     #[serde(rename = "p", skip_serializing_if = "Vec::is_empty")]
     pub placements: Vec<Placement>,
+    /// Crashes of workers that had a run of the unit, those that a later run outlived left out.
+    #[serde(rename = "x", skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
 }
 
 fn is_zero(value: &u32) -> bool {
@@ -155,10 +163,16 @@
         self.state != State::Queued
     }
 
-    /// Returns whether a run of the job is known to have ended on a worker, done or failed.
+    /// Returns whether a run of the job is known to have ended on a worker, done or failed, or
+    /// with it.
     pub fn has_ended_run(&self) -> bool {
         let mut units = self.occurrences.values().flat_map(|o| o.steps.iter().flatten());
-        units.any(|unit| unit.done || unit.failures > 0 || !unit.checkpoint.is_empty())
+        units.any(|unit| {
+            unit.done
+                || unit.failures > 0
+                || !unit.checkpoint.is_empty()
+                || !unit.crashes.is_empty()
+        })
     }
 
     /// Explains the job to an operator: when it was accepted, the progress of each step
@@ -173,6 +187,10 @@
                 facts.push(fact(self.accepted_at, self.step_text(*number, step)));
             }
         }
+        match self.fatal_crashes.is_empty() {
+            true => facts.extend(self.crash_facts()),
+            false => facts.extend(self.fatal_crashes.iter().cloned()),
+        }
         if let Some(finished) = self.finished_at {
             let took = finished.saturating_sub(self.accepted_at);
             facts.push(fact(finished, format!("{:?} {took} ms after it was accepted", self.state)));
@@ -180,6 +198,32 @@
         facts
     }
 
+    /// Returns a fact for each crash under a unit of the job, in the order of the units.
+    pub(crate) fn crash_facts(&self) -> Vec<Decision> {
+        let mut facts = Vec::new();
+        for (occurrence, state) in &self.occurrences {
+            for (step, units) in state.steps.iter().enumerate() {
+                for (index, unit) in units.iter().enumerate() {
+                    let unit_name = format!("{occurrence}.{step}.{index}");
+                    let crashes = unit.crashes.iter();
+                    facts.extend(crashes.map(|crash| self.crash_fact(&unit_name, crash)));
+                }
+            }
+        }
+        facts
+    }
+
+    fn crash_fact(&self, unit_name: &str, crash: &Crash) -> Decision {
+        let company = if crash.is_alone { "alone" } else { "not alone" };
+        let text = format!(
+            "worker {} crashed under unit {unit_name} run {}, {} ms after the run began, {company}",
+            crash.incarnation.worker,
+            crash.run,
+            crash.survived.as_millis()
+        );
+        Decision { at: crash.at, subject: format!("job {}", self.id), text }
+    }
+
     fn step_text(&self, occurrence: u32, step: u16) -> String {
         let units = &self.occurrences[&occurrence].steps[usize::from(step)];
         let done = units.iter().filter(|unit| unit.done).count();
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -4,9 +4,10 @@
 //! the same state on every replica, so nothing here reads a clock or other input.
 
 use crate::command::{
-    Batch, Cancel, Command, Discarded, End, EndList, EndReason, MaintenanceChange, MoveChange,
-    Placed, Submit,
+    Batch, Cancel, Command, CrashList, Discarded, End, EndList, EndReason, MaintenanceChange,
+    MoveChange, Placed, Submit,
 };
+use crate::crash::{self, Crash};
 use crate::job::{Job, Placement, State, Unit};
 use crate::wave::{Phase, Wave};
 use crate::{
@@ -43,6 +44,8 @@
     Placed(UnitKey, RunNumber, Incarnation),
     /// A run is on no worker any more.
     Released(Release),
+    /// A worker that had a run of the unit crashed.
+    Crashed(UnitKey),
     /// All units of a step are done.
     StepDone(StepKey),
     /// The ends of an incarnation up to this number are in the log.
@@ -317,6 +320,7 @@
             accepted_at: submit.at,
             state: State::Queued,
             finished_at: None,
+            fatal_crashes: Vec::new(),
             occurrences: BTreeMap::new(),
             completed_occurrences: 0,
         };
@@ -346,6 +350,19 @@
                 self.apply_end(&incarnation, end, batch.at, events);
             }
         }
+        for CrashList { incarnation, instance, runs } in batch.crashed {
+            for run in runs {
+                let crash = Crash {
+                    incarnation: incarnation.clone(),
+                    instance: instance.clone(),
+                    run: run.run,
+                    at: batch.at,
+                    survived: run.survived,
+                    is_alone: run.is_alone,
+                };
+                self.apply_crash(run.unit, crash, events);
+            }
+        }
         for Discarded { unit, run } in batch.discarded {
             self.discard(unit, run, events);
         }
@@ -461,6 +478,34 @@
         }
     }
 
+    /// Records a crash under a unit, and fails its job if the crashes so far show that a unit of
+    /// the step brings its workers down.
+    fn apply_crash(&mut self, key: UnitKey, crash: Crash, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        let Some(step) = job.definition.steps.get(usize::from(key.step)) else { return };
+        let is_long_running = step.long_running;
+        let units = job
+            .occurrences
+            .get_mut(&key.occurrence)
+            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(key.step)));
+        let Some(units) = units else { return };
+        let Some(unit) = units.get_mut(key.index as usize).filter(|unit| !unit.done) else {
+            return;
+        };
+        let at = crash.at;
+        if !crash::record(&mut unit.crashes, crash, is_long_running) {
+            return;
+        }
+        events.push(Event::Crashed(key));
+        if crash::is_deadly(units) {
+            job.fatal_crashes = job.crash_facts();
+            self.finish(key.job, State::Failed, at, events);
+        }
+    }
+
     /// Releases a run that has no listed end.
     fn discard(&mut self, key: UnitKey, run: RunNumber, events: &mut Vec<Event>) {
         let Some(unit) = unit_mut(&mut self.jobs, &key) else { return };
--- a/crates/sched/src/crash.rs
+++ b/crates/sched/src/crash.rs
@@ -4,6 +4,7 @@
 //! incarnation under the worker's id, at its address or on its instance, without a notice to
 //! leave and without an order that ends the worker.
 
+use jobs::command::{CrashList, CrashedRun};
 use jobs::{Incarnation, InstanceId, RunNumber, StepKey, UnitKey};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,6 +34,8 @@
     pub instance: InstanceId,
     /// Address of the worker.
     pub address: SocketAddr,
+    /// When the worker last answered.
+    pub alive_at: Duration,
     /// When the runs were given up.
     pub lost_at: Duration,
     /// The runs.
@@ -61,9 +64,28 @@
         if recent.is_empty() { self.runs.iter().collect() } else { recent }
     }
 
+    /// Returns the crash, which a successor shows at `now`, with the runs that may have caused it.
+    /// None was alone if the worker may have lost its runs before, since every lease of at most
+    /// `max_lease` had expired.
+    pub fn crash_list(&self, now: Duration, max_lease: Duration) -> CrashList {
+        let recent = self.recent_runs();
+        let is_alone = self.only_step(&recent).is_some() && now <= self.alive_at + max_lease;
+        let runs = recent.iter().map(|run| CrashedRun {
+            unit: run.unit,
+            run: run.run,
+            survived: run.survived.unwrap_or_default(),
+            is_alone: is_alone && run.survived.is_some(),
+        });
+        CrashList {
+            incarnation: self.incarnation.clone(),
+            instance: self.instance.clone(),
+            runs: runs.collect(),
+        }
+    }
+
     /// Returns the step that all given runs belong to; `None` if there are several, or if the
     /// worker also had runs that are not placed there.
-    pub fn only_step(&self, runs: &[&LostRun]) -> Option<StepKey> {
+    fn only_step(&self, runs: &[&LostRun]) -> Option<StepKey> {
         let first = runs.first()?.unit.step_key();
         let is_only = runs.iter().all(|run| run.unit.step_key() == first);
         (is_only && !self.has_unplaced).then_some(first)
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::worker::{Run, Worker};
 use jobs::definition::Resources;
-use jobs::{Step, StepKey, WorkerId};
+use jobs::{InstanceId, Step, StepKey, WorkerId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
@@ -27,6 +27,19 @@
     /// Data centre in which the step's units should run; `None` for no preference, as
     /// for long-running steps.
     pub preferred_data_centre: Option<&'a str>,
+    /// How the units are tried; `None` if the step is not suspected of crashing its workers.
+    pub trial: Option<&'a Trial>,
+}
+
+/// Trial of a step whose units may have crashed their workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// Worker on which the trial goes on; `None` if it has to begin.
+    pub worker: Option<WorkerId>,
+    /// Crashes under units of the step on each instance.
+    pub crashes: BTreeMap<InstanceId, usize>,
+    /// Whether it may begin on a reserved worker whose runs are no longer recent.
+    pub accepts_company: bool,
 }
 
 /// A schedulable worker, with what it runs and what was placed on it in this decision.
@@ -44,6 +57,10 @@
     serves_requests: bool,
     best_effort_runs: u32,
     is_idle: bool,
+    /// Step of which a trial goes on here.
+    trial: Option<StepKey>,
+    /// The worker is kept for a trial.
+    is_reserved: bool,
     /// Units placed in this decision, by step.
     placed: BTreeMap<StepKey, u32>,
 }
@@ -60,18 +77,51 @@
             serves_requests: false,
             best_effort_runs: 0,
             is_idle: worker.runs.is_empty(),
+            trial: None,
+            is_reserved: false,
             placed: BTreeMap::new(),
         };
-        worker.runs.values().for_each(|run| candidate.count(run));
+        worker.runs.iter().for_each(|((unit, _), run)| candidate.count(&unit.step_key(), run));
         candidate
     }
 
+    /// Returns whether a trial goes on here.
+    pub fn is_on_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Returns whether a trial of the step goes on here.
+    pub fn tries(&self, key: &StepKey) -> bool {
+        self.trial == Some(*key)
+    }
+
+    /// Returns whether the worker runs long-running work.
+    pub fn has_long_running(&self) -> bool {
+        self.has_long_running
+    }
+
+    /// Returns whether nothing runs on the worker, placed there or not.
+    pub fn is_empty(&self) -> bool {
+        self.is_idle && self.worker.unplaced.is_empty()
+    }
+
+    /// Returns the number of crashes under units of a tried step on the worker's instance.
+    pub fn count_crashes(&self, trial: &Trial) -> usize {
+        let instance = self.worker.report.as_ref().map(|report| &report.instance);
+        instance.and_then(|instance| trial.crashes.get(instance)).copied().unwrap_or_default()
+    }
+
+    /// Keeps the worker for a trial.
+    pub fn reserve_for_trial(&mut self) {
+        self.is_reserved = true;
+    }
+
     /// Adds a unit that was placed on the worker.
     pub fn place(&mut self, key: StepKey, run: &Run) {
         self.free = self.free.minus(&run.resources);
         self.reserved = self.reserved.plus(&run.resources);
         self.is_idle = false;
-        self.count(run);
+        self.count(&key, run);
         *self.placed.entry(key).or_default() += 1;
     }
 
@@ -89,7 +139,10 @@
         self.worker.report.as_ref().map_or(&[], |report| report.labels.as_slice())
     }
 
-    fn count(&mut self, run: &Run) {
+    fn count(&mut self, key: &StepKey, run: &Run) {
+        if run.is_trial {
+            self.trial = Some(*key);
+        }
         self.has_long_running |= run.long_running;
         self.serves_requests |= run.tail_latency_target.is_some();
         self.best_effort_runs += u32::from(run.best_effort);
@@ -106,12 +159,36 @@
         if step.requires.as_ref().is_some_and(|label| !self.labels().contains(label)) {
             return false;
         }
+        let is_kept_apart = match request.trial {
+            None => self.trial.is_some() || self.is_reserved,
+            Some(trial) => !self.accepts_trial(key, trial),
+        };
+        if is_kept_apart {
+            return false;
+        }
         let units =
             || self.worker.count_runs(key) + self.placed.get(key).copied().unwrap_or_default();
         step.anti_affinity == 0 || units() < step.anti_affinity
     }
 }
 
+impl Candidate<'_> {
+    /// Returns whether units of a step may be tried here.
+    fn accepts_trial(&self, key: &StepKey, trial: &Trial) -> bool {
+        match &trial.worker {
+            Some(worker) => worker == self.id,
+            None if self.trial.is_some() => self.trial == Some(*key),
+            None if self.is_idle => self.is_empty(),
+            None => {
+                trial.accepts_company
+                    && self.is_reserved
+                    && self.placed.is_empty()
+                    && !self.worker.has_recent_runs()
+            }
+        }
+    }
+}
+
 /// Suitability of a worker for a unit, compared field by field; the greatest wins.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Score {
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -2,6 +2,7 @@
 //!
 //! Reports may arrive late, twice or out of order; stale ones are ignored.
 
+use crate::crash::MAX_LOSS_AGE;
 use jobs::definition::Resources;
 use jobs::{Incarnation, InstanceId, PoolName, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -71,6 +72,9 @@
     /// the next report from there replaces the others.
     by_address: BTreeMap<SocketAddr, BTreeSet<WorkerId>>,
     by_instance: BTreeMap<InstanceId, BTreeSet<WorkerId>>,
+    /// Last report of each incarnation that another one replaced, under the worker's id, at its
+    /// address or on its instance, and when that was recorded.
+    replaced: BTreeMap<WorkerId, Received>,
     /// Last incarnation of each worker that announced its end or is known to have ended,
     /// and when that was recorded.
     ended: BTreeMap<WorkerId, (Incarnation, Duration)>,
@@ -124,7 +128,7 @@
             self.workers.get(id).is_some_and(|r| r.report.incarnation.started_at < started_at)
         });
         for id in others_at_address.iter().chain(&predecessors) {
-            self.remove(id);
+            self.replace(now, id);
         }
         let changed = self.workers.get(&report.incarnation.worker).is_none_or(|received| {
             let newest = &received.report;
@@ -134,7 +138,14 @@
                 || newest.pool != report.pool
         });
         let id = report.incarnation.worker.clone();
-        self.remove(&id);
+        match self.workers.get(&id) {
+            Some(newest) if newest.report.incarnation != report.incarnation => {
+                self.replace(now, &id);
+            }
+            _ => {
+                self.remove(&id);
+            }
+        }
         self.by_address.entry(report.address).or_default().insert(id.clone());
         self.by_instance.entry(report.instance.clone()).or_default().insert(id.clone());
         self.workers.insert(id, Received { report, received_at: now });
@@ -179,9 +190,17 @@
         for id in expired {
             self.remove(&id);
         }
+        self.replaced.retain(|_, received| now < received.received_at + MAX_LOSS_AGE);
         self.ended.retain(|_, (_, ended_at)| now < *ended_at + REPORT_EXPIRY);
     }
 
+    /// Removes a worker that another incarnation replaces.
+    fn replace(&mut self, now: Duration, id: &WorkerId) {
+        if let Some(Received { report, .. }) = self.remove(id) {
+            self.replaced.insert(id.clone(), Received { report, received_at: now });
+        }
+    }
+
     /// Removes a worker and its entries in the indexes.
     fn remove(&mut self, id: &WorkerId) -> Option<Received> {
         let received = self.workers.remove(id)?;
@@ -195,6 +214,15 @@
         self.workers.values()
     }
 
+    /// Returns the last reports of incarnations that others have replaced since, ordered by name.
+    ///
+    /// ```
+    /// assert_eq!(sched::Roster::default().replaced().count(), 0);
+    /// ```
+    pub fn replaced(&self) -> impl Iterator<Item = &Report> {
+        self.replaced.values().map(|received| &received.report)
+    }
+
     /// Returns a worker's newest report.
     pub fn get(&self, worker: &WorkerId) -> Option<&Received> {
         self.workers.get(worker)
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -23,6 +23,9 @@
 const START_HORIZON: Duration = Duration::from_millis(1000);
 /// Part of an instance's cores that work uses on average, since units do not fit exactly.
 const MEAN_UTILIZATION: f64 = 0.85;
+/// Trials that wait for a worker without other runs, for each instance that is fetched for them.
+/// With most units they take 1 to 2 s each, one after the other.
+const TRIALS_PER_INSTANCE: usize = 4;
 /// Fewest instances of a pool that has queues, so that one may fail.
 const MIN_INSTANCES: usize = 2;
 /// Idle time after which an instance is parked. It must not be shorter than a move to the
@@ -274,7 +277,8 @@
     ) -> usize {
         let cores = self.arriving_cores(time, pool).max(self.queued_cores(time, ledger, pool));
         let for_work = (cores / (cores_per_instance * MEAN_UTILIZATION)).ceil() as usize;
-        self.long_running_instances(ledger, pool).max(MIN_INSTANCES) + for_work
+        let for_trials = self.waiting_trials(time, pool).div_ceil(TRIALS_PER_INSTANCE);
+        self.long_running_instances(ledger, pool).max(MIN_INSTANCES) + for_work + for_trials
     }
 
     /// Returns the number of cores that work keeps busy at its current arrival rate.
--- a/crates/sched/src/scheduler/crashes.rs
+++ b/crates/sched/src/scheduler/crashes.rs
@@ -46,8 +46,8 @@
         self.unexplained_losses.retain(|_, loss| time.monotonic < loss.lost_at + MAX_LOSS_AGE);
     }
 
-    /// Explains the crashes that were recorded since the last decision.
-    pub(super) fn apply_crashes(&mut self, ledger: &Ledger) {
+    /// Adds the crashes that were recorded since the last decision to the next proposal.
+    pub(super) fn report_crashes(&mut self, time: Time, ledger: &Ledger) {
         for loss in std::mem::take(&mut self.crashes) {
             let recent = loss.recent_runs();
             let named = recent.iter().take(MAX_NAMED_UNITS).map(|run| {
@@ -65,6 +65,8 @@
                 named.join(", ")
             );
             self.effort.worker_crashes += 1;
+            let list = loss.crash_list(time.monotonic, self.settings.max_lease);
+            self.batch.crashed.push(list);
             self.explain(loss.incarnation.worker, text);
         }
     }
@@ -89,6 +91,7 @@
             incarnation: worker.incarnation.clone(),
             instance: report.instance.clone(),
             address: report.address,
+            alive_at,
             lost_at: time.monotonic,
             runs,
             has_unplaced: !worker.unplaced.is_empty(),
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod poll;
 mod runs;
 mod starts;
+mod trials;
 mod unplaced;
 mod waiting;
 
@@ -146,6 +147,8 @@
     balance: balance::BalanceState,
     /// Runs of workers that were lost without a sign of a crash so far.
     unexplained_losses: BTreeMap<WorkerId, Loss>,
+    /// Units of unfinished steps that may have crashed their workers.
+    suspicions: BTreeMap<StepKey, trials::Suspicion>,
     /// Crashes since the last decision.
     crashes: Vec<Loss>,
     effort: Effort,
@@ -207,6 +210,7 @@
             maintenance: maintenance::MaintenanceState::default(),
             balance: balance::BalanceState::default(),
             unexplained_losses: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
             crashes: Vec::new(),
             effort: Effort::default(),
             time,
@@ -220,6 +224,12 @@
             explanations: Vec::new(),
         };
         scheduler.inherit(time, ledger);
+        for report in roster.replaced() {
+            let worker = scheduler.workers.get(&report.incarnation.worker);
+            if worker.is_some_and(|worker| worker.incarnation == report.incarnation) {
+                scheduler.on_report(time, ledger, report);
+            }
+        }
         for received in roster.workers() {
             scheduler.on_report(time, ledger, &received.report);
         }
@@ -280,6 +290,7 @@
                                 placement.run,
                             );
                         }
+                        self.review_unit(time, ledger, key.unit(index as u32));
                     }
                 }
             }
@@ -456,6 +467,7 @@
             Event::Placed(unit, run, incarnation) => {
                 self.on_placed(time, ledger, *unit, *run, incarnation)
             }
+            Event::Crashed(unit) => self.review_unit(time, ledger, *unit),
             Event::Released(release) => self.on_released(time, ledger, release),
             Event::StepDone(step) => self.on_step_done(time, ledger, step),
             Event::EndsAcknowledged(incarnation, _) => {
@@ -477,7 +489,7 @@
     /// per `PERIODIC_TASKS_INTERVAL`.
     pub fn decide(&mut self, time: Time, ledger: &Ledger) -> Output {
         self.time = time;
-        self.apply_crashes(ledger);
+        self.report_crashes(time, ledger);
         self.is_decision_deferred = time.monotonic < self.next_decision;
         if !self.superseded && !self.is_decision_deferred {
             self.next_decision = time.monotonic + DECISION_INTERVAL;
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -10,6 +10,7 @@
 use jobs::command::Placed;
 use jobs::definition::Resources;
 use jobs::{Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -34,6 +35,7 @@
     number: RunNumber,
     step: &'a Step,
     worker: WorkerId,
+    is_trial: bool,
 }
 
 /// Placement of waiting units.
@@ -71,6 +73,10 @@
         let mut plan = Plan::default();
         let Some(steps) = self.waiting.get(pool) else { return plan };
         let mut candidates = self.candidates(time, pool);
+        let mut free_trials = self.free_trials(&candidates);
+        if free_trials > 0 {
+            self.reserve_for_trials(time, pool, &mut candidates);
+        }
         let mut largest = largest_free(&candidates);
         for (_, key) in self.ranked_steps(time, ledger, steps) {
             let Some(job) = ledger.job(key.job) else { continue };
@@ -78,7 +84,15 @@
             if !largest.covers(&step.reserved_resources()) {
                 continue;
             }
-            let indices = ready_units(time, &steps[&key]);
+            let trial = self.trial(time, ledger, &key);
+            let begins_trial = trial.as_ref().is_some_and(|trial| trial.worker.is_none());
+            if begins_trial && free_trials == 0 {
+                continue;
+            }
+            let mut indices = ready_units(time, &steps[&key]);
+            if let Some(suspicion) = self.suspicions.get(&key) {
+                suspicion.sort(&mut indices);
+            }
             let has_policy = advice::policy(ledger, &key).is_some();
             let mut permitted: Vec<&mut Candidate<'_>> = candidates
                 .iter_mut()
@@ -91,6 +105,7 @@
                 step,
                 units_per_rack: &units_per_rack,
                 preferred_data_centre: data_centre.as_deref(),
+                trial: trial.as_ref(),
             };
             let placements = if step.gang {
                 self.plan_gang(time, ledger, &request, &indices, &mut permitted)
@@ -98,14 +113,12 @@
                 self.plan_units(time, ledger, &request, &indices, &mut permitted)
             };
             let placed_count = placements.len();
-            plan.placements.extend(
-                placements.into_iter().map(|(unit, number, worker)| Placement {
-                    unit,
-                    number,
-                    step,
-                    worker,
-                }),
-            );
+            if begins_trial && placed_count > 0 {
+                free_trials -= 1;
+            }
+            plan.placements.extend(placements.into_iter().map(|(unit, number, worker)| {
+                Placement { unit, number, step, worker, is_trial: trial.is_some() }
+            }));
             if has_policy && placed_count < indices.len() {
                 plan.undecided_steps.push(key);
             }
@@ -226,7 +239,8 @@
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
             let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
             let placed_on = best.worker.incarnation.started_at;
-            let run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
+            let mut run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
+            run.is_trial = request.trial.is_some();
             best.place(request.key, &run);
             placements.push((unit, self.next_run(ledger, &unit), best.id.clone()));
             if let Some(rack) = best.rack().filter(|_| request.step.long_running) {
@@ -264,7 +278,9 @@
             for (_, _, worker) in &placements {
                 if let Some(candidate) = candidates.iter_mut().find(|other| other.id == worker) {
                     let placed_on = candidate.worker.incarnation.started_at;
-                    let run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
+                    let mut run =
+                        Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
+                    run.is_trial = request.trial.is_some();
                     candidate.place(request.key, &run);
                 }
             }
@@ -282,12 +298,25 @@
         candidates: &'b mut [&mut Candidate<'a>],
         unit: &UnitKey,
     ) -> Option<&'b mut Candidate<'a>> {
+        let key = request.key;
+        let is_one_trial = request.trial.is_some() && !request.step.gang;
+        let begun = is_one_trial && candidates.iter().any(|candidate| candidate.tries(&key));
         let none = BTreeSet::new();
         let avoid = self.avoided_workers.get(unit).unwrap_or(&none);
-        let best =
-            candidates.iter_mut().filter(|candidate| candidate.is_feasible(request)).max_by_key(
-                |candidate| (!avoid.contains(candidate.id), place::score(candidate, request)),
-            )?;
+        let crashes = |candidate: &Candidate<'_>| {
+            request.trial.map_or(0, |trial| candidate.count_crashes(trial))
+        };
+        let best = candidates
+            .iter_mut()
+            .filter(|candidate| !begun || candidate.tries(&key))
+            .filter(|candidate| candidate.is_feasible(request))
+            .max_by_key(|candidate| {
+                (
+                    !avoid.contains(candidate.id),
+                    Reverse(crashes(candidate)),
+                    place::score(candidate, request),
+                )
+            })?;
         Some(&mut **best)
     }
 
@@ -300,10 +329,11 @@
     /// Reserves a worker's resources for a new run and removes its unit from the waiting
     /// units.
     fn add_proposed_run(&mut self, time: Time, placement: &Placement<'_>) {
-        let Placement { unit, number, step, worker: id } = placement;
+        let Placement { unit, number, step, worker: id, is_trial } = placement;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let placed_on = worker.incarnation.started_at;
-        let run = Run::new(RunState::Proposed, step, placed_on, time.monotonic);
+        let mut run = Run::new(RunState::Proposed, step, placed_on, time.monotonic);
+        run.is_trial = *is_trial;
         worker.add(*unit, *number, run);
         self.last_run_numbers.insert(*unit, *number);
         self.placed_on.entry(*unit).or_default().insert(id.clone());
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -21,6 +21,9 @@
 /// tail latency target. Several measurements have to arrive within the time for which
 /// the latency may exceed its target.
 const MAX_WAIT_MIXED: Duration = Duration::from_millis(400);
+/// Longest wait of a poll to a worker with a trial, so that a crash soon after a start is told from
+/// a later one.
+const MAX_WAIT_ON_TRIAL: Duration = Duration::from_millis(100);
 /// Longest wait of a poll to a worker without runs.
 const MAX_WAIT_IDLE: Duration = Duration::from_millis(2000);
 /// Shortest time from an answer to the next poll of the same worker. Ends that come
@@ -83,6 +86,7 @@
                 (false, _) => Duration::ZERO,
                 (true, true) if worker.unplaced.is_empty() => MAX_WAIT_IDLE,
                 (true, _) if worker.next_poll_settles_run() => Duration::ZERO,
+                (true, _) if worker.has_trial() => MAX_WAIT_ON_TRIAL,
                 (true, _) if worker.mixes_best_effort_and_serving() => MAX_WAIT_MIXED,
                 (true, _) => MAX_WAIT_WITH_RUNS,
             };
@@ -252,8 +256,13 @@
                 run.state = RunState::Ending;
             }
         }
+        let mut outlived = Vec::new();
         for (key, status) in &running {
             update_running(worker, time.monotonic, key, status);
+            let run = worker.runs.get_mut(key);
+            if run.is_some_and(|run| run.end_trial(time.monotonic)) {
+                outlived.push(key.0);
+            }
         }
         let missing_runs = missing_runs(worker, sent_at, |key| {
             running.contains_key(key) || finished_runs.contains(key)
@@ -268,6 +277,9 @@
             let incarnation = worker.incarnation.clone();
             self.batch.ended.push(EndList { incarnation, ends });
         }
+        for unit in outlived {
+            self.clear_unit(&unit);
+        }
         for (unit, _) in running.keys().chain(&finished_runs) {
             self.record_begun(ledger, unit.job);
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -29,6 +29,7 @@
             Some(EndReason::Done) => {
                 worker.record_success();
                 self.record_run_time(time, ledger, unit, &incarnation.worker, &run);
+                self.clear_unit(unit);
                 for (worker, unit, number) in self.find_runs(*unit..=*unit) {
                     self.stop(time, ledger, &worker, unit, number, StopReason::Unneeded);
                 }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -170,6 +170,7 @@
         remove_range(&mut self.avoided_workers, units.clone());
         remove_range(&mut self.last_run_numbers, units.clone());
         self.accepted_at.remove(&number);
+        remove_range(&mut self.suspicions, steps.clone());
         self.remove_tickets(steps);
         for (worker, unit, run) in self.find_runs(units.clone()) {
             self.stop(time, ledger, &worker, unit, run, StopReason::Unneeded);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -7,7 +7,7 @@
 use crate::lease::Lease;
 use crate::order::{Destination, RunLists};
 use crate::roster::Report;
-use jobs::crash::RECENT;
+use jobs::crash::{RECENT, TRIAL_TIME};
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
 use std::collections::{BTreeMap, BTreeSet};
@@ -77,6 +77,9 @@
     pub measurement: u64,
     /// Why the run is being stopped; `None` if it is not.
     pub stop_reason: Option<StopReason>,
+    /// Whether the unit is suspected of crashing its workers, so that nothing else is started beside
+    /// the run until it has gone on for [`jobs::crash::TRIAL_TIME`].
+    pub is_trial: bool,
 }
 
 /// Why a run is being stopped.
@@ -425,6 +428,18 @@
         self.polling.answered_at.max(begun).unwrap_or_default()
     }
 
+    /// Returns whether a trial goes on here.
+    pub fn has_trial(&self) -> bool {
+        self.runs.values().any(|run| run.is_trial)
+    }
+
+    /// Returns whether a run is recent, or not known to have begun.
+    pub fn has_recent_runs(&self) -> bool {
+        let alive_at = self.last_proof_of_life();
+        let is_recent = |run: &Run| run.survived_until(alive_at).is_none_or(|at| at < RECENT);
+        self.runs.values().any(is_recent)
+    }
+
     /// Returns whether a start may be sent to the worker, first or repeated.
     pub fn accepts_starts(&self) -> bool {
         let draining = self.report.as_ref().is_none_or(|report| report.draining);
@@ -515,9 +530,18 @@
             share_ordered_at: now,
             measurement: 0,
             stop_reason: None,
+            is_trial: false,
         }
     }
 
+    /// Ends the trial of a run that is listed at `now` if it has gone on for long enough, and
+    /// returns whether it has.
+    pub fn end_trial(&mut self, now: Duration) -> bool {
+        let is_over = self.is_trial && self.started_at.is_some_and(|at| now >= at + TRIAL_TIME);
+        self.is_trial &= !is_over;
+        is_over
+    }
+
     /// Returns the time after which no start of the run can be carried out any more; `None` if
     /// none is under way.
     pub fn late_until(&self) -> Option<Duration> {
--- a/crates/sched/tests/capacity.rs
+++ b/crates/sched/tests/capacity.rs
@@ -73,6 +73,7 @@
 fn a_placement_is_not_started_at_a_worker_that_has_shrunk_before_it_is_committed() {
     let mut world = World::new(2);
     submit(&mut world, "a", 4, 1000);
+    world.now += world::TICK;
     let time = world.time();
     let output = world.scheduler.decide(time, &world.ledger);
     assert!(
