Sched: a worker's capacity is that of its newest report

A worker that shrank while it ran went on getting work for the room that it had at first, and one that grew again got no more. Cause: the scheduler ignored a report of a known incarnation unless its draining state or address had changed, and the roster called one with another capacity unchanged, so that the other cores did not learn of it. Both now compare all that may change while an incarnation runs, labels included. A placement that no longer fits when it is committed is discarded, and a start without an answer is stopped instead of repeated at a worker that has shrunk below its runs; what is being stopped still counts.

The test of the repeated start now waits until the starts were sent: a start that is on its way when the worker shrinks is within the platform's grace.

--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -38,6 +38,15 @@
 }
 
 impl Report {
+    /// Returns whether two reports of an incarnation agree in what may change while it runs and
+    /// matters for orders to it.
+    pub fn describes_same_worker(&self, other: &Report) -> bool {
+        self.draining == other.draining
+            && self.address == other.address
+            && self.capacity == other.capacity
+            && self.labels == other.labels
+    }
+
     /// Returns the label of the rack, which is the second label.
     pub fn rack(&self) -> Option<&String> {
         self.labels.get(1)
@@ -60,7 +69,7 @@
     Stale,
     /// The report confirms what was known.
     Unchanged,
-    /// The report shows a new incarnation, draining state, address or pool.
+    /// The report shows a new incarnation, draining state, address, capacity, pool or labels.
     Changed,
 }
 
@@ -133,8 +142,7 @@
         let changed = self.workers.get(&report.incarnation.worker).is_none_or(|received| {
             let newest = &received.report;
             newest.incarnation != report.incarnation
-                || newest.draining != report.draining
-                || newest.address != report.address
+                || !newest.describes_same_worker(&report)
                 || newest.pool != report.pool
         });
         let id = report.incarnation.worker.clone();
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 use crate::worker::{Run, RunState, StopReason, Worker};
 use crate::{Fence, Settings};
 use jobs::command::{Batch, Command};
+use jobs::definition::Resources;
 use jobs::ledger::Event;
 use jobs::{
     Incarnation, InstanceId, JobNumber, Ledger, PoolName, QueueName, RunNumber, StepKey, UnitKey,
@@ -386,19 +387,24 @@
         if worker.report.is_none() && moving {
             worker.cordoned = true; // the move may still be carried out
         }
-        let unchanged = worker
-            .report
-            .as_ref()
-            .is_some_and(|last| last.draining == report.draining && last.address == report.address);
-        if unchanged {
+        if worker.report.as_ref().is_some_and(|last| last.describes_same_worker(report)) {
             return;
         }
+        let capacity = worker.report.as_ref().map(|last| last.capacity);
         let starts_draining =
             report.draining && !worker.report.as_ref().is_some_and(|r| r.draining);
         let is_first = worker.report.is_none();
         worker.report = Some(report.clone());
         worker.address = Some(report.address);
         self.record_instance_worker(time, report);
+        if capacity.is_some_and(|capacity| capacity != report.capacity) {
+            let Resources { cpu_milli, memory_mb, accelerators } = report.capacity;
+            let text = format!(
+                "reports another capacity: cpu_milli {cpu_milli}, memory_mb {memory_mb}, \
+                 accelerators {accelerators}"
+            );
+            self.explain(report.incarnation.worker.clone(), text);
+        }
         if is_first {
             self.send_first_stops(time, ledger, &report.incarnation.worker);
         }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -96,7 +96,9 @@
             return; // it has been adopted with its end
         }
         let same_incarnation = worker.incarnation == *incarnation;
-        let unavailable = worker.polling.is_silent(time.monotonic) || !worker.accepts_starts();
+        let unavailable = worker.polling.is_silent(time.monotonic)
+            || !worker.accepts_starts()
+            || !worker.fits_its_runs();
         let Some(run) = worker.runs.get_mut(&(unit, number)) else {
             self.batch.discarded.push(Discarded { unit, run: number });
             return;
@@ -302,7 +304,9 @@
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
                 match run.state {
-                    RunState::Ready | RunState::Unclear if !worker.accepts_starts() => {
+                    RunState::Ready | RunState::Unclear
+                        if !worker.accepts_starts() || !worker.fits_its_runs() =>
+                    {
                         stops.push((key, Some(StopReason::UnansweredStart)));
                     }
                     RunState::Ready if !silent => starts.push(key),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -440,6 +440,15 @@
         self.runs.values().any(is_recent)
     }
 
+    /// Returns whether all runs fit, those that are being stopped included. They do unless the
+    /// capacity has shrunk.
+    pub fn fits_its_runs(&self) -> bool {
+        let capacity = self.report.as_ref().map(|report| report.capacity).unwrap_or_default();
+        let unplaced = self.unplaced.values().filter_map(|run| run.resources.as_ref());
+        let used = unplaced.fold(self.reserved, |used, resources| used.plus(resources));
+        capacity.covers(&used)
+    }
+
     /// Returns whether a start may be sent to the worker, first or repeated.
     pub fn accepts_starts(&self) -> bool {
         let draining = self.report.as_ref().is_none_or(|report| report.draining);
--- a/crates/sched/tests/capacity.rs
+++ b/crates/sched/tests/capacity.rs
@@ -103,7 +103,9 @@
     let worker = world.workers.get_mut("w0").unwrap();
     (worker.loses_start_answers, worker.executes_lost_starts) = (true, false);
     submit(&mut world, "b", 2, 1000);
-    world.run(world::TICK);
+    while world.workers["w0"].start_orders < 3 {
+        world.run(world::TICK); // until both starts were sent and not answered
+    }
     world.workers.get_mut("w0").unwrap().loses_start_answers = false;
     resize(&mut world, "w0", 4000);
     world.run(seconds(3.0));
