Sched, jobs: trials that neither starve nor convict by chance

A trial that a crash for another reason hit 0.08 and 0.27 s after its start counted as proof, since the idle worker's open poll hid how long the run had gone on; and crashes 0.96 s after the start counted with those at the start.

A trial's crash is now proof only if the first order without an answer came within 150 ms of the start; four crashes give a job up only if all had recent runs, else five. Trials are grouped by pool once a decision. The reasons that a job keeps are bounded.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -124,7 +124,8 @@
     /// How long the run is known to have gone on.
     #[serde(rename = "ran")]
     pub survived: Duration,
-    /// Whether the run had begun, and no other step had recent runs on the worker.
+    /// Whether the run had begun, no other step had recent runs on the worker, and it fell silent
+    /// right after the start.
     #[serde(rename = "alone", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_alone: bool,
 }
--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -15,8 +15,11 @@
 /// of the time.
 pub const RECENT: Duration = Duration::from_millis(300);
 /// Time after which a run is suspected only once it was recent at two crashes, and for which a
-/// crash of a trial is proof. It is short, so that few crashes for other reasons fall into it.
+/// crash of a trial is proof. Short, so that few crashes for other reasons fall into it.
 const JUST_BEGUN: Duration = Duration::from_millis(100);
+/// Time from the start of a trial to the first order without an answer within which its crash is
+/// proof. A worker that crashes closes its connections; the rest is for the answers' way.
+pub const MAX_TRIAL_CRASH: Duration = Duration::from_millis(150);
 /// Time that a run of a suspected unit has to go on to clear it.
 pub const TRIAL_TIME: Duration = Duration::from_millis(500);
 /// Difference of the times that two runs of a unit went on before a crash beyond which the crashes
@@ -26,11 +29,12 @@
 const LONG_RUNNING_START: Duration = Duration::from_secs(5);
 /// Instances on which trials of a step have to end in a crash before its job is given up.
 const MAX_FAILED_TRIALS: usize = 2;
-/// Crashes under one unit, on more than one instance, after which its job is given up in any case.
-/// The platform allows five: one is kept in reserve for a crash that a leader did not see.
-const MAX_CRASHES: usize = 4;
-/// Crashes under one unit after which its job is given up even if they were on one instance.
-const MAX_CRASHES_ON_ONE: usize = 5;
+/// Crashes under one unit, all with recent runs and not all on one instance, after which its job is
+/// given up without proof.
+const MAX_RECENT_CRASHES: usize = 4;
+/// Crashes under one unit at the same point after which its job is given up in any case. The
+/// platform allows no sixth start.
+const MAX_CRASHES: usize = 5;
 
 /// A crash of a worker that had a run of the unit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -49,7 +53,8 @@
     /// How long the run is known to have gone on.
     #[serde(rename = "ran")]
     pub survived: Duration,
-    /// Whether the run had begun, and no other step had recent runs on the worker.
+    /// Whether the run had begun, no other step had recent runs on the worker, and it fell silent
+    /// within [`MAX_TRIAL_CRASH`].
     #[serde(rename = "alone")]
     pub is_alone: bool,
 }
@@ -63,6 +68,24 @@
 
 /// Adds a crash to those of a unit, unless it is known already, and returns whether it was added.
 /// Earlier ones that have another cause are dropped.
+///
+/// ```
+/// use jobs::crash::{Crash, record};
+/// use std::time::Duration;
+/// let crash = |worker: &str, seconds| Crash {
+///     incarnation: jobs::Incarnation::new(worker, 1),
+///     instance: "m1".to_string(),
+///     run: 1,
+///     at: 0,
+///     survived: Duration::from_secs(seconds),
+///     is_alone: false,
+/// };
+/// let mut crashes = Vec::new();
+/// assert!(record(&mut crashes, crash("w1", 0), false));
+/// assert!(!record(&mut crashes, crash("w1", 0), false)); // known already
+/// assert!(record(&mut crashes, crash("w2", 9), false));
+/// assert_eq!(crashes.len(), 1); // the unit had got past the point of the first
+/// ```
 pub fn record(crashes: &mut Vec<Crash>, crash: Crash, is_long_running: bool) -> bool {
     if crashes.iter().any(|known| known.incarnation == crash.incarnation) {
         return false;
@@ -101,8 +124,8 @@
 }
 
 fn has_too_many(crashes: &[Crash]) -> bool {
-    crashes.len() >= MAX_CRASHES_ON_ONE
-        || crashes.len() >= MAX_CRASHES && count_instances(crashes.iter()) > 1
+    let are_recent = crashes.len() >= MAX_RECENT_CRASHES && crashes.iter().all(Crash::is_recent);
+    crashes.len() >= MAX_CRASHES || are_recent && count_instances(crashes.iter()) > 1
 }
 
 fn count_instances<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -62,7 +62,7 @@
     /// When the job reached a final state; `None` before.
     #[serde(rename = "finished")]
     pub finished_at: Option<UnixMs>,
-    /// The crashes for which the job was given up.
+    /// The first crashes, in the order of the units, for which the job was given up.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub fatal_crashes: Vec<Decision>,
     /// Occurrences by number, each from its first placement on; without a schedule,
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -18,6 +18,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Crashes that a job keeps at most as the reason why it was given up.
+const MAX_FATAL_CRASHES: usize = 32;
+
 /// Result of a command, for the client that waits for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -502,6 +505,7 @@
         events.push(Event::Crashed(key));
         if crash::is_deadly(units) {
             job.fatal_crashes = job.crash_facts();
+            job.fatal_crashes.truncate(MAX_FATAL_CRASHES);
             self.finish(key.job, State::Failed, at, events);
         }
     }
--- a/crates/sched/src/crash.rs
+++ b/crates/sched/src/crash.rs
@@ -23,6 +23,8 @@
     /// How long the worker is known to have answered after the run had begun; `None` if the run
     /// is not known to have begun.
     pub survived: Option<Duration>,
+    /// Whether the worker had fallen silent by [`jobs::crash::MAX_TRIAL_CRASH`] after the run began.
+    pub ended_at_start: bool,
 }
 
 /// Runs of a worker that was lost, in the order of their units.
@@ -46,6 +48,24 @@
 
 impl Loss {
     /// Returns whether a worker started later than the lost one, on its instance or at its address.
+    ///
+    /// ```
+    /// use jobs::Incarnation;
+    /// use sched::crash::Loss;
+    /// use std::time::Duration;
+    /// let loss = Loss {
+    ///     incarnation: Incarnation::new("w1", 5),
+    ///     instance: "m1".to_string(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     alive_at: Duration::ZERO,
+    ///     lost_at: Duration::ZERO,
+    ///     runs: Vec::new(),
+    ///     has_unplaced: false,
+    /// };
+    /// let elsewhere = "10.0.0.2:80".parse().unwrap();
+    /// assert!(loss.is_succeeded_by(&Incarnation::new("w2", 9), &"m1".to_string(), &elsewhere));
+    /// assert!(!loss.is_succeeded_by(&Incarnation::new("w2", 4), &"m1".to_string(), &elsewhere));
+    /// ```
     pub fn is_succeeded_by(
         &self,
         incarnation: &Incarnation,
@@ -74,7 +94,7 @@
             unit: run.unit,
             run: run.run,
             survived: run.survived.unwrap_or_default(),
-            is_alone: is_alone && run.survived.is_some(),
+            is_alone: is_alone && run.ended_at_start,
         });
         CrashList {
             incarnation: self.incarnation.clone(),
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -38,8 +38,19 @@
     pub worker: Option<WorkerId>,
     /// Crashes under units of the step on each instance.
     pub crashes: BTreeMap<InstanceId, usize>,
-    /// Whether it may begin on a reserved worker whose runs are no longer recent.
-    pub accepts_company: bool,
+    /// Beside which runs of other steps it may begin.
+    pub company: Company,
+}
+
+/// Runs beside which a trial may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Company {
+    /// None.
+    None,
+    /// Those that are no longer recent.
+    NotRecent,
+    /// Any.
+    Any,
 }
 
 /// A schedulable worker, with what it runs and what was placed on it in this decision.
@@ -148,6 +159,16 @@
         self.best_effort_runs += u32::from(run.best_effort);
     }
 
+    fn has_label(&self, step: &Step) -> bool {
+        step.requires.as_ref().is_none_or(|label| self.labels().contains(label))
+    }
+
+    /// Returns whether a unit of the step could run on the worker if nothing else did.
+    pub fn could_run(&self, step: &Step) -> bool {
+        let capacity = self.worker.report.as_ref().map(|report| report.capacity);
+        self.has_label(step) && capacity.is_some_and(|room| room.covers(&step.reserved_resources()))
+    }
+
     /// Returns whether a unit of the step may run on the worker.
     pub fn is_feasible(&self, request: &Request<'_>) -> bool {
         let Request { key, step, .. } = request;
@@ -156,7 +177,7 @@
         {
             return false;
         }
-        if step.requires.as_ref().is_some_and(|label| !self.labels().contains(label)) {
+        if !self.has_label(step) {
             return false;
         }
         let is_kept_apart = match request.trial {
@@ -179,12 +200,11 @@
             Some(worker) => worker == self.id,
             None if self.trial.is_some() => self.trial == Some(*key),
             None if self.is_idle => self.is_empty(),
-            None => {
-                trial.accepts_company
-                    && self.is_reserved
-                    && self.placed.is_empty()
-                    && !self.worker.has_recent_runs()
-            }
+            None => match trial.company {
+                Company::None => false,
+                Company::NotRecent => self.placed.is_empty() && !self.worker.has_recent_runs(),
+                Company::Any => true,
+            },
         }
     }
 }
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -229,13 +229,16 @@
         let pools: BTreeSet<&PoolName> = config.queues.values().map(|queue| &queue.pool).collect();
         let mut instances = self.instances_by_pool();
         let cores_per_instance = self.cores_per_instance();
+        let trials = self.waiting_trials(time, ledger);
         let mut demands = BTreeMap::new();
         for pool in pools {
             if config.pools.get(pool).is_some_and(|pool| pool.standby) {
                 continue;
             }
             let instances = instances.remove(pool).unwrap_or_default();
-            let desired = self.desired_instances(time, ledger, pool, cores_per_instance);
+            let waiting_trials = trials.get(pool).map_or(0, Vec::len);
+            let desired =
+                self.desired_instances(time, ledger, pool, cores_per_instance, waiting_trials);
             demands.insert(pool.clone(), PoolDemand { instances, desired });
         }
         demands
@@ -274,10 +277,11 @@
         ledger: &Ledger,
         pool: &PoolName,
         cores_per_instance: f64,
+        waiting_trials: usize,
     ) -> usize {
         let cores = self.arriving_cores(time, pool).max(self.queued_cores(time, ledger, pool));
         let for_work = (cores / (cores_per_instance * MEAN_UTILIZATION)).ceil() as usize;
-        let for_trials = self.waiting_trials(time, pool).div_ceil(TRIALS_PER_INSTANCE);
+        let for_trials = waiting_trials.div_ceil(TRIALS_PER_INSTANCE);
         self.long_running_instances(ledger, pool).max(MIN_INSTANCES) + for_work + for_trials
     }
 
--- a/crates/sched/src/scheduler/crashes.rs
+++ b/crates/sched/src/scheduler/crashes.rs
@@ -4,6 +4,7 @@
 use crate::crash::{Loss, LostRun, MAX_LOSS_AGE};
 use crate::roster::Report;
 use crate::worker::{Run, RunState};
+use jobs::crash::MAX_TRIAL_CRASH;
 use jobs::{Ledger, WorkerId};
 
 /// Units that a log line about a crash names at most.
@@ -77,6 +78,7 @@
         let worker = self.workers.get(id)?;
         let report = worker.report.as_ref().filter(|_| worker.accepts_starts())?;
         let alive_at = worker.last_proof_of_life();
+        let silent_since = worker.polling.unanswered_since.unwrap_or(time.monotonic);
         let runs: Vec<LostRun> = worker
             .runs
             .iter()
@@ -85,6 +87,9 @@
                 unit: *unit,
                 run: *number,
                 survived: run.survived_until(alive_at),
+                ended_at_start: run
+                    .started_at
+                    .is_some_and(|began| silent_since <= began + MAX_TRIAL_CRASH),
             })
             .collect();
         (!runs.is_empty()).then(|| Loss {
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -44,9 +44,11 @@
     pub(super) fn place(&mut self, time: Time, ledger: &Ledger) {
         let mut placed: BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>> = BTreeMap::new();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
+        let trials = self.waiting_trials(time, ledger);
         for pool in pools {
             self.effort.workers_examined += self.workers.len() as u64;
-            let plan = self.plan_pool(time, ledger, &pool);
+            let trials = trials.get(&pool).map_or(&[][..], Vec::as_slice);
+            let plan = self.plan_pool(time, ledger, &pool, trials);
             for placement in plan.placements {
                 self.add_proposed_run(time, &placement);
                 placed
@@ -68,14 +70,21 @@
         }
     }
 
-    /// Decides where the waiting units of one pool run.
-    fn plan_pool<'a>(&self, time: Time, ledger: &'a Ledger, pool: &PoolName) -> Plan<'a> {
+    /// Decides where the waiting units of one pool run; `trials` are its steps of which a trial may
+    /// begin.
+    fn plan_pool<'a>(
+        &self,
+        time: Time,
+        ledger: &'a Ledger,
+        pool: &PoolName,
+        trials: &[StepKey],
+    ) -> Plan<'a> {
         let mut plan = Plan::default();
         let Some(steps) = self.waiting.get(pool) else { return plan };
         let mut candidates = self.candidates(time, pool);
         let mut free_trials = self.free_trials(&candidates);
         if free_trials > 0 {
-            self.reserve_for_trials(time, pool, &mut candidates);
+            self.reserve_for_trials(ledger, trials, &mut candidates);
         }
         let mut largest = largest_free(&candidates);
         for (_, key) in self.ranked_steps(time, ledger, steps) {
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -181,6 +181,7 @@
     pub(super) fn record_unanswered(&mut self, time: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.polling.unanswered += 1;
+        worker.polling.unanswered_since.get_or_insert(time.monotonic);
         worker.polling.next_at = time.monotonic + FIRST_RETRY_DELAY;
         if worker.polling.is_silent(time.monotonic) && !worker.polling.silence_explained {
             worker.polling.silence_explained = true;
--- a/crates/sched/src/scheduler/trials.rs
+++ b/crates/sched/src/scheduler/trials.rs
@@ -5,8 +5,9 @@
 //! work, and a step of many deadly units takes down one worker after another and not its pool. A
 //! unit is cleared when it is done or has outlived the crashes under it.
 
-use super::{Scheduler, Time};
-use crate::place::{Candidate, Trial};
+use super::{LEASE_DURATION, Scheduler, Time};
+use crate::place::{Candidate, Company, Trial};
+use crate::worker::Run;
 use jobs::{InstanceId, Ledger, PoolName, StepKey, UnitKey, WorkerId, crash};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,6 +15,12 @@
 /// Time that a trial waits for a worker without runs. Then it shares one with runs that are no
 /// longer recent: a unit that waits 3 s beside free resources counts as lost.
 const MAX_WAIT_FOR_EMPTY: Duration = Duration::from_millis(1500);
+/// Time that a trial waits for a worker without recent runs. Then it goes on in any company, and
+/// proves nothing.
+const MAX_WAIT: Duration = Duration::from_secs(6);
+/// Time after which the units of a step no longer wait for its trial: as long as the lease of a
+/// worker that does not answer.
+const MAX_TRIAL_DURATION: Duration = LEASE_DURATION;
 /// Part of a pool's workers that answer on which trials go on at one time at most.
 const MAX_TRIAL_FRACTION: f64 = 0.5;
 /// Part of a pool's workers that get no other work, so that a trial finds room on them.
@@ -71,17 +78,24 @@
     pub(super) fn trial(&self, time: Time, ledger: &Ledger, key: &StepKey) -> Option<Trial> {
         let suspicion = self.suspicions.get(key)?;
         Some(Trial {
-            worker: self.trial_worker(key),
+            worker: self.trial_worker(time, key),
             crashes: self.count_crashes(ledger, key),
-            accepts_company: time.monotonic >= suspicion.since + MAX_WAIT_FOR_EMPTY,
+            company: match time.monotonic.saturating_sub(suspicion.since) {
+                waited if waited < MAX_WAIT_FOR_EMPTY => Company::None,
+                waited if waited < MAX_WAIT => Company::NotRecent,
+                _ => Company::Any,
+            },
         })
     }
 
-    /// Returns the worker on which a trial of a step goes on.
-    fn trial_worker(&self, key: &StepKey) -> Option<WorkerId> {
+    /// Returns the worker on which a trial of a step goes on. One that has not ended in time, on a
+    /// worker that does not answer, no longer counts.
+    fn trial_worker(&self, time: Time, key: &StepKey) -> Option<WorkerId> {
+        let is_open =
+            |run: &Run| run.is_trial && time.monotonic < run.placed_at + MAX_TRIAL_DURATION;
         let is_on_trial = |id: &&WorkerId| {
             let runs = self.workers.get(*id).map(|worker| worker.runs.range(key.range()));
-            runs.into_iter().flatten().any(|(_, run)| run.is_trial)
+            runs.into_iter().flatten().any(|(_, run)| is_open(run))
         };
         let placed = self.placed_on.range(key.unit(0)..=key.unit(u32::MAX));
         placed.flat_map(|(_, ids)| ids).find(is_on_trial).cloned()
@@ -96,37 +110,55 @@
         fraction_of(candidates.len(), MAX_TRIAL_FRACTION).saturating_sub(on_trial)
     }
 
-    /// Returns the number of trials that may begin in a pool and have not begun.
-    pub(super) fn waiting_trials(&self, time: Time, pool: &PoolName) -> usize {
-        let Some(steps) = self.waiting.get(pool) else { return 0 };
-        let is_waiting = |key: &&StepKey| {
-            let mut units = steps.get(*key).into_iter().flat_map(|waiting| waiting.units.values());
-            units.any(|not_before| *not_before <= time.monotonic)
-                && self.trial_worker(key).is_none()
-        };
-        self.suspicions.keys().filter(is_waiting).count()
+    /// Returns the steps of which a trial may begin and has not, by pool.
+    pub(super) fn waiting_trials(
+        &self,
+        time: Time,
+        ledger: &Ledger,
+    ) -> BTreeMap<PoolName, Vec<StepKey>> {
+        let mut trials: BTreeMap<PoolName, Vec<StepKey>> = BTreeMap::new();
+        for key in self.suspicions.keys() {
+            let Some(job) = ledger.job(key.job) else { continue };
+            let waiting = self.waiting.get(&job.pool).and_then(|steps| steps.get(key));
+            let mut units = waiting.into_iter().flat_map(|waiting| waiting.units.values());
+            let is_ready = units.any(|not_before| *not_before <= time.monotonic);
+            if is_ready && self.trial_worker(time, key).is_none() {
+                trials.entry(job.pool.clone()).or_default().push(*key);
+            }
+        }
+        trials
     }
 
-    /// Reserves workers for the trials of a pool that may begin and find no empty one: those with
-    /// the fewest runs, and without long-running ones first.
+    /// Reserves workers for trials that wait and find no empty one: those with the fewest runs,
+    /// and without long-running ones first.
     pub(super) fn reserve_for_trials(
         &self,
-        time: Time,
-        pool: &PoolName,
+        ledger: &Ledger,
+        trials: &[StepKey],
         candidates: &mut [Candidate<'_>],
     ) {
-        let trials = self.waiting_trials(time, pool);
-        let empty = candidates.iter().filter(|candidate| candidate.is_empty()).count();
-        let most = fraction_of(candidates.len(), MAX_RESERVED_FRACTION);
-        let mut order: Vec<&mut Candidate<'_>> = candidates
-            .iter_mut()
-            .filter(|candidate| !candidate.is_on_trial() && !candidate.is_empty())
-            .collect();
+        let mut free = fraction_of(candidates.len(), MAX_RESERVED_FRACTION);
+        let mut order: Vec<&mut Candidate<'_>> =
+            candidates.iter_mut().filter(|candidate| !candidate.is_on_trial()).collect();
         order.sort_by_key(|candidate| {
             (candidate.has_long_running(), candidate.worker.runs.len(), candidate.id)
         });
-        for candidate in order.into_iter().take(most.min(trials.saturating_sub(empty))) {
+        for key in trials {
+            let Some(job) = ledger.job(key.job) else { continue };
+            let step = &job.definition.steps[usize::from(key.step)];
+            let Some(position) = order.iter().position(|candidate| candidate.could_run(step))
+            else {
+                continue;
+            };
+            let candidate = order.remove(position);
+            if candidate.is_empty() {
+                continue; // it needs no reservation
+            }
             candidate.reserve_for_trial();
+            free -= 1;
+            if free == 0 {
+                return;
+            }
         }
     }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -144,6 +144,8 @@
     pub unanswered: u32,
     /// Consecutive polls without a usable answer.
     pub unanswered_polls: u32,
+    /// When the first of the consecutive polls and starts without a usable answer failed.
+    pub unanswered_since: Option<Duration>,
     /// When an order or poll was last answered.
     pub heard_at: Option<Duration>,
     /// Whether the present silence was explained in the process log.
@@ -168,6 +170,7 @@
     /// Records that an order or poll was answered.
     pub fn record_answer(&mut self, now: Duration) {
         self.heard_at = Some(now);
+        self.unanswered_since = None;
         self.unanswered = 0;
         self.silence_explained = false;
     }
--- a/crates/sched/tests/crashes.rs
+++ b/crates/sched/tests/crashes.rs
@@ -219,6 +219,67 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_suspected_gang_is_tried_where_every_worker_has_long_running_work() {
+    let mut world = World::new(4);
+    world.submit("q", "keep", vec![long_running(4, 1000)]);
+    world.run(seconds(3.0));
+    let gang = Step { gang: true, anti_affinity: 1, ..step(3, 5000, 600) };
+    submit(&mut world, "a", 5000, vec![gang]);
+    world.run(seconds(0.1));
+    let id = world.workers_running("a.0.0.0")[0].clone();
+    world.crash(&id);
+    world.run(seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_trial_that_no_worker_can_run_keeps_none_from_other_work() {
+    let mut world = World::new(2);
+    let worker = world.workers.get_mut("w0").unwrap();
+    worker.report.labels.push("large".to_string());
+    worker.report.number += 1;
+    world.report("w0");
+    let requires = Some("large".to_string());
+    submit(&mut world, "a", 600, vec![Step { requires, ..step(1, 1000, 600) }]);
+    world.run(seconds(0.1));
+    world.workers.get_mut("w0").unwrap().report.labels.pop();
+    world.crash("w0");
+    world.run(seconds(10.0));
+    let spread = Step { anti_affinity: 1, ..step(2, 1000, 10_000) };
+    submit(&mut world, "b", 10_000, vec![spread]);
+    world.run(seconds(1.0));
+    submit(&mut world, "c", 10_000, vec![step(14, 1000, 10_000)]);
+    world.run(seconds(1.0));
+    assert_eq!(world.starts.len(), 17, "both workers are full");
+}
+
+#[test]
+fn units_of_a_step_do_not_wait_for_a_trial_on_a_worker_that_is_cut_off() {
+    let mut world = World::new(6);
+    submit(&mut world, "a", 30_000, vec![step(2, 5000, 30_000)]);
+    world.run(seconds(0.1));
+    for name in ["a.0.0.0", "a.0.0.1"] {
+        let id = world.workers_running(name)[0].clone();
+        world.crash(&id);
+    }
+    for worker in world.workers.values_mut() {
+        (worker.loses_start_answers, worker.executes_lost_starts) = (true, false);
+        worker.start_orders = 0;
+    }
+    let first = loop {
+        world.run(world::TICK);
+        if let Some((id, _)) = world.workers.iter().find(|(_, worker)| worker.start_orders > 0) {
+            break id.clone();
+        }
+    };
+    world.workers.values_mut().for_each(|worker| worker.loses_start_answers = false);
+    world.workers.get_mut(&first).unwrap().partitioned = true;
+    let before = world.starts.len();
+    world.run(seconds(8.0));
+    assert!(world.starts.len() > before, "the other unit fits elsewhere");
+}
+
 #[test]
 fn a_worker_that_is_cut_off_puts_no_unit_under_suspicion() {
     let mut world = World::new(4);
