--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -100,7 +100,7 @@
     /// Runs that are, or may be, on a worker.
     #[serde(rename = "p", skip_serializing_if = "Vec::is_empty")]
     pub placements: Vec<Placement>,
-    /// Crashes of workers that had a run of the unit, those that a later run outlived left out.
+    /// Crashes of workers that had a run of the unit, without those of another cause than the last.
     #[serde(rename = "x", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
 }
