Jobs, control, platform: keys of client accounts, and owners of jobs

Cause: accounts, keys and public queues of a configuration were passed over, so that each call was served with any key or none, and a withdrawn key went on being served. Change: configurations declare accounts; two that share a key or a name are refused and named. The key travels with the call to the leader, which checks it against the configuration in force under its lease. The owner is part of the command that accepts a job and of the ledger. An account that a version drops keeps its cap while it owns unfinished jobs. Keys appear as digests only. Without accounts the stored bytes are as before.

--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -2,8 +2,9 @@
 //! them to the leader.
 
 use super::{Core, ForwardedRequest, PendingProposal, ReplyTo};
+use jobs::account::Access;
 use jobs::command::{Cancel, Command, Submit};
-use jobs::{Outcome, QueueName, Wave};
+use jobs::{AccountName, Definition, Outcome, QueueName, Wave};
 use log::{debug, info};
 use mesh::request::Location;
 use mesh::{Frame, LeaderRequest, Reply};
@@ -12,6 +13,19 @@
 /// Hexadecimal digits of a job id, which clients choose at random.
 const JOB_ID_DIGITS: usize = 16;
 
+/// A client's request for a job, by the configuration in force.
+struct Call {
+    queue: QueueName,
+    id: String,
+    /// Account that the request counts for; `None` for a public queue or without accounts.
+    owner: Option<AccountName>,
+}
+
+/// Returns the reply to the submission of a job whose name another account has used.
+fn name_is_taken() -> Reply {
+    Reply::Invalid("the job's name is taken by another account".to_string())
+}
+
 impl Core {
     /// Answers a request if this process leads with a valid lease. Requests for what is
     /// already in force are answered without a new log entry.
@@ -25,21 +39,14 @@
             return;
         }
         match request {
-            LeaderRequest::Submit { location, definition } => match self.queue_and_id(&location) {
-                Ok((queue, id)) => {
-                    let known = self.ledger.find_job(&queue, &id).is_some();
-                    if known {
-                        self.reply(reply, Reply::Done);
-                        return;
-                    }
-                    let submit = Submit { queue, id, definition: *definition, at: time.wall };
-                    self.propose(time, Command::Submit(submit), reply);
-                }
+            LeaderRequest::Submit { location, definition } => match self.call(&location) {
+                Ok(call) => self.submit(time, call, *definition, reply),
                 Err(refusal) => self.reply(reply, refusal),
             },
-            LeaderRequest::Cancel(location) => match self.queue_and_id(&location) {
-                Ok((queue, id)) => {
+            LeaderRequest::Cancel(location) => match self.call(&location) {
+                Ok(Call { queue, id, owner }) => {
                     let job = self.ledger.find_job(&queue, &id);
+                    let job = job.filter(|job| job.is_open_to(owner.as_ref()));
                     match job.map(|job| job.state.is_final()) {
                         None => self.reply(reply, Reply::Missing),
                         Some(true) => self.reply(reply, Reply::Done),
@@ -52,7 +59,7 @@
                 Err(refusal) => self.reply(reply, refusal),
             },
             LeaderRequest::State(location) => {
-                let answer = self.state(&location);
+                let answer = self.state(&location).unwrap_or_else(|refusal| refusal);
                 self.reply(reply, answer);
             }
             LeaderRequest::Configure(config) => {
@@ -96,39 +103,68 @@
         }
     }
 
-    /// Returns the queue and job id that a location names, or the reply that refuses it.
-    fn queue_and_id(&self, location: &Location) -> Result<(QueueName, String), Reply> {
-        let Some(config) = self.ledger.config() else {
-            return Err(Reply::NotTaken("no configuration is in force".to_string()));
-        };
-        let Some((queue, id)) = config.route(&location.host, &location.path) else {
-            return Err(Reply::NoQueue);
-        };
+    /// Accepts a job, or answers for one that is known already.
+    fn submit(&mut self, time: Time, call: Call, definition: Definition, reply: ReplyTo) {
+        let Call { queue, id, owner } = call;
+        if let Some(job) = self.ledger.find_job(&queue, &id) {
+            let is_open = job.is_open_to(owner.as_ref());
+            self.reply(reply, if is_open { Reply::Done } else { name_is_taken() });
+            return;
+        }
+        let submit = Submit { queue, id, definition, owner, at: time.wall };
+        self.propose(time, Command::Submit(submit), reply);
+    }
+
+    /// Returns what a client's request asks for and whom it counts for, or the reply that refuses
+    /// it.
+    fn call(&self, location: &Location) -> Result<Call, Reply> {
+        let (queue, id) = self.route(location)?;
+        let owner = self.owner(queue, location)?;
         let is_job_id = id.len() == JOB_ID_DIGITS && id.bytes().all(|b| b.is_ascii_hexdigit());
         if !is_job_id {
             return Err(Reply::Invalid(format!("path: \"{id}\" is no name of a job")));
         }
-        Ok((queue.clone(), id.to_string()))
+        Ok(Call { queue: queue.clone(), id: id.to_string(), owner })
     }
 
-    /// State of the job at a location, or the number of pending jobs if it names a queue.
-    fn state(&self, location: &Location) -> Reply {
+    /// Returns the queue that a location names and the rest of the path.
+    fn route<'a>(&'a self, location: &'a Location) -> Result<(&'a QueueName, &'a str), Reply> {
         let Some(config) = self.ledger.config() else {
-            return Reply::NotTaken("no configuration is in force".to_string());
+            return Err(Reply::NotTaken("no configuration is in force".to_string()));
         };
-        match config.route(&location.host, &location.path) {
-            None => Reply::NoQueue,
-            Some((queue, "")) => {
-                let scheduler = self.leadership.as_ref().map(|leadership| &leadership.scheduler);
-                Reply::Pending(scheduler.map_or(0, |s| s.pending_count(queue)) as u64)
+        config.route(&location.host, &location.path).ok_or(Reply::NoQueue)
+    }
+
+    /// Returns the account that a request counts for by the configuration in force; `None` for a
+    /// public queue or without accounts.
+    fn owner(&self, queue: &QueueName, location: &Location) -> Result<Option<AccountName>, Reply> {
+        let config = self.ledger.config();
+        match config.map(|config| config.access(queue, location.key.as_ref())) {
+            Some(Access::Owner(owner)) => Ok(Some(owner)),
+            Some(Access::Open) | None => Ok(None),
+            Some(Access::Denied(denial)) => {
+                metrics::counter!("requests_denied_total", "reason" => denial.label()).increment(1);
+                Err(Reply::Unauthorized(denial.to_string()))
             }
-            Some((queue, id)) => match self.ledger.find_job(queue, id) {
-                Some(job) => Reply::State(job.state),
-                None => Reply::Missing,
-            },
         }
     }
 
+    /// State of the job at a location, or the number of pending jobs if it names a queue.
+    fn state(&self, location: &Location) -> Result<Reply, Reply> {
+        let (queue, id) = self.route(location)?;
+        if id.is_empty() {
+            // The number concerns no job, so it needs no key; a wrong one is refused all the same.
+            if location.key.is_some() {
+                self.owner(queue, location)?;
+            }
+            let scheduler = self.leadership.as_ref().map(|leadership| &leadership.scheduler);
+            return Ok(Reply::Pending(scheduler.map_or(0, |s| s.pending_count(queue)) as u64));
+        }
+        let owner = self.owner(queue, location)?;
+        let job = self.ledger.find_job(queue, id).filter(|job| job.is_open_to(owner.as_ref()));
+        Ok(job.map_or(Reply::Missing, |job| Reply::State(job.state)))
+    }
+
     /// Proposes a command to the log. The reply follows once it is applied.
     fn propose(&mut self, time: Time, command: Command, reply: ReplyTo) {
         match self.node.propose(time.monotonic, super::effects::encode(&command)) {
@@ -190,6 +226,7 @@
                 Outcome::OtherQueue => {
                     Reply::Invalid("the job is in another queue already".to_string())
                 }
+                Outcome::OtherAccount => name_is_taken(),
                 Outcome::Missing => Reply::NoQueue,
             }
         };
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -42,7 +42,7 @@
 }
 
 fn location(id: u64) -> Location {
-    Location { host: "h".to_string(), path: format!("/q/{id:016x}") }
+    Location { host: "h".to_string(), path: format!("/q/{id:016x}"), key: None }
 }
 
 fn submit(id: u64) -> LeaderRequest {
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -1,3 +1,5 @@
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
 //! Three cores with in-memory disks and links, on a simulated clock.
 
 use async_std::channel::{Receiver, bounded};
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -2,8 +2,8 @@
 
 use crate::wave::Phase;
 use crate::{
-    Config, Decision, Definition, Incarnation, InstanceId, JobId, PoolName, QueueName, RunNumber,
-    UnitKey, UnixMs, Wave, WaveId,
+    AccountName, Config, Decision, Definition, Incarnation, InstanceId, JobId, PoolName, QueueName,
+    RunNumber, UnitKey, UnixMs, Wave, WaveId,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -42,6 +42,9 @@
     /// The client's description of the job.
     #[serde(rename = "order")]
     pub definition: Definition,
+    /// Account that submits the job; `None` for a public queue or without accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<AccountName>,
     /// Wall clock time of the leader that proposed the command.
     pub at: UnixMs,
 }
--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: queues, pools and request limits, replaced as a whole by version.
 
+use crate::account::{Access, Accounts, Denial, Key};
 use crate::{PoolName, QueueName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -47,6 +48,9 @@
     pub pools: BTreeMap<PoolName, Pool>,
     /// Limits for requests.
     pub limits: Limits,
+    /// Client accounts; `None` if the configuration does not use them, so that calls need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accounts: Option<Accounts>,
     /// The document as the operator sent it, returned unchanged to readers.
     #[serde(with = "serde_bytes")]
     pub document: Vec<u8>,
@@ -75,6 +79,9 @@
     /// Number of failed runs of a unit, or of all units of a gang together, after which the
     /// job fails; 0 counts as 1. Does not apply to long-running steps.
     pub max_attempts: u32,
+    /// Whether calls need no key.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
     /// Timing of the queue's policy, which allows only some workers; `None` for no policy.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub advice: Option<Advice>,
@@ -173,4 +180,30 @@
             .max_by_key(|(length, ..)| *length)
             .map(|(_, name, job_path)| (name, job_path))
     }
+
+    /// Returns whom a call to a queue with this key counts for.
+    ///
+    /// ```
+    /// use jobs::account::{Access, Account, Accounts, Key};
+    /// let mut config = jobs::Config::default();
+    /// config.queues.insert("q".into(), jobs::Queue::default());
+    /// let queue = "q".to_string();
+    /// assert_eq!(config.access(&queue, None), Access::Open);
+    /// let mut accounts = Accounts::default();
+    /// accounts.add("a", Account::default(), [Key::new("k")]).unwrap();
+    /// config.accounts = Some(accounts);
+    /// assert_eq!(config.access(&queue, Some(&Key::new("k"))), Access::Owner("a".into()));
+    /// assert!(matches!(config.access(&queue, None), Access::Denied(_)));
+    /// ```
+    pub fn access(&self, queue: &QueueName, key: Option<&Key>) -> Access {
+        let Some(accounts) = &self.accounts else { return Access::Open };
+        if self.queues.get(queue).is_some_and(|queue| queue.public) {
+            return Access::Open;
+        }
+        let Some(key) = key else { return Access::Denied(Denial::NoKey(queue.clone())) };
+        match accounts.owner(key) {
+            Some(owner) => Access::Owner(owner.clone()),
+            None => Access::Denied(Denial::UnknownKey(key.digest())),
+        }
+    }
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,7 +2,9 @@
 
 use crate::command::EndReason;
 use crate::crash::Crash;
-use crate::{Decision, Definition, Incarnation, JobId, PoolName, QueueName, RunNumber, UnixMs};
+use crate::{
+    AccountName, Decision, Definition, Incarnation, JobId, PoolName, QueueName, RunNumber, UnixMs,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -37,6 +39,10 @@
     pub id: JobId,
     /// Queue of the job.
     pub queue: QueueName,
+    /// Account that submitted the job; `None` for a public queue, or from before there were
+    /// accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<AccountName>,
     /// Pool that runs the job, from the newest configuration that has the queue.
     pub pool: PoolName,
     /// Priority of the queue at acceptance; 0 comes first.
@@ -134,6 +140,12 @@
         self.occurrences.entry(number).or_insert_with(|| Occurrence::new(steps))
     }
 
+    /// Returns whether calls of an account may see and change the job; `None` is a call to a public
+    /// queue, or without accounts. A job without an owner is open to all.
+    pub fn is_open_to(&self, account: Option<&AccountName>) -> bool {
+        self.owner.is_none() || account.is_none() || self.owner.as_ref() == account
+    }
+
     /// Returns a unit; `None` if its occurrence is not stored or has no such unit.
     pub fn unit(&self, occurrence: u32, step: u16, index: u32) -> Option<&Unit> {
         self.occurrences
@@ -180,7 +192,10 @@
     pub fn explain(&self) -> Vec<Decision> {
         let subject = format!("job {}", self.id);
         let fact = |at, text| Decision { at, subject: subject.clone(), text };
-        let accepted = format!("accepted in queue {} for pool {}", self.queue, self.pool);
+        let mut accepted = format!("accepted in queue {} for pool {}", self.queue, self.pool);
+        if let Some(owner) = &self.owner {
+            accepted.push_str(&format!(", account {owner}"));
+        }
         let mut facts = vec![fact(self.accepted_at, accepted)];
         for (number, occurrence) in &self.occurrences {
             for step in 0..occurrence.steps.len() as u16 {
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -3,6 +3,7 @@
 //! Commands are applied in the order of the log, and applying the same commands gives
 //! the same state on every replica, so nothing here reads a clock or other input.
 
+use crate::account::Account;
 use crate::command::{
     Batch, Cancel, Command, CrashList, Discarded, End, EndList, EndReason, MaintenanceChange,
     MoveChange, Placed, Submit,
@@ -11,11 +12,11 @@
 use crate::job::{Job, Placement, State, Unit};
 use crate::wave::{Phase, Wave};
 use crate::{
-    Config, Decision, Incarnation, InstanceId, JobId, JobNumber, Journal, PoolName, QueueName,
-    RunNumber, StepKey, UnitKey, UnixMs, WaveId, WorkerId,
+    AccountName, Config, Decision, Incarnation, InstanceId, JobId, JobNumber, Journal, PoolName,
+    QueueName, RunNumber, StepKey, UnitKey, UnixMs, WaveId, WorkerId,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Crashes that a job keeps at most as the reason why it was given up.
@@ -30,6 +31,8 @@
     Accepted,
     /// A job with this name exists in another queue.
     OtherQueue,
+    /// A job with this name belongs to another account.
+    OtherAccount,
     /// The queue, job, wave or instance that the command names does not exist.
     Missing,
 }
@@ -107,6 +110,9 @@
 pub struct Ledger {
     retention: Duration,
     config: Option<Config>,
+    /// Accounts that the configuration in force no longer has, while they own unfinished jobs.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    former_accounts: BTreeMap<AccountName, Account>,
     jobs: BTreeMap<JobNumber, Job>,
     /// Numbers of the jobs by name. A name exists only once in all queues.
     by_id: BTreeMap<JobId, JobNumber>,
@@ -133,6 +139,7 @@
         Ledger {
             retention,
             config: None,
+            former_accounts: BTreeMap::new(),
             jobs: BTreeMap::new(),
             by_id: BTreeMap::new(),
             next_job: 1,
@@ -150,6 +157,19 @@
         self.config.as_ref()
     }
 
+    /// Returns whether client accounts limit or rank any job.
+    pub fn uses_accounts(&self) -> bool {
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.accounts.is_some()) || !self.former_accounts.is_empty()
+    }
+
+    /// Returns an account, also one that the configuration in force no longer has while it owns
+    /// unfinished jobs.
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        let accounts = self.config.as_ref().and_then(|config| config.accounts.as_ref());
+        accounts.and_then(|accounts| accounts.get(name)).or_else(|| self.former_accounts.get(name))
+    }
+
     /// Returns all jobs, finished ones until their retention ends.
     pub fn jobs(&self) -> &BTreeMap<JobNumber, Job> {
         &self.jobs
@@ -289,12 +309,33 @@
             config.queues.len(),
             config.pools.len()
         );
+        let text = match &config.accounts {
+            Some(accounts) => format!("{text}, {} accounts", accounts.by_name().len()),
+            None => text,
+        };
         self.record_decision("configuration".to_string(), text);
+        self.keep_former_accounts(&config);
         self.config = Some(config);
         events.push(Event::Configured);
         Outcome::Done
     }
 
+    /// Keeps the accounts that a configuration drops and that own unfinished jobs: without its cap
+    /// an account would be unlimited.
+    fn keep_former_accounts(&mut self, config: &Config) {
+        let current = self.config.as_mut().and_then(|config| config.accounts.take());
+        let mut former = std::mem::take(&mut self.former_accounts);
+        former.extend(current.map(|accounts| accounts.by_name().clone()).unwrap_or_default());
+        let unfinished = self.jobs.values().filter(|job| !job.state.is_final());
+        let owners: BTreeSet<&AccountName> =
+            unfinished.filter_map(|job| job.owner.as_ref()).collect();
+        let is_declared = |name: &str| {
+            config.accounts.as_ref().is_some_and(|accounts| accounts.get(name).is_some())
+        };
+        former.retain(|name, _| owners.contains(name) && !is_declared(name));
+        self.former_accounts = former;
+    }
+
     fn record_decision(&mut self, subject: String, text: String) {
         self.journal.add(Decision { at: self.latest_at, subject, text });
     }
@@ -304,8 +345,12 @@
         self.latest_at = self.latest_at.max(submit.at);
         self.remove_expired_jobs(submit.at);
         if let Some(number) = self.by_id.get(&submit.id) {
-            let same_queue = self.jobs.get(number).is_some_and(|job| job.queue == submit.queue);
-            return if same_queue { Outcome::Accepted } else { Outcome::OtherQueue };
+            let Some(job) = self.jobs.get(number) else { return Outcome::Missing };
+            return match (job.queue == submit.queue, job.is_open_to(submit.owner.as_ref())) {
+                (false, _) => Outcome::OtherQueue,
+                (true, false) => Outcome::OtherAccount,
+                (true, true) => Outcome::Accepted,
+            };
         }
         let queue = self.config.as_ref().and_then(|config| config.queues.get(&submit.queue));
         let Some(queue) = queue else { return Outcome::Missing };
@@ -314,6 +359,7 @@
         let mut job = Job {
             id: submit.id.clone(),
             queue: submit.queue,
+            owner: submit.owner,
             pool: queue.pool.clone(),
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! cancellations, the worker that each run was placed on, acknowledged ends of runs,
 //! maintenance waves and moves of instances.
 
+pub mod account;
 pub mod command;
 pub mod config;
 pub mod crash;
@@ -14,6 +15,7 @@
 pub mod ledger;
 pub mod wave;
 
+pub use account::{Account, Accounts};
 pub use command::{Batch, Command};
 pub use config::{Config, Limits, Pool, Queue};
 pub use definition::{Definition, Step};
@@ -25,6 +27,8 @@
 use serde::{Deserialize, Serialize};
 use std::ops::RangeInclusive;
 
+/// Name of a client account.
+pub type AccountName = String;
 /// Name of a queue.
 pub type QueueName = String;
 /// Name of a pool of workers.
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -1,5 +1,6 @@
 //! Requests of clients and operators to the leader, and its replies.
 
+use jobs::account::Key;
 use jobs::{Config, Definition, InstanceId, State, WaveId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -42,13 +43,16 @@
     Wave(WaveId),
 }
 
-/// Host and path of a client's request.
+/// Host, path and key of a client's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Location {
     /// Host header of the request; empty if it had none.
     pub host: String,
     /// Path of the request URL.
     pub path: String,
+    /// Key of the client's account; `None` if the request had none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<Key>,
 }
 
 /// Reply of the leader to a [`LeaderRequest`].
@@ -73,6 +77,9 @@
     Missing,
     /// The request is invalid, for this reason.
     Invalid(String),
+    /// The request has no key of an account, or an unknown one, for this reason. Edges from before
+    /// accounts existed can't read it; they have to be replaced before accounts are configured.
+    Unauthorized(String),
     /// The request was not carried out and will not be, for this reason. The sender
     /// may send it again.
     NotTaken(String),
--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -123,7 +123,7 @@
         let definition = Definition { spec: "x".repeat(1000), steps: vec![step], schedule: None };
         let at = self.time().wall;
         let (queue, id) = (format!("q{pool}"), format!("{number:016x}"));
-        self.apply(Command::Submit(Submit { queue, id, definition, at }));
+        self.apply(Command::Submit(Submit { queue, id, definition, owner: None, at }));
     }
 
     fn tick(&mut self) {
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -285,9 +285,15 @@
     }
 
     pub fn submit(&mut self, queue: &str, id: &str, steps: Vec<Step>) {
+        self.submit_for(None, queue, id, steps);
+    }
+
+    /// Submits a job of an account.
+    pub fn submit_for(&mut self, owner: Option<&str>, queue: &str, id: &str, steps: Vec<Step>) {
         let definition = JobDefinition { spec: id.to_string(), steps, schedule: None };
         let at = self.time().wall;
-        let submit = Submit { queue: queue.to_string(), id: id.to_string(), definition, at };
+        let owner = owner.map(str::to_string);
+        let submit = Submit { queue: queue.to_string(), id: id.to_string(), definition, owner, at };
         self.apply(Command::Submit(submit));
     }
 
