Sched: caps, shares and rates of client accounts

Cause: nothing bounded what an account has running, and a full pool served whoever sent most. A unit that was on its way when a configuration lowered a cap would start all the same. Change: usage sums up by worker all that an account may have running; a placement takes from the account's budget before it is proposed and is checked again before its start is sent if the configuration has changed meanwhile. A token bucket tells the jobs that an account is owed service for; the others are placed last. Where waiting work does not fit, steps are placed in two passes, the first within the accounts' shares. Without accounts one pass is made, as before. A first form counted all starts that may come late and kept an account at its cap waiting 15 s after a change of leader; the test of a new leader showed it. Taking out the second check of the cap fails its test.

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -118,6 +118,8 @@
     pub grace_s: Option<f64>,
     /// How long the state of a job stays readable after its end, in seconds.
     pub status_s: Option<f64>,
+    /// Time over which the rate of an account's jobs is averaged, in seconds.
+    pub rate_window_s: Option<f64>,
 }
 
 /// Default for [`Bounds::status_s`].
@@ -215,6 +217,7 @@
             far_factor: self.far_factor.unwrap_or(defaults.far_factor),
             move_duration: s(self.move_s, defaults.move_duration),
             maintenance_duration: s(self.upkeep_s, defaults.maintenance_duration),
+            rate_window: s(self.rate_window_s, defaults.rate_window),
         }
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,10 +12,14 @@
 pub mod lease;
 pub mod order;
 pub mod place;
+pub mod quota;
 pub mod rank;
+pub mod rate;
 pub mod roster;
 pub mod scheduler;
 pub mod settings;
+pub mod share;
+pub mod usage;
 pub mod worker;
 
 pub use instance::Instance;
--- a/crates/sched/src/rank.rs
+++ b/crates/sched/src/rank.rs
@@ -3,7 +3,8 @@
 //! Steps are ranked by class, then by the priority of the queue, then by the remaining work
 //! of the job divided by its value, least first, then by the time of acceptance. The class
 //! says whether the job can still meet its objective; it goes first so that a load peak of
-//! several times the pool's capacity delays few jobs. A job's value grows with its total
+//! several times the pool's capacity delays few jobs. Jobs beyond what their account is owed come
+//! last. A job's value grows with its total
 //! work up to a limit. Long-running and overdue steps are ranked without the work and the
 //! value.
 
@@ -26,6 +27,8 @@
     pub priority: u32,
     /// Whether the step runs until its job is cancelled.
     pub long_running: bool,
+    /// Whether the job is beyond what its account is owed.
+    pub is_excess: bool,
     /// When the job was accepted, on the leader's monotonic clock; for a later occurrence
     /// moved by the time between the due times.
     pub accepted_at: Duration,
@@ -42,6 +45,7 @@
 /// Position of a step in the placement order; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rank {
+    is_excess: bool,
     class: Class,
     priority: u32,
     cost: f64,
@@ -87,7 +91,8 @@
             Class::LongRunning | Class::Overdue => 0.0,
             Class::InTime | Class::Late => self.remaining_work / value,
         };
-        Rank { class, priority: self.priority, cost, accepted_at: self.accepted_at }
+        let is_excess = self.is_excess && class != Class::LongRunning;
+        Rank { is_excess, class, priority: self.priority, cost, accepted_at: self.accepted_at }
     }
 }
 
@@ -95,8 +100,9 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Rank) -> Ordering {
-        self.class
-            .cmp(&other.class)
+        self.is_excess
+            .cmp(&other.is_excess)
+            .then(self.class.cmp(&other.class))
             .then(self.priority.cmp(&other.priority))
             .then(self.cost.total_cmp(&other.cost))
             .then(self.accepted_at.cmp(&other.accepted_at))
--- /dev/null
+++ b/crates/sched/src/scheduler/accounts.rs
@@ -0,0 +1,113 @@
+//! Caps, shares and rates of client accounts in the decisions of a leader.
+//!
+//! Nothing here has an effect while the ledger has no accounts.
+
+use super::{Scheduler, Waiting};
+use crate::place::Candidate;
+use crate::quota::{self, Allowance};
+use crate::share::{self, Member};
+use crate::usage;
+use jobs::definition::Resources;
+use jobs::{AccountName, JobNumber, Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
+use std::collections::BTreeMap;
+
+impl Scheduler {
+    /// Counts an accepted job for the rate of its account.
+    pub(super) fn record_rate(&mut self, ledger: &Ledger, number: JobNumber) {
+        let Some(job) = ledger.job(number) else { return };
+        let Some(owner) = &job.owner else { return };
+        let weight = ledger.account(owner).map_or(0.0, |account| account.weight);
+        let is_excess = self.rates.record(owner, weight, job.accepted_at);
+        if is_excess && !job.state.is_final() {
+            self.excess_jobs.insert(number);
+        }
+    }
+
+    /// Sums up again what accounts may have in use on the workers that have changed.
+    pub(super) fn update_usage(&mut self, ledger: &Ledger) {
+        if !ledger.uses_accounts() {
+            return;
+        }
+        for (id, worker) in &mut self.workers {
+            if std::mem::take(&mut worker.usage_changed) {
+                self.usage.replace(id, usage::of_worker(worker, ledger));
+            }
+        }
+    }
+
+    /// Returns whether a run that was placed under an earlier configuration no longer fits under
+    /// the cap of its account, so that its start must not be sent.
+    pub(super) fn exceeds_new_cap(
+        &mut self,
+        ledger: &Ledger,
+        id: &WorkerId,
+        unit: UnitKey,
+        number: RunNumber,
+    ) -> bool {
+        let Some(configured_at) = self.configured_at else { return false };
+        let run = self.workers.get(id).and_then(|worker| worker.runs.get(&(unit, number)));
+        if run.is_none_or(|run| run.placed_at > configured_at) {
+            return false;
+        }
+        let Some(job) = ledger.job(unit.job) else { return false };
+        let Some(owner) = &job.owner else { return false };
+        self.update_usage(ledger);
+        let resources = &job.definition.steps[usize::from(unit.step)].resources;
+        quota::under_cap(ledger, &self.usage, owner).is_exceeded_by(resources)
+    }
+
+    /// Returns the shares that accounts with work in a pool have of it; `None` if the ledger has no
+    /// accounts, or if all waiting work fits.
+    pub(super) fn shares(
+        &self,
+        ledger: &Ledger,
+        pool: &PoolName,
+        steps: &BTreeMap<StepKey, Waiting>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<BTreeMap<AccountName, Allowance>> {
+        if !ledger.uses_accounts() || fits_all(ledger, steps, candidates) {
+            return None;
+        }
+        let mut capacity = Resources::default();
+        let mut members: BTreeMap<AccountName, Member> = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            let Some(report) = worker.report.as_ref().filter(|report| report.pool == *pool) else {
+                continue;
+            };
+            capacity = capacity.plus(&report.capacity);
+            for (account, used) in self.usage.on(id).into_iter().flatten() {
+                let member = members.entry(account.clone()).or_default();
+                member.used = member.used.plus(used);
+            }
+        }
+        let owners = steps.keys().filter_map(|key| ledger.job(key.job)?.owner.as_ref());
+        for owner in owners {
+            if !members.contains_key(owner) {
+                members.insert(owner.clone(), Member::default());
+            }
+        }
+        for (name, member) in &mut members {
+            member.weight = ledger.account(name).map_or(0.0, |account| account.weight);
+        }
+        Some(share::allowances(&capacity, &members))
+    }
+}
+
+/// Returns whether the free processor time and memory suffice for all waiting units.
+fn fits_all(
+    ledger: &Ledger,
+    steps: &BTreeMap<StepKey, Waiting>,
+    candidates: &[Candidate<'_>],
+) -> bool {
+    let free = candidates.iter().fold(Resources::default(), |sum, c| sum.plus(&c.free));
+    let mut wanted = Resources::default();
+    for (key, waiting) in steps {
+        let Some(job) = ledger.job(key.job) else { continue };
+        let unit = job.definition.steps[usize::from(key.step)].reserved_resources();
+        let count = waiting.units.len() as u64;
+        wanted.cpu_milli += unit.cpu_milli * count;
+        wanted.memory_mb += unit.memory_mb * count;
+        wanted.accelerators += unit.accelerators * count;
+    }
+    free.covers(&wanted)
+}
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! these, [`Scheduler::decide`] derives commands to propose to the log and orders to
 //! send. The state is rebuilt from the ledger whenever a leader takes over.
 
+mod accounts;
 mod advice;
 mod balance;
 mod crashes;
@@ -23,7 +24,9 @@
 use crate::lease::Lease;
 use crate::order::{Order, Reply};
 use crate::rank::Criteria;
+use crate::rate::Rates;
 use crate::roster::{Report, Roster};
+use crate::usage::Usage;
 use crate::worker::{Run, RunState, StopReason, Worker};
 use crate::{Fence, Settings};
 use jobs::command::{Batch, Command};
@@ -143,6 +146,13 @@
     instances: BTreeMap<InstanceId, Instance>,
     /// Most recently started worker that has reported from each instance.
     worker_by_instance: BTreeMap<InstanceId, WorkerId>,
+    /// What client accounts may have running.
+    usage: Usage,
+    rates: Rates,
+    /// Unfinished jobs beyond what their accounts are owed.
+    excess_jobs: BTreeSet<JobNumber>,
+    /// When the last configuration came into force under this leader.
+    configured_at: Option<Duration>,
     advice: advice::AdviceState,
     maintenance: maintenance::MaintenanceState,
     balance: balance::BalanceState,
@@ -190,6 +200,7 @@
         ledger: &Ledger,
         roster: &Roster,
     ) -> Scheduler {
+        let rates = Rates::new(settings.rate_window);
         let mut scheduler = Scheduler {
             settings,
             fence,
@@ -207,6 +218,10 @@
             mean_job_work: BTreeMap::new(),
             instances: BTreeMap::new(),
             worker_by_instance: BTreeMap::new(),
+            usage: Usage::default(),
+            rates,
+            excess_jobs: BTreeSet::new(),
+            configured_at: None,
             advice: advice::AdviceState::default(),
             maintenance: maintenance::MaintenanceState::default(),
             balance: balance::BalanceState::default(),
@@ -275,6 +290,7 @@
     /// Takes over the jobs, runs, waves and moves that the ledger holds.
     fn inherit(&mut self, time: Time, ledger: &Ledger) {
         for (number, job) in ledger.jobs() {
+            self.record_rate(ledger, *number);
             let age = Duration::from_millis(time.wall.saturating_sub(job.accepted_at));
             self.accepted_at.insert(*number, time.monotonic.saturating_sub(age));
             for (occurrence, state) in &job.occurrences {
@@ -459,13 +475,17 @@
     /// Applies an event of a committed log entry.
     pub fn on_event(&mut self, time: Time, ledger: &Ledger, event: &Event) {
         match event {
-            Event::Configured => self.regroup_by_pool(ledger),
+            Event::Configured => {
+                self.configured_at = Some(time.monotonic);
+                self.regroup_by_pool(ledger);
+            }
             Event::Accepted(number) => {
                 self.accepted_at.insert(*number, time.monotonic);
                 if let Some(job) = ledger.job(*number) {
                     self.pending_jobs.entry(job.queue.clone()).or_default().insert(*number);
                 }
                 self.record_job_work(ledger, *number);
+                self.record_rate(ledger, *number);
                 self.record_arrival(time, ledger, *number);
                 self.enqueue_job(time, ledger, *number);
             }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -5,6 +5,7 @@
 
 use super::{Scheduler, Time, Waiting, advice};
 use crate::place::{self, Candidate, Request};
+use crate::quota::{Allowance, Budget};
 use crate::rank::Rank;
 use crate::worker::{Run, RunState, Worker};
 use jobs::command::Placed;
@@ -26,6 +27,26 @@
     undecided_steps: Vec<StepKey>,
     /// Workers for which those steps need tickets.
     candidate_ids: Vec<WorkerId>,
+    /// Planned units of accounts' jobs and of trials, which a second pass must not plan again.
+    planned: BTreeSet<UnitKey>,
+}
+
+impl Plan<'_> {
+    fn has_planned(&self, key: &StepKey) -> bool {
+        self.planned.range(key.unit(0)..=key.unit(u32::MAX)).next().is_some()
+    }
+}
+
+/// A plan that is being made, and what is left to place on.
+#[derive(Debug)]
+struct Draft<'s, 'a, 'b> {
+    candidates: Vec<Candidate<'s>>,
+    /// Largest free amount of each resource among the candidates.
+    largest: Resources,
+    /// Number of trials that may still begin.
+    free_trials: usize,
+    plan: Plan<'a>,
+    budget: &'b mut Budget,
 }
 
 /// Decision to run a unit on a worker.
@@ -45,10 +66,12 @@
         let mut placed: BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>> = BTreeMap::new();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
         let trials = self.waiting_trials(time, ledger);
+        self.update_usage(ledger);
+        let mut budget = Budget::default();
         for pool in pools {
             self.effort.workers_examined += self.workers.len() as u64;
             let trials = trials.get(&pool).map_or(&[][..], Vec::as_slice);
-            let plan = self.plan_pool(time, ledger, &pool, trials);
+            let plan = self.plan_pool(time, ledger, &pool, trials, &mut budget);
             for placement in plan.placements {
                 self.add_proposed_run(time, &placement);
                 placed
@@ -78,69 +101,122 @@
         ledger: &'a Ledger,
         pool: &PoolName,
         trials: &[StepKey],
+        budget: &mut Budget,
     ) -> Plan<'a> {
-        let mut plan = Plan::default();
-        let Some(steps) = self.waiting.get(pool) else { return plan };
+        let Some(steps) = self.waiting.get(pool) else { return Plan::default() };
         let mut candidates = self.candidates(time, pool);
-        let mut free_trials = self.free_trials(&candidates);
+        let free_trials = self.free_trials(&candidates);
         if free_trials > 0 {
             self.reserve_for_trials(ledger, trials, &mut candidates);
         }
-        let mut largest = largest_free(&candidates);
-        for (_, key) in self.ranked_steps(time, ledger, steps) {
-            let Some(job) = ledger.job(key.job) else { continue };
-            let step = &job.definition.steps[usize::from(key.step)];
-            if !largest.covers(&step.reserved_resources()) {
-                continue;
-            }
-            let trial = self.trial(time, ledger, &key);
-            let begins_trial = trial.as_ref().is_some_and(|trial| trial.worker.is_none());
-            if begins_trial && free_trials == 0 {
-                continue;
-            }
-            let mut indices = ready_units(time, &steps[&key]);
-            if let Some(suspicion) = self.suspicions.get(&key) {
-                suspicion.sort(&mut indices);
-            }
-            let has_policy = advice::policy(ledger, &key).is_some();
-            let mut permitted: Vec<&mut Candidate<'_>> = candidates
-                .iter_mut()
-                .filter(|candidate| !has_policy || self.ticket(time, &key, candidate.id).is_some())
-                .collect();
-            let units_per_rack = self.count_units_per_rack(&key, step);
-            let data_centre = self.choose_data_centre(ledger, &key, indices.len(), &permitted);
-            let request = Request {
-                key,
-                step,
-                units_per_rack: &units_per_rack,
-                preferred_data_centre: data_centre.as_deref(),
-                trial: trial.as_ref(),
-            };
-            let placements = if step.gang {
-                self.plan_gang(time, ledger, &request, &indices, &mut permitted)
-            } else {
-                self.plan_units(time, ledger, &request, &indices, &mut permitted)
-            };
-            let placed_count = placements.len();
-            if begins_trial && placed_count > 0 {
-                free_trials -= 1;
-            }
-            plan.placements.extend(placements.into_iter().map(|(unit, number, worker)| {
-                Placement { unit, number, step, worker, is_trial: trial.is_some() }
-            }));
-            if has_policy && placed_count < indices.len() {
-                plan.undecided_steps.push(key);
-            }
-            if placed_count > 0 {
-                largest = largest_free(&candidates);
+        let ranked = self.ranked_steps(time, ledger, steps);
+        let shares = self.shares(ledger, pool, steps, &candidates);
+        let largest = largest_free(&candidates);
+        let mut draft = Draft { candidates, largest, free_trials, plan: Plan::default(), budget };
+        if let Some(mut share) = shares {
+            for (_, key) in &ranked {
+                let Some(owner) = ledger.job(key.job).map(|job| &job.owner) else { continue };
+                let allowance = match owner {
+                    None => None,
+                    Some(_) if steps[key].criteria.is_excess => continue,
+                    Some(owner) => match share.get_mut(owner) {
+                        Some(allowance) => Some(allowance),
+                        None => continue,
+                    },
+                };
+                self.plan_step(time, ledger, *key, &steps[key], allowance, &mut draft);
             }
         }
+        for (_, key) in ranked {
+            self.plan_step(time, ledger, key, &steps[&key], None, &mut draft);
+        }
+        let Draft { candidates, mut plan, .. } = draft;
         if !plan.undecided_steps.is_empty() {
             plan.candidate_ids = candidates.iter().map(|candidate| candidate.id.clone()).collect();
         }
         plan
     }
 
+    /// Decides where the waiting units of one step run that have not been planned yet: as many as
+    /// the account's cap and its share, if one is given, admit.
+    fn plan_step<'s, 'a>(
+        &'s self,
+        time: Time,
+        ledger: &'a Ledger,
+        key: StepKey,
+        waiting: &Waiting,
+        share: Option<&mut Allowance>,
+        draft: &mut Draft<'s, 'a, '_>,
+    ) {
+        let Some(job) = ledger.job(key.job) else { return };
+        let step = &job.definition.steps[usize::from(key.step)];
+        if !draft.largest.covers(&step.reserved_resources()) {
+            return;
+        }
+        let trial = self.trial(time, ledger, &key);
+        let begins_trial = trial.as_ref().is_some_and(|trial| trial.worker.is_none());
+        if begins_trial && (draft.free_trials == 0 || draft.plan.has_planned(&key)) {
+            return;
+        }
+        let mut indices = ready_units(time, waiting);
+        indices.retain(|index| !draft.plan.planned.contains(&key.unit(*index)));
+        let owner = job.owner.as_ref();
+        let mut cap = draft.budget.allowance(ledger, &self.usage, owner);
+        // A trial is not cut short by a share: its units have to be tried together.
+        let mut share = share.filter(|_| trial.is_none());
+        let admitted = admitted_units(step, indices.len(), cap, share.as_deref().copied());
+        if admitted == 0 || (step.gang && admitted < indices.len()) {
+            return;
+        }
+        if let Some(suspicion) = self.suspicions.get(&key) {
+            suspicion.sort(&mut indices);
+        }
+        indices.truncate(admitted);
+        let has_policy = advice::policy(ledger, &key).is_some();
+        let mut permitted: Vec<&mut Candidate<'_>> = draft
+            .candidates
+            .iter_mut()
+            .filter(|candidate| !has_policy || self.ticket(time, &key, candidate.id).is_some())
+            .collect();
+        let units_per_rack = self.count_units_per_rack(&key, step);
+        let data_centre = self.choose_data_centre(ledger, &key, indices.len(), &permitted);
+        let request = Request {
+            key,
+            step,
+            units_per_rack: &units_per_rack,
+            preferred_data_centre: data_centre.as_deref(),
+            trial: trial.as_ref(),
+        };
+        let placements = if step.gang {
+            self.plan_gang(time, ledger, &request, &indices, &mut permitted)
+        } else {
+            self.plan_units(time, ledger, &request, &indices, &mut permitted)
+        };
+        let placed_count = placements.len();
+        if begins_trial && placed_count > 0 {
+            draft.free_trials -= 1;
+        }
+        for _ in &placements {
+            cap.take(&step.resources);
+            if let Some(share) = &mut share {
+                share.take(&step.resources);
+            }
+        }
+        draft.budget.set(owner, cap);
+        if owner.is_some() || trial.is_some() {
+            draft.plan.planned.extend(placements.iter().map(|(unit, ..)| *unit));
+        }
+        draft.plan.placements.extend(placements.into_iter().map(|(unit, number, worker)| {
+            Placement { unit, number, step, worker, is_trial: trial.is_some() }
+        }));
+        if has_policy && placed_count < indices.len() {
+            draft.plan.undecided_steps.push(key);
+        }
+        if placed_count > 0 {
+            draft.largest = largest_free(&draft.candidates);
+        }
+    }
+
     /// Returns the workers of a pool that may get new work.
     fn candidates(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
         let is_candidate = |worker: &Worker| {
@@ -363,6 +439,25 @@
         .collect()
 }
 
+/// Returns how many units of a step an account's cap and share admit.
+fn admitted_units(
+    step: &Step,
+    count: usize,
+    mut cap: Allowance,
+    mut share: Option<Allowance>,
+) -> usize {
+    let admits = |_: &usize| {
+        let admits =
+            cap.admits(&step.resources) && share.is_none_or(|share| share.admits(&step.resources));
+        cap.take(&step.resources);
+        if let Some(share) = &mut share {
+            share.take(&step.resources);
+        }
+        admits
+    };
+    (0..count).take_while(admits).count()
+}
+
 /// Returns the largest free amount of each resource among the candidates.
 fn largest_free(candidates: &[Candidate<'_>]) -> Resources {
     let mut largest = Resources::default();
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -7,6 +7,7 @@
 use super::{LEASE_DURATION, Scheduler, Time};
 use crate::lease::ClockReading;
 use crate::order::{Answer, Order, Poll, RunLists, RunStatus};
+use crate::usage::Totals;
 use crate::worker::{RunState, Worker};
 use jobs::command::{Discarded, End, EndList};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
@@ -114,6 +115,7 @@
             let is_idle = |worker: &Worker| worker.runs.is_empty() && worker.late_starts.is_empty();
             if self.workers.get(&id).is_some_and(is_idle) {
                 self.workers.remove(&id);
+                self.usage.replace(&id, Totals::new());
             }
         }
     }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -99,11 +99,14 @@
         let unavailable = worker.polling.is_silent(time.monotonic)
             || !worker.accepts_starts()
             || !worker.fits_its_runs();
-        let Some(run) = worker.runs.get_mut(&(unit, number)) else {
+        if !worker.runs.contains_key(&(unit, number)) {
             self.batch.discarded.push(Discarded { unit, run: number });
             return;
-        };
-        if !same_incarnation || unavailable || run.stop_reason.is_some() {
+        }
+        let over_cap = self.exceeds_new_cap(ledger, &incarnation.worker, unit, number);
+        let Some(worker) = self.workers.get_mut(&incarnation.worker) else { return };
+        let Some(run) = worker.runs.get_mut(&(unit, number)) else { return };
+        if !same_incarnation || unavailable || over_cap || run.stop_reason.is_some() {
             run.state = RunState::Ending;
             self.batch.discarded.push(Discarded { unit, run: number });
             return;
@@ -331,7 +334,11 @@
             }
         }
         for (id, unit, number) in starts {
-            self.send_start(time, ledger, &id, unit, number);
+            if self.exceeds_new_cap(ledger, &id, unit, number) {
+                self.stop(time, ledger, &id, unit, number, StopReason::UnansweredStart);
+            } else {
+                self.send_start(time, ledger, &id, unit, number);
+            }
         }
         for id in given_up {
             if let Some(worker) = self.workers.get_mut(&id) {
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -38,6 +38,7 @@
             .filter(|status| !is_placed(status))
             .map(|status| (status.name.clone(), status.run))
             .collect();
+        worker.usage_changed |= !listed.is_empty() || !worker.unplaced.is_empty();
         worker.unplaced.retain(|key, run| listed.contains(key) || !run.is_gone(sent_at));
         for key in &listed {
             let run = worker.unplaced.entry(key.clone()).or_insert_with(|| {
@@ -62,6 +63,7 @@
     /// Bars at a new incarnation the starts of removed runs that may still arrive there.
     pub(super) fn bar_late_starts(&mut self, time: Time, ledger: &Ledger, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.usage_changed = true;
         worker.unplaced.clear();
         for ((unit, number), start) in &worker.late_starts {
             let Some(name) = ledger.unit_name(unit).filter(|_| time.monotonic < start.until) else {
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -138,6 +138,7 @@
         Criteria {
             priority: job.priority,
             long_running: job.definition.steps[usize::from(key.step)].long_running,
+            is_excess: self.excess_jobs.contains(&key.job),
             accepted_at,
             objective: rank::objective(job, &duration),
             critical_path: rank::critical_path(&job.definition, key.step, &duration),
@@ -166,6 +167,7 @@
         }
         self.due_occurrences.retain(|(_, job, _)| *job != number);
         self.long_running_jobs.remove(&number);
+        self.excess_jobs.remove(&number);
         self.record_begun(ledger, number);
         remove_range(&mut self.avoided_workers, units.clone());
         remove_range(&mut self.last_run_numbers, units.clone());
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -17,6 +17,8 @@
     /// Time that the maintenance of an instance takes.
     #[serde(rename = "upkeep_time")]
     pub maintenance_duration: Duration,
+    /// Time over which the rate of an account's jobs is averaged.
+    pub rate_window: Duration,
 }
 
 impl Default for Settings {
@@ -26,6 +28,7 @@
             far_factor: 1.5,
             move_duration: Duration::from_millis(1500),
             maintenance_duration: Duration::from_secs(2),
+            rate_window: Duration::from_secs(5),
         }
     }
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -202,6 +202,9 @@
     pub runs: BTreeMap<(UnitKey, RunNumber), Run>,
     /// Sum of the resources that the runs reserve.
     pub reserved: Resources,
+    /// Runs, late starts or unplaced runs have come or gone since the usage of accounts was last
+    /// summed up.
+    pub usage_changed: bool,
     /// Starts of removed runs that may still reach a later incarnation.
     pub late_starts: BTreeMap<(UnitKey, RunNumber), LateStart>,
     /// Time before which none of the late starts is over.
@@ -244,6 +247,7 @@
             polling: Polling::default(),
             runs: BTreeMap::new(),
             reserved: Resources::default(),
+            usage_changed: true,
             late_starts: BTreeMap::new(),
             late_starts_end: Duration::ZERO,
             is_replaced: false,
@@ -312,6 +316,7 @@
 
     /// Adds a run and reserves its resources.
     pub fn add(&mut self, unit: UnitKey, number: RunNumber, run: Run) {
+        self.usage_changed = true;
         self.reserved = self.reserved.plus(&run.resources);
         if let Some(before) = self.runs.insert((unit, number), run) {
             self.reserved = self.reserved.minus(&before.resources);
@@ -321,6 +326,7 @@
     /// Removes a run and releases its resources.
     pub fn remove(&mut self, unit: UnitKey, number: RunNumber) -> Option<Run> {
         let run = self.runs.remove(&(unit, number))?;
+        self.usage_changed = true;
         self.reserved = self.reserved.minus(&run.resources);
         Some(run)
     }
@@ -350,6 +356,7 @@
             if self.late_starts.is_empty() || until < self.late_starts_end {
                 self.late_starts_end = until;
             }
+            self.usage_changed = true;
             self.late_starts.insert((unit, number), start);
         }
     }
@@ -394,6 +401,7 @@
             .filter(|((unit, _), start)| is_over(*unit, start))
             .map(|(key, _)| *key)
             .collect();
+        self.usage_changed |= !over.is_empty();
         for key in &over {
             self.late_starts.remove(key);
         }
