Control: an odd number of voters from six cores on

Change: one core beyond an odd number remains a learner. Clusters of fewer than six cores are as before.

--- a/crates/control/src/core/voters.rs
+++ b/crates/control/src/core/voters.rs
@@ -12,6 +12,10 @@
 const MAX_VOTERS: usize = 9;
 /// Fewest voters that survive the loss of one. No unlinked voter is removed at this number.
 const MIN_VOTERS: usize = 3;
+/// Number of voters from which on it is kept odd, so that a cut into halves leaves a majority on
+/// one side. Below it a new process has to become a voter at once, since another voter may be lost
+/// before it could replace one.
+const MIN_ODD_VOTERS: usize = 5;
 /// Time without a link after which a voter is removed, once a new process has become a
 /// voter. Until the removal there are four voters, and losing one more besides the unlinked
 /// one loses the majority; the cluster has to survive that loss from 4 s after the new
@@ -60,10 +64,10 @@
 
     /// Proposes one step from the current voters towards the linked durable processes.
     fn change_voters(&mut self, time: Time, current: &BTreeSet<Id>) {
-        let wanted = wanted_voters(current, &self.peers, |id| {
-            self.unlinked_since
-                .get(id)
-                .is_some_and(|since| time.monotonic >= *since + UNLINKED_VOTER_TIMEOUT)
+        let own = self.process_info.id();
+        let wanted = wanted_voters(&own, current, &self.peers, |id| {
+            let since = self.unlinked_since.get(id)?;
+            Some(time.monotonic.saturating_sub(*since))
         });
         if wanted == *current {
             return;
@@ -95,40 +99,62 @@
     }
 }
 
-/// Computes the voters to aim for, by these rules:
+/// Computes the voters that the leader `own` aims for, by these rules:
 ///
 /// 1. A durable process with the name of a voter but a new data folder replaces that voter,
 ///    whose data is lost for good.
-/// 2. Any other new durable process is added, up to `MAX_VOTERS`.
+/// 2. Other new durable processes are added, up to `MAX_VOTERS`. One of them remains a learner if
+///    the number of voters would become even, above `MIN_ODD_VOTERS`, and no voter has been
+///    unlinked for too long.
 /// 3. If neither applies, one voter that has been unlinked for too long is removed, provided
 ///    that the number of voters is even and above `MIN_VOTERS`. An even number shows that a
 ///    new process has been added and one voter is too many.
+/// 4. If all voters are linked and their number is even and above `MIN_ODD_VOTERS`, one becomes a
+///    learner.
 ///
 /// An unlinked voter is removed only after a new process was added, because it may only be
 /// frozen: if it were removed while another voter is really lost, the rest would have no
 /// majority.
 fn wanted_voters(
+    own: &Id,
     current: &BTreeSet<Id>,
     peers: &[ProcessInfo],
-    is_unlinked_too_long: impl Fn(&Id) -> bool,
+    unlinked_for: impl Fn(&Id) -> Option<Duration>,
 ) -> BTreeSet<Id> {
+    let is_unlinked_too_long =
+        |id: &&Id| unlinked_for(id).is_some_and(|duration| duration >= UNLINKED_VOTER_TIMEOUT);
     let mut wanted = current.clone();
-    for peer in peers.iter().filter(|peer| peer.durable) {
-        let id = peer.id();
-        if current.contains(&id) {
-            continue;
-        }
-        wanted.retain(|voter| voter.name != id.name);
-        if wanted.len() < MAX_VOTERS {
-            wanted.insert(id);
+    let mut new = BTreeSet::new();
+    for peer in peers.iter().filter(|peer| peer.durable && !current.contains(&peer.id())) {
+        let voters = wanted.len();
+        wanted.retain(|voter| voter.name != peer.name);
+        let replaces_voter = wanted.len() < voters;
+        if replaces_voter {
+            wanted.insert(peer.id());
+        } else {
+            new.insert(peer.id());
         }
     }
-    if wanted == *current
-        && current.len() > MIN_VOTERS
-        && current.len().is_multiple_of(2)
-        && let Some(unlinked) = current.iter().find(|id| is_unlinked_too_long(id))
+    let total = wanted.len() + new.len();
+    let has_lost_voter = current.iter().any(|id| is_unlinked_too_long(&id));
+    if total.is_multiple_of(2) && total > MIN_ODD_VOTERS && !has_lost_voter {
+        new.pop_last();
+    }
+    let free = MAX_VOTERS.saturating_sub(wanted.len());
+    wanted.extend(new.into_iter().take(free));
+    if wanted != *current || !current.len().is_multiple_of(2) {
+        return wanted;
+    }
+    let surplus = if current.len() > MIN_VOTERS && has_lost_voter {
+        current.iter().find(is_unlinked_too_long)
+    } else if current.len() > MIN_ODD_VOTERS && !current.iter().any(|id| unlinked_for(id).is_some())
     {
-        wanted.remove(unlinked);
+        current.iter().rfind(|id| *id != own)
+    } else {
+        None
+    };
+    if let Some(surplus) = surplus {
+        wanted.remove(surplus);
     }
     wanted
 }
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -19,6 +19,8 @@
 /// Default number of schedules, which CI runs. `CLUSTER_SCHEDULES` overrides it, and
 /// `CLUSTER_FROM` sets the first seed.
 const SCHEDULES: u64 = 500;
+/// The same for schedules of six cores.
+const SCHEDULES_OF_SIX: u64 = 60;
 const STEPS_PER_SCHEDULE: usize = 60;
 /// Time after the start of a replacement by which the cluster has to survive the loss of
 /// another instance.
@@ -113,7 +115,8 @@
 /// Injects a random fault or heals all. At most one disk or instance is lost until all
 /// cores have caught up; any number of cores may crash, lose power, freeze or lose links.
 fn inject_fault(world: &mut World, rng: &mut StdRng, lost: &mut Option<Loss>) {
-    let index = rng.random_range(0..CORES);
+    let cores = world.cores.len();
+    let index = rng.random_range(0..cores);
     let leader = world.leader().unwrap_or(index);
     match rng.random_range(0..12) {
         0 => world.kill(leader),
@@ -122,7 +125,7 @@
             world.disks[index].lose_power();
         }
         2 => {
-            for index in 0..CORES {
+            for index in 0..cores {
                 world.kill(index);
                 world.disks[index].lose_power();
             }
@@ -138,14 +141,15 @@
         }
         4 => world.frozen[leader] = true,
         5 => world.frozen[index] = !world.frozen[index],
-        6 => world.set_link(index, (index + 1) % CORES, false),
+        6 => world.set_link(index, (index + 1) % cores, false),
         7 => {
-            world.set_link(leader, (leader + 1) % CORES, false);
-            world.set_link(leader, (leader + 2) % CORES, false);
+            for other in (1..cores).filter(|other| *other <= 2 || other % 2 == 1) {
+                world.set_link(leader, (leader + other) % cores, false);
+            }
         }
         8 => world.disks[index].fill(true),
         9 => {
-            for index in 0..CORES {
+            for index in 0..cores {
                 if world.cores[index].is_none() {
                     world.start(index, false);
                 }
@@ -162,9 +166,9 @@
 }
 
 /// Runs one schedule of requests and faults and checks what the cluster holds at its end.
-fn run_schedule(seed: u64) {
+fn run_schedule(seed: u64, cores: usize) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut world = World::new(seed);
+    let mut world = World::with_cores(seed, cores);
     let mut history = History::default();
     world.run(Duration::from_secs(3));
     let reply = world.request(0, LeaderRequest::Configure(Box::new(config(1))));
@@ -175,23 +179,23 @@
         match rng.random_range(0..10) {
             0..=3 => {
                 job += 1;
-                let reply = world.request(rng.random_range(0..CORES), submit(job));
+                let reply = world.request(rng.random_range(0..cores), submit(job));
                 history.jobs.push((job, reply));
             }
             4..=5 => {
                 version += rng.random_range(1..4);
                 let request = LeaderRequest::Configure(Box::new(config(version)));
-                let reply = world.request(rng.random_range(0..CORES), request);
+                let reply = world.request(rng.random_range(0..cores), request);
                 history.configs.push((version, reply));
             }
             6..=7 => {
-                let reply = world.request(rng.random_range(0..CORES), LeaderRequest::Config);
+                let reply = world.request(rng.random_range(0..cores), LeaderRequest::Config);
                 history.reads.push((history.acked_version, reply));
             }
             _ => inject_fault(&mut world, &mut rng, &mut lost),
         }
         workers += 1;
-        world.report(rng.random_range(0..CORES), report(workers));
+        world.report(rng.random_range(0..cores), report(workers));
         world.run(Duration::from_millis(rng.random_range(10..900)));
         history.collect_replies();
     }
@@ -298,7 +302,92 @@
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let from = number("CLUSTER_FROM").unwrap_or(0);
     for seed in from..from + number("CLUSTER_SCHEDULES").unwrap_or(SCHEDULES) {
-        run_schedule(seed);
+        run_schedule(seed, CORES);
+    }
+}
+
+#[test]
+fn acknowledged_writes_survive_random_faults_of_six_cores() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let from = number("CLUSTER_FROM").unwrap_or(0);
+    for seed in from..from + number("CLUSTER_SCHEDULES").unwrap_or(SCHEDULES_OF_SIX) {
+        run_schedule(seed, 6);
+    }
+}
+
+/// Returns the voters that the leader knows.
+fn voter_count(world: &World) -> usize {
+    let leader = world.cores[world.leader().unwrap()].as_ref().unwrap();
+    leader.node().membership().voters.len()
+}
+
+#[test]
+fn one_half_of_the_cores_goes_on_when_they_are_cut_in_two() {
+    for (cores, seed) in [(6, 0), (6, 1), (8, 2), (8, 3), (8, 4), (8, 5)] {
+        let mut world = World::with_cores(seed, cores);
+        world.run(Duration::from_secs(5));
+        let ack = world.request(0, LeaderRequest::Configure(Box::new(config(1))));
+        world.run(Duration::from_secs(1));
+        assert_eq!(ack.try_recv(), Ok(Reply::Done), "seed {seed}");
+        assert_eq!(voter_count(&world), cores - 1, "seed {seed}");
+        // Halves that have neighbours of the leader on its side, or none, by the seed.
+        let leader = world.leader().unwrap();
+        let side = |core: usize| {
+            (core + cores - leader) % cores < cores / 2 || seed % 2 == 1 && core.is_multiple_of(2)
+        };
+        let mut sides: Vec<usize> = (0..cores).filter(|core| side(*core)).collect();
+        sides.truncate(cores / 2);
+        for a in 0..cores {
+            for b in (0..cores).filter(|b| sides.contains(&a) != sides.contains(b)) {
+                world.set_link(a, b, false);
+            }
+        }
+        world.run(Duration::from_secs(4));
+        let leaders: Vec<usize> = (0..cores)
+            .filter(|core| world.cores[*core].as_ref().unwrap().is_active_leader())
+            .collect();
+        assert_eq!(leaders.len(), 1, "seed {seed}: one half has a leader");
+        let ack = world.request(leaders[0], submit(1));
+        world.run(Duration::from_millis(500));
+        assert_eq!(ack.try_recv(), Ok(Reply::Done), "seed {seed}");
+        world.heal();
+        world.run(Duration::from_secs(5));
+        let leader = world.leader().unwrap();
+        let known =
+            world.cores[leader].as_ref().unwrap().ledger().job_number(&format!("{:016x}", 1));
+        assert!(known.is_some(), "seed {seed}: the job is kept");
+        assert_eq!(voter_count(&world) % 2, 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn the_learner_takes_the_place_of_a_voter_that_is_lost() {
+    for seed in 0..6 {
+        let mut world = World::with_cores(seed, 6);
+        world.run(Duration::from_secs(5));
+        let ack = world.request(0, LeaderRequest::Configure(Box::new(config(1))));
+        world.run(Duration::from_secs(1));
+        assert_eq!(ack.try_recv(), Ok(Reply::Done), "seed {seed}");
+        // Two voters are lost, and two more once the learner has had time to take a place.
+        let lost: Vec<usize> = (0..4).map(|step| (seed as usize + step) % 6).collect();
+        for pair in lost.chunks(2) {
+            for core in pair {
+                world.kill(*core);
+                world.disks[*core].wipe();
+            }
+            world.run(Duration::from_secs(8));
+            assert!(world.leader().is_some(), "seed {seed}: {pair:?} of {lost:?}");
+            for core in pair {
+                world.start(*core, false);
+            }
+            world.run(CATCH_UP_TIME);
+        }
+        let leader = world.leader().unwrap();
+        let read = world.request(leader, LeaderRequest::Config);
+        world.run(Duration::from_millis(100));
+        assert_eq!(read.try_recv(), Ok(Reply::Config(b"1".to_vec())), "seed {seed}");
+        world.run(Duration::from_secs(5));
+        assert_eq!(voter_count(&world), 5, "seed {seed}");
     }
 }
 
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -153,7 +153,7 @@
 
     fn peers(&self) -> Vec<ProcessInfo> {
         let shared = self.shared.lock().unwrap();
-        (0..CORES)
+        (0..shared.processes.len())
             .filter(|other| shared.linked(self.own, *other))
             .filter_map(|other| shared.processes[other].clone())
             .collect()
@@ -194,24 +194,29 @@
 
 impl World {
     pub fn new(seed: u64) -> World {
+        World::with_cores(seed, CORES)
+    }
+
+    /// Creates as many cores, all of which found the cluster.
+    pub fn with_cores(seed: u64, count: usize) -> World {
         let shared = Shared {
             now: Duration::from_secs(1),
-            processes: vec![None; CORES],
+            processes: vec![None; count],
             links_down: BTreeSet::new(),
-            inboxes: (0..CORES).map(|_| Vec::new()).collect(),
+            inboxes: (0..count).map(|_| Vec::new()).collect(),
             orders: Vec::new(),
-            entries_sent: vec![0; CORES],
+            entries_sent: vec![0; count],
         };
         let mut world = World {
-            cores: (0..CORES).map(|_| None).collect(),
-            disks: vec![Disk::default(), Disk::default(), Disk::default()],
-            frozen: vec![false; CORES],
-            instances: vec![0; CORES],
+            cores: (0..count).map(|_| None).collect(),
+            disks: (0..count).map(|_| Disk::default()).collect(),
+            frozen: vec![false; count],
+            instances: vec![0; count],
             shared: Arc::new(Mutex::new(shared)),
             schedule: seed,
             seed,
         };
-        for index in 0..CORES {
+        for index in 0..count {
             world.start(index, true);
         }
         world
@@ -235,7 +240,7 @@
                 data_centre: None,
                 relays_orders: true,
             },
-            founders: (0..CORES).map(|index| control(index, 0)).collect(),
+            founders: (0..self.cores.len()).map(|index| control(index, 0)).collect(),
             bootstrap,
             retention: Duration::from_secs(120),
             sched_settings: sched::Settings::default(),
@@ -252,7 +257,7 @@
         let mut shared = self.shared();
         shared.processes[index] = Some(process_info.clone());
         shared.inboxes[index].clear();
-        for other in 0..CORES {
+        for other in 0..self.cores.len() {
             if shared.linked(index, other)
                 && let Some(theirs) = shared.processes[other].clone()
             {
@@ -266,7 +271,7 @@
         self.cores[index] = None;
         let mut shared = self.shared();
         let Some(process_info) = shared.processes[index].take() else { return };
-        for other in (0..CORES).filter(|other| *other != index) {
+        for other in (0..self.cores.len()).filter(|other| *other != index) {
             shared.inboxes[other].push(Input::LinkDown(process_info.clone()));
         }
     }
@@ -306,7 +311,7 @@
                 }
                 shared.now += TICK;
             }
-            for index in 0..CORES {
+            for index in 0..self.cores.len() {
                 if self.frozen[index] {
                     continue;
                 }
@@ -341,21 +346,24 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        (0..CORES).find(|index| self.cores[*index].as_ref().is_some_and(Core::is_active_leader))
+        (0..self.cores.len())
+            .find(|index| self.cores[*index].as_ref().is_some_and(Core::is_active_leader))
     }
 
     /// Ends every fault and waits until there is a leader and all cores have committed
     /// its last entry.
     pub fn heal(&mut self) {
-        for index in 0..CORES {
+        for index in 0..self.cores.len() {
             self.disks[index].fill(false);
             self.frozen[index] = false;
             if self.cores[index].is_none() {
                 self.start(index, false);
             }
         }
-        for (a, b) in [(0, 1), (0, 2), (1, 2)] {
-            self.set_link(a, b, true);
+        for a in 0..self.cores.len() {
+            for b in a + 1..self.cores.len() {
+                self.set_link(a, b, true);
+            }
         }
         for _ in 0..200 {
             self.run(Duration::from_millis(100));
