Sched: shares count whole steps and leave out only accounts beyond four times their share

Change: the first pass leaves out accounts that hold more than four times their share, and places whole steps.

--- a/crates/sched/src/quota.rs
+++ b/crates/sched/src/quota.rs
@@ -39,6 +39,14 @@
             && fits(self.limit.accelerators, self.used.accelerators, more.accelerators)
     }
 
+    /// Returns whether less than the limit is in use.
+    pub fn is_open(&self) -> bool {
+        let is_open = |limit: u64, used: u64| limit == 0 || used < limit;
+        is_open(self.limit.cpu_milli, self.used.cpu_milli)
+            && is_open(self.limit.memory_mb, self.used.memory_mb)
+            && is_open(self.limit.accelerators, self.used.accelerators)
+    }
+
     /// Takes resources into use.
     pub fn take(&mut self, more: &Resources) {
         self.used = self.used.plus(more);
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -138,7 +138,8 @@
     }
 
     /// Decides where the waiting units of one step run that have not been planned yet: as many as
-    /// the account's cap and its share, if one is given, admit.
+    /// the account's cap admits, and none if a share is given and used up. Shares count whole steps,
+    /// since a step that is cut at a share holds room and ends late all the same.
     fn plan_step<'s, 'a>(
         &'s self,
         time: Time,
@@ -164,7 +165,10 @@
         let mut cap = draft.budget.allowance(ledger, &self.usage, owner);
         // A trial is not cut short by a share: its units have to be tried together.
         let mut share = share.filter(|_| trial.is_none());
-        let admitted = admitted_units(step, indices.len(), cap, share.as_deref().copied());
+        if share.as_deref().is_some_and(|share| !share.is_open()) {
+            return;
+        }
+        let admitted = admitted_units(step, indices.len(), cap);
         if admitted == 0 || (step.gang && admitted < indices.len()) {
             return;
         }
@@ -439,20 +443,11 @@
         .collect()
 }
 
-/// Returns how many units of a step an account's cap and share admit.
-fn admitted_units(
-    step: &Step,
-    count: usize,
-    mut cap: Allowance,
-    mut share: Option<Allowance>,
-) -> usize {
+/// Returns how many units of a step an account's cap admits.
+fn admitted_units(step: &Step, count: usize, mut cap: Allowance) -> usize {
     let admits = |_: &usize| {
-        let admits =
-            cap.admits(&step.resources) && share.is_none_or(|share| share.admits(&step.resources));
+        let admits = cap.admits(&step.resources);
         cap.take(&step.resources);
-        if let Some(share) = &mut share {
-            share.take(&step.resources);
-        }
         admits
     };
     (0..count).take_while(admits).count()
--- a/crates/sched/src/share.rs
+++ b/crates/sched/src/share.rs
@@ -1,14 +1,18 @@
 //! Shares of client accounts in a pool that can't hold all waiting work.
 //!
-//! Placement goes over the ranked steps twice. The first pass gives each account up to its share;
-//! the second gives what is left to whoever is next by rank, so that shares that are not used are
-//! lent.
+//! Placement goes over the ranked steps twice. The first pass leaves out accounts that hold several
+//! times their share; the second gives what is left to whoever is next by rank, so that shares that
+//! are not used are lent. Below that the rank decides, which keeps most jobs of a surge in time.
 
 use crate::quota::Allowance;
 use jobs::AccountName;
 use jobs::definition::Resources;
 use std::collections::BTreeMap;
 
+/// Multiple of its share that an account may hold before others go first. Queues surge to about five
+/// times their mean, and an account with work in one of them surges with it.
+const MAX_SHARES: f64 = 4.0;
+
 /// An account with work in a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Member {
@@ -18,17 +22,18 @@
     pub used: Resources,
 }
 
-/// Returns the share of each member as an allowance: its weight by the sum of all weights, of each
-/// resource of the pool. Members with the weight 0 have no share and are left out.
+/// Returns what each member may hold before others go first, as an allowance: some times its share,
+/// which is its weight by the sum of all weights, of each resource of the pool. Members with the
+/// weight 0 have no share and are left out.
 ///
 /// ```
 /// use jobs::definition::Resources;
 /// use sched::share::{self, Member};
 /// let cpu = |cpu_milli| Resources { cpu_milli, ..Resources::default() };
 /// let member = |weight, used| Member { weight, used: cpu(used) };
-/// let members = [("a".to_string(), member(3.0, 500)), ("b".to_string(), member(1.0, 0))].into();
+/// let members = [("a".to_string(), member(1.0, 400)), ("b".to_string(), member(9.0, 399))].into();
 /// let shares = share::allowances(&cpu(1000), &members);
-/// assert!(shares["a"].admits(&cpu(250)) && !shares["a"].admits(&cpu(251)));
+/// assert!(!shares["a"].is_open() && shares["b"].is_open());
 /// ```
 pub fn allowances(
     capacity: &Resources,
@@ -37,7 +42,7 @@
     let total: f64 = members.values().map(|member| member.weight).sum();
     let part = |amount: u64, weight: f64| match amount {
         0 => 0, // the pool has none, and none can be placed
-        amount => ((amount as f64 * weight / total) as u64).max(1),
+        amount => ((amount as f64 * MAX_SHARES * weight / total) as u64).max(1),
     };
     members
         .iter()
