Sched, control, edge: jobs that can't be done in time are refused at once

Cause: every job was accepted, and one whose value was gone before its turn held its caller until the end. Change: where accounts are configured, the leader refuses a job before it proposes it if a lower bound of its wait, by the work ranked before it or by its account's cap, exceeds three times its objective: 429 with a Retry-After that spreads the return.

--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -8,6 +8,7 @@
 use log::{debug, info};
 use mesh::request::Location;
 use mesh::{Frame, LeaderRequest, Reply};
+use sched::admission::Decision;
 use sched::scheduler::Time;
 
 /// Hexadecimal digits of a job id, which clients choose at random.
@@ -111,6 +112,21 @@
             self.reply(reply, if is_open { Reply::Done } else { name_is_taken() });
             return;
         }
+        let scheduler = self.leadership.as_mut().map(|leadership| &mut leadership.scheduler);
+        let decision = scheduler.map(|scheduler| {
+            scheduler.admit(time, &self.ledger, &queue, &definition, owner.as_ref())
+        });
+        if let Some(Decision::Refuse(retry_after)) = decision {
+            metrics::counter!("jobs_refused_total", "queue" => queue.clone()).increment(1);
+            info!(
+                "job.refused id={id} queue={queue} account={} retry_after_ms={}",
+                owner.as_deref().unwrap_or("none"),
+                retry_after.as_millis()
+            );
+            let reason = "the job can't be done within three times its objective".to_string();
+            self.reply(reply, Reply::Overloaded { reason, retry_after });
+            return;
+        }
         let submit = Submit { queue, id, definition, owner, at: time.wall };
         self.propose(time, Command::Submit(submit), reply);
     }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -124,6 +124,10 @@
                             may_have_executed = true;
                             task::sleep(RETRY_INTERVAL).await;
                         }
+                        // An earlier attempt may still be carried out.
+                        Attempt::Replied(Reply::Overloaded { reason, .. }) if may_have_executed => {
+                            return Reply::Unknown(reason);
+                        }
                         Attempt::Replied(reply) => return reply,
                         Attempt::NoLink => task::sleep(RETRY_INTERVAL).await,
                         Attempt::Lost => {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,7 +18,7 @@
 pub use account::{Account, Accounts};
 pub use command::{Batch, Command};
 pub use config::{Config, Limits, Pool, Queue};
-pub use definition::{Definition, Step};
+pub use definition::{Definition, Schedule, Step};
 pub use job::{Job, State, Unit};
 pub use journal::{Decision, Journal};
 pub use ledger::{Event, Ledger, Outcome};
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -83,6 +83,14 @@
     /// The request was not carried out and will not be, for this reason. The sender
     /// may send it again.
     NotTaken(String),
+    /// The job was not accepted, since it can't be done in time. Like [`Reply::NotTaken`], with the
+    /// time after which the sender may return.
+    Overloaded {
+        /// Why it can't be done.
+        reason: String,
+        /// When the sender may return.
+        retry_after: Duration,
+    },
     /// It is unknown whether the request was or will be carried out, for this reason.
     Unknown(String),
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -5,6 +5,7 @@
 //! ends with the leader's term: the next leader rebuilds it from the ledger and by
 //! polling the workers.
 
+pub mod admission;
 pub mod crash;
 pub mod estimate;
 pub mod instance;
--- a/crates/sched/src/rank.rs
+++ b/crates/sched/src/rank.rs
@@ -18,7 +18,7 @@
 /// Total work above which a job's value no longer grows, in multiples of the queue's mean.
 const MAX_RELATIVE_WORK: f64 = 4.0;
 /// Multiple of the objective after which a job has no value.
-const OVERDUE_FACTOR: f64 = 3.0;
+pub const OVERDUE_FACTOR: f64 = 3.0;
 
 /// Inputs of a step's rank, which stay the same while the step waits.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/sched/src/rate.rs
+++ b/crates/sched/src/rate.rs
@@ -39,18 +39,29 @@
     /// assert!(!rates.record(&account, 2.0, 1_500));
     /// ```
     pub fn record(&mut self, account: &AccountName, weight: f64, at: UnixMs) -> bool {
-        // An account with any weight is owed one job at least.
-        let least = if weight > 0.0 { 1.0 } else { 0.0 };
-        let capacity = (weight * self.window.as_secs_f64()).max(least);
-        let full = Bucket { tokens: capacity, filled_at: at };
-        let bucket = self.buckets.entry(account.clone()).or_insert(full);
-        let elapsed = Duration::from_millis(at.saturating_sub(bucket.filled_at));
-        bucket.tokens = (bucket.tokens + weight * elapsed.as_secs_f64()).min(capacity);
-        bucket.filled_at = bucket.filled_at.max(at);
+        let mut bucket = self.filled(account, weight, at);
         let is_excess = bucket.tokens < 1.0;
         if !is_excess {
             bucket.tokens -= 1.0;
         }
+        self.buckets.insert(account.clone(), bucket);
         is_excess
     }
+
+    /// Returns whether a job of an account would be beyond what the account is owed at a time.
+    pub fn is_exhausted(&self, account: &AccountName, weight: f64, at: UnixMs) -> bool {
+        self.filled(account, weight, at).tokens < 1.0
+    }
+
+    /// Returns the bucket of an account at a time.
+    fn filled(&self, account: &AccountName, weight: f64, at: UnixMs) -> Bucket {
+        // An account with any weight is owed one job at least.
+        let least = if weight > 0.0 { 1.0 } else { 0.0 };
+        let capacity = (weight * self.window.as_secs_f64()).max(least);
+        let full = Bucket { tokens: capacity, filled_at: at };
+        let bucket = self.buckets.get(account).copied().unwrap_or(full);
+        let elapsed = Duration::from_millis(at.saturating_sub(bucket.filled_at));
+        let tokens = (bucket.tokens + weight * elapsed.as_secs_f64()).min(capacity);
+        Bucket { tokens, filled_at: bucket.filled_at.max(at) }
+    }
 }
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -5,6 +5,7 @@
 //! parked in a standby pool, where they cost nothing. Only instances without runs are
 //! moved, since a move ends the runs on them.
 
+use super::admit::cores;
 use super::{MoveReply, Scheduler, Time};
 use crate::instance::State;
 use crate::late::LATE_ORDER_WINDOW;
@@ -351,6 +352,18 @@
         spare
     }
 
+    /// Returns the number of cores of all instances that may be moved to a pool: parked ones and
+    /// idle ones. Those of the pool itself are among them; a bound by it is too low, never too high.
+    pub(super) fn spare_cores(&self, time: Time, ledger: &Ledger) -> f64 {
+        let Some(standby) = standby_pool(ledger) else { return 0.0 };
+        let spare = self.instances.values().filter(|instance| {
+            (instance.pool == standby && instance.state == State::Up)
+                || instance.state == State::Moving
+                || self.is_idle(time, &instance.id)
+        });
+        spare.map(|instance| cores(&instance.capacity)).sum()
+    }
+
     /// Whether an instance is being moved to another pool.
     pub(super) fn is_moving(&self, instance: &InstanceId) -> bool {
         self.balance.moving.contains_key(instance)
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! send. The state is rebuilt from the ledger whenever a leader takes over.
 
 mod accounts;
+mod admit;
 mod advice;
 mod balance;
 mod crashes;
@@ -151,6 +152,7 @@
     rates: Rates,
     /// Unfinished jobs beyond what their accounts are owed.
     excess_jobs: BTreeSet<JobNumber>,
+    outlook: admit::Outlook,
     /// When the last configuration came into force under this leader.
     configured_at: Option<Duration>,
     advice: advice::AdviceState,
@@ -221,6 +223,7 @@
             usage: Usage::default(),
             rates,
             excess_jobs: BTreeSet::new(),
+            outlook: admit::Outlook::default(),
             configured_at: None,
             advice: advice::AdviceState::default(),
             maintenance: maintenance::MaintenanceState::default(),
@@ -528,6 +531,7 @@
                 self.run_maintenance(time, ledger);
                 self.balance(time, ledger);
                 self.adjust_shares(time, ledger);
+                self.update_outlook(time, ledger);
             }
             self.place(time, ledger);
         }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -290,7 +290,7 @@
     }
 
     /// Returns the steps, the most urgent first.
-    fn ranked_steps(
+    pub(super) fn ranked_steps(
         &self,
         time: Time,
         ledger: &Ledger,
