--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -2,7 +2,7 @@
 //! its orders to workers and the cloud.
 
 use super::{Core, Input};
-use jobs::Command;
+use jobs::{Command, Ledger};
 use log::info;
 use mesh::Frame;
 use mesh::frame::OrderId;
@@ -12,16 +12,25 @@
 use sched::scheduler::Time;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Scheduler of the term that this process leads.
+/// Most accounts whose figures are published as metrics; `dump` has all of them.
+const MAX_PUBLISHED_ACCOUNTS: usize = 50;
+/// Time between two publications of the figures of accounts.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// State of the time in which this process leads.
 pub(super) struct Leadership {
     pub(super) scheduler: Scheduler,
     pub(super) term: Term,
+    /// When the figures of accounts were last published.
+    published_at: Option<Duration>,
 }
 
 impl Leadership {
     /// State of the scheduler for the dump.
-    pub(super) fn dump(&self) -> Value {
+    pub(super) fn dump(&self, ledger: &Ledger) -> Value {
         let workers: BTreeMap<_, _> = self
             .scheduler
             .workers()
@@ -36,7 +45,27 @@
                 (id.clone(), json!({"pool": pool, "used": worker.reserved, "runs": runs}))
             })
             .collect();
-        json!({"term": self.term, "workers": workers, "backlog": self.scheduler.backlog()})
+        json!({
+            "term": self.term,
+            "workers": workers,
+            "backlog": self.scheduler.backlog(),
+            "accounts": self.scheduler.account_summaries(ledger),
+        })
+    }
+
+    /// Publishes what the accounts with the most in use have running and waiting.
+    fn publish_accounts(&self, ledger: &Ledger) {
+        let mut summaries: Vec<_> = self.scheduler.account_summaries(ledger).into_iter().collect();
+        summaries.sort_by_key(|(_, summary)| std::cmp::Reverse(summary.used.cpu_milli));
+        for (account, summary) in summaries.into_iter().take(MAX_PUBLISHED_ACCOUNTS) {
+            let labels = [("account", account)];
+            metrics::gauge!("account_used_cores", &labels)
+                .set(summary.used.cpu_milli as f64 / 1000.0);
+            metrics::gauge!("account_cap_cores", &labels)
+                .set(summary.cap.cpu_milli as f64 / 1000.0);
+            metrics::gauge!("account_waiting_units", &labels).set(summary.waiting_units as f64);
+            metrics::gauge!("account_excess_jobs", &labels).set(summary.excess_jobs as f64);
+        }
     }
 }
 
@@ -61,7 +90,7 @@
             info!("reign.began term={term} jobs={}", self.ledger.jobs().len());
             let settings = self.sched_settings.clone();
             let scheduler = Scheduler::new(settings, term, time, &self.ledger, &self.roster);
-            self.leadership = Some(Leadership { scheduler, term });
+            self.leadership = Some(Leadership { scheduler, term, published_at: None });
             self.proposal_queue.clear();
         }
         self.run_scheduler(time);
@@ -82,6 +111,11 @@
         self.expire_orders(time);
         let Some(leadership) = &mut self.leadership else { return };
         let output = leadership.scheduler.decide(time, &self.ledger);
+        let is_due = |at: Duration| time.monotonic >= at + PUBLISH_INTERVAL;
+        if self.ledger.uses_accounts() && leadership.published_at.is_none_or(is_due) {
+            leadership.published_at = Some(time.monotonic);
+            leadership.publish_accounts(&self.ledger);
+        }
         let effort = leadership.scheduler.effort();
         metrics::counter!("scheduler_workers_examined_total").absolute(effort.workers_examined);
         metrics::counter!("scheduler_runs_examined_total").absolute(effort.runs_examined);
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -510,7 +510,7 @@
     }
 
     fn dump(&self) -> String {
-        let leadership = self.leadership.as_ref().map(|leadership| leadership.dump());
+        let leadership = self.leadership.as_ref().map(|leadership| leadership.dump(&self.ledger));
         let jobs: BTreeMap<_, _> = self
             .ledger
             .jobs()
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -240,14 +240,17 @@
         &self.journal
     }
 
-    /// Explains a subject: `job NAME`, or a subject of the journal. An empty subject
-    /// returns the whole journal.
+    /// Explains a subject: `job NAME`, `account NAME`, or a subject of the journal. An empty
+    /// subject returns the whole journal.
     ///
     /// ```
     /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
     /// assert!(ledger.explain("job 1").is_empty());
     /// ```
     pub fn explain(&self, subject: &str) -> Vec<Decision> {
+        if let Some(account) = subject.strip_prefix("account ") {
+            return self.explain_account(account);
+        }
         let id = subject.strip_prefix("job ").and_then(|id| self.by_id.get(id));
         match id.and_then(|number| self.jobs.get(number)) {
             Some(job) => job.explain(),
@@ -256,6 +259,31 @@
         }
     }
 
+    /// Explains an account: what the configuration declares, with digests of the keys, and its
+    /// unfinished jobs. Empty if the account is not known.
+    fn explain_account(&self, name: &str) -> Vec<Decision> {
+        let Some(Account { weight, cap }) = self.account(name) else { return Vec::new() };
+        let fact = |text| Decision { at: self.latest_at, subject: format!("account {name}"), text };
+        let config = self.config.as_ref();
+        let declared = config.and_then(|config| config.accounts.as_ref());
+        let origin = match (config, declared.filter(|accounts| accounts.get(name).is_some())) {
+            (Some(config), Some(accounts)) => {
+                let keys = accounts.key_digests(name);
+                format!("declared by version {}, key digests {keys:?}", config.version)
+            }
+            _ => "no longer declared; kept for its unfinished jobs, without keys".to_string(),
+        };
+        let limits = format!(
+            "weight {weight}; cap: cpu_milli {}, memory_mb {}, accelerators {} (0 is no limit)",
+            cap.cpu_milli, cap.memory_mb, cap.accelerators
+        );
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.owner.as_deref() == Some(name)) {
+            *counts.entry(format!("{:?}", job.state)).or_default() += 1;
+        }
+        vec![fact(origin), fact(limits), fact(format!("jobs by state: {counts:?}"))]
+    }
+
     /// Returns all maintenance waves.
     pub fn waves(&self) -> &BTreeMap<WaveId, Wave> {
         &self.waves
--- a/crates/jobs/tests/account.rs
+++ b/crates/jobs/tests/account.rs
@@ -133,6 +133,28 @@
     assert!(restored.uses_accounts());
 }
 
+#[test]
+fn an_account_is_explained_without_its_keys() {
+    let mut ledger = ledger(&[("a", 500)]);
+    submit(&mut ledger, "1", Some("a"));
+    let text = |ledger: &Ledger| {
+        ledger
+            .explain("account a")
+            .iter()
+            .map(|fact| format!("{}\n", fact.text))
+            .collect::<String>()
+    };
+    let explained = text(&ledger);
+    let digest = Key::new("key-a").digest();
+    for expected in ["version 1", "cpu_milli 500", "{\"Queued\": 1}", digest.as_str()] {
+        assert!(explained.contains(expected), "{expected:?} in {explained:?}");
+    }
+    assert!(!explained.contains("key-a"), "{explained:?}");
+    ledger.apply(Command::Configure(Box::new(config(2, &[]))));
+    assert!(text(&ledger).contains("no longer declared"));
+    assert!(ledger.explain("account b").is_empty());
+}
+
 /// The command that accepts a job, as it was before accounts existed.
 #[derive(Serialize, Deserialize)]
 struct OldSubmit {
--- a/crates/sched/src/scheduler/accounts.rs
+++ b/crates/sched/src/scheduler/accounts.rs
@@ -9,9 +9,54 @@
 use crate::usage;
 use jobs::definition::Resources;
 use jobs::{AccountName, JobNumber, Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
+use serde::Serialize;
 use std::collections::BTreeMap;
 
+/// What an account has running and waiting, for operators.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Summary {
+    /// Weight of the account.
+    pub weight: f64,
+    /// Its cap; 0 is no limit.
+    pub cap: Resources,
+    /// Resources that it may have in use over all workers.
+    pub used: Resources,
+    /// Number of its units that wait for room, for the cap or for others to go first.
+    pub waiting_units: usize,
+    /// Number of its unfinished jobs beyond what it is owed service for.
+    pub excess_jobs: usize,
+}
+
 impl Scheduler {
+    /// Returns what each account that has jobs or runs has running and waiting.
+    pub fn account_summaries(&self, ledger: &Ledger) -> BTreeMap<AccountName, Summary> {
+        let mut summaries: BTreeMap<AccountName, Summary> = BTreeMap::new();
+        let mut summary = |name: &AccountName, waiting_units: usize, excess_jobs: usize| {
+            let account = ledger.account(name).cloned().unwrap_or_default();
+            let summary = summaries.entry(name.clone()).or_insert_with(|| Summary {
+                weight: account.weight,
+                cap: account.cap,
+                used: self.usage.of(name),
+                waiting_units: 0,
+                excess_jobs: 0,
+            });
+            summary.waiting_units += waiting_units;
+            summary.excess_jobs += excess_jobs;
+        };
+        self.usage.accounts().for_each(|name| summary(name, 0, 0));
+        for (key, waiting) in self.waiting.values().flatten() {
+            if let Some(owner) = ledger.job(key.job).and_then(|job| job.owner.as_ref()) {
+                summary(owner, waiting.units.len(), 0);
+            }
+        }
+        for number in &self.excess_jobs {
+            if let Some(owner) = ledger.job(*number).and_then(|job| job.owner.as_ref()) {
+                summary(owner, 0, 1);
+            }
+        }
+        summaries
+    }
+
     /// Counts an accepted job for the rate of its account.
     pub(super) fn record_rate(&mut self, ledger: &Ledger, number: JobNumber) {
         let Some(job) = ledger.job(number) else { return };
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -40,6 +40,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+pub use accounts::Summary;
 pub use advice::AdviseReply;
 pub use maintenance::{MaintenanceReply, MoveReply};
 pub use pacing::PaceReply;
--- a/crates/sched/src/usage.rs
+++ b/crates/sched/src/usage.rs
@@ -27,6 +27,11 @@
         self.totals.get(account).copied().unwrap_or_default()
     }
 
+    /// Returns the accounts that may have anything in use.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountName> {
+        self.totals.keys()
+    }
+
     /// Returns what accounts may have in use on a worker.
     pub fn on(&self, worker: &WorkerId) -> Option<&Totals> {
         self.by_worker.get(worker)
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -17,8 +17,8 @@
 ///
 /// The subject is `instance NAME`, `pool NAME`, `record KIND NAME`, `decision
 /// NUMBER` or `since NUMBER`, which exports all notes from a number on. With --core
-/// it is `configuration`, `wave NUMBER`, `machine NAME`, `job NAME`, or nothing for all
-/// decisions.
+/// it is `configuration`, `wave NUMBER`, `machine NAME`, `job NAME`, `account NAME`, or nothing
+/// for all decisions.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Args {
