Sched: units wait for near places, and groups for one rack, where the wait pays

Cause: a unit whose data rack was full went to another rack at once and took far_factor times as long, also when a place on its rack was about to be free; groups likewise. Steps that name no rack are placed as before.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod instance;
 pub mod late;
 pub mod lease;
+pub mod locality;
 pub mod order;
 pub mod place;
 pub mod quota;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -146,6 +146,11 @@
         self.worker.report.as_ref().and_then(|report| report.rack())
     }
 
+    /// Returns whether the worker is on the rack with this label.
+    pub fn has_rack_label(&self, label: &String) -> bool {
+        self.labels().contains(label)
+    }
+
     fn labels(&self) -> &'a [String] {
         self.worker.report.as_ref().map_or(&[], |report| report.labels.as_slice())
     }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod balance;
 mod crashes;
+mod locality;
 mod maintenance;
 mod pacing;
 mod placing;
@@ -99,6 +100,8 @@
     units: BTreeMap<u32, Duration>,
     /// Criteria by which the step is ranked against other waiting steps.
     criteria: Criteria,
+    /// When a unit first passed over a place away from its data or group; `None` if none has.
+    near_wait_since: Option<Duration>,
 }
 
 /// How much the decisions so far have looked at and met. Their cost grows with it.
@@ -112,6 +115,8 @@
     pub unplaced_runs: u64,
     /// Workers that crashed with runs.
     pub worker_crashes: u64,
+    /// Steps that waited for a place near their data or group.
+    pub near_waits: u64,
 }
 
 /// Scheduler state of one leadership.
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -3,6 +3,7 @@
 //! In each pool, waiting steps are tried in the order of their rank. A step that does not
 //! fit is skipped, so that steps behind it can use the free resources.
 
+use super::locality::{Racks, Terms};
 use super::{Scheduler, Time, Waiting, advice};
 use crate::place::{self, Candidate, Request};
 use crate::quota::{Allowance, Budget};
@@ -27,6 +28,8 @@
     undecided_steps: Vec<StepKey>,
     /// Workers for which those steps need tickets.
     candidate_ids: Vec<WorkerId>,
+    /// Steps with units that wait for a place near their data or group.
+    held_steps: BTreeSet<StepKey>,
     /// Planned units of accounts' jobs and of trials, which a second pass must not plan again.
     planned: BTreeSet<UnitKey>,
 }
@@ -37,6 +40,14 @@
     }
 }
 
+/// What decides whether units of a step wait for a near place, and whether some do.
+struct Locality<'r> {
+    /// `None` if all places are alike for them.
+    terms: Option<Terms>,
+    racks: &'r mut Racks,
+    has_held: bool,
+}
+
 /// A plan that is being made, and what is left to place on.
 #[derive(Debug)]
 struct Draft<'s, 'a, 'b> {
@@ -47,6 +58,7 @@
     free_trials: usize,
     plan: Plan<'a>,
     budget: &'b mut Budget,
+    racks: Racks,
 }
 
 /// Decision to run a unit on a worker.
@@ -79,6 +91,7 @@
                     .or_default()
                     .push((placement.unit, placement.number));
             }
+            self.record_near_waits(time, &pool, &plan.held_steps);
             for key in plan.undecided_steps {
                 self.request_tickets(time, ledger, &key, &plan.candidate_ids);
             }
@@ -93,6 +106,17 @@
         }
     }
 
+    /// Records that units of these steps wait for near places.
+    fn record_near_waits(&mut self, time: Time, pool: &PoolName, held: &BTreeSet<StepKey>) {
+        let Some(steps) = self.waiting.get_mut(pool) else { return };
+        for key in held {
+            if let Some(waiting) = steps.get_mut(key) {
+                self.effort.near_waits += u64::from(waiting.near_wait_since.is_none());
+                waiting.near_wait_since.get_or_insert(time.monotonic);
+            }
+        }
+    }
+
     /// Decides where the waiting units of one pool run; `trials` are its steps of which a trial may
     /// begin.
     fn plan_pool<'a>(
@@ -112,7 +136,8 @@
         let ranked = self.ranked_steps(time, ledger, steps);
         let shares = self.shares(ledger, pool, steps, &candidates);
         let largest = largest_free(&candidates);
-        let mut draft = Draft { candidates, largest, free_trials, plan: Plan::default(), budget };
+        let (plan, racks) = (Plan::default(), Racks::new());
+        let mut draft = Draft { candidates, largest, free_trials, plan, budget, racks };
         if let Some(mut share) = shares {
             for (_, key) in &ranked {
                 let Some(owner) = ledger.job(key.job).map(|job| &job.owner) else { continue };
@@ -191,11 +216,16 @@
             preferred_data_centre: data_centre.as_deref(),
             trial: trial.as_ref(),
         };
+        let terms = self.wait_terms(time, ledger, &request, waiting);
+        let mut locality = Locality { terms, racks: &mut draft.racks, has_held: false };
         let placements = if step.gang {
-            self.plan_gang(time, ledger, &request, &indices, &mut permitted)
+            self.plan_gang(time, ledger, &request, &indices, &mut permitted, &mut locality)
         } else {
-            self.plan_units(time, ledger, &request, &indices, &mut permitted)
+            self.plan_units(time, ledger, &request, &indices, &mut permitted, &mut locality)
         };
+        if locality.has_held {
+            draft.plan.held_steps.insert(key);
+        }
         let placed_count = placements.len();
         if begins_trial && placed_count > 0 {
             draft.free_trials -= 1;
@@ -320,12 +350,26 @@
         request: &Request<'_>,
         indices: &[u32],
         candidates: &mut [&mut Candidate<'_>],
+        locality: &mut Locality<'_>,
     ) -> Vec<(UnitKey, RunNumber, WorkerId)> {
         let mut units_per_rack = request.units_per_rack.clone();
         let mut placements = Vec::new();
         for index in indices {
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
+            if let Some(terms) = locality.terms
+                && let Some(label) = &request.step.affinity
+            {
+                let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
+                let is_near = best.has_rack_label(label);
+                let racks = &mut *locality.racks;
+                if is_near {
+                    racks.remove(label); // it has less room now
+                } else if self.waits_for_rack(time, ledger, request, &terms, candidates, racks) {
+                    locality.has_held = true;
+                    continue;
+                }
+            }
             let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
             let placed_on = best.worker.incarnation.started_at;
             let mut run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
@@ -347,6 +391,7 @@
         request: &Request<'_>,
         indices: &[u32],
         candidates: &mut [&mut Candidate<'_>],
+        locality: &mut Locality<'_>,
     ) -> Vec<(UnitKey, RunNumber, WorkerId)> {
         if indices.len() < request.step.count as usize {
             return Vec::new(); // members of an earlier run have not been released yet
@@ -356,11 +401,23 @@
             .map(|index| self.next_run(ledger, &request.key.unit(*index)))
             .max()
             .unwrap_or(1);
-        for group in candidate_groups(request, candidates) {
+        let groups = candidate_groups(request, candidates);
+        let last = groups.len() - 1;
+        for (position, group) in groups.into_iter().enumerate() {
+            let is_spread = position == last && request.step.same_rack;
+            if is_spread
+                && let Some(terms) = locality.terms
+                && self.group_waits(time, ledger, request, &terms, candidates)
+            {
+                locality.has_held = true;
+                return Vec::new();
+            }
             let mut group: Vec<Candidate<'_>> =
                 group.into_iter().map(|position| candidates[position].clone()).collect();
             let mut members: Vec<&mut Candidate<'_>> = group.iter_mut().collect();
-            let placements = self.plan_units(time, ledger, request, indices, &mut members);
+            let anywhere = &mut Locality { terms: None, racks: locality.racks, has_held: false };
+            let placements =
+                self.plan_units(time, ledger, request, indices, &mut members, anywhere);
             if placements.len() < indices.len() {
                 continue;
             }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -99,8 +99,11 @@
         let criteria = self.criteria(ledger, &key);
         let not_before = if self.is_held(&unit) { Duration::MAX } else { time.monotonic };
         let steps = self.waiting.entry(job.pool.clone()).or_default();
-        let waiting =
-            steps.entry(key).or_insert_with(|| Waiting { units: BTreeMap::new(), criteria });
+        let waiting = steps.entry(key).or_insert_with(|| Waiting {
+            units: BTreeMap::new(),
+            criteria,
+            near_wait_since: None,
+        });
         waiting.units.insert(unit.index, not_before);
     }
 
