Sched: slow workers are told by several runs, and speculative units on slow or silent workers run in copies

Cause: a worker that was several times slower than others got as much work as any, and a job ends with its last unit; units of a silent worker waited for its lease, also where copies may run. The flag of steps that allow copies was never read. Change: the median ratio of at least three recent runs tells a worker's factor. Slow workers come last; a unit that would be late on one waits for another, 1.5 s at most. A first bound of a tenth of the running units started one copy at a time where eight units of a job were on one worker; waiting for three unanswered polls started copies only after 3 s.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -121,6 +121,7 @@
         metrics::counter!("scheduler_runs_examined_total").absolute(effort.runs_examined);
         metrics::counter!("scheduler_unplaced_runs_total").absolute(effort.unplaced_runs);
         metrics::counter!("scheduler_worker_crashes_total").absolute(effort.worker_crashes);
+        metrics::counter!("scheduler_copies_total").absolute(effort.copies);
         metrics::counter!("scheduler_near_waits_total").absolute(effort.near_waits);
         for explanation in &output.explanations {
             info!(
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod scheduler;
 pub mod settings;
 pub mod share;
+pub mod speed;
+pub mod straggler;
 pub mod usage;
 pub mod worker;
 
--- a/crates/sched/src/locality.rs
+++ b/crates/sched/src/locality.rs
@@ -8,7 +8,7 @@
 
 /// Longest time that a step passes over places elsewhere: half of the time after which work whose
 /// turn has come counts as forgotten.
-const MAX_WAIT: Duration = Duration::from_millis(1500);
+pub const MAX_WAIT: Duration = Duration::from_millis(1500);
 
 /// A near place that is not free, and what it would save.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -68,6 +68,8 @@
     serves_requests: bool,
     best_effort_runs: u32,
     is_idle: bool,
+    /// The worker is slower than others at present.
+    pub is_slow: bool,
     /// Step of which a trial goes on here.
     trial: Option<StepKey>,
     /// The worker is kept for a trial.
@@ -88,6 +90,7 @@
             serves_requests: false,
             best_effort_runs: 0,
             is_idle: worker.runs.is_empty(),
+            is_slow: worker.is_slow,
             trial: None,
             is_reserved: false,
             placed: BTreeMap::new(),
@@ -219,6 +222,8 @@
 pub struct Score {
     /// No run has failed since the last success, and the last order was answered.
     healthy: bool,
+    /// The worker is not slow, or the step runs until its job is cancelled.
+    sound: bool,
     /// For long-running steps: no maintenance is due. For best-effort steps: no run on
     /// the worker serves requests.
     undisturbed: bool,
@@ -243,6 +248,7 @@
     let score = Score {
         healthy: candidate.worker.consecutive_failures == 0
             && candidate.worker.polling.unanswered == 0,
+        sound: !candidate.is_slow || step.long_running,
         undisturbed: true,
         data_local: step.affinity.as_ref().is_none_or(|rack| candidate.labels().contains(rack)),
         in_preferred_data_centre: request
--- a/crates/sched/src/scheduler/locality.rs
+++ b/crates/sched/src/scheduler/locality.rs
@@ -1,7 +1,7 @@
 //! Waits of units for places near their data or their group. See [`crate::locality`].
 
 use super::{Scheduler, Time, Waiting};
-use crate::locality::{self, Offer, Rack};
+use crate::locality::{self, MAX_WAIT, Offer, Rack};
 use crate::place::{Candidate, Request};
 use crate::worker::Run;
 use jobs::definition::Resources;
@@ -22,6 +22,14 @@
 }
 
 impl Terms {
+    /// Returns whether a unit waits for a sound worker rather than run on one that is slower by a
+    /// factor, since it would be late there.
+    pub(super) fn avoids_slow(&self, factor: f64) -> bool {
+        self.waited < MAX_WAIT
+            && self.run_time <= self.time_left
+            && self.run_time.mul_f64(factor) > self.time_left
+    }
+
     fn pays(&self, free_after: Option<Duration>) -> bool {
         let Terms { run_time, waited, time_left, far_factor } = *self;
         Offer { free_after, run_time, far_factor, waited, time_left }.pays()
@@ -29,7 +37,8 @@
 }
 
 impl Scheduler {
-    /// Returns what the wait of a step's units depends on; `None` if all places are alike for them.
+    /// Returns what the wait of a step's units depends on; `None` for steps that never
+    /// wait.
     pub(super) fn wait_terms(
         &self,
         time: Time,
@@ -38,8 +47,7 @@
         waiting: &Waiting,
     ) -> Option<Terms> {
         let step = request.step;
-        let is_indifferent = step.affinity.is_none() && !(step.gang && step.same_rack);
-        if is_indifferent || step.long_running || request.trial.is_some() {
+        if step.long_running || request.trial.is_some() {
             return None;
         }
         let job = ledger.job(request.key.job)?;
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod advice;
 mod balance;
+mod copies;
 mod crashes;
 mod locality;
 mod maintenance;
@@ -117,6 +118,8 @@
     pub worker_crashes: u64,
     /// Steps that waited for a place near their data or group.
     pub near_waits: u64,
+    /// Copies of units that were placed.
+    pub copies: u64,
 }
 
 /// Scheduler state of one leadership.
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -22,8 +22,10 @@
 
 /// Placements of one pool, decided and not carried out yet.
 #[derive(Debug, Default)]
-struct Plan<'a> {
-    placements: Vec<Placement<'a>>,
+pub(super) struct Plan<'a> {
+    pub(super) placements: Vec<Placement<'a>>,
+    /// Number of placements that are copies of running units.
+    pub(super) copies: usize,
     /// Steps of queues with a policy that have ready units left.
     undecided_steps: Vec<StepKey>,
     /// Workers for which those steps need tickets.
@@ -42,7 +44,7 @@
 
 /// What decides whether units of a step wait for a near place, and whether some do.
 struct Locality<'r> {
-    /// `None` if all places are alike for them.
+    /// `None` for steps that never wait.
     terms: Option<Terms>,
     racks: &'r mut Racks,
     has_held: bool,
@@ -50,25 +52,25 @@
 
 /// A plan that is being made, and what is left to place on.
 #[derive(Debug)]
-struct Draft<'s, 'a, 'b> {
-    candidates: Vec<Candidate<'s>>,
+pub(super) struct Draft<'s, 'a, 'b> {
+    pub(super) candidates: Vec<Candidate<'s>>,
     /// Largest free amount of each resource among the candidates.
     largest: Resources,
     /// Number of trials that may still begin.
     free_trials: usize,
-    plan: Plan<'a>,
-    budget: &'b mut Budget,
+    pub(super) plan: Plan<'a>,
+    pub(super) budget: &'b mut Budget,
     racks: Racks,
 }
 
 /// Decision to run a unit on a worker.
 #[derive(Clone, Debug)]
-struct Placement<'a> {
-    unit: UnitKey,
-    number: RunNumber,
-    step: &'a Step,
-    worker: WorkerId,
-    is_trial: bool,
+pub(super) struct Placement<'a> {
+    pub(super) unit: UnitKey,
+    pub(super) number: RunNumber,
+    pub(super) step: &'a Step,
+    pub(super) worker: WorkerId,
+    pub(super) is_trial: bool,
 }
 
 /// Placement of waiting units.
@@ -76,7 +78,8 @@
     /// Places waiting units of all pools and adds the placements to the next proposal.
     pub(super) fn place(&mut self, time: Time, ledger: &Ledger) {
         let mut placed: BTreeMap<WorkerId, Vec<(UnitKey, RunNumber)>> = BTreeMap::new();
-        let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
+        let mut pools: BTreeSet<PoolName> = self.waiting.keys().cloned().collect();
+        pools.extend(self.pools_with_stragglers(time, ledger));
         let trials = self.waiting_trials(time, ledger);
         self.update_usage(ledger);
         let mut budget = Budget::default();
@@ -85,13 +88,14 @@
             let trials = trials.get(&pool).map_or(&[][..], Vec::as_slice);
             let plan = self.plan_pool(time, ledger, &pool, trials, &mut budget);
             for placement in plan.placements {
-                self.add_proposed_run(time, &placement);
+                self.add_proposed_run(time, ledger, &placement);
                 placed
                     .entry(placement.worker)
                     .or_default()
                     .push((placement.unit, placement.number));
             }
             self.record_near_waits(time, &pool, &plan.held_steps);
+            self.effort.copies += plan.copies as u64;
             for key in plan.undecided_steps {
                 self.request_tickets(time, ledger, &key, &plan.candidate_ids);
             }
@@ -127,7 +131,8 @@
         trials: &[StepKey],
         budget: &mut Budget,
     ) -> Plan<'a> {
-        let Some(steps) = self.waiting.get(pool) else { return Plan::default() };
+        let none = BTreeMap::new();
+        let steps = self.waiting.get(pool).unwrap_or(&none);
         let mut candidates = self.candidates(time, pool);
         let free_trials = self.free_trials(&candidates);
         if free_trials > 0 {
@@ -155,6 +160,9 @@
         for (_, key) in ranked {
             self.plan_step(time, ledger, key, &steps[&key], None, &mut draft);
         }
+        if draft.plan.placements.len() >= steps.values().map(|w| ready_units(time, w).len()).sum() {
+            self.plan_copies(time, ledger, pool, &mut draft);
+        }
         let Draft { candidates, mut plan, .. } = draft;
         if !plan.undecided_steps.is_empty() {
             plan.candidate_ids = candidates.iter().map(|candidate| candidate.id.clone()).collect();
@@ -354,17 +362,26 @@
     ) -> Vec<(UnitKey, RunNumber, WorkerId)> {
         let mut units_per_rack = request.units_per_rack.clone();
         let mut placements = Vec::new();
+        let has_slow = candidates.iter().any(|candidate| candidate.is_slow);
         for index in indices {
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
             if let Some(terms) = locality.terms
-                && let Some(label) = &request.step.affinity
+                && (request.step.affinity.is_some() || has_slow)
             {
                 let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
-                let is_near = best.has_rack_label(label);
+                let worker = best.worker;
+                let is_near =
+                    request.step.affinity.as_ref().is_none_or(|label| best.has_rack_label(label));
+                if worker.is_slow && terms.avoids_slow(worker.speed_factor(time.monotonic)) {
+                    locality.has_held = true;
+                    break; // all workers with room are slow, or away from the data
+                }
                 let racks = &mut *locality.racks;
                 if is_near {
-                    racks.remove(label); // it has less room now
+                    if let Some(label) = &request.step.affinity {
+                        racks.remove(label); // it has less room now
+                    }
                 } else if self.waits_for_rack(time, ledger, request, &terms, candidates, racks) {
                     locality.has_held = true;
                     continue;
@@ -474,12 +491,16 @@
 
     /// Reserves a worker's resources for a new run and removes its unit from the waiting
     /// units.
-    fn add_proposed_run(&mut self, time: Time, placement: &Placement<'_>) {
+    fn add_proposed_run(&mut self, time: Time, ledger: &Ledger, placement: &Placement<'_>) {
         let Placement { unit, number, step, worker: id, is_trial } = placement;
+        let queue = ledger.job(unit.job).map(|job| &job.queue);
+        let expected = queue.map(|queue| self.estimator.expected(queue, step.estimate));
+        let expected = expected.unwrap_or_default();
         let Some(worker) = self.workers.get_mut(id) else { return };
         let placed_on = worker.incarnation.started_at;
         let mut run = Run::new(RunState::Proposed, step, placed_on, time.monotonic);
         run.is_trial = *is_trial;
+        run.expected = expected;
         worker.add(*unit, *number, run);
         self.last_run_numbers.insert(*unit, *number);
         self.placed_on.entry(*unit).or_default().insert(id.clone());
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -8,6 +8,7 @@
 use crate::late::LATE_ORDER_WINDOW;
 use crate::lease::Lease;
 use crate::order::{Order, Refusal, Stop};
+use crate::speed::Speed;
 use crate::worker::{Polling, Run, RunState, StopReason};
 use jobs::command::{Discarded, End, EndReason, Placed};
 use jobs::ledger::Release;
@@ -153,6 +154,9 @@
             run_time = run_time.div_f64(self.settings.far_factor.max(1.0));
         }
         self.estimator.record(&job.queue, step.estimate, run_time);
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.speed.record(time.monotonic, run_time, run.expected);
+        }
     }
 
     /// Stops a run, or discards it if its start was never sent.
@@ -299,6 +303,8 @@
         worker.lease = Lease::inherited(granted_until, self.settings.max_lease);
         worker.polling = Polling { unanswered_grant_at, ..Polling::default() };
         worker.proposed_through = 0;
+        worker.speed = Speed::default();
+        worker.is_slow = false;
         worker.consecutive_failures = 0;
         worker.cordoned = false;
         worker.ended = false;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -7,6 +7,7 @@
 use crate::lease::Lease;
 use crate::order::{Destination, RunLists};
 use crate::roster::Report;
+use crate::speed::{self, Speed};
 use jobs::crash::{RECENT, TRIAL_TIME};
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
@@ -24,6 +25,9 @@
 /// carries out all the same; orders that are sent together are given up together.
 const SILENT_AFTER_UNANSWERED: u32 = 3;
 const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// Time without an answer after which copies of a worker's runs may be started: a poll of a worker
+/// with runs takes 0.8 s at most, and its answer some more.
+const UNHEARD_AFTER: Duration = Duration::from_millis(1200);
 /// Shortest time between two looks at the late starts of a worker.
 const LATE_STARTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Consecutive lists without an instance after which it is considered deleted, or without a worker
@@ -51,6 +55,8 @@
     pub tail_latency_target: Option<Duration>,
     /// Whether an earlier leader placed the run. Which of its starts got no answer is not known.
     pub is_inherited: bool,
+    /// Expected run time near its data; zero if it is not known.
+    pub expected: Duration,
     /// When this leader placed the run, or inherited it from an earlier leader.
     pub placed_at: Duration,
     /// When the worker first listed it as running.
@@ -218,6 +224,10 @@
     pub lists_without: u32,
     /// Number of the last end that was proposed to the log; 0 for none.
     pub proposed_through: u64,
+    /// How slow its recent runs were.
+    pub speed: Speed,
+    /// Whether it was slow by its last list of runs.
+    pub is_slow: bool,
     /// Failures since the last success.
     pub consecutive_failures: u32,
     /// Backoffs since the last success.
@@ -254,6 +264,8 @@
             unplaced: BTreeMap::new(),
             lists_without: 0,
             proposed_through: 0,
+            speed: Speed::default(),
+            is_slow: false,
             consecutive_failures: 0,
             backoffs: 0,
             backoff_until: Duration::ZERO,
@@ -433,6 +445,28 @@
         free
     }
 
+    /// Returns the factor by which the worker is slower than expected at present.
+    pub fn speed_factor(&self, now: Duration) -> f64 {
+        let under_way = self.runs.values().filter(|run| !run.long_running && !run.best_effort);
+        let ratios = under_way.filter_map(|run| {
+            let (percent, seen_at) = run.progress;
+            let elapsed = seen_at.saturating_sub(run.started_at?);
+            speed::projected_ratio(elapsed, percent, run.expected)
+        });
+        self.speed.factor(now, ratios)
+    }
+
+    /// Returns whether the worker, which has runs, has answered nothing for longer than a poll takes.
+    pub fn is_unheard(&self, now: Duration) -> bool {
+        let heard_at = self.polling.heard_at.max(self.polling.answered_at);
+        !self.runs.is_empty() && heard_at.is_some_and(|at| now >= at + UNHEARD_AFTER)
+    }
+
+    /// Judges anew whether the worker is slow.
+    pub fn update_speed(&mut self, now: Duration) {
+        self.is_slow = speed::is_slow(self.speed_factor(now));
+    }
+
     /// Returns when the worker last answered a poll or, if later, the start of one of its runs.
     pub fn last_proof_of_life(&self) -> Duration {
         let begun = self.runs.values().filter_map(|run| run.started_at).max();
@@ -539,6 +573,7 @@
             best_effort: step.best_effort,
             tail_latency_target: step.tail_latency_target,
             is_inherited: state == RunState::Inherited,
+            expected: step.estimate,
             placed_at: now,
             started_at: None,
             unanswered_starts: 0,
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -515,8 +515,10 @@
             .iter()
             .filter(|((name, _), started_at)| {
                 let id = name.split('.').next().unwrap_or_default();
-                run_times.get(id).is_some_and(|duration| now >= **started_at + *duration)
-                    && !worker.is_stuck
+                let slowdown = worker.slowdown;
+                let is_over =
+                    |duration: &Duration| now >= **started_at + duration.mul_f64(slowdown);
+                run_times.get(id).is_some_and(is_over) && !worker.is_stuck
             })
             .map(|(key, _)| key.clone())
             .collect();
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -41,6 +41,8 @@
     pub polls_hang: bool,
     /// Runs make no progress and don't end.
     pub is_stuck: bool,
+    /// Factor by which runs take longer here.
+    pub slowdown: f64,
     /// Highest fence that the worker has seen.
     pub fence: u64,
     /// Time of the simulation at which the worker's own clock shows zero.
@@ -79,6 +81,7 @@
             fails_runs: false,
             polls_hang: false,
             is_stuck: false,
+            slowdown: 1.0,
             fence: 0,
             clock_origin: now,
             lease_expiry: Duration::ZERO,
@@ -161,6 +164,7 @@
                     let job = name.split('.').next().unwrap_or_default();
                     let duration =
                         run_times.get(job).copied().unwrap_or(Duration::from_millis(500));
+                    let duration = duration.mul_f64(self.slowdown);
                     (now.saturating_sub(*started_at).as_secs_f64() / duration.as_secs_f64() * 100.0)
                         as u32
                 }
