Sched, control, cli: explain place tells where a job runs or would go now

The leader's own planning code is run on its state for a job that runs or waits, and on a copy of the ledger for one that is only described by a file with its queue and account; nothing is sent or stored.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod effects;
 mod leadership;
+pub mod place;
 mod requests;
 mod voters;
 
@@ -112,6 +113,8 @@
     Dump(Sender<String>),
     /// Asks for the decisions about a subject, or for all if it is empty.
     Explain(String, Sender<Vec<Decision>>),
+    /// Explains where a job runs or would go now.
+    ExplainPlace(place::Question, Sender<place::Result<sched::scheduler::Placing>>),
     /// The process is about to end: leadership goes to another voter.
     TransferLeadership,
     /// The process ends. Handled by the core's thread; the core itself ignores it.
@@ -327,6 +330,9 @@
             Input::Explain(subject, reply) => {
                 let _ = reply.try_send(self.ledger.explain(&subject)); // the caller may have given up
             }
+            Input::ExplainPlace(question, reply) => {
+                let _ = reply.try_send(self.explain_place(time, question)); // as above
+            }
             Input::TransferLeadership => {
                 self.stopping = true;
                 self.node.transfer_leadership();
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -2,6 +2,7 @@
 //! processes and to the calls to workers and the cloud.
 
 use crate::calls::Calls;
+use crate::core::place::{self, Question};
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
 use crate::load::Meter;
 use crate::relay::CALL_TIMEOUT;
@@ -16,7 +17,7 @@
 use sched::Report;
 use sched::order::{Answer, Order, Reply};
 use sched::scheduler::{
-    AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply,
+    AdviseReply, MaintenanceReply, MoveReply, PaceReply, Placing, PollReply, StartReply, StopReply,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -170,6 +171,13 @@
         timeout(REQUEST_TIMEOUT, decisions.recv()).await.ok()?.ok()
     }
 
+    /// Explains where a job runs or would go now. None if the core doesn't answer in time.
+    pub async fn explain_place(&self, question: Question) -> Option<place::Result<Placing>> {
+        let (sender, answer) = bounded(1);
+        self.push(Input::ExplainPlace(question, sender));
+        timeout(REQUEST_TIMEOUT, answer.recv()).await.ok()?.ok()
+    }
+
     /// Returns the status that the core published last.
     pub fn status(&self) -> Status {
         self.status.read().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -53,6 +53,26 @@
     Any,
 }
 
+/// Why a worker that gets work can't take a unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Exclusion {
+    /// Too little is free.
+    #[error("too little room")]
+    Room,
+    /// Its runs failed, and it gets one at a time.
+    #[error("on probation after failures")]
+    Probation,
+    /// It lacks the label that the step requires.
+    #[error("lacks the required label")]
+    Label,
+    /// It is kept for units that may have crashed their workers.
+    #[error("kept for a trial")]
+    Trial,
+    /// It has as many units of the step as may be on one worker.
+    #[error("has the most units of the step that one worker may have")]
+    AntiAffinity,
+}
+
 /// A schedulable worker, with what it runs and what was placed on it in this decision.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
@@ -179,25 +199,32 @@
 
     /// Returns whether a unit of the step may run on the worker.
     pub fn is_feasible(&self, request: &Request<'_>) -> bool {
+        self.exclusion(request).is_none()
+    }
+
+    /// Returns why no unit of the step may run on the worker; `None` if one may.
+    pub fn exclusion(&self, request: &Request<'_>) -> Option<Exclusion> {
         let Request { key, step, .. } = request;
-        if !self.free.covers(&step.reserved_resources())
-            || (self.worker.is_on_probation() && !self.is_idle)
-        {
-            return false;
+        if !self.free.covers(&step.reserved_resources()) {
+            return Some(Exclusion::Room);
+        }
+        if self.worker.is_on_probation() && !self.is_idle {
+            return Some(Exclusion::Probation);
         }
         if !self.has_label(step) {
-            return false;
+            return Some(Exclusion::Label);
         }
         let is_kept_apart = match request.trial {
             None => self.trial.is_some() || self.is_reserved,
             Some(trial) => !self.accepts_trial(key, trial),
         };
         if is_kept_apart {
-            return false;
+            return Some(Exclusion::Trial);
         }
         let units =
             || self.worker.count_runs(key) + self.placed.get(key).copied().unwrap_or_default();
-        step.anti_affinity == 0 || units() < step.anti_affinity
+        let is_full = step.anti_affinity != 0 && units() >= step.anti_affinity;
+        is_full.then_some(Exclusion::AntiAffinity)
     }
 }
 
--- a/crates/sched/src/scheduler/admit.rs
+++ b/crates/sched/src/scheduler/admit.rs
@@ -29,14 +29,31 @@
         definition: &Definition,
         owner: Option<&AccountName>,
     ) -> Decision {
+        let (decision, returns) = self.judge(time, ledger, queue, definition, owner);
+        if let (Decision::Refuse(_), Some((pool, returns))) = (decision, returns) {
+            self.outlook.returns.insert(pool, returns);
+        }
+        decision
+    }
+
+    /// Judges a job as [`Scheduler::admit`] does, and returns the pool's times of return after a
+    /// refusal. Changes nothing.
+    pub(super) fn judge(
+        &self,
+        time: Time,
+        ledger: &Ledger,
+        queue: &QueueName,
+        definition: &Definition,
+        owner: Option<&AccountName>,
+    ) -> (Decision, Option<(PoolName, Returns)>) {
         let config = ledger.config().filter(|_| ledger.uses_accounts());
         let Some(settings) = config.and_then(|config| config.queues.get(queue)) else {
-            return Decision::Accept;
+            return (Decision::Accept, None);
         };
         let is_open_ended =
             definition.schedule.is_some() || definition.steps.iter().any(|step| step.long_running);
         if is_open_ended {
-            return Decision::Accept;
+            return (Decision::Accept, None);
         }
         let criteria = self.prospective_criteria(time, ledger, queue, settings, definition, owner);
         let job = Prospect {
@@ -59,8 +76,23 @@
             let work = work.copied().unwrap_or_default();
             backlogs.push(Backlog { work, cores: cap.cpu_milli as f64 / 1000.0 });
         }
-        let returns = self.outlook.returns.entry(settings.pool.clone()).or_default();
-        returns.decide(time.monotonic, &job, &backlogs)
+        let mut returns = self.outlook.returns.get(&settings.pool).copied().unwrap_or_default();
+        let decision = returns.decide(time.monotonic, &job, &backlogs);
+        (decision, Some((settings.pool.clone(), returns)))
+    }
+
+    /// Returns the criteria of a step of a job that is judged as if it were accepted now.
+    pub(super) fn described_criteria(
+        &self,
+        time: Time,
+        ledger: &Ledger,
+        key: &StepKey,
+    ) -> Criteria {
+        let job = &ledger.jobs()[&key.job];
+        let weight = job.owner.as_ref().and_then(|o| ledger.account(o)).map_or(0.0, |a| a.weight);
+        let is_excess =
+            job.owner.as_ref().is_some_and(|o| self.rates.is_exhausted(o, weight, time.wall));
+        Criteria { accepted_at: time.monotonic, is_excess, ..self.criteria(ledger, key) }
     }
 
     /// Returns the criteria by which a job would be ranked if it were accepted now.
@@ -107,7 +139,7 @@
     }
 
     /// Returns the expected processor time of a step's waiting units in core-seconds.
-    fn waiting_work(&self, ledger: &Ledger, key: &StepKey, waiting: &Waiting) -> f64 {
+    pub(super) fn waiting_work(&self, ledger: &Ledger, key: &StepKey, waiting: &Waiting) -> f64 {
         let Some(job) = ledger.job(key.job) else { return 0.0 };
         let step = &job.definition.steps[usize::from(key.step)];
         if step.long_running {
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod balance;
 mod copies;
 mod crashes;
+mod explain;
 mod locality;
 mod maintenance;
 mod pacing;
@@ -44,6 +45,7 @@
 
 pub use accounts::Summary;
 pub use advice::AdviseReply;
+pub use explain::{Placing, StepPlacing};
 pub use maintenance::{MaintenanceReply, MoveReply};
 pub use pacing::PaceReply;
 pub use poll::PollReply;
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -37,6 +37,11 @@
 }
 
 impl Plan<'_> {
+    /// Returns whether units of a step wait for a near place.
+    pub(super) fn holds(&self, key: &StepKey) -> bool {
+        self.held_steps.contains(key)
+    }
+
     fn has_planned(&self, key: &StepKey) -> bool {
         self.planned.range(key.unit(0)..=key.unit(u32::MAX)).next().is_some()
     }
@@ -133,6 +138,19 @@
     ) -> Plan<'a> {
         let none = BTreeMap::new();
         let steps = self.waiting.get(pool).unwrap_or(&none);
+        self.plan_steps(time, ledger, pool, steps, trials, budget)
+    }
+
+    /// Decides where the units of some steps of a pool run.
+    pub(super) fn plan_steps<'a>(
+        &self,
+        time: Time,
+        ledger: &'a Ledger,
+        pool: &PoolName,
+        steps: &BTreeMap<StepKey, Waiting>,
+        trials: &[StepKey],
+        budget: &mut Budget,
+    ) -> Plan<'a> {
         let mut candidates = self.candidates(time, pool);
         let free_trials = self.free_trials(&candidates);
         if free_trials > 0 {
@@ -260,7 +278,7 @@
     }
 
     /// Returns the workers of a pool that may get new work.
-    fn candidates(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
+    pub(super) fn candidates(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
         let is_candidate = |worker: &Worker| {
             !worker.polling.is_silent(time.monotonic)
                 && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
--- a/src/util.rs
+++ b/src/util.rs
@@ -4,6 +4,7 @@
 use ::record::FieldError;
 use async_std::net::TcpListener;
 use async_std::task::JoinHandle;
+use control::core::place::{self, Question};
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use http_types::{Request, Response};
@@ -270,10 +271,41 @@
     }
 }
 
+impl Status {
+    /// Answers a question about a job's places: 200 with the answer, or 404 with the reason.
+    async fn place(&self, body: &[u8]) -> Response {
+        let with_text = |status: u16, text: String| {
+            let mut response = Response::new(status);
+            response.set_body(text);
+            response
+        };
+        let Source::Core(handle) = &self.source else {
+            return with_text(404, "only a core process knows places".to_string());
+        };
+        let question: Question = match serde_json::from_slice(body) {
+            Ok(question) => question,
+            Err(error) => return with_text(400, error.to_string()),
+        };
+        match handle.explain_place(question).await {
+            Some(Ok(placing)) => {
+                let text = serde_json::to_string(&placing);
+                with_text(200, text.expect("the value can be serialized"))
+            }
+            Some(Err(error @ place::Error::Invalid(_))) => with_text(400, error.to_string()),
+            Some(Err(error)) => with_text(404, error.to_string()),
+            None => with_text(503, "the core does not answer".to_string()),
+        }
+    }
+}
+
 impl App for Status {
-    fn respond(&self, request: Request) -> BoxFuture<'_, http_types::Result<Response>> {
+    fn respond(&self, mut request: Request) -> BoxFuture<'_, http_types::Result<Response>> {
         Box::pin(async move {
             let mut response = Response::new(200);
+            if request.url().path() == "/place" {
+                let body = request.body_bytes().await?;
+                return Ok(self.place(&body).await);
+            }
             match request.url().path() {
                 "/metrics" => response.set_body(self.metrics.render()),
                 "/dump" => response.set_body(self.dump().await),
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -257,6 +257,55 @@
     });
 }
 
+#[test]
+fn the_leader_explains_where_a_job_would_go_without_sending_it() {
+    let system = System::start();
+    let leader = system.wait_for_leader();
+    system.configure(1);
+    let workers = workers(&system);
+    let file = system.folder.path().join("job.json");
+    std::fs::write(&file, job(1, 2, 400).to_string()).unwrap();
+    let file = file.to_str().unwrap();
+    let explain = |core: u8, arguments: &[&str]| {
+        let core = system.address(core, INTERNAL.1).to_string();
+        let mut command = Command::new(BINARY);
+        workdir::output(command.args(["explain", "place"]).args(arguments).args(["--core", &core]))
+    };
+    let queue = "plugs";
+    until("both units would start at once", || {
+        let out = explain(leader, &["queue", queue, "--job", file]).stdout;
+        String::from_utf8(out).unwrap().contains("2 would start now, 0 wait")
+    });
+    let json = explain(leader, &["queue", queue, "--job", file, "--json"]).stdout;
+    let json: Value = serde_json::from_slice(&json).unwrap();
+    assert_eq!(json["steps"][0]["candidates"], 3, "{json}");
+    assert_eq!(workers.iter().map(|worker| worker.started().len()).sum::<usize>(), 0);
+    system.submit(&id(1), &job(1, 2, 60_000));
+    until("both units run", || workers.iter().map(|w| w.started().len()).sum::<usize>() == 2);
+    until("the leader says so", || {
+        let out = explain(leader, &["job", &id(1)]).stdout;
+        String::from_utf8(out).unwrap().contains("2 units run, 0 would start now, 0 wait")
+    });
+    let refused = |core: u8, arguments: &[&str], code: i32, text: &str| {
+        let out = explain(core, arguments);
+        let error = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(code), "{error}");
+        assert!(error.contains(text), "{text:?} in {error:?}");
+    };
+    refused(leader, &["job", &id(9)], 6, "is not known or has ended");
+    refused(leader, &["queue", "none", "--job", file], 6, "queue \"none\" does not exist");
+    let with_account = ["queue", queue, "--job", file, "--account", "a"];
+    refused(leader, &with_account, 6, "account \"a\" does not exist");
+    refused(leader, &["queue", queue], 2, "with --job FILE");
+    let follower = *CORES.iter().find(|core| **core != leader).unwrap();
+    refused(follower, &["job", &id(1)], 6, "does not lead");
+    block_on(async {
+        for worker in workers {
+            worker.stop().await;
+        }
+    });
+}
+
 #[test]
 fn a_stopping_leader_transfers_leadership_and_exits() {
     let mut system = System::start();
