Jobs, sched, platform: values out of all bounds are refused and end no process

Cause: a job that repeats four billion times filled the leader's memory; run times, resources and a stretch near the end of their range overflowed a duration, which panics, at each leader that applied the command; a wave of 1e300 seconds panicked the task that read it. Change: run times, intervals, repetitions, resources, due times and the stretch are bounded, with errors that name the field; sums and products of durations in the scheduler saturate, since a log may hold such jobs already.

--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -9,6 +9,9 @@
 /// Result of checking a configuration.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Largest factor by which the duration of a job's critical path may count in its objective.
+pub const MAX_CRITICAL_PATH_FACTOR: f64 = 1000.0;
+
 /// Why a configuration was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -32,6 +35,9 @@
     /// by [`Config::check`].
     #[error("\"{0}\" is declared twice")]
     Twice(String),
+    /// The factor of the critical path in a queue's objective is out of bounds.
+    #[error("queue \"{0}\": the stretch must be a number from 0 to {MAX_CRITICAL_PATH_FACTOR}")]
+    Stretch(QueueName),
     /// The request timeout of a queue is 0.
     #[error("queue \"{0}\": the timeout must not be 0")]
     NoTimeout(QueueName),
@@ -130,8 +136,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the first violation: a missing pool, a timeout of 0, or two queues with the
-    /// same host and prefix.
+    /// Returns the first violation: a missing pool, a timeout of 0, a stretch out of bounds, or two
+    /// queues with the same host and prefix.
     ///
     /// ```
     /// use jobs::{Config, Queue};
@@ -150,6 +156,9 @@
             if queue.timeout.is_zero() {
                 return Err(Error::NoTimeout(name.clone()));
             }
+            if !(0.0..=MAX_CRITICAL_PATH_FACTOR).contains(&queue.critical_path_factor) {
+                return Err(Error::Stretch(name.clone()));
+            }
             if let Some(other) = routes.insert((&queue.host, &queue.prefix), name) {
                 return Err(Error::SamePlace { queue: name.clone(), other: other.clone() });
             }
--- a/crates/jobs/src/definition.rs
+++ b/crates/jobs/src/definition.rs
@@ -6,6 +6,16 @@
 /// Maximum number of units of one job; larger jobs are rejected as invalid.
 pub const MAX_UNITS: u64 = 20_000;
 
+/// Maximum number of occurrences of a scheduled job; each of them waits in the leader's memory.
+pub const MAX_OCCURRENCES: u32 = 100_000;
+/// Longest declared run time and longest interval between occurrences. Sums over all units of a job
+/// stay far below what a duration can hold.
+pub const MAX_DURATION: Duration = Duration::from_secs(366 * 86_400);
+/// Latest due time: the end of the year 9999.
+pub const MAX_DUE: crate::UnixMs = 253_402_300_799_999;
+/// Most of each resource that one unit may use. Sums over all units of a job stay within 64 bits.
+pub const MAX_RESOURCE: u64 = 1 << 40;
+
 /// A job as a client describes it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -32,6 +42,20 @@
     pub occurrences: u32,
 }
 
+impl Schedule {
+    /// Returns the first violation in the schedule, or `None` if it is valid.
+    fn field_error(&self) -> Option<String> {
+        if self.occurrences > MAX_OCCURRENCES {
+            return Some(format!("the job repeats more than {MAX_OCCURRENCES} times"));
+        }
+        if self.interval > MAX_DURATION {
+            let days = MAX_DURATION.as_secs() / 86_400;
+            return Some(format!("the interval is more than {days} days"));
+        }
+        (self.first_due > MAX_DUE).then(|| "the first run is after the year 9999".to_string())
+    }
+}
+
 /// A step of a job: a number of identical units of work.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -143,12 +167,12 @@
         }
     }
 
-    /// Adds `other` to each resource.
+    /// Adds `other` to each resource, stopping at the largest number.
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 }
@@ -175,8 +199,16 @@
             if step.after.iter().any(|before| usize::from(*before) >= number) {
                 return Some(format!("steps.{number}.after: names a step that is not earlier"));
             }
+            if step.estimate > MAX_DURATION {
+                let days = MAX_DURATION.as_secs() / 86_400;
+                return Some(format!("steps.{number}: the run time is more than {days} days"));
+            }
+            let Resources { cpu_milli, memory_mb, accelerators } = step.resources;
+            if cpu_milli.max(memory_mb).max(accelerators) > MAX_RESOURCE {
+                return Some(format!("steps.{number}: a resource is more than {MAX_RESOURCE}"));
+            }
         }
-        None
+        self.schedule.as_ref().and_then(Schedule::field_error)
     }
 
     /// Returns the number of occurrences; 1 without a schedule.
@@ -188,6 +220,6 @@
     pub fn due(&self, occurrence: u32) -> Option<crate::UnixMs> {
         let schedule = self.schedule.as_ref()?;
         let interval = schedule.interval.as_millis() as u64;
-        Some(schedule.first_due + u64::from(occurrence) * interval)
+        Some(schedule.first_due.saturating_add(u64::from(occurrence).saturating_mul(interval)))
     }
 }
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -253,3 +253,35 @@
         assert_eq!(ledger.find_job(&"q".to_string(), "a").is_some(), kept);
     }
 }
+
+#[test]
+fn definitions_and_configurations_out_of_all_bounds_are_refused_with_the_field() {
+    let with = |change: &dyn Fn(&mut Definition)| {
+        let mut definition = Definition { steps: vec![step(1)], ..Definition::default() };
+        let (interval, occurrences) = (Duration::from_secs(1), 2);
+        definition.schedule = Some(Schedule { first_due: 1, interval, occurrences });
+        assert_eq!(definition.field_error(), None);
+        change(&mut definition);
+        definition.field_error().unwrap_or_default()
+    };
+    assert!(with(&|d| d.steps[0].estimate = Duration::MAX).contains("run time"));
+    assert!(with(&|d| d.steps[0].resources.memory_mb = u64::MAX).contains("resource"));
+    let schedule = |d: &mut Definition| d.schedule.clone().unwrap();
+    assert!(
+        with(&|d| d.schedule = Some(Schedule { occurrences: u32::MAX, ..schedule(d) }))
+            .contains("repeats")
+    );
+    assert!(
+        with(&|d| d.schedule = Some(Schedule { interval: Duration::MAX, ..schedule(d) }))
+            .contains("interval")
+    );
+    assert!(
+        with(&|d| d.schedule = Some(Schedule { first_due: u64::MAX, ..schedule(d) }))
+            .contains("year")
+    );
+    for factor in [1e300, f64::NAN, f64::INFINITY, -1.0] {
+        let mut config = config(1);
+        config.queues.get_mut("q").unwrap().critical_path_factor = factor;
+        assert!(config.check().unwrap_err().to_string().contains("stretch"), "{factor}");
+    }
+}
--- a/crates/sched/src/estimate.rs
+++ b/crates/sched/src/estimate.rs
@@ -1,5 +1,6 @@
 //! Estimates of unit run times, corrected per queue by the runs that ended.
 
+use crate::rank::scaled;
 use jobs::QueueName;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,6 +42,6 @@
     /// Returns the expected run time of a unit of a queue; the declared one if no run of
     /// the queue was recorded.
     pub fn expected(&self, queue: &QueueName, declared: Duration) -> Duration {
-        declared.mul_f64(self.ratios.get(queue).copied().unwrap_or(1.0))
+        scaled(declared, self.ratios.get(queue).copied().unwrap_or(1.0))
     }
 }
--- a/crates/sched/src/locality.rs
+++ b/crates/sched/src/locality.rs
@@ -3,6 +3,7 @@
 //! Answers racks that many units want at once. A wait pays if the place is expected to be free
 //! before the time that running near saves.
 
+use crate::rank::scaled;
 use jobs::definition::Resources;
 use std::time::Duration;
 
@@ -45,7 +46,7 @@
     /// ```
     pub fn pays(&self) -> bool {
         let Some(free_after) = self.free_after else { return false };
-        let far_time = self.run_time.mul_f64(self.far_factor.max(1.0));
+        let far_time = scaled(self.run_time, self.far_factor.max(1.0));
         let gain = far_time.saturating_sub(self.run_time);
         let is_in_time_near = free_after + self.run_time <= self.time_left;
         let is_in_time_far = far_time <= self.time_left;
@@ -167,7 +168,7 @@
 pub fn remaining(elapsed: Duration, percent: u32, expected: Duration) -> Duration {
     if percent > 0 {
         let left = f64::from(100 - percent.min(100));
-        return elapsed.mul_f64(left / f64::from(percent));
+        return scaled(elapsed, left / f64::from(percent));
     }
     expected.checked_sub(elapsed).filter(|left| !left.is_zero()).unwrap_or(elapsed / 2)
 }
--- a/crates/sched/src/rank.rs
+++ b/crates/sched/src/rank.rs
@@ -73,7 +73,7 @@
             Class::LongRunning
         } else if end <= self.accepted_at + self.objective {
             Class::InTime
-        } else if end <= self.accepted_at + self.objective.mul_f64(OVERDUE_FACTOR) {
+        } else if end <= self.accepted_at + scaled(self.objective, OVERDUE_FACTOR) {
             Class::Late
         } else {
             Class::Overdue
@@ -115,6 +115,22 @@
     }
 }
 
+/// Longest duration of any sum below: jobs that were accepted before declared times were bounded may
+/// have longer ones.
+const MAX_SPAN: Duration = Duration::from_secs(100 * 366 * 86_400);
+
+/// Multiplies a duration by a factor, up to a bound that sums of durations can hold.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(sched::rank::scaled(Duration::from_secs(2), 1.5), Duration::from_secs(3));
+/// assert!(sched::rank::scaled(Duration::MAX, 1e300) < Duration::MAX / 2);
+/// ```
+pub fn scaled(duration: Duration, factor: f64) -> Duration {
+    let scaled = Duration::try_from_secs_f64(duration.as_secs_f64() * factor.max(0.0));
+    scaled.unwrap_or(MAX_SPAN).min(MAX_SPAN)
+}
+
 /// Returns the duration of the longest chain of dependent steps that starts with step
 /// `from`; `expected` maps a declared run time to the expected one.
 pub fn critical_path(
@@ -130,7 +146,8 @@
             .map(|dependent| longest[dependent])
             .max()
             .unwrap_or_default();
-        longest[step] = expected(definition.steps[step].estimate) + longest_after;
+        let duration = expected(definition.steps[step].estimate);
+        longest[step] = duration.saturating_add(longest_after).min(MAX_SPAN);
     }
     longest.get(usize::from(from)).copied().unwrap_or_default()
 }
@@ -164,6 +181,7 @@
 
 /// Returns the time from acceptance within which a job has its full value.
 pub fn objective(job: &Job, expected: &dyn Fn(Duration) -> Duration) -> Duration {
-    whole_critical_path(&job.definition, expected).mul_f64(job.critical_path_factor.max(1.0))
-        + job.base_objective
+    let critical_path = whole_critical_path(&job.definition, expected);
+    let objective = scaled(critical_path, job.critical_path_factor.max(1.0));
+    objective.saturating_add(job.base_objective).min(MAX_SPAN)
 }
--- a/crates/sched/src/scheduler/admit.rs
+++ b/crates/sched/src/scheduler/admit.rs
@@ -57,7 +57,7 @@
         }
         let criteria = self.prospective_criteria(time, ledger, queue, settings, definition, owner);
         let job = Prospect {
-            value_time: criteria.objective.mul_f64(OVERDUE_FACTOR),
+            value_time: rank::scaled(criteria.objective, OVERDUE_FACTOR),
             critical_path: criteria.critical_path,
             work: criteria.remaining_work,
         };
@@ -113,7 +113,7 @@
             long_running: false,
             is_excess: owner.is_some_and(|o| self.rates.is_exhausted(o, weight, time.wall)),
             accepted_at: time.monotonic,
-            objective: critical_path.mul_f64(settings.critical_path_factor.max(1.0))
+            objective: rank::scaled(critical_path, settings.critical_path_factor.max(1.0))
                 + settings.base_objective,
             critical_path,
             remaining_work: rank::remaining_work(definition, 0, &duration),
--- a/crates/sched/src/scheduler/copies.rs
+++ b/crates/sched/src/scheduler/copies.rs
@@ -3,6 +3,7 @@
 use super::placing::{Draft, Placement};
 use super::{Scheduler, Time};
 use crate::place::{self, Candidate, Request};
+use crate::rank::scaled;
 use crate::straggler::{self, Cause};
 use crate::worker::{Run, RunState, Worker};
 use jobs::{Ledger, PoolName, RunNumber, UnitKey, WorkerId};
@@ -152,8 +153,8 @@
     let elapsed = seen_at.saturating_sub(started_at);
     let factor = worker.speed_factor(now);
     let whole = match percent {
-        0 => run.expected.mul_f64(factor),
-        percent => elapsed.mul_f64(100.0 / f64::from(percent)),
+        0 => scaled(run.expected, factor),
+        percent => scaled(elapsed, 100.0 / f64::from(percent)),
     };
     Some(Cause::Slow((started_at + whole).saturating_sub(now)))
 }
--- a/crates/sched/src/scheduler/locality.rs
+++ b/crates/sched/src/scheduler/locality.rs
@@ -3,6 +3,7 @@
 use super::{Scheduler, Time, Waiting};
 use crate::locality::{self, MAX_WAIT, Offer, Rack};
 use crate::place::{Candidate, Request};
+use crate::rank::scaled;
 use crate::worker::Run;
 use jobs::definition::Resources;
 use jobs::{Ledger, UnitKey};
@@ -27,7 +28,7 @@
     pub(super) fn avoids_slow(&self, factor: f64) -> bool {
         self.waited < MAX_WAIT
             && self.run_time <= self.time_left
-            && self.run_time.mul_f64(factor) > self.time_left
+            && scaled(self.run_time, factor) > self.time_left
     }
 
     fn pays(&self, free_after: Option<Duration>) -> bool {
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -8,6 +8,7 @@
 use super::{LEASE_DURATION, Scheduler, Time};
 use crate::lease::Origin;
 use crate::order::{Answer, Order, Refusal, Start, StartOutcome};
+use crate::rank::scaled;
 use crate::worker::{Run, RunState, StopReason};
 use jobs::command::Discarded;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
@@ -381,6 +382,6 @@
     }
     let Some(job) = ledger.job(unit.job) else { return false };
     let expected = job.definition.steps[usize::from(unit.step)].estimate;
-    let max_stall = MIN_STUCK_DURATION.max(expected.mul_f64(STUCK_RUN_TIME_FRACTION));
+    let max_stall = MIN_STUCK_DURATION.max(scaled(expected, STUCK_RUN_TIME_FRACTION));
     answered_at >= since + max_stall
 }
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -1,5 +1,6 @@
 //! How slow a worker is at present, by the run times of several units.
 
+use crate::rank::scaled;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -66,7 +67,7 @@
     if percent < MIN_PERCENT {
         return ratio(elapsed, expected).filter(|ratio| *ratio >= SLOW_FACTOR);
     }
-    ratio(elapsed.mul_f64(100.0 / f64::from(percent)), expected)
+    ratio(scaled(elapsed, 100.0 / f64::from(percent)), expected)
 }
 
 fn ratio(actual: Duration, expected: Duration) -> Option<f64> {
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -595,3 +595,20 @@
     let examined = world.scheduler.effort().workers_examined - before;
     assert!(examined <= 2 * without, "{examined} workers were examined, {without} without a wave");
 }
+
+/// A log may hold jobs from before declared values were bounded; a panic would end each leader.
+#[test]
+fn jobs_with_values_out_of_all_bounds_end_no_leader() {
+    let mut world = World::new(2);
+    let endless = jobs::Step { estimate: Duration::MAX / 2, ..step(1, 1000, 500) };
+    let after = jobs::Step { after: [0].into(), ..endless.clone() };
+    let huge = jobs::Step { resources: world::resources(u64::MAX), ..step(40, 1000, 500) };
+    world.submit("q", "endless", vec![endless, after]);
+    world.submit("q", "huge", vec![huge]);
+    world.submit("q", "a", vec![step(2, 1000, 300)]);
+    world.run_times.insert("a".to_string(), seconds(0.3));
+    world.run(seconds(1.0));
+    world.replace_leader();
+    world.run(seconds(2.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -306,6 +306,62 @@
     });
 }
 
+/// Requests with values that are out of all bounds end no process: a limit that is missing shows as
+/// a panic of the leader, and of each successor that applies the same command.
+#[test]
+fn requests_out_of_all_bounds_are_refused_and_end_no_process() {
+    let system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    let workers = workers(&system);
+    let most = u64::MAX;
+    let step = json!({"count": 1, "cpu": 500, "mem_mb": 10, "est_runtime_ms": 100});
+    let with = |field: &str, value: Value| {
+        let mut step = step.clone();
+        step[field] = value;
+        step
+    };
+    let jobs = [
+        json!({"steps": [step], "repeat_count": u32::MAX, "first_run_ms": 1, "interval_ms": 1}),
+        json!({"steps": [step], "repeat_count": 3, "first_run_ms": most, "interval_ms": most}),
+        json!({"steps": [with("est_runtime_ms", json!(most)), with("est_runtime_ms", json!(most))]}),
+        json!({"steps": [with("cpu", json!(most)), with("cpu", json!(most))]}),
+        json!({"steps": [with("mem_mb", json!(most))]}),
+        json!({"steps": [with("count", json!(u32::MAX))]}),
+    ];
+    for (number, job) in jobs.into_iter().enumerate() {
+        let (status, answer) = system.call_edge(Method::Post, &id(100 + number as u32), Some(job));
+        assert_eq!(status, 400, "job {number}: {answer}");
+    }
+    let control = system.address(CORES[0], CONTROL);
+    for duration in [1e300, -1.0] {
+        let wave = json!({"wave": 1, "machines": ["m"], "duration_s": duration, "cap": 1});
+        let (status, answer) =
+            block_on(call(control, Method::Post, "/api/wave-start", Some(wave))).unwrap();
+        assert_eq!((status, &answer["error"]), (400, &json!("duration_s: is no span")));
+    }
+    let config = json!({
+        "version": 2, "services": [{"name": "gate"}], "limits": {},
+        "routes": [{"name": "plugs", "host": "h", "path_prefix": "/", "service": "gate",
+            "timeout_ms": 3000, "stretch": 1e300}],
+    });
+    let put = call(control, Method::Put, "/api/config", Some(config));
+    assert_eq!(block_on(put).unwrap().0, 400);
+    system.submit(&id(1), &job(1, 2, 400));
+    until("the job is completed", || {
+        system.call_edge(Method::Get, &id(1), None).1["state"] == "completed"
+    });
+    for core in CORES {
+        let log = std::fs::read_to_string(system.folder.path().join(format!("p{core}.log")));
+        assert!(!log.unwrap().contains("panicked"), "core {core}");
+    }
+    block_on(async {
+        for worker in workers {
+            worker.stop().await;
+        }
+    });
+}
+
 #[test]
 fn a_stopping_leader_transfers_leadership_and_exits() {
     let mut system = System::start();
