Edge: a refusal after an attempt without an answer is passed on as unknown

Cause: a client whose first attempt was lost on its way could be told 401 or 429 by the second one, though the first might have been accepted before the key was withdrawn. Change: such a reply to a write becomes 504, as for other refusals. Result: a runnable example shows both cases.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -124,11 +124,9 @@
                             may_have_executed = true;
                             task::sleep(RETRY_INTERVAL).await;
                         }
-                        // An earlier attempt may still be carried out.
-                        Attempt::Replied(Reply::Overloaded { reason, .. }) if may_have_executed => {
-                            return Reply::Unknown(reason);
+                        Attempt::Replied(reply) => {
+                            return settle(reply, may_have_executed && request.is_write());
                         }
-                        Attempt::Replied(reply) => return reply,
                         Attempt::NoLink => task::sleep(RETRY_INTERVAL).await,
                         Attempt::Lost => {
                             may_have_executed = true;
@@ -217,6 +215,27 @@
     }
 }
 
+/// Returns the leader's reply as the client may be told it. A refusal says that the request was not
+/// carried out, which is not known if an earlier attempt of a write had no answer.
+///
+/// ```
+/// use mesh::Reply;
+/// let refusal = Reply::Unauthorized("key 0a1b2c3d is not known".to_string());
+/// assert_eq!(edge::gateway::settle(refusal.clone(), false), refusal);
+/// assert!(matches!(edge::gateway::settle(refusal, true), Reply::Unknown(_)));
+/// assert_eq!(edge::gateway::settle(Reply::Done, true), Reply::Done);
+/// ```
+pub fn settle(reply: Reply, has_unanswered_attempt: bool) -> Reply {
+    match reply {
+        Reply::Overloaded { reason, .. } | Reply::Unauthorized(reason)
+            if has_unanswered_attempt =>
+        {
+            Reply::Unknown(reason)
+        }
+        reply => reply,
+    }
+}
+
 /// Outcome of sending a request to one leader.
 enum Attempt {
     Replied(Reply),
