Sched: a worker is slow by the median over steps, and unheard by its open poll

Cause: several units of one step whose time was declared too short made their worker slow, and a poll that was sent to an idle worker may wait 2 s, so that units which began meanwhile were copied. Change: the median over at least three steps decides, from a factor of 2.5 on; a worker is unheard 0.4 s after its poll should have been answered. Result: a new test of a step declared too short failed on four copies and passes.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -97,6 +97,7 @@
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
             let acknowledged_through = worker.acknowledge(committed_through);
             worker.polling.sent_at = Some(now);
+            worker.polling.max_wait = max_wait;
             worker.polling.grants_lease = lease_end_ms.is_some();
             let poll = Poll {
                 fence: self.fence,
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -155,7 +155,7 @@
         }
         self.estimator.record(&job.queue, step.estimate, run_time);
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.speed.record(time.monotonic, run_time, run.expected);
+            worker.speed.record(time.monotonic, unit.step_key(), run_time, run.expected);
         }
     }
 
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -1,58 +1,74 @@
-//! How slow a worker is at present, by the run times of several units.
+//! How slow a worker is at present, by the run times of several steps' units.
 
 use crate::rank::scaled;
-use std::collections::VecDeque;
+use jobs::StepKey;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Time after which an ended run no longer counts. Slow spells last some seconds.
 const MEMORY: Duration = Duration::from_secs(3);
 /// Most ended runs that are kept.
-const MAX_SAMPLES: usize = 8;
-/// Fewest runs that show a worker's speed: declared times of single units are far off.
-const MIN_RATIOS: usize = 3;
+const MAX_SAMPLES: usize = 24;
+/// Fewest steps whose units show a worker's speed. The declared time of a step may be far off, and
+/// for all of its units alike; single units may be long by themselves.
+const MIN_STEPS: usize = 3;
 /// Factor from which on a worker counts as slow.
-const SLOW_FACTOR: f64 = 2.0;
+const SLOW_FACTOR: f64 = 2.5;
 /// Least progress in percent from which a run's whole duration is projected.
 const MIN_PERCENT: u32 = 5;
 
 /// Ratios of actual to expected run times on a worker.
 #[derive(Clone, Debug, Default)]
 pub struct Speed {
-    ended: VecDeque<(Duration, f64)>,
+    ended: VecDeque<(Duration, StepKey, f64)>,
 }
 
 impl Speed {
-    /// Records a run that ended at `now`.
-    pub fn record(&mut self, now: Duration, actual: Duration, expected: Duration) {
+    /// Records a run of a step that ended at `now`.
+    pub fn record(&mut self, now: Duration, step: StepKey, actual: Duration, expected: Duration) {
         if let Some(ratio) = ratio(actual, expected) {
             if self.ended.len() == MAX_SAMPLES {
                 self.ended.pop_front();
             }
-            self.ended.push_back((now, ratio));
+            self.ended.push_back((now, step, ratio));
         }
     }
 
-    /// Returns the factor by which the worker is slower than expected, by its recent runs and the
-    /// ratios of those under way; 1 if they are too few to tell.
+    /// Returns the factor by which the worker is slower than expected: the median over steps of
+    /// the mean ratio of their units, of recent runs and those under way; 1 if they are of too few
+    /// steps to tell.
     ///
     /// ```
+    /// use jobs::StepKey;
     /// use std::time::Duration;
+    /// let step = |job| StepKey { job, occurrence: 0, step: 0 };
+    /// let (now, second) = (Duration::from_secs(10), Duration::from_secs(1));
     /// let mut speed = sched::speed::Speed::default();
-    /// let now = Duration::from_secs(10);
-    /// let second = Duration::from_secs(1);
-    /// speed.record(now, 5 * second, second);
-    /// assert_eq!(speed.factor(now, [4.0]), 1.0, "two runs don't tell");
-    /// assert_eq!(speed.factor(now, [4.0, 0.5]), 4.0);
-    /// assert_eq!(speed.factor(now + 4 * second, [4.0, 0.5]), 1.0, "the first is forgotten");
+    /// speed.record(now, step(1), 5 * second, second);
+    /// assert_eq!(speed.factor(now, [(step(1), 9.0), (step(2), 9.0)]), 1.0, "two steps don't tell");
+    /// let under_way = [(step(2), 4.0), (step(3), 0.5)];
+    /// assert_eq!(speed.factor(now, under_way), 4.0);
+    /// assert_eq!(speed.factor(now + 4 * second, under_way), 1.0, "the first is forgotten");
     /// ```
-    pub fn factor(&self, now: Duration, under_way: impl IntoIterator<Item = f64>) -> f64 {
-        let ended = self.ended.iter().filter(|(at, _)| now < *at + MEMORY).map(|(_, ratio)| *ratio);
-        let mut ratios: Vec<f64> = ended.chain(under_way).collect();
-        if ratios.len() < MIN_RATIOS {
+    pub fn factor(
+        &self,
+        now: Duration,
+        under_way: impl IntoIterator<Item = (StepKey, f64)>,
+    ) -> f64 {
+        let ended = self.ended.iter().filter(|(at, ..)| now < *at + MEMORY);
+        let ended = ended.map(|(_, step, ratio)| (*step, *ratio));
+        let mut sums: BTreeMap<StepKey, (f64, f64)> = BTreeMap::new();
+        for (step, ratio) in ended.chain(under_way) {
+            let (sum, count) = sums.entry(step).or_default();
+            *sum += ratio;
+            *count += 1.0;
+        }
+        if sums.len() < MIN_STEPS {
             return 1.0;
         }
-        ratios.sort_by(f64::total_cmp);
-        ratios[ratios.len() / 2]
+        let mut means: Vec<f64> = sums.values().map(|(sum, count)| sum / count).collect();
+        means.sort_by(f64::total_cmp);
+        means[(means.len() - 1) / 2]
     }
 }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -25,9 +25,8 @@
 /// carries out all the same; orders that are sent together are given up together.
 const SILENT_AFTER_UNANSWERED: u32 = 3;
 const SILENT_AFTER: Duration = Duration::from_millis(500);
-/// Time without an answer after which copies of a worker's runs may be started: a poll of a worker
-/// with runs takes 0.8 s at most, and its answer some more.
-const UNHEARD_AFTER: Duration = Duration::from_millis(1200);
+/// Time beyond the longest wait of a poll after which copies of a worker's runs may be started.
+const MAX_ANSWER_DELAY: Duration = Duration::from_millis(400);
 /// Shortest time between two looks at the late starts of a worker.
 const LATE_STARTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Consecutive lists without an instance after which it is considered deleted, or without a worker
@@ -134,6 +133,8 @@
 pub struct Polling {
     /// When the open poll was sent; `None` if none is open.
     pub sent_at: Option<Duration>,
+    /// Longest wait of the open or the last poll.
+    pub max_wait: Duration,
     /// Number of the last end that the open poll acknowledges; 0 for none.
     pub acknowledging: u64,
     /// Number of the last end that an answered poll acknowledged; 0 for none.
@@ -447,19 +448,25 @@
 
     /// Returns the factor by which the worker is slower than expected at present.
     pub fn speed_factor(&self, now: Duration) -> f64 {
-        let under_way = self.runs.values().filter(|run| !run.long_running && !run.best_effort);
-        let ratios = under_way.filter_map(|run| {
+        let is_short = |run: &Run| !run.long_running && !run.best_effort;
+        let under_way = self.runs.iter().filter(|(_, run)| is_short(run));
+        let ratios = under_way.filter_map(|((unit, _), run)| {
             let (percent, seen_at) = run.progress;
             let elapsed = seen_at.saturating_sub(run.started_at?);
-            speed::projected_ratio(elapsed, percent, run.expected)
+            let ratio = speed::projected_ratio(elapsed, percent, run.expected)?;
+            Some((unit.step_key(), ratio))
         });
         self.speed.factor(now, ratios)
     }
 
-    /// Returns whether the worker, which has runs, has answered nothing for longer than a poll takes.
+    /// Returns whether the worker, which has runs, leaves a poll unanswered for longer than it may
+    /// wait, or has answered nothing since one was given up.
     pub fn is_unheard(&self, now: Duration) -> bool {
-        let heard_at = self.polling.heard_at.max(self.polling.answered_at);
-        !self.runs.is_empty() && heard_at.is_some_and(|at| now >= at + UNHEARD_AFTER)
+        let polling = &self.polling;
+        let is_overdue =
+            polling.sent_at.is_some_and(|at| now >= at + polling.max_wait + MAX_ANSWER_DELAY);
+        let has_given_up = polling.unanswered_since.is_some_and(|at| now >= at + MAX_ANSWER_DELAY);
+        !self.runs.is_empty() && (is_overdue || has_given_up)
     }
 
     /// Judges anew whether the worker is slow.
--- a/crates/sched/tests/copies.rs
+++ b/crates/sched/tests/copies.rs
@@ -19,17 +19,25 @@
     world.submit("q", id, steps);
 }
 
+/// Starts one unit on each worker, so that no idle instance is moved to the standby pool.
+fn hold_instances(world: &mut World) {
+    submit(world, "hold", 60.0, vec![Step { anti_affinity: 1, ..step(4, 1000, 60_000) }]);
+    world.run(seconds(0.2));
+}
+
 fn duration(world: &World, id: &str) -> Duration {
     let job = world.ledger.find_job(&"q".to_string(), id).unwrap();
     Duration::from_millis(job.finished_at.unwrap_or(world.time().wall) - job.accepted_at)
 }
 
-/// Fills 4 workers with units of one second, of which those on `w0` take several times as long.
+/// Fills 4 workers with two units of one second of each of 4 jobs, of which those on `w0` take
+/// several times as long.
 fn slow_world(slowdown: f64, step: &Step) -> World {
     let mut world = World::new(4);
     world.workers.get_mut("w0").unwrap().slowdown = slowdown;
     for number in 0..4 {
-        submit(&mut world, &format!("a{number}"), 1.0, vec![Step { count: 8, ..step.clone() }]);
+        let step = Step { count: 8, anti_affinity: 2, ..step.clone() };
+        submit(&mut world, &format!("a{number}"), 1.0, vec![step]);
     }
     world
 }
@@ -67,7 +75,8 @@
 #[test]
 fn units_of_a_silent_worker_are_copied_before_its_lease_is_over() {
     let mut world = World::new(4);
-    submit(&mut world, "a", 1.0, vec![speculative(8, 1000)]);
+    hold_instances(&mut world);
+    submit(&mut world, "a", 1.0, vec![speculative(7, 1000)]);
     world.run(seconds(0.5));
     let silent = world.workers_running("a.0.0.0")[0].clone();
     world.workers.get_mut(&silent).unwrap().is_down = true;
@@ -115,10 +124,21 @@
     world.run(seconds(2.5));
     assert!(world.scheduler.workers()["w0"].is_slow);
     world.workers.get_mut("w0").unwrap().slowdown = 1.0;
-    // One unit on each worker keeps the instances in the pool.
-    submit(&mut world, "hold", 60.0, vec![Step { anti_affinity: 1, ..step(4, 1000, 60_000) }]);
+    hold_instances(&mut world);
     world.run(seconds(6.0));
     submit(&mut world, "b", 0.5, vec![step(28, 1000, 500)]);
     world.run(seconds(0.5));
     assert!(world.starts.iter().any(|s| s.worker == "w0" && s.name.starts_with("b.")));
 }
+
+#[test]
+fn a_step_whose_time_was_declared_too_short_makes_no_worker_slow() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(2.0));
+    world.submit("q", "a", vec![speculative(8, 200)]);
+    submit(&mut world, "b", 0.5, vec![step(4, 1000, 500)]);
+    world.run(seconds(1.5));
+    assert!(world.scheduler.workers().values().all(|worker| !worker.is_slow));
+    world.run(seconds(3.0));
+    assert_eq!(world.starts.len(), 12, "no copies");
+}
