Sched: steps that fit nowhere are left out before they are ranked

Cause: with 5,000 waiting jobs a decision ranked and looked up every step of a full pool, and accounts added lookups for each. Change: the waiting units' resources are kept beside them and compared with the largest free room first.

--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -1,8 +1,10 @@
 //! Processor time of the scheduler and the ledger for one started unit, by the number of
-//! workers. Four pools surge in turn, each with more work than it can start at once.
+//! workers and of client accounts. Four pools surge in turn, each with more work than it can start
+//! at once; in the last lines some thousand jobs wait all the time.
 //!
 //! `cargo bench -p skylarkwinch-sched --bench starts`
 
+use jobs::account::{Account, Accounts};
 use jobs::command::{Command, EndReason, Submit};
 use jobs::definition::{Definition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
@@ -36,13 +38,24 @@
     ledger: Ledger,
     scheduler: Scheduler,
     workers: Vec<Worker>,
+    /// Number of accounts that jobs belong to in turn; 0 for none.
+    accounts: usize,
     /// Time spent in the scheduler and the ledger.
     spent: Duration,
     started: u64,
 }
 
-fn config() -> Config {
+fn config(accounts: usize) -> Config {
     let mut config = Config { version: 1, ..Config::default() };
+    if accounts > 0 {
+        let mut declared = Accounts::default();
+        for number in 0..accounts {
+            let weight = 1.0 + number as f64 % 7.0;
+            let cap = Resources { cpu_milli: 100_000, ..Resources::default() };
+            declared.add(account(number), Account { weight, cap }, []).expect("a new name");
+        }
+        config.accounts = Some(declared);
+    }
     for pool in 0..POOLS {
         let queue = Queue {
             prefix: format!("/{pool}/"),
@@ -58,6 +71,10 @@
     config
 }
 
+fn account(number: usize) -> String {
+    format!("account-{number:03}")
+}
+
 fn report(number: usize) -> Report {
     Report {
         incarnation: Incarnation::new(format!("i-{number:08x}"), 1),
@@ -74,9 +91,9 @@
 }
 
 impl World {
-    fn new(workers: usize) -> World {
+    fn new(workers: usize, accounts: usize) -> World {
         let mut ledger = Ledger::new(Duration::from_secs(120));
-        ledger.apply(Command::Configure(Box::new(config())));
+        ledger.apply(Command::Configure(Box::new(config(accounts))));
         let now = Duration::from_secs(100);
         let time = Time { monotonic: now, wall: 1_000_000 };
         let settings = Settings::default();
@@ -93,7 +110,7 @@
         for worker in &workers {
             scheduler.on_report(time, &ledger, &worker.report);
         }
-        World { now, ledger, scheduler, workers, spent: Duration::ZERO, started: 0 }
+        World { now, ledger, scheduler, workers, accounts, spent: Duration::ZERO, started: 0 }
     }
 
     fn time(&self) -> Time {
@@ -123,7 +140,8 @@
         let definition = Definition { spec: "x".repeat(1000), steps: vec![step], schedule: None };
         let at = self.time().wall;
         let (queue, id) = (format!("q{pool}"), format!("{number:016x}"));
-        self.apply(Command::Submit(Submit { queue, id, definition, owner: None, at }));
+        let owner = (number as usize).checked_rem(self.accounts).map(account);
+        self.apply(Command::Submit(Submit { queue, id, definition, owner, at }));
     }
 
     fn tick(&mut self) {
@@ -201,32 +219,47 @@
     }
 }
 
+/// Plays the load and prints a line. `waiting` jobs are there from the beginning.
+fn measure(workers: usize, accounts: usize, waiting: u64) {
+    let mut world = World::new(workers, accounts);
+    let (mut jobs, mut due) = (0, 0.0);
+    while jobs < waiting {
+        jobs += 1;
+        world.submit(jobs as usize % POOLS, jobs);
+    }
+    for _ in 0..50 {
+        world.tick();
+    }
+    (world.spent, world.started) = (Duration::ZERO, 0);
+    let started_at = world.now;
+    while world.now < started_at + DURATION {
+        let elapsed = world.now - started_at;
+        let pool = (elapsed.as_millis() / SURGE.as_millis()) as usize % POOLS;
+        due += UNITS_PER_WORKER * (workers / POOLS) as f64 * TICK.as_secs_f64();
+        while due >= f64::from(UNITS_PER_JOB) {
+            due -= f64::from(UNITS_PER_JOB);
+            jobs += 1;
+            world.submit(pool, jobs);
+        }
+        world.tick();
+    }
+    println!(
+        "{workers:7} {accounts:8} {waiting:7} {:9} {:11.1} {:17.3}",
+        world.started,
+        world.spent.as_secs_f64() * 1e6 / world.started as f64,
+        world.spent.as_secs_f64() / DURATION.as_secs_f64()
+    );
+}
+
 fn main() {
-    println!("workers   started   us a unit   processor share");
+    println!("workers accounts waiting   started   us a unit   processor share");
     for workers in [50, 350, 1000, 3000] {
-        let mut world = World::new(workers);
-        for _ in 0..50 {
-            world.tick();
-        }
-        world.spent = Duration::ZERO;
-        let started_at = world.now;
-        let (mut jobs, mut due) = (0, 0.0);
-        while world.now < started_at + DURATION {
-            let elapsed = world.now - started_at;
-            let pool = (elapsed.as_millis() / SURGE.as_millis()) as usize % POOLS;
-            due += UNITS_PER_WORKER * (workers / POOLS) as f64 * TICK.as_secs_f64();
-            while due >= f64::from(UNITS_PER_JOB) {
-                due -= f64::from(UNITS_PER_JOB);
-                jobs += 1;
-                world.submit(pool, jobs);
-            }
-            world.tick();
-        }
-        println!(
-            "{workers:7} {:9} {:11.1} {:17.3}",
-            world.started,
-            world.spent.as_secs_f64() * 1e6 / world.started as f64,
-            world.spent.as_secs_f64() / DURATION.as_secs_f64()
-        );
+        measure(workers, 0, 0);
+    }
+    for accounts in [0, 20, 350] {
+        measure(350, accounts, 0);
+    }
+    for accounts in [0, 20, 350] {
+        measure(350, accounts, 5000);
     }
 }
--- a/crates/sched/src/scheduler/accounts.rs
+++ b/crates/sched/src/scheduler/accounts.rs
@@ -5,6 +5,7 @@
 use super::{Scheduler, Waiting};
 use crate::place::Candidate;
 use crate::quota::{self, Allowance};
+use crate::rank::Rank;
 use crate::share::{self, Member};
 use crate::usage;
 use jobs::definition::Resources;
@@ -101,16 +102,17 @@
         quota::under_cap(ledger, &self.usage, owner).is_exceeded_by(resources)
     }
 
-    /// Returns the shares that accounts with work in a pool have of it; `None` if the ledger has no
+    /// Returns the shares that accounts with runs or ranked steps in a pool have of it; `None` if the ledger has no
     /// accounts, or if all waiting work fits.
     pub(super) fn shares(
         &self,
         ledger: &Ledger,
         pool: &PoolName,
         steps: &BTreeMap<StepKey, Waiting>,
+        ranked: &[(Rank, StepKey)],
         candidates: &[Candidate<'_>],
     ) -> Option<BTreeMap<AccountName, Allowance>> {
-        if !ledger.uses_accounts() || fits_all(ledger, steps, candidates) {
+        if !ledger.uses_accounts() || fits_all(steps, candidates) {
             return None;
         }
         let mut capacity = Resources::default();
@@ -125,7 +127,7 @@
                 member.used = member.used.plus(used);
             }
         }
-        let owners = steps.keys().filter_map(|key| ledger.job(key.job)?.owner.as_ref());
+        let owners = ranked.iter().filter_map(|(_, key)| ledger.job(key.job)?.owner.as_ref());
         for owner in owners {
             if !members.contains_key(owner) {
                 members.insert(owner.clone(), Member::default());
@@ -139,20 +141,17 @@
 }
 
 /// Returns whether the free processor time and memory suffice for all waiting units.
-fn fits_all(
-    ledger: &Ledger,
-    steps: &BTreeMap<StepKey, Waiting>,
-    candidates: &[Candidate<'_>],
-) -> bool {
+fn fits_all(steps: &BTreeMap<StepKey, Waiting>, candidates: &[Candidate<'_>]) -> bool {
     let free = candidates.iter().fold(Resources::default(), |sum, c| sum.plus(&c.free));
     let mut wanted = Resources::default();
-    for (key, waiting) in steps {
-        let Some(job) = ledger.job(key.job) else { continue };
-        let unit = job.definition.steps[usize::from(key.step)].reserved_resources();
-        let count = waiting.units.len() as u64;
-        wanted.cpu_milli += unit.cpu_milli * count;
-        wanted.memory_mb += unit.memory_mb * count;
-        wanted.accelerators += unit.accelerators * count;
+    for Waiting { units, resources, .. } in steps.values() {
+        let count = units.len() as u64;
+        let all = |amount: u64| amount.saturating_mul(count);
+        wanted = wanted.plus(&Resources {
+            cpu_milli: all(resources.cpu_milli),
+            memory_mb: all(resources.memory_mb),
+            accelerators: all(resources.accelerators),
+        });
     }
     free.covers(&wanted)
 }
--- a/crates/sched/src/scheduler/admit.rs
+++ b/crates/sched/src/scheduler/admit.rs
@@ -133,7 +133,7 @@
         let Some(steps) = self.waiting.get(pool) else { return 0.0 };
         let mean = self.mean_job_work.get(queue).copied().unwrap_or(criteria.total_work);
         let own_rank = criteria.rank(time.monotonic, mean);
-        let ranked = self.ranked_steps(time, ledger, steps);
+        let ranked = self.ranked_steps(time, ledger, steps.iter());
         let before = ranked.iter().take_while(|(rank, _)| *rank < own_rank);
         before.map(|(_, key)| self.waiting_work(ledger, key, &steps[key])).sum()
     }
--- a/crates/sched/src/scheduler/explain.rs
+++ b/crates/sched/src/scheduler/explain.rs
@@ -87,9 +87,11 @@
         if is_described {
             for key in &keys {
                 let criteria = self.described_criteria(time, ledger, key);
-                let count = job.definition.steps[usize::from(key.step)].count;
-                let units = (0..count).map(|index| (index, time.monotonic)).collect();
-                steps.insert(*key, Waiting { units, criteria, near_wait_since: None });
+                let step = &job.definition.steps[usize::from(key.step)];
+                let units = (0..step.count).map(|index| (index, time.monotonic)).collect();
+                let resources = step.reserved_resources();
+                let waiting = Waiting { units, resources, criteria, near_wait_since: None };
+                steps.insert(*key, waiting);
             }
         }
         let plan = self.plan_steps(time, ledger, &job.pool, &steps, &[], &mut Default::default());
@@ -131,7 +133,7 @@
             planned.map(|placement| (placement.unit.index, placement.worker.clone())).collect();
         let ready = steps.get(key).map_or(0, |waiting| waiting.units.len());
         let waiting = ready.saturating_sub(starting.len());
-        let ranked = self.ranked_steps(time, ledger, steps);
+        let ranked = self.ranked_steps(time, ledger, steps.iter());
         let position = ranked.iter().position(|(_, other)| other == key);
         let before = ranked.iter().take(position.unwrap_or_default());
         let work_before: f64 =
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -101,6 +101,8 @@
     /// Earliest time at which each unit may be placed, by index of the unit; `Duration::MAX` while
     /// a start of an earlier run may still be carried out.
     units: BTreeMap<u32, Duration>,
+    /// Resources that one unit reserves.
+    resources: Resources,
     /// Criteria by which the step is ranked against other waiting steps.
     criteria: Criteria,
     /// When a unit first passed over a place away from its data or group; `None` if none has.
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -156,13 +156,21 @@
         if free_trials > 0 {
             self.reserve_for_trials(ledger, trials, &mut candidates);
         }
-        let ranked = self.ranked_steps(time, ledger, steps);
-        let shares = self.shares(ledger, pool, steps, &candidates);
         let largest = largest_free(&candidates);
+        // In a full pool nearly all steps are left out here, before anything is looked up.
+        let fitting = steps.iter().filter(|(_, waiting)| largest.covers(&waiting.resources));
+        let ranked = self.ranked_steps(time, ledger, fitting);
+        if ranked.is_empty() && !steps.is_empty() {
+            return Plan::default();
+        }
+        let shares = self.shares(ledger, pool, steps, &ranked, &candidates);
         let (plan, racks) = (Plan::default(), Racks::new());
         let mut draft = Draft { candidates, largest, free_trials, plan, budget, racks };
         if let Some(mut share) = shares {
             for (_, key) in &ranked {
+                if !draft.largest.covers(&steps[key].resources) {
+                    continue;
+                }
                 let Some(owner) = ledger.job(key.job).map(|job| &job.owner) else { continue };
                 let allowance = match owner {
                     None => None,
@@ -200,9 +208,14 @@
         share: Option<&mut Allowance>,
         draft: &mut Draft<'s, 'a, '_>,
     ) {
+        if !draft.largest.covers(&waiting.resources) {
+            return;
+        }
         let Some(job) = ledger.job(key.job) else { return };
         let step = &job.definition.steps[usize::from(key.step)];
-        if !draft.largest.covers(&step.reserved_resources()) {
+        let owner = job.owner.as_ref();
+        let mut cap = draft.budget.allowance(ledger, &self.usage, owner);
+        if !cap.admits(&step.resources) {
             return;
         }
         let trial = self.trial(time, ledger, &key);
@@ -212,8 +225,6 @@
         }
         let mut indices = ready_units(time, waiting);
         indices.retain(|index| !draft.plan.planned.contains(&key.unit(*index)));
-        let owner = job.owner.as_ref();
-        let mut cap = draft.budget.allowance(ledger, &self.usage, owner);
         // A trial is not cut short by a share: its units have to be tried together.
         let mut share = share.filter(|_| trial.is_none());
         if share.as_deref().is_some_and(|share| !share.is_open()) {
@@ -346,14 +357,13 @@
     }
 
     /// Returns the steps, the most urgent first.
-    pub(super) fn ranked_steps(
+    pub(super) fn ranked_steps<'w>(
         &self,
         time: Time,
         ledger: &Ledger,
-        steps: &BTreeMap<StepKey, Waiting>,
+        steps: impl Iterator<Item = (&'w StepKey, &'w Waiting)>,
     ) -> Vec<(Rank, StepKey)> {
         let mut ranked_steps: Vec<(Rank, StepKey)> = steps
-            .iter()
             .filter_map(|(key, waiting)| {
                 let job = ledger.job(key.job)?;
                 let mean = self
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -101,6 +101,7 @@
         let steps = self.waiting.entry(job.pool.clone()).or_default();
         let waiting = steps.entry(key).or_insert_with(|| Waiting {
             units: BTreeMap::new(),
+            resources: job.definition.steps[usize::from(key.step)].reserved_resources(),
             criteria,
             near_wait_since: None,
         });
