Sched: steps of accounts at their caps are left out before they are ranked

Cause: jobs of accounts at their caps fit on workers with room, so each decision ranked all of them. Change: the account stands beside the waiting units, and its budget is asked before the rank.

--- a/crates/sched/src/scheduler/explain.rs
+++ b/crates/sched/src/scheduler/explain.rs
@@ -90,7 +90,8 @@
                 let step = &job.definition.steps[usize::from(key.step)];
                 let units = (0..step.count).map(|index| (index, time.monotonic)).collect();
                 let resources = step.reserved_resources();
-                let waiting = Waiting { units, resources, criteria, near_wait_since: None };
+                let owner = job.owner.clone();
+                let waiting = Waiting { units, resources, owner, criteria, near_wait_since: None };
                 steps.insert(*key, waiting);
             }
         }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -37,8 +37,8 @@
 use jobs::definition::Resources;
 use jobs::ledger::Event;
 use jobs::{
-    Incarnation, InstanceId, JobNumber, Ledger, PoolName, QueueName, RunNumber, StepKey, UnitKey,
-    UnixMs, WorkerId,
+    AccountName, Incarnation, InstanceId, JobNumber, Ledger, PoolName, QueueName, RunNumber,
+    StepKey, UnitKey, UnixMs, WorkerId,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -103,6 +103,8 @@
     units: BTreeMap<u32, Duration>,
     /// Resources that one unit reserves.
     resources: Resources,
+    /// Account of the job; `None` for none.
+    owner: Option<AccountName>,
     /// Criteria by which the step is ranked against other waiting steps.
     criteria: Criteria,
     /// When a unit first passed over a place away from its data or group; `None` if none has.
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -157,8 +157,15 @@
             self.reserve_for_trials(ledger, trials, &mut candidates);
         }
         let largest = largest_free(&candidates);
-        // In a full pool nearly all steps are left out here, before anything is looked up.
-        let fitting = steps.iter().filter(|(_, waiting)| largest.covers(&waiting.resources));
+        // Of a full pool, or of accounts at their caps, nearly all steps are left out here, before
+        // anything is looked up.
+        let fitting = steps.iter().filter(|(_, waiting)| {
+            largest.covers(&waiting.resources)
+                && waiting.owner.as_ref().is_none_or(|owner| {
+                    let cap = budget.allowance(ledger, &self.usage, Some(owner));
+                    cap.admits(&waiting.resources)
+                })
+        });
         let ranked = self.ranked_steps(time, ledger, fitting);
         if ranked.is_empty() && !steps.is_empty() {
             return Plan::default();
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -102,6 +102,7 @@
         let waiting = steps.entry(key).or_insert_with(|| Waiting {
             units: BTreeMap::new(),
             resources: job.definition.steps[usize::from(key.step)].reserved_resources(),
+            owner: job.owner.clone(),
             criteria,
             near_wait_since: None,
         });
