Sched: a second pass does not plan again what the first has planned

Cause, found in review: units of jobs without an account that the first pass had placed were planned once more by the second one, on another worker under the same run number, where the first pass left room: the log dropped the second placement, whose room stayed taken. Change: all planned units are kept for the second pass; the first pass and the parts of a plan have a place of their own. Result: the new test found a unit placed twice before and passes now.

--- a/crates/sched/src/scheduler/copies.rs
+++ b/crates/sched/src/scheduler/copies.rs
@@ -1,6 +1,6 @@
 //! Copies of units on slow or silent workers. See [`crate::straggler`].
 
-use super::placing::{Draft, Placement};
+use super::plan::{Draft, Placement};
 use super::{Scheduler, Time};
 use crate::place::{self, Candidate, Request};
 use crate::rank::scaled;
--- a/crates/sched/src/scheduler/explain.rs
+++ b/crates/sched/src/scheduler/explain.rs
@@ -3,7 +3,7 @@
 //! Everything here reads the state only; a job that is only described is looked up in a copy of the
 //! ledger that has it.
 
-use super::placing::Plan;
+use super::plan::Plan;
 use super::{Scheduler, Time, Waiting};
 use crate::admission::Decision;
 use crate::place::{Candidate, Request};
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod maintenance;
 mod pacing;
 mod placing;
+mod plan;
 mod poll;
 mod runs;
 mod starts;
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -3,7 +3,8 @@
 //! In each pool, waiting steps are tried in the order of their rank. A step that does not
 //! fit is skipped, so that steps behind it can use the free resources.
 
-use super::locality::{Racks, Terms};
+use super::locality::Racks;
+use super::plan::{Draft, Locality, Placement, Plan};
 use super::{Scheduler, Time, Waiting, advice};
 use crate::place::{self, Candidate, Request};
 use crate::quota::{Allowance, Budget};
@@ -11,7 +12,7 @@
 use crate::worker::{Run, RunState, Worker};
 use jobs::command::Placed;
 use jobs::definition::Resources;
-use jobs::{Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
+use jobs::{AccountName, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -20,64 +21,6 @@
 /// poll plus the time after which an unanswered poll is given up.
 const MAX_SILENCE: Duration = Duration::from_millis(2800);
 
-/// Placements of one pool, decided and not carried out yet.
-#[derive(Debug, Default)]
-pub(super) struct Plan<'a> {
-    pub(super) placements: Vec<Placement<'a>>,
-    /// Number of placements that are copies of running units.
-    pub(super) copies: usize,
-    /// Steps of queues with a policy that have ready units left.
-    undecided_steps: Vec<StepKey>,
-    /// Workers for which those steps need tickets.
-    candidate_ids: Vec<WorkerId>,
-    /// Steps with units that wait for a place near their data or group.
-    held_steps: BTreeSet<StepKey>,
-    /// Planned units of accounts' jobs and of trials, which a second pass must not plan again.
-    planned: BTreeSet<UnitKey>,
-}
-
-impl Plan<'_> {
-    /// Returns whether units of a step wait for a near place.
-    pub(super) fn holds(&self, key: &StepKey) -> bool {
-        self.held_steps.contains(key)
-    }
-
-    fn has_planned(&self, key: &StepKey) -> bool {
-        self.planned.range(key.unit(0)..=key.unit(u32::MAX)).next().is_some()
-    }
-}
-
-/// What decides whether units of a step wait for a near place, and whether some do.
-struct Locality<'r> {
-    /// `None` for steps that never wait.
-    terms: Option<Terms>,
-    racks: &'r mut Racks,
-    has_held: bool,
-}
-
-/// A plan that is being made, and what is left to place on.
-#[derive(Debug)]
-pub(super) struct Draft<'s, 'a, 'b> {
-    pub(super) candidates: Vec<Candidate<'s>>,
-    /// Largest free amount of each resource among the candidates.
-    largest: Resources,
-    /// Number of trials that may still begin.
-    free_trials: usize,
-    pub(super) plan: Plan<'a>,
-    pub(super) budget: &'b mut Budget,
-    racks: Racks,
-}
-
-/// Decision to run a unit on a worker.
-#[derive(Clone, Debug)]
-pub(super) struct Placement<'a> {
-    pub(super) unit: UnitKey,
-    pub(super) number: RunNumber,
-    pub(super) step: &'a Step,
-    pub(super) worker: WorkerId,
-    pub(super) is_trial: bool,
-}
-
 /// Placement of waiting units.
 impl Scheduler {
     /// Places waiting units of all pools and adds the placements to the next proposal.
@@ -173,22 +116,8 @@
         let shares = self.shares(ledger, pool, steps, &ranked, &candidates);
         let (plan, racks) = (Plan::default(), Racks::new());
         let mut draft = Draft { candidates, largest, free_trials, plan, budget, racks };
-        if let Some(mut share) = shares {
-            for (_, key) in &ranked {
-                if !draft.largest.covers(&steps[key].resources) {
-                    continue;
-                }
-                let Some(owner) = ledger.job(key.job).map(|job| &job.owner) else { continue };
-                let allowance = match owner {
-                    None => None,
-                    Some(_) if steps[key].criteria.is_excess => continue,
-                    Some(owner) => match share.get_mut(owner) {
-                        Some(allowance) => Some(allowance),
-                        None => continue,
-                    },
-                };
-                self.plan_step(time, ledger, *key, &steps[key], allowance, &mut draft);
-            }
+        if let Some(mut shares) = shares {
+            self.plan_within_shares(time, ledger, steps, &ranked, &mut shares, &mut draft);
         }
         for (_, key) in ranked {
             self.plan_step(time, ledger, key, &steps[&key], None, &mut draft);
@@ -203,6 +132,33 @@
         plan
     }
 
+    /// Makes the first of two passes over ranked steps: those of accounts that hold less than their
+    /// share admits, and of no account.
+    fn plan_within_shares<'s, 'a>(
+        &'s self,
+        time: Time,
+        ledger: &'a Ledger,
+        steps: &BTreeMap<StepKey, Waiting>,
+        ranked: &[(Rank, StepKey)],
+        shares: &mut BTreeMap<AccountName, Allowance>,
+        draft: &mut Draft<'s, 'a, '_>,
+    ) {
+        for (_, key) in ranked {
+            let waiting = &steps[key];
+            if waiting.criteria.is_excess {
+                continue;
+            }
+            match &waiting.owner {
+                None => self.plan_step(time, ledger, *key, waiting, None, draft),
+                Some(owner) => {
+                    if let Some(share) = shares.get_mut(owner) {
+                        self.plan_step(time, ledger, *key, waiting, Some(share), draft);
+                    }
+                }
+            }
+        }
+    }
+
     /// Decides where the waiting units of one step run that have not been planned yet: as many as
     /// the account's cap admits, and none if a share is given and used up. Shares count whole steps,
     /// since a step that is cut at a share holds room and ends late all the same.
@@ -281,9 +237,7 @@
             }
         }
         draft.budget.set(owner, cap);
-        if owner.is_some() || trial.is_some() {
-            draft.plan.planned.extend(placements.iter().map(|(unit, ..)| *unit));
-        }
+        draft.plan.planned.extend(placements.iter().map(|(unit, ..)| *unit));
         draft.plan.placements.extend(placements.into_iter().map(|(unit, number, worker)| {
             Placement { unit, number, step, worker, is_trial: trial.is_some() }
         }));
--- a/crates/sched/tests/accounts.rs
+++ b/crates/sched/tests/accounts.rs
@@ -331,3 +331,22 @@
     assert_eq!(used(&worker), None, "no order is carried out so late");
     assert!(worker.usage_changed);
 }
+
+#[test]
+fn units_without_an_account_are_placed_once_beside_accounts_that_compete() {
+    let mut world = world(4, &[("a", 0.0, NONE)]);
+    world.run_times.insert("p".to_string(), seconds(0.5));
+    world.submit_for(None, "q", "p", vec![step(20, 1000, 500)]);
+    submit(&mut world, "a", "a1", vec![step(30, 1000, 500)]);
+    for _ in 0..300 {
+        world.run(world::TICK);
+        let mut units = std::collections::BTreeSet::new();
+        for worker in world.scheduler.workers().values() {
+            for (unit, number) in worker.runs.keys() {
+                assert!(units.insert(*unit), "{unit:?} run {number} is placed twice");
+            }
+        }
+    }
+    assert_eq!(world.starts.len(), 50);
+    assert_eq!(world.state("q", "p"), State::Completed);
+}
