--- a/crates/sched/src/scheduler/explain.rs
+++ b/crates/sched/src/scheduler/explain.rs
@@ -55,8 +55,9 @@
     pub excluded: BTreeMap<String, usize>,
     /// Number of the pool's workers that could take a unit now.
     pub candidates: usize,
-    /// Expected time until the units that wait begin, by the work before them and the cores.
-    pub expected_start: Duration,
+    /// Expected time until a unit that waits begins, by the ends of what runs and the work before;
+    /// `None` if none waits, or no end of what runs makes room.
+    pub expected_start: Option<Duration>,
     /// Expected run time of a unit.
     pub run_time: Duration,
 }
@@ -137,8 +138,8 @@
         let ranked = self.ranked_steps(time, ledger, steps.iter());
         let position = ranked.iter().position(|(_, other)| other == key);
         let before = ranked.iter().take(position.unwrap_or_default());
-        let work_before: f64 =
-            before.map(|(_, other)| self.waiting_work(ledger, other, &steps[other])).sum();
+        let works = before.map(|(_, other)| self.waiting_work(ledger, other, &steps[other]));
+        let work_before = works.fold(0.0, |sum, work| sum + work);
         let candidates = self.candidates(time, &job.pool);
         let none = BTreeMap::new();
         let request = Request {
@@ -160,7 +161,10 @@
         }
         let cores = candidates.iter().filter_map(|c| c.worker.report.as_ref());
         let cores: f64 = cores.map(|report| super::admit::cores(&report.capacity)).sum();
-        let wait = if waiting > 0 && cores > 0.0 { work_before / cores } else { 0.0 };
+        let free_after =
+            self.rack(time, ledger, candidates.iter()).take(&step.reserved_resources());
+        let behind = Duration::from_secs_f64((work_before / cores.max(1.0)).min(86_400.0));
+        let expected_start = free_after.filter(|_| waiting > 0).map(|after| after + behind);
         let mut reasons = Vec::new();
         if waiting > 0 {
             reasons = self.reasons(ledger, key, plan, free);
@@ -175,7 +179,7 @@
             reasons,
             excluded,
             candidates: free,
-            expected_start: Duration::from_secs_f64(wait.min(86_400.0)),
+            expected_start,
             run_time: self.estimator.expected(&job.queue, step.estimate),
         }
     }
--- a/crates/sched/src/scheduler/locality.rs
+++ b/crates/sched/src/scheduler/locality.rs
@@ -114,8 +114,8 @@
         terms.pays(fits_after.min())
     }
 
-    /// Summarizes the workers of a rack.
-    fn rack<'c, 'a: 'c>(
+    /// Summarizes the workers of a rack, or others.
+    pub(super) fn rack<'c, 'a: 'c>(
         &self,
         time: Time,
         ledger: &Ledger,
--- a/crates/sched/tests/explain.rs
+++ b/crates/sched/tests/explain.rs
@@ -50,6 +50,8 @@
     assert!((found.work_before - 4.0).abs() < 0.5, "8 units of half a second: {found:?}");
     assert!(found.reasons.iter().any(|reason| reason.contains("no worker")), "{found:?}");
     assert_eq!(found.excluded.get("too little room"), Some(&2));
+    let start = found.expected_start.unwrap();
+    assert!(start > seconds(4.0) && start < seconds(6.0), "units of 5 s run: {start:?}");
     let running = &explain(&world, "a").unwrap().steps[0];
     assert_eq!((running.running.len(), running.waiting), (16, 0));
     assert_eq!(explain(&world, "unknown"), None);
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -156,10 +156,14 @@
             text += &format!("  unit {unit} would start on {worker}\n");
         }
         if let Some((rank, total)) = step.rank {
-            let (work, wait) = (step.work_before, step.expected_start.as_millis());
-            text += &format!(
-                "  rank {rank} of {total}; {work:.1} core-seconds go before, about {wait} ms\n"
-            );
+            let work = step.work_before;
+            text += &format!("  rank {rank} of {total}; {work:.1} core-seconds go before\n");
+        }
+        if step.waiting > 0 {
+            text += &match step.expected_start {
+                Some(wait) => format!("  expected to begin in about {} ms\n", wait.as_millis()),
+                None => "  nothing that runs is expected to make room by its end\n".to_string(),
+            };
         }
         for reason in &step.reasons {
             text += &format!("  waits: {reason}\n");
