Sched: steps are planned once, and the best worker of a unit is sought once

Cause: with accounts each step that fitted the largest room was tried in both passes, at the cost of all candidates twice, and where a worker was slow each unit looked for its worker twice. Change: the second pass takes only the steps that the first has left out; the first choice is kept.

--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -116,10 +116,13 @@
         let shares = self.shares(ledger, pool, steps, &ranked, &candidates);
         let (plan, racks) = (Plan::default(), Racks::new());
         let mut draft = Draft { candidates, largest, free_trials, plan, budget, racks };
-        if let Some(mut shares) = shares {
-            self.plan_within_shares(time, ledger, steps, &ranked, &mut shares, &mut draft);
-        }
-        for (_, key) in ranked {
+        let left_out = match shares {
+            None => ranked.into_iter().map(|(_, key)| key).collect(),
+            Some(shares) => {
+                self.plan_within_shares(time, ledger, steps, ranked, shares, &mut draft)
+            }
+        };
+        for key in left_out {
             self.plan_step(time, ledger, key, &steps[&key], None, &mut draft);
         }
         if draft.plan.placements.len() >= steps.values().map(|w| ready_units(time, w).len()).sum() {
@@ -133,42 +136,42 @@
     }
 
     /// Makes the first of two passes over ranked steps: those of accounts that hold less than their
-    /// share admits, and of no account.
+    /// share admits, and of no account. Returns the others, in the order of rank.
     fn plan_within_shares<'s, 'a>(
         &'s self,
         time: Time,
         ledger: &'a Ledger,
         steps: &BTreeMap<StepKey, Waiting>,
-        ranked: &[(Rank, StepKey)],
-        shares: &mut BTreeMap<AccountName, Allowance>,
+        ranked: Vec<(Rank, StepKey)>,
+        mut shares: BTreeMap<AccountName, Allowance>,
         draft: &mut Draft<'s, 'a, '_>,
-    ) {
+    ) -> Vec<StepKey> {
+        let mut left_out = Vec::new();
         for (_, key) in ranked {
-            let waiting = &steps[key];
-            if waiting.criteria.is_excess {
+            let waiting = &steps[&key];
+            let mut share = waiting.owner.as_ref().map(|owner| shares.get_mut(owner));
+            let is_left_out = waiting.criteria.is_excess
+                || share.as_ref().is_some_and(|share| !share.as_ref().is_some_and(|s| s.is_open()));
+            if is_left_out {
+                left_out.push(key);
                 continue;
             }
-            match &waiting.owner {
-                None => self.plan_step(time, ledger, *key, waiting, None, draft),
-                Some(owner) => {
-                    if let Some(share) = shares.get_mut(owner) {
-                        self.plan_step(time, ledger, *key, waiting, Some(share), draft);
-                    }
-                }
-            }
+            let share = share.as_mut().and_then(|share| share.as_deref_mut());
+            self.plan_step(time, ledger, key, waiting, share, draft);
         }
+        left_out
     }
 
-    /// Decides where the waiting units of one step run that have not been planned yet: as many as
-    /// the account's cap admits, and none if a share is given and used up. Shares count whole steps,
-    /// since a step that is cut at a share holds room and ends late all the same.
+    /// Decides where the waiting units of one step run: as many as the account's cap admits. They
+    /// are taken from its share, if one is given, as a whole: a step that is cut at a share holds room
+    /// and ends late all the same.
     fn plan_step<'s, 'a>(
         &'s self,
         time: Time,
         ledger: &'a Ledger,
         key: StepKey,
         waiting: &Waiting,
-        share: Option<&mut Allowance>,
+        mut share: Option<&mut Allowance>,
         draft: &mut Draft<'s, 'a, '_>,
     ) {
         if !draft.largest.covers(&waiting.resources) {
@@ -183,16 +186,10 @@
         }
         let trial = self.trial(time, ledger, &key);
         let begins_trial = trial.as_ref().is_some_and(|trial| trial.worker.is_none());
-        if begins_trial && (draft.free_trials == 0 || draft.plan.has_planned(&key)) {
+        if begins_trial && draft.free_trials == 0 {
             return;
         }
         let mut indices = ready_units(time, waiting);
-        indices.retain(|index| !draft.plan.planned.contains(&key.unit(*index)));
-        // A trial is not cut short by a share: its units have to be tried together.
-        let mut share = share.filter(|_| trial.is_none());
-        if share.as_deref().is_some_and(|share| !share.is_open()) {
-            return;
-        }
         let admitted = admitted_units(step, indices.len(), cap);
         if admitted == 0 || (step.gang && admitted < indices.len()) {
             return;
@@ -237,7 +234,6 @@
             }
         }
         draft.budget.set(owner, cap);
-        draft.plan.planned.extend(placements.iter().map(|(unit, ..)| *unit));
         draft.plan.placements.extend(placements.into_iter().map(|(unit, number, worker)| {
             Placement { unit, number, step, worker, is_trial: trial.is_some() }
         }));
@@ -351,32 +347,28 @@
     ) -> Vec<(UnitKey, RunNumber, WorkerId)> {
         let mut units_per_rack = request.units_per_rack.clone();
         let mut placements = Vec::new();
-        let has_slow = candidates.iter().any(|candidate| candidate.is_slow);
         for index in indices {
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
-            if let Some(terms) = locality.terms
-                && (request.step.affinity.is_some() || has_slow)
-            {
-                let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
-                let worker = best.worker;
-                let is_near =
-                    request.step.affinity.as_ref().is_none_or(|label| best.has_rack_label(label));
+            let Some(position) = self.best_candidate(request, candidates, &unit) else { break };
+            if let Some(terms) = &locality.terms {
+                let worker = candidates[position].worker;
                 if worker.is_slow && terms.avoids_slow(worker.speed_factor(time.monotonic)) {
                     locality.has_held = true;
                     break; // all workers with room are slow, or away from the data
                 }
-                let racks = &mut *locality.racks;
-                if is_near {
-                    if let Some(label) = &request.step.affinity {
+                if let Some(label) = &request.step.affinity {
+                    let is_near = candidates[position].has_rack_label(label);
+                    let racks = &mut *locality.racks;
+                    if is_near {
                         racks.remove(label); // it has less room now
+                    } else if self.waits_for_rack(time, ledger, request, terms, candidates, racks) {
+                        locality.has_held = true;
+                        continue;
                     }
-                } else if self.waits_for_rack(time, ledger, request, &terms, candidates, racks) {
-                    locality.has_held = true;
-                    continue;
                 }
             }
-            let Some(best) = self.best_candidate(request, candidates, &unit) else { break };
+            let best = &mut candidates[position];
             let placed_on = best.worker.incarnation.started_at;
             let mut run = Run::new(RunState::Proposed, request.step, placed_on, time.monotonic);
             run.is_trial = request.trial.is_some();
@@ -442,14 +434,14 @@
         Vec::new()
     }
 
-    /// Returns the feasible worker with the best score. Workers to be avoided for the unit
+    /// Returns the position of the feasible worker with the best score. Workers to be avoided for the unit
     /// are chosen only if no other is feasible.
-    fn best_candidate<'b, 'a>(
+    fn best_candidate(
         &self,
         request: &Request<'_>,
-        candidates: &'b mut [&mut Candidate<'a>],
+        candidates: &[&mut Candidate<'_>],
         unit: &UnitKey,
-    ) -> Option<&'b mut Candidate<'a>> {
+    ) -> Option<usize> {
         let key = request.key;
         let is_one_trial = request.trial.is_some() && !request.step.gang;
         let begun = is_one_trial && candidates.iter().any(|candidate| candidate.tries(&key));
@@ -459,17 +451,18 @@
             request.trial.map_or(0, |trial| candidate.count_crashes(trial))
         };
         let best = candidates
-            .iter_mut()
-            .filter(|candidate| !begun || candidate.tries(&key))
-            .filter(|candidate| candidate.is_feasible(request))
-            .max_by_key(|candidate| {
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| !begun || candidate.tries(&key))
+            .filter(|(_, candidate)| candidate.is_feasible(request))
+            .max_by_key(|(_, candidate)| {
                 (
                     !avoid.contains(candidate.id),
                     Reverse(crashes(candidate)),
                     place::score(candidate, request),
                 )
             })?;
-        Some(&mut **best)
+        Some(best.0)
     }
 
     /// Returns the next run number of a unit, higher than all used by any leader.
--- a/crates/sched/src/scheduler/plan.rs
+++ b/crates/sched/src/scheduler/plan.rs
@@ -19,8 +19,6 @@
     pub(super) candidate_ids: Vec<WorkerId>,
     /// Steps with units that wait for a place near their data or group.
     pub(super) held_steps: BTreeSet<StepKey>,
-    /// Planned units, which a second pass must not plan again.
-    pub(super) planned: BTreeSet<UnitKey>,
 }
 
 impl Plan<'_> {
@@ -28,11 +26,6 @@
     pub(super) fn holds(&self, key: &StepKey) -> bool {
         self.held_steps.contains(key)
     }
-
-    /// Returns whether a unit of a step has been planned.
-    pub(super) fn has_planned(&self, key: &StepKey) -> bool {
-        self.planned.range(key.unit(0)..=key.unit(u32::MAX)).next().is_some()
-    }
 }
 
 /// What decides whether units of a step wait for a near place, and whether some do.
