Sched: the cost of admission does not grow with the waiting steps

Cause: in a surge each submission ranked and sorted all steps of its pool, at the leader, in the moment at which it has the least time. Change: one look at all steps each 100 ms keeps the work up to each rank; a submission searches in it. Result: the tests of admission, accounts and explain pass.

--- a/crates/sched/src/scheduler/admit.rs
+++ b/crates/sched/src/scheduler/admit.rs
@@ -4,16 +4,29 @@
 
 use super::{Scheduler, Time, Waiting};
 use crate::admission::{Backlog, Decision, Prospect, Returns};
-use crate::rank::{self, Criteria, OVERDUE_FACTOR};
+use crate::rank::{self, Criteria, OVERDUE_FACTOR, Rank};
 use jobs::definition::Resources;
 use jobs::{AccountName, Definition, Ledger, PoolName, Queue, QueueName, StepKey};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-/// Sums of the waiting work and the cores that can do it, as of the last periodic tasks.
+/// Shortest time between two looks at all waiting steps. Requests in between are judged by the last
+/// one, so that their cost does not grow with the steps.
+const OUTLOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waiting work of a pool and the cores that can do it, those included that could be moved to it.
+#[derive(Clone, Debug, Default)]
+struct PoolOutlook {
+    backlog: Backlog,
+    /// Ranks of the waiting steps, ascending, each with the work up to it in core-seconds.
+    work_by_rank: Vec<(Rank, f64)>,
+}
+
+/// Sums of the waiting work and the cores that can do it, as of the last look.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Outlook {
-    /// Waiting work and cores of each pool, those included that could be moved to it.
-    pools: BTreeMap<PoolName, Backlog>,
+    updated_at: Option<Duration>,
+    pools: BTreeMap<PoolName, PoolOutlook>,
     /// Waiting work of each account in core-seconds.
     accounts: BTreeMap<AccountName, f64>,
     returns: BTreeMap<PoolName, Returns>,
@@ -62,13 +75,12 @@
             work: criteria.remaining_work,
         };
         let mut backlogs = Vec::new();
-        if let Some(pool) = self.outlook.pools.get(&settings.pool).copied() {
-            // The whole backlog is no less than the part that goes first, and costs nothing to know.
-            let may_be_too_long = pool.duration() + job.critical_path > job.value_time;
-            if may_be_too_long {
-                let work = self.work_before(time, ledger, queue, &settings.pool, &criteria);
-                backlogs.push(Backlog { work, ..pool });
-            }
+        if let Some(pool) = self.outlook.pools.get(&settings.pool) {
+            let mean = self.mean_job_work.get(queue).copied().unwrap_or(criteria.total_work);
+            let rank = criteria.rank(time.monotonic, mean);
+            let before = pool.work_by_rank.partition_point(|(other, _)| *other < rank);
+            let work = before.checked_sub(1).map_or(0.0, |last| pool.work_by_rank[last].1);
+            backlogs.push(Backlog { work, ..pool.backlog });
         }
         let cap = owner.and_then(|owner| ledger.account(owner)).map(|account| account.cap);
         if let Some(cap) = cap.filter(|cap| cap.cpu_milli > 0) {
@@ -121,23 +133,6 @@
         }
     }
 
-    /// Returns the waiting work of a pool that is ranked before a job, in core-seconds.
-    fn work_before(
-        &self,
-        time: Time,
-        ledger: &Ledger,
-        queue: &QueueName,
-        pool: &PoolName,
-        criteria: &Criteria,
-    ) -> f64 {
-        let Some(steps) = self.waiting.get(pool) else { return 0.0 };
-        let mean = self.mean_job_work.get(queue).copied().unwrap_or(criteria.total_work);
-        let own_rank = criteria.rank(time.monotonic, mean);
-        let ranked = self.ranked_steps(time, ledger, steps.iter());
-        let before = ranked.iter().take_while(|(rank, _)| *rank < own_rank);
-        before.map(|(_, key)| self.waiting_work(ledger, key, &steps[key])).sum()
-    }
-
     /// Returns the expected processor time of a step's waiting units in core-seconds.
     pub(super) fn waiting_work(&self, ledger: &Ledger, key: &StepKey, waiting: &Waiting) -> f64 {
         let Some(job) = ledger.job(key.job) else { return 0.0 };
@@ -150,29 +145,42 @@
         waiting.units.len() as f64 * cores * duration
     }
 
-    /// Sums up the waiting work and the cores of all pools.
+    /// Sums up the waiting work and the cores of all pools, if the last look is not recent.
     pub(super) fn update_outlook(&mut self, time: Time, ledger: &Ledger) {
-        if !ledger.uses_accounts() {
+        let is_recent = |at: Duration| time.monotonic < at + OUTLOOK_INTERVAL;
+        if !ledger.uses_accounts() || self.outlook.updated_at.is_some_and(is_recent) {
             return;
         }
         let spare = self.spare_cores(time, ledger);
-        let mut pools: BTreeMap<PoolName, Backlog> = BTreeMap::new();
+        let mut pools: BTreeMap<PoolName, PoolOutlook> = BTreeMap::new();
         for worker in self.workers.values().filter(|worker| worker.accepts_starts()) {
             let Some(report) = &worker.report else { continue };
-            pools.entry(report.pool.clone()).or_default().cores += cores(&report.capacity);
+            match pools.get_mut(&report.pool) {
+                Some(pool) => pool.backlog.cores += cores(&report.capacity),
+                None => {
+                    let backlog = Backlog { work: 0.0, cores: spare + cores(&report.capacity) };
+                    let pool = PoolOutlook { backlog, work_by_rank: Vec::new() };
+                    pools.insert(report.pool.clone(), pool);
+                }
+            }
         }
         let mut accounts: BTreeMap<AccountName, f64> = BTreeMap::new();
-        for (pool, steps) in &self.waiting {
-            let backlog = pools.entry(pool.clone()).or_default();
-            for (key, waiting) in steps {
-                let work = self.waiting_work(ledger, key, waiting);
-                backlog.work += work;
-                if let Some(owner) = ledger.job(key.job).and_then(|job| job.owner.as_ref()) {
-                    *accounts.entry(owner.clone()).or_default() += work;
+        for (name, steps) in &self.waiting {
+            let Some(pool) = pools.get_mut(name) else { continue };
+            for (rank, key) in self.ranked_steps(time, ledger, steps.iter()) {
+                let waiting = &steps[&key];
+                let work = self.waiting_work(ledger, &key, waiting);
+                pool.backlog.work += work;
+                pool.work_by_rank.push((rank, pool.backlog.work));
+                if let Some(owner) = &waiting.owner {
+                    match accounts.get_mut(owner) {
+                        Some(sum) => *sum += work,
+                        None => _ = accounts.insert(owner.clone(), work),
+                    }
                 }
             }
         }
-        pools.values_mut().for_each(|backlog| backlog.cores += spare);
+        self.outlook.updated_at = Some(time.monotonic);
         self.outlook.pools = pools;
         self.outlook.accounts = accounts;
     }
--- a/crates/sched/src/usage.rs
+++ b/crates/sched/src/usage.rs
@@ -80,8 +80,10 @@
         else {
             return;
         };
-        let total = totals.entry(owner.clone()).or_default();
-        *total = total.plus(&step.resources);
+        match totals.get_mut(owner) {
+            Some(total) => *total = total.plus(&step.resources),
+            None => _ = totals.insert(owner.clone(), step.resources),
+        }
     };
     let is_run = |unit: UnitKey, run: RunNumber| worker.runs.contains_key(&(unit, run));
     worker.runs.keys().for_each(|(unit, _)| count(unit));
