Sched: shares are counted over the workers that get work

The workers of a pool that get work are at hand in a plan; looking at all workers for each pool cost the leader time in a surge. The tests pass.

--- a/crates/sched/src/scheduler/accounts.rs
+++ b/crates/sched/src/scheduler/accounts.rs
@@ -9,7 +9,7 @@
 use crate::share::{self, Member};
 use crate::usage;
 use jobs::definition::Resources;
-use jobs::{AccountName, JobNumber, Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
+use jobs::{AccountName, JobNumber, Ledger, RunNumber, StepKey, UnitKey, WorkerId};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -102,12 +102,11 @@
         quota::under_cap(ledger, &self.usage, owner).is_exceeded_by(resources)
     }
 
-    /// Returns the shares that accounts with runs or ranked steps in a pool have of it; `None` if the ledger has no
+    /// Returns the shares that accounts have of the workers of a pool that get work; `None` if the ledger has no
     /// accounts, or if all waiting work fits.
     pub(super) fn shares(
         &self,
         ledger: &Ledger,
-        pool: &PoolName,
         steps: &BTreeMap<StepKey, Waiting>,
         ranked: &[(Rank, StepKey)],
         candidates: &[Candidate<'_>],
@@ -117,17 +116,19 @@
         }
         let mut capacity = Resources::default();
         let mut members: BTreeMap<AccountName, Member> = BTreeMap::new();
-        for (id, worker) in &self.workers {
-            let Some(report) = worker.report.as_ref().filter(|report| report.pool == *pool) else {
-                continue;
-            };
-            capacity = capacity.plus(&report.capacity);
-            for (account, used) in self.usage.on(id).into_iter().flatten() {
-                let member = members.entry(account.clone()).or_default();
-                member.used = member.used.plus(used);
+        for candidate in candidates {
+            let report = candidate.worker.report.as_ref();
+            capacity = capacity.plus(&report.map(|report| report.capacity).unwrap_or_default());
+            for (account, used) in self.usage.on(candidate.id).into_iter().flatten() {
+                match members.get_mut(account) {
+                    Some(member) => member.used = member.used.plus(used),
+                    None => {
+                        _ = members.insert(account.clone(), Member { weight: 0.0, used: *used })
+                    }
+                }
             }
         }
-        let owners = ranked.iter().filter_map(|(_, key)| ledger.job(key.job)?.owner.as_ref());
+        let owners = ranked.iter().filter_map(|(_, key)| steps[key].owner.as_ref());
         for owner in owners {
             if !members.contains_key(owner) {
                 members.insert(owner.clone(), Member::default());
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -113,7 +113,7 @@
         if ranked.is_empty() && !steps.is_empty() {
             return Plan::default();
         }
-        let shares = self.shares(ledger, pool, steps, &ranked, &candidates);
+        let shares = self.shares(ledger, steps, &ranked, &candidates);
         let (plan, racks) = (Plan::default(), Racks::new());
         let mut draft = Draft { candidates, largest, free_trials, plan, budget, racks };
         let left_out = match shares {
