--- a/crates/sched/src/scheduler/accounts.rs
+++ b/crates/sched/src/scheduler/accounts.rs
@@ -102,8 +102,8 @@
         quota::under_cap(ledger, &self.usage, owner).is_exceeded_by(resources)
     }
 
-    /// Returns the shares that accounts have of the workers of a pool that get work; `None` if the ledger has no
-    /// accounts, or if all waiting work fits.
+    /// Returns the shares that accounts have of the workers of a pool that get work; `None` if the
+    /// ledger has no accounts, or if all waiting work fits.
     pub(super) fn shares(
         &self,
         ledger: &Ledger,
