Sched: admission by an account's cap and the speed of workers judge like with like

Cause, both found in review: an account at its cap was refused a small job by work of its own that would go after it; units away from their data take longer by far_factor, and made their worker slow. Change: an account's waiting work counts as far as it is ranked before the job; a run's expected time is that on its worker, and gangs, which may be spread over racks, tell nothing of speed.

--- a/crates/sched/src/scheduler/admit.rs
+++ b/crates/sched/src/scheduler/admit.rs
@@ -14,21 +14,41 @@
 /// one, so that their cost does not grow with the steps.
 const OUTLOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Waiting work of a pool and the cores that can do it, those included that could be moved to it.
+/// Waiting work in the order of rank.
 #[derive(Clone, Debug, Default)]
-struct PoolOutlook {
-    backlog: Backlog,
+struct Queued {
     /// Ranks of the waiting steps, ascending, each with the work up to it in core-seconds.
     work_by_rank: Vec<(Rank, f64)>,
 }
 
+impl Queued {
+    /// Adds the work of a step that is ranked after all others.
+    fn push(&mut self, rank: Rank, work: f64) {
+        let before = self.work_by_rank.last().map_or(0.0, |(_, sum)| *sum);
+        self.work_by_rank.push((rank, before + work));
+    }
+
+    /// Returns the work that is ranked before.
+    fn before(&self, rank: &Rank) -> f64 {
+        let count = self.work_by_rank.partition_point(|(other, _)| other < rank);
+        count.checked_sub(1).map_or(0.0, |last| self.work_by_rank[last].1)
+    }
+}
+
+/// Waiting work of a pool and the cores that can do it, those included that could be moved to it.
+#[derive(Clone, Debug, Default)]
+struct PoolOutlook {
+    cores: f64,
+    queued: Queued,
+}
+
 /// Sums of the waiting work and the cores that can do it, as of the last look.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Outlook {
     updated_at: Option<Duration>,
     pools: BTreeMap<PoolName, PoolOutlook>,
-    /// Waiting work of each account in core-seconds.
-    accounts: BTreeMap<AccountName, f64>,
+    /// Waiting work of each account in all pools.
+    accounts: BTreeMap<AccountName, Queued>,
     returns: BTreeMap<PoolName, Returns>,
 }
 
@@ -74,19 +94,17 @@
             critical_path: criteria.critical_path,
             work: criteria.remaining_work,
         };
+        let mean = self.mean_job_work.get(queue).copied().unwrap_or(criteria.total_work);
+        let rank = criteria.rank(time.monotonic, mean);
         let mut backlogs = Vec::new();
-        if let Some(pool) = self.outlook.pools.get(&settings.pool) {
-            let mean = self.mean_job_work.get(queue).copied().unwrap_or(criteria.total_work);
-            let rank = criteria.rank(time.monotonic, mean);
-            let before = pool.work_by_rank.partition_point(|(other, _)| *other < rank);
-            let work = before.checked_sub(1).map_or(0.0, |last| pool.work_by_rank[last].1);
-            backlogs.push(Backlog { work, ..pool.backlog });
+        if let Some(PoolOutlook { cores, queued }) = self.outlook.pools.get(&settings.pool) {
+            backlogs.push(Backlog { work: queued.before(&rank), cores: *cores });
         }
         let cap = owner.and_then(|owner| ledger.account(owner)).map(|account| account.cap);
         if let Some(cap) = cap.filter(|cap| cap.cpu_milli > 0) {
-            let work = owner.and_then(|owner| self.outlook.accounts.get(owner));
-            let work = work.copied().unwrap_or_default();
-            backlogs.push(Backlog { work, cores: cap.cpu_milli as f64 / 1000.0 });
+            let queued = owner.and_then(|owner| self.outlook.accounts.get(owner));
+            let work = queued.map_or(0.0, |queued| queued.before(&rank));
+            backlogs.push(Backlog { work, cores: cores(&cap) });
         }
         let mut returns = self.outlook.returns.get(&settings.pool).copied().unwrap_or_default();
         let decision = returns.decide(time.monotonic, &job, &backlogs);
@@ -156,30 +174,33 @@
         for worker in self.workers.values().filter(|worker| worker.accepts_starts()) {
             let Some(report) = &worker.report else { continue };
             match pools.get_mut(&report.pool) {
-                Some(pool) => pool.backlog.cores += cores(&report.capacity),
+                Some(pool) => pool.cores += cores(&report.capacity),
                 None => {
-                    let backlog = Backlog { work: 0.0, cores: spare + cores(&report.capacity) };
-                    let pool = PoolOutlook { backlog, work_by_rank: Vec::new() };
+                    let cores = spare + cores(&report.capacity);
+                    let pool = PoolOutlook { cores, queued: Queued::default() };
                     pools.insert(report.pool.clone(), pool);
                 }
             }
         }
-        let mut accounts: BTreeMap<AccountName, f64> = BTreeMap::new();
+        let mut by_account: BTreeMap<&AccountName, Vec<(Rank, f64)>> = BTreeMap::new();
         for (name, steps) in &self.waiting {
             let Some(pool) = pools.get_mut(name) else { continue };
             for (rank, key) in self.ranked_steps(time, ledger, steps.iter()) {
                 let waiting = &steps[&key];
                 let work = self.waiting_work(ledger, &key, waiting);
-                pool.backlog.work += work;
-                pool.work_by_rank.push((rank, pool.backlog.work));
+                pool.queued.push(rank, work);
                 if let Some(owner) = &waiting.owner {
-                    match accounts.get_mut(owner) {
-                        Some(sum) => *sum += work,
-                        None => _ = accounts.insert(owner.clone(), work),
-                    }
+                    by_account.entry(owner).or_default().push((rank, work));
                 }
             }
         }
+        let mut accounts = BTreeMap::new();
+        for (owner, mut works) in by_account {
+            works.sort_by_key(|(rank, _)| *rank);
+            let mut queued = Queued::default();
+            works.into_iter().for_each(|(rank, work)| queued.push(rank, work));
+            accounts.insert(owner.clone(), queued);
+        }
         self.outlook.updated_at = Some(time.monotonic);
         self.outlook.pools = pools;
         self.outlook.accounts = accounts;
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -8,7 +8,7 @@
 use super::{Scheduler, Time, Waiting, advice};
 use crate::place::{self, Candidate, Request};
 use crate::quota::{Allowance, Budget};
-use crate::rank::Rank;
+use crate::rank::{Rank, scaled};
 use crate::worker::{Run, RunState, Worker};
 use jobs::command::Placed;
 use jobs::definition::Resources;
@@ -477,7 +477,7 @@
         let Placement { unit, number, step, worker: id, is_trial } = placement;
         let queue = ledger.job(unit.job).map(|job| &job.queue);
         let expected = queue.map(|queue| self.estimator.expected(queue, step.estimate));
-        let expected = expected.unwrap_or_default();
+        let expected = scaled(expected.unwrap_or_default(), self.far_factor_on(id, step));
         let Some(worker) = self.workers.get_mut(id) else { return };
         let placed_on = worker.incarnation.started_at;
         let mut run = Run::new(RunState::Proposed, step, placed_on, time.monotonic);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -12,7 +12,7 @@
 use crate::worker::{Polling, Run, RunState, StopReason};
 use jobs::command::{Discarded, End, EndReason, Placed};
 use jobs::ledger::Release;
-use jobs::{Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
+use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
 use std::time::Duration;
 
 impl Scheduler {
@@ -144,19 +144,23 @@
         if step.long_running || step.best_effort {
             return;
         }
-        let mut run_time = time.monotonic.saturating_sub(started_at);
+        let run_time = time.monotonic.saturating_sub(started_at);
+        let far_factor = self.far_factor_on(worker, step);
+        self.estimator.record(&job.queue, step.estimate, run_time.div_f64(far_factor));
+        if let Some(worker) = self.workers.get_mut(worker).filter(|_| !run.is_gang) {
+            worker.speed.record(time.monotonic, unit.step_key(), run_time, run.expected);
+        }
+    }
+
+    /// Returns the factor by which units of a step take longer on a worker for being away from their
+    /// data.
+    pub(super) fn far_factor_on(&self, worker: &WorkerId, step: &Step) -> f64 {
         let report = self.workers.get(worker).and_then(|worker| worker.report.as_ref());
-        let near_data = step
+        let is_near = step
             .affinity
             .as_ref()
             .is_none_or(|rack| report.is_some_and(|report| report.labels.contains(rack)));
-        if !near_data {
-            run_time = run_time.div_f64(self.settings.far_factor.max(1.0));
-        }
-        self.estimator.record(&job.queue, step.estimate, run_time);
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.speed.record(time.monotonic, unit.step_key(), run_time, run.expected);
-        }
+        if is_near { 1.0 } else { self.settings.far_factor.max(1.0) }
     }
 
     /// Stops a run, or discards it if its start was never sent.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -48,13 +48,15 @@
     pub resources: Resources,
     /// Whether the run lasts until its job is cancelled.
     pub long_running: bool,
+    /// Whether the run works only together with others, which may be on several racks.
+    pub is_gang: bool,
     /// Whether the run uses only otherwise idle processor time.
     pub best_effort: bool,
     /// Upper bound for its tail latency; `None` unless the run serves requests.
     pub tail_latency_target: Option<Duration>,
     /// Whether an earlier leader placed the run. Which of its starts got no answer is not known.
     pub is_inherited: bool,
-    /// Expected run time near its data; zero if it is not known.
+    /// Expected run time on the worker; zero if it is not known.
     pub expected: Duration,
     /// When this leader placed the run, or inherited it from an earlier leader.
     pub placed_at: Duration,
@@ -448,7 +450,7 @@
 
     /// Returns the factor by which the worker is slower than expected at present.
     pub fn speed_factor(&self, now: Duration) -> f64 {
-        let is_short = |run: &Run| !run.long_running && !run.best_effort;
+        let is_short = |run: &Run| !run.long_running && !run.best_effort && !run.is_gang;
         let under_way = self.runs.iter().filter(|(_, run)| is_short(run));
         let ratios = under_way.filter_map(|((unit, _), run)| {
             let (percent, seen_at) = run.progress;
@@ -577,6 +579,7 @@
             placed_on,
             resources: step.reserved_resources(),
             long_running: step.long_running,
+            is_gang: step.gang,
             best_effort: step.best_effort,
             tail_latency_target: step.tail_latency_target,
             is_inherited: state == RunState::Inherited,
--- a/crates/sched/tests/copies.rs
+++ b/crates/sched/tests/copies.rs
@@ -142,3 +142,21 @@
     world.run(seconds(3.0));
     assert_eq!(world.starts.len(), 12, "no copies");
 }
+
+#[test]
+fn units_away_from_their_data_make_no_worker_slow() {
+    let mut world = World::new(2);
+    world.set_far_factor(4.0);
+    for number in 0..4 {
+        let id = format!("a{number}");
+        world.run_times.insert(id.clone(), seconds(4.0));
+        let affinity = Some("elsewhere".to_string());
+        let away = Step { affinity, anti_affinity: 1, ..speculative(2, 1000) };
+        world.submit("q", &id, vec![away]);
+    }
+    world.run(seconds(2.5));
+    assert!(world.scheduler.workers().values().all(|worker| !worker.is_slow));
+    world.run(seconds(3.0));
+    assert_eq!(world.starts.len(), 8, "no copies");
+    assert!(world.scheduler.workers().values().all(|worker| !worker.is_slow));
+}
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -269,6 +269,20 @@
         self.workers.values_mut().for_each(|worker| worker.poll = None);
     }
 
+    /// Replaces the leader by one that expects units away from their data to take longer by a factor.
+    pub fn set_far_factor(&mut self, far_factor: f64) {
+        self.fence += 1;
+        let settings = Settings { far_factor, ..Settings::default() };
+        let mut roster = Roster::default();
+        for worker in self.workers.values() {
+            roster.record(self.now, worker.report.clone());
+        }
+        let time = self.time();
+        self.scheduler = Scheduler::new(settings, self.fence, time, &self.ledger, &roster);
+        self.workers.values_mut().for_each(|worker| worker.poll = None);
+        self.run(Duration::from_millis(200));
+    }
+
     /// Replaces the leader by one to which all reports were passed on.
     pub fn replace_informed_leader(&mut self) {
         self.fence += 1;
