Sched: a start that never began does not run at a successor beside the unit's next run

Callers could see a unit run twice at the same time (TWICE): a worker leaves six starts in a row unanswered and confirms the stop, so the unit is placed elsewhere; the worker restarts under its id within the 15 s in which the starts may still be carried out, and one of them runs at the successor until its first report.

Cause: the stop bars the incarnation that confirms it, and nothing reaches a successor before a start that is under way. Holding each such unit for 15 s would also hold up those of workers that only drop starts, which existing tests ask to leave within 5 s.

Now the late starts that may begin are kept apart. At the first sign that their worker may have restarted - a poll ends before its wait is over, so its connection was closed, or the worker falls silent - the runs of these units elsewhere are stopped and the units wait, until the known incarnation answers a poll or the start can come no more. A new incarnation lets them hold their units for the rest of the time. Units that may run in copies go on, and so do long-running ones beyond what their step may miss. The cost of a sign is that of the worker's own late starts.

What is left: a start that is carried out before the stop elsewhere is, and a restart between two polls that no closed connection shows.

A further test guards against stopping the run for a poll that merely has no answer.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -26,6 +26,9 @@
     /// since, or the run had begun. A run that never began is stopped by a confirmed order, and its
     /// unit does not wait for a worker that leaves starts unanswered.
     pub holds_unit: bool,
+    /// Whether the run is not known to have begun, and a start of it got no answer, so that a later
+    /// incarnation may begin it.
+    pub may_begin: bool,
 }
 
 /// A run that is, or may come to be, on a worker's present incarnation and is not placed there.
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -525,7 +525,7 @@
     /// Whether the scheduler may interrupt a unit: only while fewer other units of its
     /// step than `max_unavailable` are unavailable. A unit counts as available only if
     /// its worker answers and lists it at 100 percent.
-    fn may_interrupt(&mut self, ledger: &Ledger, unit: &UnitKey) -> bool {
+    pub(super) fn may_interrupt(&mut self, ledger: &Ledger, unit: &UnitKey) -> bool {
         let Some(job) = ledger.job(unit.job) else { return true };
         let step = &job.definition.steps[usize::from(unit.step)];
         let Some(max_unavailable) = step.max_unavailable else { return true };
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -148,6 +148,9 @@
                     return;
                 }
                 self.unexplained_losses.remove(&id);
+                let is_known = worker.restart_suspected_at.is_some_and(|at| reply.sent_at >= at);
+                worker.restart_suspected_at.take_if(|_| is_known);
+                let late_units = if is_known { worker.late_units() } else { Vec::new() };
                 worker.polling.record_answer(time.monotonic);
                 worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
@@ -160,13 +163,23 @@
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.update_speed(time.monotonic);
                 }
+                self.release_held(time, late_units);
             }
             Answer::Misdirected => self.on_incarnation_ended(time, &id),
             Answer::Refused(refusal) => {
                 self.record_unanswered_poll(time, &id);
                 self.on_refusal(&id, refusal);
             }
-            Answer::Unknown => self.record_unanswered_poll(time, &id),
+            Answer::Unknown => {
+                // A worker that does not answer is waited for; a connection that ends earlier shows
+                // that a process has.
+                let is_closed = time.monotonic < reply.sent_at + worker.polling.max_wait;
+                self.record_unanswered_poll(time, &id);
+                let worker = self.workers.get(&id);
+                if is_closed || worker.is_some_and(|w| w.polling.is_silent(time.monotonic)) {
+                    self.suspect_restart(time, ledger, &id);
+                }
+            }
             Answer::Lost => {
                 worker.polling.unanswered_polls = worker.polling.unanswered_polls.max(1);
                 self.record_lost(time, &id);
@@ -260,6 +273,7 @@
         for key in &finished_runs {
             if let Some(run) = worker.runs.get_mut(key) {
                 run.confirm();
+                run.has_ended = true;
                 run.state = RunState::Ending;
             }
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -301,6 +301,7 @@
         let unanswered_grant_at = worker.last_unanswered_grant();
         let last_arrival = unanswered_grant_at.map(|at| at + LATE_ORDER_WINDOW);
         let granted_until = last_arrival.unwrap_or_default().max(time.monotonic);
+        worker.hold_late_starts();
         let former = worker.replace_incarnation(stated_start);
         worker.report = None;
         worker.answered_under_fence = false;
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -302,8 +302,7 @@
         for (id, worker) in &self.workers {
             let silent = worker.polling.is_silent(time.monotonic);
             let is_held = |run: &Run| run.may_run_unseen(time.monotonic, self.settings.max_lease);
-            let holds_units = worker.late_starts.values().any(|start| start.holds_unit);
-            needs_list |= silent && (holds_units || worker.runs.values().any(is_held));
+            needs_list |= silent && (worker.holds_units() || worker.runs.values().any(is_held));
             let answered_at = worker.polling.answered_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -8,7 +8,7 @@
 use super::{Scheduler, Time};
 use crate::late::Unplaced;
 use crate::order::{Order, RunStatus, Stop};
-use crate::worker::RunState;
+use crate::worker::{RunState, StopReason};
 use jobs::definition::Resources;
 use jobs::{Ledger, RunNumber, UnitKey, WorkerId};
 use std::collections::BTreeSet;
@@ -74,6 +74,43 @@
         }
     }
 
+    /// Handles signs that a worker may have restarted: until it answers, or its late starts are over,
+    /// units that it may begin run nowhere else. Stops reach the other workers sooner than a
+    /// successor, whose first report is yet to come.
+    pub(super) fn suspect_restart(&mut self, time: Time, ledger: &Ledger, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.restart_suspected_at.is_some() || !worker.can_return() {
+            return;
+        }
+        worker.restart_suspected_at = Some(time.monotonic);
+        for unit in worker.units_that_may_begin(time.monotonic) {
+            self.hold_waiting(&unit);
+            self.stop_elsewhere(time, ledger, id, unit);
+        }
+    }
+
+    /// Stops the runs of a unit that are not on this worker, unless it may run in copies or too many
+    /// of its step are unavailable.
+    fn stop_elsewhere(&mut self, time: Time, ledger: &Ledger, id: &WorkerId, unit: UnitKey) {
+        let Some(job) = ledger.job(unit.job) else { return };
+        let is_done = ledger.unit(&unit).is_some_and(|unit| unit.done);
+        if is_done || job.definition.steps[usize::from(unit.step)].speculative {
+            return;
+        }
+        let mut runs = self.find_runs(unit..=unit);
+        runs.retain(|(other, _, _)| other != id);
+        if runs.is_empty() || !self.may_interrupt(ledger, &unit) {
+            return;
+        }
+        let name = ledger.unit_name(&unit).unwrap_or_default();
+        let text =
+            format!("{id} may have restarted and may carry out a start of the unit: stopped");
+        self.explain(name, text);
+        for (other, unit, number) in runs {
+            self.stop(time, ledger, &other, unit, number, StopReason::EarlierStart);
+        }
+    }
+
     /// Sends the stops that a new incarnation has not been sent, if its address is known.
     pub(super) fn send_first_stops(&mut self, time: Time, ledger: &Ledger, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -109,6 +109,14 @@
         waiting.units.insert(unit.index, not_before);
     }
 
+    /// Lets a waiting unit wait until no late start holds it.
+    pub(super) fn hold_waiting(&mut self, unit: &UnitKey) {
+        let waiting = self.waiting.values_mut().filter_map(|steps| steps.get_mut(&unit.step_key()));
+        for not_before in waiting.filter_map(|waiting| waiting.units.get_mut(&unit.index)) {
+            *not_before = Duration::MAX;
+        }
+    }
+
     /// Lets waiting units be placed that no late start holds any more.
     pub(super) fn release_held(&mut self, time: Time, units: Vec<UnitKey>) {
         for unit in units {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -82,6 +82,8 @@
     /// Last reported tail latency in milliseconds if the run serves requests, else its
     /// processor use in thousandths of a core.
     pub measurement: u64,
+    /// Whether the worker has listed its end.
+    pub has_ended: bool,
     /// Why the run is being stopped; `None` if it is not.
     pub stop_reason: Option<StopReason>,
     /// Whether the unit is suspected of crashing its workers, so that nothing else is started beside
@@ -102,6 +104,8 @@
     Stuck,
     /// Another member of its gang is not running.
     GangBroken,
+    /// A worker that may have restarted may carry out an earlier start of the unit.
+    EarlierStart,
 }
 
 /// State of a run as the leader knows it.
@@ -218,6 +222,9 @@
     pub late_starts: BTreeMap<(UnitKey, RunNumber), LateStart>,
     /// Time before which none of the late starts is over.
     pub late_starts_end: Duration,
+    /// Since when the worker may have started again without the leader's knowledge: a poll ended
+    /// before its time, or the worker fell silent. `None` after an answer of the known incarnation.
+    pub restart_suspected_at: Option<Duration>,
     /// Another worker has answered at its address or reported from its instance since, so that it
     /// does not start again under its id there.
     pub is_replaced: bool,
@@ -263,6 +270,7 @@
             usage_changed: true,
             late_starts: BTreeMap::new(),
             late_starts_end: Duration::ZERO,
+            restart_suspected_at: None,
             is_replaced: false,
             unplaced: BTreeMap::new(),
             lists_without: 0,
@@ -367,7 +375,9 @@
             let may_arrive = run.has_unanswered_start() || run.is_inherited;
             let holds_unit = may_arrive && has_restarted
                 || run.has_unanswered_start() && run.started_at.is_some();
-            let start = LateStart { resources: run.resources, until, holds_unit };
+            let has_begun = run.started_at.is_some() || run.has_ended;
+            let may_begin = run.has_unanswered_start() && !has_begun;
+            let start = LateStart { resources: run.resources, until, holds_unit, may_begin };
             if self.late_starts.is_empty() || until < self.late_starts_end {
                 self.late_starts_end = until;
             }
@@ -386,7 +396,32 @@
     /// here, or may have been without the leader's knowledge.
     pub fn holds_unit(&self, unit: &UnitKey) -> bool {
         let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
-        self.can_return() && starts.any(|(_, start)| start.holds_unit)
+        self.can_return() && starts.any(|(_, start)| self.is_holding(start))
+    }
+
+    /// Returns whether a late start holds any unit.
+    pub fn holds_units(&self) -> bool {
+        self.late_starts.values().any(|start| self.is_holding(start))
+    }
+
+    fn is_holding(&self, start: &LateStart) -> bool {
+        start.holds_unit || start.may_begin && self.restart_suspected_at.is_some()
+    }
+
+    /// Returns the units that a later incarnation may begin at `now`.
+    pub fn units_that_may_begin(&self, now: Duration) -> Vec<UnitKey> {
+        let starts = self.late_starts.iter();
+        let starts = starts.filter(|(_, start)| start.may_begin && now < start.until);
+        starts.map(|((unit, _), _)| *unit).collect()
+    }
+
+    /// Lets the late starts that the new incarnation may begin hold their units: a further one
+    /// forgets their stops.
+    pub fn hold_late_starts(&mut self) {
+        self.restart_suspected_at = None;
+        for start in self.late_starts.values_mut() {
+            start.holds_unit |= start.may_begin;
+        }
     }
 
     /// Returns the units of late starts.
@@ -405,7 +440,7 @@
         let answered_at = self.polling.answered_at.unwrap_or_default();
         let is_over = |unit: UnitKey, start: &LateStart| {
             now >= start.until
-                && (!start.holds_unit
+                && (!self.is_holding(start)
                     || answered_at >= start.until && !is_listed(unit)
                     || Lease::inherited(start.until, max_lease).is_expired(now)
                         && self.lease.is_expired(now))
@@ -594,6 +629,7 @@
             share_percent: Some(100),
             share_ordered_at: now,
             measurement: 0,
+            has_ended: false,
             stop_reason: None,
             is_trial: false,
         }
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -524,6 +524,28 @@
     }
 }
 
+#[test]
+fn a_lost_poll_of_a_worker_with_unanswered_starts_does_not_stop_the_unit_elsewhere() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    for worker in world.workers.values_mut() {
+        (worker.loses_start_answers, worker.executes_lost_starts) = (true, false);
+    }
+    world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+    world.run(world::TICK * 3);
+    let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+    for (_, worker) in world.workers.iter_mut().filter(|(id, _)| **id != first) {
+        worker.loses_start_answers = false;
+    }
+    run_checked(&mut world, seconds(5.0));
+    world.workers.get_mut(&first).unwrap().omits_one_poll_in = Some(1);
+    run_checked(&mut world, seconds(3.0));
+    world.workers.get_mut(&first).unwrap().omits_one_poll_in = None;
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn an_acknowledgement_that_is_carried_out_late_does_not_erase_ends_of_a_successor() {
     for ticks in 0..20 {
