Sched: a start that never began counts towards its account's cap

Callers could see an account with more running than its cap: a worker leaves six starts in a row unanswered and confirms the stop, the room goes to other units of the account, the worker restarts under its id, and the starts are carried out at its successor.

Cause: of the starts that may be carried out late only those counted that hold their units back.

Now every start counts that no incarnation is known to have begun, for the 15 s in which it may be carried out: of this leader if it got no answer, of an earlier one in any case. A run that ended or was listed counts as before, so a change of leader gives an account at its cap nothing to wait for but starts that were under way. An account at its cap gets less for these 15 s. It is part of the worker's share of the sum, which is computed anew only when the worker's sets have changed.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -29,6 +29,9 @@
     /// Whether the run is not known to have begun, and a start of it got no answer, so that a later
     /// incarnation may begin it.
     pub may_begin: bool,
+    /// Whether the start counts for the account of its job: it holds its unit, or a later incarnation
+    /// may begin it. For a run of an earlier leader it is not known whether all starts were answered.
+    pub uses_account: bool,
 }
 
 /// A run that is, or may come to be, on a worker's present incarnation and is not placed there.
--- a/crates/sched/src/usage.rs
+++ b/crates/sched/src/usage.rs
@@ -87,17 +87,17 @@
     };
     let is_run = |unit: UnitKey, run: RunNumber| worker.runs.contains_key(&(unit, run));
     worker.runs.keys().for_each(|(unit, _)| count(unit));
-    let is_held = |unit: UnitKey, run: RunNumber| {
-        worker.late_starts.get(&(unit, run)).is_some_and(|start| start.holds_unit)
+    let is_late = |unit: UnitKey, run: RunNumber| {
+        worker.late_starts.get(&(unit, run)).is_some_and(|start| start.uses_account)
     };
     for (unit, run) in worker.late_starts.keys() {
-        if is_held(*unit, *run) && !is_run(*unit, *run) {
+        if is_late(*unit, *run) && !is_run(*unit, *run) {
             count(unit);
         }
     }
     for ((_, run), unplaced) in &worker.unplaced {
         let Some(unit) = unplaced.unit else { continue };
-        if !is_run(unit, *run) && !is_held(unit, *run) {
+        if !is_run(unit, *run) && !is_late(unit, *run) {
             count(&unit);
         }
     }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -377,7 +377,9 @@
                 || run.has_unanswered_start() && run.started_at.is_some();
             let has_begun = run.started_at.is_some() || run.has_ended;
             let may_begin = run.has_unanswered_start() && !has_begun;
-            let start = LateStart { resources: run.resources, until, holds_unit, may_begin };
+            let uses_account = holds_unit || may_arrive && !has_begun;
+            let resources = run.resources;
+            let start = LateStart { resources, until, holds_unit, may_begin, uses_account };
             if self.late_starts.is_empty() || until < self.late_starts_end {
                 self.late_starts_end = until;
             }
@@ -420,7 +422,7 @@
     pub fn hold_late_starts(&mut self) {
         self.restart_suspected_at = None;
         for start in self.late_starts.values_mut() {
-            start.holds_unit |= start.may_begin;
+            start.holds_unit |= start.may_begin; // such a start counts for its account already
         }
     }
 
--- a/crates/sched/tests/accounts.rs
+++ b/crates/sched/tests/accounts.rs
@@ -194,6 +194,31 @@
     assert_eq!(world.state("q", "a1"), State::Completed);
 }
 
+#[test]
+fn a_start_that_never_began_counts_until_no_successor_can_carry_it_out() {
+    for ticks in 0..30 {
+        let mut world = world(2, &[("a", 9.0, 6000)]);
+        world.start_delay = seconds(6.0);
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = Some(1);
+        }
+        submit(&mut world, "a", "a1", vec![step(6, 1000, 20_000)]);
+        world.run(world::TICK * 3);
+        let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+        for (_, worker) in world.workers.iter_mut().filter(|(id, _)| **id != first) {
+            worker.omits_one_start_in = None;
+        }
+        world.run(seconds(1.0));
+        submit(&mut world, "a", "a2", vec![step(6, 1000, 20_000)]);
+        world.run(seconds(4.8));
+        world.restart(&first, world::TICK * ticks);
+        let most = most_running(&mut world, "a", seconds(4.0));
+        assert!(most <= 6, "{ticks} ticks: {most} units under a cap of 6");
+        world.run(seconds(90.0));
+        assert_eq!(world.state("q", "a2"), State::Completed, "{ticks} ticks");
+    }
+}
+
 #[test]
 fn caps_hold_over_random_restarts_cuts_lost_answers_and_leaders() {
     for seed in 0..30 {
