--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -50,7 +50,7 @@
     /// Returns an address in a loopback network that no other test process uses.
     fn ip(&self, host: u8) -> IpAddr {
         let [_, _, high, low] = std::process::id().to_be_bytes();
-        Ipv4Addr::new(127, self.network, high ^ (host << 5), low.max(1)).into()
+        Ipv4Addr::new(127, self.network, high ^ (host << 5), low).into()
     }
 
     fn address(&self, host: u8, port: u16) -> SocketAddr {
@@ -154,6 +154,25 @@
             let _ = child.kill(); // it may have exited
             let _ = child.wait();
         }
+        if std::thread::panicking() {
+            self.print_logs();
+        }
+    }
+}
+
+/// Number of last lines of each process's log that a failed test prints.
+const PRINTED_LINES: usize = 60;
+
+impl System {
+    /// Prints the ends of the logs, which are removed with the folder.
+    fn print_logs(&self) {
+        for host in CORES.into_iter().chain([EDGE]) {
+            let path = self.folder.path().join(format!("p{host}.log"));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let last = lines.len().saturating_sub(PRINTED_LINES);
+            println!("log of p{host} at {}:\n{}", self.ip(host), lines[last..].join("\n"));
+        }
     }
 }
 
