Mesh: a process that was linked for over a minute is dialled again when the link is lost

What callers can see: nothing at first. A core that is no seed and whose link to another one breaks alone, a minute or more after the last change of the cluster, is never linked to it again. Its requests go through a third core; a leader that has lost a voter this way has a majority to spare less, so that the loss of cores that should be borne leaves no leader, and no job's state is answered until some core's links change.

Cause: the expiry of an address counted from when it was last announced, also while it was linked. Both sides do, since neither is told of the other by a third core whose own links have not changed. Seeds never expire, which hid it.

Evidence: a_process_that_was_linked_for_long_is_dialled_again_when_the_link_is_lost failed on the old code: 'the link is up again: not within 10s'.

The expiry now counts from the loss of the last link.

--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -39,7 +39,7 @@
 /// Time between attempts to connect to an address, and how often the listener
 /// checks whether it has to stop.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(250);
-/// An address without a link is dropped this long after it was last announced,
+/// An address without a link is dropped this long after it was last announced or linked,
 /// unless it is a seed.
 const ADDRESS_EXPIRY: Duration = Duration::from_secs(60);
 /// Time for which a stopping process goes on sending the frames that are queued.
@@ -128,7 +128,8 @@
     /// Whether a task that dials it was started.
     is_dialled: bool,
     is_seed: bool,
-    announced_at: Duration,
+    /// When the address was last announced, or its last link lost.
+    seen_at: Duration,
 }
 
 /// Links between this process and the others.
@@ -224,10 +225,10 @@
             let known = known_addresses.entry(address).or_insert(KnownAddress {
                 is_dialled: false,
                 is_seed: false,
-                announced_at: now,
+                seen_at: now,
             });
             known.is_seed |= is_seed;
-            known.announced_at = now;
+            known.seen_at = now;
             if !known.is_dialled && !self.stopping.load(Ordering::Acquire) {
                 known.is_dialled = true;
                 let net = self.clone();
@@ -308,6 +309,16 @@
         }
     }
 
+    /// Lets the expiry of an address, if it is known, count from now.
+    fn record_seen(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        let mut known_addresses =
+            self.known_addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = known_addresses.get_mut(&address) {
+            known.seen_at = now;
+        }
+    }
+
     /// Removes the address if it has expired. Returns whether it did.
     fn remove_if_expired(&self, address: SocketAddr) -> bool {
         let now = self.clock.now();
@@ -315,7 +326,7 @@
             self.known_addresses.lock().unwrap_or_else(PoisonError::into_inner);
         let expired = known_addresses
             .get(&address)
-            .is_some_and(|known| !known.is_seed && now > known.announced_at + ADDRESS_EXPIRY);
+            .is_some_and(|known| !known.is_seed && now > known.seen_at + ADDRESS_EXPIRY);
         if expired {
             known_addresses.remove(&address);
         }
@@ -381,6 +392,7 @@
         };
         let reason = result.as_ref().err().map_or("ended".to_string(), ToString::to_string);
         info!("link.down peer={name} serial={serial} reason={reason:?}");
+        self.record_seen(peer.peer_address); // before the link is removed and `dial` looks
         if self.remove_link(&peer, serial) {
             (self.event_handler)(Event::LinkDown(peer));
         }
--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -1,13 +1,14 @@
-//! Links between processes that stop, or that read too slowly.
+//! Links between processes that stop, that read too slowly, or that were linked for long.
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use mesh::clock::System;
-use mesh::{Frame, Net, ProcessInfo, queue};
+use mesh::{Clock, Frame, Net, ProcessInfo, queue};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
@@ -45,6 +46,46 @@
     assert!(timeout(PATIENCE, reached).await.is_ok(), "{what}: not within {PATIENCE:?}");
 }
 
+/// The system's clock, ahead by a number of seconds.
+#[derive(Default)]
+struct Ahead(AtomicU64);
+
+impl Clock for Ahead {
+    fn now(&self) -> Duration {
+        System.now() + Duration::from_secs(self.0.load(Ordering::Acquire))
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+#[test]
+fn a_process_that_was_linked_for_long_is_dialled_again_when_the_link_is_lost() {
+    task::block_on(async {
+        let (_, own_address) = listener().await;
+        let (peer_listener, peer_address) = listener().await;
+        let clock = Arc::new(Ahead::default());
+        let own = Net::new(process("own", own_address), clock.clone(), Box::new(|_| {}));
+        let peer = net("peer", peer_address);
+        let listening = task::spawn(peer.clone().listen(peer_listener));
+        own.add_addresses([peer_address], false);
+        wait_until("the link is up", || !own.peers().is_empty()).await;
+        clock.0.store(3600, Ordering::Release);
+        peer.stop().await;
+        listening.await;
+        wait_until("the link is lost", || own.peers().is_empty()).await;
+        task::sleep(Duration::from_millis(600)).await;
+        let peer = net("peer", peer_address);
+        let peer_listener = TcpListener::bind(peer_address).await.unwrap();
+        let listening = task::spawn(peer.clone().listen(peer_listener));
+        wait_until("the link is up again", || !own.peers().is_empty()).await;
+        own.stop().await;
+        peer.stop().await;
+        listening.await;
+    });
+}
+
 #[test]
 fn a_process_that_stops_takes_no_link_that_comes_up_late() {
     task::block_on(async {
