Edge: a core without a leader does not hide the leader of a lower term

What callers can see: 503 at all edges that reach a core which is cut off from the others, for as long as the cut lasts, although a leader with a majority is there.

Cause: the leader was sought among the statuses of the highest term only. A core that has won a pre-vote and is cut off before the vote is of a higher term and knows no leader. Edges reach both sides of a cut between cores.

Evidence: a_process_without_a_leader_does_not_hide_the_leader_of_a_lower_term failed on the old code (Refuse instead of Send("a")).

Terms without a known leader are left out. A leader that was deposed does no harm, since it answers under its lease only, and a status of a higher term with a leader goes first.

--- a/crates/edge/src/leaders.rs
+++ b/crates/edge/src/leaders.rs
@@ -65,10 +65,12 @@
         };
     }
 
-    /// Returns the leader of the highest known term. Without a link to it, returns a
+    /// Returns the leader of the highest term that has one. Without a link to it, returns a
     /// follower of that term, which forwards requests to it.
     pub fn leader(&self) -> Option<&Id> {
-        let term = self.statuses.values().map(|status| status.term).max()?;
+        // A process that is cut off from the leader may be of a higher term, without a leader.
+        let knows_leader = |status: &&Status| status.is_leader || status.leader.is_some();
+        let term = self.statuses.values().filter(knows_leader).map(|status| status.term).max()?;
         let of_highest_term = self.statuses.iter().filter(|(_, status)| status.term == term);
         let leader = of_highest_term.clone().find(|(_, status)| status.is_leader).map(|(id, _)| id);
         let follows_unlinked_leader = |(id, status): &(&Id, &Status)| {
--- a/crates/edge/tests/leaders.rs
+++ b/crates/edge/tests/leaders.rs
@@ -33,6 +33,14 @@
     );
 }
 
+#[test]
+fn a_process_without_a_leader_does_not_hide_the_leader_of_a_lower_term() {
+    let mut leaders = Leaders::new(at(0));
+    leaders.record_status(at(1), id("a"), status(5, Some("a"), true));
+    leaders.record_status(at(2), id("b"), status(6, None, false));
+    assert_eq!(leaders.action(at(3000)), send_to("a"), "b is cut off from the others");
+}
+
 #[test]
 fn requests_go_to_a_follower_while_the_leader_is_not_linked() {
     let mut leaders = Leaders::new(at(0));
