Edge: a request takes the reply of whichever attempt brings it, and other routes early

What callers can see: 503 for a state that the leader had answered, or that another core would have passed on, for all tries of a client in a row.

Cause: a request had one attempt at a time. After 1.2 s it was forgotten, so that a late reply found nobody; a leader that is slower than that was asked three times and heard never. The attempt also kept the request from a new leader that was known meanwhile. The next one went to the same process, or to the same follower, although others could pass it on.

Logs and counters name requests that were retried or got no reply, with each attempt's process and age; before, ask.again and ask.lost named neither the job nor its age.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -1,10 +1,10 @@
 //! Forwards requests to the leader, and retries with the next leader when the link to
 //! it is lost or it does not reply. Requests wait while a new leader is elected.
 
-use crate::leaders::{Action, Leaders};
-use async_std::channel::{Sender, bounded};
+use crate::attempts::{Attempts, Step};
+use crate::leaders::Leaders;
+use async_std::channel::{Receiver, Sender, unbounded};
 use async_std::future::timeout;
-use async_std::task;
 use log::info;
 use mesh::frame::RequestId;
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Reply};
@@ -13,26 +13,32 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
-/// Pause before a request looks for a leader or is sent again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(25);
 /// Part of a client's deadline that is reserved for the reply to reach the client.
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
-/// Timeout of one attempt; a disk sync and a round trip take about a tenth of it.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Maximum number of requests that wait for a reply; each may hold a request body.
+/// Maximum number of attempts that wait for a reply; the request of each may hold a body.
 const MAX_PENDING: usize = 2000;
 
-/// A request that was sent and has no reply yet.
-struct PendingRequest {
+/// What a request that waits is told.
+enum Notice {
+    /// The reply to an attempt arrived.
+    Reply(RequestId, Reply),
+    /// The link was lost on which an attempt was sent.
+    Lost(RequestId),
+    /// Another process leads, or none.
+    LeaderChanged,
+}
+
+/// An attempt that was sent and has no reply yet.
+struct PendingAttempt {
     /// Name of the core process that it was sent to.
     peer: String,
-    /// Receives the reply, or `None` when the link to the peer is lost.
-    reply: Sender<Option<Reply>>,
+    /// The request that waits for it.
+    notices: Sender<Notice>,
 }
 
 struct State {
     leaders: Leaders,
-    pending: BTreeMap<RequestId, PendingRequest>,
+    pending: BTreeMap<RequestId, PendingAttempt>,
     next_id: RequestId,
 }
 
@@ -90,89 +96,31 @@
     }
 
     /// Sends a request to the leader and returns its reply, or gives up after
-    /// `max_wait`. A request whose leader was lost is sent to the next one, which is
-    /// safe because the name of the job makes a repeated request harmless.
+    /// `max_wait`. A request without a reply is sent again, which is safe because the
+    /// name of the job makes a repeated request harmless.
     pub async fn request(&self, request: LeaderRequest, max_wait: Duration) -> Reply {
         let deadline = self.clock.now() + max_wait.saturating_sub(REPLY_MARGIN);
-        let mut may_have_executed = false;
+        let mut asking = Asking::new(self, &request, deadline);
         loop {
             let now = self.clock.now();
-            if now >= deadline {
-                return no_reply(
-                    may_have_executed && request.is_write(),
-                    "no reply before the deadline",
-                );
-            }
-            let action = self.state().leaders.action(now);
-            match action {
-                Action::Refuse => {
-                    return no_reply(may_have_executed && request.is_write(), "no leader is known");
-                }
-                Action::Wait => task::sleep(RETRY_INTERVAL.min(deadline - now)).await,
-                Action::Send(leader) => {
-                    let attempt_timeout = (deadline - now).min(REPLY_TIMEOUT);
-                    match self.send(&leader, &request, attempt_timeout).await {
-                        Attempt::Full => {
-                            let reason = "too many requests wait here";
-                            return no_reply(may_have_executed && request.is_write(), reason);
-                        }
-                        Attempt::Replied(Reply::NotTaken(reason)) => {
-                            info!("ask.again leader={leader} reason={reason:?}");
-                            task::sleep(RETRY_INTERVAL).await;
-                        }
-                        Attempt::Replied(Reply::Unknown(_)) => {
-                            may_have_executed = true;
-                            task::sleep(RETRY_INTERVAL).await;
-                        }
-                        Attempt::Replied(reply) => {
-                            return settle(reply, may_have_executed && request.is_write());
-                        }
-                        Attempt::NoLink => task::sleep(RETRY_INTERVAL).await,
-                        Attempt::Lost => {
-                            may_have_executed = true;
-                            info!("ask.lost leader={leader}");
-                        }
-                    }
-                }
+            let step = asking.attempts.next(now, &self.state().leaders);
+            let until = match step {
+                Step::GiveUp(reason) => return asking.give_up(reason),
+                Step::Wait(until) => until,
+                Step::Send(peer) => match asking.send(now, &peer) {
+                    Ok(()) => continue,
+                    Err(reason) => return asking.give_up(reason),
+                },
+            };
+            if let Ok(Ok(notice)) = timeout(until - now, asking.notices.recv()).await
+                && let Some(reply) = asking.handle(notice)
+            {
+                asking.log_retries();
+                return reply;
             }
         }
     }
 
-    /// Sends the request to one leader and waits for its reply.
-    async fn send(
-        &self,
-        leader: &str,
-        request: &LeaderRequest,
-        attempt_timeout: Duration,
-    ) -> Attempt {
-        let (sender, reply) = bounded(1);
-        let id = {
-            let mut state = self.state();
-            if state.pending.len() >= MAX_PENDING {
-                return Attempt::Full;
-            }
-            let id = state.next_id;
-            state.next_id += 1;
-            let pending = PendingRequest { peer: leader.to_string(), reply: sender };
-            state.pending.insert(id, pending);
-            id
-        };
-        let linked = self
-            .net
-            .get()
-            .is_some_and(|net| net.send(leader, &Frame::Request(id, request.clone())));
-        if !linked {
-            self.state().pending.remove(&id);
-            return Attempt::NoLink;
-        }
-        let received = timeout(attempt_timeout, reply.recv()).await;
-        self.state().pending.remove(&id);
-        match received {
-            Ok(Ok(Some(reply))) => Attempt::Replied(reply),
-            _ => Attempt::Lost,
-        }
-    }
-
     fn handle_event(&self, event: Event) {
         let now = self.clock.now();
         match event {
@@ -180,8 +128,8 @@
             Event::LinkDown(peer) => {
                 let mut state = self.state();
                 state.leaders.record_link_lost(now, &peer.id());
-                for pending in state.pending.values().filter(|pending| pending.peer == peer.name) {
-                    let _ = pending.reply.try_send(None); // full if a reply has arrived
+                for (id, pending) in state.pending.iter().filter(|(_, p)| p.peer == peer.name) {
+                    let _ = pending.notices.try_send(Notice::Lost(*id)); // unbounded
                 }
             }
             Event::Frame(from, Frame::Status(status)) => {
@@ -192,7 +140,7 @@
             }
             Event::Frame(_, Frame::Reply(id, reply)) => {
                 if let Some(pending) = self.state().pending.get(&id) {
-                    let _ = pending.reply.try_send(Some(reply)); // full if a reply has arrived
+                    let _ = pending.notices.try_send(Notice::Reply(id, reply)); // unbounded
                 }
             }
             Event::Frame(..) => {}
@@ -207,6 +155,9 @@
         if before != after {
             let name = after.as_ref().map_or("none", |id| id.name.as_str());
             info!("leader.changed leader={name}");
+            for pending in state.pending.values() {
+                let _ = pending.notices.try_send(Notice::LeaderChanged); // unbounded
+            }
         }
     }
 
@@ -215,43 +166,89 @@
     }
 }
 
-/// Returns the leader's reply as the client may be told it. A refusal says that the request was not
-/// carried out, which is not known if an earlier attempt of a write had no answer.
-///
-/// ```
-/// use mesh::Reply;
-/// let refusal = Reply::Unauthorized("key 0a1b2c3d is not known".to_string());
-/// assert_eq!(edge::gateway::settle(refusal.clone(), false), refusal);
-/// assert!(matches!(edge::gateway::settle(refusal, true), Reply::Unknown(_)));
-/// assert_eq!(edge::gateway::settle(Reply::Done, true), Reply::Done);
-/// ```
-pub fn settle(reply: Reply, has_unanswered_attempt: bool) -> Reply {
-    match reply {
-        Reply::Overloaded { reason, .. } | Reply::Unauthorized(reason)
-            if has_unanswered_attempt =>
-        {
-            Reply::Unknown(reason)
+/// A request that is being sent, and the gateway's entries for its attempts.
+struct Asking<'a> {
+    gateway: &'a Gateway,
+    request: &'a LeaderRequest,
+    attempts: Attempts,
+    sender: Sender<Notice>,
+    notices: Receiver<Notice>,
+}
+
+impl<'a> Asking<'a> {
+    fn new(gateway: &'a Gateway, request: &'a LeaderRequest, deadline: Duration) -> Asking<'a> {
+        let (sender, notices) = unbounded();
+        let attempts = Attempts::new(request.is_write(), deadline);
+        Asking { gateway, request, attempts, sender, notices }
+    }
+
+    /// Sends the request to a process. Fails if too many requests wait here.
+    fn send(&mut self, now: Duration, peer: &str) -> Result<(), &'static str> {
+        let id = {
+            let mut state = self.gateway.state();
+            if state.pending.len() >= MAX_PENDING {
+                return Err("too many requests wait here");
+            }
+            let id = state.next_id;
+            state.next_id += 1;
+            let notices = self.sender.clone();
+            state.pending.insert(id, PendingAttempt { peer: peer.to_string(), notices });
+            id
+        };
+        let frame = Frame::Request(id, self.request.clone());
+        if self.gateway.net.get().is_some_and(|net| net.send(peer, &frame)) {
+            self.attempts.record_sent(now, id, peer);
+        } else {
+            self.gateway.state().pending.remove(&id);
+            self.attempts.record_unlinked(now, peer);
         }
-        reply => reply,
+        Ok(())
+    }
+
+    /// Handles a notice, and returns the reply if it settles the request.
+    fn handle(&mut self, notice: Notice) -> Option<Reply> {
+        let now = self.gateway.clock.now();
+        match notice {
+            Notice::LeaderChanged => None,
+            Notice::Lost(id) => {
+                self.gateway.state().pending.remove(&id);
+                self.attempts.record_lost(id);
+                None
+            }
+            Notice::Reply(id, reply) => {
+                self.gateway.state().pending.remove(&id);
+                self.attempts.record_reply(now, id, reply)
+            }
+        }
+    }
+
+    /// Returns the reply to a request that no leader replied to.
+    fn give_up(&self, reason: &str) -> Reply {
+        let summary = self.attempts.summary(self.gateway.clock.now());
+        info!("request.unanswered path={} reason={reason:?} {summary}", self.path());
+        metrics::counter!("requests_unanswered_total").increment(1);
+        self.attempts.give_up(reason)
     }
-}
 
-/// Outcome of sending a request to one leader.
-enum Attempt {
-    Replied(Reply),
-    /// Not sent: there is no link to the leader.
-    NoLink,
-    /// Sent, but the link was lost or no reply arrived in time.
-    Lost,
-    /// Not sent: too many requests wait for a reply.
-    Full,
+    /// Logs a request that was answered, but not by its first attempt alone.
+    fn log_retries(&self) {
+        if self.attempts.count() > 1 {
+            let summary = self.attempts.summary(self.gateway.clock.now());
+            info!("request.retried path={} {summary}", self.path());
+            metrics::counter!("requests_retried_total").increment(1);
+        }
+    }
+
+    fn path(&self) -> &str {
+        self.request.location().map_or("", |location| location.path.as_str())
+    }
 }
 
-/// Returns the reply for a request that no leader replied to.
-fn no_reply(may_have_executed: bool, reason: &str) -> Reply {
-    if may_have_executed {
-        Reply::Unknown(reason.to_string())
-    } else {
-        Reply::NotTaken(reason.to_string())
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state();
+        for id in self.attempts.waiting() {
+            state.pending.remove(&id);
+        }
     }
 }
--- a/crates/edge/src/leaders.rs
+++ b/crates/edge/src/leaders.rs
@@ -6,6 +6,7 @@
 
 use mesh::Status;
 use quorum::Id;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -80,6 +81,22 @@
         leader.or_else(|| of_highest_term.clone().find(follows_unlinked_leader).map(|(id, _)| id))
     }
 
+    /// Returns whether the process of this name says that it leads.
+    pub fn leads(&self, name: &str) -> bool {
+        self.statuses.iter().any(|(id, status)| id.name == name && status.is_leader)
+    }
+
+    /// Returns the names of the processes that forward requests to a leader, those of the highest
+    /// term first.
+    pub fn followers(&self) -> Vec<&str> {
+        let follows = |(id, status): &(&Id, &Status)| {
+            status.leader.as_ref().is_some_and(|leader| leader != *id)
+        };
+        let mut followers: Vec<_> = self.statuses.iter().filter(follows).collect();
+        followers.sort_by_key(|(_, status)| Reverse(status.term));
+        followers.into_iter().map(|(id, _)| id.name.as_str()).collect()
+    }
+
     /// Returns whether any linked core process has applied a configuration.
     pub fn is_configured(&self) -> bool {
         self.statuses.values().any(|status| status.configured)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,5 +1,6 @@
 //! The edge process: forwards clients' requests to the leader of the core processes.
 
+pub mod attempts;
 pub mod gateway;
 pub mod leaders;
 
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -96,6 +96,19 @@
 }
 
 impl LeaderRequest {
+    /// Returns the host, path and key of a client's request; `None` for an operator's.
+    pub fn location(&self) -> Option<&Location> {
+        match self {
+            LeaderRequest::Submit { location, .. }
+            | LeaderRequest::Cancel(location)
+            | LeaderRequest::State(location) => Some(location),
+            LeaderRequest::Configure(_)
+            | LeaderRequest::Config
+            | LeaderRequest::StartWave { .. }
+            | LeaderRequest::Wave(_) => None,
+        }
+    }
+
     /// Returns whether the request changes the replicated state.
     pub fn is_write(&self) -> bool {
         match self {
