Control: a request for which a core's queue has no room is refused at once

What callers can see: 1.2 s of waiting for each attempt at a leader that is far behind, and 503 at the deadline, in place of a refusal that says when to come back.

Cause: a frame that the full input queue could not take was dropped, requests too. The edge takes a request without a reply for one that is being worked on.

Evidence: a_request_that_the_full_queue_has_no_room_for_is_refused_at_once timed out on the old code; it holds up the disk of a real process, fills its queue and asks over a link.

The task of the link now refuses the request, which is true: nobody has read it. Other frames are dropped as before.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -244,7 +244,12 @@
                         environment.relay_orders(&from.name, orders);
                     }
                 }
-                event => queue_event(&event_queue, event),
+                event => {
+                    let refusal = queue_event(&event_queue, event);
+                    if let (Some((to, frame)), Some(environment)) = (refusal, relay.upgrade()) {
+                        environment.send(&to, frame);
+                    }
+                }
             }),
         );
         let _ = environment.net.set(net.clone()); // set once, here
@@ -323,16 +328,26 @@
     }
 }
 
-/// Queues an event of a link for the core's thread.
-fn queue_event(queue: &Queue, event: Event) {
+/// Queues an event of a link for the core's thread. Returns the refusal, and whom to send it, of a
+/// request that the queue has no room for.
+fn queue_event(queue: &Queue, event: Event) -> Option<(String, Frame)> {
     let input = match event {
         Event::LinkUp(peer) => Input::LinkUp(peer),
         Event::LinkDown(peer) => Input::LinkDown(peer),
         Event::Frame(from, frame) => Input::Frame(from, frame),
     };
-    if queue.inputs.try_send(queue.queued(input)).is_err() {
-        metrics::counter!("inputs_dropped_total").increment(1);
-        warn!("core.full: the input queue is full, a link event was dropped");
+    let refused = queue.inputs.try_send(queue.queued(input)).err()?;
+    metrics::counter!("inputs_dropped_total").increment(1);
+    let (TrySendError::Full(queued) | TrySendError::Disconnected(queued)) = refused;
+    match queued.input {
+        Input::Frame(from, Frame::Request(id, _)) => {
+            let refusal = mesh::Reply::NotTaken("too much waits here already".to_string());
+            Some((from.name, Frame::Reply(id, refusal)))
+        }
+        _ => {
+            warn!("core.full: the input queue is full, a link event was dropped");
+            None
+        }
     }
 }
 
--- /dev/null
+++ b/crates/control/tests/process.rs
@@ -0,0 +1,156 @@
+//! A core process whose deciding thread is behind.
+
+use async_std::channel::{Sender, bounded};
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::task::{self, block_on};
+use control::Calls;
+use control::process::{Handle, Options, Process};
+use futures::future::{BoxFuture, pending};
+use jobs::WorkerId;
+use mesh::clock::System;
+use mesh::{Event, Frame, LeaderRequest, Net, ProcessInfo, Reply};
+use sched::instance::Instance;
+use sched::order::{
+    Advise, Answer, Destination, Maintenance, Move, Pace, Poll, RunLists, Start, StartOutcome, Stop,
+};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use store::Folder;
+
+/// Calls that are never answered.
+struct NoCalls;
+
+impl Calls for NoCalls {
+    fn poll(&self, _: Destination, _: Poll) -> BoxFuture<'static, Answer<RunLists>> {
+        Box::pin(pending())
+    }
+    fn start(&self, _: Destination, _: Start) -> BoxFuture<'static, StartOutcome> {
+        Box::pin(pending())
+    }
+    fn stop(&self, _: Destination, _: Stop) -> BoxFuture<'static, Answer<()>> {
+        Box::pin(pending())
+    }
+    fn pace(&self, _: Destination, _: Pace) -> BoxFuture<'static, Answer<()>> {
+        Box::pin(pending())
+    }
+    fn advise(&self, _: Advise) -> BoxFuture<'static, Answer<Vec<(WorkerId, String)>>> {
+        Box::pin(pending())
+    }
+    fn list_instances(&self) -> BoxFuture<'static, Answer<Vec<Instance>>> {
+        Box::pin(pending())
+    }
+    fn move_instance(&self, _: Move) -> BoxFuture<'static, Answer<()>> {
+        Box::pin(pending())
+    }
+    fn maintain(&self, _: Maintenance) -> BoxFuture<'static, Answer<()>> {
+        Box::pin(pending())
+    }
+}
+
+/// An empty disk whose writes wait while the flag is set.
+struct StalledDisk(Arc<AtomicBool>);
+
+impl StalledDisk {
+    fn wait(&self) -> store::Result<()> {
+        while self.0.load(Ordering::Acquire) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Ok(())
+    }
+}
+
+impl Folder for StalledDisk {
+    fn read(&self, _: &str) -> store::Result<Option<Vec<u8>>> {
+        Ok(None)
+    }
+    fn append(&mut self, _: &str, _: &[u8]) -> store::Result<()> {
+        self.wait()
+    }
+    fn sync(&mut self, _: &str) -> store::Result<()> {
+        self.wait()
+    }
+    fn replace(&mut self, _: &str, _: &[u8]) -> store::Result<()> {
+        self.wait()
+    }
+    fn truncate(&mut self, _: &str, _: u64) -> store::Result<()> {
+        self.wait()
+    }
+}
+
+fn process_info(name: &str, address: SocketAddr, is_core: bool) -> ProcessInfo {
+    ProcessInfo {
+        name: name.to_string(),
+        incarnation: 1,
+        durable: is_core,
+        peer_address: address,
+        control_address: is_core.then_some(address),
+        data_centre: None,
+        relays_orders: false,
+    }
+}
+
+fn options(address: SocketAddr, disk: &Arc<AtomicBool>) -> Options {
+    let disk = disk.clone();
+    Options {
+        process_info: process_info("core", address, true),
+        seeds: BTreeSet::new(),
+        founders: BTreeSet::from([address]),
+        bootstrap: true,
+        retention: Duration::from_secs(120),
+        sched_settings: sched::Settings::default(),
+        open_folder: Box::new(move || Ok(Box::new(StalledDisk(disk.clone())) as Box<dyn Folder>)),
+        clock: Arc::new(System),
+        calls: Arc::new(NoCalls),
+    }
+}
+
+/// Links a process that passes on the replies that it gets.
+fn client(to: SocketAddr, replies: Sender<Reply>) -> Arc<Net> {
+    let handler = move |event| {
+        if let Event::Frame(_, Frame::Reply(_, reply)) = event {
+            let _ = replies.try_send(reply); // one is enough
+        }
+    };
+    let own = process_info("client", "127.0.0.1:9".parse().unwrap(), false);
+    let net = Net::new(own, Arc::new(System), Box::new(handler));
+    net.add_addresses([to], true);
+    net
+}
+
+async fn fill_queue(handle: &Handle) {
+    let mut left = 0;
+    while handle.worker_left(format!("w{left}")) {
+        left += 1;
+        assert!(left < 1_000_000, "the queue has no bound");
+        if left % 1000 == 0 {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+#[test]
+fn a_request_that_the_full_queue_has_no_room_for_is_refused_at_once() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let stalled = Arc::new(AtomicBool::new(false));
+        let process = Process::start(options(address, &stalled), listener).unwrap();
+        stalled.store(true, Ordering::Release);
+        let (sender, replies) = bounded(1);
+        let client = client(address, sender);
+        while client.peers().is_empty() {
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        fill_queue(&process.handle()).await;
+        assert!(client.send("core", &Frame::Request(1, LeaderRequest::Config)));
+        let reply = timeout(Duration::from_secs(1), replies.recv()).await;
+        assert!(matches!(reply, Ok(Ok(Reply::NotTaken(_)))), "{reply:?}");
+        stalled.store(false, Ordering::Release);
+        client.stop().await;
+        process.stop().await;
+    });
+}
