Edge: a reply to a process that was killed acknowledges no job of its successor

Callers could see: a job that is acknowledged and never runs, since no core has it, or the answer to another request.

Cause: an edge numbered its requests from 1 in each process, and cores address replies by the name of the process. A reply to an edge that was killed and restarted within the time of a reply went to the successor, whose request of the same number took it for its own.

Change: a process counts its requests from a number drawn at random. A drawn number holds with any peer, and the frames stay as they are.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -6,7 +6,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use log::info;
-use mesh::frame::RequestId;
+use mesh::frame::{RequestId, draw_first_id};
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Reply};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -51,7 +51,8 @@
         seeds: BTreeSet<SocketAddr>,
     ) -> Arc<Gateway> {
         let leaders = Leaders::new(clock.now());
-        let state = Mutex::new(State { leaders, pending: BTreeMap::new(), next_id: 1 });
+        let next_id = draw_first_id(&mut rand::rng());
+        let state = Mutex::new(State { leaders, pending: BTreeMap::new(), next_id });
         let gateway = Arc::new(Gateway { clock: clock.clone(), net: OnceLock::new(), state });
         let weak = Arc::downgrade(&gateway);
         let event_handler = move |event| {
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -3,6 +3,7 @@
 use crate::{LeaderRequest, Reply};
 use jobs::WorkerId;
 use quorum::{Id, Term};
+use rand::Rng;
 use sched::{Order, Report};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -19,12 +20,25 @@
 #[error("cannot read the frame: {0}")]
 pub struct Error(String);
 
-/// Identifies a forwarded request; unique per sender, so that a reply finds its request.
+/// Identifies a forwarded request; unique among all processes of a name, so that a reply finds its
+/// request and no other. See [`draw_first_id`].
 pub type RequestId = u64;
 
-/// Identifies an order that another process sends out; unique per leader.
+/// Identifies an order that another process sends out; unique like a [`RequestId`].
 pub type OrderId = u64;
 
+/// Draws the id of the first request or order of a process, which counts on from there. Replies are
+/// addressed by name: one to a process that was killed reaches its successor, which must not take it
+/// for its own. At least half of all numbers lie above it.
+///
+/// ```
+/// let first = mesh::frame::draw_first_id(&mut rand::rng());
+/// assert!(first <= u64::MAX / 2);
+/// ```
+pub fn draw_first_id(rng: &mut impl Rng) -> u64 {
+    rng.random::<u64>() >> 1
+}
+
 /// A message from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
