Control: replies to an earlier process settle nothing of its successor

Callers could see: a job that is acknowledged by a reply to another request, as at the edge, when a core that forwards requests is restarted; and, after a leader is restarted and leads again, a worker that is never polled again, so that it gets no work and its runs are given up when its lease is over.

Cause: a core numbered the requests that it forwards from 1 and the orders that others relay from 0, in each process, and replies are addressed by name. A reply to an order of the earlier process completed another order of the successor; the scheduler ignored it, since it was for another poll, and the real reply was then dropped as already completed.

Change: both are counted from numbers drawn for each process, from the seed that each start has. So the real reply, or the deadline of the relay, settles each order.

Evidence: both new tests failed on the old code, with "the leader has not read the job" and "200 workers are never polled again", and pass.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -14,9 +14,11 @@
 use async_std::channel::Sender;
 use jobs::{Decision, Ledger, WorkerId};
 use log::info;
-use mesh::frame::RequestId;
+use mesh::frame::{RequestId, draw_first_id};
 use mesh::{Frame, LeaderRequest, ProcessInfo, Reply, Status};
 use quorum::{Id, Index, Node, Term};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use sched::instance::Instance;
 use sched::order::{self, Answer, Order};
 use sched::roster::Freshness;
@@ -140,7 +142,8 @@
     pub environment: Arc<dyn Environment>,
     /// Opens the data folder.
     pub open_folder: OpenFolder,
-    /// Seed of the random election timeouts.
+    /// Seed of the random election timeouts and of the ids of requests and orders; another one for
+    /// each start of the process.
     pub seed: u64,
 }
 
@@ -223,6 +226,7 @@
             setup.seed,
             recovered.state,
         );
+        let mut rng = StdRng::seed_from_u64(setup.seed);
         let mut core = Core {
             process_info,
             founders: setup.founders,
@@ -245,9 +249,9 @@
             roster_sent_to: None,
             pending_proposals: BTreeMap::new(),
             proposal_queue: VecDeque::new(),
-            relays: Relays::default(),
+            relays: Relays::new(draw_first_id(&mut rng)),
             forwarded: BTreeMap::new(),
-            next_request: 1,
+            next_request: draw_first_id(&mut rng),
             peers: Vec::new(),
             links_changed: true,
             statuses: BTreeMap::new(),
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -39,7 +39,7 @@
 }
 
 /// The leader's orders that other processes send.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Relays {
     sent: BTreeMap<OrderId, Sent>,
     deadlines: BTreeSet<(Duration, OrderId)>,
@@ -49,13 +49,29 @@
 }
 
 impl Relays {
+    /// Starts without orders; the first one gets the id `first_id`, see
+    /// [`mesh::frame::draw_first_id`].
+    ///
+    /// ```
+    /// let mut relays = control::relay::Relays::new(7);
+    /// assert!(!relays.complete(7), "no order was sent");
+    /// ```
+    pub fn new(first_id: OrderId) -> Relays {
+        Relays {
+            sent: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            next_id: first_id,
+            avoided_until: BTreeMap::new(),
+        }
+    }
+
     /// Chooses the process that sends the orders for a worker: one in the worker's data centre
     /// if there is one, and always the same while the processes are the same, so that it can
     /// keep its connection. `None` if the leader sends them itself.
     ///
     /// ```
     /// use std::time::Duration;
-    /// let relays = control::relay::Relays::default();
+    /// let relays = control::relay::Relays::new(1);
     /// assert_eq!(relays.choose(Duration::ZERO, &[], 500, "i-1", None), None);
     /// ```
     pub fn choose<'a>(
--- a/crates/control/tests/relay.rs
+++ b/crates/control/tests/relay.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn orders_are_spread_over_the_processes_of_the_workers_data_centre() {
-    let relays = Relays::default();
+    let relays = Relays::new(1);
     let peers = [process("a", "north"), process("b", "north"), process("c", "south")];
     let mut chosen: BTreeMap<String, usize> = BTreeMap::new();
     for worker in 0..WORKERS {
@@ -57,12 +57,12 @@
 #[test]
 fn a_process_of_a_version_that_sends_no_orders_gets_none() {
     let old = ProcessInfo { relays_orders: false, ..process("a", "north") };
-    assert_eq!(choose(&Relays::default(), at(0), &[old], 1), None);
+    assert_eq!(choose(&Relays::new(1), at(0), &[old], 1), None);
 }
 
 #[test]
 fn an_order_without_an_answer_is_unanswered_and_its_process_gets_no_more_for_a_while() {
-    let mut relays = Relays::default();
+    let mut relays = Relays::new(1);
     let peers = [process("a", "north")];
     let id = relays.record(at(0), "a", &poll("w1", at(0))).unwrap();
     let answered = relays.record(at(0), "a", &poll("w2", at(0))).unwrap();
@@ -81,7 +81,7 @@
 
 #[test]
 fn a_worker_that_does_not_answer_does_not_make_its_process_look_lost() {
-    let mut relays = Relays::default();
+    let mut relays = Relays::new(1);
     let order = poll("w1", at(0));
     let id = relays.record(at(0), "a", &order).unwrap();
     let given_up_at = order.max_wait() + control::relay::CALL_TIMEOUT;
@@ -92,7 +92,7 @@
 
 #[test]
 fn a_process_that_is_about_to_end_gets_no_more_orders() {
-    let mut relays = Relays::default();
+    let mut relays = Relays::new(1);
     let peers = [process("a", "north"), process("b", "south")];
     assert_eq!(choose(&relays, at(0), &peers, 1), Some("a".to_string()));
     relays.record_stopping(at(0), "a");
@@ -101,7 +101,7 @@
 
 #[test]
 fn the_orders_of_a_process_whose_link_is_lost_are_unanswered_at_once() {
-    let mut relays = Relays::default();
+    let mut relays = Relays::new(1);
     relays.record(at(0), "a", &poll("w1", at(0)));
     relays.record(at(0), "b", &poll("w2", at(0)));
     assert_eq!(relays.take_lost("a").len(), 1);
--- /dev/null
+++ b/crates/control/tests/restart.rs
@@ -0,0 +1,101 @@
+//! Replies that were meant for an earlier process arrive at its successor.
+
+mod world;
+
+use jobs::definition::Resources;
+use jobs::{Config, Incarnation};
+use mesh::request::Location;
+use mesh::{Frame, LeaderRequest, Reply};
+use sched::Report;
+use sched::order::Answer;
+use std::net::SocketAddr;
+use std::time::Duration;
+use world::{CORES, TICK, World};
+
+const WORKERS: u64 = 200;
+/// Longest time from an order without an answer to the next poll of its worker.
+const RETRY_TIME: Duration = Duration::from_secs(8);
+
+fn restart(world: &mut World, core: usize) {
+    world.kill(core);
+    world.run(TICK);
+    world.start(core, false);
+}
+
+/// Restarts the leaders until this core leads.
+fn make_leader(world: &mut World, core: usize) {
+    for _ in 0..50 {
+        match world.leader() {
+            Some(leader) if leader == core => return,
+            Some(leader) => restart(world, leader),
+            None => {}
+        }
+        world.run(Duration::from_secs(2));
+    }
+    panic!("core {core} does not become leader");
+}
+
+fn report(worker: &str, number: u64) -> Report {
+    Report {
+        incarnation: Incarnation::new(worker, 1),
+        instance: format!("m-{worker}"),
+        address: SocketAddr::from(([10, 1, worker.as_bytes()[0], 1], number as u16)),
+        pool: "p".to_string(),
+        data_centre: "north".to_string(),
+        labels: Vec::new(),
+        capacity: Resources::default(),
+        draining: false,
+        remaining: None,
+        number: 1,
+    }
+}
+
+#[test]
+fn a_reply_to_an_earlier_process_does_not_answer_a_request_that_its_successor_forwards() {
+    let mut world = World::new(1);
+    world.heal();
+    let leader = world.leader().unwrap();
+    let follower = (leader + 1) % CORES;
+    world.request(follower, LeaderRequest::Config);
+    world.run(TICK);
+    let earlier = world.forwarded(follower)[0];
+    restart(&mut world, follower);
+    world.run(Duration::from_secs(1));
+    world.frozen[leader] = true;
+    let location = Location { host: "h".to_string(), path: "/q/1".to_string(), key: None };
+    let submit = LeaderRequest::Submit { location, definition: Box::default() };
+    let reply = world.request(follower, submit);
+    world.run(TICK);
+    world.deliver(leader, follower, Frame::Reply(earlier, Reply::Done));
+    world.run(TICK);
+    assert_eq!(world.forwarded(follower).len(), 2, "the job was forwarded");
+    assert!(reply.try_recv().is_err(), "the leader has not read the job");
+}
+
+#[test]
+fn replies_to_an_earlier_leader_do_not_settle_orders_of_its_successor() {
+    let mut world = World::new(1);
+    world.heal();
+    let leader = world.leader().unwrap();
+    let configure = LeaderRequest::Configure(Box::new(Config { version: 1, ..Config::default() }));
+    world.request(leader, configure);
+    (0..WORKERS).for_each(|n| world.report(leader, report(&format!("w{n}"), n)));
+    world.run(Duration::from_secs(1));
+    let earlier = world.relayed(leader);
+    assert!(!earlier.is_empty(), "orders are relayed");
+    restart(&mut world, leader);
+    make_leader(&mut world, leader);
+    // Further workers, so that equal numbers belong to other workers.
+    (0..WORKERS).for_each(|n| world.report(leader, report(&format!("a{n}"), n)));
+    (0..WORKERS).for_each(|n| world.report(leader, report(&format!("w{n}"), n)));
+    world.run(TICK * 2);
+    for relayed in earlier {
+        let Some(reply) = relayed.order.reply_with(Answer::Unknown) else { continue };
+        world.deliver(relayed.to, leader, Frame::OrderReplies(vec![(relayed.id, reply)]));
+    }
+    let delivered_at = world.now();
+    world.run(RETRY_TIME);
+    let polled_at = world.polled_at(leader);
+    let unsettled: Vec<_> = polled_at.iter().filter(|(_, at)| **at <= delivered_at).collect();
+    assert!(unsettled.is_empty(), "{} workers are never polled again", unsettled.len());
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -5,9 +5,11 @@
 use async_std::channel::{Receiver, bounded};
 use control::core::ReplyTo;
 use control::{Core, Environment, Input, Setup};
+use jobs::WorkerId;
+use mesh::frame::{OrderId, RequestId};
 use mesh::{Frame, LeaderRequest, ProcessInfo, Reply, Status};
 use quorum::Message;
-use sched::order::Order;
+use sched::order::{Destination, Order};
 use sched::{Fence, Report};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -101,6 +103,20 @@
     orders: Vec<(Fence, ProcessInfo)>,
     /// Number of log entries that were sent to each core.
     entries_sent: Vec<usize>,
+    /// Ids of the requests that each core forwarded.
+    forwarded: Vec<Vec<RequestId>>,
+    /// Orders that each core asked others to send.
+    relayed: Vec<Vec<Relayed>>,
+    /// When each core last sent a poll to each worker, itself or through another core.
+    polled_at: Vec<BTreeMap<WorkerId, Duration>>,
+}
+
+/// An order that one core asked another to send.
+#[derive(Clone)]
+pub struct Relayed {
+    pub to: usize,
+    pub id: OrderId,
+    pub order: Order,
 }
 
 impl Shared {
@@ -108,6 +124,10 @@
         a != b && !self.links_down.contains(&(a.min(b), a.max(b)))
     }
 
+    fn record_poll(&mut self, core: usize, worker: &Destination) {
+        self.polled_at[core].insert(worker.incarnation.worker.clone(), self.now);
+    }
+
     fn index(&self, name: &str) -> Option<usize> {
         self.processes.iter().position(|process| process.as_ref().is_some_and(|p| p.name == name))
     }
@@ -135,12 +155,18 @@
             Some(own) if shared.linked(self.own, to) => {
                 if let Frame::Orders(orders) = &frame {
                     let relay = shared.processes[to].clone().unwrap();
-                    for (_, order) in orders {
-                        if let Order::Poll(_, poll) = order {
+                    for (id, order) in orders {
+                        if let Order::Poll(worker, poll) = order {
                             shared.orders.push((poll.fence, relay.clone()));
+                            shared.record_poll(self.own, worker);
                         }
+                        let order = order.clone();
+                        shared.relayed[self.own].push(Relayed { to, id: *id, order });
                     }
                 }
+                if let Frame::Request(id, _) = &frame {
+                    shared.forwarded[self.own].push(*id);
+                }
                 if let Frame::Quorum(Message::AppendRequest(append)) = &frame {
                     shared.entries_sent[to] += append.entries.len();
                 }
@@ -162,8 +188,9 @@
     fn add_addresses(&self, _: BTreeSet<SocketAddr>) {}
 
     fn dispatch(&self, order: Order) {
-        if let Order::Poll(_, poll) = order {
+        if let Order::Poll(worker, poll) = order {
             let mut shared = self.shared.lock().unwrap();
+            shared.record_poll(self.own, &worker);
             let own = shared.processes[self.own].clone().unwrap();
             shared.orders.push((poll.fence, own));
         }
@@ -206,6 +233,9 @@
             inboxes: (0..count).map(|_| Vec::new()).collect(),
             orders: Vec::new(),
             entries_sent: vec![0; count],
+            forwarded: vec![Vec::new(); count],
+            relayed: vec![Vec::new(); count],
+            polled_at: vec![BTreeMap::new(); count],
         };
         let mut world = World {
             cores: (0..count).map(|_| None).collect(),
@@ -335,6 +365,32 @@
         self.shared().inboxes[index].push(Input::Report(report));
     }
 
+    pub fn now(&self) -> Duration {
+        self.shared().now
+    }
+
+    /// Delivers a frame that one core had sent to another, or to an earlier process of its name.
+    pub fn deliver(&mut self, from: usize, to: usize, frame: Frame) {
+        let mut shared = self.shared();
+        let Some(from) = shared.processes[from].clone() else { return };
+        shared.inboxes[to].push(Input::Frame(from, frame));
+    }
+
+    /// Ids of the requests that a core has forwarded so far.
+    pub fn forwarded(&self, index: usize) -> Vec<RequestId> {
+        self.shared().forwarded[index].clone()
+    }
+
+    /// When a core last sent a poll to each worker.
+    pub fn polled_at(&self, index: usize) -> BTreeMap<WorkerId, Duration> {
+        self.shared().polled_at[index].clone()
+    }
+
+    /// Orders that a core has asked others to send so far.
+    pub fn relayed(&self, index: usize) -> Vec<Relayed> {
+        self.shared().relayed[index].clone()
+    }
+
     /// Poll orders so far, oldest first, each with its fence and sender.
     pub fn orders(&self) -> Vec<(Fence, ProcessInfo)> {
         self.shared().orders.clone()
