Entry: replies to an earlier process answer nothing of its successor

Callers could see: an operator's submission confirmed that no leader has, or the response to another request that was relayed.

Cause: an entry numbered the commands that it forwards and the requests that it relays from 1 in each process. Replies are addressed by name and data folder, which a restart keeps, so that one to the earlier process completed the successor's request of the same number.

Change: both count on from the incarnation of the process, which is drawn at random at each start. The frames stay as they are.

--- a/crates/entry/src/agreement/mod.rs
+++ b/crates/entry/src/agreement/mod.rs
@@ -177,6 +177,8 @@
     /// Creates the agreement from a restored node and its store. `state` is the data
     /// of the recovered snapshot, from which the replicated state is restored.
     pub fn new(setup: Setup, node: Node, store: Option<Store>, state: &[u8]) -> Agreement {
+        // A reply to an earlier process of this entry may arrive; it must match no id of this one.
+        let last_request_id = setup.identity.process_incarnation >> 1;
         let mut agreement = Agreement {
             environment: setup.environment,
             identity: setup.identity,
@@ -187,7 +189,7 @@
             store,
             pending_proposals: BTreeMap::new(),
             forwarded_proposals: BTreeMap::new(),
-            last_request_id: 0,
+            last_request_id,
             statuses: BTreeMap::new(),
             apply_failure: None,
             disk_failure: None,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -140,7 +140,7 @@
             local_pools: ArcSwap::default(),
             peer_pools: Mutex::default(),
             idempotency_keys: Keys::new(settings.name.clone(), process_incarnation),
-            pending_relays: Pending::default(),
+            pending_relays: Pending::new(process_incarnation),
             relay_tasks: Tasks::default(),
             connection_tasks: Tasks::default(),
             stopping: AtomicBool::new(false),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,12 +7,10 @@
 use wire::call::{Outcome, RelayReply};
 
 /// Requests relayed to peers and not answered yet.
-#[derive(Default)]
 pub struct Pending {
     inner: Mutex<Inner>,
 }
 
-#[derive(Default)]
 struct Inner {
     last_id: u64,
     waiting: BTreeMap<u64, Waiting>,
@@ -24,6 +22,18 @@
 }
 
 impl Pending {
+    /// Starts without requests. Their ids count on from a number of this process incarnation: a
+    /// reply to an earlier process of the entry may arrive, and must match none of them.
+    ///
+    /// ```
+    /// let pending = entry::relay::Pending::new(7);
+    /// pending.on_peer_lost(&quorum::Id::new("a", 1));
+    /// ```
+    pub fn new(process_incarnation: u64) -> Pending {
+        let last_id = process_incarnation >> 1; // at least half of all numbers lie above it
+        Pending { inner: Mutex::new(Inner { last_id, waiting: BTreeMap::new() }) }
+    }
+
     /// Passes a peer's reply to the waiting request; ignores it if none waits.
     pub fn on_reply(&self, reply: RelayReply) {
         let waiting = self.inner.lock().expect("no holder panics").waiting.remove(&reply.id);
@@ -40,7 +50,14 @@
     }
 
     /// Registers a request and returns the id that its reply will carry.
-    pub(crate) fn begin(&self, to: Id, reply: Sender<Outcome>) -> u64 {
+    ///
+    /// ```
+    /// let pending = entry::relay::Pending::new(7);
+    /// let (reply, answer) = async_std::channel::bounded(1);
+    /// pending.begin(quorum::Id::new("a", 1), reply);
+    /// assert!(answer.is_empty());
+    /// ```
+    pub fn begin(&self, to: Id, reply: Sender<Outcome>) -> u64 {
         let mut inner = self.inner.lock().expect("no holder panics");
         inner.last_id += 1;
         let id = inner.last_id;
