Quorum: a voter whose process restarts keeps the promise of the process before

Callers could see: state older than acknowledged, for less than a second: a leader that is cut off serves reads by its lease while another one is elected with the vote of a voter that had just granted that lease.

Cause: a restarted voter refuses votes for one election timeout, since the process before may have answered a leader. The time was counted from zero of the clock, which is the start of the machine, not of the process: on a machine that had been up for a second it was over at once. Likewise the first election was due at once instead of after a timeout.

Change: a node is restored for a process that starts at a given time, and both count from it.

Evidence: the new test failed on the old code with "an earlier process may have granted a lease" and passes. The random schedules of three and six cores pass. A restart of all cores takes up to an election timeout longer to elect a leader.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -141,8 +141,8 @@
         let base = recovered.state.snapshot.index;
         self.seed = self.seed.wrapping_add(1);
         let timing = self.timing.clone();
-        self.node = Node::restore(self.process_info.id(), true, timing, self.seed, recovered.state);
-        self.node.tick(now);
+        self.node =
+            Node::restore(self.process_info.id(), true, timing, self.seed, recovered.state, now);
         for peer in self.environment.peers().iter().filter(|peer| peer.durable) {
             self.node.connect(peer.id());
         }
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -225,6 +225,7 @@
             setup.timing.clone(),
             setup.seed,
             recovered.state,
+            setup.environment.now(),
         );
         let mut rng = StdRng::seed_from_u64(setup.seed);
         let mut core = Core {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -226,7 +226,8 @@
     let id = Id::new(shared.identity.name.clone(), shared.identity.incarnation);
     let snapshot = state.snapshot.data.clone();
     let timing = quorum::Timing::default();
-    let node = Node::restore(id, store.is_some(), timing, rand::random(), state);
+    let now = shared.clock.now();
+    let node = Node::restore(id, store.is_some(), timing, rand::random(), state, now);
     let founders = shared.settings.entries.iter().filter(|entry| entry.voter);
     let founders = founders.map(|entry| entry.name.clone()).collect();
     let setup = Setup {
--- a/crates/entry/tests/restart.rs
+++ b/crates/entry/tests/restart.rs
@@ -6,7 +6,7 @@
 use fleet::Command;
 use fleet::command::Leave;
 use quorum::message::AppendRequest;
-use quorum::{Id, Index, Membership, Message, Node, Payload, State};
+use quorum::{Id, Index, Membership, Message, Node, Payload};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, SystemTime};
 use wire::Frame;
@@ -64,7 +64,7 @@
         fleet: Arc::new(RwLock::default()),
         compact_entries: 100,
     };
-    let node = Node::restore(Id::new("entry", 7), true, Default::default(), 1, State::default());
+    let node = Node::new(Id::new("entry", 7), true, Default::default(), 1);
     let mut agreement = Agreement::new(setup, node, None, &[]);
     let membership =
         Membership { cluster: 1, voters: [leader(), Id::new("entry", 7)].into_iter().collect() };
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -336,8 +336,8 @@
         let founders = SITES.iter().filter(|site| site.2).map(|site| site.0.to_string()).collect();
         let data = state.snapshot.data.clone();
         let id = Id::new(site.name, incarnation);
-        let mut node = Node::restore(id, site.durable, Default::default(), seed, state);
-        node.tick(environment.now());
+        let now = environment.now();
+        let node = Node::restore(id, site.durable, Default::default(), seed, state, now);
         let setup = Setup {
             environment: environment.clone(),
             identity: identity.clone(),
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -236,23 +236,30 @@
 impl Node {
     /// Creates a node without state. A node that isn't `durable` never votes or leads.
     pub fn new(id: Id, durable: bool, timing: Timing, seed: u64) -> Node {
-        Node::restore(id, durable, timing, seed, State::default())
+        Node::restore(id, durable, timing, seed, State::default(), Duration::ZERO)
     }
 
-    /// Creates a node with the state of its disk.
-    pub fn restore(id: Id, durable: bool, timing: Timing, seed: u64, state: State) -> Node {
+    /// Creates a node with the state of its disk, for a process that starts at the time `now`.
+    pub fn restore(
+        id: Id,
+        durable: bool,
+        timing: Timing,
+        seed: u64,
+        state: State,
+        now: Duration,
+    ) -> Node {
         let State { hard_state, snapshot, entries, commit_index } = state;
         let log = Log::new(&snapshot, entries);
         let last = log.last_index();
         // Before the restart this node may have answered a leader. That leader's lease is
         // valid only if this node grants no vote for an election timeout.
-        let no_votes_before = if last == 0 { Duration::ZERO } else { timing.election_timeout };
+        let no_votes_before = if last == 0 { now } else { now + timing.election_timeout };
         let mut node = Node {
             id,
             durable,
             timing,
             rng: StdRng::seed_from_u64(seed),
-            now: Duration::ZERO,
+            now,
             role: Role::Follower,
             hard_state,
             commit_index: commit_index.clamp(snapshot.index, last.max(snapshot.index)),
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -20,13 +20,18 @@
 
 /// Returns voter `b` with entries of term 1 up to index `last`.
 fn voter(last: u64, commit_index: u64) -> Node {
+    voter_since(Duration::ZERO, last, commit_index)
+}
+
+/// Returns the voter of a process that starts at this time.
+fn voter_since(now: Duration, last: u64, commit_index: u64) -> Node {
     let state = State {
         hard_state: HardState { term: 1, vote: None },
         entries: (1..=last).map(|index| entry(index, 1)).collect(),
         commit_index,
         ..State::default()
     };
-    Node::restore(id("b"), true, Timing::default(), 1, state)
+    Node::restore(id("b"), true, Timing::default(), 1, state, now)
 }
 
 fn millis(millis: u64) -> Duration {
@@ -98,6 +103,18 @@
     assert!(granted(&drain(&mut node)));
 }
 
+#[test]
+fn a_voter_whose_process_restarts_on_a_running_clock_waits_before_it_votes() {
+    let started_at = millis(1_000_000);
+    let mut node = voter_since(started_at, 3, 3);
+    for pre_vote in [true, false] {
+        node.receive(started_at + millis(100), &id("a"), vote_request(2, 3, pre_vote));
+        assert!(!granted(&drain(&mut node)), "an earlier process may have granted a lease");
+    }
+    node.receive(started_at + millis(1201), &id("a"), vote_request(2, 3, false));
+    assert!(granted(&drain(&mut node)));
+}
+
 #[test]
 fn a_voter_in_contact_with_a_leader_grants_no_vote() {
     let mut node = voter(3, 3);
@@ -283,7 +300,7 @@
     entries.extend((11..=200).map(|index| entry(index, 2)));
     let hard_state = HardState { term: 2, vote: None };
     let state = State { hard_state, entries, commit_index: 5, ..State::default() };
-    let mut node = Node::restore(id("b"), true, Timing::default(), 1, state);
+    let mut node = Node::restore(id("b"), true, Timing::default(), 1, state, Duration::ZERO);
     let append = AppendRequest {
         term: 3,
         prev_index: 150,
