Control: a leader that restarts and leads again is sent the reports that it has lost

Callers could see: workers that a leader does not know until their next report, and their units waiting for it.

Cause: a core remembered by name to whom it had sent the reports of its roster. A leader that was restarted while the core was suspended, and elected again by the others, has the name and the data folder of the process before; the core handled the loss of the link after the new one was up and so took the reports for sent.

Change: the reports are sent once to each leader of a term. A process that restarts can lead in a later term only.

Evidence: the new test failed on the old code with "seed 1: the report is not sent" and passes.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -185,8 +185,9 @@
     unsent_reports: Vec<Report>,
     /// When the first of `unsent_reports` arrived; `None` if there is none.
     unsent_since: Option<Duration>,
-    /// Leader that has received all reports of the roster.
-    roster_sent_to: Option<String>,
+    /// Leader that has received all reports of the roster, and its term: a restarted leader has
+    /// lost them, and leads in a later term.
+    roster_sent_to: Option<(Id, Term)>,
     pending_proposals: BTreeMap<Index, PendingProposal>,
     /// The scheduler's commands that aren't proposed yet.
     proposal_queue: VecDeque<jobs::Command>,
@@ -362,7 +363,7 @@
         }
         self.node.disconnect(&lost.id());
         self.statuses.remove(&lost.id());
-        if self.roster_sent_to.as_ref() == Some(&lost.name) {
+        if self.roster_sent_to.as_ref().is_some_and(|(leader, _)| *leader == lost.id()) {
             self.roster_sent_to = None;
         }
         self.fail_forwarded(|forwarded| forwarded.leader == lost.name);
@@ -490,14 +491,16 @@
 
     /// Sends a new leader all reports of the roster.
     fn send_roster_to_leader(&mut self) {
-        let leader = self.leader_name();
+        let other = self.node.leader().filter(|leader| **leader != self.process_info.id());
+        let leader = other.map(|leader| (leader.clone(), self.node.term()));
         if leader == self.roster_sent_to {
             return;
         }
-        if let Some(leader) = &leader {
+        if let Some((leader, _)) = &leader {
             let reports: Vec<Report> =
                 self.roster.workers().map(|received| received.report.clone()).collect();
-            if !reports.is_empty() && !self.environment.send(leader, Frame::Reports(reports)) {
+            if !reports.is_empty() && !self.environment.send(&leader.name, Frame::Reports(reports))
+            {
                 return;
             }
         }
--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use async_std::channel::bounded;
+use control::Input;
 use jobs::definition::Resources;
 use jobs::{Config, Incarnation};
 use mesh::request::Location;
@@ -99,3 +101,36 @@
     let unsettled: Vec<_> = polled_at.iter().filter(|(_, at)| **at <= delivered_at).collect();
     assert!(unsettled.is_empty(), "{} workers are never polled again", unsettled.len());
 }
+
+/// Whether a core that leads knows a worker.
+fn knows_worker(world: &mut World, core: usize, worker: &str) -> bool {
+    let (sender, text) = bounded(1);
+    world.cores[core].as_mut().unwrap().input(Input::Dump(sender));
+    let state: serde_json::Value = serde_json::from_str(&text.try_recv().unwrap()).unwrap();
+    !state["reign"]["workers"][worker].is_null()
+}
+
+#[test]
+fn a_leader_that_restarts_and_leads_again_is_sent_the_reports_that_it_has_lost() {
+    let mut leads_again = 0;
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.heal();
+        let leader = world.leader().unwrap();
+        let (reporter, other) = ((leader + 1) % CORES, (leader + 2) % CORES);
+        world.set_link(reporter, other, false);
+        world.report(reporter, report("w", 1));
+        world.run(Duration::from_secs(1));
+        assert!(knows_worker(&mut world, leader, "w"), "seed {seed}");
+        world.frozen[reporter] = true;
+        restart(&mut world, leader);
+        world.run(Duration::from_secs(4));
+        world.frozen[reporter] = false;
+        world.run(Duration::from_millis(500));
+        if world.leader() == Some(leader) {
+            leads_again += 1;
+            assert!(knows_worker(&mut world, leader, "w"), "seed {seed}: the report is not sent");
+        }
+    }
+    assert!(leads_again > 0, "no schedule in which the leader leads again");
+}
