Sched: a late notice of a worker's end does not end its successor under the same id

Callers could see: a worker without new work for as long as a leader leads: its reports were ignored for 20 s, and the scheduler had taken it for leaving.

Cause: the notice names only the worker, both in the call and in the frame that forwards it to the leader. One that a core handles late, after a suspension or a cut, ended the incarnation that had reported meanwhile.

A notice is of an earlier incarnation if that one drained or has ended and the present one does not drain; it is ignored. Weighed: forwarding the incarnation, which does not help when the core that takes the call is the late one.

That the notice of a present incarnation still ends it has a test of its own.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -21,7 +21,7 @@
 use rand::rngs::StdRng;
 use sched::instance::Instance;
 use sched::order::{self, Answer, Order};
-use sched::roster::Freshness;
+use sched::roster::{AnnouncedEnd, Freshness};
 use sched::scheduler::{AdviseReply, MaintenanceReply, MoveReply, Time};
 use sched::{Report, Roster, Scheduler};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -464,8 +464,13 @@
     }
 
     fn on_worker_left(&mut self, time: Time, worker: WorkerId, is_local: bool) {
-        let incarnation = self.roster.record_announced_end(time.monotonic, &worker);
-        info!("worker.left worker={worker} known={}", incarnation.is_some());
+        let end = self.roster.record_announced_end(time.monotonic, &worker);
+        let is_known = matches!(end, AnnouncedEnd::OfPresent(_));
+        let is_late = end == AnnouncedEnd::OfEarlier;
+        info!("worker.left worker={worker} known={is_known} late={is_late}");
+        if is_late {
+            return;
+        }
         if let Some(leadership) = &mut self.leadership {
             leadership.scheduler.on_worker_left(&worker);
         } else if let Some(leader) = self.leader_name().filter(|_| is_local) {
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -73,6 +73,17 @@
     Changed,
 }
 
+/// Which incarnation of a worker a notice of its end is of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnnouncedEnd {
+    /// The present one, which is recorded as ended.
+    OfPresent(Incarnation),
+    /// An earlier one; the present one goes on.
+    OfEarlier,
+    /// No report of the worker is known.
+    UnknownWorker,
+}
+
 /// Newest report of each worker.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -160,17 +171,33 @@
         if changed { Freshness::Changed } else { Freshness::Unchanged }
     }
 
-    /// Records that a worker announced the end of its present incarnation, and returns
-    /// the incarnation; `None` if the worker is unknown.
-    pub fn record_announced_end(
-        &mut self,
-        now: Duration,
-        worker: &WorkerId,
-    ) -> Option<Incarnation> {
-        let received = self.remove(worker)?;
+    /// Records that a worker announced the end of its present incarnation, unless the notice is of
+    /// an earlier one. Notices name only the worker and may arrive late; but a worker drains before
+    /// it leaves.
+    ///
+    /// ```
+    /// use sched::roster::AnnouncedEnd;
+    /// let mut roster = sched::Roster::default();
+    /// let end = roster.record_announced_end(std::time::Duration::ZERO, &"w1".to_string());
+    /// assert_eq!(end, AnnouncedEnd::UnknownWorker);
+    /// ```
+    pub fn record_announced_end(&mut self, now: Duration, worker: &WorkerId) -> AnnouncedEnd {
+        if self.has_left_before(worker) {
+            return AnnouncedEnd::OfEarlier;
+        }
+        let Some(received) = self.remove(worker) else { return AnnouncedEnd::UnknownWorker };
         let incarnation = received.report.incarnation;
         self.ended.insert(worker.clone(), (incarnation.clone(), now));
-        Some(incarnation)
+        AnnouncedEnd::OfPresent(incarnation)
+    }
+
+    /// Whether an earlier incarnation of a worker was about to leave or has ended, and the present
+    /// one does not drain.
+    fn has_left_before(&self, worker: &WorkerId) -> bool {
+        let Some(Received { report: present, .. }) = self.workers.get(worker) else { return false };
+        let was_leaving = self.replaced.get(worker).is_some_and(|earlier| earlier.report.draining);
+        let has_ended = self.ended.contains_key(worker);
+        !present.draining && (was_leaving || has_ended)
     }
 
     /// Records that an incarnation is known to have ended.
--- a/crates/sched/tests/roster.rs
+++ b/crates/sched/tests/roster.rs
@@ -78,3 +78,33 @@
     next.labels = vec!["large".to_string()];
     assert_eq!(roster.record(at(3), next), Freshness::Changed);
 }
+
+#[test]
+fn a_late_notice_of_an_end_does_not_end_the_successor_under_the_same_id() {
+    let notice = "a".to_string();
+    let leaving = Report { draining: true, number: 2, ..report("a", 1, "m1", 80) };
+    // The successor reports before the notice, or between two of them.
+    for is_repeated in [false, true] {
+        let mut roster = Roster::default();
+        roster.record(at(0), report("a", 1, "m1", 80));
+        roster.record(at(1), leaving.clone());
+        if is_repeated {
+            roster.record_announced_end(at(2), &notice);
+        }
+        roster.record(at(3), report("a", 2, "m1", 80));
+        roster.record_announced_end(at(4), &notice);
+        assert_eq!(names(&roster), ["a"], "repeated: {is_repeated}");
+        let next = Report { number: 2, ..report("a", 2, "m1", 80) };
+        assert_eq!(roster.record(at(5), next), Freshness::Unchanged);
+    }
+}
+
+#[test]
+fn a_successor_that_drains_is_ended_by_its_notice() {
+    let mut roster = Roster::default();
+    roster.record(at(0), Report { draining: true, ..report("a", 1, "m1", 80) });
+    roster.record(at(1), report("a", 2, "m1", 80));
+    roster.record(at(2), Report { draining: true, number: 2, ..report("a", 2, "m1", 80) });
+    roster.record_announced_end(at(3), &"a".to_string());
+    assert!(names(&roster).is_empty());
+}
