Control: a reply goes to the incarnation that asked or to none

Cause: replies were sent on the newest link of a name, whichever incarnation is at its end.

Change: a reply is addressed to name and incarnation, and dropped if only another incarnation is linked. An edge has a new incarnation with each start; a core keeps that of its disk, and there the drawn numbers decide.

Evidence: the new test of links fails when the incarnation is left out of account, at "!own.send_to(&gone, …)", and passes.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -50,6 +50,8 @@
     fn wall(&self) -> SystemTime;
     /// Queues a frame for the named process. Returns whether a link accepted it.
     fn send(&self, to: &str, frame: Frame) -> bool;
+    /// Queues a frame for one incarnation of a process. Returns whether a link to it accepted it.
+    fn send_to(&self, to: &Id, frame: Frame) -> bool;
     /// Queues a frame for each of the named processes.
     fn send_all(&self, to: &[&str], frame: Frame) {
         for name in to {
@@ -76,8 +78,8 @@
     Local(Sender<Reply>),
     /// Another process.
     Remote {
-        /// Name of the process.
-        name: String,
+        /// The process. A successor of its name is not sent the reply.
+        to: Id,
         /// Number that the process gave the request.
         id: RequestId,
         /// Whether the process is a core that forwarded the request. Such a request isn't
@@ -387,11 +389,7 @@
             }
             Frame::Request(id, request) => {
                 let core = from.control_address.is_some();
-                self.on_request(
-                    time,
-                    request,
-                    ReplyTo::Remote { name: from.name.clone(), id, core },
-                );
+                self.on_request(time, request, ReplyTo::Remote { to: from.id(), id, core });
             }
             Frame::Reply(id, reply) => {
                 if let Some(forwarded) = self.forwarded.remove(&id) {
--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -274,8 +274,8 @@
             ReplyTo::Local(sender) => {
                 let _ = sender.try_send(reply); // the caller may have given up
             }
-            ReplyTo::Remote { name, id, .. } => {
-                self.environment.send(&name, Frame::Reply(id, reply));
+            ReplyTo::Remote { to, id, .. } => {
+                self.environment.send_to(&to, Frame::Reply(id, reply));
             }
         }
     }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -14,6 +14,7 @@
 use log::{info, warn};
 use mesh::frame::OrderId;
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Status};
+use quorum::Id;
 use sched::Report;
 use sched::order::{Answer, Order, Reply};
 use sched::scheduler::{
@@ -361,6 +362,10 @@
         self.net.get().is_some_and(|net| net.send(to, &frame))
     }
 
+    fn send_to(&self, to: &Id, frame: Frame) -> bool {
+        self.net.get().is_some_and(|net| net.send_to(to, &frame))
+    }
+
     fn send_all(&self, to: &[&str], frame: Frame) {
         if let Some(net) = self.net.get() {
             net.send_all(to, &frame);
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -8,7 +8,7 @@
 use jobs::WorkerId;
 use mesh::frame::{OrderId, RequestId};
 use mesh::{Frame, LeaderRequest, ProcessInfo, Reply, Status};
-use quorum::Message;
+use quorum::{Id, Message};
 use sched::order::{Destination, Order};
 use sched::{Fence, Report};
 use std::collections::{BTreeMap, BTreeSet};
@@ -177,6 +177,10 @@
         }
     }
 
+    fn send_to(&self, to: &Id, frame: Frame) -> bool {
+        self.peers().iter().any(|peer| peer.id() == *to) && self.send(&to.name, frame)
+    }
+
     fn peers(&self) -> Vec<ProcessInfo> {
         let shared = self.shared.lock().unwrap();
         (0..shared.processes.len())
--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -14,6 +14,7 @@
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
 use log::{info, warn};
+use quorum::Id;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -172,8 +173,26 @@
     /// Queues a frame for each of the processes, which encodes it only once. Returns those for
     /// which it could not be queued.
     pub fn send_all<'a>(&self, to: &[&'a str], frame: &Frame) -> Vec<&'a str> {
+        self.queue(to, frame, |_| true)
+    }
+
+    /// Queues a frame for one incarnation of a process, like [`Net::send`]. It is dropped if only
+    /// another incarnation of that name is linked.
+    pub fn send_to(&self, to: &Id, frame: &Frame) -> bool {
+        let is_receiver = |peer: &ProcessInfo| peer.incarnation == to.incarnation;
+        self.queue(&[to.name.as_str()], frame, is_receiver).is_empty()
+    }
+
+    /// Queues a frame on the newest link to each name whose peer is a receiver. Returns the names
+    /// for which it could not be queued.
+    fn queue<'a>(
+        &self,
+        to: &[&'a str],
+        frame: &Frame,
+        is_receiver: impl Fn(&ProcessInfo) -> bool,
+    ) -> Vec<&'a str> {
         let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
-        let newest = |name: &str| links.get(name).and_then(|links| links.last());
+        let newest = |name: &str| links.get(name)?.iter().rfind(|link| is_receiver(&link.peer));
         if !to.iter().any(|name| newest(name).is_some()) {
             return to.to_vec();
         }
--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -4,7 +4,8 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use mesh::clock::System;
-use mesh::{Frame, Net, ProcessInfo, queue};
+use mesh::{Event, Frame, Net, ProcessInfo, Reply, queue};
+use quorum::Id;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,6 +69,34 @@
     });
 }
 
+#[test]
+fn a_frame_for_an_incarnation_that_is_gone_is_not_sent_to_its_successor() {
+    task::block_on(async {
+        let (own_listener, own_address) = listener().await;
+        let own = net("own", own_address);
+        let listening = task::spawn(own.clone().listen(own_listener));
+        let (received, frames) = async_std::channel::unbounded();
+        let handler = move |event| {
+            if let Event::Frame(_, frame) = event {
+                received.try_send(frame).unwrap();
+            }
+        };
+        let successor = process("peer", "127.0.0.1:9".parse().unwrap());
+        let present = successor.id();
+        let successor = Net::new(successor, Arc::new(System), Box::new(handler));
+        successor.add_addresses([own_address], true);
+        wait_until("the successor is linked", || !own.peers().is_empty()).await;
+        let gone = Id::new("peer", present.incarnation + 1);
+        assert!(!own.send_to(&gone, &Frame::Reply(1, Reply::Done)));
+        assert!(own.send_to(&present, &Frame::Reply(2, Reply::Done)));
+        let frame = timeout(PATIENCE, frames.recv()).await.unwrap().unwrap();
+        assert_eq!(frame, Frame::Reply(2, Reply::Done));
+        successor.stop().await;
+        own.stop().await;
+        listening.await;
+    });
+}
+
 /// Links a peer that sends pings but reads nothing after its first frame.
 async fn link_slow_peer(address: SocketAddr, name: &str) -> task::JoinHandle<()> {
     use futures::{SinkExt, StreamExt};
