--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -134,3 +134,36 @@
     }
     assert!(leads_again > 0, "no schedule in which the leader leads again");
 }
+
+#[test]
+fn a_leader_that_is_cut_off_reads_nothing_old_after_its_last_voter_restarts() {
+    let configure = |version: u64| {
+        let document = version.to_string().into_bytes();
+        LeaderRequest::Configure(Box::new(Config { version, document, ..Config::default() }))
+    };
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.heal();
+        let leader = world.leader().unwrap();
+        let (voter, other) = ((leader + 1) % CORES, (leader + 2) % CORES);
+        world.request(leader, configure(1));
+        world.run(Duration::from_secs(1));
+        world.set_link(leader, other, false);
+        world.run(Duration::from_secs(3));
+        world.set_link(leader, voter, false);
+        restart(&mut world, voter);
+        let mut acknowledged = false;
+        for _ in 0..300 {
+            let written = world.request(other, configure(2));
+            let read = world.request(leader, LeaderRequest::Config);
+            world.run(TICK * 5);
+            let read = read.try_recv();
+            assert!(
+                !acknowledged || read != Ok(Reply::Config(b"1".to_vec())),
+                "seed {seed}: read 1 after 2 was acknowledged"
+            );
+            acknowledged |= written.try_recv() == Ok(Reply::Done);
+        }
+        assert!(acknowledged, "seed {seed}: the others elect a leader");
+    }
+}
