--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -14,12 +14,14 @@
 use async_std::channel::Sender;
 use jobs::{Decision, Ledger, WorkerId};
 use log::info;
-use mesh::frame::RequestId;
+use mesh::frame::{RequestId, draw_first_id};
 use mesh::{Frame, LeaderRequest, ProcessInfo, Reply, Status};
 use quorum::{Id, Index, Node, Term};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use sched::instance::Instance;
 use sched::order::{self, Answer, Order};
-use sched::roster::Freshness;
+use sched::roster::{AnnouncedEnd, Freshness};
 use sched::scheduler::{AdviseReply, MaintenanceReply, MoveReply, Time};
 use sched::{Report, Roster, Scheduler};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -48,6 +50,8 @@
     fn wall(&self) -> SystemTime;
     /// Queues a frame for the named process. Returns whether a link accepted it.
     fn send(&self, to: &str, frame: Frame) -> bool;
+    /// Queues a frame for one incarnation of a process. Returns whether a link to it accepted it.
+    fn send_to(&self, to: &Id, frame: Frame) -> bool;
     /// Queues a frame for each of the named processes.
     fn send_all(&self, to: &[&str], frame: Frame) {
         for name in to {
@@ -74,8 +78,8 @@
     Local(Sender<Reply>),
     /// Another process.
     Remote {
-        /// Name of the process.
-        name: String,
+        /// The process. A successor of its name is not sent the reply.
+        to: Id,
         /// Number that the process gave the request.
         id: RequestId,
         /// Whether the process is a core that forwarded the request. Such a request isn't
@@ -140,7 +144,8 @@
     pub environment: Arc<dyn Environment>,
     /// Opens the data folder.
     pub open_folder: OpenFolder,
-    /// Seed of the random election timeouts.
+    /// Seed of the random election timeouts and of the ids of requests and orders; another one for
+    /// each start of the process.
     pub seed: u64,
 }
 
@@ -182,8 +187,9 @@
     unsent_reports: Vec<Report>,
     /// When the first of `unsent_reports` arrived; `None` if there is none.
     unsent_since: Option<Duration>,
-    /// Leader that has received all reports of the roster.
-    roster_sent_to: Option<String>,
+    /// Leader that has received all reports of the roster, and its term: a restarted leader has
+    /// lost them, and leads in a later term.
+    roster_sent_to: Option<(Id, Term)>,
     pending_proposals: BTreeMap<Index, PendingProposal>,
     /// The scheduler's commands that aren't proposed yet.
     proposal_queue: VecDeque<jobs::Command>,
@@ -222,7 +228,9 @@
             setup.timing.clone(),
             setup.seed,
             recovered.state,
+            setup.environment.now(),
         );
+        let mut rng = StdRng::seed_from_u64(setup.seed);
         let mut core = Core {
             process_info,
             founders: setup.founders,
@@ -245,9 +253,9 @@
             roster_sent_to: None,
             pending_proposals: BTreeMap::new(),
             proposal_queue: VecDeque::new(),
-            relays: Relays::default(),
+            relays: Relays::new(draw_first_id(&mut rng)),
             forwarded: BTreeMap::new(),
-            next_request: 1,
+            next_request: draw_first_id(&mut rng),
             peers: Vec::new(),
             links_changed: true,
             statuses: BTreeMap::new(),
@@ -357,7 +365,7 @@
         }
         self.node.disconnect(&lost.id());
         self.statuses.remove(&lost.id());
-        if self.roster_sent_to.as_ref() == Some(&lost.name) {
+        if self.roster_sent_to.as_ref().is_some_and(|(leader, _)| *leader == lost.id()) {
             self.roster_sent_to = None;
         }
         self.fail_forwarded(|forwarded| forwarded.leader == lost.name);
@@ -381,11 +389,7 @@
             }
             Frame::Request(id, request) => {
                 let core = from.control_address.is_some();
-                self.on_request(
-                    time,
-                    request,
-                    ReplyTo::Remote { name: from.name.clone(), id, core },
-                );
+                self.on_request(time, request, ReplyTo::Remote { to: from.id(), id, core });
             }
             Frame::Reply(id, reply) => {
                 if let Some(forwarded) = self.forwarded.remove(&id) {
@@ -458,8 +462,13 @@
     }
 
     fn on_worker_left(&mut self, time: Time, worker: WorkerId, is_local: bool) {
-        let incarnation = self.roster.record_announced_end(time.monotonic, &worker);
-        info!("worker.left worker={worker} known={}", incarnation.is_some());
+        let end = self.roster.record_announced_end(time.monotonic, &worker);
+        let is_known = matches!(end, AnnouncedEnd::OfPresent(_));
+        let is_late = end == AnnouncedEnd::OfEarlier;
+        info!("worker.left worker={worker} known={is_known} late={is_late}");
+        if is_late {
+            return;
+        }
         if let Some(leadership) = &mut self.leadership {
             leadership.scheduler.on_worker_left(&worker);
         } else if let Some(leader) = self.leader_name().filter(|_| is_local) {
@@ -485,14 +494,16 @@
 
     /// Sends a new leader all reports of the roster.
     fn send_roster_to_leader(&mut self) {
-        let leader = self.leader_name();
+        let other = self.node.leader().filter(|leader| **leader != self.process_info.id());
+        let leader = other.map(|leader| (leader.clone(), self.node.term()));
         if leader == self.roster_sent_to {
             return;
         }
-        if let Some(leader) = &leader {
+        if let Some((leader, _)) = &leader {
             let reports: Vec<Report> =
                 self.roster.workers().map(|received| received.report.clone()).collect();
-            if !reports.is_empty() && !self.environment.send(leader, Frame::Reports(reports)) {
+            if !reports.is_empty() && !self.environment.send(&leader.name, Frame::Reports(reports))
+            {
                 return;
             }
         }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -6,7 +6,7 @@
 use async_std::channel::{Receiver, Sender, unbounded};
 use async_std::future::timeout;
 use log::info;
-use mesh::frame::RequestId;
+use mesh::frame::{RequestId, draw_first_id};
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Reply};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -57,7 +57,8 @@
         seeds: BTreeSet<SocketAddr>,
     ) -> Arc<Gateway> {
         let leaders = Leaders::new(clock.now());
-        let state = Mutex::new(State { leaders, pending: BTreeMap::new(), next_id: 1 });
+        let next_id = draw_first_id(&mut rand::rng());
+        let state = Mutex::new(State { leaders, pending: BTreeMap::new(), next_id });
         let gateway = Arc::new(Gateway { clock: clock.clone(), net: OnceLock::new(), state });
         let weak = Arc::downgrade(&gateway);
         let event_handler = move |event| {
