Serve: a request that has begun to arrive is read and answered

Clients could see two things. A request whose first bytes had arrived when the idle timer fired was cut without an answer: the timer asked whether the application was at work, which it is only once the head has been read in full. And of several requests that were sent back to back only the first was answered, since async-h1 reads ahead into a buffer that it drops with the request: the client waited until the connection was closed.

A stream between the socket and async-h1 now ends each request where its head or content-length says and keeps what follows. A connection is idle only while no byte of a request was read. From the first byte on, a request may take the idle time to arrive and is then answered with 408; async-h1's own timer of 60 s runs from the first byte too. A response to a request whose body was not read to its end, or whose end is not known, closes its connection, since what follows could not be told apart.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -2,23 +2,20 @@
 //!
 //! A listener that is stopped finishes the requests in flight.
 
+mod stream;
+
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use async_std::channel::{Receiver, Sender, bounded};
-use async_std::io::{Read, Write};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http_types::{Method, Request, Response, StatusCode};
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
+use stream::Stream;
 
-/// Bytes that a request may use for its head, in addition to its body.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Pause after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -37,7 +34,8 @@
     pub max_connections: usize,
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
-    /// Time after which a connection without a request is closed.
+    /// Time after which a connection without a request is closed, and for which a request may
+    /// take to arrive.
     pub idle_timeout: Duration,
 }
 
@@ -92,14 +90,13 @@
             return None;
         }
         let _ = stream.set_nodelay(true);
-        let max_request_bytes = MAX_HEAD_BYTES + limits.max_body_bytes;
-        let limited = LimitedStream::new(stream, max_request_bytes);
+        let io = Stream::new(stream, limits.max_body_bytes);
         let done = Arc::new(AtomicBool::new(false));
         let (app, stop, open_connections) =
             (self.app.clone(), self.stop.clone(), self.open_connections.clone());
         let (idle_timeout, done_flag) = (limits.idle_timeout, done.clone());
         let handle = task::spawn(async move {
-            serve_connection(limited, app, stop, idle_timeout).await;
+            serve_connection(io, app, stop, idle_timeout).await;
             open_connections.fetch_sub(1, Ordering::AcqRel);
             done_flag.store(true, Ordering::Release);
         });
@@ -122,136 +119,72 @@
 /// Serves the requests of one connection in sequence, until it is closed, idle for
 /// too long or the listener is stopped.
 async fn serve_connection(
-    io: LimitedStream,
+    io: Stream,
     app: Arc<dyn App>,
     stop: Receiver<()>,
     idle_timeout: Duration,
 ) {
-    let busy = Arc::new(AtomicBool::new(false));
     let endpoint = |request: Request| {
-        let (app, busy) = (app.clone(), busy.clone());
+        let (app, io) = (app.clone(), io.clone());
         async move {
-            busy.store(true, Ordering::Release);
-            app.respond(request).await
+            io.begin_body(&request);
+            let mut response = app.respond(request).await?;
+            if io.has_further_request() {
+                response.remove_header("connection"); // what has been read is answered as well
+            } else if !io.is_at_end() {
+                response.insert_header("connection", "close");
+            }
+            io.set_answered();
+            Ok(response)
         }
     };
     let mut server = Server::new(io.clone(), endpoint);
-    loop {
-        io.reset();
-        busy.store(false, Ordering::Release);
-        let served = with_idle_timeout(&busy, idle_timeout, server.accept_one()).fuse();
-        futures::pin_mut!(served);
-        let result = futures::select! {
-            result = served => result,
-            _ = stop.recv().fuse() => {
-                if !busy.load(Ordering::Acquire) && !io.has_read() {
-                    return; // no byte of a request has arrived
-                }
-                let _ = served.await;
-                return;
-            }
+    while wait_for_request(&io, &stop, idle_timeout).await {
+        io.begin_request();
+        let served = futures::select! {
+            result = server.accept_one().fuse() => Some(result),
+            () = wait_for_slow_sender(&io, idle_timeout).fuse() => None,
         };
-        match result {
-            Some(Ok(ConnectionStatus::KeepAlive)) => {}
-            Some(Ok(ConnectionStatus::Close)) | None => return,
-            Some(Err(error)) => {
-                let status = match error.status() {
-                    StatusCode::InternalServerError => StatusCode::BadRequest,
-                    status => status,
-                };
-                respond_with_error(io, status).await;
-                return;
-            }
+        let status = match served {
+            Some(Ok(ConnectionStatus::KeepAlive)) => continue,
+            Some(Ok(ConnectionStatus::Close)) | None => StatusCode::RequestTimeout,
+            Some(Err(error)) => match error.status() {
+                StatusCode::InternalServerError => StatusCode::BadRequest,
+                status => status,
+            },
+        };
+        if !io.is_answered() {
+            respond_with_error(io, status).await;
         }
+        return;
     }
 }
 
-/// Waits until a request has been served. Returns `None` once the connection has been
-/// idle for too long.
-async fn with_idle_timeout<T>(
-    busy: &AtomicBool,
-    idle_timeout: Duration,
-    served: impl Future<Output = T>,
-) -> Option<T> {
-    let served = served.fuse();
-    futures::pin_mut!(served);
+/// Waits for the first byte of the next request. Returns false once the connection is closed,
+/// idle for too long or the listener is stopped.
+async fn wait_for_request(io: &Stream, stop: &Receiver<()>, idle_timeout: Duration) -> bool {
+    let has_arrived = futures::select! {
+        has_arrived = io.wait_for_request().fuse() => return has_arrived,
+        _ = task::sleep(idle_timeout).fuse() => io.wait_for_request().now_or_never(),
+        _ = stop.recv().fuse() => None,
+    };
+    has_arrived.unwrap_or(false)
+}
+
+/// Returns once a request has not arrived in full within `max_time`.
+async fn wait_for_slow_sender(io: &Stream, max_time: Duration) {
     loop {
-        futures::select! {
-            result = served => return Some(result),
-            _ = task::sleep(idle_timeout).fuse() => if !busy.load(Ordering::Acquire) {
-                return None;
-            },
+        task::sleep(max_time).await;
+        if io.is_waiting() {
+            return;
         }
     }
 }
 
-/// Answers bytes that cannot be parsed as a request, and closes the connection.
-async fn respond_with_error(mut io: LimitedStream, status: StatusCode) {
+/// Answers a request that cannot be read, and closes the connection.
+async fn respond_with_error(mut io: Stream, status: StatusCode) {
     let mut response = Response::new(status);
     response.insert_header("connection", "close");
     let mut encoder = Encoder::new(response, Method::Get);
     let _ = async_std::io::copy(&mut encoder, &mut io).await;
 }
-
-/// A connection that yields a limited number of bytes for each request.
-#[derive(Clone)]
-struct LimitedStream {
-    stream: TcpStream,
-    /// Bytes that one request may have.
-    limit: usize,
-    /// Bytes that may still be read for the current request.
-    remaining: Arc<AtomicUsize>,
-}
-
-impl LimitedStream {
-    fn new(stream: TcpStream, limit: usize) -> LimitedStream {
-        LimitedStream { stream, limit, remaining: Arc::new(AtomicUsize::new(limit)) }
-    }
-
-    /// Restores the full allowance for the next request.
-    fn reset(&self) {
-        self.remaining.store(self.limit, Ordering::Release);
-    }
-
-    /// Returns whether any byte of the current request has been read.
-    fn has_read(&self) -> bool {
-        self.remaining.load(Ordering::Acquire) < self.limit
-    }
-}
-
-impl Read for LimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let remaining = self.remaining.load(Ordering::Acquire);
-        if remaining == 0 {
-            return Poll::Ready(Err(io::Error::other("the request is too large")));
-        }
-        let max_read = buf.len().min(remaining);
-        let read = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..max_read]);
-        if let Poll::Ready(Ok(count)) = &read {
-            self.remaining.fetch_sub(*count, Ordering::AcqRel);
-        }
-        read
-    }
-}
-
-impl Write for LimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
--- /dev/null
+++ b/crates/serve/tests/listener.rs
@@ -0,0 +1,100 @@
+//! A listener on loopback sockets: requests that arrive slowly or back to back.
+
+mod harness;
+
+use harness::{IDLE_TIMEOUT, Server, get, post, read_until, send};
+use std::io::Write;
+use std::net::Shutdown;
+use std::thread;
+use std::time::Instant;
+
+#[test]
+fn a_request_that_arrives_as_the_idle_timer_fires_is_answered() {
+    let server = Server::start();
+    for text in [get("/a"), post("/a", "body")] {
+        let stream = server.connect();
+        let (first, second) = text.split_at(text.len() - 2);
+        thread::sleep(IDLE_TIMEOUT * 3 / 4);
+        send(&stream, first);
+        thread::sleep(IDLE_TIMEOUT / 2);
+        let _ = (&stream).write_all(second.as_bytes()); // fails on a closed connection
+        let answer = read_until(&stream, ">");
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("</a "), "{answer:?}");
+    }
+}
+
+#[test]
+fn the_idle_time_counts_from_the_last_answer() {
+    let server = Server::start();
+    let stream = server.connect();
+    for _ in 0..3 {
+        send(&stream, &get("/slow"));
+        assert!(read_until(&stream, ">").ends_with("</slow 0>"));
+        thread::sleep(IDLE_TIMEOUT * 3 / 4);
+    }
+    let answered_at = Instant::now();
+    assert_eq!(read_until(&stream, ">"), "", "an idle connection is closed");
+    assert!(answered_at.elapsed() < IDLE_TIMEOUT);
+}
+
+#[test]
+fn a_request_that_does_not_arrive_in_full_ends_with_an_answer() {
+    let server = Server::start();
+    for text in
+        ["GET /a HTTP/1.1\r\nHo", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n1"]
+    {
+        let stream = server.connect();
+        send(&stream, text);
+        let answer = read_until(&stream, "\0");
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+    }
+}
+
+#[test]
+fn requests_that_are_sent_back_to_back_are_all_answered() {
+    let server = Server::start();
+    let stream = server.connect();
+    send(&stream, &[get("/1"), post("/2", "body"), get("/close"), get("/4")].concat());
+    let answers = read_until(&stream, "</4 0>");
+    for answer in ["</1 0>", "</2 4>", "</close 0>", "</4 0>"] {
+        assert!(answers.contains(answer), "no {answer} in {answers:?}");
+    }
+}
+
+#[test]
+fn a_body_that_the_application_does_not_read_is_no_request() {
+    let server = Server::start();
+    let stream = server.connect();
+    send(&stream, &[post("/unread", &get("/body")), get("/2")].concat());
+    let answers = read_until(&stream, "</2 0>");
+    assert!(!answers.contains("/body"), "{answers:?}");
+    assert!(answers.ends_with("</2 0>") || answers.contains("connection: close"), "{answers:?}");
+}
+
+#[test]
+fn continue_and_head_leave_the_connection_usable() {
+    let server = Server::start();
+    let stream = server.connect();
+    send(
+        &stream,
+        "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n",
+    );
+    assert_eq!(read_until(&stream, "\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    send(&stream, "body");
+    assert!(read_until(&stream, ">").ends_with("</1 4>"));
+    send(&stream, "HEAD /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    let head = read_until(&stream, "\r\n\r\n");
+    assert!(head.contains("content-length: 6\r\n"), "{head:?}");
+    send(&stream, &get("/3"));
+    let answer = read_until(&stream, ">");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("</3 0>"), "{answer:?}");
+}
+
+#[test]
+fn a_client_that_closes_its_sending_side_is_answered() {
+    let server = Server::start();
+    let stream = server.connect();
+    send(&stream, &get("/1"));
+    stream.shutdown(Shutdown::Write).unwrap();
+    assert!(read_until(&stream, ">").ends_with("</1 0>"));
+}
