Serve: the refusal of a body that is too large arrives

A client that sent a body over the limit could see a reset connection in place of the answer: the listener read up to the limit, answered and closed the socket with unread bytes, which resets the connection and discards what the client has not read yet. The status was 422.

A content-length over the limit is now refused with 413 before the body is read, a chunked body once it has exceeded the limit. After such an answer, and any other to a request that could not be read, the sending side is closed first and what arrives is discarded for up to 1 s.

On the code before, the test failed with "HTTP/1.1 422 ... [Connection reset by peer (os error 104)]".

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -19,6 +19,9 @@
 /// Pause after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for the client to read a response to a request that was not read in full.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
 /// The application that handles the requests of a listener.
 pub trait App: Send + Sync {
     /// Handles one request.
@@ -127,7 +130,12 @@
     let endpoint = |request: Request| {
         let (app, io) = (app.clone(), io.clone());
         async move {
-            io.begin_body(&request);
+            if !io.begin_body(&request) {
+                return Err(http_types::Error::from_str(
+                    StatusCode::PayloadTooLarge,
+                    "the body is too large",
+                ));
+            }
             let mut response = app.respond(request).await?;
             if io.has_further_request() {
                 response.remove_header("connection"); // what has been read is answered as well
@@ -148,6 +156,7 @@
         let status = match served {
             Some(Ok(ConnectionStatus::KeepAlive)) => continue,
             Some(Ok(ConnectionStatus::Close)) | None => StatusCode::RequestTimeout,
+            Some(Err(_)) if io.is_too_large() => StatusCode::PayloadTooLarge,
             Some(Err(error)) => match error.status() {
                 StatusCode::InternalServerError => StatusCode::BadRequest,
                 status => status,
@@ -186,5 +195,7 @@
     let mut response = Response::new(status);
     response.insert_header("connection", "close");
     let mut encoder = Encoder::new(response, Method::Get);
-    let _ = async_std::io::copy(&mut encoder, &mut io).await;
+    if async_std::io::copy(&mut encoder, &mut io).await.is_ok() {
+        let _ = async_std::future::timeout(LINGER_TIME, io.linger()).await;
+    }
 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -5,6 +5,7 @@
 use futures::{future, ready};
 use http_types::Request;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
@@ -37,6 +38,8 @@
     part: Part,
     /// Whether the reader waits for bytes of the request.
     is_waiting: bool,
+    /// Whether the request has more bytes than allowed.
+    is_too_large: bool,
     /// Whether a response to the request exists.
     is_answered: bool,
 }
@@ -83,14 +86,24 @@
         let mut state = self.state();
         state.request_bytes = 0;
         state.part = Part::default();
+        state.is_too_large = false;
         state.is_answered = false;
     }
 
-    /// Starts to read the body of a request whose head was read.
-    pub fn begin_body(&self, request: &Request) {
+    /// Starts to read the body of a request whose head was read. Returns false if the body is
+    /// too large.
+    pub fn begin_body(&self, request: &Request) -> bool {
         let is_chunked = request.header("transfer-encoding").is_some();
         let length = request.len().unwrap_or_default();
-        self.state().part = if is_chunked { Part::Chunked } else { Part::Body(length) };
+        let mut state = self.state();
+        state.part = if is_chunked { Part::Chunked } else { Part::Body(length) };
+        state.is_too_large = length > self.limit - state.request_bytes;
+        !state.is_too_large
+    }
+
+    /// Returns whether the current request has more bytes than allowed.
+    pub fn is_too_large(&self) -> bool {
+        self.state().is_too_large
     }
 
     /// Returns whether the reader waits for bytes of the current request.
@@ -119,6 +132,14 @@
         state.part == Part::Body(0) && state.has_buffered()
     }
 
+    /// Closes the sending side, and discards what arrives until the peer closes its side too.
+    /// Closing a socket with unread bytes resets the connection, and the peer may lose the
+    /// response.
+    pub async fn linger(&mut self) {
+        let _ = self.socket.shutdown(Shutdown::Write); // the peer may have closed
+        let _ = async_std::io::copy(&mut self.socket, &mut async_std::io::sink()).await;
+    }
+
     /// Reads from the socket to the empty buffer. The result is false at the end.
     fn poll_fill(&self, state: &mut State, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
         let mut chunk = [0; READ_AHEAD_BYTES];
@@ -195,7 +216,8 @@
         if state.part == Part::Body(0) || buf.is_empty() {
             return Poll::Ready(Ok(0));
         }
-        if state.request_bytes >= self.limit {
+        if state.is_too_large || state.request_bytes >= self.limit {
+            state.is_too_large = true;
             return Poll::Ready(Err(io::Error::other("the request is too large")));
         }
         if !state.has_buffered() {
--- a/crates/serve/tests/listener.rs
+++ b/crates/serve/tests/listener.rs
@@ -1,8 +1,8 @@
-//! A listener on loopback sockets: requests that arrive slowly or back to back.
+//! A listener on loopback sockets: requests that arrive slowly, back to back or too large.
 
 mod harness;
 
-use harness::{IDLE_TIMEOUT, Server, get, post, read_until, send};
+use harness::{IDLE_TIMEOUT, MAX_BODY_BYTES, Server, get, post, read_until, send};
 use std::io::Write;
 use std::net::Shutdown;
 use std::thread;
@@ -98,3 +98,19 @@
     stream.shutdown(Shutdown::Write).unwrap();
     assert!(read_until(&stream, ">").ends_with("</1 0>"));
 }
+#[test]
+fn a_body_that_is_too_large_is_refused_with_an_answer_that_arrives() {
+    let server = Server::start();
+    let body = "x".repeat(8 * MAX_BODY_BYTES);
+    let chunked = format!(
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+        body.len()
+    );
+    for text in [post("/a", &body), chunked] {
+        let stream = server.connect();
+        let _ = (&stream).write_all(text.as_bytes()); // fails on a closed connection
+        let answer = read_until(&stream, "\0");
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer:?}");
+        assert!(!answer.contains('['), "{answer:?}");
+    }
+}
