Serve: a stop leaves no arrived request without an answer

Clients could see a reset connection in place of an answer when a process stops: a request whose bytes were in the socket, but not read yet, was cut if the stop was seen first (the choice is random), and connections that waited to be accepted were reset with the listening socket. A response to a request in flight did not say that its connection ends, so clients sent the next request on it.

After the stop the listener accepts what waits, a connection looks once more for bytes before it is closed, and a connection that was just opened has 200 ms for its first request. All responses after the stop carry "connection: close", except where a further request was read already, which is answered first. What is sent after that look can only be refused by closing: none of it has been read.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -19,6 +19,8 @@
 /// Pause after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time after a stop for which a new connection may still send its first request.
+const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(200);
 /// Time for the client to read a response to a request that was not read in full.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
@@ -63,7 +65,8 @@
         (Listener { socket, app, limits, stop, open_connections }, StopHandle(stop_handle))
     }
 
-    /// Accepts connections until stopped, then waits for requests in flight.
+    /// Accepts connections until stopped, then waits for requests in flight. Connections that
+    /// were established before the stop are served as well.
     pub async fn run(self) {
         let mut connections = Vec::new();
         loop {
@@ -77,6 +80,9 @@
             }
             connections.retain(|connection: &Connection| !connection.is_done());
         }
+        while let Some(Ok((stream, _))) = self.socket.accept().now_or_never() {
+            connections.extend(self.serve(stream));
+        }
         drop(self.socket);
         for connection in connections {
             connection.handle.await;
@@ -128,7 +134,7 @@
     idle_timeout: Duration,
 ) {
     let endpoint = |request: Request| {
-        let (app, io) = (app.clone(), io.clone());
+        let (app, io, stop) = (app.clone(), io.clone(), stop.clone());
         async move {
             if !io.begin_body(&request) {
                 return Err(http_types::Error::from_str(
@@ -139,7 +145,7 @@
             let mut response = app.respond(request).await?;
             if io.has_further_request() {
                 response.remove_header("connection"); // what has been read is answered as well
-            } else if !io.is_at_end() {
+            } else if stop.is_closed() || !io.is_at_end() {
                 response.insert_header("connection", "close");
             }
             io.set_answered();
@@ -147,7 +153,9 @@
         }
     };
     let mut server = Server::new(io.clone(), endpoint);
-    while wait_for_request(&io, &stop, idle_timeout).await {
+    let mut stop_delay = FIRST_REQUEST_DELAY;
+    while wait_for_request(&io, &stop, idle_timeout, stop_delay).await {
+        stop_delay = Duration::ZERO;
         io.begin_request();
         let served = futures::select! {
             result = server.accept_one().fuse() => Some(result),
@@ -170,14 +178,24 @@
 }
 
 /// Waits for the first byte of the next request. Returns false once the connection is closed,
-/// idle for too long or the listener is stopped.
-async fn wait_for_request(io: &Stream, stop: &Receiver<()>, idle_timeout: Duration) -> bool {
-    let has_arrived = futures::select! {
-        has_arrived = io.wait_for_request().fuse() => return has_arrived,
-        _ = task::sleep(idle_timeout).fuse() => io.wait_for_request().now_or_never(),
-        _ = stop.recv().fuse() => None,
+/// idle for too long or the listener was stopped `stop_delay` ago. A byte that has arrived by
+/// then counts, even if it was not read yet.
+async fn wait_for_request(
+    io: &Stream,
+    stop: &Receiver<()>,
+    idle_timeout: Duration,
+    stop_delay: Duration,
+) -> bool {
+    let stopped = async {
+        let _ = stop.recv().await; // fails once the handle is dropped
+        task::sleep(stop_delay).await;
     };
-    has_arrived.unwrap_or(false)
+    futures::select! {
+        has_arrived = io.wait_for_request().fuse() => return has_arrived,
+        _ = task::sleep(idle_timeout).fuse() => {}
+        () = stopped.fuse() => {}
+    }
+    io.wait_for_request().now_or_never().unwrap_or(false)
 }
 
 /// Returns once a request has not arrived in full within `max_time`.
