Serve: a panic of the application is answered and logged

A request on which the application panicked ended its connection without an answer. The connection was also never counted as closed, so each panic took one of the listener's connections for good, and a stop of the listener panicked when it joined the connection's task, which cut all other requests in flight.

The panic is now caught at the application's border, logged as an error and answered with 500. Log lines of the listener are written by core and edge processes.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -11,6 +11,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http_types::{Method, Request, Response, StatusCode};
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -142,7 +143,7 @@
                     "the body is too large",
                 ));
             }
-            let mut response = app.respond(request).await?;
+            let mut response = respond(app.as_ref(), request).await?;
             if io.has_further_request() {
                 response.remove_header("connection"); // what has been read is answered as well
             } else if stop.is_closed() || !io.is_at_end() {
@@ -177,6 +178,17 @@
     }
 }
 
+/// Returns the application's response, or an error if it panics.
+async fn respond(app: &dyn App, request: Request) -> http_types::Result<Response> {
+    let (method, path) = (request.method(), request.url().path().to_string());
+    // The application is used on after a panic; its locks are poisoned or sound.
+    let response = AssertUnwindSafe(async { app.respond(request).await }).catch_unwind().await;
+    response.unwrap_or_else(|_| {
+        log::error!("request.panicked method={method} path={path}");
+        Ok(Response::new(StatusCode::InternalServerError))
+    })
+}
+
 /// Waits for the first byte of the next request. Returns false once the connection is closed,
 /// idle for too long or the listener was stopped `stop_delay` ago. A byte that has arrived by
 /// then counts, even if it was not read yet.
--- a/crates/serve/tests/listener.rs
+++ b/crates/serve/tests/listener.rs
@@ -1,8 +1,10 @@
-//! A listener on loopback sockets: requests that arrive slowly, back to back or too large.
+//! A listener on loopback sockets: requests that arrive slowly, back to back or too large, and
+//! panics of the application.
 
 mod harness;
 
-use harness::{IDLE_TIMEOUT, MAX_BODY_BYTES, Server, get, post, read_until, send};
+use async_std::task;
+use harness::{BLOCK_TIME, IDLE_TIMEOUT, MAX_BODY_BYTES, Server, get, post, read_until, send};
 use std::io::Write;
 use std::net::Shutdown;
 use std::thread;
@@ -114,3 +116,17 @@
         assert!(!answer.contains('['), "{answer:?}");
     }
 }
+
+#[test]
+fn a_panic_of_the_application_is_answered_and_cuts_no_other_request() {
+    let mut server = Server::start();
+    let (slow, stream) = (server.connect(), server.connect());
+    send(&stream, &get("/panic"));
+    let answer = read_until(&stream, "\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer:?}");
+    send(&slow, &get("/slow"));
+    thread::sleep(BLOCK_TIME / 4);
+    server.stop = None;
+    assert!(read_until(&slow, ">").ends_with("</slow 0>"));
+    task::block_on(server.listener);
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -144,7 +144,7 @@
     let mut config = ConfigBuilder::new();
     config.set_time_level(LevelFilter::Off).set_target_level(LevelFilter::Off);
     config.set_thread_level(LevelFilter::Off).set_location_level(LevelFilter::Off);
-    for target in ["skylarkwinch", "control", "edge", "mesh", "platform", "sched"] {
+    for target in ["skylarkwinch", "control", "edge", "mesh", "platform", "sched", "serve"] {
         config.add_filter_allow_str(target);
     }
     // Fails only if this process already has a logger, which then stays in use.
