Core, edge: signals are handled from the start on

A SIGTERM or SIGHUP that came after the listeners had opened and before the signals were registered ended the process by the signal's default action: without a graceful stop, with clients' connections already established, and at a SIGHUP for no reason at all. Settings that were changed between loading and the first check were never noticed, since the changed content was taken for the one in use.

The signals are now registered, and the settings' content noted, before anything else. A repeated SIGTERM changes nothing, which the test shows too (sound before).

--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use async_std::task;
 use control::process::{Options, Process};
+use futures::FutureExt;
 use log::info;
 use mesh::{Clock, ProcessInfo, Settings};
 use serve::Limits;
@@ -38,6 +39,7 @@
 /// Runs the command.
 pub fn run(args: Args) -> Result<()> {
     let path = util::settings_path(args.settings)?;
+    let mut signals = util::Signals::register(&path)?;
     let settings = util::load_settings(&path)?;
     config::start_service_log()?;
     let metrics = config::start_metrics()?;
@@ -47,10 +49,21 @@
             let reason = "is missing, but this role needs it";
             Error::Input(vec![format!("{}: data_folder: {reason}", path.display())])
         })?;
-        let control = util::listen("listen.control", control).await?;
         let peers = util::listen("listen.internal", settings.peer_address()).await?;
-        let process = Process::start(process_options(&settings, folder), peers)
-            .map_err(|error| Error::Input(vec![format!("{}: {error}", path.display())]))?;
+        let options = process_options(&settings, folder);
+        let process = futures::select! {
+            // The disk may hang or fail for some seconds.
+            process = task::spawn_blocking(move || Process::start(options, peers)).fuse() => {
+                process.map_err(|error| Error::Input(vec![format!("{}: {error}", path.display())]))?
+            }
+            () = signals.stop().fuse() => {
+                info!("process.stopped name={} during=start", settings.name);
+                util::drain_log().await;
+                return Ok(());
+            }
+        };
+        // Until here nobody could answer, so callers are better refused at once.
+        let control = util::listen("listen.control", control).await?;
         let limits = Limits {
             process_name: settings.name.clone(),
             max_connections: MAX_CONNECTIONS,
@@ -63,7 +76,7 @@
         let status = Arc::new(util::Status::core(process.handle(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=core name={}", settings.name);
-        util::wait_for_stop(&path, |settings| process.add_seeds(settings.seed_addresses())).await?;
+        signals.wait_for_stop(|settings| process.add_seeds(settings.seed_addresses())).await;
         info!("process.stopping name={}", settings.name);
         process.transfer_leadership();
         task::sleep(LEADERSHIP_TRANSFER_TIME).await;
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -39,6 +39,7 @@
 /// Runs the command.
 pub fn run(args: Args) -> Result<()> {
     let path = util::settings_path(args.settings)?;
+    let mut signals = util::Signals::register(&path)?;
     let settings = util::load_settings(&path)?;
     config::start_service_log()?;
     let metrics = config::start_metrics()?;
@@ -78,7 +79,7 @@
         let status = Arc::new(util::Status::edge(gateway.clone(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=edge name={}", settings.name);
-        util::wait_for_stop(&path, |settings| gateway.add_seeds(settings.seed_addresses())).await?;
+        signals.wait_for_stop(|settings| gateway.add_seeds(settings.seed_addresses())).await;
         info!(
             "process.stopping name={} in_flight={}",
             settings.name,
--- a/src/util.rs
+++ b/src/util.rs
@@ -148,25 +148,51 @@
     })
 }
 
-/// Waits for SIGTERM or SIGINT. Meanwhile checks the settings file at every interval and on
-/// SIGHUP, and passes changed settings to `on_reload`; invalid ones are logged and ignored.
-pub async fn wait_for_stop(path: &Path, on_reload: impl Fn(&Settings)) -> Result<()> {
-    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-    let mut signals = signal_hook_async_std::Signals::new([SIGTERM, SIGINT, SIGHUP])
-        .map_err(|error| Error::Io("signals".to_string(), error))?;
-    let mut last_content = std::fs::read(path).unwrap_or_default();
-    loop {
-        match async_std::future::timeout(SETTINGS_POLL_INTERVAL, signals.next()).await {
-            Ok(Some(SIGHUP)) => log::info!("process.signal name=SIGHUP"),
-            Ok(_) => return Ok(()),
-            Err(_) => {}
+/// Signals to a core or edge process, and changes of its settings file.
+pub struct Signals {
+    signals: signal_hook_async_std::Signals,
+    path: PathBuf,
+    /// Content of the settings file that is in use.
+    content: Vec<u8>,
+}
+
+impl Signals {
+    /// Registers for SIGTERM, SIGINT and SIGHUP, whose default action ends the process. Has to
+    /// be called before the settings are loaded and before any listener opens: what comes in
+    /// between is handled later.
+    pub fn register(path: &Path) -> Result<Signals> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        let signals = signal_hook_async_std::Signals::new([SIGTERM, SIGINT, SIGHUP])
+            .map_err(|error| Error::Io("signals".to_string(), error))?;
+        let content = std::fs::read(path).unwrap_or_default();
+        Ok(Signals { signals, path: path.to_path_buf(), content })
+    }
+
+    /// Waits for SIGTERM or SIGINT. Meanwhile checks the settings file at every interval and on
+    /// SIGHUP, and passes changed settings to `on_reload`; invalid ones are logged and ignored.
+    pub async fn wait_for_stop(&mut self, on_reload: impl Fn(&Settings)) {
+        loop {
+            match async_std::future::timeout(SETTINGS_POLL_INTERVAL, self.signals.next()).await {
+                Ok(Some(signal_hook::consts::SIGHUP)) => log::info!("process.signal name=SIGHUP"),
+                Ok(_) => return,
+                Err(_) => {}
+            }
+            self.reload(&on_reload);
         }
-        let Ok(content) = std::fs::read(path) else { continue }; // the file is being replaced
-        if content == last_content {
-            continue;
+    }
+
+    /// Waits for SIGTERM or SIGINT during the start.
+    pub async fn stop(&mut self) {
+        while let Some(signal_hook::consts::SIGHUP) = self.signals.next().await {}
+    }
+
+    fn reload(&mut self, on_reload: &impl Fn(&Settings)) {
+        let Ok(content) = std::fs::read(&self.path) else { return }; // the file is being replaced
+        if content == self.content {
+            return;
         }
-        last_content = content;
-        match Settings::load(path) {
+        self.content = content;
+        match Settings::load(&self.path) {
             Ok(settings) => {
                 log::info!("settings.reloaded seeds={:?}", settings.seeds.0);
                 on_reload(&settings);
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -37,10 +37,15 @@
 const EDGE: u8 = 4;
 
 impl System {
-    fn start() -> System {
+    /// Returns a system none of whose processes runs.
+    fn new() -> System {
         let folder = tempfile::tempdir().unwrap();
         let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
-        let mut system = System { folder, network, processes: BTreeMap::new() };
+        System { folder, network, processes: BTreeMap::new() }
+    }
+
+    fn start() -> System {
+        let mut system = System::new();
         for host in CORES.into_iter().chain([EDGE]) {
             system.run(host, true);
         }
@@ -375,6 +380,57 @@
     assert!(log.contains("reign.ended") && log.contains("process.stopped"), "{log}");
 }
 
+#[test]
+fn signals_that_arrive_during_the_start_are_handled() {
+    for attempt in 0..6 {
+        let mut system = System::new();
+        let hosts = [(EDGE, CALLERS), (CORES[0], CONTROL)];
+        for (host, port) in hosts {
+            system.run(host, false);
+            let pid = Pid::from_child(&system.processes[&host]);
+            let address = system.address(host, port);
+            while TcpStream::connect(address).is_err() {
+                assert!(system.processes.get_mut(&host).unwrap().try_wait().unwrap().is_none());
+            }
+            let first = if attempt % 2 == 0 { Signal::HUP } else { Signal::TERM };
+            kill_process(pid, first).unwrap();
+            std::thread::sleep(Duration::from_millis(100));
+            for _ in 0..2 {
+                let _ = kill_process(pid, Signal::TERM); // it may have exited
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        for (host, _) in hosts {
+            let status = system.processes.remove(&host).unwrap().wait().unwrap();
+            assert!(status.success(), "attempt {attempt}, process {host}: {status}");
+            let log = std::fs::read_to_string(system.folder.path().join(format!("p{host}.log")));
+            assert!(log.unwrap().contains("process.stopped"));
+        }
+    }
+}
+
+#[test]
+fn a_core_that_waits_for_its_disk_stops_when_told() {
+    let mut system = System::new();
+    let log = || std::fs::read_to_string(system.folder.path().join("p1.log")).unwrap_or_default();
+    let mut settings = system.settings(CORES[0], true);
+    let file = system.folder.path().join("file");
+    std::fs::write(&file, "").unwrap();
+    settings["data_folder"] = json!(file.join("data"));
+    let path = system.folder.path().join("p1.yaml");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let output = File::create(system.folder.path().join("p1.log")).unwrap();
+    let core = workdir::start(Command::new(BINARY).arg("core").arg(&path).stdout(output));
+    let pid = Pid::from_child(&core);
+    until("the disk is refused", || log().contains("disk.closed"));
+    assert!(TcpStream::connect(system.address(CORES[0], CONTROL)).is_err(), "nobody answers yet");
+    kill_process(pid, Signal::TERM).unwrap();
+    let stopped = Instant::now();
+    system.processes.insert(CORES[0], core);
+    let status = system.processes.get_mut(&CORES[0]).unwrap().wait().unwrap();
+    assert!(status.success() && stopped.elapsed() < Duration::from_secs(2), "{status}");
+}
+
 /// Time for which callers send requests; less than an edge serves after a stop signal.
 const CALLING_TIME: Duration = Duration::from_millis(1500);
 
