Core: a process whose deciding thread panicked ends

A panic of the core's thread ended the thread and nothing else. The process kept its listeners and links, answered pings, showed its last status, as leader if it was one, and refused each request with "too much waits here already". Other cores elect a new leader after the lease, and edges follow its higher term, but the requests that edges had sent here waited 1.2 s for each attempt, the fleet had lost a core unseen, and a cause that meets all cores left the edges without a leader for good.

The process now notices the end of the thread, logs "process.failed", closes its links at once, lets the requests that it has taken be answered and ends with exit code 7.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -6,7 +6,7 @@
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
 use crate::load::Meter;
 use crate::relay::CALL_TIMEOUT;
-use async_std::channel::bounded;
+use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
@@ -22,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{self, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, SystemTime};
@@ -202,6 +202,8 @@
     net: Arc<Net>,
     listener: JoinHandle<()>,
     core: thread::JoinHandle<()>,
+    /// Closed when the core's thread ends.
+    core_ended: Receiver<()>,
 }
 
 impl Process {
@@ -250,11 +252,15 @@
         let _ = environment.net.set(net.clone()); // set once, here
         net.add_addresses(options.seeds, true);
         let listener = task::spawn(net.clone().listen(peers));
+        let (end, core_ended) = bounded(1);
         let core = thread::Builder::new()
             .name("core".to_string())
-            .spawn(move || run_core(core, &inputs, options.clock.as_ref()))
+            .spawn(move || {
+                let _end = end; // dropped by a panic too
+                run_core(core, &inputs, options.clock.as_ref());
+            })
             .map_err(Error::Thread)?;
-        Ok(Process { handle, net, listener, core })
+        Ok(Process { handle, net, listener, core, core_ended })
     }
 
     /// Returns a handle that sends requests and reports to the core.
@@ -262,6 +268,12 @@
         self.handle.clone()
     }
 
+    /// Waits for the end of the core's thread, which only a panic ends before [`Process::stop`].
+    /// From then on all requests are refused.
+    pub async fn wait_for_core_end(&self) {
+        let _ = self.core_ended.recv().await; // nothing is sent
+    }
+
     /// Adds addresses of other processes and keeps links to them.
     pub fn add_seeds(&self, seeds: BTreeSet<SocketAddr>) {
         self.net.add_addresses(seeds, true);
@@ -296,7 +308,7 @@
 }
 
 /// Loop of the core's thread: handles inputs in batches and advances the core after each.
-fn run_core(mut core: Core, inputs: &Receiver<Queued>, clock: &dyn Clock) {
+fn run_core(mut core: Core, inputs: &mpsc::Receiver<Queued>, clock: &dyn Clock) {
     let mut meter = Meter::new(clock.now());
     loop {
         let first = match inputs.recv_timeout(core.max_wait(TICK_INTERVAL)) {
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use control::process::{Options, Process};
 use futures::FutureExt;
-use log::info;
+use log::{error, info};
 use mesh::{Clock, ProcessInfo, Settings};
 use serve::Limits;
 use std::path::PathBuf;
@@ -76,11 +76,23 @@
         let status = Arc::new(util::Status::core(process.handle(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=core name={}", settings.name);
-        signals.wait_for_stop(|settings| process.add_seeds(settings.seed_addresses())).await;
+        let drain_time = settings.bounds.grace().mul_f64(DRAIN_SHARE);
+        let has_failed = futures::select! {
+            () = signals.wait_for_stop(|settings| process.add_seeds(settings.seed_addresses())).fuse() => false,
+            () = process.wait_for_core_end().fuse() => true,
+        };
+        if has_failed {
+            error!("process.failed name={} reason=\"the core's thread panicked\"", settings.name);
+            // Other processes take this one for the leader as long as they are linked.
+            process.stop().await;
+            service.stop(drain_time).await;
+            util::drain_log().await;
+            return Err(Error::Failed("the core's thread panicked".to_string()));
+        }
         info!("process.stopping name={}", settings.name);
         process.transfer_leadership();
         task::sleep(LEADERSHIP_TRANSFER_TIME).await;
-        service.stop(settings.bounds.grace().mul_f64(DRAIN_SHARE)).await;
+        service.stop(drain_time).await;
         process.stop().await;
         info!("process.stopped name={}", settings.name);
         util::drain_log().await;
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,7 +17,7 @@
 ///
 /// Exit codes: 0 done; 1 wrong usage; 2 bad input or settings; 3 refused or in
 /// conflict; 4 not taken, nothing was changed; 5 outcome unknown, resend with the
-/// same --id; 6 does not exist.
+/// same --id; 6 does not exist; 7 the process failed, start it again.
 #[derive(FromArgs)]
 struct Args {
     #[argh(subcommand)]
--- a/src/util.rs
+++ b/src/util.rs
@@ -40,6 +40,9 @@
     /// The requested object does not exist.
     #[error("{0}")]
     Missing(String),
+    /// The process can't go on, and has to be started again.
+    #[error("{0}")]
+    Failed(String),
     /// A system call failed: the path or object that it concerned, and the error.
     #[error("{0}: {1}")]
     Io(String, std::io::Error),
@@ -60,6 +63,7 @@
             Error::NotTaken(_) | Error::Io(..) => 4,
             Error::Unknown(_) => 5,
             Error::Missing(_) => 6,
+            Error::Failed(_) => 7,
         }
     }
 }
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -5,15 +5,18 @@
 use async_std::task::block_on;
 use http_types::Method;
 use platform_standin::{RunKey, Worker, call};
+use quorum::{Entry, Output, Payload};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
+use store::{DiskFolder, Store};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_skylarkwinch");
 const CALLERS: u16 = 7001;
@@ -431,6 +434,38 @@
     assert!(status.success() && stopped.elapsed() < Duration::from_secs(2), "{status}");
 }
 
+#[test]
+fn a_core_whose_thread_panics_ends_with_an_error() {
+    let mut system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    CORES.into_iter().for_each(|core| system.kill(core));
+    for core in CORES {
+        append_unreadable_entry(&system.folder.path().join(format!("data{core}")));
+    }
+    CORES.into_iter().for_each(|core| system.run(core, false));
+    for core in CORES {
+        let mut status = None;
+        until("the core ends", || {
+            status = system.processes.get_mut(&core).unwrap().try_wait().unwrap();
+            status.is_some()
+        });
+        assert_eq!(status.unwrap().code(), Some(7));
+        let log = std::fs::read_to_string(system.folder.path().join(format!("p{core}.log")));
+        assert!(log.unwrap().contains("process.failed"));
+    }
+}
+
+/// Appends a log entry that no version can decode.
+fn append_unreadable_entry(folder: &Path) {
+    let folder = Box::new(DiskFolder::open(folder).unwrap());
+    let (mut store, recovered) = Store::open(folder).unwrap();
+    let last = recovered.state.entries.last().unwrap();
+    let payload = Payload::Data(vec![0xff]);
+    let append = vec![Entry { index: last.index + 1, term: last.term, payload }];
+    store.save(&Output { append, ..Output::default() }).unwrap();
+}
+
 /// Time for which callers send requests; less than an edge serves after a stop signal.
 const CALLING_TIME: Duration = Duration::from_millis(1500);
 
