Mesh: a panic of the event handler leaves no dead link

A panic in the handler of a link's events ended the task of the link. The link stayed registered, so frames to the peer were queued where nobody sends them, and an address that this process had dialled was never dialled again; `Net::stop` panicked when it joined the task. An edge would have sent requests into that link until the peer's own dialling replaced it.

The panic is caught and logged, and the link ends as by an error.

On the code before, the test failed with "the link goes down: not within 10s".

--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -13,10 +13,11 @@
 use async_std::task::{self, JoinHandle};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
-use log::{info, warn};
+use log::{error, info, warn};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
@@ -67,6 +68,9 @@
     /// Too many bytes are queued for the peer.
     #[error("the peer reads too slowly")]
     Full,
+    /// The event handler panicked.
+    #[error("the event handler panicked")]
+    HandlerPanicked,
     /// The bytes received are not a valid frame.
     #[error(transparent)]
     Frame(#[from] frame::Error),
@@ -367,9 +371,11 @@
         if peer.control_address.is_some() {
             self.add_addresses([peer.peer_address], false);
         }
-        (self.event_handler)(Event::LinkUp(peer.clone()));
+        let announced = self.notify(Event::LinkUp(peer.clone()));
         let (sink, stream) = socket.split();
-        let result = {
+        let result = if announced.is_err() {
+            announced
+        } else {
             let mut write = pin!(write_frames(sink, queued).fuse());
             let mut read = pin!(self.read_frames(stream, &peer).fuse());
             let mut ended = pin!(ended.recv().fuse());
@@ -382,11 +388,20 @@
         let reason = result.as_ref().err().map_or("ended".to_string(), ToString::to_string);
         info!("link.down peer={name} serial={serial} reason={reason:?}");
         if self.remove_link(&peer, serial) {
-            (self.event_handler)(Event::LinkDown(peer));
+            let _ = self.notify(Event::LinkDown(peer)); // the link is down already
         }
         result
     }
 
+    /// Calls the event handler. Its panic must not end the task of the link, which would leave a
+    /// link that nobody serves and an address that nobody dials.
+    fn notify(&self, event: Event) -> Result<()> {
+        catch_unwind(AssertUnwindSafe(|| (self.event_handler)(event))).map_err(|_| {
+            error!("link.handler_panicked: the event is lost");
+            Error::HandlerPanicked
+        })
+    }
+
     /// Removes the link. Returns whether it was the last one to this incarnation of
     /// the process.
     fn remove_link(&self, peer: &ProcessInfo, serial: u64) -> bool {
@@ -411,7 +426,7 @@
             let Message::Binary(bytes) = message else { continue };
             match Frame::decode(&bytes)? {
                 Frame::Ping | Frame::Hello(_) => {}
-                frame => (self.event_handler)(Event::Frame(from.clone(), frame)),
+                frame => self.notify(Event::Frame(from.clone(), frame))?,
             }
         }
     }
--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -4,7 +4,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use mesh::clock::System;
-use mesh::{Frame, Net, ProcessInfo, queue};
+use mesh::{Event, Frame, Net, ProcessInfo, Status, queue};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -147,3 +147,23 @@
         }
     });
 }
+
+#[test]
+fn a_panic_of_the_event_handler_leaves_no_dead_link() {
+    task::block_on(async {
+        let (own_listener, own_address) = listener().await;
+        let handler = |event| assert!(!matches!(event, Event::Frame(..)), "no frame is expected");
+        let net = Net::new(process("own", own_address), Arc::new(System), Box::new(handler));
+        let listening = task::spawn(net.clone().listen(own_listener));
+        let (_, peer_address) = listener().await;
+        let peer = self::net("peer", peer_address);
+        peer.add_addresses([own_address], true);
+        wait_until("the link is up", || peer.send("own", &Frame::Status(Status::default()))).await;
+        wait_until("the link goes down", || net.peers().is_empty()).await;
+        wait_until("the peer dials again", || !net.peers().is_empty()).await;
+        peer.stop().await;
+        wait_until("the link goes down", || net.peers().is_empty()).await;
+        net.stop().await;
+        listening.await;
+    });
+}
