Serve: a body in chunks ends where its last chunk says

Two faults of bodies with "transfer-encoding: chunked", which async-h1 decodes. If the end of the body arrived in two pieces, split within the trailers or the empty line after them, the decoder waited without asking for the rest, and the answer came only when the idle timer woke the connection, up to 60 s later. And a request that was sent right after such a body was taken for its trailers: both were refused with 422.

The stream follows the chunks, hands the trailers to the decoder in one piece and ends the request after them. Such connections stay open now.

--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -14,8 +14,10 @@
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of bytes read from the socket ahead of the parser.
 const READ_AHEAD_BYTES: usize = 8 << 10;
-/// End of a request's head.
+/// End of a request's head, and of trailers.
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// End of a line.
+const LINE_END: &[u8] = b"\r\n";
 
 /// A connection that ends each request where its head or `content-length` says, and keeps what
 /// follows for the next request. The parser drops what it has read beyond a request.
@@ -51,8 +53,12 @@
     Head(usize),
     /// The body, and how many bytes of it remain.
     Body(usize),
-    /// A body that ends where its encoding says.
-    Chunked,
+    /// The line with the size of a chunk, and the size as far as it was read.
+    ChunkSize(usize),
+    /// A chunk and the end of its line, and how many bytes of it remain.
+    Chunk(usize),
+    /// The end of a body in chunks.
+    Trailers,
 }
 
 impl Default for Part {
@@ -96,7 +102,7 @@
         let is_chunked = request.header("transfer-encoding").is_some();
         let length = request.len().unwrap_or_default();
         let mut state = self.state();
-        state.part = if is_chunked { Part::Chunked } else { Part::Body(length) };
+        state.part = if is_chunked { Part::ChunkSize(0) } else { Part::Body(length) };
         state.is_too_large = length > self.limit - state.request_bytes;
         !state.is_too_large
     }
@@ -140,13 +146,11 @@
         let _ = async_std::io::copy(&mut self.socket, &mut async_std::io::sink()).await;
     }
 
-    /// Reads from the socket to the empty buffer. The result is false at the end.
+    /// Reads from the socket to the end of the buffer. The result is false at the end.
     fn poll_fill(&self, state: &mut State, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
         let mut chunk = [0; READ_AHEAD_BYTES];
         let count = ready!(Pin::new(&mut &self.socket).poll_read(cx, &mut chunk))?;
-        state.buffer.clear();
         state.buffer.extend_from_slice(&chunk[..count]);
-        state.consumed = 0;
         Poll::Ready(Ok(count > 0))
     }
 
@@ -160,6 +164,23 @@
         self.consumed < self.buffer.len()
     }
 
+    /// Returns the error for a request with more bytes than allowed.
+    fn refuse(&mut self) -> io::Error {
+        self.is_too_large = true;
+        io::Error::other("the request is too large")
+    }
+
+    /// Returns whether buffered bytes can be taken. The parser needs all trailers at once, since it
+    /// never asks for the rest of them.
+    fn is_ready(&mut self) -> bool {
+        if self.part != Part::Trailers {
+            return self.has_buffered();
+        }
+        let Some(length) = trailers_length(&self.buffer[self.consumed..]) else { return false };
+        self.part = Part::Body(length);
+        true
+    }
+
     /// Moves buffered bytes of the current request to `target`.
     fn take(&mut self, target: &mut [u8], limit: usize) -> usize {
         let buffered = &self.buffer[self.consumed..];
@@ -177,7 +198,24 @@
                 *remaining -= count;
                 count
             }
-            Part::Chunked => max_count,
+            Part::ChunkSize(size) => {
+                let (count, is_end) = chunk_size_length(&buffered[..max_count], size);
+                if is_end && *size == 0 {
+                    self.part = Part::Trailers;
+                } else if is_end {
+                    self.part = Part::Chunk(size.saturating_add(LINE_END.len()));
+                }
+                count
+            }
+            Part::Chunk(remaining) => {
+                let count = max_count.min(*remaining);
+                *remaining -= count;
+                if *remaining == 0 {
+                    self.part = Part::ChunkSize(0);
+                }
+                count
+            }
+            Part::Trailers => 0, // `is_ready` makes it a body of known length
         };
         target[..count].copy_from_slice(&buffered[..count]);
         self.consumed += count;
@@ -206,6 +244,28 @@
     (bytes.len(), false)
 }
 
+/// Returns how many of the bytes belong to the line with the size of a chunk, and whether it ends
+/// there. `size` is the size that was read so far.
+fn chunk_size_length(bytes: &[u8], size: &mut usize) -> (usize, bool) {
+    for (index, byte) in bytes.iter().enumerate() {
+        match char::from(*byte).to_digit(16) {
+            Some(digit) => *size = size.saturating_mul(16).saturating_add(digit as usize),
+            None if *byte == b'\n' => return (index + 1, true),
+            None => {}
+        }
+    }
+    (bytes.len(), false)
+}
+
+/// Returns the length of the trailers and the empty line after them, if they are complete.
+fn trailers_length(bytes: &[u8]) -> Option<usize> {
+    if bytes.starts_with(LINE_END) {
+        return Some(LINE_END.len());
+    }
+    let end = bytes.windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
+    Some(end + HEAD_END.len())
+}
+
 impl Read for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -217,15 +277,20 @@
             return Poll::Ready(Ok(0));
         }
         if state.is_too_large || state.request_bytes >= self.limit {
-            state.is_too_large = true;
-            return Poll::Ready(Err(io::Error::other("the request is too large")));
+            return Poll::Ready(Err(state.refuse()));
         }
-        if !state.has_buffered() {
+        while !state.is_ready() {
+            if state.buffer.len() - state.consumed >= READ_AHEAD_BYTES {
+                return Poll::Ready(Err(state.refuse()));
+            }
             state.is_waiting = true;
             let is_open = ready!(self.poll_fill(&mut state, cx))?;
             state.is_waiting = false;
-            if !is_open && !matches!(state.part, Part::Head(_)) {
-                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            if !is_open {
+                return Poll::Ready(match state.part {
+                    Part::Head(_) => Ok(0),
+                    _ => Err(io::ErrorKind::UnexpectedEof.into()),
+                });
             }
         }
         Poll::Ready(Ok(state.take(buf, self.limit)))
--- a/crates/serve/tests/listener.rs
+++ b/crates/serve/tests/listener.rs
@@ -8,7 +8,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_request_that_arrives_as_the_idle_timer_fires_is_answered() {
@@ -63,6 +63,31 @@
     }
 }
 
+#[test]
+fn a_body_in_chunks_ends_wherever_it_is_split() {
+    let server = Server::start();
+    let head = "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for trailers in ["", "Digest: 1\r\n"] {
+        let body = format!("4\r\nbody\r\nA\r\n0123456789\r\n0\r\n{trailers}\r\n");
+        for split in 0..=body.len() {
+            let stream = server.connect();
+            let (first, second) = body.split_at(split);
+            send(&stream, &[head, first].concat());
+            thread::sleep(Duration::from_millis(5));
+            send(&stream, second);
+            let sent_at = Instant::now();
+            let answer = read_until(&stream, "</1 14>");
+            assert!(answer.starts_with("HTTP/1.1 200"), "{split}: {answer:?}");
+            // No timer is needed to go on.
+            assert!(sent_at.elapsed() < IDLE_TIMEOUT * 3 / 4, "{split}: {:?}", sent_at.elapsed());
+            send(&stream, &[head, &body, &get("/2")].concat());
+            let answers = read_until(&stream, "</2 0>");
+            let is_answered = answers.contains("</1 14>") && answers.ends_with("</2 0>");
+            assert!(is_answered, "{split}: {answers:?}");
+        }
+    }
+}
+
 #[test]
 fn a_body_that_the_application_does_not_read_is_no_request() {
     let server = Server::start();
