Edge: requests that wait for a leader are answered before a stop ends

A request that still waited for a reply of the leader when an edge's time to stop was over was cut with the process: the client had sent all of it and got no byte. Without a leader a request waits until its deadline, or until the edge has found for 2 s that no core answers; requests are taken for 2.6 s after the signal, and the process ends 2.7 s later by default.

0.3 s before that time is over the gateway ends the wait of all requests. They are answered as at the end of their deadline: 504 if a core may have carried them out, 503 if not.

On the code before, the test, with a grace period of 4 s and all cores frozen 2.2 s after the signal, got "" for the answer.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -34,6 +34,8 @@
     leaders: Leaders,
     pending: BTreeMap<RequestId, PendingRequest>,
     next_id: RequestId,
+    /// The process is about to end: no request waits any more.
+    gave_up: bool,
 }
 
 /// Forwards requests to the leader.
@@ -51,7 +53,8 @@
         seeds: BTreeSet<SocketAddr>,
     ) -> Arc<Gateway> {
         let leaders = Leaders::new(clock.now());
-        let state = Mutex::new(State { leaders, pending: BTreeMap::new(), next_id: 1 });
+        let pending = BTreeMap::new();
+        let state = Mutex::new(State { leaders, pending, next_id: 1, gave_up: false });
         let gateway = Arc::new(Gateway { clock: clock.clone(), net: OnceLock::new(), state });
         let weak = Arc::downgrade(&gateway);
         let event_handler = move |event| {
@@ -82,6 +85,15 @@
         self.state().pending.len()
     }
 
+    /// Ends the wait of all requests, so that they are answered before the process ends.
+    pub fn give_up(&self) {
+        let mut state = self.state();
+        state.gave_up = true;
+        for pending in state.pending.values() {
+            let _ = pending.reply.try_send(None); // full if a reply has arrived
+        }
+    }
+
     /// Closes all links.
     pub async fn stop(&self) {
         if let Some(net) = self.net.get() {
@@ -103,7 +115,14 @@
                     "no reply before the deadline",
                 );
             }
-            let action = self.state().leaders.action(now);
+            let (action, gave_up) = {
+                let state = self.state();
+                (state.leaders.action(now), state.gave_up)
+            };
+            if gave_up {
+                let reason = "the process stops";
+                return no_reply(may_have_executed && request.is_write(), reason);
+            }
             match action {
                 Action::Refuse => {
                     return no_reply(may_have_executed && request.is_write(), "no leader is known");
@@ -151,6 +170,9 @@
             if state.pending.len() >= MAX_PENDING {
                 return Attempt::Full;
             }
+            if state.gave_up {
+                return Attempt::NoLink;
+            }
             let id = state.next_id;
             state.next_id += 1;
             let pending = PendingRequest { peer: leader.to_string(), reply: sender };
@@ -239,7 +261,7 @@
 /// Outcome of sending a request to one leader.
 enum Attempt {
     Replied(Reply),
-    /// Not sent: there is no link to the leader.
+    /// Not sent: there is no link to the leader, or the process is about to end.
     NoLink,
     /// Sent, but the link was lost or no reply arrived in time.
     Lost,
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use async_std::task;
 use edge::Gateway;
+use futures::FutureExt;
 use log::info;
 use mesh::{Clock, ProcessInfo};
 use serve::Limits;
@@ -25,6 +26,8 @@
 const STOP_NOTICE: Duration = Duration::from_millis(2600);
 /// Share of the grace period before the kill in which requests in flight may end.
 const DRAIN_SHARE: f64 = 0.45;
+/// End of that time, in which requests that still wait are answered without a reply of the leader.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
 
 /// Run an edge process until SIGTERM or SIGINT: it passes clients' requests on to
 /// the core process that leads.
@@ -87,7 +90,17 @@
         );
         stopping.store(true, Ordering::Release);
         task::sleep(STOP_NOTICE).await;
-        service.stop(settings.bounds.grace().mul_f64(DRAIN_SHARE)).await;
+        let drain_time = settings.bounds.grace().mul_f64(DRAIN_SHARE);
+        let gave_up = async {
+            task::sleep(drain_time.saturating_sub(ANSWER_TIME)).await;
+            gateway.give_up();
+        };
+        let stopped = service.stop(drain_time).fuse();
+        futures::pin_mut!(stopped);
+        futures::select! {
+            () = stopped => {}
+            () = gave_up.fuse() => stopped.await,
+        }
         gateway.stop().await;
         info!("process.stopped name={}", settings.name);
         util::drain_log().await;
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -483,7 +483,7 @@
                 let mut answers = Vec::new();
                 while Instant::now() < end {
                     let sent = Instant::now();
-                    let (written, answer) = request(address, &id(100 + caller));
+                    let (written, answer) = request(address, &id(100 + caller), "");
                     answers.push((sent, written, answer));
                 }
                 answers
@@ -505,6 +505,32 @@
     assert!(child.wait().unwrap().success());
 }
 
+#[test]
+fn a_stopping_edge_answers_requests_that_wait_for_a_leader() {
+    let mut system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    system.kill(EDGE);
+    let mut settings = system.settings(EDGE, false);
+    settings["bounds"] = json!({"grace_s": 4}); // less than it takes to find that no core answers
+    let path = system.folder.path().join("short.yaml");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut command = Command::new(BINARY);
+    let edge = workdir::start(command.arg("edge").arg(&path).stdout(Stdio::null()));
+    system.processes.insert(EDGE, edge);
+    until("the edge answers", || system.call_edge(Method::Get, &id(1), None).0 == 410);
+    let mut child = system.processes.remove(&EDGE).unwrap();
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    std::thread::sleep(Duration::from_millis(2200)); // just before the listener closes
+    for core in CORES {
+        kill_process(Pid::from_child(&system.processes[&core]), Signal::STOP).unwrap();
+    }
+    let address = system.address(EDGE, CALLERS);
+    let (written, answer) = request(address, &id(1), "X-Deadline-Ms: 20000\r\n");
+    assert!(written && is_complete(&answer) && answer.contains("503"), "{answer:?}");
+    assert!(child.wait().unwrap().success());
+}
+
 /// Whether the body of an answer is as long as its `content-length`.
 fn is_complete(answer: &str) -> bool {
     let Some((head, body)) = answer.split_once("\r\n\r\n") else { return false };
@@ -512,12 +538,13 @@
     head.starts_with("HTTP/1.1 ") && length == Some(body.len().to_string().as_str())
 }
 
-/// Requests a job's state on a connection of its own. Returns whether the whole request was
+/// Requests a job's state on a connection of its own, with further lines of the head. Returns whether the whole request was
 /// written, and the answer, which is empty after a read error.
-fn request(address: SocketAddr, id: &str) -> (bool, String) {
+fn request(address: SocketAddr, id: &str, lines: &str) -> (bool, String) {
     let Ok(mut stream) = TcpStream::connect(address) else { return (false, String::new()) };
     let host = address.ip();
-    let text = format!("GET {PREFIX}{id} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n");
+    let text =
+        format!("GET {PREFIX}{id} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n{lines}\r\n");
     let written = stream.write_all(text.as_bytes()).is_ok();
     let mut answer = String::new();
     let read = stream.read_to_string(&mut answer);
