--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -14,7 +14,7 @@
 /// Pause before a request that was refused is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(25);
 /// How often a request without a leader looks for one, unless it is told of it before.
-const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a request without a reply is sent again, on another route if there is one; a
 /// disk sync and a round trip take about a tenth of it.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1200);
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -24,8 +24,8 @@
     Reply(RequestId, Reply),
     /// The link was lost on which an attempt was sent.
     Lost(RequestId),
-    /// Another process leads, or none.
-    LeaderChanged,
+    /// Another process leads, or this one is about to end.
+    Changed,
 }
 
 /// An attempt that was sent and has no reply yet.
@@ -40,6 +40,17 @@
     leaders: Leaders,
     pending: BTreeMap<RequestId, PendingAttempt>,
     next_id: RequestId,
+    /// The process is about to end: no request waits any more.
+    gave_up: bool,
+}
+
+impl State {
+    /// Lets every request that waits for a reply look at what happens next.
+    fn wake_all(&self) {
+        for pending in self.pending.values() {
+            let _ = pending.notices.try_send(Notice::Changed); // unbounded
+        }
+    }
 }
 
 /// Forwards requests to the leader.
@@ -58,7 +69,8 @@
     ) -> Arc<Gateway> {
         let leaders = Leaders::new(clock.now());
         let next_id = draw_first_id(&mut rand::rng());
-        let state = Mutex::new(State { leaders, pending: BTreeMap::new(), next_id });
+        let pending = BTreeMap::new();
+        let state = Mutex::new(State { leaders, pending, next_id, gave_up: false });
         let gateway = Arc::new(Gateway { clock: clock.clone(), net: OnceLock::new(), state });
         let weak = Arc::downgrade(&gateway);
         let event_handler = move |event| {
@@ -89,6 +101,13 @@
         self.state().pending.len()
     }
 
+    /// Ends the wait of all requests, so that they are answered before the process ends.
+    pub fn give_up(&self) {
+        let mut state = self.state();
+        state.gave_up = true;
+        state.wake_all();
+    }
+
     /// Closes all links.
     pub async fn stop(&self) {
         if let Some(net) = self.net.get() {
@@ -104,7 +123,13 @@
         let mut asking = Asking::new(self, &request, deadline);
         loop {
             let now = self.clock.now();
-            let step = asking.attempts.next(now, &self.state().leaders);
+            let step = {
+                let state = self.state();
+                match state.gave_up {
+                    true => Step::GiveUp("the process stops"),
+                    false => asking.attempts.next(now, &state.leaders),
+                }
+            };
             let until = match step {
                 Step::GiveUp(reason) => return asking.give_up(reason),
                 Step::Wait(until) => until,
@@ -156,9 +181,7 @@
         if before != after {
             let name = after.as_ref().map_or("none", |id| id.name.as_str());
             info!("leader.changed leader={name}");
-            for pending in state.pending.values() {
-                let _ = pending.notices.try_send(Notice::LeaderChanged); // unbounded
-            }
+            state.wake_all();
         }
     }
 
@@ -210,7 +233,7 @@
     fn handle(&mut self, notice: Notice) -> Option<Reply> {
         let now = self.gateway.clock.now();
         match notice {
-            Notice::LeaderChanged => None,
+            Notice::Changed => None,
             Notice::Lost(id) => {
                 self.gateway.state().pending.remove(&id);
                 self.attempts.record_lost(id);
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -5,15 +5,18 @@
 use async_std::task::block_on;
 use http_types::Method;
 use platform_standin::{RunKey, Worker, call};
+use quorum::{Entry, Output, Payload};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
+use store::{DiskFolder, Store};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_skylarkwinch");
 const CALLERS: u16 = 7001;
@@ -37,10 +40,15 @@
 const EDGE: u8 = 4;
 
 impl System {
-    fn start() -> System {
+    /// Returns a system none of whose processes runs.
+    fn new() -> System {
         let folder = tempfile::tempdir().unwrap();
         let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
-        let mut system = System { folder, network, processes: BTreeMap::new() };
+        System { folder, network, processes: BTreeMap::new() }
+    }
+
+    fn start() -> System {
+        let mut system = System::new();
         for host in CORES.into_iter().chain([EDGE]) {
             system.run(host, true);
         }
@@ -394,6 +402,89 @@
     assert!(log.contains("reign.ended") && log.contains("process.stopped"), "{log}");
 }
 
+#[test]
+fn signals_that_arrive_during_the_start_are_handled() {
+    for attempt in 0..6 {
+        let mut system = System::new();
+        let hosts = [(EDGE, CALLERS), (CORES[0], CONTROL)];
+        for (host, port) in hosts {
+            system.run(host, false);
+            let pid = Pid::from_child(&system.processes[&host]);
+            let address = system.address(host, port);
+            while TcpStream::connect(address).is_err() {
+                assert!(system.processes.get_mut(&host).unwrap().try_wait().unwrap().is_none());
+            }
+            let first = if attempt % 2 == 0 { Signal::HUP } else { Signal::TERM };
+            kill_process(pid, first).unwrap();
+            std::thread::sleep(Duration::from_millis(100));
+            for _ in 0..2 {
+                let _ = kill_process(pid, Signal::TERM); // it may have exited
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        for (host, _) in hosts {
+            let status = system.processes.remove(&host).unwrap().wait().unwrap();
+            assert!(status.success(), "attempt {attempt}, process {host}: {status}");
+            let log = std::fs::read_to_string(system.folder.path().join(format!("p{host}.log")));
+            assert!(log.unwrap().contains("process.stopped"));
+        }
+    }
+}
+
+#[test]
+fn a_core_that_waits_for_its_disk_stops_when_told() {
+    let mut system = System::new();
+    let log = || std::fs::read_to_string(system.folder.path().join("p1.log")).unwrap_or_default();
+    let mut settings = system.settings(CORES[0], true);
+    let file = system.folder.path().join("file");
+    std::fs::write(&file, "").unwrap();
+    settings["data_folder"] = json!(file.join("data"));
+    let path = system.folder.path().join("p1.yaml");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let output = File::create(system.folder.path().join("p1.log")).unwrap();
+    let core = workdir::start(Command::new(BINARY).arg("core").arg(&path).stdout(output));
+    let pid = Pid::from_child(&core);
+    until("the disk is refused", || log().contains("disk.closed"));
+    assert!(TcpStream::connect(system.address(CORES[0], CONTROL)).is_err(), "nobody answers yet");
+    kill_process(pid, Signal::TERM).unwrap();
+    let stopped = Instant::now();
+    system.processes.insert(CORES[0], core);
+    let status = system.processes.get_mut(&CORES[0]).unwrap().wait().unwrap();
+    assert!(status.success() && stopped.elapsed() < Duration::from_secs(2), "{status}");
+}
+
+#[test]
+fn a_core_whose_thread_panics_ends_with_an_error() {
+    let mut system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    CORES.into_iter().for_each(|core| system.kill(core));
+    for core in CORES {
+        append_unreadable_entry(&system.folder.path().join(format!("data{core}")));
+    }
+    CORES.into_iter().for_each(|core| system.run(core, false));
+    let log = |core| std::fs::read_to_string(system.folder.path().join(format!("p{core}.log")));
+    let has_panicked = |core: &u8| log(*core).unwrap().contains("panicked");
+    until("a core panics", || CORES.iter().any(has_panicked));
+    // The entry can be committed no more once two of the cores have ended.
+    for core in CORES.into_iter().filter(has_panicked) {
+        let child = system.processes.get_mut(&core).unwrap();
+        until("the core ends", || child.try_wait().unwrap().is_some());
+        assert_eq!(child.wait().unwrap().code(), Some(7));
+        assert!(log(core).unwrap().contains("process.failed"));
+    }
+}
+
+/// Appends a log entry that no version can decode.
+fn append_unreadable_entry(folder: &Path) {
+    let folder = Box::new(DiskFolder::open(folder).unwrap());
+    let (mut store, recovered) = Store::open(folder).unwrap();
+    let last = recovered.state.entries.last().unwrap();
+    let payload = Payload::Data(vec![0xff]);
+    let append = vec![Entry { index: last.index + 1, term: last.term, payload }];
+    store.save(&Output { append, ..Output::default() }).unwrap();
+}
+
 /// Time for which callers send requests; less than an edge serves after a stop signal.
 const CALLING_TIME: Duration = Duration::from_millis(1500);
 
@@ -411,7 +502,7 @@
                 let mut answers = Vec::new();
                 while Instant::now() < end {
                     let sent = Instant::now();
-                    let (written, answer) = request(address, &id(100 + caller));
+                    let (written, answer) = request(address, &id(100 + caller), "");
                     answers.push((sent, written, answer));
                 }
                 answers
@@ -433,6 +524,32 @@
     assert!(child.wait().unwrap().success());
 }
 
+#[test]
+fn a_stopping_edge_answers_requests_that_wait_for_a_leader() {
+    let mut system = System::start();
+    system.wait_for_leader();
+    system.configure(1);
+    system.kill(EDGE);
+    let mut settings = system.settings(EDGE, false);
+    settings["bounds"] = json!({"grace_s": 4}); // less than it takes to find that no core answers
+    let path = system.folder.path().join("short.yaml");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut command = Command::new(BINARY);
+    let edge = workdir::start(command.arg("edge").arg(&path).stdout(Stdio::null()));
+    system.processes.insert(EDGE, edge);
+    until("the edge answers", || system.call_edge(Method::Get, &id(1), None).0 == 410);
+    let mut child = system.processes.remove(&EDGE).unwrap();
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    std::thread::sleep(Duration::from_millis(2200)); // just before the listener closes
+    for core in CORES {
+        kill_process(Pid::from_child(&system.processes[&core]), Signal::STOP).unwrap();
+    }
+    let address = system.address(EDGE, CALLERS);
+    let (written, answer) = request(address, &id(1), "X-Deadline-Ms: 20000\r\n");
+    assert!(written && is_complete(&answer) && answer.contains("503"), "{answer:?}");
+    assert!(child.wait().unwrap().success());
+}
+
 /// Whether the body of an answer is as long as its `content-length`.
 fn is_complete(answer: &str) -> bool {
     let Some((head, body)) = answer.split_once("\r\n\r\n") else { return false };
@@ -440,12 +557,13 @@
     head.starts_with("HTTP/1.1 ") && length == Some(body.len().to_string().as_str())
 }
 
-/// Requests a job's state on a connection of its own. Returns whether the whole request was
+/// Requests a job's state on a connection of its own, with further lines of the head. Returns whether the whole request was
 /// written, and the answer, which is empty after a read error.
-fn request(address: SocketAddr, id: &str) -> (bool, String) {
+fn request(address: SocketAddr, id: &str, lines: &str) -> (bool, String) {
     let Ok(mut stream) = TcpStream::connect(address) else { return (false, String::new()) };
     let host = address.ip();
-    let text = format!("GET {PREFIX}{id} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n");
+    let text =
+        format!("GET {PREFIX}{id} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n{lines}\r\n");
     let written = stream.write_all(text.as_bytes()).is_ok();
     let mut answer = String::new();
     let read = stream.read_to_string(&mut answer);
