--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -6,7 +6,7 @@
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
 use crate::load::Meter;
 use crate::relay::CALL_TIMEOUT;
-use async_std::channel::bounded;
+use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
@@ -14,6 +14,7 @@
 use log::{info, warn};
 use mesh::frame::OrderId;
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Status};
+use quorum::Id;
 use sched::Report;
 use sched::order::{Answer, Order, Reply};
 use sched::scheduler::{
@@ -22,7 +23,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{self, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, SystemTime};
@@ -202,6 +203,8 @@
     net: Arc<Net>,
     listener: JoinHandle<()>,
     core: thread::JoinHandle<()>,
+    /// Closed when the core's thread ends.
+    core_ended: Receiver<()>,
 }
 
 impl Process {
@@ -244,17 +247,26 @@
                         environment.relay_orders(&from.name, orders);
                     }
                 }
-                event => queue_event(&event_queue, event),
+                event => {
+                    let refusal = queue_event(&event_queue, event);
+                    if let (Some((to, frame)), Some(environment)) = (refusal, relay.upgrade()) {
+                        environment.send(&to, frame);
+                    }
+                }
             }),
         );
         let _ = environment.net.set(net.clone()); // set once, here
         net.add_addresses(options.seeds, true);
         let listener = task::spawn(net.clone().listen(peers));
+        let (end, core_ended) = bounded(1);
         let core = thread::Builder::new()
             .name("core".to_string())
-            .spawn(move || run_core(core, &inputs, options.clock.as_ref()))
+            .spawn(move || {
+                let _end = end; // dropped by a panic too
+                run_core(core, &inputs, options.clock.as_ref());
+            })
             .map_err(Error::Thread)?;
-        Ok(Process { handle, net, listener, core })
+        Ok(Process { handle, net, listener, core, core_ended })
     }
 
     /// Returns a handle that sends requests and reports to the core.
@@ -262,6 +274,12 @@
         self.handle.clone()
     }
 
+    /// Waits for the end of the core's thread, which only a panic ends before [`Process::stop`].
+    /// From then on all requests are refused.
+    pub async fn wait_for_core_end(&self) {
+        let _ = self.core_ended.recv().await; // nothing is sent
+    }
+
     /// Adds addresses of other processes and keeps links to them.
     pub fn add_seeds(&self, seeds: BTreeSet<SocketAddr>) {
         self.net.add_addresses(seeds, true);
@@ -296,7 +314,7 @@
 }
 
 /// Loop of the core's thread: handles inputs in batches and advances the core after each.
-fn run_core(mut core: Core, inputs: &Receiver<Queued>, clock: &dyn Clock) {
+fn run_core(mut core: Core, inputs: &mpsc::Receiver<Queued>, clock: &dyn Clock) {
     let mut meter = Meter::new(clock.now());
     loop {
         let first = match inputs.recv_timeout(core.max_wait(TICK_INTERVAL)) {
@@ -323,16 +341,26 @@
     }
 }
 
-/// Queues an event of a link for the core's thread.
-fn queue_event(queue: &Queue, event: Event) {
+/// Queues an event of a link for the core's thread. Returns the refusal, and whom to send it, of a
+/// request that the queue has no room for.
+fn queue_event(queue: &Queue, event: Event) -> Option<(String, Frame)> {
     let input = match event {
         Event::LinkUp(peer) => Input::LinkUp(peer),
         Event::LinkDown(peer) => Input::LinkDown(peer),
         Event::Frame(from, frame) => Input::Frame(from, frame),
     };
-    if queue.inputs.try_send(queue.queued(input)).is_err() {
-        metrics::counter!("inputs_dropped_total").increment(1);
-        warn!("core.full: the input queue is full, a link event was dropped");
+    let refused = queue.inputs.try_send(queue.queued(input)).err()?;
+    metrics::counter!("inputs_dropped_total").increment(1);
+    let (TrySendError::Full(queued) | TrySendError::Disconnected(queued)) = refused;
+    match queued.input {
+        Input::Frame(from, Frame::Request(id, _)) => {
+            let refusal = mesh::Reply::NotTaken("too much waits here already".to_string());
+            Some((from.name, Frame::Reply(id, refusal)))
+        }
+        _ => {
+            warn!("core.full: the input queue is full, a link event was dropped");
+            None
+        }
     }
 }
 
@@ -361,6 +389,10 @@
         self.net.get().is_some_and(|net| net.send(to, &frame))
     }
 
+    fn send_to(&self, to: &Id, frame: Frame) -> bool {
+        self.net.get().is_some_and(|net| net.send_to(to, &frame))
+    }
+
     fn send_all(&self, to: &[&str], frame: Frame) {
         if let Some(net) = self.net.get() {
             net.send_all(to, &frame);
--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -13,10 +13,12 @@
 use async_std::task::{self, JoinHandle};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{FutureExt, SinkExt, StreamExt};
-use log::{info, warn};
+use log::{error, info, warn};
+use quorum::Id;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
@@ -39,7 +41,7 @@
 /// Time between attempts to connect to an address, and how often the listener
 /// checks whether it has to stop.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(250);
-/// An address without a link is dropped this long after it was last announced,
+/// An address without a link is dropped this long after it was last announced or linked,
 /// unless it is a seed.
 const ADDRESS_EXPIRY: Duration = Duration::from_secs(60);
 /// Time for which a stopping process goes on sending the frames that are queued.
@@ -67,6 +69,9 @@
     /// Too many bytes are queued for the peer.
     #[error("the peer reads too slowly")]
     Full,
+    /// The event handler panicked.
+    #[error("the event handler panicked")]
+    HandlerPanicked,
     /// The bytes received are not a valid frame.
     #[error(transparent)]
     Frame(#[from] frame::Error),
@@ -128,7 +133,8 @@
     /// Whether a task that dials it was started.
     is_dialled: bool,
     is_seed: bool,
-    announced_at: Duration,
+    /// When the address was last announced, or its last link lost.
+    seen_at: Duration,
 }
 
 /// Links between this process and the others.
@@ -172,8 +178,26 @@
     /// Queues a frame for each of the processes, which encodes it only once. Returns those for
     /// which it could not be queued.
     pub fn send_all<'a>(&self, to: &[&'a str], frame: &Frame) -> Vec<&'a str> {
+        self.queue(to, frame, |_| true)
+    }
+
+    /// Queues a frame for one incarnation of a process, like [`Net::send`]. It is dropped if only
+    /// another incarnation of that name is linked.
+    pub fn send_to(&self, to: &Id, frame: &Frame) -> bool {
+        let is_receiver = |peer: &ProcessInfo| peer.incarnation == to.incarnation;
+        self.queue(&[to.name.as_str()], frame, is_receiver).is_empty()
+    }
+
+    /// Queues a frame on the newest link to each name whose peer is a receiver. Returns the names
+    /// for which it could not be queued.
+    fn queue<'a>(
+        &self,
+        to: &[&'a str],
+        frame: &Frame,
+        is_receiver: impl Fn(&ProcessInfo) -> bool,
+    ) -> Vec<&'a str> {
         let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
-        let newest = |name: &str| links.get(name).and_then(|links| links.last());
+        let newest = |name: &str| links.get(name)?.iter().rfind(|link| is_receiver(&link.peer));
         if !to.iter().any(|name| newest(name).is_some()) {
             return to.to_vec();
         }
@@ -224,10 +248,10 @@
             let known = known_addresses.entry(address).or_insert(KnownAddress {
                 is_dialled: false,
                 is_seed: false,
-                announced_at: now,
+                seen_at: now,
             });
             known.is_seed |= is_seed;
-            known.announced_at = now;
+            known.seen_at = now;
             if !known.is_dialled && !self.stopping.load(Ordering::Acquire) {
                 known.is_dialled = true;
                 let net = self.clone();
@@ -308,6 +332,16 @@
         }
     }
 
+    /// Lets the expiry of an address, if it is known, count from now.
+    fn record_seen(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        let mut known_addresses =
+            self.known_addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = known_addresses.get_mut(&address) {
+            known.seen_at = now;
+        }
+    }
+
     /// Removes the address if it has expired. Returns whether it did.
     fn remove_if_expired(&self, address: SocketAddr) -> bool {
         let now = self.clock.now();
@@ -315,7 +349,7 @@
             self.known_addresses.lock().unwrap_or_else(PoisonError::into_inner);
         let expired = known_addresses
             .get(&address)
-            .is_some_and(|known| !known.is_seed && now > known.announced_at + ADDRESS_EXPIRY);
+            .is_some_and(|known| !known.is_seed && now > known.seen_at + ADDRESS_EXPIRY);
         if expired {
             known_addresses.remove(&address);
         }
@@ -367,9 +401,11 @@
         if peer.control_address.is_some() {
             self.add_addresses([peer.peer_address], false);
         }
-        (self.event_handler)(Event::LinkUp(peer.clone()));
+        let announced = self.notify(Event::LinkUp(peer.clone()));
         let (sink, stream) = socket.split();
-        let result = {
+        let result = if announced.is_err() {
+            announced
+        } else {
             let mut write = pin!(write_frames(sink, queued).fuse());
             let mut read = pin!(self.read_frames(stream, &peer).fuse());
             let mut ended = pin!(ended.recv().fuse());
@@ -381,12 +417,22 @@
         };
         let reason = result.as_ref().err().map_or("ended".to_string(), ToString::to_string);
         info!("link.down peer={name} serial={serial} reason={reason:?}");
+        self.record_seen(peer.peer_address); // before the link is removed and `dial` looks
         if self.remove_link(&peer, serial) {
-            (self.event_handler)(Event::LinkDown(peer));
+            let _ = self.notify(Event::LinkDown(peer)); // the link is down already
         }
         result
     }
 
+    /// Calls the event handler. Its panic must not end the task of the link, which would leave a
+    /// link that nobody serves and an address that nobody dials.
+    fn notify(&self, event: Event) -> Result<()> {
+        catch_unwind(AssertUnwindSafe(|| (self.event_handler)(event))).map_err(|_| {
+            error!("link.handler_panicked: the event is lost");
+            Error::HandlerPanicked
+        })
+    }
+
     /// Removes the link. Returns whether it was the last one to this incarnation of
     /// the process.
     fn remove_link(&self, peer: &ProcessInfo, serial: u64) -> bool {
@@ -411,7 +457,7 @@
             let Message::Binary(bytes) = message else { continue };
             match Frame::decode(&bytes)? {
                 Frame::Ping | Frame::Hello(_) => {}
-                frame => (self.event_handler)(Event::Frame(from.clone(), frame)),
+                frame => self.notify(Event::Frame(from.clone(), frame))?,
             }
         }
     }
--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -1,13 +1,15 @@
-//! Links between processes that stop, or that read too slowly.
+//! Links between processes that stop, that read too slowly, or that were linked for long.
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use mesh::clock::System;
-use mesh::{Frame, Net, ProcessInfo, queue};
+use mesh::{Clock, Event, Frame, Net, ProcessInfo, Reply, Status, queue};
+use quorum::Id;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
@@ -46,6 +48,46 @@
     assert!(timeout(PATIENCE, reached).await.is_ok(), "{what}: not within {PATIENCE:?}");
 }
 
+/// The system's clock, ahead by a number of seconds.
+#[derive(Default)]
+struct Ahead(AtomicU64);
+
+impl Clock for Ahead {
+    fn now(&self) -> Duration {
+        System.now() + Duration::from_secs(self.0.load(Ordering::Acquire))
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+#[test]
+fn a_process_that_was_linked_for_long_is_dialled_again_when_the_link_is_lost() {
+    task::block_on(async {
+        let (_, own_address) = listener().await;
+        let (peer_listener, peer_address) = listener().await;
+        let clock = Arc::new(Ahead::default());
+        let own = Net::new(process("own", own_address), clock.clone(), Box::new(|_| {}));
+        let peer = net("peer", peer_address);
+        let listening = task::spawn(peer.clone().listen(peer_listener));
+        own.add_addresses([peer_address], false);
+        wait_until("the link is up", || !own.peers().is_empty()).await;
+        clock.0.store(3600, Ordering::Release);
+        peer.stop().await;
+        listening.await;
+        wait_until("the link is lost", || own.peers().is_empty()).await;
+        task::sleep(Duration::from_millis(600)).await;
+        let peer = net("peer", peer_address);
+        let peer_listener = TcpListener::bind(peer_address).await.unwrap();
+        let listening = task::spawn(peer.clone().listen(peer_listener));
+        wait_until("the link is up again", || !own.peers().is_empty()).await;
+        own.stop().await;
+        peer.stop().await;
+        listening.await;
+    });
+}
+
 #[test]
 fn a_process_that_stops_takes_no_link_that_comes_up_late() {
     task::block_on(async {
@@ -69,6 +111,34 @@
     });
 }
 
+#[test]
+fn a_frame_for_an_incarnation_that_is_gone_is_not_sent_to_its_successor() {
+    task::block_on(async {
+        let (own_listener, own_address) = listener().await;
+        let own = net("own", own_address);
+        let listening = task::spawn(own.clone().listen(own_listener));
+        let (received, frames) = async_std::channel::unbounded();
+        let handler = move |event| {
+            if let Event::Frame(_, frame) = event {
+                received.try_send(frame).unwrap();
+            }
+        };
+        let successor = process("peer", "127.0.0.1:9".parse().unwrap());
+        let present = successor.id();
+        let successor = Net::new(successor, Arc::new(System), Box::new(handler));
+        successor.add_addresses([own_address], true);
+        wait_until("the successor is linked", || !own.peers().is_empty()).await;
+        let gone = Id::new("peer", present.incarnation + 1);
+        assert!(!own.send_to(&gone, &Frame::Reply(1, Reply::Done)));
+        assert!(own.send_to(&present, &Frame::Reply(2, Reply::Done)));
+        let frame = timeout(PATIENCE, frames.recv()).await.unwrap().unwrap();
+        assert_eq!(frame, Frame::Reply(2, Reply::Done));
+        successor.stop().await;
+        own.stop().await;
+        listening.await;
+    });
+}
+
 /// Links a peer that sends pings but reads nothing after its first frame.
 async fn link_slow_peer(address: SocketAddr, name: &str) -> task::JoinHandle<()> {
     use futures::{SinkExt, StreamExt};
@@ -148,3 +218,23 @@
         }
     });
 }
+
+#[test]
+fn a_panic_of_the_event_handler_leaves_no_dead_link() {
+    task::block_on(async {
+        let (own_listener, own_address) = listener().await;
+        let handler = |event| assert!(!matches!(event, Event::Frame(..)), "no frame is expected");
+        let net = Net::new(process("own", own_address), Arc::new(System), Box::new(handler));
+        let listening = task::spawn(net.clone().listen(own_listener));
+        let (_, peer_address) = listener().await;
+        let peer = self::net("peer", peer_address);
+        peer.add_addresses([own_address], true);
+        wait_until("the link is up", || peer.send("own", &Frame::Status(Status::default()))).await;
+        wait_until("the link goes down", || net.peers().is_empty()).await;
+        wait_until("the peer dials again", || !net.peers().is_empty()).await;
+        peer.stop().await;
+        wait_until("the link goes down", || net.peers().is_empty()).await;
+        net.stop().await;
+        listening.await;
+    });
+}
