--- a/crates/edge/tests/restart.rs
+++ b/crates/edge/tests/restart.rs
@@ -28,6 +28,7 @@
         control_address: (name == "core").then_some(address),
         data_centre: None,
         relays_orders: false,
+        fences_incarnations: false,
     }
 }
 
