Tests: a seeded soak of real processes under faults

Three cores and three edges, stand-in workers and client threads, under signals drawn from a seed: rolling restarts that overlap, SIGKILL and restart at once, SIGSTOP of edges, cores and the leader, SIGTERM twice, SIGHUP, new configurations, and at the end a kill of all processes, all edges or all cores at one moment. Checked from outside only: how processes end, that requests are answered, that refused jobs don't run, that units run once, that accepted jobs end, that every edge serves again after 15 s, and that it tells the state of every accepted job within five attempts of 3 s.

The checker is a function of the recorded history, and a test for each promise plants its fault.

--- /dev/null
+++ b/tests/soak/client.rs
@@ -0,0 +1,249 @@
+//! Clients that submit, read and cancel jobs over connections of their own.
+
+use super::checker::{Attempt, Kind, Outcome, QUESTION_ATTEMPTS};
+use super::job::Job;
+use crate::system::PREFIX;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Value of the `Host` header, which selects the queue.
+pub const HOST: &str = "soak.example";
+/// Time that a client waits for each attempt.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// Number of times that a job is submitted while its outcome is unknown.
+const SUBMIT_ATTEMPTS: usize = 40;
+const CANCEL_ATTEMPTS: usize = 5;
+/// Number of reads after which a client no longer waits for the end of a job.
+const END_ATTEMPTS: usize = 120;
+/// Pause between two reads of a job that has not ended.
+const END_PAUSE: Duration = Duration::from_millis(500);
+const QUESTION_PAUSE: Duration = Duration::from_millis(300);
+
+/// What all clients share.
+pub struct Shared {
+    pub start: Instant,
+    pub edges: Vec<(u8, SocketAddr)>,
+    pub stop: AtomicBool,
+    pub attempts: Mutex<Vec<Attempt>>,
+    pub jobs: Mutex<BTreeMap<String, Job>>,
+}
+
+impl Shared {
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+pub struct Client {
+    number: u64,
+    rng: StdRng,
+    shared: Arc<Shared>,
+    /// Open connections by edge; `None` for a client that opens one for each request.
+    kept: Option<BTreeMap<u8, TcpStream>>,
+    submitted: u64,
+    accepted: Vec<String>,
+}
+
+impl Client {
+    pub fn new(shared: Arc<Shared>, seed: u64, number: u64) -> Client {
+        let rng = StdRng::seed_from_u64(seed << 16 | number);
+        let kept = (!number.is_multiple_of(3)).then(BTreeMap::new);
+        Client { number, rng, shared, kept, submitted: 0, accepted: Vec::new() }
+    }
+
+    pub fn now(&self) -> Duration {
+        self.shared.now()
+    }
+
+    /// Sends requests until the traffic ends.
+    pub fn run(&mut self) {
+        while !self.shared.stop.load(Ordering::Relaxed) {
+            let old = self.accepted.choose(&mut self.rng).cloned();
+            match (self.rng.random_range(0..20), old) {
+                (0..8, Some(job)) => drop(self.attempt(Kind::Read, &job, None)),
+                (8..10, Some(job)) => self.cancel(&job),
+                (10, Some(job)) => drop(self.attempt(Kind::Submit, &job, None)),
+                _ => drop(self.submit(None)),
+            }
+            self.pause(20, 150);
+        }
+    }
+
+    fn pause(&mut self, from_ms: u64, to_ms: u64) {
+        std::thread::sleep(Duration::from_millis(self.rng.random_range(from_ms..to_ms)));
+    }
+
+    /// Submits a new job, to one edge or at each attempt to another one, until the outcome is
+    /// known. Returns whether it was accepted.
+    pub fn submit(&mut self, edge: Option<u8>) -> bool {
+        self.submitted += 1;
+        let id = format!("{:08x}{:08x}", self.number, self.submitted);
+        let job = Job::draw(&mut self.rng);
+        self.shared.jobs.lock().unwrap().insert(id.clone(), job);
+        for _ in 0..SUBMIT_ATTEMPTS {
+            match self.attempt(Kind::Submit, &id, edge) {
+                Outcome::Answered(200, _) => {
+                    self.accepted.push(id);
+                    return true;
+                }
+                Outcome::Answered(429 | 503, _) if self.rng.random_bool(0.3) => return false,
+                Outcome::Answered(429 | 503, _) => self.pause(200, 500),
+                _ => self.pause(50, 150),
+            }
+        }
+        false
+    }
+
+    fn cancel(&mut self, job: &str) {
+        for _ in 0..CANCEL_ATTEMPTS {
+            let outcome = self.attempt(Kind::Cancel, job, None);
+            if matches!(outcome, Outcome::Answered(200 | 410, _)) {
+                return;
+            }
+        }
+    }
+
+    /// Asks for the state of jobs, each at an edge.
+    pub fn ask(&mut self, questions: &[(String, u8)]) {
+        for (job, edge) in questions {
+            for _ in 0..QUESTION_ATTEMPTS {
+                let outcome = self.attempt(Kind::Question, job, Some(*edge));
+                if matches!(outcome, Outcome::Answered(200, Some(_))) {
+                    break;
+                }
+                std::thread::sleep(QUESTION_PAUSE);
+            }
+        }
+    }
+
+    /// Waits until the jobs that this client submitted have ended.
+    pub fn wait_for_ends(&mut self) {
+        let mut waits = 0;
+        for job in self.accepted.clone() {
+            while waits < END_ATTEMPTS {
+                match self.attempt(Kind::Read, &job, None) {
+                    Outcome::Answered(200, Some(state))
+                        if state != "running" && state != "queued" =>
+                    {
+                        break;
+                    }
+                    _ => std::thread::sleep(END_PAUSE),
+                }
+                waits += 1;
+            }
+        }
+    }
+
+    fn attempt(&mut self, kind: Kind, job: &str, edge: Option<u8>) -> Outcome {
+        let shared = self.shared.clone();
+        let drawn = *shared.edges.choose(&mut self.rng).unwrap();
+        let wanted = edge.and_then(|edge| shared.edges.iter().find(|(host, _)| *host == edge));
+        let (edge, address) = wanted.copied().unwrap_or(drawn);
+        let (method, body) = match kind {
+            Kind::Submit => ("POST", shared.jobs.lock().unwrap()[job].body()),
+            Kind::Cancel => ("DELETE", String::new()),
+            Kind::Read | Kind::Question => ("GET", String::new()),
+        };
+        let connection = if self.kept.is_some() { "keep-alive" } else { "close" };
+        let request = format!(
+            "{method} {PREFIX}{job} HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: {}\r\n\
+             Connection: {connection}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            DEADLINE.as_millis(),
+            body.len()
+        );
+        let mut sent = shared.now();
+        let outcome = self.exchange(edge, address, &request, &mut sent);
+        let ended = shared.now();
+        let attempt =
+            Attempt { kind, job: job.to_string(), edge, sent, ended, outcome: outcome.clone() };
+        shared.attempts.lock().unwrap().push(attempt);
+        outcome
+    }
+
+    fn exchange(
+        &mut self,
+        edge: u8,
+        address: SocketAddr,
+        request: &str,
+        sent: &mut Duration,
+    ) -> Outcome {
+        let deadline = Instant::now() + DEADLINE;
+        let kept = self.kept.as_mut().and_then(|kept| kept.remove(&edge));
+        let opened = match kept.filter(is_open) {
+            Some(stream) => Ok(stream),
+            None => TcpStream::connect_timeout(&address, DEADLINE),
+        };
+        *sent = self.shared.now();
+        let written = opened.and_then(|mut stream| {
+            stream.set_nodelay(true)?;
+            stream.set_write_timeout(Some(DEADLINE))?;
+            stream.write_all(request.as_bytes())?;
+            Ok(stream)
+        });
+        let mut stream = match written {
+            Ok(stream) => stream,
+            Err(error) => return Outcome::NotSent(error.to_string()),
+        };
+        match read_answer(&mut stream, deadline) {
+            Ok((status, body, keep)) => {
+                if let Some(kept) = self.kept.as_mut().filter(|_| keep) {
+                    kept.insert(edge, stream);
+                }
+                let body: Value = serde_json::from_str(&body).unwrap_or_default();
+                Outcome::Answered(status, body["state"].as_str().map(str::to_string))
+            }
+            Err(error)
+                if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
+            {
+                Outcome::TimedOut
+            }
+            Err(error) => Outcome::Broken(error.to_string()),
+        }
+    }
+}
+
+/// Returns whether the peer has not closed a connection.
+fn is_open(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Reads the status, the body, and whether the connection stays open.
+fn read_answer(stream: &mut TcpStream, deadline: Instant) -> io::Result<(u16, String, bool)> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let header =
+                |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+            let length = header("content-length:").and_then(|length| length.parse::<usize>().ok());
+            let status = head.get(9..12).and_then(|status| status.parse().ok());
+            let (Some(length), Some(status)) = (length, status) else {
+                return Err(io::Error::other(format!("not an answer: {head}")));
+            };
+            if body.len() >= length {
+                return Ok((status, body.to_string(), header("connection:") != Some("close")));
+            }
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        stream.set_read_timeout(Some(left))?;
+        let mut buffer = [0; 4096];
+        match stream.read(&mut buffer)? {
+            0 => return Err(io::Error::other(format!("closed after {} bytes", bytes.len()))),
+            count => bytes.extend(&buffer[..count]),
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,309 @@
+//! Faults from outside, drawn from a seed, and the processes that they meet.
+
+use super::checker::{Exit, GRACE};
+use super::client::{HOST, Shared};
+use crate::system::{CONTROL, INTERNAL, PREFIX, System};
+use async_std::future::timeout;
+use async_std::task::block_on;
+use http_types::Method;
+use platform_standin::call;
+use rand::Rng;
+use rand::rngs::StdRng;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(10);
+/// Time for an answer of a core.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of times that a configuration is sent, one for each [`CALL_TIMEOUT`] or pause.
+const CONFIG_ATTEMPTS: usize = 80;
+/// Time after which a process that does not stop is killed, in addition to its grace time.
+const KILL_DELAY: Duration = Duration::from_secs(8);
+
+/// A signal or call.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Term(u8),
+    /// SIGKILL and start at once.
+    Kill(u8),
+    Freeze(u8),
+    Thaw(u8),
+    /// Freezes the leader, and thaws it after a span.
+    FreezeLeader(Duration),
+    Hangup(u8),
+    /// A new version of the configuration.
+    Configure,
+}
+
+/// Which processes are killed and started again at one moment at the end.
+#[derive(Clone, Copy, Debug)]
+pub enum Final {
+    All,
+    Edges,
+    Cores,
+}
+
+/// Draws faults for a span, each with its time; some begin before the ones before are over.
+pub fn schedule(rng: &mut StdRng, cores: u8, edges: u8, span: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_secs(1);
+    let millis = |rng: &mut StdRng, from, to| Duration::from_millis(rng.random_range(from..to));
+    let roll = |at: Duration, gap: Duration| {
+        (0..edges).map(move |edge| (at + gap * u32::from(edge), Fault::Term(cores + 1 + edge)))
+    };
+    while at < span {
+        let core = rng.random_range(1..=cores);
+        let edge = rng.random_range(cores + 1..=cores + edges);
+        let any = if rng.random_bool(0.3) { core } else { edge };
+        match rng.random_range(0..16) {
+            0..2 => {
+                let gap = millis(rng, 200, 2500);
+                faults.extend(roll(at, gap));
+                if rng.random_bool(0.6) {
+                    let second = at + gap * u32::from(edges) / 2 + millis(rng, 0, 3000);
+                    faults.extend(roll(second, millis(rng, 200, 2500)));
+                }
+            }
+            2..4 => faults.push((at, Fault::Term(any))),
+            4 => {
+                faults.push((at, Fault::Term(any)));
+                faults.push((at + millis(rng, 1, 3000), Fault::Term(any)));
+            }
+            5..8 => faults.push((at, Fault::Kill(any))),
+            8..11 => {
+                faults.push((at, Fault::Freeze(any)));
+                faults.push((at + millis(rng, 100, 4000), Fault::Thaw(any)));
+            }
+            11 => faults.push((at, Fault::FreezeLeader(millis(rng, 300, 4000)))),
+            12..14 => faults.push((at, Fault::Hangup(any))),
+            _ => faults.push((at, Fault::Configure)),
+        }
+        at += millis(rng, 50, 1200);
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    faults
+}
+
+/// The processes, what they were told and how they ended.
+pub struct Fleet {
+    pub system: System,
+    shared: Arc<Shared>,
+    /// When each process that was told to stop was told so first.
+    told: BTreeMap<u8, Duration>,
+    frozen: BTreeMap<u8, Duration>,
+    stopping: bool,
+    version: u64,
+    operators: Vec<JoinHandle<bool>>,
+    pub exits: Vec<Exit>,
+    pub impairments: Vec<(u8, Duration, Duration)>,
+    log: Vec<String>,
+}
+
+impl Fleet {
+    pub fn new(system: System, shared: Arc<Shared>) -> Fleet {
+        Fleet {
+            system,
+            shared,
+            told: BTreeMap::new(),
+            frozen: BTreeMap::new(),
+            stopping: false,
+            version: 0,
+            operators: Vec::new(),
+            exits: Vec::new(),
+            impairments: Vec::new(),
+            log: Vec::new(),
+        }
+    }
+
+    /// Returns what was done, with times.
+    pub fn log(&self) -> String {
+        self.log.join("\n")
+    }
+
+    /// Brings about the faults. Returns when all are over and all processes run.
+    pub fn play(&mut self, mut faults: Vec<(Duration, Fault)>) {
+        let start = self.shared.now();
+        while !faults.is_empty() || !self.told.is_empty() {
+            while faults.first().is_some_and(|(at, _)| start + *at <= self.shared.now()) {
+                let (at, fault) = faults.remove(0);
+                self.watch();
+                if let Some((span, thaw)) = self.bring_about(fault) {
+                    faults.push((at + span, thaw));
+                    faults.sort_by_key(|(at, _)| *at);
+                }
+            }
+            self.watch();
+            std::thread::sleep(TICK);
+        }
+    }
+
+    /// Brings about a fault. Returns another one that has to follow after a span.
+    fn bring_about(&mut self, fault: Fault) -> Option<(Duration, Fault)> {
+        let now = self.shared.now();
+        match fault {
+            Fault::Term(host) => {
+                self.told.entry(host).or_insert(now);
+                self.signal(host, Signal::TERM);
+            }
+            Fault::Kill(host) => self.kill(&[host]),
+            Fault::Freeze(host) => {
+                self.signal(host, Signal::STOP);
+                self.frozen.entry(host).or_insert(now);
+            }
+            Fault::Thaw(host) => {
+                self.signal(host, Signal::CONT);
+                self.end_freeze(host);
+            }
+            Fault::FreezeLeader(span) => {
+                let leader = self.leader();
+                self.bring_about(Fault::Freeze(leader));
+                return Some((span, Fault::Thaw(leader)));
+            }
+            Fault::Hangup(host) => {
+                let path = self.system.folder.path().join(format!("p{host}.yaml"));
+                let settings = std::fs::read_to_string(&path).unwrap();
+                std::fs::write(path, format!("{settings}\n")).unwrap();
+                self.signal(host, Signal::HUP);
+            }
+            Fault::Configure => {
+                let operator = self.configure();
+                self.operators.push(operator);
+            }
+        }
+        None
+    }
+
+    fn note(&mut self, text: String) {
+        self.log.push(format!("{:.3} {text}", self.shared.now().as_secs_f64()));
+    }
+
+    fn signal(&mut self, host: u8, signal: Signal) {
+        let pid = Pid::from_child(&self.system.processes[&host]);
+        kill_process(pid, signal).unwrap();
+        self.note(format!("p{host} {signal:?}"));
+    }
+
+    fn end_freeze(&mut self, host: u8) {
+        if let Some(since) = self.frozen.remove(&host) {
+            self.impairments.push((host, since, self.shared.now()));
+        }
+    }
+
+    /// Kills processes at one moment and starts them again.
+    pub fn kill(&mut self, hosts: &[u8]) {
+        let from = self.shared.now();
+        for host in hosts {
+            self.signal(*host, Signal::KILL);
+        }
+        for host in hosts {
+            let status = self.system.processes.remove(host).unwrap().wait().unwrap();
+            let told_at = self.told.remove(host);
+            if status.signal() != Some(Signal::KILL.as_raw()) {
+                self.exits.push(Exit { host: *host, told_at, at: from, status: Some(status) });
+            }
+            self.end_freeze(*host);
+        }
+        for host in hosts {
+            self.system.run(*host, false);
+            self.impairments.push((*host, from, self.shared.now()));
+        }
+    }
+
+    /// Records the processes that have ended, and starts them again.
+    fn watch(&mut self) {
+        let now = self.shared.now();
+        let hosts: Vec<u8> = self.system.processes.keys().copied().collect();
+        for host in hosts {
+            let told_at = self.told.get(&host).copied();
+            let child = self.system.processes.get_mut(&host).unwrap();
+            let status = child.try_wait().unwrap();
+            let overdue = told_at.is_some_and(|told| now > told + GRACE + KILL_DELAY);
+            if status.is_none() && !overdue {
+                continue;
+            }
+            if status.is_none() {
+                self.system.kill(host);
+            }
+            self.note(format!("p{host} ended: {status:?}"));
+            self.system.processes.remove(&host);
+            self.told.remove(&host);
+            self.end_freeze(host);
+            self.exits.push(Exit { host, told_at, at: now, status });
+            if !self.stopping {
+                self.system.run(host, false);
+                if !status.is_some_and(|status| status.success()) {
+                    self.impairments.push((host, now, self.shared.now()));
+                }
+            }
+        }
+    }
+
+    /// Tells all processes to stop and waits for their ends.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        let hosts: Vec<u8> = self.system.processes.keys().copied().collect();
+        for host in hosts {
+            self.bring_about(Fault::Term(host));
+        }
+        while !self.system.processes.is_empty() {
+            self.watch();
+            std::thread::sleep(TICK);
+        }
+    }
+
+    /// Returns the core that says that it leads, or the first one.
+    fn leader(&self) -> u8 {
+        let leads = |core: &u8| {
+            let address = self.system.address(*core, INTERNAL.1);
+            let dump = call(address, Method::Get, "/dump", None);
+            let dump = block_on(timeout(CALL_TIMEOUT, dump));
+            matches!(dump, Ok(Ok((200, dump))) if !dump["reign"].is_null())
+        };
+        self.system.cores().find(leads).unwrap_or(1)
+    }
+
+    /// Submits another configuration in a thread, which returns whether it was acknowledged.
+    pub fn configure(&mut self) -> JoinHandle<bool> {
+        self.version += 1;
+        self.note(format!("configuration {}", self.version));
+        let config = config(self.version);
+        let cores: Vec<SocketAddr> =
+            self.system.cores().map(|core| self.system.address(core, CONTROL)).collect();
+        std::thread::spawn(move || {
+            cores.iter().cycle().take(CONFIG_ATTEMPTS).any(|core| {
+                let put = call(*core, Method::Put, "/api/config", Some(config.clone()));
+                let acknowledged = matches!(block_on(timeout(CALL_TIMEOUT, put)), Ok(Ok((200, _))));
+                if !acknowledged {
+                    std::thread::sleep(CALL_TIMEOUT);
+                }
+                acknowledged
+            })
+        })
+    }
+
+    /// Waits for the operators. Returns whether all configurations were acknowledged.
+    pub fn wait_for_operators(&mut self) -> bool {
+        let ends: Vec<bool> =
+            self.operators.drain(..).map(|operator| operator.join().unwrap()).collect();
+        ends.into_iter().all(|acknowledged| acknowledged)
+    }
+}
+
+/// Returns a configuration whose other queues come and go with its version.
+fn config(version: u64) -> Value {
+    let queue = |name: String, prefix: String| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": prefix, "service": "gate",
+            "timeout_ms": 3000, "slo_ms": 600, "max_attempts": 3, "stretch": 1.6,
+        })
+    };
+    let mut queues = vec![queue("plugs".to_string(), PREFIX.to_string())];
+    queues.extend((0..version % 4).map(|n| queue(format!("other{n}"), format!("/other{n}/"))));
+    json!({"version": version, "routes": queues, "services": [{"name": "gate"}], "limits": {}})
+}
--- /dev/null
+++ b/tests/soak/planted.rs
@@ -0,0 +1,178 @@
+//! One planted fault for each promise; the checker has to find each.
+
+use super::checker::{Attempt, Exit, History, Kind, Outcome, Run, check};
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
+use std::time::Duration;
+
+const EDGE: u8 = 4;
+const JOB: &str = "00000000000000a1";
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn answered(status: u16, state: &str) -> Outcome {
+    Outcome::Answered(status, Some(state.to_string()).filter(|state| !state.is_empty()))
+}
+
+fn attempt(kind: Kind, job: &str, sent: u64, outcome: Outcome) -> Attempt {
+    let (sent, ended) = (at(sent), at(sent + 20));
+    Attempt { kind, job: job.to_string(), edge: EDGE, sent, ended, outcome }
+}
+
+fn run(job: &str, started: u64, ended: u64) -> Run {
+    Run {
+        unit: format!("{job}.0.0.0"),
+        worker: "w0".to_string(),
+        started: at(started),
+        end: Some((at(ended), "done")),
+        acknowledged: true,
+    }
+}
+
+fn exit(told_at: Option<u64>, ended: u64, raw_status: i32) -> Exit {
+    let status = Some(ExitStatus::from_raw(raw_status));
+    Exit { host: EDGE, told_at: told_at.map(at), at: at(ended), status }
+}
+
+/// Returns a history in which one job of one unit was done, and one edge was stopped.
+fn sound() -> History {
+    History {
+        jobs: [(JOB.to_string(), [format!("{JOB}.0.0.0")].into())].into(),
+        attempts: vec![
+            attempt(Kind::Submit, JOB, 10_000, answered(503, "")),
+            attempt(Kind::Submit, JOB, 10_500, answered(200, "")),
+            attempt(Kind::Read, JOB, 10_600, answered(200, "running")),
+            attempt(Kind::Question, JOB, 11_000, Outcome::TimedOut),
+            attempt(Kind::Question, JOB, 14_000, answered(200, "completed")),
+        ],
+        runs: vec![run(JOB, 10_510, 10_900)],
+        exits: vec![exit(Some(5000), 10_500, 0)],
+        impairments: Vec::new(),
+        faults_end: at(10_000),
+        edges: vec![EDGE],
+    }
+}
+
+fn assert_found(promise: &str, plant: impl FnOnce(&mut History)) {
+    let mut history = sound();
+    plant(&mut history);
+    let found: Vec<&str> = check(&history).iter().map(|violation| violation.promise).collect();
+    assert_eq!(found, [promise], "{:?}", check(&history));
+}
+
+#[test]
+fn a_sound_history_breaks_no_promise() {
+    assert!(check(&sound()).is_empty(), "{:?}", check(&sound()));
+}
+
+#[test]
+fn a_worker_that_runs_a_unit_twice_is_found() {
+    assert_found("two runs at one time", |history| history.runs.push(run(JOB, 10_700, 11_000)));
+}
+
+#[test]
+fn a_worker_that_starts_a_unit_after_its_end_is_found() {
+    assert_found("a start after the end", |history| history.runs.push(run(JOB, 11_000, 11_100)));
+}
+
+#[test]
+fn a_worker_that_starts_a_refused_job_is_found() {
+    assert_found("refusal", |history| history.runs.push(run("00000000000000a2", 10_600, 10_700)));
+}
+
+#[test]
+fn a_job_that_runs_by_an_attempt_that_was_refused_is_found() {
+    assert_found("refusal", |history| history.runs[0].started = at(10_100));
+}
+
+#[test]
+fn a_client_that_forgets_an_answer_is_found() {
+    let lost = |history: &mut History| {
+        history.attempts[2].outcome = Outcome::Broken("closed".to_string());
+        history.attempts[2].ended = at(10_900);
+    };
+    assert_found("answer", lost);
+    let mut killed = sound();
+    lost(&mut killed);
+    killed.impairments.push((EDGE, at(10_700), at(10_710)));
+    assert!(check(&killed).is_empty(), "the edge was killed");
+}
+
+#[test]
+fn a_connection_that_ends_at_once_is_found_unless_its_edge_stops() {
+    let broken = |history: &mut History| {
+        history.attempts[2].outcome = Outcome::Broken("closed".to_string());
+    };
+    assert_found("answer", broken);
+    let mut stopping = sound();
+    broken(&mut stopping);
+    stopping.exits[0].at = at(10_650);
+    assert!(check(&stopping).is_empty(), "the edge was closing its connections");
+}
+
+#[test]
+fn an_unexpected_status_is_found() {
+    assert_found("status", |history| history.attempts[2].outcome = answered(500, ""));
+}
+
+#[test]
+fn an_accepted_job_that_is_gone_is_found() {
+    assert_found("lost", |history| history.attempts[2].outcome = answered(410, ""));
+}
+
+#[test]
+fn a_completed_job_that_runs_again_is_found() {
+    assert_found("an older state", |history| {
+        history.attempts.insert(2, attempt(Kind::Read, JOB, 10_550, answered(200, "completed")));
+    });
+}
+
+#[test]
+fn a_completed_job_without_one_of_its_units_is_found() {
+    assert_found("all units", |history| history.runs[0].end = Some((at(10_900), "stopped")));
+}
+
+#[test]
+fn an_accepted_job_that_does_not_end_is_found() {
+    assert_found("end", |history| history.attempts[4].outcome = answered(200, "running"));
+}
+
+#[test]
+fn an_accepted_job_that_nobody_cancelled_is_found_as_cancelled() {
+    assert_found("end", |history| history.attempts[4].outcome = answered(200, "canceled"));
+}
+
+#[test]
+fn an_edge_that_accepts_nothing_after_the_faults_is_found() {
+    assert_found("recovery", |history| history.edges.push(EDGE + 1));
+}
+
+#[test]
+fn a_question_that_nobody_answers_is_found() {
+    assert_found("question", |history| {
+        history.attempts[4].outcome = answered(503, "");
+        history.attempts.push(attempt(Kind::Read, JOB, 15_000, answered(200, "completed")));
+    });
+}
+
+#[test]
+fn a_process_that_ends_by_itself_is_found() {
+    assert_found("exit", |history| history.exits.push(exit(None, 9000, 134)));
+}
+
+#[test]
+fn a_process_that_a_stop_signal_ends_with_a_failure_is_found() {
+    assert_found("exit", |history| history.exits.push(exit(Some(9000), 9001, 15)));
+}
+
+#[test]
+fn a_process_that_outlasts_its_grace_time_is_found() {
+    let late = exit(Some(1000), 7500, 0);
+    assert_found("exit", |history| history.exits.push(late.clone()));
+    let mut frozen = sound();
+    frozen.exits.push(late);
+    frozen.impairments.push((EDGE, at(2000), at(4000)));
+    assert!(check(&frozen).is_empty(), "the process was frozen");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -11,5 +11,6 @@
 mod recover;
 mod refusals;
 mod roles;
+mod soak;
 mod system;
 mod workdir;
