Tests: the soak finds an edge that is silent while no fault is near

A client that waits 3 s and reads nothing from an edge that no fault has met for 6 s, with the cores as calm, is a violation, and an attempt that failed is followed by one at another edge.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -172,13 +172,28 @@
                 attempt.ended - attempt.sent <= LOSS_SLACK && history.exits.iter().any(stopping);
             Some("answer").filter(|_| !excused && !closing)
         }
-        Outcome::Answered(200 | 410 | 429 | 502 | 503 | 504, _) => None,
+        Outcome::TimedOut => Some("answer").filter(|_| is_calm(history, attempt)),
+        Outcome::Answered(200 | 410 | 429 | 502 | 503 | 504, _) | Outcome::NotSent(_) => None,
         Outcome::Answered(..) => Some("status"),
-        _ => None,
     };
     promise.map(|promise| violation(promise, Some(attempt.edge), format!("{attempt:?}")))
 }
 
+/// Returns whether no core was stopped, and neither a core nor the attempt's edge killed or
+/// frozen, for long enough that the edge has a leader to ask.
+fn is_calm(history: &History, attempt: &Attempt) -> bool {
+    let (from, to) = (attempt.sent.saturating_sub(2 * CONTACT), attempt.ended);
+    let concerns = |host: u8| host == attempt.edge || !history.edges.contains(&host);
+    let impaired = |(host, start, end): &(u8, Duration, Duration)| {
+        concerns(*host) && *start <= to && *end >= from
+    };
+    let stopped = |exit: &Exit| {
+        let told = exit.told_at.unwrap_or(exit.at);
+        concerns(exit.host) && exit.host != attempt.edge && told <= to && exit.at >= from
+    };
+    !history.impairments.iter().any(impaired) && !history.exits.iter().any(stopped)
+}
+
 fn is_accepted(attempt: &Attempt) -> bool {
     attempt.kind == Kind::Submit && matches!(attempt.outcome, Outcome::Answered(200, _))
 }
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -48,6 +48,8 @@
     shared: Arc<Shared>,
     /// Open connections by edge; `None` for a client that opens one for each request.
     kept: Option<BTreeMap<u8, TcpStream>>,
+    /// Edge of the last attempt, if it failed; the next one goes to another edge.
+    avoided: Option<u8>,
     submitted: u64,
     accepted: Vec<String>,
 }
@@ -56,7 +58,7 @@
     pub fn new(shared: Arc<Shared>, seed: u64, number: u64) -> Client {
         let rng = StdRng::seed_from_u64(seed << 16 | number);
         let kept = (!number.is_multiple_of(3)).then(BTreeMap::new);
-        Client { number, rng, shared, kept, submitted: 0, accepted: Vec::new() }
+        Client { number, rng, shared, kept, avoided: None, submitted: 0, accepted: Vec::new() }
     }
 
     pub fn now(&self) -> Duration {
@@ -144,7 +146,9 @@
 
     fn attempt(&mut self, kind: Kind, job: &str, edge: Option<u8>) -> Outcome {
         let shared = self.shared.clone();
-        let drawn = *shared.edges.choose(&mut self.rng).unwrap();
+        let others: Vec<(u8, SocketAddr)> =
+            shared.edges.iter().filter(|(host, _)| Some(*host) != self.avoided).copied().collect();
+        let drawn = *others.choose(&mut self.rng).unwrap_or(&shared.edges[0]);
         let wanted = edge.and_then(|edge| shared.edges.iter().find(|(host, _)| *host == edge));
         let (edge, address) = wanted.copied().unwrap_or(drawn);
         let (method, body) = match kind {
@@ -162,6 +166,8 @@
         let mut sent = shared.now();
         let outcome = self.exchange(edge, address, &request, &mut sent);
         let ended = shared.now();
+        let answered = matches!(outcome, Outcome::Answered(200 | 410, _));
+        self.avoided = (!answered).then_some(edge);
         let attempt =
             Attempt { kind, job: job.to_string(), edge, sent, ended, outcome: outcome.clone() };
         shared.attempts.lock().unwrap().push(attempt);
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -44,7 +44,7 @@
             attempt(Kind::Submit, JOB, 10_000, answered(503, "")),
             attempt(Kind::Submit, JOB, 10_500, answered(200, "")),
             attempt(Kind::Read, JOB, 10_600, answered(200, "running")),
-            attempt(Kind::Question, JOB, 11_000, Outcome::TimedOut),
+            attempt(Kind::Question, JOB, 11_000, answered(504, "")),
             attempt(Kind::Question, JOB, 14_000, answered(200, "completed")),
         ],
         runs: vec![run(JOB, 10_510, 10_900)],
@@ -112,6 +112,16 @@
     assert!(check(&stopping).is_empty(), "the edge was closing its connections");
 }
 
+#[test]
+fn an_edge_that_answers_nothing_in_time_is_found_unless_a_core_was_frozen() {
+    let silent = |history: &mut History| history.attempts[2].outcome = Outcome::TimedOut;
+    assert_found("answer", silent);
+    let mut frozen = sound();
+    silent(&mut frozen);
+    frozen.impairments.push((1, at(7000), at(8000)));
+    assert!(check(&frozen).is_empty(), "a core was frozen");
+}
+
 #[test]
 fn an_unexpected_status_is_found() {
     assert_found("status", |history| history.attempts[2].outcome = answered(500, ""));
