--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -5,6 +5,7 @@
 use crate::system::{CONTROL, INTERNAL, PREFIX, System};
 use async_std::future::timeout;
 use async_std::task::block_on;
+use futures::future::join_all;
 use http_types::Method;
 use platform_standin::call;
 use rand::Rng;
@@ -19,7 +20,9 @@
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(10);
-/// Time for an answer of a core.
+/// Time for the state of a core; ends of processes are noted that much later meanwhile.
+const DUMP_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for an answer of a core to an operator.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of times that a configuration is sent, one for each [`CALL_TIMEOUT`] or pause.
 const CONFIG_ATTEMPTS: usize = 80;
@@ -259,13 +262,13 @@
 
     /// Returns the core that says that it leads, or the first one.
     fn leader(&self) -> u8 {
-        let leads = |core: &u8| {
-            let address = self.system.address(*core, INTERNAL.1);
-            let dump = call(address, Method::Get, "/dump", None);
-            let dump = block_on(timeout(CALL_TIMEOUT, dump));
+        let leads = async |core: u8| {
+            let address = self.system.address(core, INTERNAL.1);
+            let dump = timeout(DUMP_TIMEOUT, call(address, Method::Get, "/dump", None)).await;
             matches!(dump, Ok(Ok((200, dump))) if !dump["reign"].is_null())
         };
-        self.system.cores().find(leads).unwrap_or(1)
+        let answers = block_on(join_all(self.system.cores().map(leads)));
+        self.system.cores().zip(answers).find(|(_, leads)| *leads).map_or(1, |(core, _)| core)
     }
 
     /// Submits another configuration in a thread, which returns whether it was acknowledged.
