Tests: the soak knows that an edge was stopping when it kills it

The edge had been told to stop at 23.043 s and closed its listener 2.6 s later, within the slack for that; but the soak killed it at 26.118 s and had then forgotten the signal.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -60,7 +60,7 @@
     pub acknowledged: bool,
 }
 
-/// The end of a process that was not killed by the soak.
+/// The end of a process, but for a kill of one that was not told to stop.
 #[derive(Clone, Debug)]
 pub struct Exit {
     pub host: u8,
@@ -71,6 +71,8 @@
     pub at: Duration,
     /// `None` if it was still running, and was killed.
     pub status: Option<std::process::ExitStatus>,
+    /// Whether it was a fault of the soak.
+    pub killed: bool,
 }
 
 /// All that was seen.
@@ -158,7 +160,7 @@
         let text = format!("p{} at {:.3?}, told {:.3?}: {text}", exit.host, exit.at, exit.told_at);
         Some(violation("exit", Some(exit.host), text))
     };
-    history.exits.iter().filter_map(judge).collect()
+    history.exits.iter().filter(|exit| !exit.killed).filter_map(judge).collect()
 }
 
 /// Checks that a request was answered unless a fault met its edge, and with a known status.
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -211,15 +211,11 @@
         for host in hosts {
             let status = self.system.processes.remove(host).unwrap().wait().unwrap();
             let told_at = self.told.remove(host);
-            if status.signal() != Some(Signal::KILL.as_raw()) {
-                let seen = self.seen.get(host).copied().unwrap_or(from);
-                self.exits.push(Exit {
-                    host: *host,
-                    told_at,
-                    seen,
-                    at: from,
-                    status: Some(status),
-                });
+            let killed = status.signal() == Some(Signal::KILL.as_raw());
+            if told_at.is_some() || !killed {
+                let (host, at) = (*host, self.shared.now());
+                let seen = self.seen.get(&host).copied().unwrap_or(at);
+                self.exits.push(Exit { host, told_at, seen, at, status: Some(status), killed });
             }
             self.end_freeze(*host);
         }
@@ -250,7 +246,7 @@
             self.told.remove(&host);
             self.end_freeze(host);
             let seen = self.seen.get(&host).copied().unwrap_or(now);
-            self.exits.push(Exit { host, told_at, seen, at: now, status });
+            self.exits.push(Exit { host, told_at, seen, at: now, status, killed: false });
             if !self.stopping {
                 self.system.run(host, false);
                 if !status.is_some_and(|status| status.success()) {
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -33,7 +33,14 @@
 
 fn exit(told_at: Option<u64>, ended: u64, raw_status: i32) -> Exit {
     let status = Some(ExitStatus::from_raw(raw_status));
-    Exit { host: EDGE, told_at: told_at.map(at), seen: at(ended - 10), at: at(ended), status }
+    Exit {
+        host: EDGE,
+        told_at: told_at.map(at),
+        seen: at(ended - 10),
+        at: at(ended),
+        status,
+        killed: false,
+    }
 }
 
 /// Returns a history in which one job of one unit was done, and one edge was stopped.
