--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -1,6 +1,7 @@
 //! Real `core` and `edge` processes with stand-in workers: leader changes, graceful stops
 //! and refused settings.
 
+use crate::system::{BINARY, CALLERS, CONTROL, HEALTH, INTERNAL, PREFIX, System, until};
 use crate::workdir;
 use async_std::task::block_on;
 use http_types::Method;
@@ -8,190 +9,18 @@
 use quorum::{Entry, Output, Payload};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 use store::{DiskFolder, Store};
 
-const BINARY: &str = env!("CARGO_BIN_EXE_skylarkwinch");
-const CALLERS: u16 = 7001;
-const HEALTH: u16 = 7002;
-const CONTROL: u16 = 7003;
-const INTERNAL: (u16, u16) = (7010, 7020);
-/// A test fails when a condition is not met within this time; no step takes as long.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
-const PREFIX: &str = "/plugs/";
-
-static NEXT_NETWORK: AtomicU8 = AtomicU8::new(120);
-
-/// Three core processes and an edge, each at an address of its own.
-struct System {
-    folder: tempfile::TempDir,
-    network: u8,
-    processes: BTreeMap<u8, Child>,
-}
-
 const CORES: [u8; 3] = [1, 2, 3];
 const EDGE: u8 = 4;
 
-impl System {
-    /// Returns a system none of whose processes runs.
-    fn new() -> System {
-        let folder = tempfile::tempdir().unwrap();
-        let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
-        System { folder, network, processes: BTreeMap::new() }
-    }
-
-    fn start() -> System {
-        let mut system = System::new();
-        for host in CORES.into_iter().chain([EDGE]) {
-            system.run(host, true);
-        }
-        system
-    }
-
-    /// Returns an address in a loopback network that no other test process uses.
-    fn ip(&self, host: u8) -> IpAddr {
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        Ipv4Addr::new(127, self.network, high ^ (host << 5), low).into()
-    }
-
-    fn address(&self, host: u8, port: u16) -> SocketAddr {
-        SocketAddr::new(self.ip(host), port)
-    }
-
-    fn settings(&self, host: u8, founding: bool) -> Value {
-        let seeds: Vec<SocketAddr> = CORES.map(|core| self.address(core, CONTROL)).to_vec();
-        let mut settings = json!({
-            "name": format!("p{host}"),
-            "data_centre": "north",
-            "founding": founding,
-            "seeds": seeds,
-            "listen": {"ip": self.ip(host), "internal": [INTERNAL.0, INTERNAL.1]},
-        });
-        if host == EDGE {
-            settings["listen"]["callers"] = json!(self.address(host, CALLERS));
-            settings["listen"]["health"] = json!(self.address(host, HEALTH));
-        } else {
-            let data = self.folder.path().join(format!("data{host}"));
-            std::fs::create_dir_all(&data).unwrap();
-            settings["data_folder"] = json!(data);
-            settings["listen"]["control"] = json!(self.address(host, CONTROL));
-        }
-        settings
-    }
-
-    fn run(&mut self, host: u8, founding: bool) {
-        let path = self.folder.path().join(format!("p{host}.yaml"));
-        std::fs::write(&path, self.settings(host, founding).to_string()).unwrap();
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.folder.path().join(format!("p{host}.log")))
-            .unwrap();
-        let role = if host == EDGE { "edge" } else { "core" };
-        let mut command = Command::new(BINARY);
-        command.arg(role).arg(&path).stdout(log.try_clone().unwrap()).stderr(log);
-        self.processes.insert(host, workdir::start(&mut command));
-    }
-
-    fn kill(&mut self, host: u8) {
-        let mut child = self.processes.remove(&host).unwrap();
-        child.kill().unwrap();
-        child.wait().unwrap();
-    }
-
-    fn dump(&self, host: u8) -> Option<Value> {
-        let address = self.address(host, INTERNAL.1);
-        block_on(call(address, Method::Get, "/dump", None)).ok().map(|(_, dump)| dump)
-    }
-
-    fn leader(&self) -> Option<u8> {
-        CORES.into_iter().find(|core| {
-            self.processes.contains_key(core)
-                && self.dump(*core).is_some_and(|dump| !dump["reign"].is_null())
-        })
-    }
-
-    fn wait_for_leader(&self) -> u8 {
-        until("a core process leads", || self.leader().is_some());
-        self.leader().unwrap()
-    }
-
-    /// Submits a configuration until it is acknowledged.
-    fn configure(&self, version: u64) {
-        let host = self.ip(EDGE).to_string();
-        let config = json!({
-            "version": version,
-            "routes": [{
-                "name": "plugs", "host": host, "path_prefix": PREFIX, "service": "gate",
-                "timeout_ms": 3000, "slo_ms": 600, "max_attempts": 3, "stretch": 1.6,
-            }],
-            "services": [{"name": "gate"}],
-            "limits": {},
-        });
-        until("the configuration is acknowledged", || {
-            let address = self.address(CORES[0], CONTROL);
-            let put = call(address, Method::Put, "/api/config", Some(config.clone()));
-            matches!(block_on(put), Ok((200, _)))
-        });
-    }
-
-    fn call_edge(&self, method: Method, id: &str, body: Option<Value>) -> (u16, Value) {
-        let path = format!("{PREFIX}{id}");
-        let response = call(self.address(EDGE, CALLERS), method, &path, body);
-        block_on(response).unwrap_or((0, Value::Null))
-    }
-
-    /// Submits a job until it is accepted, as clients do while the outcome is unknown.
-    fn submit(&self, id: &str, job: &Value) {
-        until("the job is accepted", || {
-            self.call_edge(Method::Post, id, Some(job.clone())).0 == 200
-        });
-    }
-}
-
-impl Drop for System {
-    fn drop(&mut self) {
-        for child in self.processes.values_mut() {
-            let _ = child.kill(); // it may have exited
-            let _ = child.wait();
-        }
-        if std::thread::panicking() {
-            self.print_logs();
-        }
-    }
-}
-
-/// Number of last lines of each process's log that a failed test prints.
-const PRINTED_LINES: usize = 60;
-
-impl System {
-    /// Prints the ends of the logs, which are removed with the folder.
-    fn print_logs(&self) {
-        for host in CORES.into_iter().chain([EDGE]) {
-            let path = self.folder.path().join(format!("p{host}.log"));
-            let log = std::fs::read_to_string(path).unwrap_or_default();
-            let lines: Vec<&str> = log.lines().collect();
-            let last = lines.len().saturating_sub(PRINTED_LINES);
-            println!("log of p{host} at {}:\n{}", self.ip(host), lines[last..].join("\n"));
-        }
-    }
-}
-
-fn until(what: &str, mut condition: impl FnMut() -> bool) {
-    let end = Instant::now() + CONDITION_TIMEOUT;
-    while !condition() {
-        assert!(Instant::now() < end, "not within {CONDITION_TIMEOUT:?}: {what}");
-        std::thread::sleep(Duration::from_millis(30));
-    }
-}
-
 fn workers(system: &System) -> Vec<Worker> {
     let control: Vec<SocketAddr> = CORES.map(|core| system.address(core, CONTROL)).to_vec();
     let start = |id: &str| block_on(Worker::start(id, "gate", control.clone())).unwrap();
@@ -405,7 +234,7 @@
 #[test]
 fn signals_that_arrive_during_the_start_are_handled() {
     for attempt in 0..6 {
-        let mut system = System::new();
+        let mut system = System::with_size(3, 1);
         let hosts = [(EDGE, CALLERS), (CORES[0], CONTROL)];
         for (host, port) in hosts {
             system.run(host, false);
@@ -433,7 +262,7 @@
 
 #[test]
 fn a_core_that_waits_for_its_disk_stops_when_told() {
-    let mut system = System::new();
+    let mut system = System::with_size(3, 1);
     let log = || std::fs::read_to_string(system.folder.path().join("p1.log")).unwrap_or_default();
     let mut settings = system.settings(CORES[0], true);
     let file = system.folder.path().join("file");
@@ -524,19 +353,39 @@
     assert!(child.wait().unwrap().success());
 }
 
+/// Time after a stop signal at which the cores freeze, shortly before the edge stops listening.
+const FREEZE_DELAY: Duration = Duration::from_millis(2300);
+
+#[test]
+fn an_edge_ends_within_its_grace_time_while_a_request_waits_for_frozen_cores() {
+    let mut system = System::with_size(3, 1);
+    system.grace_s = 4;
+    system.run_all(true);
+    system.wait_for_leader();
+    system.configure(1);
+    system.submit(&id(0), &job(1, 1, 100));
+    let address = system.address(EDGE, CALLERS);
+    let mut edge = system.processes.remove(&EDGE).unwrap();
+    let signalled_at = Instant::now();
+    kill_process(Pid::from_child(&edge), Signal::TERM).unwrap();
+    std::thread::sleep(FREEZE_DELAY);
+    for core in CORES {
+        kill_process(Pid::from_child(&system.processes[&core]), Signal::STOP).unwrap();
+    }
+    let caller = std::thread::spawn(move || request(address, &id(0), ""));
+    assert!(edge.wait().unwrap().success());
+    let took = signalled_at.elapsed();
+    assert!(took <= Duration::from_secs(system.grace_s), "{took:?}");
+    caller.join().unwrap();
+}
+
 #[test]
 fn a_stopping_edge_answers_requests_that_wait_for_a_leader() {
-    let mut system = System::start();
+    let mut system = System::with_size(3, 1);
+    system.grace_s = 4; // less than it takes to find that no core answers
+    system.run_all(true);
     system.wait_for_leader();
     system.configure(1);
-    system.kill(EDGE);
-    let mut settings = system.settings(EDGE, false);
-    settings["bounds"] = json!({"grace_s": 4}); // less than it takes to find that no core answers
-    let path = system.folder.path().join("short.yaml");
-    std::fs::write(&path, settings.to_string()).unwrap();
-    let mut command = Command::new(BINARY);
-    let edge = workdir::start(command.arg("edge").arg(&path).stdout(Stdio::null()));
-    system.processes.insert(EDGE, edge);
     until("the edge answers", || system.call_edge(Method::Get, &id(1), None).0 == 410);
     let mut child = system.processes.remove(&EDGE).unwrap();
     kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
@@ -557,8 +406,8 @@
     head.starts_with("HTTP/1.1 ") && length == Some(body.len().to_string().as_str())
 }
 
-/// Requests a job's state on a connection of its own, with further lines of the head. Returns whether the whole request was
-/// written, and the answer, which is empty after a read error.
+/// Requests a job's state on a connection of its own, with further lines of the head. Returns
+/// whether the whole request was written, and the answer, which is empty after a read error.
 fn request(address: SocketAddr, id: &str, lines: &str) -> (bool, String) {
     let Ok(mut stream) = TcpStream::connect(address) else { return (false, String::new()) };
     let host = address.ip();
