Sched, control: fences of workers are the term alone again

That needs an older core beside newer ones, as in an upgrade or when one is taken back, and then no accepted job runs. The fault that it mended needs a late acknowledgement and a worker that restarts within 15 s.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -88,10 +88,7 @@
                 return;
             }
             info!("reign.began term={term} jobs={}", self.ledger.jobs().len());
-            let mut settings = self.sched_settings.clone();
-            // A later leader of a version that can't would be refused by the workers.
-            let mut cores = self.peers.iter().filter(|peer| peer.durable);
-            settings.fences_incarnations &= cores.all(|peer| peer.fences_incarnations);
+            let settings = self.sched_settings.clone();
             let scheduler = Scheduler::new(settings, term, time, &self.ledger, &self.roster);
             self.leadership = Some(Leadership { scheduler, term, published_at: None });
             self.proposal_queue.clear();
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -88,10 +88,6 @@
     /// that can't.
     #[serde(default)]
     pub relays_orders: bool,
-    /// Whether it gives each incarnation of a worker a fence of its own when it leads. False for
-    /// processes of versions that can't.
-    #[serde(default)]
-    pub fences_incarnations: bool,
 }
 
 impl ProcessInfo {
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -218,7 +218,6 @@
             move_duration: s(self.move_s, defaults.move_duration),
             maintenance_duration: s(self.upkeep_s, defaults.maintenance_duration),
             rate_window: s(self.rate_window_s, defaults.rate_window),
-            fences_incarnations: defaults.fences_incarnations,
         }
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod admission;
 pub mod crash;
 pub mod estimate;
-pub mod fence;
 pub mod instance;
 pub mod late;
 pub mod lease;
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -25,7 +25,6 @@
 
 use crate::crash::Loss;
 use crate::estimate::Estimator;
-use crate::fence::Fences;
 use crate::instance::Instance;
 use crate::lease::Lease;
 use crate::order::{Order, Reply};
@@ -136,14 +135,9 @@
     /// Token of this leadership in its orders. A receiver that has seen a higher one refuses
     /// them.
     fence: Fence,
-    /// Fences of its orders to workers.
-    worker_fences: Fences,
     /// A higher fence has been seen, so this leader no longer sends orders.
     superseded: bool,
     workers: BTreeMap<WorkerId, Worker>,
-    /// Restarts that a worker which becomes known counts as having had: more than any forgotten
-    /// worker, which may come back, and whose fence must not fall.
-    least_restarts: u64,
     /// Steps with units that wait for free resources.
     waiting: BTreeMap<PoolName, BTreeMap<StepKey, Waiting>>,
     /// Occurrences of scheduled jobs that wait for their due time, earliest first.
@@ -225,17 +219,11 @@
         roster: &Roster,
     ) -> Scheduler {
         let rates = Rates::new(settings.rate_window);
-        let worker_fences = match settings.fences_incarnations {
-            true => Fences::rising(fence),
-            false => Fences::fixed(fence),
-        };
         let mut scheduler = Scheduler {
             settings,
             fence,
-            worker_fences,
             superseded: false,
             workers: BTreeMap::new(),
-            least_restarts: 0,
             waiting: BTreeMap::new(),
             due_occurrences: BTreeSet::new(),
             accepted_at: BTreeMap::new(),
@@ -305,11 +293,6 @@
         &self.workers
     }
 
-    /// Returns the fence of orders to a worker; `None` if it is not known.
-    pub fn worker_fence(&self, worker: &WorkerId) -> Option<Fence> {
-        Some(self.worker_fences.after(self.workers.get(worker)?.restarts))
-    }
-
     /// Returns the number of units that wait for free resources in each pool.
     pub fn backlog(&self) -> BTreeMap<PoolName, usize> {
         let count = |steps: &BTreeMap<StepKey, Waiting>| {
@@ -389,9 +372,9 @@
     /// Returns a worker's state, adding one with a full inherited lease if it is unknown.
     fn worker_or_inherited(&mut self, time: Time, incarnation: &Incarnation) -> &mut Worker {
         let lease = Lease::inherited(time.monotonic, LEASE_DURATION.min(self.settings.max_lease));
-        let restarts = self.least_restarts;
-        let worker = || Worker { restarts, ..Worker::new(incarnation.clone(), lease) };
-        self.workers.entry(incarnation.worker.clone()).or_insert_with(worker)
+        self.workers
+            .entry(incarnation.worker.clone())
+            .or_insert_with(|| Worker::new(incarnation.clone(), lease))
     }
 
     /// Adds a decision to those for the process log.
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -100,7 +100,7 @@
             worker.polling.max_wait = max_wait;
             worker.polling.grants_lease = lease_end_ms.is_some();
             let poll = Poll {
-                fence: self.worker_fences.after(worker.restarts),
+                fence: self.fence,
                 acknowledged_through,
                 lease_end_ms,
                 max_wait,
@@ -115,9 +115,7 @@
         for id in unreachable {
             let is_idle = |worker: &Worker| worker.runs.is_empty() && worker.late_starts.is_empty();
             if self.workers.get(&id).is_some_and(is_idle) {
-                if let Some(worker) = self.workers.remove(&id) {
-                    self.least_restarts = self.least_restarts.max(worker.restarts + 1);
-                }
+                self.workers.remove(&id);
                 self.usage.replace(&id, Totals::new());
             }
         }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -145,7 +145,7 @@
             run: number,
             spec: job.definition.spec.clone(),
             lease_end_ms,
-            fence: self.worker_fences.after(worker.restarts),
+            fence: self.fence,
             checkpoint: placement.checkpoint.clone(),
             ticket,
         };
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -19,9 +19,6 @@
     pub maintenance_duration: Duration,
     /// Time over which the rate of an account's jobs is averaged.
     pub rate_window: Duration,
-    /// Whether orders to a worker that has restarted carry a higher fence than those to its
-    /// predecessor. Leaders of versions that can't are refused by the workers afterwards.
-    pub fences_incarnations: bool,
 }
 
 impl Default for Settings {
@@ -32,7 +29,6 @@
             move_duration: Duration::from_millis(1500),
             maintenance_duration: Duration::from_secs(2),
             rate_window: Duration::from_secs(5),
-            fences_incarnations: true,
         }
     }
 }
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -124,7 +124,6 @@
             control_address: settings.listen.control,
             data_centre: Some(settings.data_centre.clone()),
             relays_orders: true,
-            fences_incarnations: true,
         },
         seeds: settings.seed_addresses(),
         founders: settings.seeds.0.clone(),
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -66,7 +66,6 @@
             control_address: None,
             data_centre: Some(settings.data_centre.clone()),
             relays_orders: false,
-            fences_incarnations: false,
         };
         let gateway = Gateway::start(process_info, clock, settings.seed_addresses());
         let stopping = Arc::new(AtomicBool::new(false));
