Edge: a request that a leader refuses is sent to it ever more rarely

What callers can see: a core that is behind, or a leader without a lease, stays so: each waiting request is sent again every 25 ms, some 110 times in a deadline of 3 s, into a queue that holds the consensus messages too. Since full queues refuse at once nothing dampened it.

The pause doubles from 25 to 400 ms and ends as soon as another process leads, which a request in a pause looks for every 50 ms. A request whose gateway is full of attempts waits for those that it has, in place of giving them up.

--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -11,9 +11,11 @@
 use std::fmt;
 use std::time::Duration;
 
-/// Pause before a request that was refused is sent again.
+/// Pause after the first refusal before a request is sent again; it doubles with each refusal.
 const RETRY_INTERVAL: Duration = Duration::from_millis(25);
-/// How often a request without a leader looks for one, unless it is told of it before.
+/// Longest pause: requests that wait must not be most of the load of a core that is behind.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(400);
+/// How often a request that waits for a leader or in a pause looks whether there is a new one.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a request without a reply is sent again, on another route if there is one; a
 /// disk sync and a round trip take about a tenth of it.
@@ -53,8 +55,12 @@
     is_write: bool,
     deadline: Duration,
     waiting: BTreeMap<RequestId, Attempt>,
-    /// The request is not sent again before this time.
-    not_before: Duration,
+    /// The leader, or the follower that stands for it, as of the last look.
+    route: Option<String>,
+    /// The request is not sent on this route before this time.
+    paused_until: Duration,
+    /// Pause after the next refusal.
+    retry_interval: Duration,
     /// Processes that have refused the request since all were tried.
     refused_by: BTreeSet<String>,
     /// An attempt ended without saying whether the request was carried out.
@@ -73,7 +79,9 @@
             is_write,
             deadline,
             waiting: BTreeMap::new(),
-            not_before: Duration::ZERO,
+            route: None,
+            paused_until: Duration::ZERO,
+            retry_interval: RETRY_INTERVAL,
             refused_by: BTreeSet::new(),
             is_doubtful: false,
             sent: 0,
@@ -88,11 +96,15 @@
         if now >= self.deadline {
             return Step::GiveUp("no reply before the deadline");
         }
-        if now < self.not_before {
-            return self.wait_until(self.not_before);
+        let action = leaders.action(now);
+        if let Action::Send(leader) = &action {
+            self.follow_route(leader);
+            if now < self.paused_until {
+                return self.wait_until(self.paused_until.min(now + LEADER_CHECK_INTERVAL));
+            }
         }
         let newest = self.waiting.values().map(|attempt| attempt.sent_at).max();
-        match (leaders.action(now), newest) {
+        match (action, newest) {
             (Action::Refuse, None) => Step::GiveUp("no leader is known"),
             (Action::Wait, None) => self.wait_until(now + LEADER_CHECK_INTERVAL),
             (Action::Send(leader), None) => self.send(leaders, leader),
@@ -111,6 +123,15 @@
         }
     }
 
+    /// Ends the pause if the request goes another way than before.
+    fn follow_route(&mut self, leader: &str) {
+        if self.route.as_deref() != Some(leader) {
+            self.route = Some(leader.to_string());
+            self.paused_until = Duration::ZERO;
+            self.retry_interval = RETRY_INTERVAL;
+        }
+    }
+
     fn wait_until(&self, at: Duration) -> Step {
         Step::Wait(at.min(self.deadline))
     }
@@ -136,7 +157,6 @@
     /// Records that the request was sent to a process.
     pub fn record_sent(&mut self, now: Duration, id: RequestId, peer: &str) {
         self.sent += 1;
-        self.not_before = now + RETRY_INTERVAL;
         self.waiting.insert(id, Attempt { peer: peer.to_string(), sent_at: now });
     }
 
@@ -164,11 +184,17 @@
 
     fn record_refusal(&mut self, now: Duration, peer: String, reason: String) {
         self.refused += 1;
-        self.not_before = now + RETRY_INTERVAL;
+        self.pause(now);
         self.refused_by.insert(peer.clone());
         self.last_failure = Some((peer, reason));
     }
 
+    /// Sends the request no more for a while.
+    pub fn pause(&mut self, now: Duration) {
+        self.paused_until = now + self.retry_interval;
+        self.retry_interval = (self.retry_interval * 2).min(MAX_RETRY_INTERVAL);
+    }
+
     /// Records that the link was lost on which an attempt was sent.
     pub fn record_lost(&mut self, id: RequestId) {
         let Some(attempt) = self.waiting.remove(&id) else { return };
@@ -196,6 +222,11 @@
         self.waiting.keys().copied()
     }
 
+    /// Whether an attempt has no reply yet.
+    pub fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Returns how often the request was sent.
     pub fn count(&self) -> u32 {
         self.sent
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -135,6 +135,10 @@
                 Step::Wait(until) => until,
                 Step::Send(peer) => match asking.send(now, &peer) {
                     Ok(()) => continue,
+                    Err(_) if asking.attempts.is_waiting() => {
+                        asking.attempts.pause(now); // a reply may still come
+                        continue;
+                    }
                     Err(reason) => return asking.give_up(reason),
                 },
             };
--- a/crates/edge/tests/attempts.rs
+++ b/crates/edge/tests/attempts.rs
@@ -41,6 +41,28 @@
     assert_eq!(sent_at, [0, 1200, 2400]);
 }
 
+#[test]
+fn a_leader_that_refuses_is_asked_ever_more_rarely_until_another_one_leads() {
+    let mut leaders = leaders(&[]);
+    let mut attempts = Attempts::new(false, DEADLINE);
+    let mut sent_at = Vec::new();
+    for millis in 0..3000 {
+        if millis == 2000 {
+            let leader = Some(Id::new("b", 1));
+            let status = Status { term: 3, leader, is_leader: true, ..Status::default() };
+            leaders.record_status(at(2000), Id::new("b", 1), status);
+        }
+        if let Step::Send(peer) = attempts.next(at(millis), &leaders) {
+            attempts.record_sent(at(millis), sent_at.len() as u64, &peer);
+            attempts.record_reply(at(millis), sent_at.len() as u64, refusal());
+            sent_at.push(millis);
+        }
+    }
+    assert_eq!(sent_at[..6], [0, 25, 75, 175, 375, 775]);
+    assert!(sent_at.contains(&2000), "a new leader is asked at once: {sent_at:?}");
+    assert!(sent_at.len() <= 16, "{sent_at:?}");
+}
+
 #[test]
 fn a_write_is_said_not_to_be_taken_only_if_every_attempt_was_refused() {
     let leaders = leaders(&["b"]);
