Edge: a submission that may run is not said to have no queue

What callers can see: 404 for a job that runs. An attempt without a reply may have been taken before a configuration dropped the queue; the next attempt is told that there is none.

Evidence: a_write_with_an_attempt_that_may_run_is_not_said_to_have_no_queue got NoQueue on the code before. The reply is Unknown then, as for refusals by load and key.

--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -276,6 +276,9 @@
         {
             Reply::Unknown(reason)
         }
+        Reply::NoQueue if has_unanswered_attempt => {
+            Reply::Unknown("the queue is no longer configured".to_string())
+        }
         reply => reply,
     }
 }
--- a/crates/edge/tests/attempts.rs
+++ b/crates/edge/tests/attempts.rs
@@ -63,6 +63,15 @@
     assert!(sent_at.len() <= 16, "{sent_at:?}");
 }
 
+#[test]
+fn a_write_with_an_attempt_that_may_run_is_not_said_to_have_no_queue() {
+    let mut attempts = Attempts::new(true, DEADLINE);
+    attempts.record_sent(at(0), 1, "a");
+    attempts.record_sent(at(1200), 2, "b");
+    let reply = attempts.record_reply(at(1210), 2, Reply::NoQueue);
+    assert!(matches!(reply, Some(Reply::Unknown(_))), "{reply:?}");
+}
+
 #[test]
 fn a_write_is_said_not_to_be_taken_only_if_every_attempt_was_refused() {
     let leaders = leaders(&["b"]);
