Entry: a failed accept does not end the listener for other entries

By reading, found by the review: the first error of accept, such as too many open files, ended the task without a line in the log. Of two entries only the one with the lower name dials, so those with lower names could never link again. No test: the error needs a process without descriptors. It is logged now, and the listener goes on after a pause, as in mesh::net.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -97,7 +97,15 @@
 
 /// Accepts connections of other entries until this task is cancelled.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener, registry: Arc<Registry>) {
-    while let Ok((stream, address)) = listener.accept().await {
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!("peer.accept error={error}");
+                task::sleep(REDIAL_INTERVAL).await;
+                continue;
+            }
+        };
         let (task_shared, registry) = (shared.clone(), registry.clone());
         shared.connection_tasks.spawn(async move {
             let result = accept(&task_shared, &registry, stream).await;
