Control: cores send their status again while nothing changes

What callers can see: 503 at an edge whose links are all up, for as long as nothing changes among the cores; a core that two others never link again after a cut of more than a minute.

Cause: a status was sent when it changed and when a link came up. Its receivers learn the leader and the addresses of cores from it. The event of a link is dropped while the input queue is full, and addresses without a link expire after 60 s.

Evidence: statuses_are_sent_again_while_nothing_changes counted 0 in 12 s without the change.

Each core repeats its status after 5 s, some 200 bytes to each linked process.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -1,7 +1,7 @@
 //! Processes the output of the consensus node: syncs the log, sends messages, applies
 //! committed entries and compacts the log. Also handles disk failures.
 
-use super::{Core, REOPEN_INTERVAL};
+use super::{Core, REOPEN_INTERVAL, STATUS_INTERVAL};
 use jobs::{Command, Event, Job, Ledger};
 use log::{error, info, warn};
 use mesh::{Frame, ProcessInfo, Status};
@@ -289,7 +289,8 @@
         }
     }
 
-    /// Sends this process's status to the other processes if it has changed.
+    /// Sends this process's status to the other processes if it has changed, and again from time
+    /// to time.
     pub(super) fn update_status(&mut self) {
         let mut core_addresses: std::collections::BTreeSet<_> = self
             .peers
@@ -308,7 +309,11 @@
             configured: self.ledger.config().is_some(),
             core_addresses,
         };
+        let now = self.environment.now();
         if status == self.status {
+            if now >= self.status_sent_at + STATUS_INTERVAL {
+                self.send_status(now);
+            }
             return;
         }
         let leader_changed = (&status.leader, status.term, status.is_leader)
@@ -319,9 +324,14 @@
         }
         self.status = status.clone();
         self.environment.publish_status(&status);
+        self.send_status(now);
+    }
+
+    fn send_status(&mut self, now: Duration) {
+        self.status_sent_at = now;
         let peers = self.environment.peers();
         let names: Vec<&str> = peers.iter().map(|peer| peer.name.as_str()).collect();
-        self.environment.send_all(&names, Frame::Status(status));
+        self.environment.send_all(&names, Frame::Status(self.status.clone()));
     }
 }
 
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -39,6 +39,9 @@
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest wait for an input, the resolution of timers.
 const MIN_WAIT: Duration = Duration::from_millis(1);
+/// Longest time between two statuses to the other processes. They learn of the addresses of the
+/// core processes from it, and a process whose link was not noticed learns who leads.
+const STATUS_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two removals of expired reports and of forwarded requests that timed out.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -208,6 +211,8 @@
     /// Voters without a link to this process, with the time since which it is missing.
     unlinked_since: BTreeMap<Id, Duration>,
     last_expiry_at: Duration,
+    /// When the status was last sent to all other processes.
+    status_sent_at: Duration,
     /// Time spent in writes and syncs of the disk since it was last taken.
     disk_time: Duration,
     /// The process is about to end.
@@ -262,6 +267,7 @@
             status: Status::default(),
             unlinked_since: BTreeMap::new(),
             last_expiry_at: Duration::ZERO,
+            status_sent_at: Duration::ZERO,
             disk_time: Duration::ZERO,
             stopping: false,
         };
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -409,6 +409,17 @@
     assert!(sent.values().all(|count| count * 3 <= total * 2), "{sent:?}");
 }
 
+#[test]
+fn statuses_are_sent_again_while_nothing_changes() {
+    let mut world = World::new(7);
+    world.heal();
+    world.run(Duration::from_secs(2));
+    let before = world.statuses_sent(0);
+    world.run(Duration::from_secs(12));
+    let sent = world.statuses_sent(0) - before;
+    assert!((2..=8).contains(&sent), "{sent} statuses of two cores in 12 s");
+}
+
 #[test]
 fn a_core_with_an_empty_disk_is_sent_the_log_once() {
     const JOBS: u64 = 3000;
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -103,6 +103,8 @@
     orders: Vec<(Fence, ProcessInfo)>,
     /// Number of log entries that were sent to each core.
     entries_sent: Vec<usize>,
+    /// Number of statuses that were sent to each core.
+    statuses_sent: Vec<usize>,
     /// Ids of the requests that each core forwarded.
     forwarded: Vec<Vec<RequestId>>,
     /// Orders that each core asked others to send.
@@ -167,6 +169,9 @@
                 if let Frame::Request(id, _) = &frame {
                     shared.forwarded[self.own].push(*id);
                 }
+                if let Frame::Status(_) = &frame {
+                    shared.statuses_sent[to] += 1;
+                }
                 if let Frame::Quorum(Message::AppendRequest(append)) = &frame {
                     shared.entries_sent[to] += append.entries.len();
                 }
@@ -237,6 +242,7 @@
             inboxes: (0..count).map(|_| Vec::new()).collect(),
             orders: Vec::new(),
             entries_sent: vec![0; count],
+            statuses_sent: vec![0; count],
             forwarded: vec![Vec::new(); count],
             relayed: vec![Vec::new(); count],
             polled_at: vec![BTreeMap::new(); count],
@@ -405,6 +411,11 @@
         self.shared().entries_sent[index]
     }
 
+    /// Number of statuses that were sent to a core so far.
+    pub fn statuses_sent(&self, index: usize) -> usize {
+        self.shared().statuses_sent[index]
+    }
+
     pub fn leader(&self) -> Option<usize> {
         (0..self.cores.len())
             .find(|index| self.cores[*index].as_ref().is_some_and(Core::is_active_leader))
