Control: requests leave room in a core's queue for links and consensus messages

What callers can see: a leader that is far behind loses its lease, and with it the requests that it was about to answer.

Cause: requests, consensus messages and events of links share one queue of 16,384 inputs, and what comes when it is full is dropped. A storm of requests dropped the acknowledgements that keep the lease.

Evidence: requests_leave_room_in_the_queue_for_what_a_leader_needs waited for ever on the code before (no reply in 1 s from a process whose disk stands still and whose queue holds 13,000 notices). Found by the review, by reading.

Requests are refused from three quarters of the queue on.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -23,6 +23,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{self, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::thread;
@@ -35,6 +36,9 @@
 /// Capacity of the queue of inputs to the core's thread. When it is full, requests are
 /// refused, reports and link events are dropped, and answers to orders wait.
 const INPUT_QUEUE_CAPACITY: usize = 16_384;
+/// Number of inputs from which requests are refused. The rest of the queue is kept for links and
+/// for consensus messages, without which a leader loses its lease.
+const MAX_QUEUED_WITH_REQUESTS: usize = INPUT_QUEUE_CAPACITY / 4 * 3;
 /// Longest wait for an input before the core is advanced without one.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Further inputs handled after the first one before their changes are synced together.
@@ -114,12 +118,34 @@
 #[derive(Clone)]
 struct Queue {
     inputs: SyncSender<Queued>,
+    /// Number of inputs in the queue.
+    length: Arc<AtomicUsize>,
     clock: Arc<dyn Clock>,
 }
 
+/// Why an input was not queued, and the input.
+enum Refusal {
+    /// The queue has no room for it.
+    Full(Box<Input>),
+    /// The core has ended.
+    Ended(Box<Input>),
+}
+
 impl Queue {
-    fn queued(&self, input: Input) -> Queued {
-        Queued { at: self.clock.now(), input }
+    fn push(&self, input: Input) -> std::result::Result<(), Refusal> {
+        let is_request = matches!(input, Input::Request(..) | Input::Frame(_, Frame::Request(..)));
+        if is_request && self.length.load(Ordering::Acquire) >= MAX_QUEUED_WITH_REQUESTS {
+            return Err(Refusal::Full(Box::new(input)));
+        }
+        self.length.fetch_add(1, Ordering::AcqRel);
+        let queued = Queued { at: self.clock.now(), input };
+        self.inputs.try_send(queued).map_err(|error| {
+            self.length.fetch_sub(1, Ordering::AcqRel);
+            match error {
+                TrySendError::Full(queued) => Refusal::Full(Box::new(queued.input)),
+                TrySendError::Disconnected(queued) => Refusal::Ended(Box::new(queued.input)),
+            }
+        })
     }
 }
 
@@ -186,13 +212,13 @@
 
     /// Queues an input unless the queue is full or the core has ended.
     fn push(&self, input: Input) -> bool {
-        match self.queue.inputs.try_send(self.queue.queued(input)) {
+        match self.queue.push(input) {
             Ok(()) => true,
-            Err(TrySendError::Full(_)) => {
+            Err(Refusal::Full(_)) => {
                 metrics::counter!("inputs_dropped_total").increment(1);
                 false
             }
-            Err(TrySendError::Disconnected(_)) => false,
+            Err(Refusal::Ended(_)) => false,
         }
     }
 }
@@ -211,7 +237,8 @@
     /// Opens the data folder and starts the core's thread and the listener for links.
     pub fn start(options: Options, peers: TcpListener) -> Result<Process> {
         let (sender, inputs) = sync_channel(INPUT_QUEUE_CAPACITY);
-        let queue = Queue { inputs: sender, clock: options.clock.clone() };
+        let length = Arc::new(AtomicUsize::new(0));
+        let queue = Queue { inputs: sender, length: length.clone(), clock: options.clock.clone() };
         let status = Arc::new(RwLock::default());
         let handle = Handle { queue: queue.clone(), status: status.clone() };
         let environment = Arc::new(ProcessEnvironment {
@@ -263,7 +290,7 @@
             .name("core".to_string())
             .spawn(move || {
                 let _end = end; // dropped by a panic too
-                run_core(core, &inputs, options.clock.as_ref());
+                run_core(core, &inputs, &length, options.clock.as_ref());
             })
             .map_err(Error::Thread)?;
         Ok(Process { handle, net, listener, core, core_ended })
@@ -314,7 +341,12 @@
 }
 
 /// Loop of the core's thread: handles inputs in batches and advances the core after each.
-fn run_core(mut core: Core, inputs: &mpsc::Receiver<Queued>, clock: &dyn Clock) {
+fn run_core(
+    mut core: Core,
+    inputs: &mpsc::Receiver<Queued>,
+    length: &AtomicUsize,
+    clock: &dyn Clock,
+) {
     let mut meter = Meter::new(clock.now());
     loop {
         let first = match inputs.recv_timeout(core.max_wait(TICK_INTERVAL)) {
@@ -326,6 +358,7 @@
         for Queued { at, input } in
             first.into_iter().chain(inputs.try_iter().take(MAX_BATCHED_INPUTS))
         {
+            length.fetch_sub(1, Ordering::AcqRel);
             if matches!(input, Input::Stop) {
                 return;
             }
@@ -349,10 +382,9 @@
         Event::LinkDown(peer) => Input::LinkDown(peer),
         Event::Frame(from, frame) => Input::Frame(from, frame),
     };
-    let refused = queue.inputs.try_send(queue.queued(input)).err()?;
+    let (Refusal::Full(input) | Refusal::Ended(input)) = queue.push(input).err()?;
     metrics::counter!("inputs_dropped_total").increment(1);
-    let (TrySendError::Full(queued) | TrySendError::Disconnected(queued)) = refused;
-    match queued.input {
+    match *input {
         Input::Frame(from, Frame::Request(id, _)) => {
             let refusal = mesh::Reply::NotTaken("too much waits here already".to_string());
             Some((from.name, Frame::Reply(id, refusal)))
@@ -512,12 +544,11 @@
 
 /// Queues the answer to an order, waiting while the queue is full: an answer must not be
 /// lost.
-async fn queue_reply(queue: &Queue, input: Input) {
-    let mut queued = queue.queued(input);
+async fn queue_reply(queue: &Queue, mut input: Input) {
     loop {
-        match queue.inputs.try_send(queued) {
-            Ok(()) | Err(TrySendError::Disconnected(_)) => return,
-            Err(TrySendError::Full(returned)) => queued = returned,
+        match queue.push(input) {
+            Ok(()) | Err(Refusal::Ended(_)) => return,
+            Err(Refusal::Full(returned)) => input = *returned,
         }
         task::sleep(Duration::from_millis(5)).await;
     }
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -121,9 +121,24 @@
     net
 }
 
-async fn fill_queue(handle: &Handle) {
+/// Lets the disk stand still, and waits until the core waits for it.
+async fn stall(handle: &Handle, stalled: &AtomicBool) {
+    stalled.store(true, Ordering::Release);
+    let (duration, instances) = (Duration::from_secs(1), BTreeSet::new());
+    for id in 0.. {
+        let instances = instances.clone();
+        let request = LeaderRequest::StartWave { id, instances, duration, max_unavailable: 1 };
+        if timeout(Duration::from_millis(300), handle.request(request)).await.is_err() {
+            return;
+        }
+        task::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Queues notices until the queue is full, at most a number of them.
+async fn fill_queue(handle: &Handle, most: usize) {
     let mut left = 0;
-    while handle.worker_left(format!("w{left}")) {
+    while left < most && handle.worker_left(format!("w{left}")) {
         left += 1;
         assert!(left < 1_000_000, "the queue has no bound");
         if left % 1000 == 0 {
@@ -139,13 +154,13 @@
         let address = listener.local_addr().unwrap();
         let stalled = Arc::new(AtomicBool::new(false));
         let process = Process::start(options(address, &stalled), listener).unwrap();
-        stalled.store(true, Ordering::Release);
+        stall(&process.handle(), &stalled).await;
         let (sender, replies) = bounded(1);
         let client = client(address, sender);
         while client.peers().is_empty() {
             task::sleep(Duration::from_millis(5)).await;
         }
-        fill_queue(&process.handle()).await;
+        fill_queue(&process.handle(), usize::MAX).await;
         assert!(client.send("core", &Frame::Request(1, LeaderRequest::Config)));
         let reply = timeout(Duration::from_secs(1), replies.recv()).await;
         assert!(matches!(reply, Ok(Ok(Reply::NotTaken(_)))), "{reply:?}");
@@ -154,3 +169,21 @@
         process.stop().await;
     });
 }
+
+#[test]
+fn requests_leave_room_in_the_queue_for_what_a_leader_needs() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let stalled = Arc::new(AtomicBool::new(false));
+        let process = Process::start(options(address, &stalled), listener).unwrap();
+        let handle = process.handle();
+        stall(&handle, &stalled).await;
+        fill_queue(&handle, 13_000).await; // of 16,384
+        let reply = timeout(Duration::from_secs(1), handle.request(LeaderRequest::Config)).await;
+        assert!(matches!(reply, Ok(Reply::NotTaken(_))), "{reply:?}");
+        assert!(handle.worker_left("w".to_string()), "notices are still taken");
+        stalled.store(false, Ordering::Release);
+        process.stop().await;
+    });
+}
