Control, quorum: restarted voters do not wait where no other voter knows a leader

The wait is for a lease that an earlier process of the voter may have extended. A leader says in its status that it leads, on each new link and before it answers a read. So once every other voter has said since the restart that it neither leads nor knows a leader, no such lease is left, and the voter votes at once. If one is not linked, it waits as before.

A core that reads its disk anew forgets the statuses that it has, since they are from before.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -27,6 +27,7 @@
             return;
         }
         self.update_peers();
+        self.end_vote_wait();
         self.node.tick(time.monotonic);
         self.manage_voters(time);
         self.flush();
@@ -146,6 +147,7 @@
         for peer in self.environment.peers().iter().filter(|peer| peer.durable) {
             self.node.connect(peer.id());
         }
+        self.statuses.clear(); // they count from the restart of the node on
         self.store = Some(store);
         self.disk_failed_at = None;
         self.ledger = Ledger::new(self.retention);
--- a/crates/control/src/core/voters.rs
+++ b/crates/control/src/core/voters.rs
@@ -23,6 +23,23 @@
 const UNLINKED_VOTER_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Core {
+    /// Ends the wait of a restarted voter once every other voter has said, since the restart, that
+    /// it neither leads nor knows a leader: then no lease is left that this voter extended before.
+    pub(super) fn end_vote_wait(&mut self) {
+        if !self.node.waits_to_vote() || self.node.leader().is_some() {
+            return;
+        }
+        let own = self.process_info.id();
+        let has_no_leader = |voter: &Id| {
+            let status = self.statuses.get(voter);
+            status.is_some_and(|status| !status.is_leader && status.leader.is_none())
+        };
+        let voters = &self.node.membership().voters;
+        if voters.iter().filter(|voter| **voter != own).all(has_no_leader) {
+            self.node.end_vote_wait();
+        }
+    }
+
     /// Forms the cluster if there is none; else records unlinked voters and, on the
     /// leader, changes the voters.
     pub(super) fn manage_voters(&mut self, time: Time) {
--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -167,3 +167,31 @@
         assert!(acknowledged, "seed {seed}: the others elect a leader");
     }
 }
+
+#[test]
+fn cores_that_were_all_killed_have_a_leader_before_an_election_timeout_is_over() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.heal();
+        (0..3).for_each(|index| world.kill(index));
+        world.run(Duration::from_millis(100));
+        (0..3).for_each(|index| world.start(index, false));
+        world.run(Duration::from_millis(700));
+        assert!(world.leader().is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_restarted_core_waits_to_vote_while_another_core_is_not_linked() {
+    let mut world = World::new(9);
+    world.heal();
+    let leader = world.leader().unwrap();
+    let others: Vec<usize> = (0..3).filter(|index| *index != leader).collect();
+    (0..3).for_each(|index| world.kill(index));
+    world.run(Duration::from_millis(100));
+    others.iter().for_each(|index| world.start(*index, false));
+    world.run(Duration::from_millis(1100));
+    assert_eq!(world.leader(), None, "the leader of before may have a lease");
+    world.run(Duration::from_millis(3000));
+    assert!(world.leader().is_some());
+}
--- a/crates/quorum/src/node/elect.rs
+++ b/crates/quorum/src/node/elect.rs
@@ -151,6 +151,23 @@
         self.reset_election_deadline();
     }
 
+    /// Returns whether this node grants no votes yet because its process has just started.
+    pub fn waits_to_vote(&self) -> bool {
+        self.now < self.no_votes_before
+    }
+
+    /// Lets a node that has just started vote at once, and seek election soon. The caller has to
+    /// know that no leader is in office whose lease an earlier process of this node may have
+    /// extended.
+    pub fn end_vote_wait(&mut self) {
+        if self.waits_to_vote() {
+            self.no_votes_before = self.now;
+            // The others learn a little earlier or later that they need not wait.
+            let delay = self.timing.election_timeout.mul_f64(self.rng.random_range(0.1..0.3));
+            self.election_deadline = self.election_deadline.min(self.now + delay);
+        }
+    }
+
     /// Sets the next election to a random time from 1 to 1.5 election timeouts from now.
     pub(super) fn reset_election_deadline(&mut self) {
         let timeout = self.timing.election_timeout;
