--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O review/harness/main.rs -o target/review/harness
+rustc --edition 2024 -O review/harness/main.rs -o target/review/harness.new
+mv target/review/harness.new target/review/harness
--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -2,9 +2,7 @@
 
 use crate::json::{Json, map, num, text};
 use crate::record::{Event, What};
-use crate::system::{
-    CLIENT_PAUSE, CORES, EDGES, Route, System, config, until, until_every,
-};
+use crate::system::{CLIENT_PAUSE, CORES, Route, System, config, until, until_every};
 use crate::worker::{Kind, Worker};
 use std::collections::BTreeMap;
 use std::thread::sleep;
@@ -75,7 +73,7 @@
 
 /// A job with many steps comes, beside the same work in one step.
 fn many_steps(system: &System, has_trouble: bool) -> Option<bool> {
-    const STEPS: u64 = 300;
+    const STEPS: u64 = 400;
     let workers = workers(system)?;
     system.configure(&config(1, &[route("gate-slot")], &[SERVICE])).then_some(())?;
     let small = "00000000000000b0";
@@ -175,7 +173,9 @@
     for text in twice.iter().take(5) {
         system.record.line(format!("TWICE {text}"));
     }
-    system.record.line(format!("{} work units started again after a noted end `done`", twice.len()));
+    system
+        .record
+        .line(format!("{} work units started again after a noted end `done`", twice.len()));
     Some(twice.is_empty())
 }
 
@@ -223,27 +223,66 @@
     Some(held)
 }
 
-/// A config replaces a route by one with another name at the same place.
-fn renamed_route(system: &System, has_trouble: bool) -> Option<bool> {
+/// All workers crash again and again, then run on. No run ends `failed`.
+fn crashing_workers(system: &System, has_trouble: bool) -> Option<bool> {
+    const COUNT: u64 = 3;
+    const CRASHES: usize = 6;
     let workers = workers(system)?;
-    system.configure(&config(1, &[route("r-first")], &[SERVICE])).then_some(())?;
-    let id = "00000000000000d1";
-    let watch = job("lasts", vec![lasting(step(2, 1000, 512, 700))]);
+    system.configure(&config(1, &[route("reading-watch")], &[SERVICE])).then_some(())?;
+    sleep(seconds(4));
+    let id = "00000000000000f1";
+    let watch = job("lasts", vec![lasting(step(COUNT, 1000, 2048, 700))]);
     system.submit(&path(id), &watch, seconds(20)).then_some(())?;
-    becomes(system, id, "running", seconds(10)).then_some(())?;
-    let name = if has_trouble { "r-second" } else { "r-first" };
-    system.configure(&config(2, &[route(name)], &[SERVICE])).then_some(())?;
+    let at_work = || workers.iter().map(|worker| worker.units_at_work(id)).sum::<usize>();
+    until(seconds(15), || at_work() == COUNT as usize).then_some(())?;
+    for _ in 0..if has_trouble { CRASHES } else { 0 } {
+        sleep(seconds(2));
+        workers.iter().for_each(Worker::crash);
+        sleep(Duration::from_millis(700));
+        workers.iter().for_each(Worker::begin_life);
+    }
+    sleep(seconds(15));
+    let state = system.state(0, &path(id));
+    let failed = system.record.events().iter().filter(is_failed).count();
+    system.record.line(format!("the job is shown as {state:?}; {failed} runs ended failed"));
+    system.record.line(format!("at work of the {COUNT} work units that last: {}", at_work()));
+    Some(state.as_deref() == Ok("running") && at_work() == COUNT as usize)
+}
+
+fn is_failed(event: &&Event) -> bool {
+    matches!(event.what, What::End(_, "failed"))
+}
+
+/// A worker restarts under its id, and a poll that acknowledges ends is carried out after that.
+fn late_acknowledgement(system: &System, has_trouble: bool) -> Option<bool> {
+    const UNITS: u64 = 8000;
+    /// "carried out 2 to 12 s later"
+    const DELAY: Duration = Duration::from_millis(2500);
+    let listener = system.bind_standin(0)?;
+    let worker = Worker::start(kind(0), listener, system.controls(), system.record.clone());
+    system.configure(&config(1, &[route("gate-slot")], &[SERVICE])).then_some(())?;
+    let id = "00000000000000e1";
+    let large = job("work_ms=300 spread_ms=400", vec![step(UNITS, 100, 64, 500)]);
+    system.submit(&path(id), &large, seconds(20)).then_some(())?;
     sleep(seconds(6));
-    let mut held = true;
-    for edge in 0..EDGES * 3 {
-        held &= system.state(edge, &path(id)) != Err(410);
-        sleep(CLIENT_PAUSE);
+    if has_trouble {
+        worker.hold_back(2000, DELAY);
+        until(seconds(15), || worker.is_held_back()).then_some(())?;
+        sleep(Duration::from_millis(150));
+        worker.crash();
+        sleep(Duration::from_millis(700));
+        worker.begin_life();
     }
-    system.ask(0, "DELETE", &path(id), None);
-    sleep(seconds(5));
-    let at_work: usize = workers.iter().map(|worker| worker.units_at_work(id)).sum();
-    system.record.line(format!("work units that run on 5 s after the cancel: {at_work}"));
-    Some(held)
+    let completed = becomes(system, id, "completed", seconds(60));
+    system.record.line(format!("the job is shown as completed: {completed}"));
+    let twice = started_after_done(&system.record.events());
+    for text in twice.iter().take(5) {
+        system.record.line(format!("TWICE {text}"));
+    }
+    system
+        .record
+        .line(format!("{} work units started again after a noted end `done`", twice.len()));
+    Some(twice.is_empty())
 }
 
 pub fn run(name: &str, system: &System, has_trouble: bool) -> Option<bool> {
@@ -251,7 +290,8 @@
         "many-steps" => many_steps(system, has_trouble),
         "many-ends" => many_ends(system, has_trouble),
         "lasting-failures" => lasting_failures(system, has_trouble),
-        "renamed-route" => renamed_route(system, has_trouble),
+        "crashing-workers" => crashing_workers(system, has_trouble),
+        "late-acknowledgement" => late_acknowledgement(system, has_trouble),
         _ => None,
     }
 }
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -48,13 +48,15 @@
 }
 
 /// A request as a server receives it.
+#[derive(Clone)]
 pub struct Request {
     pub path: String,
     pub headers: BTreeMap<String, String>,
     pub body: Json,
 }
 
-pub type Handler = dyn Fn(&Request) -> (u16, Json) + Send + Sync;
+/// Answers a request; `None` closes the connection without an answer.
+pub type Handler = dyn Fn(&Request) -> Option<(u16, Json)> + Send + Sync;
 
 /// Serves connections until the program ends.
 pub fn serve(listener: TcpListener, handler: Arc<Handler>) {
@@ -80,7 +82,7 @@
         let Some(body) = read_body(&mut reader, &headers) else { return };
         let closes = headers.get("connection").is_some_and(|value| value == "close");
         let request = Request { path, headers, body: Json::parse(&body).unwrap_or(Json::Null) };
-        let (status, answer) = handler(&request);
+        let Some((status, answer)) = handler(&request) else { return };
         let answer = answer.to_string();
         let response = format!(
             "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -46,7 +46,9 @@
     pub fn event(&self, worker: &str, task: &str, run: u64, what: What) {
         self.line(match &what {
             What::Start => format!("run {task} {run} started on {worker}"),
-            What::End(number, how) => format!("run {task} {run} ended {how} on {worker}, end {number}"),
+            What::End(number, how) => {
+                format!("run {task} {run} ended {how} on {worker}, end {number}")
+            }
             What::Noted => format!("run {task} {run} on {worker}: the end is taken note of"),
         });
         let (worker, task) = (worker.to_string(), task.to_string());
--- a/review/harness/system.rs
+++ b/review/harness/system.rs
@@ -38,7 +38,9 @@
     /// Starts all processes. `None` if that can't be done here.
     pub fn start(binary: PathBuf, record: Arc<Record>) -> Option<System> {
         let seed = std::process::id() as u64 * 7919 + record_seed();
-        let network = (0..50).map(|n| seed + n * 131).map(|n| [(n % 100 + 30) as u8, (n / 100 % 250 + 1) as u8]);
+        let network = (0..50)
+            .map(|n| seed + n * 131)
+            .map(|n| [(n % 100 + 30) as u8, (n / 100 % 250 + 1) as u8]);
         let is_free = |network: &[u8; 2]| {
             (0..CORES + EDGES).all(|host| {
                 [FRONT, READINESS, CONTROL, INTERNAL.0, INTERNAL.1]
@@ -190,14 +192,20 @@
     }
 
     /// Sends one call of a client to an edge. `None` if it got no answer within the time budget.
-    pub fn ask(&self, edge: usize, method: &str, path: &str, body: Option<&str>) -> Option<(u16, Json)> {
+    pub fn ask(
+        &self,
+        edge: usize,
+        method: &str,
+        path: &str,
+        body: Option<&str>,
+    ) -> Option<(u16, Json)> {
         let budget = BUDGET.as_millis().to_string();
         let headers = [("Host", HOST), ("X-Deadline-Ms", budget.as_str())];
         let front = self.address(CORES + edge % EDGES, FRONT);
         let answer = call(front, method, path, &headers, body, BUDGET);
-        let shown = answer.as_ref().map_or("no answer".to_string(), |(status, body)| {
-            format!("{status} {body}")
-        });
+        let shown = answer
+            .as_ref()
+            .map_or("no answer".to_string(), |(status, body)| format!("{status} {body}"));
         self.record.line(format!("client {method} {path} at edge {}: {shown}", edge % EDGES));
         answer
     }
@@ -239,11 +247,7 @@
 }
 
 /// Tries with a pause in between until the condition holds. Returns whether it did within the time.
-pub fn until_every(
-    pause: Duration,
-    within: Duration,
-    mut condition: impl FnMut() -> bool,
-) -> bool {
+pub fn until_every(pause: Duration, within: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + within;
     while !condition() {
         if Instant::now() >= end {
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -1,6 +1,7 @@
-//! A worker as PROTOCOL.md describes one, with `orders = "invoke"`.
+//! A worker as PROTOCOL.md describes one, with `orders = "invoke"`, and the way to it.
 //!
-//! The text of a job says what its work units do: `work_ms=N` work that long and end `done`; `lasts`
+//! The text of a job says what its work units do: `work_ms=N` work that long and end `done`, with
+//! `spread_ms=M` up to M milliseconds longer, each its own time; `lasts`
 //! run until they are stopped, and `lasts fail_ms=N each_ms=M runs=R` lets the first R runs of work unit
 //! I of its step end `failed` after N + I x M milliseconds.
 
@@ -9,7 +10,7 @@
 use crate::record::{Record, What};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
@@ -69,11 +70,32 @@
     clock: Instant,
     state: Mutex<State>,
     record: Arc<Record>,
+    is_down: AtomicBool,
     seq: AtomicU64,
 }
 
+/// A poll that is left without an answer, and carried out later.
+struct HeldBack {
+    /// The first poll that acknowledges at least this end.
+    acked_through: u64,
+    /// Time until it is carried out, by the lifetime that there is then.
+    delay: Duration,
+}
+
+/// What answers at the worker's address.
+#[derive(Default)]
+struct Site {
+    life: Mutex<Option<Arc<Inner>>>,
+    to_hold_back: Mutex<Option<HeldBack>>,
+    is_held_back: AtomicBool,
+}
+
 pub struct Worker {
-    inner: Arc<Inner>,
+    kind: Kind,
+    address: SocketAddr,
+    controls: Vec<SocketAddr>,
+    record: Arc<Record>,
+    site: Arc<Site>,
 }
 
 impl Worker {
@@ -83,35 +105,68 @@
         controls: Vec<SocketAddr>,
         record: Arc<Record>,
     ) -> Worker {
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let site = Arc::new(Site::default());
+        let handled = site.clone();
+        let handler: Arc<Handler> = Arc::new(move |request| Site::answer(&handled, request));
+        serve(listener, handler);
+        let worker = Worker { kind, address, controls, record, site };
+        worker.begin_life();
+        worker
+    }
+
+    /// Starts under the same id and at the same address, with nothing of before.
+    pub fn begin_life(&self) {
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis();
         let inner = Arc::new(Inner {
-            kind,
+            kind: self.kind.clone(),
             born: born as u64,
             clock: Instant::now(),
             state: Mutex::default(),
-            record,
+            record: self.record.clone(),
+            is_down: AtomicBool::new(false),
             seq: AtomicU64::new(0),
         });
-        inner.record.line(format!("worker {} starts, born {born}", inner.kind.id));
-        let handled = inner.clone();
-        let handler: Arc<Handler> = Arc::new(move |request| handled.answer(request));
-        let address = listener.local_addr().expect("a bound socket has an address");
-        serve(listener, handler);
-        let reporting = inner.clone();
+        self.record.line(format!("worker {} starts, born {born}", self.kind.id));
+        *self.site.life.lock().unwrap() = Some(inner.clone());
+        let (reporting, address, controls) = (inner.clone(), self.address, self.controls.clone());
         thread::spawn(move || reporting.report(address, &controls));
-        let ticking = inner.clone();
         thread::spawn(move || {
-            loop {
-                ticking.advance(&mut ticking.state.lock().unwrap());
+            while !inner.is_down.load(Ordering::SeqCst) {
+                inner.advance(&mut inner.state.lock().unwrap());
                 thread::sleep(Duration::from_millis(5));
             }
         });
-        Worker { inner }
+    }
+
+    /// Ends at once, with all that runs on it.
+    pub fn crash(&self) {
+        let Some(life) = self.site.life.lock().unwrap().take() else { return };
+        let state = life.state.lock().unwrap();
+        life.is_down.store(true, Ordering::SeqCst);
+        let count = state.running.len();
+        self.record.line(format!("worker {} crashes under {count} work units", self.kind.id));
+    }
+
+    /// Leaves the next poll that acknowledges at least this end without an answer; it is carried
+    /// out after the delay.
+    pub fn hold_back(&self, acked_through: u64, delay: Duration) {
+        *self.site.to_hold_back.lock().unwrap() = Some(HeldBack { acked_through, delay });
+    }
+
+    /// Whether that poll has come.
+    pub fn is_held_back(&self) -> bool {
+        self.site.is_held_back.load(Ordering::SeqCst)
+    }
+
+    fn life(&self) -> Option<Arc<Inner>> {
+        self.site.life.lock().unwrap().clone()
     }
 
     /// Names and numbers of what runs now.
     pub fn running(&self) -> Vec<(String, u64)> {
-        self.inner.state.lock().unwrap().running.keys().cloned().collect()
+        let life = self.life();
+        life.map_or(Vec::new(), |life| life.state.lock().unwrap().running.keys().cloned().collect())
     }
 
     /// Number of a job's work units that run now.
@@ -121,9 +176,42 @@
 
     /// How long the oldest run of a job has worked, in milliseconds.
     pub fn age_ms(&self, job: &str) -> Option<u64> {
-        let state = self.inner.state.lock().unwrap();
+        let life = self.life()?;
+        let state = life.state.lock().unwrap();
         let of_job = state.running.iter().filter(|((task, _), _)| task.starts_with(job));
-        of_job.map(|(_, run)| self.inner.clock_ms() - run.began_ms).max()
+        of_job.map(|(_, run)| life.clock_ms() - run.began_ms).max()
+    }
+}
+
+impl Site {
+    fn answer(site: &Arc<Site>, request: &Request) -> Option<(u16, Json)> {
+        if request.path == "/api/hold" {
+            let acked_through = request.body.get("acked_through").as_u64().unwrap_or(0);
+            let mut to_hold_back = site.to_hold_back.lock().unwrap();
+            let held_back =
+                to_hold_back.take_if(|held_back| acked_through >= held_back.acked_through);
+            drop(to_hold_back);
+            if let Some(HeldBack { delay, .. }) = held_back {
+                Site::carry_out_later(site.clone(), request.clone(), delay);
+                thread::sleep(Duration::from_secs(20));
+                return None;
+            }
+        }
+        let life = site.life.lock().unwrap().clone()?;
+        let answer = life.answer(request);
+        (!life.is_down.load(Ordering::SeqCst)).then_some(answer)
+    }
+
+    fn carry_out_later(site: Arc<Site>, request: Request, delay: Duration) {
+        site.is_held_back.store(true, Ordering::SeqCst);
+        thread::spawn(move || {
+            let Some(life) = site.life.lock().unwrap().clone() else { return };
+            life.record.line(format!("a poll is left without an answer: {}", request.body));
+            thread::sleep(delay);
+            let Some(life) = site.life.lock().unwrap().clone() else { return };
+            let (status, _) = life.answer(&request);
+            life.record.line(format!("the poll is carried out, {status}, the answer is lost"));
+        });
     }
 }
 
@@ -135,7 +223,7 @@
     /// Sends a status report to the first daemon that takes it, again and again.
     fn report(&self, address: SocketAddr, controls: &[SocketAddr]) {
         let kind = &self.kind;
-        loop {
+        while !self.is_down.load(Ordering::SeqCst) {
             for control in controls {
                 let body = map([
                     ("service", text(&kind.service)),
@@ -173,6 +261,9 @@
 
     /// Ends what is due, and all if the lease has lapsed.
     fn advance(&self, state: &mut State) {
+        if self.is_down.load(Ordering::SeqCst) {
+            return;
+        }
         let now = self.clock_ms();
         let due: Vec<((String, u64), &'static str)> = state
             .running
@@ -289,15 +380,20 @@
     fn hold(&self, body: &Json) -> (u16, Json) {
         let wait = Duration::from_millis(body.get("wait_ms").as_u64().unwrap_or(0).min(2000));
         let until = Instant::now() + wait;
+        let mut is_first = true;
         loop {
             let mut state = self.state.lock().unwrap();
             self.advance(&mut state);
             if !Inner::accepts_fence(&mut state, body) {
                 return self.refusal("fence");
             }
-            self.extend_lease(&mut state, body);
-            self.acknowledge(&mut state, body.get("acked_through").as_u64().unwrap_or(0));
-            let is_over = Instant::now() >= until;
+            if is_first {
+                self.extend_lease(&mut state, body);
+                // Ends that come while the answer waits are listed in it, whatever their numbers.
+                self.acknowledge(&mut state, body.get("acked_through").as_u64().unwrap_or(0));
+            }
+            is_first = false;
+            let is_over = Instant::now() >= until || self.is_down.load(Ordering::SeqCst);
             if !state.finished.is_empty() || is_over {
                 return (200, self.lists(&state));
             }
@@ -339,8 +435,9 @@
             word.and_then(|text| text.parse::<u64>().ok())
         };
         let lasts = spec.starts_with("lasts");
-        let work_ms = value("work_ms=").unwrap_or(0);
         let index: Option<u64> = key.0.rsplit('.').next().and_then(|index| index.parse().ok());
+        let spread_ms = value("spread_ms=").unwrap_or(0) + 1;
+        let work_ms = value("work_ms=").unwrap_or(0) + index.unwrap_or(0) * 37 % spread_ms;
         let fails = value("fail_ms=").zip(index).filter(|_| key.1 <= value("runs=").unwrap_or(0));
         let each_ms = value("each_ms=").unwrap_or(0);
         let ends = match lasts {
