Control: core.behind names the longest action of the deciding thread

No log or metric could tell a thread that computes for seconds on one event from one with many small inputs or a slow disk. While an action lasts, the process sends no heartbeat, so an action near the election timeout costs the leadership. core.behind now carries slowest and slowest_ms, and is logged for a slow action too; core_slowest_action_seconds is the gauge. Each input, take-over, decision, applied entry and compaction is one action.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -2,6 +2,7 @@
 //! committed entries and compacts the log. Also handles disk failures.
 
 use super::{Core, REOPEN_INTERVAL, STATUS_INTERVAL};
+use crate::load::Action;
 use jobs::{Command, Event, Job, Ledger};
 use log::{error, info, warn};
 use mesh::{Frame, ProcessInfo, Status};
@@ -186,6 +187,7 @@
                     panic!("the log entry at index {} cannot be decoded: {reason}", entry.index)
                 }
             };
+            let started_at = self.environment.now();
             let (outcome, events) = self.ledger.apply(command);
             if let Some(pending) = self.pending_proposals.remove(&entry.index) {
                 self.complete_proposal(pending, entry.term, outcome);
@@ -196,6 +198,7 @@
                     leadership.scheduler.on_event(time, &self.ledger, &event);
                 }
             }
+            self.record_action(Action::Apply, started_at);
         }
     }
 
@@ -281,12 +284,15 @@
         if store.log_bytes() < MAX_LOG_BYTES || self.applied_index <= self.node.base_index() {
             return;
         }
+        let started_at = self.environment.now();
         let Some(snapshot) = self.node.compact(encode(&self.ledger), self.applied_index) else {
             return;
         };
         let entries = self.node.entries_after(snapshot.index);
         info!("log.compacted index={} bytes={}", snapshot.index, snapshot.data.len());
-        if let Err(reason) = store.compact(&snapshot, &entries) {
+        let compacted = store.compact(&snapshot, &entries);
+        self.record_action(Action::Compact, started_at);
+        if let Err(reason) = compacted {
             self.on_disk_failure(&reason);
         }
     }
--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -2,6 +2,7 @@
 //! its orders to workers and the cloud.
 
 use super::{Core, Input};
+use crate::load::Action;
 use jobs::{Command, Ledger};
 use log::info;
 use mesh::Frame;
@@ -89,7 +90,9 @@
             }
             info!("reign.began term={term} jobs={}", self.ledger.jobs().len());
             let settings = self.sched_settings.clone();
+            let started_at = self.environment.now();
             let scheduler = Scheduler::new(settings, term, time, &self.ledger, &self.roster);
+            self.record_action(Action::TakeOver, started_at);
             self.leadership = Some(Leadership { scheduler, term, published_at: None });
             self.proposal_queue.clear();
         }
@@ -110,7 +113,10 @@
     fn run_scheduler(&mut self, time: Time) {
         self.expire_orders(time);
         let Some(leadership) = &mut self.leadership else { return };
+        let started_at = self.environment.now();
         let output = leadership.scheduler.decide(time, &self.ledger);
+        let decided_in = self.environment.now().saturating_sub(started_at);
+        self.slowest.record(Action::Decide, decided_in);
         let is_due = |at: Duration| time.monotonic >= at + PUBLISH_INTERVAL;
         if self.ledger.uses_accounts() && leadership.published_at.is_none_or(is_due) {
             leadership.published_at = Some(time.monotonic);
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod requests;
 mod voters;
 
+use crate::load::{Action, Slowest};
 use crate::relay::Relays;
 use async_std::channel::Sender;
 use jobs::{Decision, Ledger, WorkerId};
@@ -215,6 +216,8 @@
     status_sent_at: Duration,
     /// Time spent in writes and syncs of the disk since it was last taken.
     disk_time: Duration,
+    /// Longest single action since it was last taken.
+    slowest: Slowest,
     /// The process is about to end.
     stopping: bool,
 }
@@ -269,6 +272,7 @@
             last_expiry_at: Duration::ZERO,
             status_sent_at: Duration::ZERO,
             disk_time: Duration::ZERO,
+            slowest: Slowest::default(),
             stopping: false,
         };
         core.restore_ledger(&snapshot, base);
@@ -317,6 +321,16 @@
         std::mem::take(&mut self.disk_time)
     }
 
+    /// Returns the longest single action since the last call.
+    pub fn take_slowest(&mut self) -> Slowest {
+        std::mem::take(&mut self.slowest)
+    }
+
+    /// Records that an action took the time since `started_at`.
+    fn record_action(&mut self, action: Action, started_at: Duration) {
+        self.slowest.record(action, self.environment.now().saturating_sub(started_at));
+    }
+
     fn time(&self) -> Time {
         let wall = mesh::clock::unix_ms(self.environment.wall());
         Time { monotonic: self.environment.now(), wall }
@@ -353,6 +367,7 @@
             }
             Input::Stop => {}
         }
+        self.record_action(Action::Input, time.monotonic);
     }
 
     fn on_link_up(&mut self, peer: &ProcessInfo) {
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -4,6 +4,7 @@
 //! wait, but only the second spends the time in syncs.
 
 use log::warn;
+use std::fmt;
 use std::time::Duration;
 
 /// Time between two evaluations of the load.
@@ -12,6 +13,61 @@
 /// sync of the disk, and below what a client notices.
 const MAX_WAIT: Duration = Duration::from_millis(250);
 
+/// What the core's thread does in a round.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Action {
+    /// Handles an input.
+    #[default]
+    Input,
+    /// Builds the scheduler of a new leader.
+    TakeOver,
+    /// Lets the scheduler decide.
+    Decide,
+    /// Applies a committed entry to the ledger and tells the scheduler.
+    Apply,
+    /// Replaces the log by a snapshot.
+    Compact,
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Action::Input => "input",
+            Action::TakeOver => "take_over",
+            Action::Decide => "decide",
+            Action::Apply => "apply",
+            Action::Compact => "compact",
+        })
+    }
+}
+
+/// Longest single action.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Slowest {
+    /// Time that it took.
+    pub time: Duration,
+    /// What it was.
+    pub action: Action,
+}
+
+impl Slowest {
+    /// Records an action if it took longer than the longest so far.
+    ///
+    /// ```
+    /// use control::load::{Action, Slowest};
+    /// use std::time::Duration;
+    /// let mut slowest = Slowest::default();
+    /// slowest.record(Action::Apply, Duration::from_millis(9));
+    /// slowest.record(Action::Decide, Duration::from_millis(2));
+    /// assert_eq!(slowest.action, Action::Apply);
+    /// ```
+    pub fn record(&mut self, action: Action, time: Duration) {
+        if time > self.time {
+            *self = Slowest { time, action };
+        }
+    }
+}
+
 /// What the thread did in one window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Window {
@@ -26,6 +82,8 @@
     pub inputs: u64,
     /// Longest wait of an input.
     pub longest_wait: Duration,
+    /// Longest single action, in which the thread sends no heartbeat.
+    pub slowest: Slowest,
 }
 
 /// Collects the load of the core's thread.
@@ -64,6 +122,11 @@
         self.window.disk_time += disk_time;
     }
 
+    /// Records the longest action of a round.
+    pub fn record_slowest(&mut self, slowest: Slowest) {
+        self.window.slowest.record(slowest.action, slowest.time);
+    }
+
     /// Ends the window if it is long enough, and starts the next one.
     pub fn end_window(&mut self, now: Duration) -> Option<Window> {
         let duration = now.saturating_sub(self.started_at);
@@ -76,9 +139,9 @@
 }
 
 impl Window {
-    /// Returns whether inputs waited too long.
+    /// Returns whether inputs waited too long, or would have.
     pub fn is_behind(&self) -> bool {
-        self.longest_wait > MAX_WAIT
+        self.longest_wait.max(self.slowest.time) > MAX_WAIT
     }
 
     /// Publishes the metrics of the window, and logs a line if inputs waited too long.
@@ -88,11 +151,15 @@
         metrics::gauge!("core_busy_share").set(busy_share);
         metrics::gauge!("core_disk_share").set(disk_share);
         metrics::gauge!("core_longest_input_wait_seconds").set(self.longest_wait.as_secs_f64());
+        metrics::gauge!("core_slowest_action_seconds").set(self.slowest.time.as_secs_f64());
         if self.is_behind() {
             warn!(
-                "core.behind longest_wait_ms={} inputs={} busy_share={busy_share:.3} disk_share={disk_share:.3}",
+                "core.behind longest_wait_ms={} inputs={} busy_share={busy_share:.3} \
+                 disk_share={disk_share:.3} slowest={} slowest_ms={}",
                 self.longest_wait.as_millis(),
                 self.inputs,
+                self.slowest.action,
+                self.slowest.time.as_millis(),
             );
         }
     }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -368,6 +368,7 @@
         core.advance();
         let ended_at = clock.now();
         meter.record_round(ended_at.saturating_sub(now), core.take_disk_time());
+        meter.record_slowest(core.take_slowest());
         if let Some(window) = meter.end_window(ended_at) {
             window.publish();
         }
