Sched, jobs: the cost of an event no longer grows with the square of a job

Cause: the rank of a step needs the longest chain of steps of its job. It was computed for each waiting unit, for each step, over all pairs of steps. The deciding thread sent no heartbeat meanwhile, and each next leader did the same.

A job's sums are now computed once, in one pass over steps and dependencies (rank::Profile), and scaled by what is expected of the queue. The same class in other events of one job: steps before a step are counted down instead of searched, an occurrence counts its open units, steps and placements, a broken gang is stopped once per decision, deadly steps are judged once per crash, and explain place ranks the waiting steps once and explains 64 steps at most.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,5 @@
 //! Jobs and the state of their units, as the ledger stores them.
 
-use crate::command::EndReason;
 use crate::crash::Crash;
 use crate::{
     AccountName, Decision, Definition, Incarnation, JobId, PoolName, QueueName, RunNumber, UnixMs,
@@ -80,11 +79,43 @@
     pub completed_occurrences: u32,
 }
 
-/// One occurrence of a job.
+/// One occurrence of a job. What is counted here answers questions about all units of a step, so that
+/// the cost of the end of a unit does not grow with their number.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredOccurrence")]
 pub struct Occurrence {
     /// Units of each step, in the order of the definition.
-    pub steps: Vec<Vec<Unit>>,
+    steps: Vec<Vec<Unit>>,
+    /// Number of units of each step that are not done.
+    #[serde(skip)]
+    open_units: Vec<usize>,
+    /// Number of steps with a unit that is not done.
+    #[serde(skip)]
+    open_steps: usize,
+    /// Number of runs that are, or may be, on a worker.
+    #[serde(skip)]
+    placements: usize,
+}
+
+/// An occurrence as it is stored.
+#[derive(Deserialize)]
+#[serde(rename = "Occurrence")]
+struct StoredOccurrence {
+    steps: Vec<Vec<Unit>>,
+}
+
+impl From<StoredOccurrence> for Occurrence {
+    fn from(stored: StoredOccurrence) -> Occurrence {
+        let StoredOccurrence { steps } = stored;
+        let open = |units: &Vec<Unit>| units.iter().filter(|unit| !unit.done).count();
+        let open_units: Vec<usize> = steps.iter().map(open).collect();
+        Occurrence {
+            open_steps: open_units.iter().filter(|open| **open > 0).count(),
+            open_units,
+            placements: steps.iter().flatten().map(|unit| unit.placements.len()).sum(),
+            steps,
+        }
+    }
 }
 
 /// State of a unit.
@@ -157,10 +188,9 @@
 
     /// Returns whether all units of a step of an occurrence are done.
     pub fn is_step_done(&self, occurrence: u32, step: u16) -> bool {
-        self.occurrences
-            .get(&occurrence)
-            .and_then(|occurrence| occurrence.steps.get(usize::from(step)))
-            .is_some_and(|units| units.iter().all(|unit| unit.done))
+        let occurrence = self.occurrences.get(&occurrence);
+        let open = occurrence.and_then(|state| state.open_units.get(usize::from(step)));
+        open.is_some_and(|open| *open == 0)
     }
 
     /// Returns whether all steps that a step depends on are done.
@@ -264,28 +294,68 @@
 
     /// Returns whether a run is, or may be, on a worker.
     pub fn has_placements(&self) -> bool {
-        let units = self.occurrences.values().flat_map(|o| o.steps.iter().flatten());
-        units.into_iter().any(|unit| !unit.placements.is_empty())
+        self.occurrences.values().any(|occurrence| occurrence.placements > 0)
     }
 }
 
 impl Occurrence {
     fn new(steps: &[crate::Step]) -> Occurrence {
         let units = |step: &crate::Step| vec![Unit::default(); step.count as usize];
-        Occurrence { steps: steps.iter().map(units).collect() }
+        StoredOccurrence { steps: steps.iter().map(units).collect() }.into()
     }
-}
 
-impl Unit {
-    /// Applies the end of a placed run.
-    pub fn apply_end(&mut self, reason: EndReason, checkpoint: &str) {
-        if !checkpoint.is_empty() {
-            self.checkpoint = checkpoint.to_string();
-        }
-        match reason {
-            EndReason::Done => self.done = true,
-            EndReason::Failed => self.failures += 1,
-            EndReason::Stopped | EndReason::Lapsed | EndReason::Broken | EndReason::Alone => {}
+    /// Returns the units of each step, in the order of the definition.
+    pub fn steps(&self) -> &[Vec<Unit>] {
+        &self.steps
+    }
+
+    /// Returns whether all units of all steps are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.open_steps == 0
+    }
+
+    /// Returns a unit, of which neither `done` nor the placements may be changed.
+    pub(crate) fn unit_mut(&mut self, step: u16, index: u32) -> Option<&mut Unit> {
+        self.steps.get_mut(usize::from(step))?.get_mut(usize::try_from(index).ok()?)
+    }
+
+    /// Adds a placement to a unit, and returns whether there is such a unit.
+    pub(crate) fn place(&mut self, step: u16, index: u32, placement: Placement) -> bool {
+        let Some(unit) = self.unit_mut(step, index) else { return false };
+        unit.placements.push(placement);
+        self.placements += 1;
+        true
+    }
+
+    /// Removes the first placement of a unit that fulfils a condition.
+    pub(crate) fn release(
+        &mut self,
+        step: u16,
+        index: u32,
+        is_it: impl Fn(&Placement) -> bool,
+    ) -> Option<Placement> {
+        let unit = self.unit_mut(step, index)?;
+        let position = unit.placements.iter().position(is_it)?;
+        let placement = unit.placements.remove(position);
+        self.placements -= 1;
+        Some(placement)
+    }
+
+    /// Marks a unit as done, and returns whether its whole step is done thereby.
+    pub(crate) fn complete(&mut self, step: u16, index: u32) -> bool {
+        let Some(unit) = self.unit_mut(step, index).filter(|unit| !unit.done) else { return false };
+        unit.done = true;
+        let open = &mut self.open_units[usize::from(step)];
+        *open -= 1;
+        let is_step_done = *open == 0;
+        self.open_steps -= usize::from(is_step_done);
+        is_step_done
+    }
+
+    /// Saves a checkpoint for all units of a step.
+    pub(crate) fn share_checkpoint(&mut self, step: u16, checkpoint: &str) {
+        for unit in self.steps.get_mut(usize::from(step)).into_iter().flatten() {
+            unit.checkpoint = checkpoint.to_string();
         }
     }
 }
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -9,7 +9,7 @@
     MoveChange, Placed, Submit,
 };
 use crate::crash::{self, Crash};
-use crate::job::{Job, Placement, State, Unit};
+use crate::job::{Job, Occurrence, Placement, State, Unit};
 use crate::wave::{Phase, Wave};
 use crate::{
     AccountName, Config, Decision, Incarnation, InstanceId, JobId, JobNumber, Journal, PoolName,
@@ -428,6 +428,7 @@
             }
         }
         for CrashList { incarnation, instance, runs } in batch.crashed {
+            let mut steps = BTreeSet::new();
             for run in runs {
                 let crash = Crash {
                     incarnation: incarnation.clone(),
@@ -437,7 +438,12 @@
                     survived: run.survived,
                     is_alone: run.is_alone,
                 };
-                self.apply_crash(run.unit, crash, events);
+                if self.apply_crash(run.unit, crash, events) {
+                    steps.insert(run.unit.step_key());
+                }
+            }
+            for step in steps {
+                self.fail_if_deadly(step, batch.at, events);
             }
         }
         for Discarded { unit, run } in batch.discarded {
@@ -474,13 +480,17 @@
             AcknowledgedEnds { started_at: incarnation.started_at, through: end.number };
         events.push(Event::EndsAcknowledged(incarnation.clone(), end.number));
         let Some(key) = end.unit else { return };
-        let Some(unit) = unit_mut(&mut self.jobs, &key) else { return };
+        let Some(occurrence) = occurrence_mut(&mut self.jobs, &key) else { return };
         let placed = |p: &Placement| p.run == end.run && p.incarnation == *incarnation;
-        let Some(position) = unit.placements.iter().position(placed) else { return };
-        unit.placements.remove(position);
-        let checkpoint = end.checkpoint.clone();
-        let was_done = unit.done; // through a copy, or through another member of its gang
-        unit.apply_end(end.reason, &end.checkpoint);
+        if occurrence.release(key.step, key.index, placed).is_none() {
+            return;
+        }
+        if let Some(unit) = occurrence.unit_mut(key.step, key.index) {
+            if !end.checkpoint.is_empty() {
+                unit.checkpoint = end.checkpoint.clone();
+            }
+            unit.failures += u32::from(end.reason == EndReason::Failed);
+        }
         let release = Release {
             unit: key,
             run: end.run,
@@ -488,15 +498,11 @@
             reason: Some(end.reason),
         };
         events.push(Event::Released(release));
-        self.share_checkpoint(&key, &checkpoint);
+        self.share_checkpoint(&key, &end.checkpoint);
         match end.reason {
-            EndReason::Done if !was_done => self.unit_done(key, at, events),
+            EndReason::Done => self.unit_done(key, at, events),
             EndReason::Failed => self.unit_failed(key, at, events),
-            EndReason::Done
-            | EndReason::Stopped
-            | EndReason::Lapsed
-            | EndReason::Broken
-            | EndReason::Alone => {}
+            EndReason::Stopped | EndReason::Lapsed | EndReason::Broken | EndReason::Alone => {}
         }
         self.clear_finished_job(key.job);
     }
@@ -508,25 +514,26 @@
         if checkpoint.is_empty() || !job.definition.steps[usize::from(key.step)].gang {
             return;
         }
-        for unit in &mut job.occurrence_mut(key.occurrence).steps[usize::from(key.step)] {
-            unit.checkpoint = checkpoint.to_string();
-        }
+        job.occurrence_mut(key.occurrence).share_checkpoint(key.step, checkpoint);
     }
 
-    /// Marks what a done unit completes: its whole gang, then its step, occurrence and job.
+    /// Marks a unit as done, and what it completes: its whole gang, then its step, occurrence and
+    /// job. Another run of the unit, or another member of its gang, may have done so before.
     fn unit_done(&mut self, key: UnitKey, at: UnixMs, events: &mut Vec<Event>) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let step = &job.definition.steps[usize::from(key.step)];
-        if step.gang {
-            let units = &mut job.occurrence_mut(key.occurrence).steps[usize::from(key.step)];
-            units.iter_mut().for_each(|unit| unit.done = true);
+        let indices = if step.gang { 0..step.count } else { key.index..key.index + 1 };
+        let occurrence = job.occurrence_mut(key.occurrence);
+        let mut is_step_done = false;
+        for index in indices {
+            is_step_done |= occurrence.complete(key.step, index);
         }
-        if job.state.is_final() || !job.is_step_done(key.occurrence, key.step) {
+        let is_occurrence_done = occurrence.is_done();
+        if !is_step_done || job.state.is_final() {
             return;
         }
         events.push(Event::StepDone(key.step_key()));
-        let steps = job.definition.steps.len() as u16;
-        if !(0..steps).all(|step| job.is_step_done(key.occurrence, step)) {
+        if !is_occurrence_done {
             return;
         }
         job.completed_occurrences += 1;
@@ -543,7 +550,7 @@
         if step.long_running {
             return;
         }
-        let units = &job.occurrences[&key.occurrence].steps[usize::from(key.step)];
+        let units = &job.occurrences[&key.occurrence].steps()[usize::from(key.step)];
         let failures = if step.gang {
             units.iter().map(|unit| unit.failures).sum()
         } else {
@@ -555,28 +562,29 @@
         }
     }
 
-    /// Records a crash under a unit, and fails its job if the crashes so far show that a unit of
-    /// the step brings its workers down.
-    fn apply_crash(&mut self, key: UnitKey, crash: Crash, events: &mut Vec<Event>) {
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+    /// Records a crash under a unit, and returns whether it was new.
+    fn apply_crash(&mut self, key: UnitKey, crash: Crash, events: &mut Vec<Event>) -> bool {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return false };
         if job.state.is_final() {
-            return;
+            return false;
         }
-        let Some(step) = job.definition.steps.get(usize::from(key.step)) else { return };
+        let Some(step) = job.definition.steps.get(usize::from(key.step)) else { return false };
         let is_long_running = step.long_running;
-        let units = job
-            .occurrences
-            .get_mut(&key.occurrence)
-            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(key.step)));
-        let Some(units) = units else { return };
-        let Some(unit) = units.get_mut(key.index as usize).filter(|unit| !unit.done) else {
-            return;
-        };
-        let at = crash.at;
-        if !crash::record(&mut unit.crashes, crash, is_long_running) {
-            return;
+        let occurrence = job.occurrences.get_mut(&key.occurrence);
+        let unit = occurrence.and_then(|state| state.unit_mut(key.step, key.index));
+        let Some(unit) = unit.filter(|unit| !unit.done) else { return false };
+        let is_new = crash::record(&mut unit.crashes, crash, is_long_running);
+        if is_new {
+            events.push(Event::Crashed(key));
         }
-        events.push(Event::Crashed(key));
+        is_new
+    }
+
+    /// Fails a job if the crashes so far show that a unit of the step brings its workers down.
+    fn fail_if_deadly(&mut self, key: StepKey, at: UnixMs, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let units = job.occurrences.get(&key.occurrence).map(Occurrence::steps);
+        let Some(units) = units.and_then(|steps| steps.get(usize::from(key.step))) else { return };
         if crash::is_deadly(units) {
             job.fatal_crashes = job.crash_facts();
             job.fatal_crashes.truncate(MAX_FATAL_CRASHES);
@@ -586,9 +594,9 @@
 
     /// Releases a run that has no listed end.
     fn discard(&mut self, key: UnitKey, run: RunNumber, events: &mut Vec<Event>) {
-        let Some(unit) = unit_mut(&mut self.jobs, &key) else { return };
-        let Some(position) = unit.placements.iter().position(|p| p.run == run) else { return };
-        let incarnation = unit.placements.remove(position).incarnation;
+        let Some(occurrence) = occurrence_mut(&mut self.jobs, &key) else { return };
+        let released = occurrence.release(key.step, key.index, |placement| placement.run == run);
+        let Some(Placement { incarnation, .. }) = released else { return };
         events.push(Event::Released(Release { unit: key, run, incarnation, reason: None }));
         self.clear_finished_job(key.job);
     }
@@ -607,14 +615,12 @@
         }
         job.state = State::Running;
         let occurrence = job.occurrence_mut(key.occurrence);
-        let unit = occurrence
-            .steps
-            .get_mut(usize::from(key.step))
-            .and_then(|units| units.get_mut(key.index as usize));
+        let unit = occurrence.unit_mut(key.step, key.index);
         let Some(unit) = unit.filter(|unit| !unit.done && run > unit.last_run) else { return };
         unit.last_run = run;
         let checkpoint = unit.checkpoint.clone();
-        unit.placements.push(Placement { incarnation: incarnation.clone(), run, checkpoint });
+        let placement = Placement { incarnation: incarnation.clone(), run, checkpoint };
+        occurrence.place(key.step, key.index, placement);
         events.push(Event::Placed(key, run, incarnation.clone()));
     }
 
@@ -705,11 +711,9 @@
     }
 }
 
-fn unit_mut<'a>(jobs: &'a mut BTreeMap<JobNumber, Job>, key: &UnitKey) -> Option<&'a mut Unit> {
-    jobs.get_mut(&key.job)?
-        .occurrences
-        .get_mut(&key.occurrence)?
-        .steps
-        .get_mut(usize::from(key.step))?
-        .get_mut(usize::try_from(key.index).ok()?)
+fn occurrence_mut<'a>(
+    jobs: &'a mut BTreeMap<JobNumber, Job>,
+    key: &UnitKey,
+) -> Option<&'a mut Occurrence> {
+    jobs.get_mut(&key.job)?.occurrences.get_mut(&key.occurrence)
 }
--- a/crates/sched/src/estimate.rs
+++ b/crates/sched/src/estimate.rs
@@ -42,6 +42,12 @@
     /// Returns the expected run time of a unit of a queue; the declared one if no run of
     /// the queue was recorded.
     pub fn expected(&self, queue: &QueueName, declared: Duration) -> Duration {
-        scaled(declared, self.ratios.get(queue).copied().unwrap_or(1.0))
+        scaled(declared, self.ratio(queue))
+    }
+
+    /// Returns the ratio of expected to declared run time for a queue; 1 if no run of the queue was
+    /// recorded.
+    pub fn ratio(&self, queue: &QueueName) -> f64 {
+        self.ratios.get(queue).copied().unwrap_or(1.0)
     }
 }
--- a/crates/sched/src/rank.rs
+++ b/crates/sched/src/rank.rs
@@ -8,7 +8,7 @@
 //! work up to a limit. Long-running and overdue steps are ranked without the work and the
 //! value.
 
-use jobs::{Definition, Job};
+use jobs::Definition;
 use std::cmp::Ordering;
 use std::time::Duration;
 
@@ -131,57 +131,114 @@
     scaled.unwrap_or(MAX_SPAN).min(MAX_SPAN)
 }
 
-/// Returns the duration of the longest chain of dependent steps that starts with step
-/// `from`; `expected` maps a declared run time to the expected one.
-pub fn critical_path(
-    definition: &Definition,
-    from: u16,
-    expected: &dyn Fn(Duration) -> Duration,
-) -> Duration {
-    let step_count = definition.steps.len();
-    let mut longest = vec![Duration::ZERO; step_count];
-    for step in (0..step_count).rev() {
-        let longest_after = (step + 1..step_count)
-            .filter(|dependent| definition.steps[*dependent].after.contains(&(step as u16)))
-            .map(|dependent| longest[dependent])
-            .max()
-            .unwrap_or_default();
-        let duration = expected(definition.steps[step].estimate);
-        longest[step] = duration.saturating_add(longest_after).min(MAX_SPAN);
-    }
-    longest.get(usize::from(from)).copied().unwrap_or_default()
+/// Sums over the steps of a job that the ranks of its steps are taken from, by declared run times.
+///
+/// Computed once for a job, in time proportional to its steps and their dependencies. What is
+/// expected of the job's queue later only scales the sums.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Profile {
+    steps: Vec<StepProfile>,
+    /// Longest chain of dependent steps in the whole job.
+    longest_chain: Duration,
 }
 
-/// Returns the duration of the longest chain of dependent steps in the whole job.
-pub fn whole_critical_path(
-    definition: &Definition,
-    expected: &dyn Fn(Duration) -> Duration,
-) -> Duration {
-    (0..definition.steps.len() as u16)
-        .map(|step| critical_path(definition, step, expected))
-        .max()
-        .unwrap_or_default()
+/// Sums over the steps that depend on one, or are listed after it.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct StepProfile {
+    longest_chain: Duration,
+    /// Processor time of the step and all listed after it, in core-seconds.
+    work: f64,
+    /// Number of steps that this one depends on directly.
+    dependencies: u32,
+    /// Steps that depend on this one directly, each once, ascending.
+    dependents: Vec<u16>,
 }
 
-/// Returns the processor time of step `from` and all steps listed after it, in
-/// core-seconds.
-pub fn remaining_work(
-    definition: &Definition,
-    from: u16,
-    expected: &dyn Fn(Duration) -> Duration,
-) -> f64 {
-    let steps = definition.steps.iter().skip(usize::from(from));
-    steps
-        .map(|step| {
+impl Profile {
+    /// Computes the profile of a definition.
+    ///
+    /// ```
+    /// use jobs::{Definition, Step};
+    /// use std::time::Duration;
+    /// let step = |seconds, after: &[u16]| Step {
+    ///     count: 1,
+    ///     estimate: Duration::from_secs(seconds),
+    ///     after: after.to_vec(),
+    ///     ..Step::default()
+    /// };
+    /// let steps = vec![step(2, &[]), step(9, &[]), step(5, &[0])];
+    /// let profile = sched::rank::Profile::new(&Definition { steps, ..Definition::default() });
+    /// assert_eq!(profile.critical_path(0), Duration::from_secs(7));
+    /// assert_eq!(profile.whole_critical_path(), Duration::from_secs(9));
+    /// assert_eq!(profile.dependents(0), [2]);
+    /// ```
+    pub fn new(definition: &Definition) -> Profile {
+        let mut steps = vec![StepProfile::default(); definition.steps.len()];
+        let (mut longest_chain, mut work) = (Duration::ZERO, 0.0);
+        // Steps depend only on earlier ones, so all dependents of a step come before it here.
+        for (number, step) in definition.steps.iter().enumerate().rev() {
+            let chain = step.estimate.saturating_add(steps[number].longest_chain).min(MAX_SPAN);
             let cores = step.resources.cpu_milli as f64 / 1000.0;
-            f64::from(step.count) * cores * expected(step.estimate).as_secs_f64()
-        })
-        .sum()
+            work += f64::from(step.count) * cores * step.estimate.as_secs_f64();
+            steps[number].longest_chain = chain;
+            steps[number].work = work;
+            longest_chain = longest_chain.max(chain);
+            let mut dependencies = 0;
+            for before in &step.after {
+                let Some(before) = steps.get_mut(usize::from(*before)) else { continue };
+                before.longest_chain = before.longest_chain.max(chain);
+                if before.dependents.last() != Some(&(number as u16)) {
+                    before.dependents.push(number as u16);
+                    dependencies += 1;
+                }
+            }
+            steps[number].dependencies = dependencies;
+        }
+        steps.iter_mut().for_each(|step| step.dependents.reverse());
+        Profile { steps, longest_chain }
+    }
+
+    /// Returns the declared duration of the longest chain of dependent steps that starts with a
+    /// step.
+    pub fn critical_path(&self, step: u16) -> Duration {
+        self.steps.get(usize::from(step)).map_or(Duration::ZERO, |step| step.longest_chain)
+    }
+
+    /// Returns the declared duration of the longest chain of dependent steps in the whole job.
+    pub fn whole_critical_path(&self) -> Duration {
+        self.longest_chain
+    }
+
+    /// Returns the declared processor time of a step and all steps listed after it, in
+    /// core-seconds.
+    pub fn remaining_work(&self, step: u16) -> f64 {
+        self.steps.get(usize::from(step)).map_or(0.0, |step| step.work)
+    }
+
+    /// Returns the declared processor time of the whole job, in core-seconds.
+    pub fn total_work(&self) -> f64 {
+        self.remaining_work(0)
+    }
+
+    /// Returns the number of steps that a step depends on directly.
+    pub fn dependency_count(&self, step: u16) -> u32 {
+        self.steps.get(usize::from(step)).map_or(0, |step| step.dependencies)
+    }
+
+    /// Returns the steps that depend directly on a step, ascending.
+    pub fn dependents(&self, step: u16) -> &[u16] {
+        self.steps.get(usize::from(step)).map_or(&[], |step| &step.dependents)
+    }
 }
 
-/// Returns the time from acceptance within which a job has its full value.
-pub fn objective(job: &Job, expected: &dyn Fn(Duration) -> Duration) -> Duration {
-    let critical_path = whole_critical_path(&job.definition, expected);
-    let objective = scaled(critical_path, job.critical_path_factor.max(1.0));
-    objective.saturating_add(job.base_objective).min(MAX_SPAN)
+/// Returns the time from acceptance within which a job has its full value, by the expected duration
+/// of its longest chain of steps and its queue's terms.
+///
+/// ```
+/// use std::time::Duration;
+/// let second = Duration::from_secs(1);
+/// assert_eq!(sched::rank::objective(second * 4, 1.5, second), second * 7);
+/// ```
+pub fn objective(critical_path: Duration, factor: f64, base: Duration) -> Duration {
+    scaled(critical_path, factor.max(1.0)).saturating_add(base).min(MAX_SPAN)
 }
--- a/crates/sched/src/scheduler/admit.rs
+++ b/crates/sched/src/scheduler/admit.rs
@@ -4,9 +4,9 @@
 
 use super::{Scheduler, Time, Waiting};
 use crate::admission::{Backlog, Decision, Prospect, Returns};
-use crate::rank::{self, Criteria, OVERDUE_FACTOR, Rank};
+use crate::rank::{self, Criteria, OVERDUE_FACTOR, Profile, Rank};
 use jobs::definition::Resources;
-use jobs::{AccountName, Definition, Ledger, PoolName, Queue, QueueName, StepKey};
+use jobs::{AccountName, Definition, Job, Ledger, PoolName, Queue, QueueName, StepKey};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -116,13 +116,14 @@
         &self,
         time: Time,
         ledger: &Ledger,
+        job: &Job,
         key: &StepKey,
+        profile: &Profile,
     ) -> Criteria {
-        let job = &ledger.jobs()[&key.job];
         let weight = job.owner.as_ref().and_then(|o| ledger.account(o)).map_or(0.0, |a| a.weight);
         let is_excess =
             job.owner.as_ref().is_some_and(|o| self.rates.is_exhausted(o, weight, time.wall));
-        Criteria { accepted_at: time.monotonic, is_excess, ..self.criteria(ledger, key) }
+        Criteria { accepted_at: time.monotonic, is_excess, ..self.criteria(job, key, profile) }
     }
 
     /// Returns the criteria by which a job would be ranked if it were accepted now.
@@ -135,19 +136,22 @@
         definition: &Definition,
         owner: Option<&AccountName>,
     ) -> Criteria {
-        let duration = |declared| self.estimator.expected(queue, declared);
-        let critical_path = rank::whole_critical_path(definition, &duration);
+        let profile = Profile::new(definition);
+        let critical_path = self.estimator.expected(queue, profile.whole_critical_path());
         let weight = owner.and_then(|owner| ledger.account(owner)).map_or(0.0, |a| a.weight);
         Criteria {
             priority: settings.priority,
             long_running: false,
             is_excess: owner.is_some_and(|o| self.rates.is_exhausted(o, weight, time.wall)),
             accepted_at: time.monotonic,
-            objective: rank::scaled(critical_path, settings.critical_path_factor.max(1.0))
-                + settings.base_objective,
+            objective: rank::objective(
+                critical_path,
+                settings.critical_path_factor,
+                settings.base_objective,
+            ),
             critical_path,
-            remaining_work: rank::remaining_work(definition, 0, &duration),
-            total_work: rank::remaining_work(definition, 0, &|declared| declared),
+            remaining_work: profile.total_work() * self.estimator.ratio(queue),
+            total_work: profile.total_work(),
         }
     }
 
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -6,11 +6,12 @@
 //! moved, since a move ends the runs on them.
 
 use super::admit::cores;
+use super::waiting::profile_of;
 use super::{MoveReply, Scheduler, Time};
 use crate::instance::State;
 use crate::late::LATE_ORDER_WINDOW;
 use crate::order::{Answer, Move, Order, Refusal};
-use crate::rank::{Class, remaining_work};
+use crate::rank::Class;
 use jobs::command::{Command, MoveChange};
 use jobs::{InstanceId, JobNumber, Ledger, PoolName, StepKey};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -123,9 +124,8 @@
         {
             return;
         }
-        let core_seconds = remaining_work(&job.definition, 0, &|duration| {
-            self.estimator.expected(&job.queue, duration)
-        });
+        let profile = profile_of(&mut self.profiles, number, job);
+        let core_seconds = profile.total_work() * self.estimator.ratio(&job.queue);
         let arrivals = self.balance.arrivals.entry(job.pool.clone()).or_default();
         arrivals.push_back((time.monotonic, core_seconds));
     }
--- a/crates/sched/src/scheduler/explain.rs
+++ b/crates/sched/src/scheduler/explain.rs
@@ -8,13 +8,16 @@
 use crate::admission::Decision;
 use crate::place::{Candidate, Request};
 use crate::quota;
-use jobs::{AccountName, JobNumber, Ledger, PoolName, QueueName, StepKey, WorkerId};
+use crate::rank::Profile;
+use jobs::{AccountName, JobNumber, Ledger, PoolName, QueueName, RunNumber, StepKey, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Most units of a step that are listed one by one.
 const MAX_LISTED_UNITS: usize = 64;
+/// Most steps of a job that are explained: the answer is computed between the leader's decisions.
+const MAX_LISTED_STEPS: usize = 64;
 
 /// Where a job's units are and would go now.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,8 +32,11 @@
     pub is_excess: bool,
     /// Time after which a client is asked to return, if the job would be refused now.
     pub refused_for: Option<Duration>,
-    /// The steps whose turn has come.
+    /// The steps whose turn has come, the first ones if they are many.
     pub steps: Vec<StepPlacing>,
+    /// Number of further steps whose turn has come.
+    #[serde(default)]
+    pub omitted_steps: usize,
 }
 
 /// Where the units of a step are and would go now.
@@ -62,6 +68,12 @@
     pub run_time: Duration,
 }
 
+/// Order of the waiting steps of a pool.
+struct Ranking {
+    /// Position from 0 of each step, and the waiting work that goes before it, in core-seconds.
+    positions: BTreeMap<StepKey, (usize, f64)>,
+}
+
 impl Scheduler {
     /// Explains where the units of a job are and would go now; `None` if the job is not known or has
     /// ended. A job that is in `ledger` and was never accepted by this leader is judged as if it had
@@ -77,7 +89,7 @@
         };
         let mut keys = Vec::new();
         for (occurrence, state) in &job.occurrences {
-            for step in 0..state.steps.len() as u16 {
+            for step in 0..state.steps().len() as u16 {
                 let key = StepKey { job: number, occurrence: *occurrence, step };
                 if job.is_step_unblocked(*occurrence, step) && !job.is_step_done(*occurrence, step)
                 {
@@ -86,8 +98,9 @@
             }
         }
         if is_described {
+            let profile = Profile::new(&job.definition);
             for key in &keys {
-                let criteria = self.described_criteria(time, ledger, key);
+                let criteria = self.described_criteria(time, ledger, job, key, &profile);
                 let step = &job.definition.steps[usize::from(key.step)];
                 let units = (0..step.count).map(|index| (index, time.monotonic)).collect();
                 let resources = step.reserved_resources();
@@ -97,8 +110,11 @@
             }
         }
         let plan = self.plan_steps(time, ledger, &job.pool, &steps, &[], &mut Default::default());
-        let placings =
-            keys.iter().map(|key| self.explain_step(time, ledger, key, &steps, &plan)).collect();
+        let ranking = self.ranking(time, ledger, &steps);
+        let listed = keys.iter().take(MAX_LISTED_STEPS);
+        let placings = listed
+            .map(|key| self.explain_step(time, ledger, key, &steps, &ranking, &plan))
+            .collect();
         Some(Placing {
             queue: job.queue.clone(),
             pool: job.pool.clone(),
@@ -106,9 +122,22 @@
             is_excess: self.excess_jobs.contains(&number),
             refused_for,
             steps: placings,
+            omitted_steps: keys.len().saturating_sub(MAX_LISTED_STEPS),
         })
     }
 
+    /// Ranks the waiting steps of a pool.
+    fn ranking(&self, time: Time, ledger: &Ledger, steps: &BTreeMap<StepKey, Waiting>) -> Ranking {
+        let mut positions = BTreeMap::new();
+        let mut work_before = 0.0;
+        let ranked = self.ranked_steps(time, ledger, steps.iter());
+        for (position, (_, key)) in ranked.into_iter().enumerate() {
+            positions.insert(key, (position, work_before));
+            work_before += self.waiting_work(ledger, &key, &steps[&key]);
+        }
+        Ranking { positions }
+    }
+
     /// Explains one step by a plan for all steps of its pool.
     fn explain_step(
         &self,
@@ -116,6 +145,7 @@
         ledger: &Ledger,
         key: &StepKey,
         steps: &BTreeMap<StepKey, Waiting>,
+        ranking: &Ranking,
         plan: &Plan<'_>,
     ) -> StepPlacing {
         let job = &ledger.jobs()[&key.job];
@@ -124,7 +154,8 @@
         for (unit, ids) in self.placed_on.range(key.unit(0)..=key.unit(u32::MAX)) {
             let runs_on = |id: &&WorkerId| {
                 let worker = self.workers.get(*id);
-                worker.is_some_and(|w| w.runs.keys().any(|(running, _)| running == unit))
+                let runs = worker.map(|w| w.runs.range((*unit, 0)..=(*unit, RunNumber::MAX)));
+                runs.is_some_and(|mut runs| runs.next().is_some())
             };
             if let Some(id) = ids.iter().find(runs_on) {
                 running.insert(unit.index, id.clone());
@@ -135,11 +166,8 @@
             planned.map(|placement| (placement.unit.index, placement.worker.clone())).collect();
         let ready = steps.get(key).map_or(0, |waiting| waiting.units.len());
         let waiting = ready.saturating_sub(starting.len());
-        let ranked = self.ranked_steps(time, ledger, steps.iter());
-        let position = ranked.iter().position(|(_, other)| other == key);
-        let before = ranked.iter().take(position.unwrap_or_default());
-        let works = before.map(|(_, other)| self.waiting_work(ledger, other, &steps[other]));
-        let work_before = works.fold(0.0, |sum, work| sum + work);
+        let place = ranking.positions.get(key);
+        let work_before = place.map_or(0.0, |(_, work)| *work);
         let candidates = self.candidates(time, &job.pool);
         let none = BTreeMap::new();
         let request = Request {
@@ -174,7 +202,7 @@
             running: running.into_iter().take(MAX_LISTED_UNITS).collect(),
             starting: starting.into_iter().take(MAX_LISTED_UNITS).collect(),
             waiting,
-            rank: position.map(|position| (position + 1, ranked.len())),
+            rank: place.map(|(position, _)| (position + 1, ranking.positions.len())),
             work_before,
             reasons,
             excluded,
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -28,7 +28,7 @@
 use crate::instance::Instance;
 use crate::lease::Lease;
 use crate::order::{Order, Reply};
-use crate::rank::Criteria;
+use crate::rank::{Criteria, Profile};
 use crate::rate::Rates;
 use crate::roster::{Report, Roster};
 use crate::usage::Usage;
@@ -42,6 +42,7 @@
     StepKey, UnitKey, UnixMs, WorkerId,
 };
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 pub use accounts::Summary;
@@ -140,6 +141,10 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// Steps with units that wait for free resources.
     waiting: BTreeMap<PoolName, BTreeMap<StepKey, Waiting>>,
+    /// Steps that wait for others, with the number of those that are not done.
+    blocked_steps: BTreeMap<StepKey, u32>,
+    /// Profiles of unfinished jobs.
+    profiles: BTreeMap<JobNumber, Arc<Profile>>,
     /// Occurrences of scheduled jobs that wait for their due time, earliest first.
     due_occurrences: BTreeSet<(UnixMs, JobNumber, u32)>,
     /// When each job was accepted, on this leader's monotonic clock.
@@ -180,6 +185,8 @@
     suspicions: BTreeMap<StepKey, trials::Suspicion>,
     /// Crashes since the last decision.
     crashes: Vec<Loss>,
+    /// Gangs of which a member ended since the last decision.
+    broken_gangs: BTreeSet<StepKey>,
     effort: Effort,
     /// Time of the latest call of `decide`.
     time: Time,
@@ -225,6 +232,8 @@
             superseded: false,
             workers: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            blocked_steps: BTreeMap::new(),
+            profiles: BTreeMap::new(),
             due_occurrences: BTreeSet::new(),
             accepted_at: BTreeMap::new(),
             placed_on: BTreeMap::new(),
@@ -247,6 +256,7 @@
             unexplained_losses: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             crashes: Vec::new(),
+            broken_gangs: BTreeSet::new(),
             effort: Effort::default(),
             time,
             next_decision: Duration::ZERO,
@@ -313,7 +323,7 @@
             let age = Duration::from_millis(time.wall.saturating_sub(job.accepted_at));
             self.accepted_at.insert(*number, time.monotonic.saturating_sub(age));
             for (occurrence, state) in &job.occurrences {
-                for (step, units) in state.steps.iter().enumerate() {
+                for (step, units) in state.steps().iter().enumerate() {
                     let key = StepKey { job: *number, occurrence: *occurrence, step: step as u16 };
                     for (index, unit) in units.iter().enumerate() {
                         for placement in &unit.placements {
@@ -535,6 +545,7 @@
     pub fn decide(&mut self, time: Time, ledger: &Ledger) -> Output {
         self.time = time;
         self.report_crashes(time, ledger);
+        self.stop_broken_gangs(time, ledger);
         self.is_decision_deferred = time.monotonic < self.next_decision;
         if !self.superseded && !self.is_decision_deferred {
             self.next_decision = time.monotonic + DECISION_INTERVAL;
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -292,7 +292,7 @@
         if step.long_running || step.count < 2 {
             return None;
         }
-        let units = job.occurrences.get(&key.occurrence)?.steps.get(usize::from(key.step))?;
+        let units = job.occurrences.get(&key.occurrence)?.steps().get(usize::from(key.step))?;
         let placed = units.iter().flat_map(|unit| &unit.placements).next();
         if let Some(placement) = placed {
             let worker = self.workers.get(&placement.incarnation.worker)?;
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -53,7 +53,7 @@
         {
             self.avoided_workers.entry(*unit).or_default().insert(incarnation.worker.clone());
         }
-        self.break_gang(time, ledger, unit);
+        self.mark_broken_gang(ledger, unit);
         let needs_placement =
             ledger.unit(unit).is_some_and(|state| !state.done && state.placements.is_empty());
         if needs_placement {
@@ -115,16 +115,21 @@
         }
     }
 
-    /// Stops the other members of a unit's gang: a gang that lacks a member does no
-    /// work and would only hold resources.
-    fn break_gang(&mut self, time: Time, ledger: &Ledger, unit: &UnitKey) {
+    /// Remembers that a unit's gang lacks a member.
+    fn mark_broken_gang(&mut self, ledger: &Ledger, unit: &UnitKey) {
         let Some(job) = ledger.job(unit.job) else { return };
-        let key = unit.step_key();
-        if !job.definition.steps[usize::from(key.step)].gang {
-            return;
+        if job.definition.steps[usize::from(unit.step)].gang {
+            self.broken_gangs.insert(unit.step_key());
         }
-        for (worker, unit, number) in self.find_runs(key.unit(0)..=key.unit(u32::MAX)) {
-            self.stop(time, ledger, &worker, unit, number, StopReason::GangBroken);
+    }
+
+    /// Stops the members of gangs that lack a member: such a gang does no work and would only hold
+    /// resources. Done once for all members that ended since the last decision.
+    pub(super) fn stop_broken_gangs(&mut self, time: Time, ledger: &Ledger) {
+        for key in std::mem::take(&mut self.broken_gangs) {
+            for (worker, unit, number) in self.find_runs(key.unit(0)..=key.unit(u32::MAX)) {
+                self.stop(time, ledger, &worker, unit, number, StopReason::GangBroken);
+            }
         }
     }
 
--- a/crates/sched/src/scheduler/trials.rs
+++ b/crates/sched/src/scheduler/trials.rs
@@ -167,7 +167,7 @@
     fn count_crashes(&self, ledger: &Ledger, key: &StepKey) -> BTreeMap<InstanceId, usize> {
         let mut counts = BTreeMap::new();
         let occurrence = ledger.job(key.job).and_then(|job| job.occurrences.get(&key.occurrence));
-        let units = occurrence.and_then(|state| state.steps.get(usize::from(key.step)));
+        let units = occurrence.and_then(|state| state.steps().get(usize::from(key.step)));
         for crash in units.into_iter().flatten().flat_map(|unit| &unit.crashes) {
             *counts.entry(crash.instance.clone()).or_default() += 1;
         }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -4,18 +4,19 @@
 //! due, and computes the criteria by which waiting steps are ranked.
 
 use super::{JOB_WORK_WEIGHT, Scheduler, Time, Waiting};
-use crate::rank::{self, Criteria};
+use crate::rank::{self, Criteria, Profile};
 use crate::worker::StopReason;
-use jobs::{JobNumber, Ledger, RunNumber, StepKey, UnitKey, WorkerId};
+use jobs::{Job, JobNumber, Ledger, RunNumber, StepKey, UnitKey, WorkerId};
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
+use std::sync::Arc;
 use std::time::Duration;
 
 impl Scheduler {
     /// Adds a job's declared work to the moving average of its queue.
     pub(super) fn record_job_work(&mut self, ledger: &Ledger, number: JobNumber) {
         let Some(job) = ledger.job(number) else { return };
-        let work = rank::remaining_work(&job.definition, 0, &|duration| duration);
+        let work = profile_of(&mut self.profiles, number, job).total_work();
         let mean = self.mean_job_work.entry(job.queue.clone()).or_insert(work);
         *mean += JOB_WORK_WEIGHT * (work - *mean);
     }
@@ -57,9 +58,21 @@
         occurrence: u32,
     ) {
         let Some(job) = ledger.job(number) else { return };
-        for step in 0..job.definition.steps.len() as u16 {
-            if job.is_step_unblocked(occurrence, step) {
-                self.enqueue_step(time, ledger, StepKey { job: number, occurrence, step });
+        let profile = profile_of(&mut self.profiles, number, job);
+        let steps = 0..job.definition.steps.len() as u16;
+        let mut blocked: BTreeMap<u16, u32> =
+            steps.clone().map(|step| (step, profile.dependency_count(step))).collect();
+        for done in steps.filter(|step| job.is_step_done(occurrence, *step)) {
+            for step in profile.dependents(done) {
+                blocked.entry(*step).and_modify(|open| *open -= 1);
+            }
+        }
+        for (step, open_dependencies) in blocked {
+            let key = StepKey { job: number, occurrence, step };
+            if open_dependencies == 0 {
+                self.enqueue_step(time, ledger, key);
+            } else {
+                self.blocked_steps.insert(key, open_dependencies);
             }
         }
     }
@@ -80,10 +93,14 @@
     /// Enqueues the steps that became unblocked because a step is done.
     pub(super) fn on_step_done(&mut self, time: Time, ledger: &Ledger, done: &StepKey) {
         let Some(job) = ledger.job(done.job) else { return };
-        for (number, step) in job.definition.steps.iter().enumerate() {
-            let number = number as u16;
-            if step.after.contains(&done.step) && job.is_step_unblocked(done.occurrence, number) {
-                self.enqueue_step(time, ledger, StepKey { step: number, ..*done });
+        let profile = profile_of(&mut self.profiles, done.job, job);
+        for step in profile.dependents(done.step) {
+            let key = StepKey { step: *step, ..*done };
+            let Some(open_dependencies) = self.blocked_steps.get_mut(&key) else { continue };
+            *open_dependencies -= 1;
+            if *open_dependencies == 0 {
+                self.blocked_steps.remove(&key);
+                self.enqueue_step(time, ledger, key);
             }
         }
     }
@@ -96,16 +113,21 @@
             return;
         }
         let key = unit.step_key();
-        let criteria = self.criteria(ledger, &key);
         let not_before = if self.is_held(&unit) { Duration::MAX } else { time.monotonic };
-        let steps = self.waiting.entry(job.pool.clone()).or_default();
-        let waiting = steps.entry(key).or_insert_with(|| Waiting {
-            units: BTreeMap::new(),
-            resources: job.definition.steps[usize::from(key.step)].reserved_resources(),
-            owner: job.owner.clone(),
-            criteria,
-            near_wait_since: None,
-        });
+        let is_waiting = self.waiting.get(&job.pool).is_some_and(|steps| steps.contains_key(&key));
+        if !is_waiting {
+            let profile = profile_of(&mut self.profiles, unit.job, job);
+            let waiting = Waiting {
+                units: BTreeMap::new(),
+                resources: job.definition.steps[usize::from(key.step)].reserved_resources(),
+                owner: job.owner.clone(),
+                criteria: self.criteria(job, &key, &profile),
+                near_wait_since: None,
+            };
+            self.waiting.entry(job.pool.clone()).or_default().insert(key, waiting);
+        }
+        let steps = self.waiting.get_mut(&job.pool);
+        let Some(waiting) = steps.and_then(|steps| steps.get_mut(&key)) else { return };
         waiting.units.insert(unit.index, not_before);
     }
 
@@ -139,9 +161,8 @@
 
     /// Returns the criteria by which a step is ranked. Each occurrence of a scheduled
     /// job counts as accepted when it is due.
-    pub(super) fn criteria(&self, ledger: &Ledger, key: &StepKey) -> Criteria {
-        let job = &ledger.jobs()[&key.job];
-        let duration = |declared| self.estimator.expected(&job.queue, declared);
+    pub(super) fn criteria(&self, job: &Job, key: &StepKey, profile: &Profile) -> Criteria {
+        let expected = |declared| self.estimator.expected(&job.queue, declared);
         let mut accepted_at = self.accepted_at.get(&key.job).copied().unwrap_or_default();
         if let (Some(due), Some(first)) =
             (job.definition.due(key.occurrence), job.definition.due(0))
@@ -153,10 +174,14 @@
             long_running: job.definition.steps[usize::from(key.step)].long_running,
             is_excess: self.excess_jobs.contains(&key.job),
             accepted_at,
-            objective: rank::objective(job, &duration),
-            critical_path: rank::critical_path(&job.definition, key.step, &duration),
-            remaining_work: rank::remaining_work(&job.definition, key.step, &duration),
-            total_work: rank::remaining_work(&job.definition, 0, &|duration| duration),
+            objective: rank::objective(
+                expected(profile.whole_critical_path()),
+                job.critical_path_factor,
+                job.base_objective,
+            ),
+            critical_path: expected(profile.critical_path(key.step)),
+            remaining_work: profile.remaining_work(key.step) * self.estimator.ratio(&job.queue),
+            total_work: profile.total_work(),
         }
     }
 
@@ -178,9 +203,11 @@
         for waiting in self.waiting.values_mut() {
             remove_range(waiting, steps.clone());
         }
+        remove_range(&mut self.blocked_steps, steps.clone());
         self.due_occurrences.retain(|(_, job, _)| *job != number);
         self.long_running_jobs.remove(&number);
         self.excess_jobs.remove(&number);
+        self.profiles.remove(&number);
         self.record_begun(ledger, number);
         remove_range(&mut self.avoided_workers, units.clone());
         remove_range(&mut self.last_run_numbers, units.clone());
@@ -219,6 +246,15 @@
     }
 }
 
+/// Returns the profile of an unfinished job, which is computed at its first use.
+pub(super) fn profile_of(
+    profiles: &mut BTreeMap<JobNumber, Arc<Profile>>,
+    number: JobNumber,
+    job: &Job,
+) -> Arc<Profile> {
+    profiles.entry(number).or_insert_with(|| Arc::new(Profile::new(&job.definition))).clone()
+}
+
 /// Returns the range of the keys of a job's units.
 fn units_of_job(job: JobNumber) -> RangeInclusive<UnitKey> {
     UnitKey { job, occurrence: 0, step: 0, index: 0 }..=UnitKey {
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -12,7 +12,7 @@
 };
 use sched::{Report, Roster, Scheduler, Settings};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 pub use worker::Worker;
 
 mod cloud;
@@ -54,6 +54,8 @@
     pub ledger: Ledger,
     pub scheduler: Scheduler,
     pub workers: BTreeMap<String, Worker>,
+    /// Longest time that the leader's thread needed for one action of each kind.
+    pub longest: BTreeMap<&'static str, Duration>,
     /// Explanations of decisions, with their time.
     pub log: Vec<(Duration, sched::scheduler::Explanation)>,
     /// Starts on all workers, in order.
@@ -174,6 +176,7 @@
             ledger,
             scheduler,
             workers: BTreeMap::new(),
+            longest: BTreeMap::new(),
             log: Vec::new(),
             starts: Vec::new(),
             maintenances: Vec::new(),
@@ -293,8 +296,10 @@
             roster.record(self.now, report);
         }
         let time = self.time();
+        let started_at = Instant::now();
         self.scheduler =
             Scheduler::new(Settings::default(), self.fence, time, &self.ledger, &roster);
+        self.record_time("take over", started_at);
         self.workers.values_mut().for_each(|worker| worker.poll = None);
     }
 
@@ -314,10 +319,37 @@
     /// Commits a command and passes its events to the scheduler.
     pub fn apply(&mut self, command: Command) {
         let time = self.time();
+        let kind = match command {
+            Command::Submit(_) => "accept",
+            Command::Cancel(_) => "cancel",
+            Command::Runs(_) => "apply runs",
+            _ => "apply others",
+        };
+        let started_at = Instant::now();
         let (_, events) = self.ledger.apply(command);
         for event in events {
             self.scheduler.on_event(time, &self.ledger, &event);
         }
+        self.record_time(kind, started_at);
+    }
+
+    /// Records the time that the leader's thread has needed for an action.
+    fn record_time(&mut self, kind: &'static str, started_at: Instant) {
+        let longest = self.longest.entry(kind).or_default();
+        *longest = (*longest).max(started_at.elapsed());
+    }
+
+    /// Lets the scheduler decide, and commits its proposals. Returns its orders.
+    fn decide(&mut self) -> Vec<Order> {
+        let time = self.time();
+        let started_at = Instant::now();
+        let output = self.scheduler.decide(time, &self.ledger);
+        self.record_time("decide", started_at);
+        self.log.extend(output.explanations.into_iter().map(|e| (self.now, e)));
+        for command in output.proposals {
+            self.apply(command);
+        }
+        output.orders
     }
 
     /// Advances the simulation by `duration`.
@@ -471,22 +503,12 @@
         for id in &ids {
             self.run_worker(id);
         }
-        let time = self.time();
-        let output = self.scheduler.decide(time, &self.ledger);
-        self.log.extend(output.explanations.into_iter().map(|e| (self.now, e)));
-        for command in output.proposals {
-            self.apply(command);
-        }
-        let mut orders = output.orders;
+        let mut orders = self.decide();
         while !orders.is_empty() {
             for order in orders {
                 self.execute(order);
             }
-            let output = self.scheduler.decide(time, &self.ledger);
-            for command in output.proposals {
-                self.apply(command);
-            }
-            orders = output.orders;
+            orders = self.decide();
         }
         for id in &ids {
             self.answer_poll(id);
@@ -747,7 +769,9 @@
             Answer::Done(worker.run_lists(now, &self.run_times))
         };
         let reply = PollReply { incarnation: to.incarnation, sent_at: poll.sent_at, answer };
+        let started_at = Instant::now();
         self.scheduler.on_poll_reply(time, &self.ledger, reply);
+        self.record_time("read a poll", started_at);
     }
 
     /// Returns the starts of a unit on all workers.
