Sched: a list of ends that is cut proves no run gone

Cause: a worker lists at most 500 ends at a time. A run that is in neither list of the first answer was taken for one that never began; its end came with the next list, matched no placement, and was acknowledged.

Evidence: with 1,500 ends at a worker that lists 500, the new leader started 1,000 again (ends_that_a_new_leader_reads_with_its_second_list_are_ends failed so before). The same class: a leader that can't commit for some seconds took runs with unlisted ends for stuck and started 1,000 of 1,500 again (runs_whose_ends_are_not_listed_yet_are_not_stuck); runs with a confirmed stop and late starts were released by cut lists too.

The adapter says whether a list of ends may be cut (RunLists::has_more_ends); no absence is a proof then, and stuck runs and late starts are judged as of the last full list.

--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -207,6 +207,7 @@
         let running = worker.runs.keys().map(status).collect();
         let finished = worker.finished.clone();
         let run_lists = RunLists {
+            has_more_ends: false,
             started_at: Some(1),
             clock_ms: wall,
             running,
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -208,8 +208,12 @@
     pub clock_ms: u64,
     /// Runs that are in progress.
     pub running: Vec<RunStatus>,
-    /// Runs that ended and are not yet acknowledged.
+    /// Runs that ended and are not yet acknowledged, the first ones first.
     pub finished: Vec<Finished>,
+    /// Further runs may have ended: a worker lists only some ends at a time. A run that is in
+    /// neither list is then not known to be gone.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_more_ends: bool,
 }
 
 /// Status of a run on a worker.
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -12,7 +12,7 @@
 use jobs::command::{Discarded, End, EndList};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Longest wait of a poll to a worker with runs. It bounds the interval between lease
@@ -155,6 +155,9 @@
                 worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
                 worker.polling.answered_at = Some(time.monotonic);
+                if !run_lists.has_more_ends {
+                    worker.polling.all_listed_at = Some(time.monotonic);
+                }
                 worker.polling.next_at = time.monotonic + MIN_POLL_GAP;
                 let reading =
                     ClockReading { clock_ms: run_lists.clock_ms, received_at: time.monotonic };
@@ -260,7 +263,7 @@
         let running = statuses_by_run(ledger, &run_lists.running);
         let after = worker.proposed_through.max(ledger.acknowledged_through(&worker.incarnation));
         let mut ends = ends(ledger, &run_lists, after);
-        let finished_runs: Vec<(UnitKey, RunNumber)> = run_lists
+        let finished_runs: BTreeSet<(UnitKey, RunNumber)> = run_lists
             .finished
             .iter()
             .filter_map(|end| Some((ledger.find_unit(&end.name)?, end.run)))
@@ -285,9 +288,12 @@
                 outlived.push(key.0);
             }
         }
-        let missing_runs = missing_runs(worker, sent_at, |key| {
-            running.contains_key(key) || finished_runs.contains(key)
-        });
+        let missing_runs = match run_lists.has_more_ends {
+            true => Vec::new(),
+            false => missing_runs(worker, sent_at, |key| {
+                running.contains_key(key) || finished_runs.contains(key)
+            }),
+        };
         for key in missing_runs {
             if let Some(run) = worker.runs.get_mut(&key) {
                 run.state = RunState::Ending;
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -303,7 +303,7 @@
             let silent = worker.polling.is_silent(time.monotonic);
             let is_held = |run: &Run| run.may_run_unseen(time.monotonic, self.settings.max_lease);
             needs_list |= silent && (worker.holds_units() || worker.runs.values().any(is_held));
-            let answered_at = worker.polling.answered_at.unwrap_or_default();
+            let all_listed_at = worker.polling.all_listed_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
                 let key = (id.clone(), *unit, *number);
                 match run.state {
@@ -326,7 +326,7 @@
                     {
                         stops.push((key, None));
                     }
-                    RunState::Running if !silent && is_stuck(ledger, unit, run, answered_at) => {
+                    RunState::Running if !silent && is_stuck(ledger, unit, run, all_listed_at) => {
                         stuck.push(key);
                     }
                     _ => {}
@@ -366,13 +366,13 @@
     }
 }
 
-/// Whether a run has made no progress for too long, up to the worker's latest run lists
-/// at `answered_at`. The time since then does not count, since a worker that does not
-/// answer reports no progress either. Paused runs and long-running ones that have fully
+/// Whether a run has made no progress for too long, up to the worker's latest full run lists
+/// at `listed_at`. The time since then does not count, since a worker that does not
+/// answer reports no progress either, and a run may have ended that is not listed yet. Paused runs and long-running ones that have fully
 /// started make no progress and are not stuck.
-fn is_stuck(ledger: &Ledger, unit: &UnitKey, run: &Run, answered_at: Duration) -> bool {
+fn is_stuck(ledger: &Ledger, unit: &UnitKey, run: &Run, listed_at: Duration) -> bool {
     let (percent, since) = run.progress;
-    if answered_at < since + MIN_STUCK_DURATION
+    if listed_at < since + MIN_STUCK_DURATION
         || run.started_at.is_none()
         || run.share_percent == Some(0)
         || (run.long_running && percent >= 100)
@@ -382,5 +382,5 @@
     let Some(job) = ledger.job(unit.job) else { return false };
     let expected = job.definition.steps[usize::from(unit.step)].estimate;
     let max_stall = MIN_STUCK_DURATION.max(scaled(expected, STUCK_RUN_TIME_FRACTION));
-    answered_at >= since + max_stall
+    listed_at >= since + max_stall
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -153,6 +153,8 @@
     pub next_at: Duration,
     /// When the last answer arrived.
     pub answered_at: Option<Duration>,
+    /// When the last answer arrived that listed all ends.
+    pub all_listed_at: Option<Duration>,
     /// Consecutive polls and starts without a usable answer.
     pub unanswered: u32,
     /// Consecutive polls without a usable answer.
@@ -432,18 +434,18 @@
     }
 
     /// Removes the late starts that are over, and returns their units. One is over when it can no
-    /// longer be carried out; if it holds its unit, also a list received since then shows no run
-    /// of the unit, or all leases have expired, one of `max_lease` that it was given included.
+    /// longer be carried out; if it holds its unit, also a full list received since then shows no
+    /// run of the unit, or all leases have expired, one of `max_lease` that it was given included.
     pub fn remove_late_starts(&mut self, now: Duration, max_lease: Duration) -> Vec<UnitKey> {
         if self.late_starts.is_empty() || now < self.late_starts_end {
             return Vec::new();
         }
         let is_listed = |unit| self.unplaced.values().any(|run| run.unit == Some(unit));
-        let answered_at = self.polling.answered_at.unwrap_or_default();
+        let all_listed_at = self.polling.all_listed_at.unwrap_or_default();
         let is_over = |unit: UnitKey, start: &LateStart| {
             now >= start.until
                 && (!self.is_holding(start)
-                    || answered_at >= start.until && !is_listed(unit)
+                    || all_listed_at >= start.until && !is_listed(unit)
                     || Lease::inherited(start.until, max_lease).is_expired(now)
                         && self.lease.is_expired(now))
         };
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -13,7 +13,7 @@
 use sched::{Report, Roster, Scheduler, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
-pub use worker::Worker;
+pub use worker::{LISTED_ENDS, Worker};
 
 mod cloud;
 mod worker;
@@ -722,7 +722,11 @@
             }
         }
         let answer = if worker.loses_start_answers { Answer::Unknown } else { Answer::Done(()) };
-        self.record_overload(&to.incarnation.worker);
+        let step =
+            &self.ledger.jobs()[&start.unit.job].definition.steps[usize::from(start.unit.step)];
+        if step.reserved_resources().cpu_milli > 0 {
+            self.record_overload(&to.incarnation.worker);
+        }
         answer
     }
 
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -9,6 +9,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Most ends that a worker lists at a time, the first ones first.
+pub const LISTED_ENDS: usize = 500;
+
 /// A scripted worker with configurable faults.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -39,6 +42,8 @@
     pub fails_runs: bool,
     /// Polls get no answer while this is set.
     pub polls_hang: bool,
+    /// Acknowledged ends are listed again, as while the log commits nothing.
+    pub keeps_acknowledged_ends: bool,
     /// Runs make no progress and don't end.
     pub is_stuck: bool,
     /// Factor by which runs take longer here.
@@ -80,6 +85,7 @@
             ignores_stops: false,
             fails_runs: false,
             polls_hang: false,
+            keeps_acknowledged_ends: false,
             is_stuck: false,
             slowdown: 1.0,
             fence: 0,
@@ -107,7 +113,9 @@
     /// Carries out a poll: forgets the acknowledged ends, and extends the lease.
     pub fn apply_poll(&mut self, now: Duration, poll: &Poll, max_lease: Duration) {
         self.fence = self.fence.max(poll.fence);
-        self.finished.retain(|end| end.number > poll.acknowledged_through);
+        if !self.keeps_acknowledged_ends {
+            self.finished.retain(|end| end.number > poll.acknowledged_through);
+        }
         if let Some(lease_end_ms) = poll.lease_end_ms {
             self.extend_lease(now, lease_end_ms, max_lease);
         }
@@ -172,11 +180,12 @@
             measurement: if name.starts_with("serving") { self.tail_latency_ms() } else { 0 },
         };
         RunLists {
+            has_more_ends: self.finished.len() >= LISTED_ENDS,
             started_at: Some(self.report.incarnation.started_at),
             is_repeated: false,
             clock_ms: self.clock_ms(now),
             running: self.runs.iter().map(row).collect(),
-            finished: self.finished.clone(),
+            finished: self.finished.iter().take(LISTED_ENDS).cloned().collect(),
         }
     }
 }
