Sched: work that is never done ends a probation too

Cause: only an end `done` reset the failures of a worker, and a worker on probation got work only while it ran nothing. One with work that lasts was shut out until it ended. Failures that work that lasts has by itself counted against its workers.

A failure of work that had been at work says nothing of the worker. Work that lasts is started on workers in backoff if no other can take it, with a delay of its own from the third failed start on. One batch of failures lengthens the backoff once, and a restarted worker has none.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod crash;
 pub mod estimate;
+pub mod health;
 pub mod instance;
 pub mod late;
 pub mod lease;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -14,6 +14,7 @@
 use jobs::{InstanceId, Step, StepKey, WorkerId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Parameters of a placement, common to all candidate workers.
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +60,9 @@
     /// Too little is free.
     #[error("too little room")]
     Room,
+    /// Its runs failed, and it gets no work for some time.
+    #[error("in backoff after failures")]
+    Backoff,
     /// Its runs failed, and it gets one at a time.
     #[error("on probation after failures")]
     Probation,
@@ -88,6 +92,10 @@
     serves_requests: bool,
     best_effort_runs: u32,
     is_idle: bool,
+    /// The worker gets no work for some time, since its runs failed.
+    is_in_backoff: bool,
+    /// A unit has yet to show whether the worker works again.
+    has_probe: bool,
     /// The worker is slower than others at present.
     pub is_slow: bool,
     /// Step of which a trial goes on here.
@@ -99,8 +107,8 @@
 }
 
 impl<'a> Candidate<'a> {
-    /// Summarizes the runs of a worker.
-    pub fn new(id: &'a WorkerId, worker: &'a Worker) -> Candidate<'a> {
+    /// Summarizes the runs of a worker at `now`.
+    pub fn new(now: Duration, id: &'a WorkerId, worker: &'a Worker) -> Candidate<'a> {
         let mut candidate = Candidate {
             id,
             worker,
@@ -110,6 +118,8 @@
             serves_requests: false,
             best_effort_runs: 0,
             is_idle: worker.runs.is_empty(),
+            is_in_backoff: worker.health.is_in_backoff(now),
+            has_probe: worker.has_probe(),
             is_slow: worker.is_slow,
             trial: None,
             is_reserved: false,
@@ -134,6 +144,16 @@
         self.has_long_running
     }
 
+    /// Returns whether the worker gets no work for some time, since its runs failed.
+    pub fn is_in_backoff(&self) -> bool {
+        self.is_in_backoff
+    }
+
+    /// Returns whether the failures of the worker's runs allow it further work now.
+    pub fn is_open(&self) -> bool {
+        !self.is_in_backoff && !self.has_probe
+    }
+
     /// Returns whether nothing runs on the worker, placed there or not.
     pub fn is_empty(&self) -> bool {
         self.is_idle && self.worker.unplaced.is_empty()
@@ -155,6 +175,7 @@
         self.free = self.free.minus(&run.resources);
         self.reserved = self.reserved.plus(&run.resources);
         self.is_idle = false;
+        self.has_probe |= self.worker.health.is_on_probation();
         self.count(&key, run);
         *self.placed.entry(key).or_default() += 1;
     }
@@ -208,8 +229,13 @@
         if !self.free.covers(&step.reserved_resources()) {
             return Some(Exclusion::Room);
         }
-        if self.worker.is_on_probation() && !self.is_idle {
-            return Some(Exclusion::Probation);
+        // Work that lasts has no limit of attempts, so that a failure costs its caller less than the
+        // wait for a worker that is sound.
+        if !self.is_open() && !step.long_running {
+            return Some(match self.is_in_backoff {
+                true => Exclusion::Backoff,
+                false => Exclusion::Probation,
+            });
         }
         if !self.has_label(step) {
             return Some(Exclusion::Label);
@@ -247,7 +273,7 @@
 /// Suitability of a worker for a unit, compared field by field; the greatest wins.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Score {
-    /// No run has failed since the last success, and the last order was answered.
+    /// No run has failed since the last proof that the worker works, and the last order was answered.
     healthy: bool,
     /// The worker is not slow, or the step runs until its job is cancelled.
     sound: bool,
@@ -273,8 +299,7 @@
     let step = request.step;
     let free = candidate.free;
     let score = Score {
-        healthy: candidate.worker.consecutive_failures == 0
-            && candidate.worker.polling.unanswered == 0,
+        healthy: candidate.worker.health.is_sound() && candidate.worker.polling.unanswered == 0,
         sound: !candidate.is_slow || step.long_running,
         undisturbed: true,
         data_local: step.affinity.as_ref().is_none_or(|rack| candidate.labels().contains(rack)),
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -159,6 +159,8 @@
     /// Workers on which a run of the unit failed, got stuck or had an unanswered
     /// start. They are chosen only if no other worker fits.
     avoided_workers: BTreeMap<UnitKey, BTreeSet<WorkerId>>,
+    /// Failures in a row of work that lasts and did not get to work.
+    failed_starts: BTreeMap<UnitKey, u32>,
     /// Highest run number used for each unit, including runs that are not committed.
     last_run_numbers: BTreeMap<UnitKey, RunNumber>,
     estimator: Estimator,
@@ -240,6 +242,7 @@
             pending_jobs: BTreeMap::new(),
             long_running_jobs: BTreeSet::new(),
             avoided_workers: BTreeMap::new(),
+            failed_starts: BTreeMap::new(),
             last_run_numbers: BTreeMap::new(),
             estimator: Estimator::default(),
             mean_job_work: BTreeMap::new(),
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -94,12 +94,13 @@
         trials: &[StepKey],
         budget: &mut Budget,
     ) -> Plan<'a> {
-        let mut candidates = self.candidates(time, pool);
+        let (resting, mut candidates): (Vec<_>, Vec<_>) =
+            self.available_workers(time, pool).into_iter().partition(Candidate::is_in_backoff);
         let free_trials = self.free_trials(&candidates);
         if free_trials > 0 {
             self.reserve_for_trials(ledger, trials, &mut candidates);
         }
-        let largest = largest_free(&candidates);
+        let largest = largest_free(candidates.iter().chain(&resting));
         // Of a full pool, or of accounts at their caps, nearly all steps are left out here, before
         // anything is looked up.
         let fitting = steps.iter().filter(|(_, waiting)| {
@@ -115,7 +116,7 @@
         }
         let shares = self.shares(ledger, steps, &ranked, &candidates);
         let (plan, racks) = (Plan::default(), Racks::new());
-        let mut draft = Draft { candidates, largest, free_trials, plan, budget, racks };
+        let mut draft = Draft { candidates, resting, largest, free_trials, plan, budget, racks };
         let left_out = match shares {
             None => ranked.into_iter().map(|(_, key)| key).collect(),
             Some(shares) => {
@@ -199,9 +200,11 @@
         }
         indices.truncate(admitted);
         let has_policy = advice::policy(ledger, &key).is_some();
+        let last_resort = if step.long_running { draft.resting.as_mut_slice() } else { &mut [] };
         let mut permitted: Vec<&mut Candidate<'_>> = draft
             .candidates
             .iter_mut()
+            .chain(last_resort)
             .filter(|candidate| !has_policy || self.ticket(time, &key, candidate.id).is_some())
             .collect();
         let units_per_rack = self.count_units_per_rack(&key, step);
@@ -241,21 +244,28 @@
             draft.plan.undecided_steps.push(key);
         }
         if placed_count > 0 {
-            draft.largest = largest_free(&draft.candidates);
+            draft.largest = largest_free(draft.candidates.iter().chain(&draft.resting));
         }
     }
 
     /// Returns the workers of a pool that may get new work.
     pub(super) fn candidates(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
-        let is_candidate = |worker: &Worker| {
+        let mut candidates = self.available_workers(time, pool);
+        candidates.retain(|candidate| !candidate.is_in_backoff());
+        candidates
+    }
+
+    /// Returns the workers of a pool that may get new work, and those in backoff.
+    fn available_workers(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
+        let is_available = |worker: &Worker| {
             !worker.polling.is_silent(time.monotonic)
                 && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
-                && worker.is_schedulable(time.monotonic, MAX_SILENCE)
+                && worker.is_available(time.monotonic, MAX_SILENCE)
         };
         self.workers
             .iter()
-            .filter(|(_, worker)| is_candidate(worker))
-            .map(|(id, worker)| Candidate::new(id, worker))
+            .filter(|(_, worker)| is_available(worker))
+            .map(|(id, worker)| Candidate::new(time.monotonic, id, worker))
             .collect()
     }
 
@@ -434,8 +444,8 @@
         Vec::new()
     }
 
-    /// Returns the position of the feasible worker with the best score. Workers to be avoided for the unit
-    /// are chosen only if no other is feasible.
+    /// Returns the position of the feasible worker with the best score. Workers whose runs failed
+    /// lately, and then those to be avoided for the unit, are chosen only if no other is feasible.
     fn best_candidate(
         &self,
         request: &Request<'_>,
@@ -457,6 +467,7 @@
             .filter(|(_, candidate)| candidate.is_feasible(request))
             .max_by_key(|(_, candidate)| {
                 (
+                    candidate.is_open(),
                     !avoid.contains(candidate.id),
                     Reverse(crashes(candidate)),
                     place::score(candidate, request),
@@ -514,7 +525,7 @@
 }
 
 /// Returns the largest free amount of each resource among the candidates.
-fn largest_free(candidates: &[Candidate<'_>]) -> Resources {
+fn largest_free<'c, 'a: 'c>(candidates: impl Iterator<Item = &'c Candidate<'a>>) -> Resources {
     let mut largest = Resources::default();
     for Candidate { free, .. } in candidates {
         largest.cpu_milli = largest.cpu_milli.max(free.cpu_milli);
--- a/crates/sched/src/scheduler/plan.rs
+++ b/crates/sched/src/scheduler/plan.rs
@@ -40,7 +40,9 @@
 #[derive(Debug)]
 pub(super) struct Draft<'s, 'a, 'b> {
     pub(super) candidates: Vec<Candidate<'s>>,
-    /// Largest free amount of each resource among the candidates.
+    /// Workers in backoff, which get only work that lasts, and that only if no candidate can take it.
+    pub(super) resting: Vec<Candidate<'s>>,
+    /// Largest free amount of each resource among both.
     pub(super) largest: Resources,
     /// Number of trials that may still begin.
     pub(super) free_trials: usize,
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -288,6 +288,7 @@
                 outlived.push(key.0);
             }
         }
+        let works_again = running.keys().any(|key| worker.shows_health(time.monotonic, key));
         let missing_runs = match run_lists.has_more_ends {
             true => Vec::new(),
             false => missing_runs(worker, sent_at, |key| {
@@ -307,6 +308,9 @@
         for unit in outlived {
             self.clear_unit(&unit);
         }
+        if works_again {
+            self.explain(id.clone(), "works again after failures".to_string());
+        }
         for (unit, _) in running.keys().chain(&finished_runs) {
             self.record_begun(ledger, unit.job);
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -5,6 +5,7 @@
 //! of a worker that was lost or restarted, so that their units are placed again.
 
 use super::{Scheduler, Time};
+use crate::health::Health;
 use crate::late::LATE_ORDER_WINDOW;
 use crate::lease::Lease;
 use crate::order::{Order, Refusal, Stop};
@@ -15,6 +16,11 @@
 use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
 use std::time::Duration;
 
+/// Wait before the third start in a row of work that lasts; doubles with each failure.
+const FIRST_RESTART_DELAY: Duration = Duration::from_millis(200);
+/// Longest such wait. Work that lasts may be away for 3 s beside free resources.
+const MAX_RESTART_DELAY: Duration = Duration::from_secs(2);
+
 impl Scheduler {
     /// Handles the committed end of a run: updates the worker's failure count and the
     /// run-time estimates, stops other copies of a completed unit, and enqueues a unit
@@ -28,7 +34,7 @@
         };
         match reason {
             Some(EndReason::Done) => {
-                worker.record_success();
+                worker.health.record_success();
                 self.record_run_time(time, ledger, unit, &incarnation.worker, &run);
                 self.clear_unit(unit);
                 for (worker, unit, number) in self.find_runs(*unit..=*unit) {
@@ -37,13 +43,14 @@
                 return;
             }
             Some(EndReason::Failed) => {
-                if worker.record_failure(time.monotonic) {
-                    let text = format!(
-                        "backs off after {} consecutive failures",
-                        worker.consecutive_failures
-                    );
+                // Work that lasts may fail at any time; what tells of the worker is whether it starts.
+                if !run.is_at_work() && worker.health.record_failure(time.monotonic, run.placed_at)
+                {
+                    let failures = worker.health.failures();
+                    let text = format!("backs off after {failures} consecutive failures");
                     self.explain(incarnation.worker.clone(), text);
                 }
+                self.record_restart(unit, &run);
                 self.avoided_workers.entry(*unit).or_default().insert(incarnation.worker.clone());
             }
             _ => {}
@@ -57,7 +64,27 @@
         let needs_placement =
             ledger.unit(unit).is_some_and(|state| !state.done && state.placements.is_empty());
         if needs_placement {
-            self.enqueue(time, ledger, *unit);
+            self.enqueue(time, ledger, *unit, self.restart_delay(unit));
+        }
+    }
+
+    /// Counts the failures of work that lasts and did not get to work, for the delay of its next start.
+    fn record_restart(&mut self, unit: &UnitKey, run: &Run) {
+        if run.is_at_work() {
+            self.failed_starts.remove(unit);
+        } else if run.long_running {
+            *self.failed_starts.entry(*unit).or_default() += 1;
+        }
+    }
+
+    /// Returns the time until work that lasts is started again. It has no limit of attempts and may
+    /// be started on workers that fail it.
+    fn restart_delay(&self, unit: &UnitKey) -> Duration {
+        match self.failed_starts.get(unit).copied().unwrap_or_default() {
+            0 | 1 => Duration::ZERO,
+            failures => FIRST_RESTART_DELAY
+                .saturating_mul(2u32.saturating_pow(failures - 2))
+                .min(MAX_RESTART_DELAY),
         }
     }
 
@@ -315,7 +342,7 @@
         worker.proposed_through = 0;
         worker.speed = Speed::default();
         worker.is_slow = false;
-        worker.consecutive_failures = 0;
+        worker.health = Health::default();
         worker.cordoned = false;
         worker.ended = false;
         worker.lists_without = 0;
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -247,7 +247,10 @@
                 let Some(run) = worker.runs.get_mut(&key) else { return };
                 run.state = RunState::Ending;
                 self.batch.discarded.push(Discarded { unit, run: number });
-                if refusal == Refusal::Busy && worker.record_failure(time.monotonic) {
+                let placed_at = run.placed_at;
+                if refusal == Refusal::Busy
+                    && worker.health.record_failure(time.monotonic, placed_at)
+                {
                     self.explain(id.clone(), "backs off: it refuses starts".to_string());
                 }
                 self.explain(id.clone(), format!("refuses to start a run: {refusal:?}"));
@@ -315,7 +318,7 @@
                     RunState::Ready if !silent => starts.push(key),
                     RunState::Unclear if !silent => {
                         if run.unanswered_starts >= MAX_UNANSWERED_STARTS {
-                            given_up.push(id.clone());
+                            given_up.push((id.clone(), run.placed_at));
                             stops.push((key, Some(StopReason::UnansweredStart)));
                         } else {
                             starts.push(key);
@@ -340,9 +343,9 @@
                 self.send_start(time, ledger, &id, unit, number);
             }
         }
-        for id in given_up {
+        for (id, placed_at) in given_up {
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.record_failure(time.monotonic);
+                worker.health.record_failure(time.monotonic, placed_at);
             }
         }
         for ((id, unit, number), reason) in stops {
@@ -358,8 +361,10 @@
         for (id, unit, number) in stuck {
             let name = ledger.unit_name(&unit).unwrap_or_default();
             self.explain(name, format!("run {number} makes no progress on {id}: stopped"));
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.record_failure(time.monotonic);
+            if let Some(worker) = self.workers.get_mut(&id)
+                && let Some(run) = worker.runs.get(&(unit, number))
+            {
+                worker.health.record_failure(time.monotonic, run.placed_at);
             }
             self.stop(time, ledger, &id, unit, number, StopReason::Stuck);
         }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -85,7 +85,7 @@
                 .unit(key.occurrence, key.step, index)
                 .is_none_or(|unit| !unit.done && unit.placements.is_empty());
             if needs_placement {
-                self.enqueue(time, ledger, key.unit(index));
+                self.enqueue(time, ledger, key.unit(index), Duration::ZERO);
             }
         }
     }
@@ -105,15 +105,18 @@
         }
     }
 
-    /// Lets a unit wait for resources, and first for the starts of its earlier runs that may
-    /// still be carried out.
-    pub(super) fn enqueue(&mut self, time: Time, ledger: &Ledger, unit: UnitKey) {
+    /// Lets a unit wait for resources, and first for a delay and for the starts of its earlier runs
+    /// that may still be carried out.
+    pub(super) fn enqueue(&mut self, time: Time, ledger: &Ledger, unit: UnitKey, delay: Duration) {
         let Some(job) = ledger.job(unit.job) else { return };
         if job.state.is_final() {
             return;
         }
         let key = unit.step_key();
-        let not_before = if self.is_held(&unit) { Duration::MAX } else { time.monotonic };
+        let not_before = match self.is_held(&unit) {
+            true => Duration::MAX,
+            false => time.monotonic + delay,
+        };
         let is_waiting = self.waiting.get(&job.pool).is_some_and(|steps| steps.contains_key(&key));
         if !is_waiting {
             let profile = profile_of(&mut self.profiles, unit.job, job);
@@ -211,6 +214,7 @@
         self.record_begun(ledger, number);
         remove_range(&mut self.avoided_workers, units.clone());
         remove_range(&mut self.last_run_numbers, units.clone());
+        remove_range(&mut self.failed_starts, units.clone());
         self.accepted_at.remove(&number);
         remove_range(&mut self.suspicions, steps.clone());
         self.remove_tickets(steps);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,8 +1,6 @@
 //! The leader's record of one worker: its runs, free resources, lease and health.
-//!
-//! A worker whose runs fail several times in a row gets no new work for a growing
-//! backoff and then one unit at a time, until a run succeeds.
 
+use crate::health::Health;
 use crate::late::{LATE_ORDER_WINDOW, LateStart, Unplaced};
 use crate::lease::Lease;
 use crate::order::{Destination, RunLists};
@@ -15,11 +13,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Consecutive failures after which a worker gets one unit at a time.
-const PROBATION_FAILURES: u32 = 3;
-/// First backoff after [`PROBATION_FAILURES`]; doubles each time until a run
-/// succeeds.
-const INITIAL_BACKOFF: Duration = Duration::from_secs(2);
 /// Consecutive orders and polls without an answer, and time without any, after which a worker
 /// counts as silent. Single answers are lost with a connection, or left out by a worker that
 /// carries out all the same; orders that are sent together are given up together.
@@ -33,8 +26,6 @@
 /// on its instance after which it can't start again under its id. A list that changes while its
 /// pages are read may miss an instance once.
 pub(crate) const GONE_AFTER_LISTS: u32 = 2;
-/// Upper bound of the backoff.
-const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
 /// A run that is, or may be, on a worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -240,12 +231,8 @@
     pub speed: Speed,
     /// Whether it was slow by its last list of runs.
     pub is_slow: bool,
-    /// Failures since the last success.
-    pub consecutive_failures: u32,
-    /// Backoffs since the last success.
-    pub backoffs: u32,
-    /// The worker gets no new work before this time.
-    pub backoff_until: Duration,
+    /// How its runs end.
+    pub health: Health,
     /// The worker gets no new work: its instance is wanted for maintenance or another
     /// pool.
     pub cordoned: bool,
@@ -279,9 +266,7 @@
             proposed_through: 0,
             speed: Speed::default(),
             is_slow: false,
-            consecutive_failures: 0,
-            backoffs: 0,
-            backoff_until: Duration::ZERO,
+            health: Health::default(),
             cordoned: false,
             maintenance_due: false,
             ended: false,
@@ -548,21 +533,33 @@
         !draining && !self.cordoned && !self.ended
     }
 
-    /// Returns whether new work may be placed on the worker: it accepts starts, has
-    /// answered a poll within `max_silence`, is not in backoff, and is idle if it failed
-    /// too often.
-    pub fn is_schedulable(&self, now: Duration, max_silence: Duration) -> bool {
+    /// Returns whether new work may be placed on the worker, if its health allows: it accepts starts
+    /// and has answered a poll within `max_silence`.
+    pub fn is_available(&self, now: Duration, max_silence: Duration) -> bool {
         let reachable = self.polling.answered_at.is_some_and(|at| now < at + max_silence);
-        self.answered_under_fence
-            && reachable
-            && self.accepts_starts()
-            && now >= self.backoff_until
-            && (!self.is_on_probation() || self.runs.is_empty())
+        self.answered_under_fence && reachable && self.accepts_starts()
     }
 
-    /// Returns whether the worker failed so often that it gets one unit at a time.
-    pub fn is_on_probation(&self) -> bool {
-        self.consecutive_failures >= PROBATION_FAILURES
+    /// Ends a probation if a run that is listed at `now` shows that the worker works, and returns
+    /// whether it does.
+    pub fn shows_health(&mut self, now: Duration, key: &(UnitKey, RunNumber)) -> bool {
+        let Some(run) = self.runs.get(key).filter(|_| !self.health.is_sound()) else {
+            return false;
+        };
+        match run.started_at {
+            _ if run.is_at_work() => self.health.record_at_work(run.placed_at),
+            Some(began_at) if run.progress.0 > 0 => {
+                self.health.record_going_on(now, run.placed_at, began_at)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns whether a run that came after the last failure has yet to show whether the worker
+    /// works, so that a worker on probation gets no further unit.
+    pub fn has_probe(&self) -> bool {
+        self.health.is_on_probation()
+            && self.runs.values().any(|run| self.health.is_after_failure(run.placed_at))
     }
 
     /// Returns the number of runs of a step on the worker, also of those not placed there.
@@ -589,25 +586,6 @@
         let is_barred = |run: &Unplaced| run.stop_acknowledged_at.is_some() && !run.is_listed;
         self.runs.values().any(is_unsettled) || self.unplaced.values().any(is_barred)
     }
-
-    /// Records that a run succeeded.
-    pub fn record_success(&mut self) {
-        self.consecutive_failures = 0;
-        self.backoffs = 0;
-    }
-
-    /// Records that a run failed or hung, possibly because of the worker. Returns
-    /// whether a backoff starts.
-    pub fn record_failure(&mut self, now: Duration) -> bool {
-        self.consecutive_failures += 1;
-        if self.consecutive_failures < PROBATION_FAILURES {
-            return false;
-        }
-        let backoff = INITIAL_BACKOFF * 2u32.saturating_pow(self.backoffs.min(8));
-        self.backoff_until = now + backoff.min(MAX_BACKOFF);
-        self.backoffs += 1;
-        true
-    }
 }
 
 impl Run {
@@ -639,6 +617,11 @@
         }
     }
 
+    /// Returns whether a run that lasts has started up and does its work.
+    pub fn is_at_work(&self) -> bool {
+        self.long_running && self.progress.0 >= 100
+    }
+
     /// Ends the trial of a run that is listed at `now` if it has gone on for long enough, and
     /// returns whether it has.
     pub fn end_trial(&mut self, now: Duration) -> bool {
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -13,7 +13,7 @@
 use sched::{Report, Roster, Scheduler, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
-pub use worker::{LISTED_ENDS, Worker};
+pub use worker::Worker;
 
 mod cloud;
 mod worker;
@@ -27,6 +27,8 @@
 /// Delay with which a move order without an answer is carried out.
 pub const MOVE_DELAY: Duration = Duration::from_secs(9);
 
+/// Most ends that a worker lists at a time, the first ones first.
+pub const LISTED_ENDS: usize = 500;
 /// Time for which the first workers run when the simulation begins.
 const FIRST_UPTIME: Duration = Duration::from_secs(60);
 /// Time from the start of a restarted worker to its first report.
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -1,6 +1,6 @@
 //! A scripted worker.
 
-use super::STANDBY;
+use super::{LISTED_ENDS, STANDBY};
 use jobs::RunNumber;
 use jobs::command::EndReason;
 use sched::Report;
@@ -9,9 +9,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Most ends that a worker lists at a time, the first ones first.
-pub const LISTED_ENDS: usize = 500;
-
 /// A scripted worker with configurable faults.
 #[derive(Clone, Debug)]
 pub struct Worker {
