--- a/crates/sched/src/lease.rs
+++ b/crates/sched/src/lease.rs
@@ -76,7 +76,7 @@
         let elapsed = now.saturating_sub(reading.received_at).mul_f64(1.0 + CLOCK_DRIFT);
         let longest_ms = (elapsed + MAX_READING_AGE).as_millis() as u64;
         let earliest_ms = reading.clock_ms.saturating_sub(MAX_READING_AGE.as_millis() as u64);
-        if !(earliest_ms..=reading.clock_ms + longest_ms).contains(&clock_ms) {
+        if !(earliest_ms..=reading.clock_ms.saturating_add(longest_ms)).contains(&clock_ms) {
             Origin::Other
         } else if clock_ms > longest_ms {
             Origin::Same // one that started since the last reading shows less
@@ -90,7 +90,7 @@
     pub fn extend(&mut self, now: Duration, duration: Duration) -> Option<u64> {
         let reading = self.reading?;
         let age = now.saturating_sub(reading.received_at);
-        let lease_end_ms = reading.clock_ms + (age + duration).as_millis() as u64;
+        let lease_end_ms = reading.clock_ms.saturating_add((age + duration).as_millis() as u64);
         let certain_expiry = reading.received_at + with_margins(age + duration);
         self.expiry = self.expiry.max(Some(certain_expiry));
         Some(lease_end_ms)
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -581,7 +581,9 @@
 /// incarnation that started later: the ledger applies no ends of an earlier one.
 fn successor_in_ledger(ledger: &Ledger, stated: &Incarnation) -> Incarnation {
     match ledger.last_start(&stated.worker) {
-        Some(last) if last > stated.started_at => Incarnation::new(stated.worker.clone(), last + 1),
+        Some(last) if last > stated.started_at => {
+            Incarnation::new(stated.worker.clone(), last.saturating_add(1))
+        }
         _ => stated.clone(),
     }
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -283,7 +283,8 @@
         let former = std::mem::replace(&mut self.stated_start, stated_start);
         self.ended_starts.insert(former);
         self.ended_starts.retain(|ended| *ended > stated_start);
-        self.incarnation.started_at = stated_start.max(self.incarnation.started_at + 1);
+        self.incarnation.started_at =
+            stated_start.max(self.incarnation.started_at.saturating_add(1));
         former
     }
 
