--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -57,11 +57,10 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> store::Result<()> {
         let mut files = self.files();
-        if files.full {
-            return Err(store::Error::Failed);
-        }
-        files.current.entry(name.to_string()).or_default().extend(bytes);
-        Ok(())
+        let is_full = files.full;
+        let fitting = if is_full { &bytes[..bytes.len() / 2] } else { bytes };
+        files.current.entry(name.to_string()).or_default().extend(fitting);
+        if is_full { Err(store::Error::Failed) } else { Ok(()) }
     }
 
     fn sync(&mut self, name: &str) -> store::Result<()> {
