Jobs: work that lasts is not given up for crashes of its workers

Cause: five crashes under one unit at the same point failed its job without proof.

Not mended: jobs that end, when all workers crash together again and again.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -581,8 +581,13 @@
     }
 
     /// Fails a job if the crashes so far show that a unit of the step brings its workers down.
+    /// Long-running work is restarted however it ends.
     fn fail_if_deadly(&mut self, key: StepKey, at: UnixMs, events: &mut Vec<Event>) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let step = job.definition.steps.get(usize::from(key.step));
+        if step.is_none_or(|step| step.long_running) {
+            return;
+        }
         let units = job.occurrences.get(&key.occurrence).map(Occurrence::steps);
         let Some(units) = units.and_then(|steps| steps.get(usize::from(key.step))) else { return };
         if crash::is_deadly(units) {
