--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -139,7 +139,7 @@
 }
 
 impl Window {
-    /// Returns whether inputs waited too long, or would have.
+    /// Returns whether inputs waited too long, or one action was so long that any would have.
     pub fn is_behind(&self) -> bool {
         self.longest_wait.max(self.slowest.time) > MAX_WAIT
     }
