Sched, control: what a unit that waits lacks, and who holds that room

Of each pool the unit that has waited longest, work that lasts first, is explained once a second from 2 s on: what it needs, what is free in sum and on one worker, who holds the rest, and what each worker lacks. The gauge core_longest_unit_wait_seconds has the longest wait by kind of work.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -54,6 +54,15 @@
         })
     }
 
+    /// Publishes the longest waits of units that may be placed.
+    fn publish_waits(&self, time: Time) {
+        let waits = self.scheduler.longest_waits(time.monotonic);
+        metrics::gauge!("core_longest_unit_wait_seconds", "work" => "lasting")
+            .set(waits.long_running.as_secs_f64());
+        metrics::gauge!("core_longest_unit_wait_seconds", "work" => "other")
+            .set(waits.other.as_secs_f64());
+    }
+
     /// Publishes what the accounts with the most in use have running and waiting.
     fn publish_accounts(&self, ledger: &Ledger) {
         let mut summaries: Vec<_> = self.scheduler.account_summaries(ledger).into_iter().collect();
@@ -118,9 +127,12 @@
         let decided_in = self.environment.now().saturating_sub(started_at);
         self.slowest.record(Action::Decide, decided_in);
         let is_due = |at: Duration| time.monotonic >= at + PUBLISH_INTERVAL;
-        if self.ledger.uses_accounts() && leadership.published_at.is_none_or(is_due) {
+        if leadership.published_at.is_none_or(is_due) {
             leadership.published_at = Some(time.monotonic);
-            leadership.publish_accounts(&self.ledger);
+            leadership.publish_waits(time);
+            if self.ledger.uses_accounts() {
+                leadership.publish_accounts(&self.ledger);
+            }
         }
         let effort = leadership.scheduler.effort();
         metrics::counter!("scheduler_workers_examined_total").absolute(effort.workers_examined);
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod plan;
 mod poll;
 mod runs;
+mod shortage;
 mod starts;
 mod trials;
 mod unplaced;
@@ -51,6 +52,7 @@
 pub use maintenance::{MaintenanceReply, MoveReply};
 pub use pacing::PaceReply;
 pub use poll::PollReply;
+pub use shortage::LongestWaits;
 pub use starts::{StartReply, StopReply};
 
 /// Lease that a worker gets for its runs. It outlasts a change of leader, which takes
@@ -198,6 +200,8 @@
     is_decision_deferred: bool,
     /// When the periodic tasks last ran.
     last_periodic_tasks: Duration,
+    /// When units that wait were last explained.
+    shortages_explained_at: Duration,
     /// Run changes for the next proposal; they go before `commands`.
     batch: Batch,
     /// Runs to place anew before the ends in `batch` are applied.
@@ -265,6 +269,7 @@
             next_decision: Duration::ZERO,
             is_decision_deferred: false,
             last_periodic_tasks: Duration::ZERO,
+            shortages_explained_at: Duration::ZERO,
             batch: Batch::default(),
             adoptions: Batch::default(),
             commands: Vec::new(),
@@ -562,6 +567,7 @@
                 self.balance(time, ledger);
                 self.adjust_shares(time, ledger);
                 self.update_outlook(time, ledger);
+                self.explain_shortages(time, ledger);
             }
             self.place(time, ledger);
         }
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -19,7 +19,7 @@
 
 /// Time since a worker's last answer after which it gets no new work: the longest wait of a
 /// poll plus the time after which an unanswered poll is given up.
-const MAX_SILENCE: Duration = Duration::from_millis(2800);
+pub(super) const MAX_SILENCE: Duration = Duration::from_millis(2800);
 
 /// Placement of waiting units.
 impl Scheduler {
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -250,6 +250,12 @@
     }
 }
 
+/// Returns the unit of a step that may be placed for longest, and since when.
+pub(super) fn ready_since(now: Duration, waiting: &Waiting) -> Option<(u32, Duration)> {
+    let ready = waiting.units.iter().filter(|(_, not_before)| **not_before <= now);
+    ready.map(|(index, since)| (*index, *since)).min_by_key(|(_, since)| *since)
+}
+
 /// Returns the profile of an unfinished job, which is computed at its first use.
 pub(super) fn profile_of(
     profiles: &mut BTreeMap<JobNumber, Arc<Profile>>,
