Sched tests: work that lasts starves beside small jobs, known red

Six instances, small jobs that end one by one at 0.9 and 1.5 of the room: a unit that lasts and needs a quarter, a half or 7/8 of an instance never starts, and an instance on standby is not fetched for work that fits nowhere.

--- /dev/null
+++ b/crates/sched/tests/room.rs
@@ -0,0 +1,128 @@
+//! Tests of units that need more room than the units around them.
+
+mod world;
+
+use jobs::definition::Step;
+use std::time::Duration;
+use world::{STANDBY, TICK, World, long_running, step};
+
+/// Time in which work that lasts has to run again after its last run has ended.
+const MAX_AWAY: Duration = Duration::from_secs(9);
+/// Time in which work that lasts has to start beside work that ends.
+const MAX_WAIT: Duration = Duration::from_secs(4);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn lasting(cpu_milli: u64) -> Vec<Step> {
+    vec![long_running(1, cpu_milli)]
+}
+
+/// Small jobs that keep arriving, one after another, and end one by one.
+struct Stream {
+    cpu_milli: u64,
+    millis: u64,
+    /// Time between two jobs.
+    interval: Duration,
+    next_at: Duration,
+    count: u64,
+}
+
+impl Stream {
+    /// Creates a stream that needs this part of the room of six workers.
+    fn new(world: &World, cpu_milli: u64, millis: u64, load: f64) -> Stream {
+        let units_at_once = 6.0 * 8000.0 / cpu_milli as f64 * load;
+        let interval = Duration::from_millis(millis).div_f64(units_at_once);
+        Stream { cpu_milli, millis, interval, next_at: world.now, count: 0 }
+    }
+
+    /// Runs the world under the stream until `is_over`, and returns the time that took; `None` if
+    /// it does not come about within 20 s.
+    fn run_until(
+        &mut self,
+        world: &mut World,
+        mut is_over: impl FnMut(&World) -> bool,
+    ) -> Option<Duration> {
+        let started_at = world.now;
+        while world.now < started_at + seconds(20.0) {
+            if is_over(world) {
+                return Some(world.now - started_at);
+            }
+            while self.next_at <= world.now {
+                let id = format!("small{}", self.count);
+                // Spread over half of the run time to either side.
+                let millis = self.millis / 2 + self.count * 37 % 101 * self.millis / 100;
+                world.run_times.insert(id.clone(), Duration::from_millis(millis));
+                world.submit("q", &id, vec![step(1, self.cpu_milli, self.millis)]);
+                self.count += 1;
+                self.next_at += self.interval;
+            }
+            world.run(TICK);
+        }
+        None
+    }
+}
+
+/// Returns after which time a unit that lasts starts beside small jobs of some size, run time and
+/// load, and after which time it runs again once its worker is gone.
+fn waits(cpu_milli: u64, small: u64, millis: u64, load: f64) -> (Duration, Duration) {
+    let mut world = World::new(6);
+    world.run_times.insert("lasting".to_string(), seconds(1000.0));
+    let mut stream = Stream::new(&world, small, millis, load);
+    stream.run_until(&mut world, |world| world.now >= seconds(105.0));
+    world.submit("q", "lasting", lasting(cpu_milli));
+    let is_running = |world: &World| !world.workers_running("lasting.0.0.0").is_empty();
+    let first = stream.run_until(&mut world, is_running);
+    let worker = world.workers_running("lasting.0.0.0").first().map(|id| id.to_string());
+    let (Some(first), Some(worker)) = (first, worker) else { panic!("it has not started in 20 s") };
+    let settled = world.now + seconds(3.0);
+    stream.run_until(&mut world, |world| world.now >= settled);
+    world.delete(&worker);
+    let again = stream.run_until(&mut world, is_running);
+    assert_eq!(world.overloads, []);
+    (first, again.unwrap_or_else(|| panic!("it has not started again in 20 s")))
+}
+
+fn check_waits(cpu_milli: u64, small: u64, millis: u64, load: f64) {
+    let (first, again) = waits(cpu_milli, small, millis, load);
+    assert!(first <= MAX_WAIT, "it has started after {first:?}");
+    assert!(again <= MAX_AWAY, "it has started again after {again:?}");
+}
+
+#[test]
+fn small_jobs_do_not_starve_a_half_instance_that_lasts() {
+    check_waits(4000, 1000, 600, 0.9);
+    check_waits(4000, 1000, 600, 1.5);
+}
+
+#[test]
+fn small_jobs_do_not_starve_a_whole_instance_that_lasts() {
+    check_waits(7000, 1000, 600, 0.9);
+    check_waits(7000, 1000, 600, 1.5);
+}
+
+#[test]
+fn long_small_jobs_do_not_starve_a_quarter_instance_that_lasts() {
+    check_waits(2000, 500, 2100, 0.9);
+    check_waits(2000, 500, 2100, 1.5);
+}
+
+#[test]
+fn an_instance_is_fetched_for_lasting_work_that_fits_nowhere() {
+    let mut world = World::new(3);
+    for number in 10..14 {
+        world.add(&format!("w{number}"), STANDBY, 1);
+    }
+    for id in ["a", "b"] {
+        world.run_times.insert(id.to_string(), seconds(1000.0));
+    }
+    world.submit("q", "a", vec![long_running(3, 5000)]);
+    world.run(seconds(10.0));
+    world.submit("q", "b", vec![long_running(3, 4000)]);
+    world.run(seconds(4.0));
+    for index in 0..3 {
+        let name = format!("b.0.0.{index}");
+        assert_eq!(world.workers_running(&name).len(), 1, "{name} runs");
+    }
+}
