--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -104,6 +104,8 @@
     is_reserved: bool,
     /// Units placed in this decision, by step.
     placed: BTreeMap<StepKey, u32>,
+    /// Room that is kept for units of steps, the oldest claim first.
+    claims: Vec<(StepKey, Resources)>,
 }
 
 impl<'a> Candidate<'a> {
@@ -124,6 +126,7 @@
             trial: None,
             is_reserved: false,
             placed: BTreeMap::new(),
+            claims: Vec::new(),
         };
         worker.runs.iter().for_each(|((unit, _), run)| candidate.count(&unit.step_key(), run));
         candidate
@@ -170,8 +173,27 @@
         self.is_reserved = true;
     }
 
+    /// Keeps room for units of steps, the oldest claim first.
+    pub fn set_claims(&mut self, claims: Vec<(StepKey, Resources)>) {
+        self.claims = claims;
+    }
+
+    /// Returns what is free for units of a step: not what older claims of other steps keep.
+    fn room(&self, key: &StepKey) -> Resources {
+        let before = self.claims.iter().take_while(|(step, _)| step != key);
+        before.fold(self.free, |free, (_, claimed)| free.minus(claimed))
+    }
+
+    /// Returns what is free for steps without a claim.
+    pub fn unclaimed(&self) -> Resources {
+        self.claims.iter().fold(self.free, |free, (_, claimed)| free.minus(claimed))
+    }
+
     /// Adds a unit that was placed on the worker.
     pub fn place(&mut self, key: StepKey, run: &Run) {
+        if let Some(position) = self.claims.iter().position(|(step, _)| *step == key) {
+            self.claims.remove(position);
+        }
         self.free = self.free.minus(&run.resources);
         self.reserved = self.reserved.plus(&run.resources);
         self.is_idle = false;
@@ -226,9 +248,20 @@
     /// Returns why no unit of the step may run on the worker; `None` if one may.
     pub fn exclusion(&self, request: &Request<'_>) -> Option<Exclusion> {
         let Request { key, step, .. } = request;
-        if !self.free.covers(&step.reserved_resources()) {
+        if !self.room(key).covers(&step.reserved_resources()) {
             return Some(Exclusion::Room);
         }
+        self.exclusion_beside_room(request, 0)
+    }
+
+    /// Returns whether a unit of the step may run on the worker once it has room, beside other units
+    /// of the step that have claimed it.
+    pub fn would_accept(&self, request: &Request<'_>, claims: u32) -> bool {
+        self.exclusion_beside_room(request, claims).is_none()
+    }
+
+    fn exclusion_beside_room(&self, request: &Request<'_>, claims: u32) -> Option<Exclusion> {
+        let Request { key, step, .. } = request;
         // Work that lasts has no limit of attempts, so that a failure costs its caller less than the
         // wait for a worker that is sound.
         if !self.is_open() && !step.long_running {
@@ -249,7 +282,7 @@
         }
         let units =
             || self.worker.count_runs(key) + self.placed.get(key).copied().unwrap_or_default();
-        let is_full = step.anti_affinity != 0 && units() >= step.anti_affinity;
+        let is_full = step.anti_affinity != 0 && units() + claims >= step.anti_affinity;
         is_full.then_some(Exclusion::AntiAffinity)
     }
 }
--- a/crates/sched/src/scheduler/locality.rs
+++ b/crates/sched/src/scheduler/locality.rs
@@ -133,7 +133,7 @@
 
     /// Returns when a run is expected to end, from now, and what it frees then; `None` if it runs
     /// until its job is cancelled.
-    fn expected_end(
+    pub(super) fn expected_end(
         &self,
         time: Time,
         ledger: &Ledger,
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod advice;
 mod balance;
+mod claims;
 mod copies;
 mod crashes;
 mod explain;
@@ -189,6 +190,8 @@
     suspicions: BTreeMap<StepKey, trials::Suspicion>,
     /// Crashes since the last decision.
     crashes: Vec<Loss>,
+    /// Room that is kept for units which fit on no worker.
+    claims: BTreeMap<UnitKey, claims::Claim>,
     /// Gangs of which a member ended since the last decision.
     broken_gangs: BTreeSet<StepKey>,
     effort: Effort,
@@ -263,6 +266,7 @@
             unexplained_losses: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             crashes: Vec::new(),
+            claims: BTreeMap::new(),
             broken_gangs: BTreeSet::new(),
             effort: Effort::default(),
             time,
@@ -564,6 +568,7 @@
                 self.expire_losses(time);
                 self.retry_orders(time, ledger);
                 self.run_maintenance(time, ledger);
+                self.update_claims(time, ledger);
                 self.balance(time, ledger);
                 self.adjust_shares(time, ledger);
                 self.update_outlook(time, ledger);
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -103,8 +103,8 @@
         let largest = largest_free(candidates.iter().chain(&resting));
         // Of a full pool, or of accounts at their caps, nearly all steps are left out here, before
         // anything is looked up.
-        let fitting = steps.iter().filter(|(_, waiting)| {
-            largest.covers(&waiting.resources)
+        let fitting = steps.iter().filter(|(key, waiting)| {
+            (largest.covers(&waiting.resources) || self.has_claim(key))
                 && waiting.owner.as_ref().is_none_or(|owner| {
                     let cap = budget.allowance(ledger, &self.usage, Some(owner));
                     cap.admits(&waiting.resources)
@@ -175,7 +175,7 @@
         mut share: Option<&mut Allowance>,
         draft: &mut Draft<'s, 'a, '_>,
     ) {
-        if !draft.largest.covers(&waiting.resources) {
+        if !draft.largest.covers(&waiting.resources) && !self.has_claim(&key) {
             return;
         }
         let Some(job) = ledger.job(key.job) else { return };
@@ -256,21 +256,26 @@
     }
 
     /// Returns the workers of a pool that may get new work, and those in backoff.
-    fn available_workers(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
+    pub(super) fn available_workers(&self, time: Time, pool: &PoolName) -> Vec<Candidate<'_>> {
         let is_available = |worker: &Worker| {
             !worker.polling.is_silent(time.monotonic)
                 && worker.report.as_ref().is_some_and(|report| report.pool == *pool)
                 && worker.is_available(time.monotonic, MAX_SILENCE)
         };
+        let mut claims = self.claims_by_worker();
         self.workers
             .iter()
             .filter(|(_, worker)| is_available(worker))
-            .map(|(id, worker)| Candidate::new(time.monotonic, id, worker))
+            .map(|(id, worker)| {
+                let mut candidate = Candidate::new(time.monotonic, id, worker);
+                candidate.set_claims(claims.remove(id).unwrap_or_default());
+                candidate
+            })
             .collect()
     }
 
     /// Counts the units of a long-running step on each rack; other steps have no counts.
-    fn count_units_per_rack(&self, key: &StepKey, step: &Step) -> BTreeMap<String, u32> {
+    pub(super) fn count_units_per_rack(&self, key: &StepKey, step: &Step) -> BTreeMap<String, u32> {
         let mut racks = BTreeMap::new();
         if step.long_running {
             for (unit, ids) in self.placed_on.range(key.unit(0)..=key.unit(u32::MAX)) {
@@ -524,10 +529,11 @@
     (0..count).take_while(admits).count()
 }
 
-/// Returns the largest free amount of each resource among the candidates.
+/// Returns the largest amount of each resource among the candidates that is free and not claimed.
 fn largest_free<'c, 'a: 'c>(candidates: impl Iterator<Item = &'c Candidate<'a>>) -> Resources {
     let mut largest = Resources::default();
-    for Candidate { free, .. } in candidates {
+    for candidate in candidates {
+        let free = candidate.unclaimed();
         largest.cpu_milli = largest.cpu_milli.max(free.cpu_milli);
         largest.memory_mb = largest.memory_mb.max(free.memory_mb);
         largest.accelerators = largest.accelerators.max(free.accelerators);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -97,6 +97,8 @@
     GangBroken,
     /// A worker that may have restarted may carry out an earlier start of the unit.
     EarlierStart,
+    /// A unit that lasts needs its room.
+    Displaced,
 }
 
 /// State of a run as the leader knows it.
