Sched: an instance is fetched for work that lasts and fits on no worker of its pool

Units that last, have waited for 0.5 s and can claim no worker are packed into as many instances as they need; as many are moved to the pool, less those on their way. A unit that no instance could hold asks for none.

--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -221,9 +221,35 @@
                 self.order_move(time, instance, pool, &reason);
             }
         }
+        self.fetch_for_lasting_work(time, &mut spare);
         self.park(time, &demands, &spare, &standby);
     }
 
+    /// Moves instances to pools for work that lasts and that none of their workers can hold, unless as
+    /// many are on their way there.
+    fn fetch_for_lasting_work(&mut self, time: Time, spare: &mut Vec<InstanceId>) {
+        for (pool, fetches) in self.fetches.clone() {
+            let on_their_way =
+                self.balance.moving.values().filter(|moving| moving.pool == pool).count();
+            for fetch in fetches.iter().skip(on_their_way) {
+                let fits = |id: &InstanceId| {
+                    self.instances.get(id).is_some_and(|instance| {
+                        instance.pool != pool
+                            && instance.capacity.covers(&fetch.resources)
+                            && fetch
+                                .requires
+                                .as_ref()
+                                .is_none_or(|label| instance.labels.contains(label))
+                    })
+                };
+                let Some(position) = spare.iter().rposition(fits) else { continue };
+                let instance = spare.remove(position);
+                let reason = "no worker of the pool has room for work that lasts";
+                self.order_move(time, instance, &pool, reason);
+            }
+        }
+    }
+
     /// Returns the instances of each pool that has queues, and how many it needs.
     fn demands(&mut self, time: Time, ledger: &Ledger) -> BTreeMap<PoolName, PoolDemand> {
         let Some(config) = ledger.config() else { return BTreeMap::new() };
--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of units that fit on no worker. See [`crate::claim`].
 //!
 //! Work that lasts has a bound for its wait: it claims a worker soon, and what does not end there in
-//! time is stopped.
+//! time is stopped. If no worker of the pool can ever cover it, an instance is fetched.
 
 use super::waiting::ready_since;
 use super::{Scheduler, Time, advice};
@@ -22,6 +22,9 @@
 const STOP_AFTER: Duration = Duration::from_millis(2500);
 /// Runs that end within this time are not stopped: a stop takes as long.
 const STOP_TIME: Duration = Duration::from_millis(200);
+/// Wait after which an instance is fetched for work that lasts. A new leader has heard all workers by
+/// then.
+const FETCH_AFTER: Duration = Duration::from_millis(500);
 /// Work that a run with checkpoints loses at most when it is stopped.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -34,6 +37,17 @@
     waits_since: Duration,
 }
 
+/// An instance that has to be fetched for work that lasts.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Fetch {
+    /// Label that it must have.
+    pub(super) requires: Option<String>,
+    /// Room that it must have.
+    pub(super) resources: Resources,
+    /// Number of its units of each step.
+    units: BTreeMap<StepKey, u32>,
+}
+
 /// A unit that has waited for long enough to claim a worker.
 #[derive(Clone, Copy, Debug)]
 struct Claimant<'a> {
@@ -85,17 +99,21 @@
         self.claims.range(key.unit(0)..=key.unit(u32::MAX)).next().is_some()
     }
 
-    /// Renews the claims of units that wait, and stops runs on workers that were claimed for too long.
+    /// Renews the claims of units that wait, finds out which instances have to be fetched, and stops
+    /// runs on workers that were claimed for too long.
     pub(super) fn update_claims(&mut self, time: Time, ledger: &Ledger) {
         let before = std::mem::take(&mut self.claims);
+        let mut fetches = BTreeMap::new();
         let mut stops = Vec::new();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
         for pool in pools {
             let claimants = self.claimants(time, ledger, &pool);
             if !claimants.is_empty() {
-                self.claim(time, ledger, &pool, claimants, &before, &mut stops);
+                let unmet = self.claim(time, ledger, &pool, claimants, &before, &mut stops);
+                fetches.insert(pool, self.fetches(&unmet));
             }
         }
+        self.fetches = fetches;
         for (id, (unit, number), claimant) in stops {
             let name = ledger.unit_name(&claimant).unwrap_or_default();
             let stopped = ledger.unit_name(&unit).unwrap_or_default();
@@ -139,7 +157,7 @@
         claimants
     }
 
-    /// Lets units of a pool claim workers that can cover them. A claim stays
+    /// Lets units of a pool claim workers, and returns those that no worker can cover. A claim stays
     /// on its worker while that can cover it. Adds the runs that have to be stopped, with the worker
     /// and the unit that they are stopped for.
     fn claim<'a>(
@@ -150,7 +168,7 @@
         claimants: Vec<Claimant<'a>>,
         before: &BTreeMap<UnitKey, Claim>,
         stops: &mut Vec<(WorkerId, (UnitKey, RunNumber), UnitKey)>,
-    ) {
+    ) -> Vec<Claimant<'a>> {
         let mut sites = self.sites(time, ledger, pool);
         let mut claims = BTreeMap::new();
         let mut unmet = Vec::new();
@@ -212,6 +230,7 @@
         claims.retain(|unit, _| !broken.contains(&unit.step_key()));
         stops.retain(|(_, _, unit)| !broken.contains(&unit.step_key()));
         self.claims.extend(claims);
+        unmet
     }
 
     /// Returns the workers of a pool that get new work, with the runs that free their room.
@@ -248,4 +267,44 @@
         let loss = may_stop.then(|| resources.cpu_milli * elapsed.as_millis() as u64 / 1000);
         Some(Tenant { run, resources, ends_after, loss })
     }
+
+    /// Returns the instances that units need which no worker can cover, each filled in turn. Units
+    /// that no instance could hold ask for none.
+    fn fetches(&self, unmet: &[Claimant<'_>]) -> Vec<Fetch> {
+        let mut fetches: Vec<Fetch> = Vec::new();
+        let due = unmet
+            .iter()
+            .filter(|claimant| self.time.monotonic >= claimant.waits_since + FETCH_AFTER);
+        for Claimant { unit, step, .. } in due {
+            let (key, resources) = (unit.step_key(), step.reserved_resources());
+            let exists = |requires: &Option<String>, resources: &Resources| {
+                self.instances.values().any(|instance| {
+                    instance.capacity.covers(resources)
+                        && requires.as_ref().is_none_or(|label| instance.labels.contains(label))
+                })
+            };
+            let shared = fetches.iter_mut().find(|fetch| {
+                let units = fetch.units.get(&key).copied().unwrap_or_default();
+                fetch.requires == step.requires
+                    && (step.anti_affinity == 0 || units < step.anti_affinity)
+                    && exists(&fetch.requires, &fetch.resources.plus(&resources))
+            });
+            let fetch = match shared {
+                Some(fetch) => fetch,
+                None if exists(&step.requires, &resources) => {
+                    fetches.push(Fetch {
+                        requires: step.requires.clone(),
+                        resources: Resources::default(),
+                        units: BTreeMap::new(),
+                    });
+                    let last = fetches.len() - 1;
+                    &mut fetches[last]
+                }
+                None => continue,
+            };
+            fetch.resources = fetch.resources.plus(&resources);
+            *fetch.units.entry(key).or_default() += 1;
+        }
+        fetches
+    }
 }
