Serve tests: a panic that takes long is no reason for an idle connection to stay open

The other request now is under way during the panic, which the test didn't check before, and a further one on a new connection is under way at the stop.

--- a/crates/serve/tests/listener.rs
+++ b/crates/serve/tests/listener.rs
@@ -146,12 +146,15 @@
 fn a_panic_of_the_application_is_answered_and_cuts_no_other_request() {
     let mut server = Server::start();
     let (slow, stream) = (server.connect(), server.connect());
+    send(&slow, &get("/slow"));
     send(&stream, &get("/panic"));
     let answer = read_until(&stream, "\r\n\r\n");
     assert!(answer.starts_with("HTTP/1.1 500"), "{answer:?}");
-    send(&slow, &get("/slow"));
+    assert!(read_until(&slow, ">").ends_with("</slow 0>"));
+    let late = server.connect();
+    send(&late, &get("/slow"));
     thread::sleep(BLOCK_TIME / 4);
     server.stop = None;
-    assert!(read_until(&slow, ">").ends_with("</slow 0>"));
+    assert!(read_until(&late, ">").ends_with("</slow 0>"));
     task::block_on(server.listener);
 }
