Sched: a busy instance of another pool is drained for work that lasts when none is idle

Callers saw units that last wait for 10 s and more while another pool's surge had all instances (LOST). Cause: only idle and parked instances follow the demand of a pool.

The instance whose work that ends loses least is drained for 1.5 s, the rest is stopped, and it moves. The test failed with the choice of a busy instance taken out: the unit has not started after 5 s.

--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -221,33 +221,18 @@
                 self.order_move(time, instance, pool, &reason);
             }
         }
-        self.fetch_for_lasting_work(time, &mut spare);
+        self.fetch_for_lasting_work(time, ledger, &mut spare);
         self.park(time, &demands, &spare, &standby);
     }
 
-    /// Moves instances to pools for work that lasts and that none of their workers can hold, unless as
-    /// many are on their way there.
-    fn fetch_for_lasting_work(&mut self, time: Time, spare: &mut Vec<InstanceId>) {
-        for (pool, fetches) in self.fetches.clone() {
-            let on_their_way =
-                self.balance.moving.values().filter(|moving| moving.pool == pool).count();
-            for fetch in fetches.iter().skip(on_their_way) {
-                let fits = |id: &InstanceId| {
-                    self.instances.get(id).is_some_and(|instance| {
-                        instance.pool != pool
-                            && instance.capacity.covers(&fetch.resources)
-                            && fetch
-                                .requires
-                                .as_ref()
-                                .is_none_or(|label| instance.labels.contains(label))
-                    })
-                };
-                let Some(position) = spare.iter().rposition(fits) else { continue };
-                let instance = spare.remove(position);
-                let reason = "no worker of the pool has room for work that lasts";
-                self.order_move(time, instance, &pool, reason);
-            }
-        }
+    /// Returns the number of instances that are being moved to a pool.
+    pub(super) fn count_moves_to(&self, pool: &PoolName) -> usize {
+        self.balance.moving.values().filter(|moving| moving.pool == *pool).count()
+    }
+
+    /// Returns the number of instances below which a pool gives none away.
+    pub(super) fn fewest_instances(&self, ledger: &Ledger, pool: &PoolName) -> usize {
+        self.long_running_instances(ledger, pool).max(MIN_INSTANCES)
     }
 
     /// Returns the instances of each pool that has queues, and how many it needs.
@@ -309,7 +294,7 @@
         let cores = self.arriving_cores(time, pool).max(self.queued_cores(time, ledger, pool));
         let for_work = (cores / (cores_per_instance * MEAN_UTILIZATION)).ceil() as usize;
         let for_trials = waiting_trials.div_ceil(TRIALS_PER_INSTANCE);
-        self.long_running_instances(ledger, pool).max(MIN_INSTANCES) + for_work + for_trials
+        self.fewest_instances(ledger, pool) + for_work + for_trials
     }
 
     /// Returns the number of cores that work keeps busy at its current arrival rate.
@@ -396,7 +381,7 @@
     }
 
     /// Whether a move of an instance may be started.
-    fn is_movable(&self, time: Time, instance: &InstanceId) -> bool {
+    pub(super) fn is_movable(&self, time: Time, instance: &InstanceId) -> bool {
         !self.balance.moving.contains_key(instance)
             && !self.has_open_maintenance(instance)
             && self.balance.retry_at.get(instance).is_none_or(|at| time.monotonic >= *at)
@@ -461,7 +446,13 @@
 
     /// Starts a move: cordons the instance and proposes the move to the log. The order
     /// is sent once the move is committed.
-    fn order_move(&mut self, time: Time, instance: InstanceId, pool: &PoolName, reason: &str) {
+    pub(super) fn order_move(
+        &mut self,
+        time: Time,
+        instance: InstanceId,
+        pool: &PoolName,
+        reason: &str,
+    ) {
         let moving = Moving { pool: pool.clone(), stage: Stage::Proposed, unanswered: false };
         self.balance.moving.insert(instance.clone(), moving);
         self.cordon(&instance);
--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -8,7 +8,7 @@
 use crate::claim::{self, Clearance, Tenant};
 use crate::place::{Candidate, Request};
 use crate::quota;
-use crate::worker::{Run, StopReason};
+use crate::worker::Run;
 use jobs::definition::Resources;
 use jobs::{Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,9 +22,6 @@
 const STOP_AFTER: Duration = Duration::from_millis(2500);
 /// Runs that end within this time are not stopped: a stop takes as long.
 const STOP_TIME: Duration = Duration::from_millis(200);
-/// Wait after which an instance is fetched for work that lasts. A new leader has heard all workers by
-/// then.
-const FETCH_AFTER: Duration = Duration::from_millis(500);
 /// Work that a run with checkpoints loses at most when it is stopped.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -37,23 +34,12 @@
     waits_since: Duration,
 }
 
-/// An instance that has to be fetched for work that lasts.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct Fetch {
-    /// Label that it must have.
-    pub(super) requires: Option<String>,
-    /// Room that it must have.
-    pub(super) resources: Resources,
-    /// Number of its units of each step.
-    units: BTreeMap<StepKey, u32>,
-}
-
 /// A unit that has waited for long enough to claim a worker.
 #[derive(Clone, Copy, Debug)]
-struct Claimant<'a> {
-    unit: UnitKey,
-    step: &'a Step,
-    waits_since: Duration,
+pub(super) struct Claimant<'a> {
+    pub(super) unit: UnitKey,
+    pub(super) step: &'a Step,
+    pub(super) waits_since: Duration,
 }
 
 /// A worker that may be claimed, with the claims that it has.
@@ -110,18 +96,12 @@
             let claimants = self.claimants(time, ledger, &pool);
             if !claimants.is_empty() {
                 let unmet = self.claim(time, ledger, &pool, claimants, &before, &mut stops);
-                fetches.insert(pool, self.fetches(&unmet));
+                fetches.insert(pool, self.fetches(time, &unmet));
             }
         }
         self.fetches = fetches;
-        for (id, (unit, number), claimant) in stops {
-            let name = ledger.unit_name(&claimant).unwrap_or_default();
-            let stopped = ledger.unit_name(&unit).unwrap_or_default();
-            self.explain(
-                name,
-                format!("has waited too long: run {number} of {stopped} is stopped"),
-            );
-            self.stop(time, ledger, &id, unit, number, StopReason::Displaced);
+        for (id, run, claimant) in stops {
+            self.displace(time, ledger, &id, run, &claimant);
         }
     }
 
@@ -248,7 +228,7 @@
     }
 
     /// Returns what a run frees; `None` if it runs until its job is cancelled.
-    fn tenant(
+    pub(super) fn tenant(
         &self,
         time: Time,
         ledger: &Ledger,
@@ -263,48 +243,9 @@
         if step.checkpointing {
             elapsed = elapsed.min(CHECKPOINT_INTERVAL);
         }
-        let may_stop = !state.is_gang && !state.is_trial && !state.is_stopping_or_ending();
-        let loss = may_stop.then(|| resources.cpu_milli * elapsed.as_millis() as u64 / 1000);
+        let loss = state
+            .may_be_displaced()
+            .then(|| resources.cpu_milli * elapsed.as_millis() as u64 / 1000);
         Some(Tenant { run, resources, ends_after, loss })
     }
-
-    /// Returns the instances that units need which no worker can cover, each filled in turn. Units
-    /// that no instance could hold ask for none.
-    fn fetches(&self, unmet: &[Claimant<'_>]) -> Vec<Fetch> {
-        let mut fetches: Vec<Fetch> = Vec::new();
-        let due = unmet
-            .iter()
-            .filter(|claimant| self.time.monotonic >= claimant.waits_since + FETCH_AFTER);
-        for Claimant { unit, step, .. } in due {
-            let (key, resources) = (unit.step_key(), step.reserved_resources());
-            let exists = |requires: &Option<String>, resources: &Resources| {
-                self.instances.values().any(|instance| {
-                    instance.capacity.covers(resources)
-                        && requires.as_ref().is_none_or(|label| instance.labels.contains(label))
-                })
-            };
-            let shared = fetches.iter_mut().find(|fetch| {
-                let units = fetch.units.get(&key).copied().unwrap_or_default();
-                fetch.requires == step.requires
-                    && (step.anti_affinity == 0 || units < step.anti_affinity)
-                    && exists(&fetch.requires, &fetch.resources.plus(&resources))
-            });
-            let fetch = match shared {
-                Some(fetch) => fetch,
-                None if exists(&step.requires, &resources) => {
-                    fetches.push(Fetch {
-                        requires: step.requires.clone(),
-                        resources: Resources::default(),
-                        units: BTreeMap::new(),
-                    });
-                    let last = fetches.len() - 1;
-                    &mut fetches[last]
-                }
-                None => continue,
-            };
-            fetch.resources = fetch.resources.plus(&resources);
-            *fetch.units.entry(key).or_default() += 1;
-        }
-        fetches
-    }
 }
--- /dev/null
+++ b/crates/sched/src/scheduler/fetch.rs
@@ -0,0 +1,236 @@
+//! Instances fetched from other pools for work that lasts and fits on no worker of its own pool.
+//!
+//! Idle and parked instances go first. If there are none, an instance with only work that ends is
+//! drained: it gets no new work, and what has not ended in time is stopped.
+
+use super::claims::Claimant;
+use super::{Scheduler, Time};
+use crate::worker::StopReason;
+use jobs::definition::Resources;
+use jobs::{InstanceId, Ledger, PoolName, StepKey, UnitKey};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Wait after which an instance is fetched for work that lasts. A new leader has heard all workers by
+/// then.
+const FETCH_AFTER: Duration = Duration::from_millis(500);
+/// Time for which the work on an instance that is drained may end by itself.
+const DRAIN_TIME: Duration = Duration::from_millis(1500);
+
+/// An instance that has to be fetched for work that lasts.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Fetch {
+    /// Label that it must have.
+    requires: Option<String>,
+    /// Room that it must have.
+    resources: Resources,
+    /// Number of its units of each step.
+    units: BTreeMap<StepKey, u32>,
+    /// One of its units.
+    unit: UnitKey,
+}
+
+/// An instance that is drained to be moved to a pool.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Drain {
+    pool: PoolName,
+    since: Duration,
+    /// Unit that it is drained for.
+    unit: UnitKey,
+}
+
+impl Scheduler {
+    /// Returns the instances that units need which no worker of their pool can cover, each filled in
+    /// turn. Units that no instance could hold ask for none.
+    pub(super) fn fetches(&self, time: Time, unmet: &[Claimant<'_>]) -> Vec<Fetch> {
+        let mut fetches: Vec<Fetch> = Vec::new();
+        let due = unmet.iter().filter(|c| time.monotonic >= c.waits_since + FETCH_AFTER);
+        for Claimant { unit, step, .. } in due {
+            let (key, resources) = (unit.step_key(), step.reserved_resources());
+            let has_room_for = |fetch: &&mut Fetch| {
+                let units = fetch.units.get(&key).copied().unwrap_or_default();
+                fetch.requires == step.requires
+                    && (step.anti_affinity == 0 || units < step.anti_affinity)
+                    && self.instance_exists(&fetch.requires, &fetch.resources.plus(&resources))
+            };
+            let fetch = match fetches.iter_mut().find(has_room_for) {
+                Some(fetch) => fetch,
+                None if self.instance_exists(&step.requires, &resources) => {
+                    let requires = step.requires.clone();
+                    let (resources, units) = Default::default();
+                    fetches.push(Fetch { requires, resources, units, unit: *unit });
+                    let last = fetches.len() - 1;
+                    &mut fetches[last]
+                }
+                None => continue,
+            };
+            fetch.resources = fetch.resources.plus(&resources);
+            *fetch.units.entry(key).or_default() += 1;
+        }
+        fetches
+    }
+
+    fn instance_exists(&self, requires: &Option<String>, resources: &Resources) -> bool {
+        self.instances.keys().any(|id| self.instance_holds(id, requires, resources))
+    }
+
+    /// Returns whether an instance has a label, and room if nothing else is on it.
+    fn instance_holds(
+        &self,
+        id: &InstanceId,
+        requires: &Option<String>,
+        resources: &Resources,
+    ) -> bool {
+        self.instances.get(id).is_some_and(|instance| {
+            instance.capacity.covers(resources)
+                && requires.as_ref().is_none_or(|label| instance.labels.contains(label))
+        })
+    }
+
+    /// Moves instances to pools for work that lasts, unless as many are on their way there.
+    pub(super) fn fetch_for_lasting_work(
+        &mut self,
+        time: Time,
+        ledger: &Ledger,
+        spare: &mut Vec<InstanceId>,
+    ) {
+        self.end_unneeded_drains();
+        for (pool, fetches) in self.fetches.clone() {
+            let on_their_way = self.count_moves_to(&pool)
+                + self.drains.values().filter(|drain| drain.pool == pool).count();
+            for fetch in fetches.iter().skip(on_their_way) {
+                let fits = |id: &InstanceId| {
+                    self.instances.get(id).is_some_and(|instance| instance.pool != pool)
+                        && self.instance_holds(id, &fetch.requires, &fetch.resources)
+                };
+                if let Some(position) = spare.iter().rposition(fits) {
+                    let instance = spare.remove(position);
+                    self.order_fetch(time, instance, &pool);
+                } else if let Some(instance) = self.choose_donor(time, ledger, &pool, fetch) {
+                    self.cordon(&instance);
+                    let reason = format!("is drained for pool {pool}: work that lasts has no room");
+                    self.explain(instance.clone(), reason);
+                    let (pool, since) = (pool.clone(), time.monotonic);
+                    self.drains.insert(instance, Drain { pool, since, unit: fetch.unit });
+                }
+            }
+        }
+        self.advance_drains(time, ledger);
+    }
+
+    fn order_fetch(&mut self, time: Time, instance: InstanceId, pool: &PoolName) {
+        let reason = "no worker of the pool has room for work that lasts";
+        self.order_move(time, instance, pool, reason);
+    }
+
+    /// Gives up the drains for pools that need fewer instances by now.
+    fn end_unneeded_drains(&mut self) {
+        let mut needed: BTreeMap<PoolName, usize> =
+            self.fetches.iter().map(|(pool, fetches)| (pool.clone(), fetches.len())).collect();
+        let mut ended = Vec::new();
+        for (instance, drain) in &self.drains {
+            match needed.get_mut(&drain.pool) {
+                Some(count) if *count > 0 => *count -= 1,
+                _ => ended.push(instance.clone()),
+            }
+        }
+        for instance in ended {
+            self.drains.remove(&instance);
+            self.uncordon(&instance);
+        }
+    }
+
+    /// Returns the instance of another pool whose work that ends loses least if it is drained; none
+    /// of a pool that would have too few left.
+    fn choose_donor(
+        &self,
+        time: Time,
+        ledger: &Ledger,
+        pool: &PoolName,
+        fetch: &Fetch,
+    ) -> Option<InstanceId> {
+        let mut present: BTreeMap<&PoolName, usize> = BTreeMap::new();
+        for instance in self.instances.values() {
+            *present.entry(&instance.pool).or_default() += 1;
+        }
+        let may_give: BTreeMap<&PoolName, bool> = present
+            .into_iter()
+            .map(|(pool, count)| {
+                (pool, count > self.fewest_instances(ledger, pool) + self.drains.len())
+            })
+            .collect();
+        let donors = self.instances.values().filter(|instance| {
+            instance.pool != *pool
+                && may_give.get(&instance.pool) == Some(&true)
+                && !self.drains.contains_key(&instance.id)
+                && self.instance_holds(&instance.id, &fetch.requires, &fetch.resources)
+        });
+        let losses = donors.filter_map(|instance| {
+            Some((self.drain_loss(time, ledger, &instance.id)?, instance.id.clone()))
+        });
+        losses.min().map(|(_, instance)| instance)
+    }
+
+    /// Returns the work that is lost if an instance is drained; `None` if it can't be.
+    fn drain_loss(&self, time: Time, ledger: &Ledger, instance: &InstanceId) -> Option<u64> {
+        let worker = self.workers.get(&self.worker_of(instance)?)?;
+        let may_drain = self.is_movable(time, instance)
+            && worker.is_available(time.monotonic, super::placing::MAX_SILENCE)
+            && worker.unplaced.is_empty();
+        if !may_drain {
+            return None;
+        }
+        let mut loss = 0;
+        for (run, state) in &worker.runs {
+            let tenant = self.tenant(time, ledger, *run, state)?;
+            if tenant.ends_after > DRAIN_TIME {
+                loss += tenant.loss?;
+            }
+        }
+        Some(loss)
+    }
+
+    /// Moves the instances that have been drained, and stops what has not ended in time.
+    fn advance_drains(&mut self, time: Time, ledger: &Ledger) {
+        for (instance, drain) in self.drains.clone() {
+            let worker = self.worker_of(&instance).and_then(|id| self.workers.get(&id));
+            let Some(worker) = worker.filter(|_| self.is_movable(time, &instance)) else {
+                self.drains.remove(&instance); // it is in maintenance or gone
+                continue;
+            };
+            if worker.runs.is_empty() && worker.polling.unanswered == 0 {
+                self.drains.remove(&instance);
+                self.order_fetch(time, instance, &drain.pool);
+                continue;
+            }
+            if time.monotonic < drain.since + DRAIN_TIME {
+                continue;
+            }
+            let id = worker.incarnation.worker.clone();
+            let runs: Vec<_> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.may_be_displaced())
+                .map(|(run, _)| *run)
+                .collect();
+            for (unit, number) in runs {
+                self.displace(time, ledger, &id, (unit, number), &drain.unit);
+            }
+        }
+    }
+
+    /// Stops a run for a unit that lasts.
+    pub(super) fn displace(
+        &mut self,
+        time: Time,
+        ledger: &Ledger,
+        id: &jobs::WorkerId,
+        (unit, number): (UnitKey, jobs::RunNumber),
+        claimant: &UnitKey,
+    ) {
+        let stopped = ledger.unit_name(&unit).unwrap_or_default();
+        let text = format!("has waited too long: run {number} of {stopped} is stopped on {id}");
+        self.explain(ledger.unit_name(claimant).unwrap_or_default(), text);
+        self.stop(time, ledger, id, unit, number, StopReason::Displaced);
+    }
+}
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod crashes;
 mod explain;
+mod fetch;
 mod locality;
 mod maintenance;
 mod pacing;
@@ -193,7 +194,9 @@
     /// Room that is kept for units which fit on no worker.
     claims: BTreeMap<UnitKey, claims::Claim>,
     /// Instances that have to be fetched for work that lasts, by pool.
-    fetches: BTreeMap<PoolName, Vec<claims::Fetch>>,
+    fetches: BTreeMap<PoolName, Vec<fetch::Fetch>>,
+    /// Instances that are drained for it.
+    drains: BTreeMap<InstanceId, fetch::Drain>,
     /// Gangs of which a member ended since the last decision.
     broken_gangs: BTreeSet<StepKey>,
     effort: Effort,
@@ -270,6 +273,7 @@
             crashes: Vec::new(),
             claims: BTreeMap::new(),
             fetches: BTreeMap::new(),
+            drains: BTreeMap::new(),
             broken_gangs: BTreeSet::new(),
             effort: Effort::default(),
             time,
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -675,6 +675,12 @@
         }
     }
 
+    /// Returns whether the run may be stopped for work that lasts: it ends by itself, and no other run
+    /// depends on it.
+    pub fn may_be_displaced(&self) -> bool {
+        !self.long_running && !self.is_gang && !self.is_trial && !self.is_stopping_or_ending()
+    }
+
     /// Returns whether the run is being stopped or has ended.
     pub fn is_stopping_or_ending(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. } | RunState::Ending)
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -2,7 +2,9 @@
 
 mod world;
 
+use jobs::command::Command;
 use jobs::definition::Step;
+use jobs::{Pool, Queue, State};
 use std::time::Duration;
 use world::{STANDBY, TICK, World, long_running, step};
 
@@ -68,7 +70,6 @@
 /// load, and after which time it runs again once its worker is gone.
 fn waits(cpu_milli: u64, small: u64, millis: u64, load: f64) -> (Duration, Duration) {
     let mut world = World::new(6);
-    world.run_times.insert("lasting".to_string(), seconds(1000.0));
     let mut stream = Stream::new(&world, small, millis, load);
     stream.run_until(&mut world, |world| world.now >= seconds(105.0));
     world.submit("q", "lasting", lasting(cpu_milli));
@@ -114,9 +115,6 @@
     for number in 10..14 {
         world.add(&format!("w{number}"), STANDBY, 1);
     }
-    for id in ["a", "b"] {
-        world.run_times.insert(id.to_string(), seconds(1000.0));
-    }
     world.submit("q", "a", vec![long_running(3, 5000)]);
     world.run(seconds(10.0));
     world.submit("q", "b", vec![long_running(3, 4000)]);
@@ -126,3 +124,34 @@
         assert_eq!(world.workers_running(&name).len(), 1, "{name} runs");
     }
 }
+
+#[test]
+fn a_busy_instance_is_fetched_for_lasting_work_when_none_is_idle() {
+    let mut world = World::new(2);
+    let mut config = world.ledger.config().unwrap().clone();
+    config.version += 1;
+    let queue = config.queues["q"].clone();
+    let (prefix, pool) = ("/s/".to_string(), "busy".to_string());
+    config.queues.insert("s".to_string(), Queue { prefix, pool, ..queue });
+    config.pools.insert("busy".to_string(), Pool::default());
+    world.apply(Command::Configure(Box::new(config)));
+    for number in 10..16 {
+        world.add(&format!("w{number}"), "busy", 1);
+    }
+    world.run(seconds(7.0)); // until the instances are listed again
+    for number in 0..60 {
+        let id = format!("short{number}");
+        world.run_times.insert(id.clone(), seconds(6.0));
+        world.submit("s", &id, vec![step(1, 1000, 6000)]);
+    }
+    world.submit("q", "a", vec![long_running(2, 5000)]);
+    world.run(seconds(1.0));
+    world.submit("q", "b", lasting(4000));
+    world.run(seconds(5.0));
+    assert_eq!(world.workers_running("b.0.0.0").len(), 1, "b runs");
+    assert_eq!(world.interrupted, [], "nothing runs on an instance that is moved");
+    world.run(seconds(60.0));
+    for number in 0..60 {
+        assert_eq!(world.state("s", &format!("short{number}")), State::Completed);
+    }
+}
