Sched: claims on one worker stop no more than they need together

Callers saw more of their running units stopped for work that lasts than it had room for: of eight units of one core on one worker, six were stopped for two units of two cores. Cause: a run that is to be stopped for the first claim was taken off the worker's list, so that its room was lost to the second claim of the same decision, which stopped others instead.

It now stays on the list as a run that ends at once and can't be stopped again. The test counted 6 stops before and 4 now.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -80,6 +80,14 @@
         self.claimed = self.claimed.plus(resources);
         *self.claims.entry(key).or_default() += 1;
     }
+
+    /// Counts on the room of a run that is being stopped.
+    fn free_soon(&mut self, run: &(UnitKey, RunNumber)) {
+        for tenant in self.tenants.iter_mut().filter(|tenant| tenant.run == *run) {
+            tenant.ends_after = Duration::ZERO;
+            tenant.loss = None;
+        }
+    }
 }
 
 impl Scheduler {
@@ -218,7 +226,7 @@
             }
             if time.monotonic >= waits_since + STOP_AFTER {
                 for run in clearance.stops {
-                    site.tenants.retain(|tenant| tenant.run != run);
+                    site.free_soon(&run);
                     stops.push((worker.clone(), run, unit));
                 }
             }
