Sched: no claims for units that their account's cap or gang holds back

Callers saw running units stopped, and room kept, for work that lasts and could not start there: with a cap that admits one of three units 12 units were stopped in place of 4; with a cap that admits two members of a gang of three, 6 were stopped for nothing and the room stayed claimed. Cause: each unit was held against the cap by itself, on usage from before the last placements, and a part of a gang claimed.

Units now take from the cap one after another, the oldest wait first, and a gang claims only if all its members are ready and admitted, as placements do. The tests count 4 stops and none; they failed before.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -7,10 +7,10 @@
 use super::{Scheduler, Time, advice};
 use crate::claim::{self, Clearance, Tenant};
 use crate::place::{Candidate, Request};
-use crate::quota;
+use crate::quota::Budget;
 use crate::worker::{Run, StopReason};
 use jobs::definition::Resources;
-use jobs::{Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
+use jobs::{AccountName, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -53,6 +53,7 @@
 struct Claimant<'a> {
     unit: UnitKey,
     step: &'a Step,
+    owner: Option<&'a AccountName>,
     waits_since: Duration,
 }
 
@@ -113,9 +114,11 @@
         let before = std::mem::take(&mut self.claims);
         let mut fetches = BTreeMap::new();
         let mut stops = Vec::new();
+        self.update_usage(ledger);
+        let mut budget = Budget::default();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
         for pool in pools {
-            let claimants = self.claimants(time, ledger, &pool);
+            let claimants = self.claimants(time, ledger, &pool, &mut budget);
             if !claimants.is_empty() {
                 let unmet = self.claim(time, ledger, &pool, claimants, &before, &mut stops);
                 fetches.insert(pool, self.fetches(&unmet));
@@ -133,8 +136,15 @@
         }
     }
 
-    /// Returns the units of a pool that last and have waited for long, the oldest wait first.
-    fn claimants<'a>(&self, time: Time, ledger: &'a Ledger, pool: &PoolName) -> Vec<Claimant<'a>> {
+    /// Returns the units of a pool that last, have waited for long and could start beside each other,
+    /// the oldest wait first.
+    fn claimants<'a>(
+        &self,
+        time: Time,
+        ledger: &'a Ledger,
+        pool: &PoolName,
+        budget: &mut Budget,
+    ) -> Vec<Claimant<'a>> {
         let mut claimants = Vec::new();
         for (key, waiting) in self.waiting.get(pool).into_iter().flatten() {
             let oldest = || ready_since(time.monotonic, waiting);
@@ -146,22 +156,27 @@
             }
             let Some(job) = ledger.job(key.job) else { continue };
             let step = &job.definition.steps[usize::from(key.step)];
-            let is_capped = job.owner.as_ref().is_some_and(|owner| {
-                !quota::under_cap(ledger, &self.usage, owner).admits(&step.resources)
-            });
-            if is_capped {
-                continue;
-            }
             let due = waiting.units.iter().filter(|(_, since)| {
                 since.checked_add(CLAIM_AFTER).is_some_and(|due| time.monotonic >= due)
             });
             claimants.extend(due.map(|(index, since)| Claimant {
                 unit: key.unit(*index),
                 step,
+                owner: job.owner.as_ref(),
                 waits_since: *since,
             }));
         }
         claimants.sort_by_key(|claimant| (claimant.waits_since, claimant.unit));
+        claimants.retain(|claimant| {
+            let mut cap = budget.allowance(ledger, &self.usage, claimant.owner);
+            let is_admitted = cap.admits(&claimant.step.resources);
+            if is_admitted {
+                cap.take(&claimant.step.resources);
+                budget.set(claimant.owner, cap);
+            }
+            is_admitted
+        });
+        retain_whole_gangs(&mut claimants);
         claimants
     }
 
@@ -182,7 +197,7 @@
         let mut unmet = Vec::new();
         let mut racks: BTreeMap<StepKey, BTreeMap<String, u32>> = BTreeMap::new();
         for claimant in claimants {
-            let Claimant { unit, step, waits_since } = claimant;
+            let Claimant { unit, step, waits_since, .. } = claimant;
             let key = unit.step_key();
             let units_per_rack =
                 racks.entry(key).or_insert_with(|| self.count_units_per_rack(&key, step));
@@ -316,3 +331,14 @@
         fetches
     }
 }
+
+/// Removes members of gangs that can't start, since other members are not ready or not admitted.
+fn retain_whole_gangs(claimants: &mut Vec<Claimant<'_>>) {
+    let mut members: BTreeMap<StepKey, u32> = BTreeMap::new();
+    for claimant in claimants.iter().filter(|claimant| claimant.step.gang) {
+        *members.entry(claimant.unit.step_key()).or_default() += 1;
+    }
+    claimants.retain(|Claimant { unit, step, .. }| {
+        members.get(&unit.step_key()).is_none_or(|count| *count >= step.count)
+    });
+}
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -2,6 +2,10 @@
 
 mod world;
 
+use jobs::Step;
+use jobs::account::{Account, Accounts};
+use jobs::command::Command;
+use jobs::definition::Resources;
 use std::time::Duration;
 use world::{World, long_running, step};
 
@@ -24,6 +28,21 @@
     texts.filter(|text| text.contains("has waited too long")).count()
 }
 
+/// Gives the account `a` a cap in thousandths of a core.
+fn set_cap(world: &mut World, cpu_milli: u64) {
+    let mut config = world.ledger.config().unwrap().clone();
+    config.version += 1;
+    let mut accounts = Accounts::default();
+    let cap = Resources { cpu_milli, ..Resources::default() };
+    accounts.add("a", Account { weight: 1.0, cap }, []).unwrap();
+    config.accounts = Some(accounts);
+    world.apply(Command::Configure(Box::new(config)));
+}
+
+fn gang(count: u32, cpu_milli: u64) -> Step {
+    Step { gang: true, ..long_running(count, cpu_milli) }
+}
+
 #[test]
 fn two_units_that_claim_one_worker_stop_no_more_than_they_need() {
     let mut world = World::new(1);
@@ -34,3 +53,25 @@
     assert_eq!(world.workers_running("x.0.0.0").len() + world.workers_running("y.0.0.0").len(), 2);
     assert_eq!(displaced(&world), 4);
 }
+
+#[test]
+fn nothing_is_stopped_for_units_beyond_a_cap() {
+    let mut world = World::new(3);
+    set_cap(&mut world, 4000);
+    fill(&mut world, 24);
+    world.submit_for(Some("a"), "q", "x", vec![long_running(3, 4000)]);
+    world.run(seconds(6.0));
+    assert_eq!(displaced(&world), 4);
+}
+
+#[test]
+fn a_gang_beyond_a_cap_stops_and_holds_nothing() {
+    let mut world = World::new(4);
+    set_cap(&mut world, 7000);
+    world.submit_for(Some("a"), "q", "first", vec![long_running(1, 2000)]);
+    world.run(seconds(1.0));
+    fill(&mut world, 30);
+    world.submit_for(Some("a"), "q", "gang", vec![gang(3, 2000)]);
+    world.run(seconds(6.0));
+    assert_eq!(displaced(&world), 0);
+}
