Sched: no instance is fetched for a unit that only its policy holds back

Callers paid for instances that came and went: a unit that lasts and has no ticket of its policy for any worker had 11 instances fetched in 20 s, each parked again when it had been idle. Cause: a worker without a ticket counted as one without room.

An instance is fetched only if, tickets aside, no worker of the pool has or can get room. Claims of gangs still end with any member that finds none.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -180,7 +180,7 @@
         claimants
     }
 
-    /// Lets units of a pool claim workers, and returns those that no worker can cover. A claim stays
+    /// Lets units of a pool claim workers, and returns those that no worker has or can get room for. A claim stays
     /// on its worker while that can cover it. Adds the runs that have to be stopped, with the worker
     /// and the unit that they are stopped for.
     fn claim<'a>(
@@ -194,7 +194,7 @@
     ) -> Vec<Claimant<'a>> {
         let mut sites = self.sites(time, ledger, pool);
         let mut claims = BTreeMap::new();
-        let mut unmet = Vec::new();
+        let (mut unclaimed, mut unmet) = (BTreeSet::new(), Vec::new());
         let mut racks: BTreeMap<StepKey, BTreeMap<String, u32>> = BTreeMap::new();
         for claimant in claimants {
             let Claimant { unit, step, waits_since, .. } = claimant;
@@ -230,7 +230,11 @@
                 })
             };
             let Some((position, clearance)) = former.or_else(best) else {
-                unmet.push(claimant);
+                unclaimed.insert(key);
+                // Workers that only its policy keeps from it have room: another one wouldn't help.
+                if !has_policy || sites.iter().all(|site| site.clear(&request, within).is_none()) {
+                    unmet.push(claimant);
+                }
                 continue;
             };
             let site = &mut sites[position];
@@ -248,10 +252,13 @@
             claims.insert(unit, Claim { worker, resources, waits_since });
         }
         // A gang starts as a whole, so claims of a part of it would only hold room.
-        let broken: BTreeSet<StepKey> =
-            unmet.iter().filter(|c| c.step.gang).map(|c| c.unit.step_key()).collect();
-        claims.retain(|unit, _| !broken.contains(&unit.step_key()));
-        stops.retain(|(_, _, unit)| !broken.contains(&unit.step_key()));
+        let is_broken = |unit: &UnitKey| {
+            let step =
+                ledger.job(unit.job).map(|job| &job.definition.steps[usize::from(unit.step)]);
+            unclaimed.contains(&unit.step_key()) && step.is_some_and(|step| step.gang)
+        };
+        claims.retain(|unit, _| !is_broken(unit));
+        stops.retain(|(_, _, unit)| !is_broken(unit));
         self.claims.extend(claims);
         unmet
     }
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -7,7 +7,7 @@
 use jobs::command::Command;
 use jobs::definition::Resources;
 use std::time::Duration;
-use world::{World, long_running, step};
+use world::{STANDBY, World, long_running, step};
 
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -28,6 +28,10 @@
     texts.filter(|text| text.contains("has waited too long")).count()
 }
 
+fn moves_to(world: &World, pool: &str) -> usize {
+    world.moves.iter().filter(|(_, _, to)| to == pool).count()
+}
+
 /// Gives the account `a` a cap in thousandths of a core.
 fn set_cap(world: &mut World, cpu_milli: u64) {
     let mut config = world.ledger.config().unwrap().clone();
@@ -75,3 +79,14 @@
     world.run(seconds(6.0));
     assert_eq!(displaced(&world), 0);
 }
+
+#[test]
+fn no_instance_is_fetched_for_a_unit_that_its_policy_holds() {
+    let mut world = World::new(3);
+    for number in 10..14 {
+        world.add(&format!("w{number}"), STANDBY, 1);
+    }
+    world.submit("r", "x", vec![long_running(1, 2000)]);
+    world.run(seconds(20.0));
+    assert_eq!(moves_to(&world, "p"), 0);
+}
