Sched: claims cost the leader little when much work that lasts waits

Callers would see the leader miss its heartbeats: one decision took 5.3 s with 2000 units that last beside 1600 runs on 200 workers, and 1.1 s with 5000 that fit nowhere and 240 instances on standby, each 50 ms again. Cause: every unit without a claim sorted the runs of every worker, and every instance to be fetched was held against every instance that exists.

A worker that could not cover a unit even if it were empty of runs is now passed over at once, a step of which a unit found no worker is not tried again in the same decision, and instances to be fetched are held against the different capacities, from the first that was not too full for the step. The two tests demand less than the election timeout, 0.9 s; they failed before and hold now.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -61,6 +61,8 @@
 struct Site<'s> {
     candidate: Candidate<'s>,
     tenants: Vec<Tenant>,
+    /// What would be free without them.
+    reach: Resources,
     claimed: Resources,
     claims: BTreeMap<StepKey, u32>,
 }
@@ -69,11 +71,14 @@
     /// Returns how the worker comes to cover a unit beside its claims; `None` if it can't.
     fn clear(&self, request: &Request<'_>, within: Duration) -> Option<Clearance> {
         let Request { key, step, .. } = request;
+        let need = self.claimed.plus(&step.reserved_resources());
+        if !self.reach.covers(&need) {
+            return None;
+        }
         let claims = self.claims.get(key).copied().unwrap_or_default();
         if !self.candidate.would_accept(request, claims) {
             return None;
         }
-        let need = self.claimed.plus(&step.reserved_resources());
         claim::clear(&self.candidate.free, &self.tenants, &need, within)
     }
 
@@ -208,6 +213,12 @@
             let may_run = |site: &Site<'_>| {
                 !has_policy || self.ticket(time, &key, site.candidate.id).is_some()
             };
+            // The workers only get fuller from unit to unit.
+            let is_futile = unclaimed.contains(&key) && !has_policy;
+            if is_futile && !before.contains_key(&unit) {
+                unmet.push(claimant);
+                continue;
+            }
             let former = before.get(&unit).map(|claim| &claim.worker);
             let former = sites
                 .iter()
@@ -269,10 +280,14 @@
         candidates
             .map(|candidate| {
                 let runs = candidate.worker.runs.iter();
-                let tenants = runs
+                let tenants: Vec<Tenant> = runs
                     .filter_map(|(run, state)| self.tenant(time, ledger, *run, state))
                     .collect();
-                Site { candidate, tenants, claimed: Resources::default(), claims: BTreeMap::new() }
+                let reach = tenants
+                    .iter()
+                    .fold(candidate.free, |free, tenant| free.plus(&tenant.resources));
+                let (claimed, claims) = (Resources::default(), BTreeMap::new());
+                Site { candidate, tenants, reach, claimed, claims }
             })
             .collect()
     }
@@ -302,41 +317,54 @@
     /// that no instance could hold ask for none.
     fn fetches(&self, unmet: &[Claimant<'_>]) -> Vec<Fetch> {
         let mut fetches: Vec<Fetch> = Vec::new();
+        let mut capacities: BTreeMap<&Option<String>, Vec<Resources>> = BTreeMap::new();
+        // What was too full for a unit is too full for the others of its step.
+        let mut first_open: BTreeMap<StepKey, usize> = BTreeMap::new();
         let due = unmet
             .iter()
             .filter(|claimant| self.time.monotonic >= claimant.waits_since + FETCH_AFTER);
         for Claimant { unit, step, .. } in due {
             let (key, resources) = (unit.step_key(), step.reserved_resources());
-            let exists = |requires: &Option<String>, resources: &Resources| {
-                self.instances.values().any(|instance| {
-                    instance.capacity.covers(resources)
-                        && requires.as_ref().is_none_or(|label| instance.labels.contains(label))
-                })
-            };
-            let shared = fetches.iter_mut().find(|fetch| {
+            let capacities =
+                capacities.entry(&step.requires).or_insert_with(|| self.capacities(&step.requires));
+            let exists = |needed: &Resources| capacities.iter().any(|room| room.covers(needed));
+            if !exists(&resources) {
+                continue;
+            }
+            let first = first_open.entry(key).or_default();
+            let shared = fetches[*first..].iter().position(|fetch| {
                 let units = fetch.units.get(&key).copied().unwrap_or_default();
                 fetch.requires == step.requires
                     && (step.anti_affinity == 0 || units < step.anti_affinity)
-                    && exists(&fetch.requires, &fetch.resources.plus(&resources))
+                    && exists(&fetch.resources.plus(&resources))
             });
-            let fetch = match shared {
-                Some(fetch) => fetch,
-                None if exists(&step.requires, &resources) => {
-                    fetches.push(Fetch {
-                        requires: step.requires.clone(),
-                        resources: Resources::default(),
-                        units: BTreeMap::new(),
-                    });
-                    let last = fetches.len() - 1;
-                    &mut fetches[last]
-                }
-                None => continue,
-            };
+            *first = shared.map_or(fetches.len(), |position| *first + position);
+            if *first == fetches.len() {
+                fetches.push(Fetch {
+                    requires: step.requires.clone(),
+                    resources: Resources::default(),
+                    units: BTreeMap::new(),
+                });
+            }
+            let fetch = &mut fetches[*first];
             fetch.resources = fetch.resources.plus(&resources);
             *fetch.units.entry(key).or_default() += 1;
         }
         fetches
     }
+
+    /// Returns the different capacities of the instances with a label.
+    fn capacities(&self, label: &Option<String>) -> Vec<Resources> {
+        let mut capacities = Vec::new();
+        for instance in self.instances.values() {
+            if label.as_ref().is_none_or(|label| instance.labels.contains(label))
+                && !capacities.contains(&instance.capacity)
+            {
+                capacities.push(instance.capacity);
+            }
+        }
+        capacities
+    }
 }
 
 /// Removes members of gangs that can't start, since other members are not ready or not admitted.
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use world::{STANDBY, World, long_running, step};
 
+/// Time without a heartbeat after which the other cores elect another leader.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(900);
+
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
@@ -90,3 +93,28 @@
     world.run(seconds(20.0));
     assert_eq!(moves_to(&world, "p"), 0);
 }
+
+#[test]
+fn work_that_lasts_and_fits_nowhere_does_not_hold_up_the_leader() {
+    let mut world = World::new(3);
+    for number in 10..250 {
+        world.add(&format!("w{number}"), STANDBY, 1);
+    }
+    for number in 0..1000 {
+        world.submit("q", &format!("x{number}"), vec![long_running(5, 7000)]);
+    }
+    world.run(seconds(1.0));
+    assert!(world.longest["decide"] < ELECTION_TIMEOUT, "{:?}", world.longest);
+}
+
+#[test]
+fn work_that_lasts_beside_many_runs_does_not_hold_up_the_leader() {
+    let mut world = World::new(200);
+    fill(&mut world, 1600);
+    world.longest.clear();
+    for number in 0..400 {
+        world.submit("q", &format!("x{number}"), vec![long_running(5, 7000)]);
+    }
+    world.run(seconds(1.0));
+    assert!(world.longest["decide"] < ELECTION_TIMEOUT, "{:?}", world.longest);
+}
