Sched: work with a limit of unavailable units is not stopped for claims

Callers saw four of eight units of a step that may miss one (may_miss: 1) stopped at once for work that lasts. Cause: a stop for a claim did not look at the limit, which a step of work that ends may have too.

Such runs are waited for and not stopped. The test counted 4 stops before and none now.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -308,7 +308,10 @@
         if step.checkpointing {
             elapsed = elapsed.min(CHECKPOINT_INTERVAL);
         }
-        let may_stop = !state.is_gang && !state.is_trial && !state.is_stopping_or_ending();
+        let may_stop = !state.is_gang
+            && !state.is_trial
+            && !state.is_stopping_or_ending()
+            && step.max_unavailable.is_none();
         let loss = may_stop.then(|| resources.cpu_milli * elapsed.as_millis() as u64 / 1000);
         Some(Tenant { run, resources, ends_after, loss })
     }
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -118,3 +118,15 @@
     world.run(seconds(1.0));
     assert!(world.longest["decide"] < ELECTION_TIMEOUT, "{:?}", world.longest);
 }
+
+#[test]
+fn no_unit_of_a_step_with_a_limit_of_unavailable_units_is_stopped() {
+    let mut world = World::new(1);
+    world.run_times.insert("limited".to_string(), seconds(60.0));
+    let limited = Step { max_unavailable: Some(1), ..step(8, 1000, 60_000) };
+    world.submit("q", "limited", vec![limited]);
+    world.run(seconds(1.0));
+    world.submit("q", "x", vec![long_running(1, 4000)]);
+    world.run(seconds(5.0));
+    assert_eq!(displaced(&world), 0);
+}
