Sched: a worker that carries out no stops does not keep its claims

Callers would see a unit that lasts wait without bound, 30 s and more, beside workers on which it could have started: the worker that it claimed acknowledged the stops and carried none out. Cause: a claim stays on a worker while that can cover the unit, and runs that are being stopped count as gone soon.

A worker that has not carried out such a stop within 1 s is not claimed until it has. The unit then starts elsewhere within 5 s; the test failed before for one worker of three.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -22,6 +22,9 @@
 const STOP_AFTER: Duration = Duration::from_millis(2500);
 /// Runs that end within this time are not stopped: a stop takes as long.
 const STOP_TIME: Duration = Duration::from_millis(200);
+/// Time within which a stop takes effect on a worker that carries out its orders. After that, it is not
+/// claimed.
+const MAX_STOP_TIME: Duration = Duration::from_secs(1);
 /// Wait after which an instance is fetched for work that lasts. A new leader has heard all workers by
 /// then.
 const FETCH_AFTER: Duration = Duration::from_millis(500);
@@ -119,6 +122,10 @@
         let before = std::mem::take(&mut self.claims);
         let mut fetches = BTreeMap::new();
         let mut stops = Vec::new();
+        let workers = &self.workers;
+        self.displaced.retain(|run, (id, _)| {
+            workers.get(id).is_some_and(|worker| worker.runs.contains_key(run))
+        });
         self.update_usage(ledger);
         let mut budget = Budget::default();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
@@ -138,6 +145,7 @@
                 format!("has waited too long: run {number} of {stopped} is stopped"),
             );
             self.stop(time, ledger, &id, unit, number, StopReason::Displaced);
+            self.displaced.insert((unit, number), (id, time.monotonic));
         }
     }
 
@@ -274,10 +282,15 @@
         unmet
     }
 
-    /// Returns the workers of a pool that get new work, with the runs that free their room.
+    /// Returns the workers of a pool that get new work, with the runs that free their room; not those
+    /// that have not carried out a stop.
     fn sites(&self, time: Time, ledger: &Ledger, pool: &PoolName) -> Vec<Site<'_>> {
+        let is_overdue = |at: &Duration| time.monotonic >= *at + MAX_STOP_TIME;
+        let overdue: BTreeSet<&WorkerId> =
+            self.displaced.values().filter(|(_, at)| is_overdue(at)).map(|(id, _)| id).collect();
         let candidates = self.available_workers(time, pool).into_iter();
         candidates
+            .filter(|candidate| !overdue.contains(candidate.id))
             .map(|candidate| {
                 let runs = candidate.worker.runs.iter();
                 let tenants: Vec<Tenant> = runs
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -192,6 +192,8 @@
     crashes: Vec<Loss>,
     /// Room that is kept for units which fit on no worker.
     claims: BTreeMap<UnitKey, claims::Claim>,
+    /// Runs that were stopped for units with claims, with their worker and the time of the stop.
+    displaced: BTreeMap<(UnitKey, RunNumber), (WorkerId, Duration)>,
     /// Instances that have to be fetched for work that lasts, by pool.
     fetches: BTreeMap<PoolName, Vec<claims::Fetch>>,
     /// Gangs of which a member ended since the last decision.
@@ -269,6 +271,7 @@
             suspicions: BTreeMap::new(),
             crashes: Vec::new(),
             claims: BTreeMap::new(),
+            displaced: BTreeMap::new(),
             fetches: BTreeMap::new(),
             broken_gangs: BTreeSet::new(),
             effort: Effort::default(),
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -130,3 +130,15 @@
     world.run(seconds(5.0));
     assert_eq!(displaced(&world), 0);
 }
+
+#[test]
+fn a_worker_that_carries_out_no_stops_does_not_keep_its_claims() {
+    for obstinate in ["w0", "w1", "w2"] {
+        let mut world = World::new(3);
+        fill(&mut world, 24);
+        world.workers.get_mut(obstinate).unwrap().ignores_stops = true;
+        world.submit("q", "x", vec![long_running(1, 4000)]);
+        world.run(seconds(5.0));
+        assert_eq!(world.workers_running("x.0.0.0").len(), 1, "{obstinate} ignores stops");
+    }
+}
