--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -7,10 +7,10 @@
 use super::{Scheduler, Time, advice};
 use crate::claim::{self, Clearance, Tenant};
 use crate::place::{Candidate, Request};
-use crate::quota;
+use crate::quota::Budget;
 use crate::worker::Run;
 use jobs::definition::Resources;
-use jobs::{Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
+use jobs::{AccountName, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -22,6 +22,9 @@
 const STOP_AFTER: Duration = Duration::from_millis(2500);
 /// Runs that end within this time are not stopped: a stop takes as long.
 const STOP_TIME: Duration = Duration::from_millis(200);
+/// Time within which a stop takes effect on a worker that carries out its orders. After that, it is not
+/// claimed.
+const MAX_STOP_TIME: Duration = Duration::from_secs(1);
 /// Work that a run with checkpoints loses at most when it is stopped.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -39,6 +42,7 @@
 pub(super) struct Claimant<'a> {
     pub(super) unit: UnitKey,
     pub(super) step: &'a Step,
+    owner: Option<&'a AccountName>,
     pub(super) waits_since: Duration,
 }
 
@@ -46,6 +50,8 @@
 struct Site<'s> {
     candidate: Candidate<'s>,
     tenants: Vec<Tenant>,
+    /// What would be free without them.
+    reach: Resources,
     claimed: Resources,
     claims: BTreeMap<StepKey, u32>,
 }
@@ -54,11 +60,14 @@
     /// Returns how the worker comes to cover a unit beside its claims; `None` if it can't.
     fn clear(&self, request: &Request<'_>, within: Duration) -> Option<Clearance> {
         let Request { key, step, .. } = request;
+        let need = self.claimed.plus(&step.reserved_resources());
+        if !self.reach.covers(&need) {
+            return None;
+        }
         let claims = self.claims.get(key).copied().unwrap_or_default();
         if !self.candidate.would_accept(request, claims) {
             return None;
         }
-        let need = self.claimed.plus(&step.reserved_resources());
         claim::clear(&self.candidate.free, &self.tenants, &need, within)
     }
 
@@ -66,6 +75,14 @@
         self.claimed = self.claimed.plus(resources);
         *self.claims.entry(key).or_default() += 1;
     }
+
+    /// Counts on the room of a run that is being stopped.
+    fn free_soon(&mut self, run: &(UnitKey, RunNumber)) {
+        for tenant in self.tenants.iter_mut().filter(|tenant| tenant.run == *run) {
+            tenant.ends_after = Duration::ZERO;
+            tenant.loss = None;
+        }
+    }
 }
 
 impl Scheduler {
@@ -91,9 +108,15 @@
         let before = std::mem::take(&mut self.claims);
         let mut fetches = BTreeMap::new();
         let mut stops = Vec::new();
+        let workers = &self.workers;
+        self.displaced.retain(|run, (id, _)| {
+            workers.get(id).is_some_and(|worker| worker.runs.contains_key(run))
+        });
+        self.update_usage(ledger);
+        let mut budget = Budget::default();
         let pools: Vec<PoolName> = self.waiting.keys().cloned().collect();
         for pool in pools {
-            let claimants = self.claimants(time, ledger, &pool);
+            let claimants = self.claimants(time, ledger, &pool, &mut budget);
             if !claimants.is_empty() {
                 let unmet = self.claim(time, ledger, &pool, claimants, &before, &mut stops);
                 fetches.insert(pool, self.fetches(time, &unmet));
@@ -105,8 +128,15 @@
         }
     }
 
-    /// Returns the units of a pool that last and have waited for long, the oldest wait first.
-    fn claimants<'a>(&self, time: Time, ledger: &'a Ledger, pool: &PoolName) -> Vec<Claimant<'a>> {
+    /// Returns the units of a pool that last, have waited for long and could start beside each other,
+    /// the oldest wait first.
+    fn claimants<'a>(
+        &self,
+        time: Time,
+        ledger: &'a Ledger,
+        pool: &PoolName,
+        budget: &mut Budget,
+    ) -> Vec<Claimant<'a>> {
         let mut claimants = Vec::new();
         for (key, waiting) in self.waiting.get(pool).into_iter().flatten() {
             let oldest = || ready_since(time.monotonic, waiting);
@@ -118,27 +148,32 @@
             }
             let Some(job) = ledger.job(key.job) else { continue };
             let step = &job.definition.steps[usize::from(key.step)];
-            let is_capped = job.owner.as_ref().is_some_and(|owner| {
-                !quota::under_cap(ledger, &self.usage, owner).admits(&step.resources)
-            });
-            if is_capped {
-                continue;
-            }
             let due = waiting.units.iter().filter(|(_, since)| {
                 since.checked_add(CLAIM_AFTER).is_some_and(|due| time.monotonic >= due)
             });
             claimants.extend(due.map(|(index, since)| Claimant {
                 unit: key.unit(*index),
                 step,
+                owner: job.owner.as_ref(),
                 waits_since: *since,
             }));
         }
         claimants.sort_by_key(|claimant| (claimant.waits_since, claimant.unit));
+        claimants.retain(|claimant| {
+            let mut cap = budget.allowance(ledger, &self.usage, claimant.owner);
+            let is_admitted = cap.admits(&claimant.step.resources);
+            if is_admitted {
+                cap.take(&claimant.step.resources);
+                budget.set(claimant.owner, cap);
+            }
+            is_admitted
+        });
+        retain_whole_gangs(&mut claimants);
         claimants
     }
 
-    /// Lets units of a pool claim workers, and returns those that no worker can cover. A claim stays
-    /// on its worker while that can cover it. Adds the runs that have to be stopped, with the worker
+    /// Lets units of a pool claim workers, and returns those that no worker has or can get room for.
+    /// A claim stays on its worker while that can cover it. Adds the runs that have to be stopped, with the worker
     /// and the unit that they are stopped for.
     fn claim<'a>(
         &mut self,
@@ -151,10 +186,10 @@
     ) -> Vec<Claimant<'a>> {
         let mut sites = self.sites(time, ledger, pool);
         let mut claims = BTreeMap::new();
-        let mut unmet = Vec::new();
+        let (mut unclaimed, mut unmet) = (BTreeSet::new(), Vec::new());
         let mut racks: BTreeMap<StepKey, BTreeMap<String, u32>> = BTreeMap::new();
         for claimant in claimants {
-            let Claimant { unit, step, waits_since } = claimant;
+            let Claimant { unit, step, waits_since, .. } = claimant;
             let key = unit.step_key();
             let units_per_rack =
                 racks.entry(key).or_insert_with(|| self.count_units_per_rack(&key, step));
@@ -165,6 +200,12 @@
             let may_run = |site: &Site<'_>| {
                 !has_policy || self.ticket(time, &key, site.candidate.id).is_some()
             };
+            // The workers only get fuller from unit to unit.
+            let is_futile = unclaimed.contains(&key) && !has_policy;
+            if is_futile && !before.contains_key(&unit) {
+                unmet.push(claimant);
+                continue;
+            }
             let former = before.get(&unit).map(|claim| &claim.worker);
             let former = sites
                 .iter()
@@ -187,7 +228,11 @@
                 })
             };
             let Some((position, clearance)) = former.or_else(best) else {
-                unmet.push(claimant);
+                unclaimed.insert(key);
+                // Workers that only its policy keeps from it have room: another one wouldn't help.
+                if !has_policy || sites.iter().all(|site| site.clear(&request, within).is_none()) {
+                    unmet.push(claimant);
+                }
                 continue;
             };
             let site = &mut sites[position];
@@ -198,31 +243,43 @@
             }
             if time.monotonic >= waits_since + STOP_AFTER {
                 for run in clearance.stops {
-                    site.tenants.retain(|tenant| tenant.run != run);
+                    site.free_soon(&run);
                     stops.push((worker.clone(), run, unit));
                 }
             }
             claims.insert(unit, Claim { worker, resources, waits_since });
         }
         // A gang starts as a whole, so claims of a part of it would only hold room.
-        let broken: BTreeSet<StepKey> =
-            unmet.iter().filter(|c| c.step.gang).map(|c| c.unit.step_key()).collect();
-        claims.retain(|unit, _| !broken.contains(&unit.step_key()));
-        stops.retain(|(_, _, unit)| !broken.contains(&unit.step_key()));
+        let is_broken = |unit: &UnitKey| {
+            let step =
+                ledger.job(unit.job).map(|job| &job.definition.steps[usize::from(unit.step)]);
+            unclaimed.contains(&unit.step_key()) && step.is_some_and(|step| step.gang)
+        };
+        claims.retain(|unit, _| !is_broken(unit));
+        stops.retain(|(_, _, unit)| !is_broken(unit));
         self.claims.extend(claims);
         unmet
     }
 
-    /// Returns the workers of a pool that get new work, with the runs that free their room.
+    /// Returns the workers of a pool that get new work, with the runs that free their room; not those
+    /// that have not carried out a stop.
     fn sites(&self, time: Time, ledger: &Ledger, pool: &PoolName) -> Vec<Site<'_>> {
+        let is_overdue = |at: &Duration| time.monotonic >= *at + MAX_STOP_TIME;
+        let overdue: BTreeSet<&WorkerId> =
+            self.displaced.values().filter(|(_, at)| is_overdue(at)).map(|(id, _)| id).collect();
         let candidates = self.available_workers(time, pool).into_iter();
         candidates
+            .filter(|candidate| !overdue.contains(candidate.id))
             .map(|candidate| {
                 let runs = candidate.worker.runs.iter();
-                let tenants = runs
+                let tenants: Vec<Tenant> = runs
                     .filter_map(|(run, state)| self.tenant(time, ledger, *run, state))
                     .collect();
-                Site { candidate, tenants, claimed: Resources::default(), claims: BTreeMap::new() }
+                let reach = tenants
+                    .iter()
+                    .fold(candidate.free, |free, tenant| free.plus(&tenant.resources));
+                let (claimed, claims) = (Resources::default(), BTreeMap::new());
+                Site { candidate, tenants, reach, claimed, claims }
             })
             .collect()
     }
@@ -243,9 +300,19 @@
         if step.checkpointing {
             elapsed = elapsed.min(CHECKPOINT_INTERVAL);
         }
-        let loss = state
-            .may_be_displaced()
-            .then(|| resources.cpu_milli * elapsed.as_millis() as u64 / 1000);
+        let may_stop = state.may_be_displaced() && step.max_unavailable.is_none();
+        let loss = may_stop.then(|| resources.cpu_milli * elapsed.as_millis() as u64 / 1000);
         Some(Tenant { run, resources, ends_after, loss })
     }
 }
+
+/// Removes members of gangs that can't start, since other members are not ready or not admitted.
+fn retain_whole_gangs(claimants: &mut Vec<Claimant<'_>>) {
+    let mut members: BTreeMap<StepKey, u32> = BTreeMap::new();
+    for claimant in claimants.iter().filter(|claimant| claimant.step.gang) {
+        *members.entry(claimant.unit.step_key()).or_default() += 1;
+    }
+    claimants.retain(|Claimant { unit, step, .. }| {
+        members.get(&unit.step_key()).is_none_or(|count| *count >= step.count)
+    });
+}
--- a/crates/sched/src/scheduler/fetch.rs
+++ b/crates/sched/src/scheduler/fetch.rs
@@ -11,8 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Wait after which an instance is fetched for work that lasts. A new leader has heard all workers by
-/// then.
+/// Wait after which an instance is fetched for work that lasts.
 const FETCH_AFTER: Duration = Duration::from_millis(500);
 /// Time for which the work on an instance that is drained may end by itself.
 const DRAIN_TIME: Duration = Duration::from_millis(1500);
@@ -44,34 +43,49 @@
     /// turn. Units that no instance could hold ask for none.
     pub(super) fn fetches(&self, time: Time, unmet: &[Claimant<'_>]) -> Vec<Fetch> {
         let mut fetches: Vec<Fetch> = Vec::new();
+        let mut capacities: BTreeMap<&Option<String>, Vec<Resources>> = BTreeMap::new();
+        // What was too full for a unit is too full for the others of its step.
+        let mut first_open: BTreeMap<StepKey, usize> = BTreeMap::new();
         let due = unmet.iter().filter(|c| time.monotonic >= c.waits_since + FETCH_AFTER);
         for Claimant { unit, step, .. } in due {
             let (key, resources) = (unit.step_key(), step.reserved_resources());
-            let has_room_for = |fetch: &&mut Fetch| {
+            let capacities =
+                capacities.entry(&step.requires).or_insert_with(|| self.capacities(&step.requires));
+            let exists = |needed: &Resources| capacities.iter().any(|room| room.covers(needed));
+            if !exists(&resources) {
+                continue;
+            }
+            let first = first_open.entry(key).or_default();
+            let shared = fetches[*first..].iter().position(|fetch| {
                 let units = fetch.units.get(&key).copied().unwrap_or_default();
                 fetch.requires == step.requires
                     && (step.anti_affinity == 0 || units < step.anti_affinity)
-                    && self.instance_exists(&fetch.requires, &fetch.resources.plus(&resources))
-            };
-            let fetch = match fetches.iter_mut().find(has_room_for) {
-                Some(fetch) => fetch,
-                None if self.instance_exists(&step.requires, &resources) => {
-                    let requires = step.requires.clone();
-                    let (resources, units) = Default::default();
-                    fetches.push(Fetch { requires, resources, units, unit: *unit });
-                    let last = fetches.len() - 1;
-                    &mut fetches[last]
-                }
-                None => continue,
-            };
+                    && exists(&fetch.resources.plus(&resources))
+            });
+            *first = shared.map_or(fetches.len(), |position| *first + position);
+            if *first == fetches.len() {
+                let requires = step.requires.clone();
+                let (resources, units) = Default::default();
+                fetches.push(Fetch { requires, resources, units, unit: *unit });
+            }
+            let fetch = &mut fetches[*first];
             fetch.resources = fetch.resources.plus(&resources);
             *fetch.units.entry(key).or_default() += 1;
         }
         fetches
     }
 
-    fn instance_exists(&self, requires: &Option<String>, resources: &Resources) -> bool {
-        self.instances.keys().any(|id| self.instance_holds(id, requires, resources))
+    /// Returns the different capacities of the instances with a label.
+    fn capacities(&self, label: &Option<String>) -> Vec<Resources> {
+        let mut capacities = Vec::new();
+        for instance in self.instances.values() {
+            if label.as_ref().is_none_or(|label| instance.labels.contains(label))
+                && !capacities.contains(&instance.capacity)
+            {
+                capacities.push(instance.capacity);
+            }
+        }
+        capacities
     }
 
     /// Returns whether an instance has a label, and room if nothing else is on it.
@@ -210,8 +224,9 @@
             let runs: Vec<_> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| run.may_be_displaced())
-                .map(|(run, _)| *run)
+                .filter_map(|(run, state)| self.tenant(time, ledger, *run, state))
+                .filter(|tenant| tenant.loss.is_some())
+                .map(|tenant| tenant.run)
                 .collect();
             for (unit, number) in runs {
                 self.displace(time, ledger, &id, (unit, number), &drain.unit);
@@ -232,5 +247,6 @@
         let text = format!("has waited too long: run {number} of {stopped} is stopped on {id}");
         self.explain(ledger.unit_name(claimant).unwrap_or_default(), text);
         self.stop(time, ledger, id, unit, number, StopReason::Displaced);
+        self.displaced.insert((unit, number), (id.clone(), time.monotonic));
     }
 }
