Sched: a new leader fetches no instance before it has heard all workers

A new leader has only the reports that were passed on to it; a unit that lasts and fits on a worker not heard yet would have an instance fetched and parked again. Found by review, shown in a test that fails without the wait of 2 s, more than the time between two reports of a worker.

--- a/crates/sched/src/scheduler/fetch.rs
+++ b/crates/sched/src/scheduler/fetch.rs
@@ -13,6 +13,8 @@
 
 /// Wait after which an instance is fetched for work that lasts.
 const FETCH_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a new leader knows all workers that report.
+const REPORTS_AFTER: Duration = Duration::from_secs(2);
 /// Time for which the work on an instance that is drained may end by itself.
 const DRAIN_TIME: Duration = Duration::from_millis(1500);
 
@@ -43,6 +45,9 @@
     /// turn. Units that no instance could hold ask for none.
     pub(super) fn fetches(&self, time: Time, unmet: &[Claimant<'_>]) -> Vec<Fetch> {
         let mut fetches: Vec<Fetch> = Vec::new();
+        if time.monotonic < self.began_at + REPORTS_AFTER {
+            return fetches;
+        }
         let mut capacities: BTreeMap<&Option<String>, Vec<Resources>> = BTreeMap::new();
         // What was too full for a unit is too full for the others of its step.
         let mut first_open: BTreeMap<StepKey, usize> = BTreeMap::new();
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -204,6 +204,8 @@
     effort: Effort,
     /// Time of the latest call of `decide`.
     time: Time,
+    /// When this leadership began.
+    began_at: Duration,
     /// Earliest time of the next polls and placements.
     next_decision: Duration,
     /// Whether `decide` was called before that time.
@@ -280,6 +282,7 @@
             broken_gangs: BTreeSet::new(),
             effort: Effort::default(),
             time,
+            began_at: time.monotonic,
             next_decision: Duration::ZERO,
             is_decision_deferred: false,
             last_periodic_tasks: Duration::ZERO,
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -142,3 +142,20 @@
         assert_eq!(world.workers_running("x.0.0.0").len(), 1, "{obstinate} ignores stops");
     }
 }
+
+#[test]
+fn a_new_leader_fetches_no_instance_before_it_has_heard_all_workers() {
+    let mut world = World::new(3);
+    for id in ["a9", "w10", "w11", "w12", "w13"] {
+        world.add(id, STANDBY, 1);
+    }
+    world.submit("q", "first", vec![long_running(2, 6000)]);
+    world.run(seconds(5.1));
+    let before = world.moves.len();
+    world.replace_leader();
+    world.submit("q", "x", vec![long_running(1, 4000)]);
+    world.run(seconds(8.0));
+    assert_eq!(world.workers_running("x.0.0.0").len(), 1);
+    let to_pool = world.moves[before..].iter().filter(|(_, _, pool)| pool == "p").count();
+    assert_eq!(to_pool, 0, "{:?}", world.moves);
+}
