Sched, quorum, control: a late acknowledgement does not erase ends of a restarted worker

Callers could see a unit that was done start again (TWICE). A poll acknowledges ends by their number, and each incarnation of a worker counts from 1. One without an answer that is carried out seconds later at a successor made that one forget ends that the leader had not read; their units looked stuck and ran again.

Cause: orders to all incarnations of a worker carried one fence, the term, so a successor could not tell what was meant for its predecessor.

Now the fence of orders to a worker rises with its incarnations, and stays within the leader's term. Terms of cores rise by 65536 with an election. A leader's fences go from the term of the last entry in its log before its own, plus 1, to its term. Older versions take any higher term in votes; pre-votes still name the next one. A successor gets no work before it has answered a poll with the higher fence. A worker that was forgotten counts on, so that its fence does not fall. Orders to the cloud carry the term as before.

The simulated world carried out late polls whatever their fence; it ignores lower ones now, as the platform states and as it did for starts. The start that a test puts in by hand has the fence that the worker has seen.

The check of fences in crates/control/tests is unchanged.

Still open: a run that a successor begins and ends before the leader's first poll of it, if the acknowledgement comes between. A core of an older version that leads has one fence.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -1,7 +1,7 @@
 //! Processes the output of the consensus node: syncs the log, sends messages, applies
 //! committed entries and compacts the log. Also handles disk failures.
 
-use super::{Core, REOPEN_INTERVAL, STATUS_INTERVAL};
+use super::{Core, REOPEN_INTERVAL, STATUS_INTERVAL, TERM_STEP};
 use crate::load::Action;
 use jobs::{Command, Event, Job, Ledger};
 use log::{error, info, warn};
@@ -145,6 +145,7 @@
         let timing = self.timing.clone();
         self.node =
             Node::restore(self.process_info.id(), true, timing, self.seed, recovered.state, now);
+        self.node.set_term_step(TERM_STEP);
         for peer in self.environment.peers().iter().filter(|peer| peer.durable) {
             self.node.connect(peer.id());
         }
--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -9,6 +9,7 @@
 use mesh::frame::OrderId;
 use quorum::Term;
 use sched::Scheduler;
+use sched::fence::Fences;
 use sched::order::{Answer, Order};
 use sched::scheduler::Time;
 use serde_json::{Value, json};
@@ -100,7 +101,8 @@
             info!("reign.began term={term} jobs={}", self.ledger.jobs().len());
             let settings = self.sched_settings.clone();
             let started_at = self.environment.now();
-            let scheduler = Scheduler::new(settings, term, time, &self.ledger, &self.roster);
+            let fences = Fences::between(self.node.preceding_term(), term);
+            let scheduler = Scheduler::new(settings, fences, time, &self.ledger, &self.roster);
             self.record_action(Action::TakeOver, started_at);
             self.leadership = Some(Leadership { scheduler, term, published_at: None });
             self.proposal_queue.clear();
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -45,6 +45,8 @@
 const STATUS_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two removals of expired reports and of forwarded requests that timed out.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Difference between the terms of two elections. A leader's fences lie between the terms.
+const TERM_STEP: Term = 1 << 16;
 
 /// Clock, links and order dispatch of the process that runs the core.
 pub trait Environment: Send + Sync {
@@ -230,7 +232,7 @@
         process_info.incarnation = recovered.incarnation;
         let snapshot = recovered.state.snapshot.data.clone();
         let base = recovered.state.snapshot.index;
-        let node = Node::restore(
+        let mut node = Node::restore(
             process_info.id(),
             true,
             setup.timing.clone(),
@@ -238,6 +240,7 @@
             recovered.state,
             setup.environment.now(),
         );
+        node.set_term_step(TERM_STEP);
         let mut rng = StdRng::seed_from_u64(setup.seed);
         let mut core = Core {
             process_info,
--- a/crates/quorum/src/node/elect.rs
+++ b/crates/quorum/src/node/elect.rs
@@ -14,9 +14,9 @@
         self.leader = None;
         let mut term = self.hard_state.term + 1;
         if !pre_vote {
+            term = self.hard_state.term + self.term_step;
             self.hard_state = HardState { term, vote: Some(self.id.clone()) };
             self.output.hard_state = Some(self.hard_state.clone());
-            term = self.hard_state.term;
         }
         if pre_vote {
             // A pre-vote changes no term, so it can be repeated as soon as its answers are
@@ -126,6 +126,7 @@
             .map(|id| (id.clone(), Progress::new(next)))
             .collect();
         self.leader_since = self.now;
+        self.preceding_term = self.log.last_term();
         self.append_payload(Payload::Noop);
         self.send_to_all();
     }
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -198,6 +198,10 @@
     now: Duration,
     role: Role,
     hard_state: HardState,
+    /// Difference between the term of an election and the one before.
+    term_step: Term,
+    /// On a leader, the term of the last entry before its own.
+    preceding_term: Term,
     log: Log,
     snapshot: Snapshot,
     commit_index: Index,
@@ -262,6 +266,8 @@
             now,
             role: Role::Follower,
             hard_state,
+            term_step: 1,
+            preceding_term: 0,
             commit_index: commit_index.clamp(snapshot.index, last.max(snapshot.index)),
             delivered_index: snapshot.index,
             written_commit_index: commit_index,
@@ -312,6 +318,18 @@
         self.hard_state.term
     }
 
+    /// Sets by how much the term rises with each election of this node, at least 1. The terms
+    /// that are passed over have no leader.
+    pub fn set_term_step(&mut self, step: Term) {
+        self.term_step = step.max(1);
+    }
+
+    /// Highest term of an earlier leader that may have had a lease, if this node leads with one:
+    /// each has committed an entry of its own term before.
+    pub fn preceding_term(&self) -> Term {
+        self.preceding_term
+    }
+
     /// Last committed index.
     pub fn commit_index(&self) -> Index {
         self.commit_index
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -412,3 +412,37 @@
     }
     assert_eq!(match_index, 4 + ENTRIES, "it gets the rest once it answers");
 }
+
+#[test]
+fn a_leaders_term_rises_by_the_step_and_follows_that_of_the_leader_before() {
+    let mut node = voter(3, 1);
+    node.set_term_step(100);
+    node.tick(millis(5000));
+    drain(&mut node);
+    for (pre_vote, term) in [(true, 2), (false, 101)] {
+        let vote_response = quorum::message::VoteResponse { term, pre_vote, granted: true };
+        node.receive(millis(5001), &id("c"), Message::VoteResponse(vote_response));
+        drain(&mut node);
+    }
+    assert!(node.is_leader());
+    assert_eq!((node.preceding_term(), node.term()), (1, 101));
+}
+
+#[test]
+fn a_leader_with_a_lease_knows_the_term_of_each_earlier_leader_with_one() {
+    let mut node = voter(3, 1);
+    node.set_term_step(100);
+    // Nobody was elected in term 30, and the leader of term 40 had no lease before its entry.
+    node.receive(millis(2000), &id("c"), vote_request(30, 3, false));
+    node.receive(millis(2010), &id("a"), append(40, 3, vec![entry(4, 40)], 4));
+    drain(&mut node);
+    node.tick(millis(9000));
+    drain(&mut node);
+    for (pre_vote, term) in [(true, 41), (false, 140)] {
+        let vote_response = quorum::message::VoteResponse { term, pre_vote, granted: true };
+        node.receive(millis(9001), &id("c"), Message::VoteResponse(vote_response));
+        drain(&mut node);
+    }
+    assert!(node.is_leader());
+    assert_eq!((node.preceding_term(), node.term()), (40, 140));
+}
--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -8,6 +8,7 @@
 use jobs::command::{Command, EndReason, Submit};
 use jobs::definition::{Definition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
+use sched::fence::Fences;
 use sched::order::{Answer, Finished, Order, RunLists, RunStatus};
 use sched::scheduler::{PollReply, StartReply, Time};
 use sched::{Report, Roster, Scheduler, Settings};
@@ -97,7 +98,8 @@
         let now = Duration::from_secs(100);
         let time = Time { monotonic: now, wall: 1_000_000 };
         let settings = Settings::default();
-        let mut scheduler = Scheduler::new(settings, 1, time, &ledger, &Roster::default());
+        let mut scheduler =
+            Scheduler::new(settings, Fences::between(0, 1), time, &ledger, &Roster::default());
         let workers: Vec<Worker> = (0..workers)
             .map(|number| Worker {
                 report: report(number),
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 pub mod crash;
 pub mod estimate;
+pub mod fence;
 pub mod health;
 pub mod instance;
 pub mod late;
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -111,7 +111,7 @@
         if moving.pool == *pool && moving.stage == Stage::Proposed {
             moving.stage = Stage::Sent(time.monotonic);
             let (instance, pool) = (instance.clone(), pool.clone());
-            self.orders.push(Order::Move(Move { instance, pool, fence: self.fence }));
+            self.orders.push(Order::Move(Move { instance, pool, fence: self.fences.term() }));
         }
     }
 
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -575,7 +575,7 @@
                 self.stop_long_running(time, ledger, &instance);
                 continue;
             }
-            let order = MaintenanceOrder { instance, wave, fence: self.fence };
+            let order = MaintenanceOrder { instance, wave, fence: self.fences.term() };
             self.orders.push(Order::Maintain(order));
         }
     }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -25,8 +25,10 @@
 mod unplaced;
 mod waiting;
 
+use crate::Settings;
 use crate::crash::Loss;
 use crate::estimate::Estimator;
+use crate::fence::Fences;
 use crate::instance::Instance;
 use crate::lease::Lease;
 use crate::order::{Order, Reply};
@@ -35,7 +37,6 @@
 use crate::roster::{Report, Roster};
 use crate::usage::Usage;
 use crate::worker::{Run, RunState, StopReason, Worker};
-use crate::{Fence, Settings};
 use jobs::command::{Batch, Command};
 use jobs::definition::Resources;
 use jobs::ledger::Event;
@@ -136,12 +137,15 @@
 /// Scheduler state of one leadership.
 pub struct Scheduler {
     settings: Settings,
-    /// Token of this leadership in its orders. A receiver that has seen a higher one refuses
+    /// Tokens of this leadership in its orders. A receiver that has seen a higher one refuses
     /// them.
-    fence: Fence,
+    fences: Fences,
     /// A higher fence has been seen, so this leader no longer sends orders.
     superseded: bool,
     workers: BTreeMap<WorkerId, Worker>,
+    /// Restarts that a worker which becomes known counts as having had: more than any forgotten
+    /// worker, which may come back, and whose fence must not fall.
+    least_restarts: u64,
     /// Steps with units that wait for free resources.
     waiting: BTreeMap<PoolName, BTreeMap<StepKey, Waiting>>,
     /// Steps that wait for others, with the number of those that are not done.
@@ -226,12 +230,14 @@
     /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
     /// let settings = sched::Settings::default();
     /// let roster = sched::Roster::default();
-    /// let mut scheduler = sched::Scheduler::new(settings, 1, Time::default(), &ledger, &roster);
+    /// let fences = sched::fence::Fences::between(0, 1);
+    /// let mut scheduler =
+    ///     sched::Scheduler::new(settings, fences, Time::default(), &ledger, &roster);
     /// assert!(scheduler.decide(Time::default(), &ledger).orders.is_empty());
     /// ```
     pub fn new(
         settings: Settings,
-        fence: Fence,
+        fences: Fences,
         time: Time,
         ledger: &Ledger,
         roster: &Roster,
@@ -239,9 +245,10 @@
         let rates = Rates::new(settings.rate_window);
         let mut scheduler = Scheduler {
             settings,
-            fence,
+            fences,
             superseded: false,
             workers: BTreeMap::new(),
+            least_restarts: 0,
             waiting: BTreeMap::new(),
             blocked_steps: BTreeMap::new(),
             profiles: BTreeMap::new(),
@@ -397,9 +404,9 @@
     /// Returns a worker's state, adding one with a full inherited lease if it is unknown.
     fn worker_or_inherited(&mut self, time: Time, incarnation: &Incarnation) -> &mut Worker {
         let lease = Lease::inherited(time.monotonic, LEASE_DURATION.min(self.settings.max_lease));
-        self.workers
-            .entry(incarnation.worker.clone())
-            .or_insert_with(|| Worker::new(incarnation.clone(), lease))
+        let restarts = self.least_restarts;
+        let worker = || Worker { restarts, ..Worker::new(incarnation.clone(), lease) };
+        self.workers.entry(incarnation.worker.clone()).or_insert_with(worker)
     }
 
     /// Adds a decision to those for the process log.
--- a/crates/sched/src/scheduler/pacing.rs
+++ b/crates/sched/src/scheduler/pacing.rs
@@ -86,7 +86,8 @@
         let Some(run) = worker.runs.get_mut(&(unit, number)) else { return };
         run.share_percent = Some(percent);
         run.share_ordered_at = time.monotonic;
-        let pace = Pace { unit, name, run: number, percent, fence: self.fence };
+        let pace =
+            Pace { unit, name, run: number, percent, fence: self.fences.after(worker.restarts) };
         self.orders.push(Order::Pace(Destination { incarnation, address }, pace));
     }
 
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -100,7 +100,7 @@
             worker.polling.max_wait = max_wait;
             worker.polling.grants_lease = lease_end_ms.is_some();
             let poll = Poll {
-                fence: self.fence,
+                fence: self.fences.after(worker.restarts),
                 acknowledged_through,
                 lease_end_ms,
                 max_wait,
@@ -115,7 +115,9 @@
         for id in unreachable {
             let is_idle = |worker: &Worker| worker.runs.is_empty() && worker.late_starts.is_empty();
             if self.workers.get(&id).is_some_and(is_idle) {
-                self.workers.remove(&id);
+                if let Some(worker) = self.workers.remove(&id) {
+                    self.least_restarts = self.least_restarts.max(worker.restarts + 1);
+                }
                 self.usage.replace(&id, Totals::new());
             }
         }
@@ -255,9 +257,10 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         if !worker.answered_under_fence {
             worker.answered_under_fence = true;
+            let fence = self.fences.after(worker.restarts);
             self.explanations.push(super::Explanation {
                 subject: id.clone(),
-                text: format!("answered its first poll with fence {}", self.fence),
+                text: format!("answered its first poll with fence {fence}"),
             });
         }
         let running = statuses_by_run(ledger, &run_lists.running);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -245,10 +245,11 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(destination) = worker.destination() else { return };
         let Some(name) = ledger.unit_name(&unit) else { return };
+        let fence = self.fences.after(worker.restarts);
         let Some(entry) = worker.runs.get_mut(&(unit, run)) else { return };
         if let RunState::Stopping { sent, .. } = &mut entry.state {
             *sent = Some(time.monotonic);
-            self.orders.push(Order::Stop(destination, Stop { unit, name, run, fence: self.fence }));
+            self.orders.push(Order::Stop(destination, Stop { unit, name, run, fence }));
         }
     }
 
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -145,7 +145,7 @@
             run: number,
             spec: job.definition.spec.clone(),
             lease_end_ms,
-            fence: self.fence,
+            fence: self.fences.after(worker.restarts),
             checkpoint: placement.checkpoint.clone(),
             ticket,
         };
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -151,11 +151,12 @@
     fn stop_unplaced(&mut self, time: Time, id: &WorkerId, key: &(String, RunNumber)) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(destination) = worker.destination() else { return };
+        let fence = self.fences.after(worker.restarts);
         let Some(unplaced) = worker.unplaced.get_mut(key) else { return };
         unplaced.stop_sent_at = Some(time.monotonic);
         let (name, run) = key.clone();
         let unit = unplaced.unit.unwrap_or(UNKNOWN_UNIT);
-        self.orders.push(Order::Stop(destination, Stop { unit, name, run, fence: self.fence }));
+        self.orders.push(Order::Stop(destination, Stop { unit, name, run, fence }));
     }
 }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -195,6 +195,8 @@
     pub stated_start: UnixMs,
     /// Later start times that earlier incarnations stated.
     pub ended_starts: BTreeSet<UnixMs>,
+    /// Restarts under its id as far as the leader knows; rises while the worker is known.
+    pub restarts: u64,
     /// Newest report; `None` if the incarnation is known only from its runs.
     pub report: Option<Report>,
     /// Address at which it accepts orders. Kept when a poll is answered by a new incarnation,
@@ -251,6 +253,7 @@
             stated_start: incarnation.started_at,
             incarnation,
             ended_starts: BTreeSet::new(),
+            restarts: 0,
             report: None,
             address: None,
             lease,
@@ -284,6 +287,7 @@
     pub fn replace_incarnation(&mut self, stated_start: UnixMs) -> UnixMs {
         let former = std::mem::replace(&mut self.stated_start, stated_start);
         self.ended_starts.insert(former);
+        self.restarts += 1;
         self.ended_starts.retain(|ended| *ended > stated_start);
         self.incarnation.started_at =
             stated_start.max(self.incarnation.started_at.saturating_add(1));
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -576,6 +576,32 @@
     }
 }
 
+#[test]
+fn no_leader_is_refused_after_workers_have_restarted() {
+    for steps in [vec![world::TERM_STEP], vec![1], vec![1, 1], vec![1, world::TERM_STEP, 1]] {
+        let mut world = World::new(2);
+        for _ in 0..6 {
+            world.restart("w0", seconds(0.2));
+            world.run(seconds(2.0));
+        }
+        for (number, step) in steps.into_iter().enumerate() {
+            world.replace_leader_with_term_step(step);
+            let id = format!("c{number}");
+            world.run_times.insert(id.clone(), seconds(0.5));
+            world.submit("q", &id, vec![step_of_all_workers()]);
+            run_checked(&mut world, seconds(8.0));
+            assert_eq!(world.state("q", &id), State::Completed, "leader {number} is refused");
+            world.restart("w0", seconds(0.2));
+            run_checked(&mut world, seconds(2.0));
+        }
+    }
+}
+
+/// Returns a step that needs both of two workers.
+fn step_of_all_workers() -> jobs::Step {
+    step(2, 6000, 500)
+}
+
 /// Time between two steps of a random schedule.
 const STEP: Duration = Duration::from_millis(100);
 /// Shortest time between two restarts of one worker that each come alone.
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -6,6 +6,7 @@
 use jobs::config::Advice;
 use jobs::definition::{Definition as JobDefinition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
+use sched::fence::Fences;
 use sched::order::{Answer, Destination, Move, Order, Poll, Refusal, Reply, Start, StartOutcome};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
@@ -22,6 +23,8 @@
 pub const TICK: Duration = Duration::from_millis(10);
 /// Time between two reports of a worker.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
+/// Difference between the terms of two leaders.
+pub const TERM_STEP: u64 = 100;
 /// Standby pool: its instances are switched off.
 pub const STANDBY: &str = "spare";
 /// Delay with which a move order without an answer is carried out.
@@ -125,8 +128,8 @@
     returning: BTreeMap<String, (Duration, String)>,
     /// Start time of the newest incarnation.
     started_at: u64,
-    /// Fence of the present leader.
-    fence: u64,
+    /// Term of the present leader.
+    term: u64,
 }
 
 pub fn resources(cpu_milli: u64) -> Resources {
@@ -172,7 +175,13 @@
         let now = Duration::from_secs(100);
         let time = Time { monotonic: now, wall: 1_000_000 };
         let settings = Settings::default();
-        let scheduler = Scheduler::new(settings, 1, time, &ledger, &Roster::default());
+        let scheduler = Scheduler::new(
+            settings,
+            Fences::between(0, TERM_STEP),
+            time,
+            &ledger,
+            &Roster::default(),
+        );
         let mut world = World {
             now,
             ledger,
@@ -212,7 +221,7 @@
             interrupted: Vec::new(),
             returning: BTreeMap::new(),
             started_at: 1,
-            fence: 1,
+            term: TERM_STEP,
         };
         for number in 0..count {
             let id = format!("w{number}");
@@ -260,37 +269,49 @@
         }
     }
 
+    /// Returns the fences of a leader whose term is higher by `step` than that of the present one.
+    fn begin_term(&mut self, step: u64) -> Fences {
+        let preceding_term = self.term;
+        self.term += step;
+        Fences::between(preceding_term, self.term)
+    }
+
     /// Replaces the leader. The new one has the reports of every second worker; the
     /// others report to it within [`REPORT_INTERVAL`].
     pub fn replace_leader(&mut self) {
-        self.fence += 1;
+        self.replace_leader_with_term_step(TERM_STEP);
+    }
+
+    /// Replaces the leader, like [`World::replace_leader`], by one whose term is higher by `step`; 1
+    /// is that of a leader of an earlier version.
+    pub fn replace_leader_with_term_step(&mut self, step: u64) {
+        let fences = self.begin_term(step);
         let mut roster = Roster::default();
         for worker in self.workers.values().step_by(2) {
             roster.record(self.now, worker.report.clone());
         }
         let time = self.time();
-        self.scheduler =
-            Scheduler::new(Settings::default(), self.fence, time, &self.ledger, &roster);
+        self.scheduler = Scheduler::new(Settings::default(), fences, time, &self.ledger, &roster);
         self.workers.values_mut().for_each(|worker| worker.poll = None);
     }
 
     /// Replaces the leader by one that expects units away from their data to take longer by a factor.
     pub fn set_far_factor(&mut self, far_factor: f64) {
-        self.fence += 1;
+        let fences = self.begin_term(TERM_STEP);
         let settings = Settings { far_factor, ..Settings::default() };
         let mut roster = Roster::default();
         for worker in self.workers.values() {
             roster.record(self.now, worker.report.clone());
         }
         let time = self.time();
-        self.scheduler = Scheduler::new(settings, self.fence, time, &self.ledger, &roster);
+        self.scheduler = Scheduler::new(settings, fences, time, &self.ledger, &roster);
         self.workers.values_mut().for_each(|worker| worker.poll = None);
         self.run(Duration::from_millis(200));
     }
 
     /// Replaces the leader by one to which all reports were passed on.
     pub fn replace_informed_leader(&mut self) {
-        self.fence += 1;
+        let fences = self.begin_term(TERM_STEP);
         let mut reports: Vec<Report> = self.workers.values().map(|w| w.report.clone()).collect();
         reports.sort_by_key(|report| report.incarnation.started_at);
         let mut roster = Roster::default();
@@ -299,8 +320,7 @@
         }
         let time = self.time();
         let started_at = Instant::now();
-        self.scheduler =
-            Scheduler::new(Settings::default(), self.fence, time, &self.ledger, &roster);
+        self.scheduler = Scheduler::new(Settings::default(), fences, time, &self.ledger, &roster);
         self.record_time("take over", started_at);
         self.workers.values_mut().for_each(|worker| worker.poll = None);
     }
@@ -432,7 +452,7 @@
         let to = Destination { incarnation: report.incarnation, address: report.address };
         let (name, spec) = (name.to_string(), String::new());
         let lease_end_ms = Settings::default().max_lease.as_millis() as u64;
-        let (checkpoint, ticket, fence) = (String::new(), None, self.fence);
+        let (checkpoint, ticket, fence) = (String::new(), None, self.workers[id].fence);
         let start = Start { unit, name, run, spec, lease_end_ms, fence, checkpoint, ticket };
         self.start(&to, &start);
     }
@@ -522,7 +542,8 @@
         let polls: Vec<_> = self.delayed_polls.extract_if(.., |(at, _, _)| *at <= now).collect();
         for (_, to, poll) in polls {
             let worker = self.workers.get_mut(&to.incarnation.worker);
-            if let Some(worker) = worker.filter(|worker| !worker.is_down) {
+            let obeys = |worker: &&mut Worker| !worker.is_down && poll.fence >= worker.fence;
+            if let Some(worker) = worker.filter(obeys) {
                 worker.apply_poll(now, &poll, Settings::default().max_lease);
             }
         }
