Sched tests: a seeded soak of waits, and a wait of 15 s under a new leader, known red

Workers crash, restart, are deleted, cut off, drained and resized, leave polls and starts unanswered, leaders change, waves run and jobs come and go, beside short jobs at a load of 0.3 to 1.6. At each tick no unit runs twice, no worker that has not shrunk is over its capacity, no step loses more than it may miss to orders, and a unit that lasts and has room in calm runs again; in the end the short jobs complete.

--- /dev/null
+++ b/crates/sched/tests/waits.rs
@@ -0,0 +1,795 @@
+//! Seeded soak of the scheduler: bounds for the waits of units while workers, leaders and jobs come
+//! and go.
+//!
+//! `WAITS_SEEDS` and `WAITS_FROM` set the number of seeds and the first one, by default past those in
+//! KNOWN-RED.txt; `WAITS_TRACE` prints all decisions before a failure, not only those that name the
+//! unit.
+
+mod world;
+
+use jobs::State;
+use jobs::command::{Cancel, Command, EndReason};
+use jobs::definition::{Resources, Step};
+use jobs::wave::Phase;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use world::{STANDBY, START_DELAY, TICK, Worker, World};
+
+/// Time after the last run of a unit that lasts from which on it has to have room in vain.
+const MAX_AWAY: Duration = Duration::from_secs(6);
+/// Time after the acceptance of a job from which on its units that last have to have room in vain.
+const MAX_FIRST_WAIT: Duration = Duration::from_secs(3);
+/// Time without events after which a wait counts.
+const CALM: Duration = Duration::from_secs(4);
+/// Time for which a unit that lasts may have room in vain.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+/// Time after which a unit that is not at work for any cause counts as away.
+const NOTICE: Duration = Duration::from_millis(4500);
+/// Time after its start at which a unit that lasts is at work.
+const WARM_UP: Duration = Duration::from_millis(500);
+/// Time in which short jobs end, besides what their work takes.
+const FINISH: Duration = Duration::from_secs(30);
+/// Time before a failure of which the decisions are printed.
+const TRACED: Duration = Duration::from_secs(20);
+const POOL: &str = "p";
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn variable(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |value| value.parse().unwrap_or_else(|_| panic!("{name}: no number")))
+}
+
+#[test]
+fn units_with_room_do_not_wait_without_bound() {
+    let first = variable("WAITS_FROM", 4);
+    let seeds = first..first + variable("WAITS_SEEDS", 6);
+    let failed: Vec<u64> = seeds.filter(|seed| !is_kept(*seed)).collect();
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
+
+/// Guards against a wait of 15 s for starts of the leader before, which the worker may carry out late.
+#[test]
+fn a_unit_whose_worker_restarts_under_a_new_leader_is_not_held_beyond_its_bound() {
+    let mut world = World::new(4);
+    world.submit("q", "a", vec![world::long_running(1, 2000)]);
+    world.run(seconds(20.0));
+    world.replace_informed_leader();
+    world.run(seconds(1.0));
+    let worker = world.workers_running("a.0.0.0")[0].clone();
+    let down_for = seconds(0.5);
+    world.restart(&worker, down_for);
+    world.run(MAX_AWAY.max(down_for + CALM) + MAX_WAIT);
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+}
+
+/// Plays one seed and prints its first failure. Returns whether there was none.
+fn is_kept(seed: u64) -> bool {
+    let mut soak = Soak::new(seed);
+    soak.play();
+    let Some(failure) = &soak.failure else { return true };
+    println!("seed {seed}: {}", failure.text);
+    soak.trace(failure).iter().for_each(|line| println!("    {line}"));
+    false
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Event {
+    Crash,
+    Restart,
+    Delete,
+    Partition,
+    Drain,
+    Wave,
+    Leader,
+    InformedLeader,
+    Resize,
+    LostPolls,
+    LostStarts,
+    HangingPolls,
+    Cancel,
+    Submit,
+}
+
+const EVENTS: [Event; 14] = [
+    Event::Crash,
+    Event::Restart,
+    Event::Delete,
+    Event::Partition,
+    Event::Drain,
+    Event::Wave,
+    Event::Leader,
+    Event::InformedLeader,
+    Event::Resize,
+    Event::LostPolls,
+    Event::LostStarts,
+    Event::HangingPolls,
+    Event::Cancel,
+    Event::Submit,
+];
+
+/// A unit that lasts, as the world sees it.
+#[derive(Clone, Debug)]
+struct Unit {
+    submitted_at: Duration,
+    running_since: Option<Duration>,
+    /// Last time at which it ran; `None` before its first run.
+    ran_at: Option<Duration>,
+    /// Last time at which it was at work, or its acceptance.
+    at_work_at: Duration,
+    /// It was ended by an order and has not been at work since.
+    is_ordered_away: bool,
+    /// Since when it has had room in vain.
+    room_since: Option<Duration>,
+}
+
+impl Unit {
+    fn new(now: Duration) -> Unit {
+        Unit {
+            submitted_at: now,
+            running_since: None,
+            ran_at: None,
+            at_work_at: now,
+            is_ordered_away: false,
+            room_since: None,
+        }
+    }
+
+    fn is_at_work(&self, now: Duration) -> bool {
+        self.running_since.is_some_and(|since| now >= since + WARM_UP)
+    }
+
+    fn is_away(&self, now: Duration) -> bool {
+        !self.is_at_work(now) && (self.is_ordered_away || now >= self.at_work_at + NOTICE)
+    }
+
+    /// Returns whether it is due, whatever the room.
+    fn is_overdue(&self, now: Duration) -> bool {
+        let due = self.ran_at.map_or(self.submitted_at + MAX_FIRST_WAIT, |at| at + MAX_AWAY);
+        self.running_since.is_none() && now >= due
+    }
+}
+
+/// A job that lasts, of one step.
+#[derive(Clone, Debug)]
+struct Service {
+    step: Step,
+    units: Vec<Unit>,
+}
+
+#[derive(Clone, Debug)]
+struct Failure {
+    text: String,
+    /// What the trace is about.
+    subject: String,
+}
+
+/// Short jobs that keep arriving.
+#[derive(Clone, Debug, Default)]
+struct Stream {
+    load: f64,
+    next_at: Duration,
+    count: usize,
+    /// Work of the jobs that have not completed, in milliseconds of cores and MiB.
+    open: BTreeMap<String, (Step, Duration)>,
+}
+
+struct Soak {
+    world: World,
+    rng: StdRng,
+    services: BTreeMap<String, Service>,
+    service_count: usize,
+    stream: Stream,
+    /// Time until which the events so far have effect.
+    disturbed_until: Duration,
+    /// Workers with an event of their own, with its end.
+    disturbed: BTreeMap<String, (Duration, Event)>,
+    shrunk: BTreeSet<String>,
+    deleted: usize,
+    added: usize,
+    workers_at_first: usize,
+    /// Highest end that was seen of each incarnation of a worker.
+    seen_ends: BTreeMap<(String, u64), u64>,
+    seen_interruptions: usize,
+    seen_overloads: usize,
+    events: Vec<(Duration, String)>,
+    failure: Option<Failure>,
+}
+
+/// Returns the job and the index of a unit.
+fn split(name: &str) -> (&str, usize) {
+    let mut parts = name.split('.');
+    let job = parts.next().unwrap_or_default();
+    (job, parts.next_back().and_then(|index| index.parse().ok()).unwrap_or_default())
+}
+
+fn is_up(worker: &Worker) -> bool {
+    !worker.is_down && !worker.is_succeeded
+}
+
+fn is_in_pool(worker: &Worker) -> bool {
+    is_up(worker) && worker.report.pool == POOL
+}
+
+/// Work of the test: events, jobs that last and short jobs.
+impl Soak {
+    fn new(seed: u64) -> Soak {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let workers = rng.random_range(4..=12);
+        let mut world = World::new(workers);
+        for number in 0..rng.random_range(0..=4) {
+            world.add(&format!("w{}", 50 + number), STANDBY, 1);
+        }
+        Soak {
+            world,
+            rng,
+            services: BTreeMap::new(),
+            service_count: 0,
+            stream: Stream::default(),
+            disturbed_until: Duration::ZERO,
+            disturbed: BTreeMap::new(),
+            shrunk: BTreeSet::new(),
+            deleted: 0,
+            added: 0,
+            workers_at_first: workers,
+            seen_ends: BTreeMap::new(),
+            seen_interruptions: 0,
+            seen_overloads: 0,
+            events: Vec::new(),
+            failure: None,
+        }
+    }
+
+    fn play(&mut self) {
+        for _ in 0..self.rng.random_range(2..=6) {
+            self.submit_service();
+        }
+        self.stream.next_at = self.world.now;
+        self.draw_load();
+        self.run(seconds(6.0));
+        for _ in 0..3 {
+            self.play_series();
+            self.draw_load();
+            self.run(seconds(14.0));
+        }
+        self.finish();
+    }
+
+    /// Plays events that overlap.
+    fn play_series(&mut self) {
+        for _ in 0..self.rng.random_range(2..=7) {
+            if self.failure.is_some() {
+                return;
+            }
+            let event = EVENTS[self.rng.random_range(0..EVENTS.len())];
+            self.begin(event);
+            let gap = self.rng.random_range(0..2500);
+            self.run(Duration::from_millis(gap));
+        }
+    }
+
+    fn run(&mut self, duration: Duration) {
+        let end = self.world.now + duration;
+        while self.world.now < end && self.failure.is_none() {
+            self.end_events();
+            self.feed();
+            self.world.run(TICK);
+            self.check();
+        }
+    }
+
+    fn note(&mut self, text: String) {
+        self.events.push((self.world.now, text));
+    }
+
+    fn fail(&mut self, subject: &str, text: String) {
+        let text = format!("at {:?}: {text}", self.world.now);
+        self.failure.get_or_insert(Failure { text, subject: subject.to_string() });
+    }
+
+    /// Lets the events so far have effect for some time more.
+    fn disturb(&mut self, duration: Duration) {
+        self.disturbed_until = self.disturbed_until.max(self.world.now + duration);
+    }
+
+    /// Returns a worker of the pool without an event of its own.
+    fn pick_worker(&mut self) -> Option<String> {
+        let is_free = |(id, worker): &(&String, &Worker)| {
+            is_in_pool(worker) && !self.disturbed.contains_key(*id)
+        };
+        let ids: Vec<String> =
+            self.world.workers.iter().filter(is_free).map(|(id, _)| id.clone()).collect();
+        if ids.len() < 3 {
+            return None;
+        }
+        Some(ids[self.rng.random_range(0..ids.len())].clone())
+    }
+
+    fn begin(&mut self, event: Event) {
+        match event {
+            Event::Wave => self.start_wave(),
+            Event::Leader | Event::InformedLeader => self.replace_leader(event),
+            Event::Cancel => self.cancel_service(),
+            Event::Submit => self.submit_service(),
+            _ => self.begin_at_worker(event),
+        }
+    }
+
+    fn replace_leader(&mut self, event: Event) {
+        self.note(format!("{event:?}"));
+        self.disturb(Duration::ZERO);
+        match event {
+            Event::Leader => self.world.replace_leader(),
+            _ => self.world.replace_informed_leader(),
+        }
+    }
+
+    fn begin_at_worker(&mut self, event: Event) {
+        let Some(id) = self.pick_worker() else { return };
+        let mut duration = Duration::from_millis(self.rng.random_range(200..8000));
+        let world = &mut self.world;
+        let worker = world.workers.get_mut(&id).unwrap();
+        match event {
+            Event::Crash => {
+                world.crash_downtime = duration;
+                world.crash(&id);
+            }
+            Event::Restart => world.restart(&id, duration),
+            Event::Delete if self.deleted * 4 < self.workers_at_first => {
+                self.deleted += 1;
+                duration = Duration::ZERO;
+                world.delete(&id);
+            }
+            Event::Delete => return,
+            Event::Partition => worker.partitioned = true,
+            Event::Drain => {
+                worker.report.draining = true;
+                worker.report.number += 1;
+                world.report(&id);
+            }
+            Event::Resize => {
+                worker.report.capacity.cpu_milli = self.rng.random_range(2..=7) * 1000;
+                worker.report.number += 1;
+                self.shrunk.insert(id.clone());
+                world.report(&id);
+            }
+            Event::LostPolls => worker.omits_one_poll_in = Some(self.rng.random_range(2..=5)),
+            Event::LostStarts => worker.omits_one_start_in = Some(self.rng.random_range(1..=3)),
+            _ => worker.polls_hang = true,
+        }
+        self.note(format!("{event:?} of {id} for {duration:?}"));
+        self.disturb(duration);
+        self.disturbed.insert(id, (self.world.now + duration, event));
+    }
+
+    /// Ends the events of workers that are due.
+    fn end_events(&mut self) {
+        let now = self.world.now;
+        let due: Vec<_> = self.disturbed.extract_if(.., |_, (at, _)| now >= *at).collect();
+        for (id, (_, event)) in due {
+            self.note(format!("end of {event:?} of {id}"));
+            self.disturb(Duration::ZERO);
+            match event {
+                Event::Drain => self.replace_worker(&id),
+                Event::LostPolls | Event::LostStarts => self.disturb(START_DELAY),
+                _ => {}
+            }
+            let Some(worker) = self.world.workers.get_mut(&id) else { continue };
+            worker.partitioned = false;
+            worker.omits_one_poll_in = None;
+            worker.omits_one_start_in = None;
+            worker.polls_hang = false;
+            if worker.report.capacity.cpu_milli != 8000 {
+                worker.report.capacity.cpu_milli = 8000;
+                worker.report.number += 1;
+                self.world.report(&id);
+            }
+        }
+    }
+
+    /// Ends a worker that has drained, and adds another one with an instance of its own.
+    fn replace_worker(&mut self, id: &str) {
+        let Some(worker) = self.world.workers.get(id) else { return };
+        if !is_in_pool(worker) || !worker.report.draining {
+            return;
+        }
+        self.world.delete(id);
+        self.added += 1;
+        let id = format!("w{}", 100 + self.added);
+        self.world.add(&id, POOL, 1);
+    }
+
+    fn start_wave(&mut self) {
+        let busy = self.instances_in_waves();
+        let mut instances: Vec<String> = self
+            .world
+            .workers
+            .values()
+            .filter(|worker| is_in_pool(worker) && !busy.contains(&worker.report.instance))
+            .map(|worker| worker.report.instance.clone())
+            .collect();
+        instances.truncate((instances.len() / 2).max(1));
+        let number = self.world.ledger.waves().len() as u64 + 1;
+        let (cap, at) = (self.rng.random_range(1..=3), self.world.time().wall);
+        let duration = Duration::from_secs(self.rng.random_range(12..=30));
+        self.note(format!("wave {number} over {instances:?}, {cap} at a time, {duration:?}"));
+        let instances = instances.into_iter().collect();
+        let wave = jobs::Wave::new(number, instances, duration, cap, at);
+        self.world.apply(Command::StartWave(wave));
+    }
+
+    fn cancel_service(&mut self) {
+        let ids: Vec<String> = self.services.keys().cloned().collect();
+        if ids.is_empty() {
+            return;
+        }
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        self.note(format!("cancel of {id}"));
+        self.services.remove(&id);
+        let at = self.world.time().wall;
+        self.world.apply(Command::Cancel(Cancel { queue: "q".to_string(), id, at }));
+    }
+
+    /// Hands in a job that lasts, if the pool can hold it beside the others and some short work.
+    fn submit_service(&mut self) {
+        let step = self.draw_service();
+        let need = self.services.values().map(|service| &service.step).chain([&step]);
+        let need = need.fold(Resources::default(), |need, step| {
+            (0..step.count).fold(need, |need, _| need.plus(&step.reserved_resources()))
+        });
+        let room = self.workers_at_first as u64 * 8000 * 6 / 10;
+        if need.cpu_milli.max(need.memory_mb) > room {
+            return;
+        }
+        let id = format!("lasting{}", self.service_count);
+        self.service_count += 1;
+        let Step { count, resources, anti_affinity, .. } = &step;
+        self.note(format!(
+            "{id}: {count} of {}m/{} MiB, anti-affinity {anti_affinity}, unavailable {:?}{}{}",
+            resources.cpu_milli,
+            resources.memory_mb,
+            step.max_unavailable,
+            if step.gang { ", gang" } else { "" },
+            if step.best_effort { ", best-effort" } else { "" },
+        ));
+        self.world.submit("q", &id, vec![step.clone()]);
+        let units = vec![Unit::new(self.world.now); step.count as usize];
+        self.services.insert(id, Service { step, units });
+    }
+
+    fn draw_service(&mut self) -> Step {
+        let rng = &mut self.rng;
+        let gang = rng.random_ratio(1, 12);
+        Step {
+            count: rng.random_range(1..=6),
+            resources: Resources {
+                cpu_milli: [500, 1000, 2000, 3000, 4000, 5500, 7000][rng.random_range(0..7)],
+                memory_mb: [100, 500, 1000, 2000, 4000, 6000][rng.random_range(0..6)],
+                accelerators: 0,
+            },
+            estimate: Duration::from_millis(500),
+            gang,
+            anti_affinity: rng.random_range(0..=1),
+            long_running: true,
+            best_effort: !gang && rng.random_ratio(1, 12),
+            max_unavailable: (!gang).then(|| rng.random_range(1..=3)),
+            ..Step::default()
+        }
+    }
+
+    fn draw_load(&mut self) {
+        self.stream.load = self.rng.random_range(0.3..1.6);
+        self.note(format!("load {:.2}", self.stream.load));
+    }
+
+    /// Hands in the short jobs that are due.
+    fn feed(&mut self) {
+        while self.stream.load > 0.0 && self.stream.next_at <= self.world.now {
+            let step = self.draw_short();
+            let millis = step.estimate.as_millis() as u64;
+            let run_time = Duration::from_millis(self.rng.random_range(millis / 2..=millis * 2));
+            let id = format!("short{}", self.stream.count);
+            self.stream.count += 1;
+            let work = run_time.mul_f64(step.count as f64 * step.resources.cpu_milli as f64);
+            let room = self.room_for_short_work().cpu_milli.max(4000) as f64;
+            self.stream.next_at += work.div_f64(room * self.stream.load);
+            self.world.run_times.insert(id.clone(), run_time);
+            self.world.submit("q", &id, vec![step.clone()]);
+            self.stream.open.insert(id, (step, run_time));
+        }
+    }
+
+    fn draw_short(&mut self) -> Step {
+        let rng = &mut self.rng;
+        let millis = [200, 400, 800, 1500, 3000][rng.random_range(0..5)];
+        let cpu_milli = match rng.random_range(0..20) {
+            0 => 4000,
+            1..4 => 2000,
+            4..10 => 1000,
+            _ => 500,
+        };
+        let memory_mb = rng.random_range(50..=cpu_milli);
+        Step {
+            count: rng.random_range(1..=4),
+            resources: Resources { cpu_milli, memory_mb, accelerators: 0 },
+            estimate: Duration::from_millis(millis),
+            ..Step::default()
+        }
+    }
+
+    /// Ends the stream, and checks that its jobs complete in time.
+    fn finish(&mut self) {
+        self.stream.load = 0.0;
+        self.note("end of the stream".to_string());
+        self.forget_completed();
+        let room = self.room_for_short_work();
+        let (cpu, memory) = self.stream.open.values().fold((0.0, 0.0), |sum, (step, time)| {
+            let work = |amount: u64| time.as_secs_f64() * (u64::from(step.count) * amount) as f64;
+            (sum.0 + work(step.resources.cpu_milli), sum.1 + work(step.resources.memory_mb))
+        });
+        let work = (cpu / room.cpu_milli as f64).max(memory / room.memory_mb as f64);
+        let deadline = self.world.now + FINISH + seconds(work.min(300.0));
+        while self.world.now < deadline && !self.stream.open.is_empty() && self.failure.is_none() {
+            self.run(seconds(0.5));
+            self.forget_completed();
+        }
+        // Work that lasts may leave no room for a unit anywhere.
+        let rooms: Vec<Resources> = self.rooms().map(|(_, room)| room).collect();
+        let open = self.stream.open.iter();
+        let late = open
+            .filter(|(_, (step, _))| rooms.iter().any(|room| room.covers(&step.resources)))
+            .map(|(id, _)| (id.clone(), self.world.state("q", id)))
+            .next();
+        if let Some((id, state)) = late {
+            self.fail(&id, format!("{id} is {state:?} though it has room"));
+        }
+    }
+
+    fn forget_completed(&mut self) {
+        let world = &self.world;
+        self.stream.open.retain(|id, _| world.state("q", id) != State::Completed);
+    }
+}
+
+/// Bookkeeping of the test.
+impl Soak {
+    fn instances_in_waves(&self) -> BTreeSet<String> {
+        let now = self.world.time().wall;
+        let open = self
+            .world
+            .ledger
+            .waves()
+            .values()
+            .filter(|wave| now < wave.accepted_at + wave.duration.as_millis() as u64);
+        let is_over = |phase: &Phase| matches!(phase, Phase::Done | Phase::Gone);
+        open.flat_map(|wave| wave.instances.iter().filter(|(_, phase)| !is_over(phase)))
+            .map(|(instance, _)| instance.clone())
+            .collect()
+    }
+
+    fn step_of(&self, name: &str) -> Option<&Step> {
+        let (job, _) = split(name);
+        let short = || self.stream.open.get(job).map(|(step, _)| step);
+        self.services.get(job).map(|service| &service.step).or_else(short)
+    }
+
+    /// Returns what the work that lasts leaves of a worker, besides that of one job.
+    fn room_of(&self, worker: &Worker, besides: Option<&str>) -> Resources {
+        let lasting = worker.runs.keys().map(|(name, _)| split(name).0);
+        let lasting = lasting.filter(|job| Some(*job) != besides);
+        let steps = lasting.filter_map(|job| self.services.get(job)).map(|service| &service.step);
+        steps.fold(worker.report.capacity, |room, step| room.minus(&step.reserved_resources()))
+    }
+
+    /// Returns the workers that get new work, with what the work that lasts leaves of them.
+    fn rooms(&self) -> impl Iterator<Item = (&Worker, Resources)> {
+        let in_waves = self.instances_in_waves();
+        let workers = self.world.workers.iter().filter(move |(id, worker)| {
+            let instance = &worker.report.instance;
+            is_in_pool(worker)
+                && !worker.report.draining
+                && !worker.partitioned
+                && !self.disturbed.contains_key(*id)
+                && !in_waves.contains(instance)
+                && !self.world.ledger.pending_moves().contains_key(instance)
+        });
+        workers.map(|(_, worker)| (worker, self.room_of(worker, None)))
+    }
+
+    fn room_for_short_work(&self) -> Resources {
+        self.rooms().fold(Resources::default(), |sum, (_, room)| sum.plus(&room))
+    }
+
+    /// Returns whether some worker has room for a further unit of a job; for a gang, whether all
+    /// workers have room for all of it.
+    fn has_room(&self, id: &str) -> bool {
+        let step = &self.services[id].step;
+        let need = step.reserved_resources();
+        let units_on = |worker: &Worker| {
+            let units = worker.runs.keys().filter(|(name, _)| split(name).0 == id).count();
+            if step.gang { 0 } else { units as u32 }
+        };
+        let free_units = self.rooms().map(|(worker, _)| {
+            let mut room = self.room_of(worker, step.gang.then_some(id));
+            let mut units = units_on(worker);
+            let mut count = 0;
+            while room.covers(&need)
+                && count < step.count
+                && (step.anti_affinity == 0 || units < step.anti_affinity)
+            {
+                (room, units, count) = (room.minus(&need), units + 1, count + 1);
+            }
+            count
+        });
+        free_units.sum::<u32>() >= if step.gang { step.count } else { 1 }
+    }
+}
+
+/// Checks after each tick.
+impl Soak {
+    fn check(&mut self) {
+        let twice = self.world.running_twice();
+        if let Some(name) = twice.first() {
+            self.fail(name, format!("{name} runs twice"));
+        }
+        self.check_capacities();
+        self.check_orders();
+        self.update_units();
+        self.check_waits();
+    }
+
+    fn check_capacities(&mut self) {
+        let mut overloaded: Vec<String> = Vec::new();
+        let mut fitting: Vec<String> = Vec::new();
+        for (id, worker) in self.world.workers.iter().filter(|(_, worker)| is_up(worker)) {
+            let steps = worker.runs.keys().filter_map(|(name, _)| self.step_of(name));
+            let used =
+                steps.fold(Resources::default(), |sum, step| sum.plus(&step.reserved_resources()));
+            let fits = worker.report.capacity.covers(&used);
+            if fits && !self.disturbed.contains_key(id) {
+                fitting.push(id.clone());
+            } else if !fits && !self.shrunk.contains(id) {
+                overloaded.push(id.clone());
+            }
+        }
+        let recorded = self.world.overloads[self.seen_overloads..].iter();
+        overloaded
+            .extend(recorded.map(|(_, id)| id.clone()).filter(|id| !self.shrunk.contains(id)));
+        self.seen_overloads = self.world.overloads.len();
+        self.shrunk.retain(|id| !fitting.contains(id));
+        if let Some(id) = overloaded.first() {
+            self.fail(id, format!("{id} is over its capacity"));
+        }
+    }
+
+    fn is_calm(&self, duration: Duration) -> bool {
+        let now = self.world.now;
+        self.disturbed.is_empty() && now >= self.disturbed_until + duration
+    }
+
+    /// Checks the runs that orders have ended since the last tick.
+    fn check_orders(&mut self) {
+        let mut ended = Vec::new();
+        let lapses_count = self.is_calm(CALM + MAX_WAIT);
+        for (id, worker) in &self.world.workers {
+            let key = (id.clone(), worker.report.incarnation.started_at);
+            let seen = self.seen_ends.entry(key).or_default();
+            for end in worker.finished.iter().filter(|end| end.number > *seen) {
+                let is_order = end.reason == EndReason::Stopped
+                    || lapses_count && end.reason == EndReason::Lapsed;
+                if is_order && !worker.report.draining {
+                    ended.push(end.name.clone());
+                }
+            }
+            *seen = (*seen).max(worker.end_count);
+        }
+        let interrupted = self.world.interrupted[self.seen_interruptions..].iter();
+        ended.extend(interrupted.map(|(_, name)| name.clone()));
+        self.seen_interruptions = self.world.interrupted.len();
+        ended.iter().for_each(|name| self.check_order(name));
+    }
+
+    fn check_order(&mut self, name: &str) {
+        let now = self.world.now;
+        let (job, index) = split(name);
+        if !self.world.workers_running(name).is_empty() {
+            return;
+        }
+        let Some(service) = self.services.get_mut(job) else { return };
+        let was_at_work = service.units[index].is_at_work(now);
+        service.units[index].is_ordered_away |= was_at_work;
+        service.units[index].running_since = None;
+        let others = service.units.iter().enumerate().filter(|(other, _)| *other != index);
+        let away: Vec<usize> =
+            others.filter(|(_, unit)| unit.is_away(now)).map(|(other, _)| other).collect();
+        let most = service.step.max_unavailable;
+        if was_at_work && most.is_some_and(|most| away.len() >= most as usize) {
+            self.fail(name, format!("{name} is stopped while {away:?} are away, limit {most:?}"));
+        }
+    }
+
+    fn update_units(&mut self) {
+        let now = self.world.now;
+        let up = self.world.workers.values().filter(|worker| !worker.is_down);
+        let running: BTreeSet<&String> =
+            up.flat_map(|worker| worker.runs.keys().map(|(name, _)| name)).collect();
+        for (id, service) in &mut self.services {
+            for (index, unit) in service.units.iter_mut().enumerate() {
+                if !running.contains(&format!("{id}.0.0.{index}")) {
+                    unit.running_since = None;
+                    continue;
+                }
+                unit.running_since.get_or_insert(now);
+                unit.ran_at = Some(now);
+                if unit.is_at_work(now) {
+                    unit.at_work_at = now;
+                    unit.is_ordered_away = false;
+                }
+            }
+        }
+    }
+
+    fn check_waits(&mut self) {
+        let now = self.world.now;
+        let is_calm = self.is_calm(CALM);
+        let mut late = None;
+        let ids: Vec<String> = self.services.keys().cloned().collect();
+        for id in ids {
+            let units = &self.services[&id].units;
+            let is_overdue = is_calm && units.iter().any(|unit| unit.is_overdue(now));
+            let has_room = is_overdue && self.has_room(&id);
+            let service = self.services.get_mut(&id).unwrap();
+            for (index, unit) in service.units.iter_mut().enumerate() {
+                if !has_room || !unit.is_overdue(now) {
+                    unit.room_since = None;
+                    continue;
+                }
+                let since = *unit.room_since.get_or_insert(now);
+                if now > since + MAX_WAIT {
+                    late = Some((format!("{id}.0.0.{index}"), unit.clone()));
+                }
+            }
+        }
+        if let Some((name, unit)) = late {
+            let last = unit.ran_at.map_or("never".to_string(), |at| format!("{:?} ago", now - at));
+            let text = format!("{name} ran {last}, and has had room for {MAX_WAIT:?} in vain");
+            self.fail(&name, text);
+        }
+    }
+
+    /// Returns the events, the workers and the decisions before a failure.
+    fn trace(&self, failure: &Failure) -> Vec<String> {
+        let mut lines: Vec<(Duration, String)> = self.events.clone();
+        let is_full = std::env::var_os("WAITS_TRACE").is_some();
+        let (job, _) = split(&failure.subject);
+        let decisions = self.world.log.iter().filter(|(at, _)| self.world.now < *at + TRACED);
+        let of_subject = decisions.filter(|(_, explanation)| {
+            is_full || explanation.subject.starts_with(job) || explanation.text.contains(job)
+        });
+        lines.extend(of_subject.map(|(at, e)| (*at, format!("- {}: {}", e.subject, e.text))));
+        lines.sort_by_key(|(at, _)| *at);
+        let lines = lines.into_iter().map(|(at, line)| format!("{at:?} {line}"));
+        lines.chain(self.describe_workers()).collect()
+    }
+
+    fn describe_workers(&self) -> Vec<String> {
+        let workers = self.world.workers.iter().filter(|(_, worker)| !worker.is_succeeded);
+        let describe = |(id, worker): (&String, &Worker)| {
+            let (room, report) = (self.room_of(worker, None), &worker.report);
+            let runs: Vec<&String> = worker.runs.keys().map(|(name, _)| name).collect();
+            format!(
+                "{id} on {} in {}, {}, left {}m/{} MiB: {runs:?}",
+                report.instance,
+                report.pool,
+                if worker.is_down { "down" } else { "up" },
+                room.cpu_milli,
+                room.memory_mb,
+            )
+        };
+        workers.map(describe).collect()
+    }
+}
