Sched: a gang under suspicion claims its workers once it may be tried in any company

Callers saw a gang that lasts not run again, without bound, when a worker crashed just after its start and small jobs took each gap. Cause: units under suspicion made no claims, and one reserved worker in eight is no room for a gang.

Once its trial may begin in any company, 6 s after the crash, a step under suspicion now claims like others: a gang for all its units, any other step for the one that is tried next. The tests of crashes are as before.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -6,7 +6,7 @@
 use super::waiting::ready_since;
 use super::{Scheduler, Time, advice};
 use crate::claim::{self, Clearance, Tenant};
-use crate::place::{Candidate, Request};
+use crate::place::{Candidate, Company, Request};
 use crate::quota;
 use crate::worker::{Run, StopReason};
 use jobs::definition::Resources;
@@ -132,7 +132,7 @@
             let oldest = || ready_since(time.monotonic, waiting);
             if !waiting.criteria.long_running
                 || oldest().is_none_or(|(_, since)| time.monotonic < since + CLAIM_AFTER)
-                || self.suspicions.contains_key(key)
+                || !self.may_claim_on_trial(time, ledger, key)
             {
                 continue;
             }
@@ -147,16 +147,31 @@
             let due = waiting.units.iter().filter(|(_, since)| {
                 since.checked_add(CLAIM_AFTER).is_some_and(|due| time.monotonic >= due)
             });
-            claimants.extend(due.map(|(index, since)| Claimant {
-                unit: key.unit(*index),
-                step,
-                waits_since: *since,
-            }));
+            let mut due: Vec<Claimant<'_>> = due
+                .map(|(index, since)| Claimant {
+                    unit: key.unit(*index),
+                    step,
+                    waits_since: *since,
+                })
+                .collect();
+            if let Some(suspicion) = self.suspicions.get(key).filter(|_| !step.gang) {
+                // One unit is tried at a time.
+                due.sort_by_key(|claimant| suspicion.rank(claimant.unit.index));
+                due.truncate(1);
+            }
+            claimants.extend(due);
         }
         claimants.sort_by_key(|claimant| (claimant.waits_since, claimant.unit));
         claimants
     }
 
+    /// Returns whether units of a step may claim a worker as far as a suspicion goes: a trial that has
+    /// to begin does so in any company.
+    fn may_claim_on_trial(&self, time: Time, ledger: &Ledger, key: &StepKey) -> bool {
+        self.trial(time, ledger, key)
+            .is_none_or(|trial| trial.worker.is_none() && trial.company == Company::Any)
+    }
+
     /// Lets units of a pool claim workers, and returns those that no worker can cover. A claim stays
     /// on its worker while that can cover it. Adds the runs that have to be stopped, with the worker
     /// and the unit that they are stopped for.
@@ -178,8 +193,9 @@
             let key = unit.step_key();
             let units_per_rack =
                 racks.entry(key).or_insert_with(|| self.count_units_per_rack(&key, step));
-            let request =
-                Request { key, step, units_per_rack, preferred_data_centre: None, trial: None };
+            let trial = self.trial(time, ledger, &key);
+            let trial = trial.as_ref();
+            let request = Request { key, step, units_per_rack, preferred_data_centre: None, trial };
             let within = (waits_since + STOP_AFTER).saturating_sub(time.monotonic).max(STOP_TIME);
             let has_policy = advice::policy(ledger, &key).is_some();
             let may_run = |site: &Site<'_>| {
--- a/crates/sched/src/scheduler/trials.rs
+++ b/crates/sched/src/scheduler/trials.rs
@@ -35,9 +35,14 @@
 }
 
 impl Suspicion {
-    /// Sorts units of the step, the suspected ones first.
+    /// Returns the place of a unit of the step in the order of trials, the suspected ones first.
+    pub(super) fn rank(&self, index: u32) -> impl Ord + use<> {
+        (!self.units.contains(&index), index)
+    }
+
+    /// Sorts units of the step into the order of trials.
     pub(super) fn sort(&self, indices: &mut [u32]) {
-        indices.sort_by_key(|index| (!self.units.contains(index), *index));
+        indices.sort_by_key(|index| self.rank(*index));
     }
 }
 
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -108,6 +108,33 @@
     check_waits(2000, 500, 2100, 1.5);
 }
 
+/// Returns after which time a gang that lasts runs again beside small jobs, when a worker crashed
+/// just after its start.
+fn gang_wait_under_suspicion(cpu_milli: u64, load: f64) -> Option<Duration> {
+    let mut world = World::new(6);
+    world.crash_downtime = seconds(0.7);
+    let mut stream = Stream::new(&world, 1000, 600, load);
+    stream.run_until(&mut world, |world| world.now >= seconds(105.0));
+    let gang = Step { gang: true, max_unavailable: None, ..long_running(4, cpu_milli) };
+    world.submit("q", "lasting", vec![gang]);
+    let runs = |world: &World, n| !world.workers_running(&format!("lasting.0.0.{n}")).is_empty();
+    let is_running = |world: &World| (0..4).all(|n| runs(world, n));
+    stream.run_until(&mut world, is_running).expect("it starts");
+    let worker = world.workers_running("lasting.0.0.0")[0].clone();
+    world.crash(&worker);
+    stream.run_until(&mut world, is_running)
+}
+
+/// Guards against a gang that waits without bound for its trial, since smaller units take each gap.
+#[test]
+fn small_jobs_do_not_starve_a_gang_that_may_have_crashed_a_worker() {
+    for (cpu_milli, load) in [(2000, 0.9), (2000, 1.5), (5500, 0.9), (5500, 1.5)] {
+        let again = gang_wait_under_suspicion(cpu_milli, load);
+        let is_kept = again.is_some_and(|again| again <= MAX_AWAY);
+        assert!(is_kept, "{cpu_milli}m at a load of {load}: again after {again:?}");
+    }
+}
+
 #[test]
 fn an_instance_is_fetched_for_lasting_work_that_fits_nowhere() {
     let mut world = World::new(3);
