--- a/crates/sched/tests/waits.rs
+++ b/crates/sched/tests/waits.rs
@@ -67,6 +67,22 @@
     assert_eq!(world.workers_running("a.0.0.0").len(), 1);
 }
 
+/// Guards against a worker that is cordoned without end, since its unit may not be stopped while
+/// another one has no place.
+#[test]
+fn an_instance_that_cannot_be_evacuated_gets_work_after_its_wave() {
+    let mut world = World::new(3);
+    world.submit("q", "a", vec![world::long_running(4, 1000)]);
+    world.run(seconds(2.0));
+    let wave = jobs::Wave::new(1, ["m0".to_string()].into(), seconds(12.0), 1, world.time().wall);
+    world.apply(Command::StartWave(wave));
+    world.run(seconds(13.0));
+    world.submit("q", "b", vec![world::long_running(3, 2000)]);
+    world.run(MAX_FIRST_WAIT + MAX_WAIT);
+    let running = (0..3).filter(|n| !world.workers_running(&format!("b.0.0.{n}")).is_empty());
+    assert_eq!(running.count(), 3);
+}
+
 /// Plays one seed and prints its first failure. Returns whether there was none.
 fn is_kept(seed: u64) -> bool {
     let mut soak = Soak::new(seed);
@@ -526,13 +542,8 @@
         self.stream.load = 0.0;
         self.note("end of the stream".to_string());
         self.forget_completed();
-        let room = self.room_for_short_work();
-        let (cpu, memory) = self.stream.open.values().fold((0.0, 0.0), |sum, (step, time)| {
-            let work = |amount: u64| time.as_secs_f64() * (u64::from(step.count) * amount) as f64;
-            (sum.0 + work(step.resources.cpu_milli), sum.1 + work(step.resources.memory_mb))
-        });
-        let work = (cpu / room.cpu_milli as f64).max(memory / room.memory_mb as f64);
-        let deadline = self.world.now + FINISH + seconds(work.min(300.0));
+        let work = self.time_for_short_work();
+        let deadline = self.world.now + FINISH + work.min(seconds(300.0));
         while self.world.now < deadline && !self.stream.open.is_empty() && self.failure.is_none() {
             self.run(seconds(0.5));
             self.forget_completed();
@@ -604,6 +615,24 @@
         self.rooms().fold(Resources::default(), |sum, (_, room)| sum.plus(&room))
     }
 
+    /// Returns the time that the short jobs take, one after another, on workers with room for their
+    /// units beside the work that lasts.
+    fn time_for_short_work(&self) -> Duration {
+        let rooms: Vec<Resources> = self.rooms().map(|(_, room)| room).collect();
+        let units_at_once = |need: &Resources| -> u64 {
+            let fit = |room: &Resources| {
+                let by_memory = room.memory_mb / need.memory_mb.max(1);
+                (room.cpu_milli / need.cpu_milli.max(1)).min(by_memory)
+            };
+            rooms.iter().map(fit).sum()
+        };
+        let jobs = self.stream.open.values();
+        let time_of = |(step, time): &(Step, Duration)| {
+            time.mul_f64(f64::from(step.count) / units_at_once(&step.resources).max(1) as f64)
+        };
+        jobs.map(time_of).sum()
+    }
+
     /// Returns whether some worker has room for a further unit of a job; for a gang, whether all
     /// workers have room for all of it.
     fn has_room(&self, id: &str) -> bool {
