--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -10,6 +10,8 @@
 
 /// Time in which work that lasts has to run again after its last run has ended.
 const MAX_AWAY: Duration = Duration::from_secs(9);
+/// Time in which work that ends has to start beside smaller units.
+const MAX_QUEUED: Duration = Duration::from_secs(10);
 /// Time in which work that lasts has to start beside work that ends.
 const MAX_WAIT: Duration = Duration::from_secs(4);
 
@@ -182,3 +184,44 @@
         assert_eq!(world.state("s", &format!("short{number}")), State::Completed);
     }
 }
+
+/// Returns after which time all units of a step that ends run beside small jobs of some load.
+fn start_beside_small_jobs(step: Step, load: f64) -> Option<Duration> {
+    let mut world = World::new(6);
+    let units: Vec<String> = (0..step.count).map(|index| format!("large.0.0.{index}")).collect();
+    world.run_times.insert("large".to_string(), step.estimate);
+    let mut stream = Stream::new(&world, 1000, 600, load);
+    stream.run_until(&mut world, |world| world.now >= seconds(105.0));
+    world.submit("q", "large", vec![step]);
+    let has_started = stream
+        .run_until(&mut world, |world| units.iter().all(|unit| !world.starts_of(unit).is_empty()));
+    assert_eq!(world.overloads, []);
+    let stopped = world.log.iter().any(|(_, e)| e.text.contains("is stopped"));
+    assert!(!stopped, "a run was stopped");
+    has_started
+}
+
+fn check_start_beside_small_jobs(step: Step) {
+    for load in [0.9, 1.5] {
+        let after = start_beside_small_jobs(step.clone(), load);
+        let after = after.unwrap_or_else(|| panic!("it has not started in 20 s at load {load}"));
+        assert!(after <= MAX_QUEUED, "it has started after {after:?} at load {load}");
+    }
+}
+
+#[test]
+fn small_jobs_do_not_starve_a_whole_instance_that_ends() {
+    check_start_beside_small_jobs(step(1, 7000, 600));
+}
+
+#[test]
+fn small_jobs_do_not_starve_most_of_the_memory_that_ends() {
+    let mut large = step(1, 500, 600);
+    large.resources.memory_mb = 7500;
+    check_start_beside_small_jobs(large);
+}
+
+#[test]
+fn small_jobs_do_not_starve_a_gang_of_half_instances() {
+    check_start_beside_small_jobs(Step { gang: true, ..step(3, 4000, 600) });
+}
