--- a/crates/sched/src/scheduler/shortage.rs
+++ b/crates/sched/src/scheduler/shortage.rs
@@ -110,16 +110,19 @@
         };
         let mut lacks: BTreeMap<String, usize> = BTreeMap::new();
         let mut room = Room::default();
+        let mut claims = self.claims_by_worker();
         for (id, worker) in &self.workers {
             if worker.report.as_ref().is_none_or(|report| report.pool != *pool) {
                 continue;
             }
             let lack = match self.unavailability(time, worker) {
                 Some(reason) => reason.to_string(),
-                None => match Candidate::new(time.monotonic, id, worker).exclusion(&request) {
-                    Some(exclusion) => exclusion.to_string(),
-                    None => "nothing".to_string(),
-                },
+                None => {
+                    let mut candidate = Candidate::new(time.monotonic, id, worker);
+                    candidate.set_claims(claims.remove(id).unwrap_or_default());
+                    let exclusion = candidate.exclusion(&request);
+                    exclusion.map_or("nothing".to_string(), |exclusion| exclusion.to_string())
+                }
             };
             *lacks.entry(lack).or_default() += 1;
             room.add(worker);
