Sched: an instance that can't be drained in time gets work again

A drained instance whose work may not be stopped, or is not, would have kept its place in the count of instances on their way, so that the unit it was drained for waited for it without bound; by reading, the case has no test of its own. A run whose placement is not committed yet is told to stop once and not at each look. The choice of a worker to claim is a function of its own.

--- a/crates/sched/src/scheduler/claims.rs
+++ b/crates/sched/src/scheduler/claims.rs
@@ -227,22 +227,7 @@
                 .iter()
                 .position(|site| Some(site.candidate.id) == former && may_run(site))
                 .and_then(|position| Some((position, sites[position].clear(&request, within)?)));
-            let best = || {
-                let clearances = sites.iter().enumerate().filter(|(_, site)| may_run(site));
-                let clearances = clearances
-                    .filter_map(|(position, site)| Some((position, site.clear(&request, within)?)));
-                clearances.min_by_key(|(position, clearance)| {
-                    let candidate = &sites[*position].candidate;
-                    let crowding =
-                        candidate.rack().and_then(|rack| request.units_per_rack.get(rack));
-                    (
-                        !candidate.is_open(),
-                        clearance.loss,
-                        crowding.copied().unwrap_or_default(),
-                        clearance.free_after,
-                    )
-                })
-            };
+            let best = || best_site(&sites, &request, within, may_run);
             let Some((position, clearance)) = former.or_else(best) else {
                 unclaimed.insert(key);
                 // Workers that only its policy keeps from it have room: another one wouldn't help.
@@ -322,6 +307,31 @@
     }
 }
 
+/// Returns the position of the site on which a unit displaces the least work, and how it gets room
+/// there; `None` if none of those that the unit may run on can cover it.
+fn best_site(
+    sites: &[Site<'_>],
+    request: &Request<'_>,
+    within: Duration,
+    may_run: impl Fn(&Site<'_>) -> bool,
+) -> Option<(usize, Clearance)> {
+    let clearances = sites
+        .iter()
+        .enumerate()
+        .filter(|(_, site)| may_run(site))
+        .filter_map(|(position, site)| Some((position, site.clear(request, within)?)));
+    clearances.min_by_key(|(position, clearance)| {
+        let candidate = &sites[*position].candidate;
+        let crowding = candidate.rack().and_then(|rack| request.units_per_rack.get(rack));
+        (
+            !candidate.is_open(),
+            clearance.loss,
+            crowding.copied().unwrap_or_default(),
+            clearance.free_after,
+        )
+    })
+}
+
 /// Removes members of gangs that can't start, since other members are not ready or not admitted.
 fn retain_whole_gangs(claimants: &mut Vec<Claimant<'_>>) {
     let mut members: BTreeMap<StepKey, u32> = BTreeMap::new();
--- a/crates/sched/src/scheduler/fetch.rs
+++ b/crates/sched/src/scheduler/fetch.rs
@@ -7,7 +7,7 @@
 use super::{Scheduler, Time};
 use crate::worker::StopReason;
 use jobs::definition::Resources;
-use jobs::{InstanceId, Ledger, PoolName, StepKey, UnitKey};
+use jobs::{InstanceId, Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -17,6 +17,8 @@
 const REPORTS_AFTER: Duration = Duration::from_secs(2);
 /// Time for which the work on an instance that is drained may end by itself.
 const DRAIN_TIME: Duration = Duration::from_millis(1500);
+/// Time after which an instance is given up that is not empty yet: its work may not be stopped, or is not.
+const MAX_DRAIN_TIME: Duration = Duration::from_millis(3500);
 
 /// An instance that has to be fetched for work that lasts.
 #[derive(Clone, Debug, PartialEq)]
@@ -222,6 +224,11 @@
                 self.order_fetch(time, instance, &drain.pool);
                 continue;
             }
+            if time.monotonic >= drain.since + MAX_DRAIN_TIME {
+                self.drains.remove(&instance);
+                self.uncordon(&instance);
+                continue;
+            }
             if time.monotonic < drain.since + DRAIN_TIME {
                 continue;
             }
@@ -244,10 +251,14 @@
         &mut self,
         time: Time,
         ledger: &Ledger,
-        id: &jobs::WorkerId,
-        (unit, number): (UnitKey, jobs::RunNumber),
+        id: &WorkerId,
+        (unit, number): (UnitKey, RunNumber),
         claimant: &UnitKey,
     ) {
+        let run = self.workers.get(id).and_then(|worker| worker.runs.get(&(unit, number)));
+        if run.is_none_or(|run| run.stop_reason.is_some()) {
+            return; // a placement that is not committed yet is discarded later
+        }
         let stopped = ledger.unit_name(&unit).unwrap_or_default();
         let text = format!("has waited too long: run {number} of {stopped} is stopped on {id}");
         self.explain(ledger.unit_name(claimant).unwrap_or_default(), text);
