Sched: work that lasts does not wait for starts of earlier leaders that its worker's successor refuses

Callers saw (in tests): a unit that lasts, whose worker restarts under its id within 15 s of a change of leader, does not run for these 15 s, beyond the 9 s in which it has to be back. Cause: of a run of an earlier leader it is not known whether all its starts were answered, so each counted as one that may still be carried out, and held its unit. But the successor has obeyed the present leader by then, and refuses lower fences; only a further restart forgets that. So the unit runs elsewhere, and is stopped there as soon as the worker may have restarted again, as it is done for units that never began.

The known-red test holds now, and one that restarts the worker twice and lets an old start reach its second successor: no unit runs twice. All other tests of incarnations hold, random schedules included.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -24,10 +24,11 @@
     pub until: Duration,
     /// Whether the unit is not placed again before the start is over: the worker has restarted
     /// since, or the run had begun. A run that never began is stopped by a confirmed order, and its
-    /// unit does not wait for a worker that leaves starts unanswered.
+    /// unit does not wait for a worker that leaves starts unanswered. Work that lasts does not wait for
+    /// starts of earlier leaders that the present incarnation refuses.
     pub holds_unit: bool,
-    /// Whether the run is not known to have begun, and a start of it got no answer, so that a later
-    /// incarnation may begin it.
+    /// Whether a later incarnation may begin it though the unit does not wait now: the run is not known
+    /// to have begun, and a start of it got no answer, or only the present incarnation refuses it.
     pub may_begin: bool,
     /// Whether the start counts for the account of its job: it holds its unit, or a later incarnation
     /// may begin it. For a run of an earlier leader it is not known whether all starts were answered.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -367,11 +367,16 @@
         if let Some(until) = run.late_until().filter(|until| now < *until) {
             let has_restarted = self.ended || run.placed_on != self.incarnation.started_at;
             let may_arrive = run.has_unanswered_start() || run.is_inherited;
-            let holds_unit = may_arrive && has_restarted
+            let is_doubtful = may_arrive && has_restarted
                 || run.has_unanswered_start() && run.started_at.is_some();
+            // A successor that has obeyed this leader refuses the starts of earlier ones. Until it may
+            // have restarted, work that lasts can run elsewhere.
+            let is_barred =
+                run.long_running && !run.has_unanswered_start() && self.answered_under_fence;
+            let holds_unit = is_doubtful && !is_barred;
             let has_begun = run.started_at.is_some() || run.has_ended;
-            let may_begin = run.has_unanswered_start() && !has_begun;
-            let uses_account = holds_unit || may_arrive && !has_begun;
+            let may_begin = run.has_unanswered_start() && !has_begun || is_doubtful && is_barred;
+            let uses_account = is_doubtful || may_arrive && !has_begun;
             let resources = run.resources;
             let start = LateStart { resources, until, holds_unit, may_begin, uses_account };
             if self.late_starts.is_empty() || until < self.late_starts_end {
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -597,6 +597,24 @@
     }
 }
 
+#[test]
+fn work_that_lasts_runs_once_when_an_earlier_leaders_start_reaches_a_second_successor() {
+    let mut world = World::new(4);
+    world.submit("q", "a", vec![world::long_running(1, 2000)]);
+    world.run(seconds(20.0));
+    world.replace_informed_leader();
+    world.run(seconds(1.0));
+    let worker = world.workers_running("a.0.0.0")[0].clone();
+    world.restart(&worker, seconds(0.5));
+    world.run(seconds(3.0));
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1, "it doesn't wait for that start");
+    world.restart(&worker, seconds(0.3));
+    run_checked(&mut world, seconds(0.31));
+    world.start_late(&worker, "a.0.0.0", 1);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+}
+
 /// Returns a step that needs both of two workers.
 fn step_of_all_workers() -> jobs::Step {
     step(2, 6000, 500)
