Sched: instances to drain are sought at most twice a second, once for all

By reading and a measurement: for each instance that was to be fetched and not found, the leader looked at all runs of all workers, every 50 ms. An instance with a run that is not placed there is not moved either.

--- a/crates/sched/src/scheduler/fetch.rs
+++ b/crates/sched/src/scheduler/fetch.rs
@@ -5,6 +5,7 @@
 
 use super::claims::Claimant;
 use super::{Scheduler, Time};
+use crate::instance::Instance;
 use crate::worker::StopReason;
 use jobs::definition::Resources;
 use jobs::{InstanceId, Ledger, PoolName, RunNumber, StepKey, UnitKey, WorkerId};
@@ -17,6 +18,8 @@
 const REPORTS_AFTER: Duration = Duration::from_secs(2);
 /// Time for which the work on an instance that is drained may end by itself.
 const DRAIN_TIME: Duration = Duration::from_millis(1500);
+/// Time between two looks at all workers for an instance that can be drained.
+const DONORS_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an instance is given up that is not empty yet: its work may not be stopped, or is not.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(3500);
 
@@ -116,6 +119,8 @@
         spare: &mut Vec<InstanceId>,
     ) {
         self.end_unneeded_drains();
+        let is_look_due = time.monotonic >= self.donors_sought_at + DONORS_INTERVAL;
+        let mut donors = None;
         for (pool, fetches) in self.fetches.clone() {
             let on_their_way = self.count_moves_to(&pool)
                 + self.drains.values().filter(|drain| drain.pool == pool).count();
@@ -127,18 +132,33 @@
                 if let Some(position) = spare.iter().rposition(fits) {
                     let instance = spare.remove(position);
                     self.order_fetch(time, instance, &pool);
-                } else if let Some(instance) = self.choose_donor(time, ledger, &pool, fetch) {
-                    self.cordon(&instance);
-                    let reason = format!("is drained for pool {pool}: work that lasts has no room");
-                    self.explain(instance.clone(), reason);
-                    let (pool, since) = (pool.clone(), time.monotonic);
-                    self.drains.insert(instance, Drain { pool, since, unit: fetch.unit });
+                    continue;
+                }
+                if !is_look_due {
+                    continue;
+                }
+                let donors = donors.get_or_insert_with(|| self.donors(time, ledger));
+                if let Some(position) = donors.iter().position(fits) {
+                    let instance = donors.remove(position);
+                    self.drain(time, instance, &pool, fetch.unit);
                 }
             }
         }
+        if donors.is_some() {
+            self.donors_sought_at = time.monotonic;
+        }
         self.advance_drains(time, ledger);
     }
 
+    /// Begins to drain an instance for a unit of a pool.
+    fn drain(&mut self, time: Time, instance: InstanceId, pool: &PoolName, unit: UnitKey) {
+        self.cordon(&instance);
+        let reason = format!("is drained for pool {pool}: work that lasts has no room");
+        self.explain(instance.clone(), reason);
+        let drain = Drain { pool: pool.clone(), since: time.monotonic, unit };
+        self.drains.insert(instance, drain);
+    }
+
     fn order_fetch(&mut self, time: Time, instance: InstanceId, pool: &PoolName) {
         let reason = "no worker of the pool has room for work that lasts";
         self.order_move(time, instance, pool, reason);
@@ -161,43 +181,38 @@
         }
     }
 
-    /// Returns the instance of another pool whose work that ends loses least if it is drained; none
-    /// of a pool that would have too few left.
-    fn choose_donor(
-        &self,
-        time: Time,
-        ledger: &Ledger,
-        pool: &PoolName,
-        fetch: &Fetch,
-    ) -> Option<InstanceId> {
-        let mut present: BTreeMap<&PoolName, usize> = BTreeMap::new();
-        for instance in self.instances.values() {
-            *present.entry(&instance.pool).or_default() += 1;
+    /// Returns the instances that may be drained, those whose work loses least first, and of each pool
+    /// no more than it can give.
+    fn donors(&self, time: Time, ledger: &Ledger) -> Vec<InstanceId> {
+        let mut left: BTreeMap<&PoolName, usize> = BTreeMap::new();
+        for instance in self.instances.values().filter(|i| !self.drains.contains_key(&i.id)) {
+            *left.entry(&instance.pool).or_default() += 1;
+        }
+        let losses = self
+            .instances
+            .values()
+            .filter_map(|instance| Some((self.drain_loss(time, ledger, &instance.id)?, instance)));
+        let mut losses: Vec<(u64, &Instance)> = losses.collect();
+        losses.sort_by_key(|(loss, instance)| (*loss, &instance.id));
+        let mut donors = Vec::new();
+        for (_, instance) in losses {
+            let count = left.entry(&instance.pool).or_default();
+            if *count > self.fewest_instances(ledger, &instance.pool) {
+                *count -= 1;
+                donors.push(instance.id.clone());
+            }
         }
-        let may_give: BTreeMap<&PoolName, bool> = present
-            .into_iter()
-            .map(|(pool, count)| {
-                (pool, count > self.fewest_instances(ledger, pool) + self.drains.len())
-            })
-            .collect();
-        let donors = self.instances.values().filter(|instance| {
-            instance.pool != *pool
-                && may_give.get(&instance.pool) == Some(&true)
-                && !self.drains.contains_key(&instance.id)
-                && self.instance_holds(&instance.id, &fetch.requires, &fetch.resources)
-        });
-        let losses = donors.filter_map(|instance| {
-            Some((self.drain_loss(time, ledger, &instance.id)?, instance.id.clone()))
-        });
-        losses.min().map(|(_, instance)| instance)
+        donors
     }
 
     /// Returns the work that is lost if an instance is drained; `None` if it can't be.
     fn drain_loss(&self, time: Time, ledger: &Ledger, instance: &InstanceId) -> Option<u64> {
         let worker = self.workers.get(&self.worker_of(instance)?)?;
-        let may_drain = self.is_movable(time, instance)
+        let may_drain = !self.drains.contains_key(instance)
+            && self.is_movable(time, instance)
             && worker.is_available(time.monotonic, super::placing::MAX_SILENCE)
-            && worker.unplaced.is_empty();
+            && worker.unplaced.is_empty()
+            && !worker.runs.values().any(|run| run.long_running);
         if !may_drain {
             return None;
         }
@@ -219,7 +234,8 @@
                 self.drains.remove(&instance); // it is in maintenance or gone
                 continue;
             };
-            if worker.runs.is_empty() && worker.polling.unanswered == 0 {
+            let is_empty = worker.runs.is_empty() && worker.unplaced.is_empty();
+            if is_empty && worker.polling.unanswered == 0 {
                 self.drains.remove(&instance);
                 self.order_fetch(time, instance, &drain.pool);
                 continue;
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -203,6 +203,8 @@
     fetches: BTreeMap<PoolName, Vec<fetch::Fetch>>,
     /// Instances that are drained for it.
     drains: BTreeMap<InstanceId, fetch::Drain>,
+    /// When an instance to drain was last sought.
+    donors_sought_at: Duration,
     /// Gangs of which a member ended since the last decision.
     broken_gangs: BTreeSet<StepKey>,
     effort: Effort,
@@ -286,6 +288,7 @@
             displaced: BTreeMap::new(),
             fetches: BTreeMap::new(),
             drains: BTreeMap::new(),
+            donors_sought_at: Duration::ZERO,
             broken_gangs: BTreeSet::new(),
             effort: Effort::default(),
             time,
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -2,10 +2,10 @@
 
 mod world;
 
-use jobs::Step;
 use jobs::account::{Account, Accounts};
 use jobs::command::Command;
 use jobs::definition::Resources;
+use jobs::{Pool, Queue, Step};
 use std::time::Duration;
 use world::{STANDBY, World, long_running, step};
 
@@ -119,6 +119,33 @@
     assert!(world.longest["decide"] < ELECTION_TIMEOUT, "{:?}", world.longest);
 }
 
+#[test]
+fn work_that_lasts_beside_busy_instances_of_others_does_not_hold_up_the_leader() {
+    let mut world = World::new(2);
+    let mut config = world.ledger.config().unwrap().clone();
+    config.version += 1;
+    let queue = Queue { prefix: "/s/".into(), pool: "busy".into(), ..config.queues["q"].clone() };
+    config.queues.insert("s".to_string(), queue);
+    config.pools.insert("busy".to_string(), Pool::default());
+    world.apply(Command::Configure(Box::new(config)));
+    for number in 10..210 {
+        world.add(&format!("w{number}"), "busy", 1);
+    }
+    world.run(seconds(7.0));
+    for number in 0..1600 {
+        let id = format!("filler{number}");
+        world.run_times.insert(id.clone(), seconds(60.0));
+        world.submit("s", &id, vec![step(1, 1000, 60_000)]);
+    }
+    world.run(seconds(1.0));
+    world.longest.clear();
+    for number in 0..400 {
+        world.submit("q", &format!("x{number}"), vec![long_running(5, 7000)]);
+    }
+    world.run(seconds(3.0));
+    assert!(world.longest["decide"] < ELECTION_TIMEOUT, "{:?}", world.longest);
+}
+
 #[test]
 fn no_unit_of_a_step_with_a_limit_of_unavailable_units_is_stopped() {
     let mut world = World::new(1);
