Sched: units on a worker whose poll is overdue do not count as available

Callers saw (in tests): a wave stops a unit of a step while as many others are away as may be missing. Cause: a unit counted as available until an order to its worker was given up; the time that an answer is overdue before that did not count, and a gone worker has no other sign. The new test failed before: the second unit of three was stopped 4 s after the first one's worker had gone, with one that may be missing.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -535,7 +535,9 @@
             let worker = &self.workers[&id];
             let run = &worker.runs[&(other, number)];
             let available = run.state == RunState::Running && run.progress.0 >= 100;
-            if available && worker.answered_under_fence && worker.polling.unanswered == 0 {
+            let is_heard =
+                worker.polling.unanswered == 0 && !worker.is_unheard(self.time.monotonic);
+            if available && worker.answered_under_fence && is_heard {
                 available_units.insert(other.index);
             }
         }
--- a/crates/sched/tests/scheduler.rs
+++ b/crates/sched/tests/scheduler.rs
@@ -298,6 +298,24 @@
     assert!(world.ledger.waves()[&1].is_completed(), "{:?}", world.ledger.waves());
 }
 
+#[test]
+fn a_wave_stops_no_unit_while_the_worker_of_another_does_not_answer() {
+    let mut world = World::new(4);
+    world.submit("q", "a", vec![long_running(3, 2000)]);
+    world.run(seconds(3.0));
+    let worker_of = |world: &World, unit: &str| world.workers_running(unit)[0].clone();
+    let (lost, other) = (worker_of(&world, "a.0.0.0"), worker_of(&world, "a.0.0.1"));
+    world.delete(&lost);
+    world.run(seconds(4.0));
+    let instance = world.workers[&other].report.instance.clone();
+    let wave = jobs::Wave::new(1, [instance].into(), seconds(60.0), 1, world.time().wall);
+    world.apply(jobs::Command::StartWave(wave));
+    world.run(seconds(0.8));
+    assert_eq!(worker_of(&world, "a.0.0.1"), other);
+    world.run(seconds(20.0));
+    assert_eq!(world.maintenances_begun.len(), 1, "once the first unit runs again");
+}
+
 #[test]
 fn a_new_leader_stops_runs_of_a_job_cancelled_before_its_term() {
     let mut world = World::new(3);
