--- a/crates/sched/src/scheduler/shortage.rs
+++ b/crates/sched/src/scheduler/shortage.rs
@@ -139,7 +139,7 @@
         let Room { free, largest_free, long_running, ending, stopping } = room;
         Some(format!(
             "waits for {} ms, pool {pool}: needs {}, free {}, most on one worker {}, held by work that \
-             lasts {}, by other work {}, by runs that end {}; workers lack: {}; instances on standby: {}",
+             lasts {}, by other work {}, by runs being stopped {}; workers lack: {}; instances on standby: {}",
             waited.as_millis(),
             describe(&step.reserved_resources()),
             describe(&free),
