Sched: an instance that can't be evacuated gets work after its wave's time

Seen: beyond the duration of a maintenance wave an instance took no work any more, without bound, and units that last waited beside its free room.

Cause: an evacuated instance is cordoned until its units that last are gone. A unit is only stopped while few enough others of its step are away; where another one has no place, that is never.

Change, for waves beyond their duration only: an instance of which no unit that lasts could be stopped for 4 s gets work again. It is evacuated again once all its units that last may be stopped at once, without delay. If they can only go one after the other, it is tried once one of them may be stopped, and after a try that stopped work in vain once each of them may, no sooner than the wave's duration later, doubled with each such try. An instance that was not chosen in time is treated alike, so that a blocked one isn't cordoned just to be given up. A stop is still decided by may_interrupt alone, and phases, limits and completion of a wave are decided as before.

Open: a new leader counts the wave's duration anew.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -3,7 +3,8 @@
 //! An instance is cordoned, its long-running work is moved within the `max_unavailable`
 //! of each step, and its short work, which is all work that is not long-running, may
 //! finish; only then is maintenance ordered. A wave may cover half of the instances and
-//! has to be completed within its duration.
+//! has to be completed within its duration. After that, an instance whose long-running work may
+//! not be stopped gets work again until it may.
 
 use super::{Scheduler, Time};
 use crate::instance::{Instance, State};
@@ -25,6 +26,13 @@
 const SHORT_WORK_WAIT_FRACTION: f64 = 0.75;
 /// Largest part of a pool's workers that may be cordoned at one time.
 const MAX_CORDONED_FRACTION: f64 = 0.34;
+/// Time after which an instance whose long-running work may not be stopped is blocked. A unit that
+/// is moved from it is at work elsewhere within that time, and the next one may be stopped.
+const MAX_BLOCKED: Duration = Duration::from_millis(4000);
+/// Shortest interval between two looks at whether an instance of an overdue wave may be evacuated.
+const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of times that the delay after a failed evacuation doubles.
+const MAX_DELAY_DOUBLINGS: u32 = 6;
 
 /// Reply to an order for maintenance.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,8 +57,10 @@
 /// State of the maintenance waves as this leader knows it.
 #[derive(Clone, Debug, Default)]
 pub struct MaintenanceState {
-    /// Instances that are being evacuated, and the wave that asks for it.
-    evacuating: BTreeMap<InstanceId, WaveId>,
+    /// Instances that are being evacuated.
+    evacuating: BTreeMap<InstanceId, Evacuation>,
+    /// Instances that get work though their wave is overdue.
+    suspended: BTreeMap<InstanceId, Suspension>,
     /// Orders that are in the log and not known to be carried out.
     ordered: BTreeMap<InstanceId, PendingOrder>,
     /// Instances whose maintenance has begun.
@@ -68,6 +78,28 @@
     list_requested_at: Option<Duration>,
 }
 
+/// Evacuation of an instance.
+#[derive(Clone, Debug)]
+struct Evacuation {
+    /// Wave that asks for it.
+    wave: WaveId,
+    /// Since when none of its long-running work may be stopped.
+    blocked_since: Option<Duration>,
+    /// Some of its long-running work was stopped.
+    has_stopped: bool,
+}
+
+/// An instance of an overdue wave that gets work until it may be evacuated.
+#[derive(Clone, Debug)]
+struct Suspension {
+    wave: WaveId,
+    /// Evacuations that stopped some work and were blocked then.
+    failures: u32,
+    /// When it may be evacuated though its long-running work can't be stopped all at once.
+    retry_at: Duration,
+    next_check: Duration,
+}
+
 /// Number of workers of a pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
@@ -140,6 +172,7 @@
             Phase::Done | Phase::Gone => {
                 self.maintenance.missing_lists.remove(instance);
                 self.maintenance.evacuating.remove(instance);
+                self.maintenance.suspended.remove(instance);
                 self.uncordon(instance);
             }
         }
@@ -340,7 +373,7 @@
             }
             self.maintenance.first_seen.entry(*id).or_insert(time.monotonic);
             let evacuating_count =
-                self.maintenance.evacuating.values().filter(|wave| *wave == id).count();
+                self.maintenance.evacuating.values().filter(|e| e.wave == *id).count();
             let mut remaining = (wave.max_unavailable as usize).saturating_sub(evacuating_count);
             let due: Vec<InstanceId> = wave
                 .instances
@@ -362,17 +395,25 @@
                     break;
                 }
                 let pool = self.pool_of(&instance).and_then(|pool| pools.get_mut(&pool));
-                if pool.as_ref().is_none_or(|pool| pool.allows_evacuation()) {
+                if pool.as_ref().is_none_or(|pool| pool.allows_evacuation())
+                    && self.may_evacuate(time, ledger, wave, &instance)
+                {
                     pool.into_iter().for_each(|pool| pool.cordoned += 1);
-                    self.maintenance.evacuating.insert(instance.clone(), *id);
+                    let evacuation =
+                        Evacuation { wave: *id, blocked_since: None, has_stopped: false };
+                    self.maintenance.evacuating.insert(instance.clone(), evacuation);
                     self.cordon(&instance);
-                    self.explain(instance, format!("is evacuated for wave {id}"));
+                    self.explain(instance.clone(), format!("is evacuated for wave {id}"));
+                    if self.is_overdue(time, wave) {
+                        // The next instance may have units of the same steps.
+                        self.stop_long_running(time, ledger, &instance);
+                    }
                     remaining -= 1;
                 }
             }
         }
         let evacuating: Vec<(InstanceId, WaveId)> =
-            self.maintenance.evacuating.iter().map(|(m, w)| (m.clone(), *w)).collect();
+            self.maintenance.evacuating.iter().map(|(m, e)| (m.clone(), e.wave)).collect();
         for (instance, wave) in evacuating {
             self.evacuate_instance(time, ledger, &instance, wave);
         }
@@ -466,6 +507,13 @@
             time.monotonic > first_seen + wave.duration.mul_f64(SHORT_WORK_WAIT_FRACTION);
         self.cordon(instance);
         self.stop_long_running(time, ledger, instance);
+        if self.is_blocked(time, instance)
+            && self.is_overdue(time, wave)
+            && !self.has_proposed_phase(instance)
+        {
+            self.suspend(time, instance, wave);
+            return;
+        }
         let busy = match self.worker_of(instance) {
             Some(id) => {
                 self.workers[&id].runs.values().any(|run| run.long_running || !skip_short_work)
@@ -480,6 +528,94 @@
         }
     }
 
+    /// Records whether some long-running work of an evacuated instance may be stopped, and returns
+    /// whether none could be for long.
+    fn is_blocked(&mut self, time: Time, instance: &InstanceId) -> bool {
+        let Some(id) = self.worker_of(instance) else { return false };
+        let Some(evacuation) = self.maintenance.evacuating.get_mut(instance) else { return false };
+        let runs = || self.workers[&id].runs.values().filter(|run| run.long_running);
+        let is_stopping = runs().any(|run| run.is_stopping_or_ending());
+        evacuation.has_stopped |= is_stopping;
+        // What could be stopped is being stopped by now.
+        if is_stopping || !runs().any(|run| run.state == RunState::Running) {
+            evacuation.blocked_since = None;
+            return false;
+        }
+        let since = *evacuation.blocked_since.get_or_insert(time.monotonic);
+        time.monotonic >= since + MAX_BLOCKED
+    }
+
+    /// Gives an instance work again, since its evacuation is blocked.
+    fn suspend(&mut self, time: Time, instance: &InstanceId, wave: &jobs::Wave) {
+        let Some(evacuation) = self.maintenance.evacuating.remove(instance) else { return };
+        let mut suspension = self.suspension(time, instance, wave.id).clone();
+        if evacuation.has_stopped {
+            // What was stopped in vain comes back here and would be stopped again and again.
+            let doublings = suspension.failures.min(MAX_DELAY_DOUBLINGS);
+            let delay = wave.duration.max(MAX_BLOCKED).saturating_mul(1 << doublings);
+            suspension.retry_at = time.monotonic.saturating_add(delay);
+            suspension.failures += 1;
+        }
+        self.maintenance.suspended.insert(instance.clone(), suspension);
+        self.uncordon(instance);
+        let id = wave.id;
+        let text =
+            format!("gets work again, wave {id} is late: long-running work may not be stopped");
+        self.explain(instance.clone(), text);
+    }
+
+    /// Returns the suspension of an instance for a wave, a new one if there is none.
+    fn suspension(&mut self, time: Time, instance: &InstanceId, wave: WaveId) -> &mut Suspension {
+        let now = time.monotonic;
+        let new = Suspension { wave, failures: 0, retry_at: now, next_check: now };
+        let suspension =
+            self.maintenance.suspended.entry(instance.clone()).or_insert_with(|| new.clone());
+        if suspension.wave != wave {
+            *suspension = new;
+        }
+        suspension
+    }
+
+    /// Whether the evacuation of an instance may begin, or begin again: always within the wave's
+    /// duration, later only if its long-running work may be stopped.
+    fn may_evacuate(
+        &mut self,
+        time: Time,
+        ledger: &Ledger,
+        wave: &jobs::Wave,
+        instance: &InstanceId,
+    ) -> bool {
+        if !self.is_overdue(time, wave) {
+            return true;
+        }
+        let suspension = self.suspension(time, instance, wave.id);
+        if time.monotonic < suspension.next_check {
+            return false;
+        }
+        suspension.next_check = time.monotonic + EVACUATION_CHECK_INTERVAL;
+        let Suspension { failures, retry_at, .. } = *suspension;
+        let Some(id) = self.worker_of(instance) else { return true };
+        let runs = self.workers[&id].runs.iter().filter(|(_, run)| run.long_running);
+        let runs: Vec<(UnitKey, bool)> =
+            runs.map(|((unit, _), run)| (*unit, run.state == RunState::Running)).collect();
+        let mut may_stop = |(unit, is_running): &(UnitKey, bool), without| {
+            *is_running && self.may_interrupt_without(ledger, unit, without)
+        };
+        if runs.iter().all(|run| may_stop(run, Some(&id))) {
+            return true; // all at once
+        }
+        match failures {
+            0 => runs.iter().any(|run| may_stop(run, None)),
+            _ => time.monotonic >= retry_at && runs.iter().all(|run| may_stop(run, None)),
+        }
+    }
+
+    /// Whether a wave has taken longer than its duration, as far as this leader knows.
+    fn is_overdue(&self, time: Time, wave: &jobs::Wave) -> bool {
+        let first_seen = self.maintenance.first_seen.get(&wave.id);
+        first_seen.is_some_and(|first_seen| time.monotonic > *first_seen + wave.duration)
+    }
+
     /// Whether a worker that has not reported its instance yet may have runs.
     fn has_runs_on_unknown_instance(&self) -> bool {
         let on_unknown_instance = |worker: &crate::Worker| {
@@ -526,12 +662,24 @@
     /// step than `max_unavailable` are unavailable. A unit counts as available only if
     /// its worker answers and lists it at 100 percent.
     pub(super) fn may_interrupt(&mut self, ledger: &Ledger, unit: &UnitKey) -> bool {
+        self.may_interrupt_without(ledger, unit, None)
+    }
+
+    /// Whether the scheduler may interrupt a unit while the runs on a worker are unavailable.
+    fn may_interrupt_without(
+        &mut self,
+        ledger: &Ledger,
+        unit: &UnitKey,
+        without: Option<&WorkerId>,
+    ) -> bool {
         let Some(job) = ledger.job(unit.job) else { return true };
         let step = &job.definition.steps[usize::from(unit.step)];
         let Some(max_unavailable) = step.max_unavailable else { return true };
         let key = unit.step_key();
         let mut available_units = BTreeSet::new();
-        for (id, other, number) in self.find_runs(key.unit(0)..=key.unit(u32::MAX)) {
+        let mut runs = self.find_runs(key.unit(0)..=key.unit(u32::MAX));
+        runs.retain(|(id, _, _)| Some(id) != without);
+        for (id, other, number) in runs {
             let worker = &self.workers[&id];
             let run = &worker.runs[&(other, number)];
             let available = run.state == RunState::Running && run.progress.0 >= 100;
