--- a/crates/jobs/src/definition.rs
+++ b/crates/jobs/src/definition.rs
@@ -167,6 +167,21 @@
         }
     }
 
+    /// Returns the larger amount of each resource.
+    ///
+    /// ```
+    /// use jobs::definition::Resources;
+    /// let resources = |cpu_milli, memory_mb| Resources { cpu_milli, memory_mb, accelerators: 0 };
+    /// assert_eq!(resources(500, 64).larger(&resources(250, 128)), resources(500, 128));
+    /// ```
+    pub fn larger(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Adds `other` to each resource, stopping at the largest number.
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -531,14 +531,8 @@
 
 /// Returns the largest amount of each resource among the candidates that is free and not claimed.
 fn largest_free<'c, 'a: 'c>(candidates: impl Iterator<Item = &'c Candidate<'a>>) -> Resources {
-    let mut largest = Resources::default();
-    for candidate in candidates {
-        let free = candidate.unclaimed();
-        largest.cpu_milli = largest.cpu_milli.max(free.cpu_milli);
-        largest.memory_mb = largest.memory_mb.max(free.memory_mb);
-        largest.accelerators = largest.accelerators.max(free.accelerators);
-    }
-    largest
+    candidates
+        .fold(Resources::default(), |largest, candidate| largest.larger(&candidate.unclaimed()))
 }
 
 /// Returns the sets of candidates to try for a gang, as positions in the list: for a step that
--- a/crates/sched/src/scheduler/shortage.rs
+++ b/crates/sched/src/scheduler/shortage.rs
@@ -38,7 +38,7 @@
     fn add(&mut self, worker: &Worker) {
         let free = worker.free_resources();
         self.free = self.free.plus(&free);
-        self.largest_free = larger(&self.largest_free, &free);
+        self.largest_free = self.largest_free.larger(&free);
         for run in worker.runs.values() {
             let holder = if run.is_stopping_or_ending() {
                 &mut self.stopping
@@ -178,15 +178,6 @@
     waits.min().map(|(_, since, unit)| (unit, since))
 }
 
-/// Returns the larger amount of each resource.
-fn larger(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        cpu_milli: a.cpu_milli.max(b.cpu_milli),
-        memory_mb: a.memory_mb.max(b.memory_mb),
-        accelerators: a.accelerators.max(b.accelerators),
-    }
-}
-
 /// Formats resources as processor, memory and accelerators.
 fn describe(resources: &Resources) -> String {
     let Resources { cpu_milli, memory_mb, accelerators } = resources;
