Sched: work that lasts does not wait for a start to the predecessor that its successor refuses

Callers saw (in tests): a unit that lasts is placed on a worker that has just gone down, which the leader has not noticed yet, and is held for 15 s after the worker's restart, beyond the bound. Cause: its start had no answer and might reach the successor. Since the fence rises with each incarnation, the successor refuses it once it has obeyed an order of its own; the unit then runs elsewhere, and is stopped there as soon as a further restart may have come. Where the fence can't rise, as beside older cores, it waits as before.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -25,7 +25,7 @@
     /// Whether the unit is not placed again before the start is over: the worker has restarted
     /// since, or the run had begun. A run that never began is stopped by a confirmed order, and its
     /// unit does not wait for a worker that leaves starts unanswered. Work that lasts does not wait for
-    /// starts of earlier leaders that the present incarnation refuses.
+    /// starts that the present incarnation refuses.
     pub holds_unit: bool,
     /// Whether a later incarnation may begin it though the unit does not wait now: the run is not known
     /// to have begun, and a start of it got no answer, or only the present incarnation refuses it.
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -335,7 +335,9 @@
         let last_arrival = unanswered_grant_at.map(|at| at + LATE_ORDER_WINDOW);
         let granted_until = last_arrival.unwrap_or_default().max(time.monotonic);
         worker.hold_late_starts();
+        let former_fence = self.fences.after(worker.restarts);
         let former = worker.replace_incarnation(stated_start);
+        worker.has_own_fence = self.fences.after(worker.restarts) > former_fence;
         worker.report = None;
         worker.answered_under_fence = false;
         worker.lease = Lease::inherited(granted_until, self.settings.max_lease);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -197,6 +197,8 @@
     pub ended_starts: BTreeSet<UnixMs>,
     /// Restarts under its id as far as the leader knows; rises while the worker is known.
     pub restarts: u64,
+    /// The fence of orders to the present incarnation is higher than that of orders to the one before.
+    pub has_own_fence: bool,
     /// Newest report; `None` if the incarnation is known only from its runs.
     pub report: Option<Report>,
     /// Address at which it accepts orders. Kept when a poll is answered by a new incarnation,
@@ -254,6 +256,7 @@
             incarnation,
             ended_starts: BTreeSet::new(),
             restarts: 0,
+            has_own_fence: false,
             report: None,
             address: None,
             lease,
@@ -369,10 +372,11 @@
             let may_arrive = run.has_unanswered_start() || run.is_inherited;
             let is_doubtful = may_arrive && has_restarted
                 || run.has_unanswered_start() && run.started_at.is_some();
-            // A successor that has obeyed this leader refuses the starts of earlier ones. Until it may
-            // have restarted, work that lasts can run elsewhere.
-            let is_barred =
-                run.long_running && !run.has_unanswered_start() && self.answered_under_fence;
+            // A successor that has obeyed this leader refuses the starts of earlier ones, and those to its
+            // predecessor. Until it may have restarted, work that lasts can run elsewhere.
+            let refuses_start = !run.has_unanswered_start()
+                || self.has_own_fence && run.placed_on != self.incarnation.started_at;
+            let is_barred = run.long_running && refuses_start && self.answered_under_fence;
             let holds_unit = is_doubtful && !is_barred;
             let has_begun = run.started_at.is_some() || run.has_ended;
             let may_begin = run.has_unanswered_start() && !has_begun || is_doubtful && is_barred;
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -615,6 +615,33 @@
     assert_eq!(world.workers_running("a.0.0.0").len(), 1);
 }
 
+#[test]
+fn work_that_lasts_does_not_wait_for_a_start_that_a_successor_refuses() {
+    for restarts in [1, 2] {
+        let mut world = World::new(2);
+        world.start_delay = seconds(9.0);
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = Some(1);
+        }
+        world.submit("q", "a", vec![world::long_running(1, 2000)]);
+        run_checked(&mut world, seconds(0.1));
+        let unit = world.ledger.find_unit("a.0.0.0").unwrap();
+        let worker = world.ledger.unit(&unit).unwrap().placements[0].incarnation.worker.clone();
+        for worker in world.workers.values_mut() {
+            worker.omits_one_start_in = None;
+        }
+        for _ in 0..restarts {
+            world.restart(&worker, seconds(0.3));
+            run_checked(&mut world, seconds(4.0));
+        }
+        run_checked(&mut world, seconds(2.0));
+        let running = world.workers_running("a.0.0.0").len();
+        assert!(running == 1 || restarts == 2, "it runs after one restart");
+        run_checked(&mut world, seconds(30.0));
+        assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+    }
+}
+
 /// Returns a step that needs both of two workers.
 fn step_of_all_workers() -> jobs::Step {
     step(2, 6000, 500)
