--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -4,10 +4,8 @@
 mod world;
 
 use jobs::State;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use std::collections::BTreeMap;
 use std::time::Duration;
+use world::schedule::{Faults, Schedule};
 use world::{World, step};
 
 fn seconds(seconds: f64) -> Duration {
@@ -647,119 +645,15 @@
     step(2, 6000, 500)
 }
 
-/// Time between two steps of a random schedule.
-const STEP: Duration = Duration::from_millis(100);
 /// Shortest time between two restarts of one worker that each come alone.
 const SINGLE_RESTART_GAP: Duration = Duration::from_secs(20);
 /// Shortest time between two restarts of a worker that goes up and down.
 const FLAPPING_RESTART_GAP: Duration = Duration::from_millis(500);
 
-/// Random faults of four workers: each leaves one start order in three unanswered and carries
-/// it out 2 to 12 s later; they restart, are cut off, or restart while cut off.
-struct Schedule {
-    world: World,
-    rng: StdRng,
-    restart_gap: Duration,
-    restarted_at: BTreeMap<String, Duration>,
-    cut_until: BTreeMap<String, Duration>,
-    job_count: u32,
-}
-
-impl Schedule {
-    fn new(seed: u64, restart_gap: Duration) -> Schedule {
-        let mut world = World::new(4);
-        for worker in world.workers.values_mut() {
-            worker.omits_one_start_in = Some(3);
-        }
-        let (restarted_at, cut_until) = Default::default();
-        let rng = StdRng::seed_from_u64(seed);
-        Schedule { world, rng, restart_gap, restarted_at, cut_until, job_count: 0 }
-    }
-
-    /// Creates a schedule in which workers restart again and again, and leave one poll in seven
-    /// unanswered and carry it out late.
-    fn flapping(seed: u64) -> Schedule {
-        let mut schedule = Schedule::new(seed, FLAPPING_RESTART_GAP);
-        for worker in schedule.world.workers.values_mut() {
-            worker.omits_one_poll_in = Some(7);
-        }
-        schedule
-    }
-
-    fn random_duration(&mut self, least_ms: u64, most_ms: u64) -> Duration {
-        Duration::from_millis(self.rng.random_range(least_ms..most_ms))
-    }
-
-    /// Brings about the faults and jobs of one step.
-    fn step(&mut self) {
-        self.world.start_delay = self.random_duration(2000, 12_000);
-        if self.rng.random_bool(0.06) {
-            let id = format!("a{}", self.job_count);
-            self.job_count += 1;
-            let run_time = self.random_duration(200, 12_000);
-            self.world.run_times.insert(id.clone(), run_time);
-            let (count, cpu) = (self.rng.random_range(1..4), self.rng.random_range(1..6) * 1000);
-            self.world.submit("q", &id, vec![step(count, cpu, run_time.as_millis() as u64)]);
-        }
-        let id = format!("w{}", self.rng.random_range(0..4));
-        let now = self.world.now;
-        let may_restart = self.restarted_at.get(&id).is_none_or(|at| now >= *at + self.restart_gap);
-        if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
-            let cut_for = self.random_duration(300, 15_000);
-            self.cut_until.insert(id.clone(), now + cut_for);
-            self.world.workers.get_mut(&id).unwrap().partitioned = true;
-        }
-        if may_restart && self.rng.random_bool(0.03) {
-            let down_for = self.random_duration(10, 7000);
-            self.restarted_at.insert(id.clone(), now);
-            self.world.restart(&id, down_for);
-        }
-        self.cut_until.retain(|id, until| {
-            let is_over = now >= *until;
-            if is_over {
-                self.world.workers.get_mut(id).unwrap().partitioned = false;
-            }
-            !is_over
-        });
-    }
-
-    /// Ends all faults but the late orders that are under way.
-    fn heal(&mut self) {
-        for worker in self.world.workers.values_mut() {
-            worker.partitioned = false;
-            (worker.omits_one_start_in, worker.omits_one_poll_in) = (None, None);
-        }
-    }
-
-    /// Plays 40 s of faults and the given time without any, and checks at each tick that no unit
-    /// runs twice and no worker is over its capacity, and in the end that all jobs are done.
-    fn play(mut self, seed: u64, healed_for: Duration) {
-        let healed_at = self.world.now + seconds(40.0);
-        while self.world.now < healed_at + healed_for {
-            if self.world.now < healed_at {
-                self.step();
-            } else {
-                self.heal();
-            }
-            for _ in 0..STEP.as_millis() / world::TICK.as_millis() {
-                self.world.run(world::TICK);
-                let world = &self.world;
-                let twice = world.running_twice();
-                assert!(twice.is_empty(), "seed {seed}: {twice:?} twice at {:?}", world.now);
-                assert_eq!(world.overloads, [], "seed {seed}");
-            }
-        }
-        for job in 0..self.job_count {
-            let state = self.world.state("q", &format!("a{job}"));
-            assert_eq!(state, State::Completed, "seed {seed}, job {job}");
-        }
-    }
-}
-
 #[test]
 fn no_unit_runs_twice_and_no_worker_is_overloaded_while_workers_restart() {
     for seed in 0..30 {
-        Schedule::new(seed, SINGLE_RESTART_GAP).play(seed, seconds(60.0));
+        Schedule::new(seed, Faults::new(SINGLE_RESTART_GAP)).play(seconds(60.0)).unwrap();
     }
 }
 
@@ -767,6 +661,7 @@
 #[test]
 fn no_unit_runs_twice_and_no_worker_is_overloaded_while_workers_restart_again_and_again() {
     for seed in 0..30 {
-        Schedule::flapping(seed).play(seed, seconds(120.0));
+        let faults = Faults { omits_one_poll_in: Some(7), ..Faults::new(FLAPPING_RESTART_GAP) };
+        Schedule::new(seed, faults).play(seconds(120.0)).unwrap();
     }
 }
--- a/crates/sched/tests/world/cloud.rs
+++ b/crates/sched/tests/world/cloud.rs
@@ -95,8 +95,8 @@
             if pool == STANDBY {
                 self.workers.get_mut(&id).unwrap().report.pool = pool;
             } else {
-                self.started_at += 1;
-                self.add(&id, &pool, self.started_at);
+                let started_at = self.next_start();
+                self.add(&id, &pool, started_at);
             }
         }
     }
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -7,7 +7,10 @@
 use jobs::definition::{Definition as JobDefinition, Resources, Step};
 use jobs::{Config, Incarnation, Ledger, Pool, Queue, RunNumber};
 use sched::fence::Fences;
-use sched::order::{Answer, Destination, Move, Order, Poll, Refusal, Reply, Start, StartOutcome};
+use sched::order::{
+    Answer, Destination, Move, Order, Poll, Refusal, Reply, Start, StartOutcome, Stop,
+};
+use sched::roster::Freshness;
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply, Time,
 };
@@ -17,6 +20,7 @@
 pub use worker::Worker;
 
 mod cloud;
+pub mod schedule;
 mod worker;
 
 /// Time between two steps of the simulation.
@@ -88,6 +92,15 @@
     pub repeats_starts: bool,
     /// Reports do not reach the leader.
     pub loses_reports: bool,
+    /// Reports pass through the leader's list of the newest ones, which ignores old ones.
+    pub uses_roster: bool,
+    /// Newest report of each worker, as the cores have them.
+    roster: Roster,
+    /// Between two leaders nothing is decided, polled or reported.
+    has_leader: bool,
+    /// Restarted workers state their start by a wall clock that is wrong by this much; `None` for a
+    /// count of all starts.
+    pub wall_clock_error_ms: Option<i64>,
     /// Workers whose process is restarting, with the time of its start.
     restarting: BTreeMap<String, Duration>,
     /// Restarted workers that have not reported, with the time of their first report.
@@ -106,6 +119,8 @@
     delayed_starts: Vec<(Duration, Destination, Start)>,
     /// Polls without an answer, each with the time when it is carried out.
     delayed_polls: Vec<(Duration, Destination, Poll)>,
+    /// Stop orders without an answer, each with the time when it is carried out.
+    delayed_stops: Vec<(Duration, Destination, Stop)>,
     /// Replies that stand for answers that did not come, with the time when they are due.
     overdue_replies: Vec<(Duration, Reply)>,
     /// Instances that were maintained, with the wave.
@@ -128,6 +143,8 @@
     returning: BTreeMap<String, (Duration, String)>,
     /// Start time of the newest incarnation.
     started_at: u64,
+    /// Start times that restarted workers have stated by their wall clocks.
+    stated_starts: BTreeSet<u64>,
     /// Term of the present leader.
     term: u64,
 }
@@ -201,6 +218,10 @@
             wall_clocks_set_back: false,
             repeats_starts: false,
             loses_reports: false,
+            uses_roster: false,
+            roster: Roster::default(),
+            has_leader: true,
+            wall_clock_error_ms: None,
             restarting: BTreeMap::new(),
             first_reports: BTreeMap::new(),
             deadly: BTreeMap::new(),
@@ -210,6 +231,7 @@
             overloads: Vec::new(),
             delayed_starts: Vec::new(),
             delayed_polls: Vec::new(),
+            delayed_stops: Vec::new(),
             overdue_replies: Vec::new(),
             maintained: BTreeSet::new(),
             maintenances_begun: Vec::new(),
@@ -221,6 +243,7 @@
             interrupted: Vec::new(),
             returning: BTreeMap::new(),
             started_at: 1,
+            stated_starts: BTreeSet::new(),
             term: TERM_STEP,
         };
         for number in 0..count {
@@ -249,8 +272,16 @@
         };
         let worker = Worker::new(report.clone(), self.now);
         self.workers.insert(id.to_string(), worker);
-        let time = self.time();
-        self.scheduler.on_report(time, &self.ledger, &report);
+        self.pass_on(&report);
+    }
+
+    /// Passes a report on to the leader.
+    fn pass_on(&mut self, report: &Report) {
+        let is_stale = self.roster.record(self.now, report.clone()) == Freshness::Stale;
+        if self.has_leader && !(self.uses_roster && is_stale) {
+            let time = self.time();
+            self.scheduler.on_report(time, &self.ledger, report);
+        }
     }
 
     pub fn time(&self) -> Time {
@@ -295,6 +326,27 @@
         self.workers.values_mut().for_each(|worker| worker.poll = None);
     }
 
+    /// Ends the leadership. Answers that are under way are lost; the orders themselves are not.
+    pub fn end_leadership(&mut self) {
+        self.has_leader = false;
+        self.overdue_replies.clear();
+        self.workers.values_mut().for_each(|worker| worker.poll = None);
+    }
+
+    /// Begins the next leadership, with the last reports of some workers.
+    pub fn begin_leadership(&mut self, known: &BTreeSet<String>) {
+        let fences = self.begin_term(TERM_STEP);
+        let reports: Vec<Report> = self.roster.workers().map(|r| r.report.clone()).collect();
+        self.roster = Roster::default();
+        for report in reports.into_iter().filter(|r| known.contains(&r.incarnation.worker)) {
+            self.roster.record(self.now, report);
+        }
+        let time = self.time();
+        let settings = Settings::default();
+        self.scheduler = Scheduler::new(settings, fences, time, &self.ledger, &self.roster);
+        self.has_leader = true;
+    }
+
     /// Replaces the leader by one that expects units away from their data to take longer by a factor.
     pub fn set_far_factor(&mut self, far_factor: f64) {
         let fences = self.begin_term(TERM_STEP);
@@ -433,8 +485,7 @@
             let worker = self.workers.get_mut(&id).unwrap();
             worker.is_succeeded = true;
             let pool = worker.report.pool.clone();
-            self.started_at += 1;
-            let (next, started_at) = (format!("w{id}"), self.started_at);
+            let (next, started_at) = (format!("w{id}"), self.next_start());
             self.add(&next, &pool, started_at);
         }
     }
@@ -459,9 +510,10 @@
 
     /// Passes a worker's present report to the leader, if the worker can reach it.
     pub fn report(&mut self, id: &str) {
-        let (time, worker) = (self.time(), &self.workers[id]);
+        let worker = &self.workers[id];
         if !worker.is_down && !worker.partitioned && !self.loses_reports {
-            self.scheduler.on_report(time, &self.ledger, &worker.report);
+            let report = worker.report.clone();
+            self.pass_on(&report);
         }
     }
 
@@ -470,6 +522,19 @@
         self.workers.remove(id);
     }
 
+    /// Returns the start that the next incarnation of a worker states. No two state the same one.
+    fn next_start(&mut self) -> u64 {
+        let Some(error_ms) = self.wall_clock_error_ms else {
+            self.started_at += 1;
+            return self.started_at;
+        };
+        let mut started_at = self.time().wall.saturating_add_signed(error_ms);
+        while !self.stated_starts.insert(started_at) {
+            started_at += 1;
+        }
+        started_at
+    }
+
     /// Starts the new incarnations of workers that are restarting, and passes on their first
     /// reports.
     fn start_restarted(&mut self) {
@@ -480,20 +545,26 @@
         }
         let due: Vec<_> = self.restarting.extract_if(.., |_, at| now >= *at).collect();
         for (id, _) in due {
+            if self.returning.contains_key(&id) || self.workers[&id].report.pool == STANDBY {
+                continue; // its instance was taken down meanwhile
+            }
             self.first_reports.insert(id.clone(), now + FIRST_REPORT_DELAY);
-            self.started_at += 1;
+            let started_at = self.next_start();
             let before = &self.workers[&id];
             let (partitioned, mut report) = (before.partitioned, before.report.clone());
             let omits_one_start_in = before.omits_one_start_in;
             let omits_one_poll_in = before.omits_one_poll_in;
+            let omits_one_stop_in = before.omits_one_stop_in;
+            report.number = 1;
             report.incarnation.started_at = match self.wall_clocks_set_back {
                 true => report.incarnation.started_at - 1,
-                false => self.started_at,
+                false => started_at,
             };
             let worker = Worker {
                 partitioned,
                 omits_one_start_in,
                 omits_one_poll_in,
+                omits_one_stop_in,
                 ..Worker::new(report, now)
             };
             self.workers.insert(id, worker);
@@ -513,18 +584,18 @@
         self.carry_out_delayed_orders();
         self.answer_maintenance();
         let is_report_due = self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis());
-        if is_report_due && !self.loses_reports {
-            let time = self.time();
-            for worker in
-                self.workers.values().filter(|worker| !worker.is_down && !worker.partitioned)
-            {
-                self.scheduler.on_report(time, &self.ledger, &worker.report);
-            }
-        }
         let ids: Vec<String> = self.workers.keys().cloned().collect();
+        if is_report_due {
+            self.roster.expire(self.now);
+            self.number_reports();
+            ids.iter().for_each(|id| self.report(id));
+        }
         for id in &ids {
             self.run_worker(id);
         }
+        if !self.has_leader {
+            return;
+        }
         let mut orders = self.decide();
         while !orders.is_empty() {
             for order in orders {
@@ -537,6 +608,11 @@
         }
     }
 
+    /// Numbers the next reports of all workers.
+    fn number_reports(&mut self) {
+        self.workers.values_mut().for_each(|worker| worker.report.number += 1);
+    }
+
     fn carry_out_delayed_orders(&mut self) {
         let (now, time) = (self.now, self.time());
         let polls: Vec<_> = self.delayed_polls.extract_if(.., |(at, _, _)| *at <= now).collect();
@@ -551,6 +627,14 @@
         for (_, to, start) in starts {
             self.start(&to, &start);
         }
+        let stops: Vec<_> = self.delayed_stops.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, to, stop) in stops {
+            let worker = self.workers.get_mut(&to.incarnation.worker);
+            let obeys = |w: &&mut Worker| !w.is_down && !w.partitioned && stop.fence >= w.fence;
+            if let Some(worker) = worker.filter(obeys) {
+                worker.stop(stop);
+            }
+        }
         let replies: Vec<_> = self.overdue_replies.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, reply) in replies {
             self.scheduler.on_worker_reply(time, &self.ledger, reply);
@@ -630,6 +714,12 @@
                 let reply = StartReply::new(to.incarnation, unit, run, outcome);
                 self.scheduler.on_start_reply(time, &self.ledger, reply);
             }
+            Order::Stop(to, stop) if self.omits_stop(&to) => {
+                let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
+                let reply = StopReply { incarnation, unit, run, answer: Answer::Unknown };
+                self.overdue_replies.push((self.now + ORDER_TIMEOUT, Reply::Stop(reply)));
+                self.delayed_stops.push((self.now + self.start_delay, to, stop));
+            }
             Order::Stop(to, stop) => {
                 let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
                 let answer = match self.workers.get_mut(&to.incarnation.worker) {
@@ -696,6 +786,13 @@
         worker.omits_one_start_in.is_some_and(|share| worker.start_orders.is_multiple_of(share))
     }
 
+    /// Counts a stop order to a worker, and returns whether the worker leaves it unanswered.
+    fn omits_stop(&mut self, to: &Destination) -> bool {
+        let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
+        worker.stop_orders += 1;
+        worker.omits_one_stop_in.is_some_and(|share| worker.stop_orders.is_multiple_of(share))
+    }
+
     /// Counts a poll of a worker, and returns whether the worker leaves it unanswered.
     fn omits_poll(&mut self, to: &Destination) -> bool {
         let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -31,6 +31,10 @@
     pub omits_one_poll_in: Option<u32>,
     /// Polls so far.
     pub polls: u32,
+    /// One stop order in this many gets no answer and is carried out late.
+    pub omits_one_stop_in: Option<u32>,
+    /// Stop orders so far.
+    pub stop_orders: u32,
     /// Stop orders get no answer.
     pub loses_stop_answers: bool,
     /// Stop orders are not carried out.
@@ -78,6 +82,8 @@
             start_orders: 0,
             omits_one_poll_in: None,
             polls: 0,
+            omits_one_stop_in: None,
+            stop_orders: 0,
             loses_stop_answers: false,
             ignores_stops: false,
             fails_runs: false,
