Sched, control: the log says on what grounds a run counts as over, and under which fence it was placed

run.over with how=None named no reason and no incarnation, so the runs of a unit could not be told apart by what their leader knew. run.placed names the incarnation and the fence, run.over the incarnation, why the run counts as over, and the age of its last start that may still be carried out. No decision changes.

The schedules print starts, faults and decisions before a failure with SCHEDULES_TRACE.

--- a/crates/control/src/core/effects.rs
+++ b/crates/control/src/core/effects.rs
@@ -3,7 +3,7 @@
 
 use super::{Core, REOPEN_INTERVAL, STATUS_INTERVAL, TERM_STEP};
 use crate::load::Action;
-use jobs::{Command, Event, Job, Ledger};
+use jobs::{Command, Event, Incarnation, Job, Ledger};
 use log::{error, info, warn};
 use mesh::{Frame, ProcessInfo, Status};
 use quorum::{Entry, Envelope, Id, Index, Message, Node, Output, Payload};
@@ -217,9 +217,7 @@
     /// Logs and counts an event of the ledger. Only the leader does so, so that each
     /// event appears once in the cluster.
     fn log_event(&self, event: &Event, index: Index) {
-        if self.leadership.is_none() {
-            return;
-        }
+        let Some(leadership) = &self.leadership else { return };
         match event {
             Event::Configured => {
                 let version = self.ledger.config().map_or(0, |config| config.version);
@@ -248,9 +246,12 @@
                 metrics::counter!("runs_ended_total").increment(1);
                 if release.reason != Some(jobs::command::EndReason::Done) {
                     let name = self.ledger.unit_name(&release.unit).unwrap_or_default();
+                    let Incarnation { worker, started_at } = &release.incarnation;
+                    let (why, start_age) = leadership.scheduler.grounds(self.time(), release);
                     info!(
-                        "run.over unit={name} run={} worker={} how={:?} index={index}",
-                        release.run, release.incarnation.worker, release.reason
+                        "run.over unit={name} run={} worker={worker} born={started_at} how={:?} \
+                         why={why:?} unsettled_start={start_age:?} index={index}",
+                        release.run, release.reason
                     );
                 }
             }
--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -3,7 +3,7 @@
 
 use super::{Core, Input};
 use crate::load::Action;
-use jobs::{Command, Ledger};
+use jobs::{Command, Incarnation, Ledger};
 use log::info;
 use mesh::Frame;
 use mesh::frame::OrderId;
@@ -221,12 +221,14 @@
             }
             for (key, units) in steps {
                 let Some(job) = self.ledger.job(key.job) else { continue };
+                let Incarnation { worker, started_at } = &placed.incarnation;
+                let fence = self.leadership.as_ref().and_then(|l| l.scheduler.fence(worker));
                 info!(
-                    "run.placed step={}.{}.{} worker={} units={}",
+                    "run.placed step={}.{}.{} worker={worker} born={started_at} fence={} units={}",
                     job.id,
                     key.occurrence,
                     key.step,
-                    placed.incarnation.worker,
+                    fence.unwrap_or_default(),
                     units.join(",")
                 );
             }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod unplaced;
 mod waiting;
 
+use crate::Fence;
 use crate::Settings;
 use crate::crash::Loss;
 use crate::estimate::Estimator;
@@ -37,10 +38,10 @@
 use crate::rate::Rates;
 use crate::roster::{Report, Roster};
 use crate::usage::Usage;
-use crate::worker::{Run, RunState, StopReason, Worker};
+use crate::worker::{Absence, Run, RunState, StopReason, Worker};
 use jobs::command::{Batch, Command};
 use jobs::definition::Resources;
-use jobs::ledger::Event;
+use jobs::ledger::{Event, Release};
 use jobs::{
     AccountName, Incarnation, InstanceId, JobNumber, Ledger, PoolName, QueueName, RunNumber,
     StepKey, UnitKey, UnixMs, WorkerId,
@@ -338,6 +339,21 @@
         &self.workers
     }
 
+    /// Returns the fence of this leader's orders to a worker; `None` if the worker is not known.
+    pub fn fence(&self, worker: &WorkerId) -> Option<Fence> {
+        Some(self.fences.after(self.workers.get(worker)?.restarts))
+    }
+
+    /// Returns why a run that is about to be released counts as over without a listed end, and the
+    /// age of its last start that may still be carried out.
+    pub fn grounds(&self, time: Time, release: &Release) -> (Option<Absence>, Option<Duration>) {
+        let worker = self.workers.get(&release.incarnation.worker);
+        let run = worker.and_then(|worker| worker.runs.get(&(release.unit, release.run)));
+        let Some(run) = run else { return (None, None) };
+        let sent_at = run.unconfirmed_since.filter(|_| run.may_start_late(time.monotonic));
+        (run.absence, sent_at.map(|at| time.monotonic.saturating_sub(at)))
+    }
+
     /// Returns the number of units that wait for free resources in each pool.
     pub fn backlog(&self) -> BTreeMap<PoolName, usize> {
         let count = |steps: &BTreeMap<StepKey, Waiting>| {
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -8,7 +8,7 @@
 use crate::lease::ClockReading;
 use crate::order::{Answer, Order, Poll, RunLists, RunStatus};
 use crate::usage::Totals;
-use crate::worker::{RunState, Worker};
+use crate::worker::{Absence, RunState, Worker};
 use jobs::command::{Discarded, End, EndList};
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -300,7 +300,7 @@
         };
         for key in missing_runs {
             if let Some(run) = worker.runs.get_mut(&key) {
-                run.state = RunState::Ending;
+                run.discard(Absence::Unlisted);
             }
             self.batch.discarded.push(Discarded { unit: key.0, run: key.1 });
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -10,7 +10,7 @@
 use crate::lease::Lease;
 use crate::order::{Order, Refusal, Stop};
 use crate::speed::Speed;
-use crate::worker::{Polling, Run, RunState, StopReason};
+use crate::worker::{Absence, Polling, Run, RunState, StopReason};
 use jobs::command::{Discarded, End, EndReason, Placed};
 use jobs::ledger::Release;
 use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
@@ -221,7 +221,7 @@
             }
             RunState::Ready => {
                 run.stop_reason = Some(reason);
-                run.state = RunState::Ending;
+                run.discard(Absence::Unsent);
                 self.batch.discarded.push(Discarded { unit, run: number });
             }
             RunState::Stopping { .. } | RunState::Ending => {}
@@ -255,7 +255,7 @@
 
     /// Discards the runs of an incarnation that has certainly ended.
     pub(super) fn discard_all(&mut self, time: Time, id: &WorkerId, reason: &str) {
-        self.discard_where(time, id, reason, |_| true);
+        self.discard_where(time, id, Absence::Ended, reason, |_| true);
     }
 
     /// Discards the runs of a worker whose lease has expired, except those that may be on a later
@@ -265,7 +265,7 @@
         let Some(worker) = self.workers.get(id) else { return };
         let can_return = worker.can_return();
         let max_lease = self.settings.max_lease;
-        self.discard_where(time, id, "its lease has expired", |run| {
+        self.discard_where(time, id, Absence::Lapsed, "its lease has expired", |run| {
             !can_return || !run.may_run_unseen(time.monotonic, max_lease)
         });
     }
@@ -275,6 +275,7 @@
         &mut self,
         time: Time,
         id: &WorkerId,
+        absence: Absence,
         reason: &str,
         is_over: impl Fn(&Run) -> bool,
     ) {
@@ -282,7 +283,7 @@
         let mut unconfirmed = Vec::new();
         for ((unit, number), run) in &mut worker.runs {
             if !matches!(run.state, RunState::Proposed | RunState::Ending) && is_over(run) {
-                run.state = RunState::Ending;
+                run.discard(absence);
                 self.batch.discarded.push(Discarded { unit: *unit, run: *number });
                 unconfirmed.push(run.unconfirmed_since);
             }
@@ -321,7 +322,7 @@
                     unconfirmed.push(run.unconfirmed_since);
                 }
                 _ => {
-                    run.state = RunState::Ending;
+                    run.discard(Absence::Ended);
                     discarded.push(Discarded { unit: *unit, run: *number });
                 }
             }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -9,7 +9,7 @@
 use crate::lease::Origin;
 use crate::order::{Answer, Order, Refusal, Start, StartOutcome};
 use crate::rank::scaled;
-use crate::worker::{Run, RunState, StopReason};
+use crate::worker::{Absence, Run, RunState, StopReason};
 use jobs::command::Discarded;
 use jobs::{Incarnation, Ledger, RunNumber, UnitKey, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -108,7 +108,7 @@
         let Some(worker) = self.workers.get_mut(&incarnation.worker) else { return };
         let Some(run) = worker.runs.get_mut(&(unit, number)) else { return };
         if !same_incarnation || unavailable || over_cap || run.stop_reason.is_some() {
-            run.state = RunState::Ending;
+            run.discard(Absence::Unsent);
             self.batch.discarded.push(Discarded { unit, run: number });
             return;
         }
@@ -192,7 +192,7 @@
             Answer::Unknown if is_unsent && run.unanswered_starts == 0 => {
                 run.confirm();
                 run.stop_reason = Some(StopReason::UnansweredStart);
-                run.state = RunState::Ending;
+                run.discard(Absence::Unsent);
                 self.batch.discarded.push(Discarded { unit, run: number });
                 self.record_unanswered(time, &id);
             }
@@ -245,7 +245,7 @@
                 }
                 let Some(worker) = self.workers.get_mut(id) else { return };
                 let Some(run) = worker.runs.get_mut(&key) else { return };
-                run.state = RunState::Ending;
+                run.discard(Absence::Refused);
                 self.batch.discarded.push(Discarded { unit, run: number });
                 let placed_at = run.placed_at;
                 if refusal == Refusal::Busy
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -77,6 +77,8 @@
     pub has_ended: bool,
     /// Why the run is being stopped; `None` if it is not.
     pub stop_reason: Option<StopReason>,
+    /// Why the run is discarded; `None` if it is not.
+    pub absence: Option<Absence>,
     /// Whether the unit is suspected of crashing its workers, so that nothing else is started beside
     /// the run until it has gone on for [`jobs::crash::TRIAL_TIME`].
     pub is_trial: bool,
@@ -101,6 +103,21 @@
     Displaced,
 }
 
+/// Why a run without a listed end counts as over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// Its start was never sent.
+    Unsent,
+    /// The worker refused its only start.
+    Refused,
+    /// The worker does not list it, and refuses a start of it from now on.
+    Unlisted,
+    /// The lease under which the worker kept it has expired.
+    Lapsed,
+    /// The incarnation that received its start has ended.
+    Ended,
+}
+
 /// State of a run as the leader knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -629,6 +646,7 @@
             measurement: 0,
             has_ended: false,
             stop_reason: None,
+            absence: None,
             is_trial: false,
         }
     }
@@ -694,6 +712,12 @@
         !self.long_running && !self.is_gang && !self.is_trial && !self.is_stopping_or_ending()
     }
 
+    /// Records that the run is proposed to be discarded.
+    pub fn discard(&mut self, absence: Absence) {
+        self.state = RunState::Ending;
+        self.absence = Some(absence);
+    }
+
     /// Returns whether the run is being stopped or has ended.
     pub fn is_stopping_or_ending(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. } | RunState::Ending)
--- a/crates/sched/tests/takeovers.rs
+++ b/crates/sched/tests/takeovers.rs
@@ -1,7 +1,8 @@
 //! Random schedules of workers that restart under their ids while leaders change and wall clocks are
 //! wrong. A promise to run a unit once has to outlive the leader that gave it.
 //!
-//! `SCHEDULES` and `SCHEDULES_FROM` set the number of seeds of each test and the first one.
+//! `SCHEDULES` and `SCHEDULES_FROM` set the number of seeds of each test and the first one;
+//! `SCHEDULES_TRACE` prints starts, faults and decisions before a failure.
 
 mod world;
 
--- a/crates/sched/tests/world/schedule.rs
+++ b/crates/sched/tests/world/schedule.rs
@@ -11,6 +11,8 @@
 const STEP: Duration = Duration::from_millis(100);
 /// Time with faults.
 const FAULTY_TIME: Duration = Duration::from_secs(40);
+/// Time before a failure of which `SCHEDULES_TRACE` prints what happened.
+const TRACED: Duration = Duration::from_secs(30);
 /// Jobs that last: the units of each, and how many of them may be unavailable.
 const LASTING_JOBS: [(&str, u32, Option<u32>); 3] =
     [("l0", 2, None), ("l1", 1, None), ("l2", 2, Some(1))];
@@ -73,6 +75,8 @@
     /// When the next leader takes over, while there is none.
     takeover_at: Option<Duration>,
     job_count: u32,
+    /// Faults so far.
+    events: Vec<(Duration, String)>,
 }
 
 impl Schedule {
@@ -102,9 +106,14 @@
             cut_until,
             takeover_at: None,
             job_count: 0,
+            events: Vec::new(),
         }
     }
 
+    fn record(&mut self, text: String) {
+        self.events.push((self.world.now, text));
+    }
+
     fn random_duration(&mut self, least_ms: u64, most_ms: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(least_ms..most_ms))
     }
@@ -119,6 +128,7 @@
         let now = self.world.now;
         if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
             let cut_for = self.random_duration(300, 15_000);
+            self.record(format!("{id} is cut off for {cut_for:?}"));
             self.cut_until.insert(id.clone(), now + cut_for);
             self.world.workers.get_mut(&id).unwrap().partitioned = true;
         }
@@ -128,6 +138,7 @@
         if may_restart && self.rng.random_bool(0.03) {
             let down_for = self.random_duration(10, 7000);
             self.restarted_at.insert(id.clone(), now);
+            self.record(format!("{id} is down for {down_for:?}"));
             self.set_wall_clock_error();
             self.world.restart(&id, down_for);
         }
@@ -164,6 +175,7 @@
                 let longest_ms = self.faults.longest_interregnum.as_millis() as u64;
                 let takeover_at = self.world.now + self.random_duration(0, longest_ms + 1);
                 self.takeover_at = Some(takeover_at);
+                self.record("the leadership ends".to_string());
                 self.world.end_leadership();
             }
             _ => {}
@@ -176,6 +188,7 @@
         let knows_all = self.rng.random_bool(0.5);
         let ids: Vec<String> = self.world.workers.keys().cloned().collect();
         let known = ids.into_iter().filter(|_| knows_all || self.rng.random_bool(0.5)).collect();
+        self.record(format!("the next leader knows of {known:?}"));
         self.world.begin_leadership(&known);
     }
 
@@ -233,6 +246,26 @@
     }
 
     fn fail(&self, text: String) -> Result<(), Failure> {
+        if std::env::var_os("SCHEDULES_TRACE").is_some() {
+            self.trace(&text);
+        }
         Err(Failure { seed: self.seed, at: self.world.now, text })
     }
+
+    /// Prints starts, faults and decisions before a failure, in their order.
+    fn trace(&self, text: &str) {
+        let mut lines: Vec<(Duration, String)> = self.events.clone();
+        lines.extend(
+            self.world.log.iter().map(|(at, e)| (*at, format!("{}: {}", e.subject, e.text))),
+        );
+        let started =
+            |s: &super::RecordedStart| format!("{} run {} starts on {}", s.name, s.run, s.worker);
+        lines.extend(self.world.starts.iter().map(|start| (start.at, started(start))));
+        lines.sort_by_key(|(at, _)| *at);
+        let now = self.world.now;
+        println!("seed {}, {text}:", self.seed);
+        for (at, line) in lines.iter().filter(|(at, _)| now < *at + TRACED) {
+            println!("{:>9.2} {line}", at.as_secs_f64());
+        }
+    }
 }
