Orders leave within a second of the decision or not at all

Callers saw (report): a unit on two workers at the same time. A start is taken for sent when it is decided, and can be carried out for 15 s from there, 12 s of them the platform's. But it may leave later: the client lets three orders to a worker go at a time, those that get no answer take up to 0.8 s each; a process may stand still with orders to send; a call whose connection has closed is repeated. The incarnation that was meant refuses such a start, a successor does not.

Starts, polls, moves and maintenance now carry until when they may leave: 1 s from the decision, on the clock that counts suspension. Stops and shares are harmless late. The field is not in frames, which stay as they are: a core that sends for the leader gives an order 0.5 s from its arrival. An order with less left than that is sent by the leader itself.

That this is what the report saw is not shown.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -3,6 +3,7 @@
 
 use super::{Core, Input};
 use crate::load::Action;
+use crate::relay;
 use jobs::{Command, Ledger};
 use log::info;
 use mesh::Frame;
@@ -171,8 +172,10 @@
         }
         let worker_count = self.roster.workers().len();
         let mut relayed: BTreeMap<&str, Vec<(OrderId, Order)>> = BTreeMap::new();
+        let now = self.environment.now();
         for order in orders {
-            let process = order.destination().and_then(|to| {
+            let destination = order.destination().filter(|_| relay::has_time(now, &order));
+            let process = destination.and_then(|to| {
                 let worker = &to.incarnation.worker;
                 let received = self.roster.get(worker);
                 let data_centre = received.map(|received| received.report.data_centre.as_str());
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -1,15 +1,17 @@
 //! A core process whose deciding thread is behind.
 
-use async_std::channel::{Sender, bounded};
+use async_std::channel::{Sender, bounded, unbounded};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, block_on};
 use control::Calls;
 use control::process::{Handle, Options, Process};
+use control::relay;
 use futures::future::{BoxFuture, pending};
-use jobs::WorkerId;
+use jobs::{Incarnation, WorkerId};
 use mesh::clock::System;
-use mesh::{Event, Frame, LeaderRequest, Net, ProcessInfo, Reply};
+use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Reply};
+use sched::Order;
 use sched::instance::Instance;
 use sched::order::{
     Advise, Answer, Destination, Maintenance, Move, Pace, Poll, RunLists, Start, StartOutcome, Stop,
@@ -21,11 +23,14 @@
 use std::time::Duration;
 use store::Folder;
 
-/// Calls that are never answered.
-struct NoCalls;
+/// Calls that are never answered; passes on until when polls may leave.
+struct NoCalls {
+    polls: Sender<Duration>,
+}
 
 impl Calls for NoCalls {
-    fn poll(&self, _: Destination, _: Poll) -> BoxFuture<'static, Answer<RunLists>> {
+    fn poll(&self, _: Destination, poll: Poll) -> BoxFuture<'static, Answer<RunLists>> {
+        self.polls.try_send(poll.leave_by).unwrap();
         Box::pin(pending())
     }
     fn start(&self, _: Destination, _: Start) -> BoxFuture<'static, StartOutcome> {
@@ -104,7 +109,7 @@
         sched_settings: sched::Settings::default(),
         open_folder: Box::new(move || Ok(Box::new(StalledDisk(disk.clone())) as Box<dyn Folder>)),
         clock: Arc::new(System),
-        calls: Arc::new(NoCalls),
+        calls: Arc::new(NoCalls { polls: unbounded().0 }),
     }
 }
 
@@ -187,3 +192,36 @@
         process.stop().await;
     });
 }
+
+#[test]
+fn an_order_of_another_core_may_leave_for_half_a_second_from_its_arrival() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, polls) = unbounded();
+        let calls = Arc::new(NoCalls { polls: sender });
+        let options = Options { calls, ..options(address, &Arc::default()) };
+        let process = Process::start(options, listener).unwrap();
+        let leader = client(address, bounded(1).0);
+        while leader.peers().is_empty() {
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        let poll = Poll {
+            fence: 1,
+            acknowledged_through: 0,
+            lease_end_ms: None,
+            max_wait: Duration::ZERO,
+            sent_at: Duration::ZERO,
+            leave_by: Duration::ZERO, // of the leader's clock
+        };
+        let to = Destination { incarnation: Incarnation::new("w", 1), address };
+        let sent_at = System.now();
+        assert!(leader.send("core", &Frame::Orders(vec![(1, Order::Poll(to, poll))])));
+        let leave_by = timeout(Duration::from_secs(5), polls.recv()).await.unwrap().unwrap();
+        assert_eq!(relay::SEND_WINDOW, Duration::from_millis(500));
+        let arrival = sent_at..=System.now();
+        assert!(arrival.contains(&(leave_by - relay::SEND_WINDOW)), "{leave_by:?} of {arrival:?}");
+        leader.stop().await;
+        process.stop().await;
+    });
+}
--- a/crates/control/tests/relay.rs
+++ b/crates/control/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Which process sends an order for the leader, and what happens if it does not answer.
 
-use control::relay::Relays;
+use control::relay::{Relays, has_time};
 use jobs::Incarnation;
 use mesh::ProcessInfo;
 use sched::Order;
@@ -30,7 +30,9 @@
     let address = "10.0.0.2:1".parse().unwrap();
     let to = Destination { incarnation: Incarnation::new(worker, 1), address };
     let max_wait = at(800);
-    let poll = Poll { fence: 1, acknowledged_through: 0, lease_end_ms: None, max_wait, sent_at };
+    let (fence, acknowledged_through, lease_end_ms) = (1, 0, None);
+    let leave_by = sent_at + at(1000);
+    let poll = Poll { fence, acknowledged_through, lease_end_ms, max_wait, sent_at, leave_by };
     Order::Poll(to, poll)
 }
 
@@ -107,3 +109,10 @@
     assert_eq!(relays.take_lost("a").len(), 1);
     assert_eq!(relays.take_overdue(at(9000)).len(), 1, "the order of the other process");
 }
+
+#[test]
+fn an_order_with_little_time_left_is_not_sent_through_another_process() {
+    let order = poll("w", at(0)); // may leave until 1000 ms
+    assert!(has_time(at(500), &order));
+    assert!(!has_time(at(501), &order));
+}
--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -14,6 +14,10 @@
 /// leaders.
 pub const LATE_ORDER_WINDOW: Duration = Duration::from_secs(15);
 
+/// Time from the decision on an order until it has to have left. Later it would outlast
+/// [`LATE_ORDER_WINDOW`], which counts from the decision, or from the end of the decider's lease.
+pub const SEND_WINDOW: Duration = Duration::from_secs(1);
+
 /// A start of a run that is no longer placed on the worker, but that may still reach a later
 /// incarnation of it.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -52,6 +52,30 @@
         }
     }
 
+    /// Returns until when the order may leave, on the clock of the process that sends it; `None`
+    /// for orders that are harmless late.
+    pub fn leave_by(&self) -> Option<Duration> {
+        match self {
+            Order::Poll(_, Poll { leave_by, .. })
+            | Order::Start(_, Start { leave_by, .. })
+            | Order::Move(Move { leave_by, .. })
+            | Order::Maintain(Maintenance { leave_by, .. }) => Some(*leave_by),
+            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances => None,
+        }
+    }
+
+    /// Sets until when the order may leave, in the process that is to send it. Nothing changes for
+    /// orders that are harmless late.
+    pub fn set_leave_by(&mut self, time: Duration) {
+        match self {
+            Order::Poll(_, Poll { leave_by, .. })
+            | Order::Start(_, Start { leave_by, .. })
+            | Order::Move(Move { leave_by, .. })
+            | Order::Maintain(Maintenance { leave_by, .. }) => *leave_by = time,
+            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances => {}
+        }
+    }
+
     /// Returns the reply of a worker with an answer that carries no run lists. `None` for
     /// orders to others.
     pub fn reply_with(&self, answer: Answer<()>) -> Option<Reply> {
@@ -112,6 +136,10 @@
     pub max_wait: Duration,
     /// When the leader decided to poll, on its monotonic clock.
     pub sent_at: Duration,
+    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
+    /// frames, and zero after decoding.
+    #[serde(skip)]
+    pub leave_by: Duration,
 }
 
 /// Starts a run.
@@ -133,6 +161,10 @@
     pub checkpoint: String,
     /// Ticket from the queue's policy; `None` if the queue has no policy.
     pub ticket: Option<String>,
+    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
+    /// frames, and zero after decoding.
+    #[serde(skip)]
+    pub leave_by: Duration,
 }
 
 /// Stops a run.
@@ -183,6 +215,10 @@
     pub pool: PoolName,
     /// Fence of the leader that sends the order.
     pub fence: Fence,
+    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
+    /// frames, and zero after decoding.
+    #[serde(skip)]
+    pub leave_by: Duration,
 }
 
 /// Starts the maintenance of an instance.
@@ -194,6 +230,10 @@
     pub wave: WaveId,
     /// Fence of the leader that sends the order.
     pub fence: Fence,
+    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
+    /// frames, and zero after decoding.
+    #[serde(skip)]
+    pub leave_by: Duration,
 }
 
 /// Run lists of a worker: its answer to a poll.
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -9,7 +9,7 @@
 use super::waiting::profile_of;
 use super::{MoveReply, Scheduler, Time};
 use crate::instance::State;
-use crate::late::LATE_ORDER_WINDOW;
+use crate::late::{LATE_ORDER_WINDOW, SEND_WINDOW};
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::Class;
 use jobs::command::{Command, MoveChange};
@@ -111,7 +111,8 @@
         if moving.pool == *pool && moving.stage == Stage::Proposed {
             moving.stage = Stage::Sent(time.monotonic);
             let (instance, pool) = (instance.clone(), pool.clone());
-            self.orders.push(Order::Move(Move { instance, pool, fence: self.fences.term() }));
+            let (fence, leave_by) = (self.fences.term(), time.monotonic + SEND_WINDOW);
+            self.orders.push(Order::Move(Move { instance, pool, fence, leave_by }));
         }
     }
 
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -8,6 +8,7 @@
 
 use super::{Scheduler, Time};
 use crate::instance::{Instance, State};
+use crate::late::SEND_WINDOW;
 use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
 use crate::roster::Report;
 use crate::worker::{GONE_AFTER_LISTS, RunState, StopReason};
@@ -725,7 +726,8 @@
                 self.stop_long_running(time, ledger, &instance);
                 continue;
             }
-            let order = MaintenanceOrder { instance, wave, fence: self.fences.term() };
+            let (fence, leave_by) = (self.fences.term(), time.monotonic + SEND_WINDOW);
+            let order = MaintenanceOrder { instance, wave, fence, leave_by };
             self.orders.push(Order::Maintain(order));
         }
     }
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -5,6 +5,7 @@
 //! its lease has expired.
 
 use super::{LEASE_DURATION, Scheduler, Time};
+use crate::late::SEND_WINDOW;
 use crate::lease::ClockReading;
 use crate::order::{Answer, Order, Poll, RunLists, RunStatus};
 use crate::usage::Totals;
@@ -105,6 +106,7 @@
                 lease_end_ms,
                 max_wait,
                 sent_at: now,
+                leave_by: now + SEND_WINDOW,
             };
             self.orders.push(Order::Poll(destination, poll));
         }
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -6,6 +6,7 @@
 //! before its unit is placed elsewhere.
 
 use super::{LEASE_DURATION, Scheduler, Time};
+use crate::late::SEND_WINDOW;
 use crate::lease::Origin;
 use crate::order::{Answer, Order, Refusal, Start, StartOutcome};
 use crate::rank::scaled;
@@ -148,6 +149,7 @@
             fence: self.fences.after(worker.restarts),
             checkpoint: placement.checkpoint.clone(),
             ticket,
+            leave_by: time.monotonic + SEND_WINDOW,
         };
         self.orders.push(Order::Start(destination, start));
     }
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -504,7 +504,9 @@
         let (name, spec) = (name.to_string(), String::new());
         let lease_end_ms = Settings::default().max_lease.as_millis() as u64;
         let (checkpoint, ticket, fence) = (String::new(), None, self.workers[id].fence);
-        let start = Start { unit, name, run, spec, lease_end_ms, fence, checkpoint, ticket };
+        let leave_by = Duration::MAX;
+        let start =
+            Start { unit, name, run, spec, lease_end_ms, fence, checkpoint, ticket, leave_by };
         self.start(&to, &start);
     }
 
