A leader that stood still in a write to the disk looks whether it still leads before it gives orders

Callers saw (in a test): a leader that stands still for 10 s in a sync goes on with the round that it was in, and sends its orders. Cause: it steps down by the clock, and reads that only at the start of a round and with each message. A start whose placement is applied in such a round is even decided at the time after the halt, so that its time to leave counts from there. The clock is now read again before the scheduler runs; after the election timeout without a majority the leadership ends there, and the orders with it.

Evidence: `a_leader_that_stood_still_while_another_may_have_been_elected_sends_no_orders` failed before (1 order, expected 0) and holds; after a halt of 0.1 s the order is sent, before and after. All tests of control hold.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -83,8 +83,13 @@
 
 impl Core {
     /// Starts the scheduler once the node leads with a lease and all committed entries
-    /// are applied, ends it when leadership is lost, and runs it in between.
-    pub(super) fn run_leadership(&mut self, time: Time) {
+    /// are applied, ends it when leadership is lost, and runs it in between. `began` is the time at
+    /// the start of the round.
+    pub(super) fn run_leadership(&mut self, began: Time) {
+        let time = self.time();
+        if time.monotonic > began.monotonic {
+            self.node.tick(time.monotonic); // the process may have stood still in a write to the disk
+        }
         let term = self.node.term();
         if self
             .leadership
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -29,6 +29,8 @@
     current: BTreeMap<String, Vec<u8>>,
     synced: BTreeMap<String, Vec<u8>>,
     full: bool,
+    /// Runs in the next sync.
+    in_sync: Option<Box<dyn FnOnce() + Send>>,
 }
 
 impl Disk {
@@ -65,6 +67,9 @@
 
     fn sync(&mut self, name: &str) -> store::Result<()> {
         let mut files = self.files();
+        if let Some(in_sync) = files.in_sync.take() {
+            in_sync();
+        }
         let content = files.current.get(name).cloned().unwrap_or_default();
         files.synced.insert(name.to_string(), content);
         Ok(())
@@ -339,6 +344,13 @@
         }
     }
 
+    /// Lets a core stand still in its next sync.
+    pub fn freeze_in_sync(&mut self, index: usize, duration: Duration) {
+        let shared = self.shared.clone();
+        let freeze = move || shared.lock().unwrap().now += duration;
+        self.disks[index].files().in_sync = Some(Box::new(freeze));
+    }
+
     /// Advances the clock in steps of [`TICK`] and runs all cores that aren't frozen.
     pub fn run(&mut self, duration: Duration) {
         let end = self.shared().now + duration;
