--- a/crates/control/tests/relay.rs
+++ b/crates/control/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use control::relay::{Relays, has_time};
 use jobs::Incarnation;
-use mesh::ProcessInfo;
+use mesh::{Frame, ProcessInfo};
 use sched::Order;
 use sched::order::{Answer, Destination, Poll, Reply};
 use std::collections::BTreeMap;
@@ -116,3 +116,13 @@
     assert!(has_time(at(500), &order));
     assert!(!has_time(at(501), &order));
 }
+
+#[test]
+fn the_time_until_which_an_order_may_leave_is_not_in_frames() {
+    let frame = |order: &Order| Frame::Orders(vec![(1, order.clone())]);
+    let mut order = poll("w", at(0));
+    let encoded = frame(&order).encode();
+    order.set_leave_by(Duration::ZERO);
+    assert_eq!(frame(&order).encode(), encoded);
+    assert_eq!(Frame::decode(&encoded).unwrap(), frame(&order));
+}
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -327,8 +327,8 @@
     Misdirected,
     /// No answer arrived: the order may have been carried out, or may be later.
     Unknown,
-    /// As [`Answer::Unknown`], but the process that was to send the order did not reply, which
-    /// says nothing about the receiver.
+    /// As [`Answer::Unknown`], but the process that was to send the order did not reply, or not send
+    /// it in time, which says nothing about the receiver.
     Lost,
 }
 
