A frame states the time that an order has left

A core that sends for the leader gave each order 0.5 s from reading the frame, and the leader sent itself what had less than that left of its 1 s. By reading: a leader of a large fleet whose decision takes half a second would have sent all orders itself just then, and an order waited only 0.5 s behind others. Now the frame states the time that is left, which the other core counts from reading it, at most 1 s; 0.5 s where a leader of an earlier version states none. Earlier versions pass over the field. An order without any time left is given up by the leader's own client.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -3,7 +3,6 @@
 
 use super::{Core, Input};
 use crate::load::Action;
-use crate::relay;
 use jobs::{Command, Ledger};
 use log::info;
 use mesh::Frame;
@@ -178,8 +177,10 @@
         let worker_count = self.roster.workers().len();
         let mut relayed: BTreeMap<&str, Vec<(OrderId, Order)>> = BTreeMap::new();
         let now = self.environment.now();
-        for order in orders {
-            let destination = order.destination().filter(|_| relay::has_time(now, &order));
+        for mut order in orders {
+            // One without time left is given up here.
+            let has_time = order.leave_by().is_none_or(|leave_by| now < leave_by);
+            let destination = order.destination().filter(|_| has_time);
             let process = destination.and_then(|to| {
                 let worker = &to.incarnation.worker;
                 let received = self.roster.get(worker);
@@ -189,6 +190,7 @@
             let id = process.and_then(|to| self.relays.record(time.monotonic, &to.name, &order));
             match (process, id) {
                 (Some(process), Some(id)) => {
+                    order.state_time_left(now);
                     relayed.entry(&process.name).or_default().push((id, order));
                 }
                 _ => self.environment.dispatch(order),
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -5,7 +5,7 @@
 use crate::core::place::{self, Question};
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
 use crate::load::Meter;
-use crate::relay::{CALL_TIMEOUT, SEND_WINDOW};
+use crate::relay::CALL_TIMEOUT;
 use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -464,9 +464,9 @@
 impl ProcessEnvironment {
     /// Sends each order of a leader to its worker, and the replies to the leader.
     fn relay_orders(self: &Arc<ProcessEnvironment>, leader: &str, orders: Vec<(OrderId, Order)>) {
-        let leave_by = self.clock.now() + SEND_WINDOW;
+        let now = self.clock.now();
         for (id, mut order) in orders {
-            order.set_leave_by(leave_by);
+            order.count_time_left(now);
             let Some(unanswered) = order.reply_with(Answer::Unknown) else { continue };
             let (environment, leader) = (self.clone(), leader.to_string());
             task::spawn(async move {
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -4,7 +4,7 @@
 //! are spread over the linked core processes; a frame to one of them carries many orders. A
 //! worker obeys only the highest fence and a start carries the end of its lease, so an order
 //! that a process sends late is harmless, unless the worker has restarted meanwhile: see
-//! [`sched::late`]. So an order goes out soon after the frame has been read, or not at all.
+//! [`sched::late`]. So an order carries the time that it has left to leave.
 
 use mesh::ProcessInfo;
 use mesh::frame::OrderId;
@@ -23,10 +23,6 @@
 /// Time after which the leader gives up on the process: the call and a margin for the links.
 /// A worker that does not answer must not make the process look lost.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1800);
-/// Time from reading a frame within which its orders have to leave. The clocks of two processes have
-/// nothing in common, and a link ends when it delivers nothing for 1.6 s; with that,
-/// [`sched::late::SEND_WINDOW`] is exceeded by no more than the links' silence.
-pub const SEND_WINDOW: Duration = Duration::from_millis(500);
 /// Time for which a process gets no orders after one that it did not answer.
 const AVOID_AFTER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which a process gets no orders after it said that it is about to end; longer than
@@ -164,17 +160,6 @@
     }
 }
 
-/// Returns whether an order has time enough left at `now` to go through another process.
-///
-/// ```
-/// use std::time::Duration;
-/// use sched::Order;
-/// assert!(control::relay::has_time(Duration::ZERO, &Order::ListInstances));
-/// ```
-pub fn has_time(now: Duration, order: &Order) -> bool {
-    order.leave_by().is_none_or(|leave_by| now + SEND_WINDOW <= leave_by)
-}
-
 /// Weight of a process for a worker; the highest one sends the worker's orders.
 fn weight(process: &str, worker: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -4,6 +4,7 @@
 //! a replaced leader are refused.
 
 use crate::Fence;
+use crate::late::SEND_WINDOW;
 use crate::scheduler::{PaceReply, PollReply, StartReply, StopReply};
 use jobs::command::EndReason;
 use jobs::{Incarnation, InstanceId, PoolName, RunNumber, StepKey, UnitKey, UnixMs, WaveId};
@@ -64,15 +65,28 @@
         }
     }
 
-    /// Sets until when the order may leave, in the process that is to send it. Nothing changes for
-    /// orders that are harmless late.
-    pub fn set_leave_by(&mut self, time: Duration) {
+    fn leave_by_mut(&mut self) -> Option<&mut Duration> {
         match self {
             Order::Poll(_, Poll { leave_by, .. })
             | Order::Start(_, Start { leave_by, .. })
             | Order::Move(Move { leave_by, .. })
-            | Order::Maintain(Maintenance { leave_by, .. }) => *leave_by = time,
-            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances => {}
+            | Order::Maintain(Maintenance { leave_by, .. }) => Some(leave_by),
+            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances => None,
+        }
+    }
+
+    /// States the time that is left at `now`, for a frame: the clocks of two processes have nothing
+    /// in common.
+    pub fn state_time_left(&mut self, now: Duration) {
+        if let Some(leave_by) = self.leave_by_mut() {
+            *leave_by = leave_by.saturating_sub(now);
+        }
+    }
+
+    /// Counts the time that is left from `now`, when the frame was read.
+    pub fn count_time_left(&mut self, now: Duration) {
+        if let Some(leave_by) = self.leave_by_mut() {
+            *leave_by = now + (*leave_by).min(SEND_WINDOW);
         }
     }
 
@@ -101,6 +115,11 @@
     }
 }
 
+/// Time that an order has left which a leader of an earlier version sends in a frame.
+fn unstated_time_left() -> Duration {
+    SEND_WINDOW / 2
+}
+
 /// Reply to an order to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
@@ -136,9 +155,9 @@
     pub max_wait: Duration,
     /// When the leader decided to poll, on its monotonic clock.
     pub sent_at: Duration,
-    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
-    /// frames, and zero after decoding.
-    #[serde(skip)]
+    /// Until when the order may leave, on the clock of the process that sends it; in a frame to
+    /// another process, the time that is left.
+    #[serde(default = "unstated_time_left", rename = "time_left")]
     pub leave_by: Duration,
 }
 
@@ -161,9 +180,9 @@
     pub checkpoint: String,
     /// Ticket from the queue's policy; `None` if the queue has no policy.
     pub ticket: Option<String>,
-    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
-    /// frames, and zero after decoding.
-    #[serde(skip)]
+    /// Until when the order may leave, on the clock of the process that sends it; in a frame to
+    /// another process, the time that is left.
+    #[serde(default = "unstated_time_left", rename = "time_left")]
     pub leave_by: Duration,
 }
 
@@ -215,9 +234,9 @@
     pub pool: PoolName,
     /// Fence of the leader that sends the order.
     pub fence: Fence,
-    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
-    /// frames, and zero after decoding.
-    #[serde(skip)]
+    /// Until when the order may leave, on the clock of the process that sends it; in a frame to
+    /// another process, the time that is left.
+    #[serde(default = "unstated_time_left", rename = "time_left")]
     pub leave_by: Duration,
 }
 
@@ -230,9 +249,9 @@
     pub wave: WaveId,
     /// Fence of the leader that sends the order.
     pub fence: Fence,
-    /// Until when the order may leave, on the clock of the process that sends it; it is not part of
-    /// frames, and zero after decoding.
-    #[serde(skip)]
+    /// Until when the order may leave, on the clock of the process that sends it; in a frame to
+    /// another process, the time that is left.
+    #[serde(default = "unstated_time_left", rename = "time_left")]
     pub leave_by: Duration,
 }
 
