--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -82,8 +82,13 @@
 
 impl Core {
     /// Starts the scheduler once the node leads with a lease and all committed entries
-    /// are applied, ends it when leadership is lost, and runs it in between.
-    pub(super) fn run_leadership(&mut self, time: Time) {
+    /// are applied, ends it when leadership is lost, and runs it in between. `began` is the time at
+    /// the start of the round.
+    pub(super) fn run_leadership(&mut self, began: Time) {
+        let time = self.time();
+        if time.monotonic > began.monotonic {
+            self.node.tick(time.monotonic); // the process may have stood still in a write to the disk
+        }
         let term = self.node.term();
         if self
             .leadership
@@ -171,8 +176,12 @@
         }
         let worker_count = self.roster.workers().len();
         let mut relayed: BTreeMap<&str, Vec<(OrderId, Order)>> = BTreeMap::new();
-        for order in orders {
-            let process = order.destination().and_then(|to| {
+        let now = self.environment.now();
+        for mut order in orders {
+            // One without time left is given up here.
+            let has_time = order.leave_by().is_none_or(|leave_by| now < leave_by);
+            let destination = order.destination().filter(|_| has_time);
+            let process = destination.and_then(|to| {
                 let worker = &to.incarnation.worker;
                 let received = self.roster.get(worker);
                 let data_centre = received.map(|received| received.report.data_centre.as_str());
@@ -181,6 +190,7 @@
             let id = process.and_then(|to| self.relays.record(time.monotonic, &to.name, &order));
             match (process, id) {
                 (Some(process), Some(id)) => {
+                    order.state_time_left(now);
                     relayed.entry(&process.name).or_default().push((id, order));
                 }
                 _ => self.environment.dispatch(order),
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -464,7 +464,9 @@
 impl ProcessEnvironment {
     /// Sends each order of a leader to its worker, and the replies to the leader.
     fn relay_orders(self: &Arc<ProcessEnvironment>, leader: &str, orders: Vec<(OrderId, Order)>) {
-        for (id, order) in orders {
+        let now = self.clock.now();
+        for (id, mut order) in orders {
+            order.count_time_left(now);
             let Some(unanswered) = order.reply_with(Answer::Unknown) else { continue };
             let (environment, leader) = (self.clone(), leader.to_string());
             task::spawn(async move {
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -4,7 +4,7 @@
 //! are spread over the linked core processes; a frame to one of them carries many orders. A
 //! worker obeys only the highest fence and a start carries the end of its lease, so an order
 //! that a process sends late is harmless, unless the worker has restarted meanwhile: see
-//! [`sched::late`].
+//! [`sched::late`]. So an order carries the time that it has left to leave.
 
 use mesh::ProcessInfo;
 use mesh::frame::OrderId;
--- a/crates/control/tests/relay.rs
+++ b/crates/control/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use control::relay::Relays;
 use jobs::Incarnation;
-use mesh::ProcessInfo;
+use mesh::{Frame, ProcessInfo};
 use sched::Order;
 use sched::order::{Answer, Destination, Poll, Reply};
 use std::collections::BTreeMap;
@@ -30,7 +30,9 @@
     let address = "10.0.0.2:1".parse().unwrap();
     let to = Destination { incarnation: Incarnation::new(worker, 1), address };
     let max_wait = at(800);
-    let poll = Poll { fence: 1, acknowledged_through: 0, lease_end_ms: None, max_wait, sent_at };
+    let (fence, acknowledged_through, lease_end_ms) = (1, 0, None);
+    let leave_by = sent_at + at(1000);
+    let poll = Poll { fence, acknowledged_through, lease_end_ms, max_wait, sent_at, leave_by };
     Order::Poll(to, poll)
 }
 
@@ -107,3 +109,42 @@
     assert_eq!(relays.take_lost("a").len(), 1);
     assert_eq!(relays.take_overdue(at(9000)).len(), 1, "the order of the other process");
 }
+
+#[test]
+fn the_time_that_an_order_has_left_counts_from_the_arrival_of_its_frame() {
+    let mut order = poll("w", at(0)); // may leave until 1000 ms
+    order.state_time_left(at(400));
+    let encoded = Frame::Orders(vec![(1, order.clone())]).encode();
+    let Frame::Orders(mut orders) = Frame::decode(&encoded).unwrap() else { panic!("no orders") };
+    orders[0].1.count_time_left(at(90_000));
+    assert_eq!(orders[0].1.leave_by(), Some(at(90_600)));
+    order.state_time_left(at(2000));
+    order.count_time_left(at(90_000));
+    assert_eq!(order.leave_by(), Some(at(90_000)), "none is left");
+    order.count_time_left(at(1));
+    assert_eq!(order.leave_by(), Some(at(1001)), "no process has more than a second");
+}
+
+/// A poll as versions before this one know it.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct EarlierPoll {
+    fence: u64,
+    acknowledged_through: u64,
+    lease_end_ms: Option<u64>,
+    max_wait: Duration,
+    sent_at: Duration,
+}
+
+#[test]
+fn orders_are_read_by_earlier_versions_and_theirs_by_this_one() {
+    let Order::Poll(_, poll) = poll("w", at(7)) else { panic!("no poll") };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&poll, &mut bytes).unwrap();
+    let earlier: EarlierPoll = ciborium::from_reader(bytes.as_slice()).unwrap();
+    assert_eq!(earlier.sent_at, at(7));
+    bytes.clear();
+    ciborium::into_writer(&earlier, &mut bytes).unwrap();
+    let time_left = at(500);
+    let expected = Poll { leave_by: time_left, ..poll };
+    assert_eq!(ciborium::from_reader::<Poll, _>(bytes.as_slice()).unwrap(), expected);
+}
