Jobs, control: a job belongs to the place that its client sent it to, not to the route's name

Callers saw: after a version that gives a route another name at the same host and path prefix, GET and DELETE for a job accepted before were answered 410 (LOST), a repeated POST 400, while its units ran on. The same where a route is dropped and comes back under another name. After a swap of two names, jobs of each route were shown at the other's place. A submission that was proposed before such a version and applied after it was accepted at the other route's place, or refused with 404.

Cause: the ledger keeps the name of the queue with the job and compares it with the name that a request selects now. The client knows host, prefix and id only; the name is the operator's.

Fix: submissions and jobs carry host and prefix. A job is in the queue at its place, whatever its name; only if no queue is there, in the one of its name, as before. Its pool follows the same rule. A submission goes to the queue that is at its place when it is applied. A cancel names the queue as it was at acceptance, so that cores of an earlier version apply it too. Visibility by account is as it was: a renamed route shows a job to its owner only.

--- a/crates/control/src/core/place.rs
+++ b/crates/control/src/core/place.rs
@@ -82,9 +82,14 @@
                     return Err(Error::UnknownAccount(name.clone()));
                 }
                 let mut ledger = self.ledger.clone();
-                let (id, owner) = (DESCRIBED_JOB.to_string(), account);
-                let submit =
-                    Submit { queue: queue.clone(), id, definition: job, owner, at: time.wall };
+                let submit = Submit {
+                    queue: queue.clone(),
+                    place: None,
+                    id: DESCRIBED_JOB.to_string(),
+                    definition: job,
+                    owner: account,
+                    at: time.wall,
+                };
                 let outcome = ledger.apply(Command::Submit(submit)).0;
                 let number = ledger.job_number(DESCRIBED_JOB);
                 match (outcome, number) {
--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -4,7 +4,8 @@
 use super::{Core, ForwardedRequest, PendingProposal, ReplyTo};
 use jobs::account::Access;
 use jobs::command::{Cancel, Command, Submit};
-use jobs::{AccountName, Definition, Outcome, QueueName, Wave};
+use jobs::config::Place;
+use jobs::{AccountName, Definition, Outcome, Queue, QueueName, Wave};
 use log::{debug, info};
 use mesh::request::Location;
 use mesh::{Frame, LeaderRequest, Reply};
@@ -17,6 +18,7 @@
 /// A client's request for a job, by the configuration in force.
 struct Call {
     queue: QueueName,
+    place: Option<Place>,
     id: String,
     /// Account that the request counts for; `None` for a public queue or without accounts.
     owner: Option<AccountName>,
@@ -45,14 +47,13 @@
                 Err(refusal) => self.reply(reply, refusal),
             },
             LeaderRequest::Cancel(location) => match self.call(&location) {
-                Ok(Call { queue, id, owner }) => {
+                Ok(Call { queue, id, owner, .. }) => {
                     let job = self.ledger.find_job(&queue, &id);
-                    let job = job.filter(|job| job.is_open_to(owner.as_ref()));
-                    match job.map(|job| job.state.is_final()) {
+                    match job.filter(|job| job.is_open_to(owner.as_ref())) {
                         None => self.reply(reply, Reply::Missing),
-                        Some(true) => self.reply(reply, Reply::Done),
-                        Some(false) => {
-                            let cancel = Cancel { queue, id, at: time.wall };
+                        Some(job) if job.state.is_final() => self.reply(reply, Reply::Done),
+                        Some(job) => {
+                            let cancel = Cancel { queue: job.queue.clone(), id, at: time.wall };
                             self.propose(time, Command::Cancel(cancel), reply);
                         }
                     }
@@ -106,7 +107,7 @@
 
     /// Accepts a job, or answers for one that is known already.
     fn submit(&mut self, time: Time, call: Call, definition: Definition, reply: ReplyTo) {
-        let Call { queue, id, owner } = call;
+        let Call { queue, place, id, owner } = call;
         if let Some(job) = self.ledger.find_job(&queue, &id) {
             let is_open = job.is_open_to(owner.as_ref());
             self.reply(reply, if is_open { Reply::Done } else { name_is_taken() });
@@ -127,7 +128,7 @@
             self.reply(reply, Reply::Overloaded { reason, retry_after });
             return;
         }
-        let submit = Submit { queue, id, definition, owner, at: time.wall };
+        let submit = Submit { queue, place, id, definition, owner, at: time.wall };
         self.propose(time, Command::Submit(submit), reply);
     }
 
@@ -140,7 +141,9 @@
         if !is_job_id {
             return Err(Reply::Invalid(format!("path: \"{id}\" is no name of a job")));
         }
-        Ok(Call { queue: queue.clone(), id: id.to_string(), owner })
+        let config = self.ledger.config();
+        let place = config.and_then(|config| config.queues.get(queue)).map(Queue::place);
+        Ok(Call { queue: queue.clone(), place, id: id.to_string(), owner })
     }
 
     /// Returns the queue that a location names and the rest of the path.
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands: the changes of the ledger that the log carries.
 
+use crate::config::Place;
 use crate::wave::Phase;
 use crate::{
     AccountName, Config, Decision, Definition, Incarnation, InstanceId, JobId, PoolName, QueueName,
@@ -35,8 +36,12 @@
 /// A job to accept.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Submit {
-    /// Queue that the job goes to.
+    /// Name of the queue that the job goes to, when the command was proposed.
     pub queue: QueueName,
+    /// Place that the client sent the job to. It decides on the queue if a version that renames
+    /// queues is applied first. `None` in commands from before the field existed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<Place>,
     /// Name of the job, given by the client.
     pub id: JobId,
     /// The client's description of the job.
@@ -52,7 +57,7 @@
 /// A job to cancel.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Cancel {
-    /// Queue of the job.
+    /// Name of the job's queue at acceptance.
     pub queue: QueueName,
     /// Name of the job, given by the client.
     pub id: JobId,
--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -93,6 +93,28 @@
     pub advice: Option<Advice>,
 }
 
+/// Host and path prefix at which clients reach a queue. A version may give another name to the queue
+/// there; clients go on to use the place.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Host name, without a port.
+    pub host: String,
+    /// Path prefix; the rest of the path is a job's name.
+    pub prefix: String,
+}
+
+impl Queue {
+    /// Returns the place of the queue.
+    pub fn place(&self) -> Place {
+        Place { host: self.host.clone(), prefix: self.prefix.clone() }
+    }
+
+    /// Returns whether clients reach the queue at a place.
+    pub fn is_at(&self, place: &Place) -> bool {
+        self.host == place.host && self.prefix == place.prefix
+    }
+}
+
 /// Timing of a queue's policy service.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Advice {
@@ -190,6 +212,21 @@
             .map(|(_, name, job_path)| (name, job_path))
     }
 
+    /// Returns the name of the queue at a place.
+    ///
+    /// ```
+    /// use jobs::{Config, Queue};
+    /// let mut config = Config::default();
+    /// let queue = Queue { host: "h".into(), prefix: "/a/".into(), ..Queue::default() };
+    /// let place = queue.place();
+    /// assert_eq!(config.queue_at(&place), None);
+    /// config.queues.insert("q".into(), queue);
+    /// assert_eq!(config.queue_at(&place), Some(&"q".to_string()));
+    /// ```
+    pub fn queue_at(&self, place: &Place) -> Option<&QueueName> {
+        self.queues.iter().find(|(_, queue)| queue.is_at(place)).map(|(name, _)| name)
+    }
+
     /// Returns whom a call to a queue with this key counts for.
     ///
     /// ```
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,5 +1,6 @@
 //! Jobs and the state of their units, as the ledger stores them.
 
+use crate::config::Place;
 use crate::crash::Crash;
 use crate::{
     AccountName, Decision, Definition, Incarnation, JobId, PoolName, QueueName, RunNumber, UnixMs,
@@ -36,8 +37,13 @@
 pub struct Job {
     /// Name of the job, given by the client.
     pub id: JobId,
-    /// Queue of the job.
+    /// Name of the job's queue at acceptance. A later version may give its place to a queue with
+    /// another name.
     pub queue: QueueName,
+    /// Place that the client sent the job to; `None` for a job from before the field existed, which
+    /// is found by the name of its queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<Place>,
     /// Account that submitted the job; `None` for a public queue, or from before there were
     /// accounts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -13,7 +13,7 @@
 use crate::wave::{Phase, Wave};
 use crate::{
     AccountName, Config, Decision, Incarnation, InstanceId, JobId, JobNumber, Journal, PoolName,
-    QueueName, RunNumber, StepKey, UnitKey, UnixMs, WaveId, WorkerId,
+    Queue, QueueName, RunNumber, StepKey, UnitKey, UnixMs, WaveId, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -180,10 +180,20 @@
         self.jobs.get(&number)
     }
 
-    /// Returns a job of a queue by the name that its client gave.
+    /// Returns a job of a queue by the name that its client gave. The jobs of a queue are those that
+    /// were accepted at its place, under whatever name, and those accepted under its name at a place
+    /// that no queue has any more. A queue that is not in the configuration has none.
     pub fn find_job(&self, queue: &QueueName, id: &str) -> Option<&Job> {
         let job = self.jobs.get(self.by_id.get(id)?)?;
-        (job.queue == *queue).then_some(job)
+        self.is_in(job, queue).then_some(job)
+    }
+
+    fn is_in(&self, job: &Job, queue: &QueueName) -> bool {
+        let Some(config) = &self.config else { return false };
+        let Some(present) = config.queues.get(queue) else { return false };
+        let is_namesake = job.queue == *queue;
+        let Some(place) = &job.place else { return is_namesake };
+        present.is_at(place) || (is_namesake && config.queue_at(place).is_none())
     }
 
     /// Returns the number of a job by the name that its client gave.
@@ -325,11 +335,7 @@
         if self.config.as_ref().is_some_and(|current| current.version >= config.version) {
             return Outcome::Done;
         }
-        for job in self.jobs.values_mut() {
-            if let Some(queue) = config.queues.get(&job.queue) {
-                job.pool = queue.pool.clone();
-            }
-        }
+        self.assign_pools(&config);
         let previous = self.config.as_ref().map_or("none".to_string(), |c| c.version.to_string());
         let text = format!(
             "version {} is in force after version {previous}: {} queues, {} pools",
@@ -348,6 +354,23 @@
         Outcome::Done
     }
 
+    /// Sends each job to the pool of its queue. A job whose queue a configuration drops keeps its
+    /// pool.
+    fn assign_pools(&mut self, config: &Config) {
+        let at: BTreeMap<(&str, &str), &Queue> = config
+            .queues
+            .values()
+            .map(|queue| ((queue.host.as_str(), queue.prefix.as_str()), queue))
+            .collect();
+        for job in self.jobs.values_mut() {
+            let place = job.place.as_ref();
+            let there = place.and_then(|place| at.get(&(&*place.host, &*place.prefix)).copied());
+            if let Some(queue) = there.or_else(|| config.queues.get(&job.queue)) {
+                job.pool = queue.pool.clone();
+            }
+        }
+    }
+
     /// Keeps the accounts that a configuration drops and that own unfinished jobs: without its cap
     /// an account would be unlimited.
     fn keep_former_accounts(&mut self, config: &Config) {
@@ -372,21 +395,24 @@
     fn submit(&mut self, submit: Submit, events: &mut Vec<Event>) -> Outcome {
         self.latest_at = self.latest_at.max(submit.at);
         self.remove_expired_jobs(submit.at);
+        let config = self.config.as_ref();
+        let Some((name, queue)) = config.and_then(|config| destination(config, &submit)) else {
+            return Outcome::Missing;
+        };
         if let Some(number) = self.by_id.get(&submit.id) {
             let Some(job) = self.jobs.get(number) else { return Outcome::Missing };
-            return match (job.queue == submit.queue, job.is_open_to(submit.owner.as_ref())) {
+            return match (self.is_in(job, name), job.is_open_to(submit.owner.as_ref())) {
                 (false, _) => Outcome::OtherQueue,
                 (true, false) => Outcome::OtherAccount,
                 (true, true) => Outcome::Accepted,
             };
         }
-        let queue = self.config.as_ref().and_then(|config| config.queues.get(&submit.queue));
-        let Some(queue) = queue else { return Outcome::Missing };
         let number = self.next_job;
         self.next_job += 1;
         let mut job = Job {
             id: submit.id.clone(),
-            queue: submit.queue,
+            queue: name.clone(),
+            place: submit.place,
             owner: submit.owner,
             pool: queue.pool.clone(),
             priority: queue.priority,
@@ -716,6 +742,15 @@
     }
 }
 
+/// Returns the queue that a job goes to.
+fn destination<'a>(config: &'a Config, submit: &Submit) -> Option<(&'a QueueName, &'a Queue)> {
+    let name = match &submit.place {
+        Some(place) => config.queue_at(place)?,
+        None => &submit.queue,
+    };
+    config.queues.get_key_value(name)
+}
+
 fn occurrence_mut<'a>(
     jobs: &'a mut BTreeMap<JobNumber, Job>,
     key: &UnitKey,
--- a/crates/jobs/tests/account.rs
+++ b/crates/jobs/tests/account.rs
@@ -34,7 +34,8 @@
     let definition =
         Definition { steps: vec![Step { count: 1, ..Step::default() }], ..Definition::default() };
     let (queue, owner) = ("q".to_string(), owner.map(str::to_string));
-    ledger.apply(Command::Submit(Submit { queue, id: id.to_string(), definition, owner, at: 1 })).0
+    let id = id.to_string();
+    ledger.apply(Command::Submit(Submit { queue, place: None, id, definition, owner, at: 1 })).0
 }
 
 fn ledger(accounts: &[(&str, u64)]) -> Ledger {
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -23,7 +23,8 @@
     let steps = vec![Step { count: 2, estimate: millis(1000), ..step }];
     let definition = Definition { spec: "s".to_string(), steps, schedule: None };
     let (queue, id) = ("q".to_string(), "a".to_string());
-    ledger.apply(Command::Submit(Submit { queue, id, definition, owner: None, at: 1000 }));
+    let submit = Submit { queue, place: None, id, definition, owner: None, at: 1000 };
+    ledger.apply(Command::Submit(submit));
     let placed = vec![Placed { incarnation: Incarnation::new("w1", 1), runs: vec![(UNIT, 1)] }];
     ledger.apply(Command::Runs(Batch { at: 2000, placed, ..Batch::default() }));
     ledger
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -35,8 +35,14 @@
 
 fn submit(ledger: &mut Ledger, id: &str, steps: Vec<Step>) -> Outcome {
     let definition = Definition { spec: "s".to_string(), steps, schedule: None };
-    let submit =
-        Submit { queue: "q".to_string(), id: id.to_string(), definition, owner: None, at: 1000 };
+    let submit = Submit {
+        queue: "q".to_string(),
+        place: None,
+        id: id.to_string(),
+        definition,
+        owner: None,
+        at: 1000,
+    };
     ledger.apply(Command::Submit(submit)).0
 }
 
@@ -197,8 +203,14 @@
     let schedule = Schedule { first_due: 0, interval: Duration::from_secs(1), occurrences: 2 };
     let steps = vec![Step { gang: true, ..step(2) }];
     let definition = Definition { spec: String::new(), steps, schedule: Some(schedule) };
-    let submit =
-        Submit { queue: "q".to_string(), id: "a".to_string(), definition, owner: None, at: 0 };
+    let submit = Submit {
+        queue: "q".to_string(),
+        place: None,
+        id: "a".to_string(),
+        definition,
+        owner: None,
+        at: 0,
+    };
     ledger.apply(Command::Submit(submit));
     let mut number = 0;
     for occurrence in 0..2 {
@@ -244,6 +256,7 @@
     for (id, at, kept) in [("b", 122_000, true), ("c", 122_001, false)] {
         let submit = Submit {
             queue: "q".to_string(),
+            place: None,
             id: id.to_string(),
             definition: definition.clone(),
             owner: None,
--- a/crates/sched/benches/starts.rs
+++ b/crates/sched/benches/starts.rs
@@ -143,7 +143,7 @@
         let at = self.time().wall;
         let (queue, id) = (format!("q{pool}"), format!("{number:016x}"));
         let owner = (number as usize).checked_rem(self.accounts).map(account);
-        self.apply(Command::Submit(Submit { queue, id, definition, owner, at }));
+        self.apply(Command::Submit(Submit { queue, place: None, id, definition, owner, at }));
     }
 
     fn tick(&mut self) {
--- a/crates/sched/tests/explain.rs
+++ b/crates/sched/tests/explain.rs
@@ -31,7 +31,7 @@
     let definition = Definition { steps, ..Definition::default() };
     let (queue, id, owner) = ("q".to_string(), "described".to_string(), owner.map(str::to_string));
     let at = world.time().wall;
-    ledger.apply(Command::Submit(Submit { queue, id, definition, owner, at }));
+    ledger.apply(Command::Submit(Submit { queue, place: None, id, definition, owner, at }));
     let number = ledger.job_number("described").unwrap();
     world.scheduler.explain_place(world.time(), &ledger, number).unwrap()
 }
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -386,7 +386,8 @@
         let definition = JobDefinition { spec: id.to_string(), steps, schedule: None };
         let at = self.time().wall;
         let owner = owner.map(str::to_string);
-        let submit = Submit { queue: queue.to_string(), id: id.to_string(), definition, owner, at };
+        let (queue, id) = (queue.to_string(), id.to_string());
+        let submit = Submit { queue, place: None, id, definition, owner, at };
         self.apply(Command::Submit(submit));
     }
 
