Control: a renamed queue counts the pending jobs that were accepted before

After a swap of two names, each place had the other's count.

Cause: the scheduler counts by the name of the queue at acceptance, and the request asked for the present one.

Fix: the ledger records, with each version, under which other names unfinished jobs of a queue were accepted, and the count adds them up. A name that several places have had is counted at each of them, so the sum is limited to the unfinished jobs at the place of which no unit has ended. Without renamed queues nothing is added to the work of a request.

Evidence: on the commit before, two of the nine tests of control/tests/queues.rs failed: a_renamed_queue_counts_the_jobs_that_were_accepted_before: left: Pending(0), right: Pending(1) each_place_counts_its_own_jobs_when_queues_swap_names: left: Pending(1), right: Pending(3) All nine pass now, and the tests of jobs.

--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -176,14 +176,27 @@
             if location.key.is_some() {
                 self.owner(queue, location)?;
             }
-            let scheduler = self.leadership.as_ref().map(|leadership| &leadership.scheduler);
-            return Ok(Reply::Pending(scheduler.map_or(0, |s| s.pending_count(queue)) as u64));
+            return Ok(Reply::Pending(self.pending_count(queue) as u64));
         }
         let owner = self.owner(queue, location)?;
         let job = self.ledger.find_job(queue, id).filter(|job| job.is_open_to(owner.as_ref()));
         Ok(job.map_or(Reply::Missing, |job| Reply::State(job.state)))
     }
 
+    /// Returns the number of jobs of a queue that no worker is known to have begun.
+    fn pending_count(&self, queue: &QueueName) -> usize {
+        let Some(leadership) = &self.leadership else { return 0 };
+        let counted = |name: &QueueName| leadership.scheduler.pending_count(name);
+        let former_names = self.ledger.former_names();
+        if former_names.is_empty() {
+            return counted(queue);
+        }
+        // The scheduler counts by the names at acceptance, which several queues may have had.
+        let former = former_names.get(queue).into_iter().flatten().map(counted).sum::<usize>();
+        let jobs = self.ledger.unfinished_jobs(queue).filter(|job| !job.has_ended_run());
+        (counted(queue) + former).min(jobs.count())
+    }
+
     /// Proposes a command to the log. The reply follows once it is applied.
     fn propose(&mut self, time: Time, command: Command, reply: ReplyTo) {
         match self.node.propose(time.monotonic, super::effects::encode(&command)) {
--- a/crates/control/tests/queues.rs
+++ b/crates/control/tests/queues.rs
@@ -70,6 +70,11 @@
     ask(world, LeaderRequest::Cancel(location(prefix, JOB)))
 }
 
+fn pending(world: &mut World, prefix: &str) -> Reply {
+    let location = Location { path: prefix.to_string(), ..location(prefix, 0) };
+    ask(world, LeaderRequest::State(location))
+}
+
 fn configure(world: &mut World, config: Config) {
     assert_eq!(ask(world, LeaderRequest::Configure(Box::new(config))), Reply::Done);
 }
@@ -138,9 +143,44 @@
     assert_eq!(state(&mut world, "/x/"), Reply::NoQueue);
     assert_eq!(state(&mut world, "/y/"), Reply::State(State::Queued));
     assert_eq!(submit(&mut world, "/y/"), Reply::Done, "the same job at its new place");
+    assert_eq!(pending(&mut world, "/y/"), Reply::Pending(1));
     assert_eq!(cancel(&mut world, "/y/"), Reply::Done);
 }
 
+#[test]
+fn a_renamed_queue_counts_the_jobs_that_were_accepted_before() {
+    let mut world = world(config(1, &[("a", "/x/"), ("b", "/y/")]));
+    assert_eq!(submit(&mut world, "/x/"), Reply::Done);
+    configure(&mut world, config(2, &[("b", "/y/"), ("c", "/x/")]));
+    assert_eq!(pending(&mut world, "/x/"), Reply::Pending(1));
+    assert_eq!(ask(&mut world, submit_to(location("/x/", 2))), Reply::Done);
+    assert_eq!(pending(&mut world, "/x/"), Reply::Pending(2));
+    assert_eq!(pending(&mut world, "/y/"), Reply::Pending(0));
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.heal();
+    assert_eq!(pending(&mut world, "/x/"), Reply::Pending(2), "by the next leader");
+    assert_eq!(cancel(&mut world, "/x/"), Reply::Done);
+    assert_eq!(pending(&mut world, "/x/"), Reply::Pending(1));
+}
+
+#[test]
+fn each_place_counts_its_own_jobs_when_queues_swap_names() {
+    let mut world = world(config(1, &[("a", "/x/"), ("b", "/y/")]));
+    for id in [1, 2, 3] {
+        assert_eq!(ask(&mut world, submit_to(location("/x/", id))), Reply::Done);
+    }
+    assert_eq!(ask(&mut world, submit_to(location("/y/", 4))), Reply::Done);
+    configure(&mut world, config(2, &[("a", "/y/"), ("b", "/x/")]));
+    assert_eq!(ask(&mut world, submit_to(location("/y/", 5))), Reply::Done);
+    assert_eq!(pending(&mut world, "/x/"), Reply::Pending(3));
+    assert_eq!(pending(&mut world, "/y/"), Reply::Pending(2));
+    configure(&mut world, config(3, &[("a", "/z/"), ("b", "/x/"), ("c", "/y/")]));
+    assert_eq!(pending(&mut world, "/x/"), Reply::Pending(3));
+    assert_eq!(pending(&mut world, "/y/"), Reply::Pending(2));
+    assert_eq!(pending(&mut world, "/z/"), Reply::Pending(0), "a new queue with an old name");
+}
+
 #[test]
 fn a_renamed_queue_shows_a_job_to_its_account_only() {
     let mut world = world(with_accounts(config(1, &[("a", "/x/")])));
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -113,6 +113,9 @@
     /// Accounts that the configuration in force no longer has, while they own unfinished jobs.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     former_accounts: BTreeMap<AccountName, Account>,
+    /// Names under which unfinished jobs of a queue were accepted, other than its present one.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    former_names: BTreeMap<QueueName, BTreeSet<QueueName>>,
     jobs: BTreeMap<JobNumber, Job>,
     /// Numbers of the jobs by name. A name exists only once in all queues.
     by_id: BTreeMap<JobId, JobNumber>,
@@ -140,6 +143,7 @@
             retention,
             config: None,
             former_accounts: BTreeMap::new(),
+            former_names: BTreeMap::new(),
             jobs: BTreeMap::new(),
             by_id: BTreeMap::new(),
             next_job: 1,
@@ -196,6 +200,23 @@
         present.is_at(place) || (is_namesake && config.queue_at(place).is_none())
     }
 
+    /// Returns the unfinished jobs of a queue.
+    pub fn unfinished_jobs<'a>(&'a self, queue: &'a QueueName) -> impl Iterator<Item = &'a Job> {
+        let unfinished = self.jobs.values().filter(|job| !job.state.is_final());
+        unfinished.filter(|job| self.is_in(job, queue))
+    }
+
+    /// Returns names under which jobs of queues were accepted, by the present name of the queue and
+    /// without that. Empty unless a queue with unfinished jobs was renamed.
+    ///
+    /// ```
+    /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
+    /// assert!(ledger.former_names().is_empty());
+    /// ```
+    pub fn former_names(&self) -> &BTreeMap<QueueName, BTreeSet<QueueName>> {
+        &self.former_names
+    }
+
     /// Returns the number of a job by the name that its client gave.
     pub fn job_number(&self, id: &str) -> Option<JobNumber> {
         self.by_id.get(id).copied()
@@ -335,7 +356,7 @@
         if self.config.as_ref().is_some_and(|current| current.version >= config.version) {
             return Outcome::Done;
         }
-        self.assign_pools(&config);
+        self.assign_queues(&config);
         let previous = self.config.as_ref().map_or("none".to_string(), |c| c.version.to_string());
         let text = format!(
             "version {} is in force after version {previous}: {} queues, {} pools",
@@ -354,19 +375,23 @@
         Outcome::Done
     }
 
-    /// Sends each job to the pool of its queue. A job whose queue a configuration drops keeps its
-    /// pool.
-    fn assign_pools(&mut self, config: &Config) {
-        let at: BTreeMap<(&str, &str), &Queue> = config
+    /// Sends each job to the pool of its queue, and records the former names of queues. A job whose
+    /// queue a configuration drops keeps its pool.
+    fn assign_queues(&mut self, config: &Config) {
+        let at: BTreeMap<(&str, &str), (&QueueName, &Queue)> = config
             .queues
-            .values()
-            .map(|queue| ((queue.host.as_str(), queue.prefix.as_str()), queue))
+            .iter()
+            .map(|(name, queue)| ((queue.host.as_str(), queue.prefix.as_str()), (name, queue)))
             .collect();
+        self.former_names.clear();
         for job in self.jobs.values_mut() {
             let place = job.place.as_ref();
             let there = place.and_then(|place| at.get(&(&*place.host, &*place.prefix)).copied());
-            if let Some(queue) = there.or_else(|| config.queues.get(&job.queue)) {
-                job.pool = queue.pool.clone();
+            let queue = there.or_else(|| config.queues.get_key_value(&job.queue));
+            let Some((name, queue)) = queue else { continue };
+            job.pool = queue.pool.clone();
+            if *name != job.queue && !job.state.is_final() {
+                self.former_names.entry(name.clone()).or_default().insert(job.queue.clone());
             }
         }
     }
