Control: a path below a dropped queue's prefix is answered 404, also under a shorter prefix

Callers saw: where a queue is dropped and another one has a shorter prefix of the same path, GET for a job that was accepted at the dropped one is answered 410, as if it did not exist, and POST and DELETE 400. Without the shorter prefix all of them are answered 404. A GET for an accepted job must not be answered 410.

Cause: the shorter prefix selects the other queue, and the rest of the path was looked up as the name of a job.

Fix: the rest of a path that has a slash is no job's name, but a path of a longer prefix that no queue has.

--- a/crates/control/src/core/requests.rs
+++ b/crates/control/src/core/requests.rs
@@ -151,7 +151,9 @@
         let Some(config) = self.ledger.config() else {
             return Err(Reply::NotTaken("no configuration is in force".to_string()));
         };
-        config.route(&location.host, &location.path).ok_or(Reply::NoQueue)
+        // No job's name has a slash: with one, the path is below a longer prefix that no queue has.
+        let found = config.route(&location.host, &location.path);
+        found.filter(|(_, rest)| !rest.contains('/')).ok_or(Reply::NoQueue)
     }
 
     /// Returns the account that a request counts for by the configuration in force; `None` for a
--- a/crates/control/tests/queues.rs
+++ b/crates/control/tests/queues.rs
@@ -197,6 +197,21 @@
     assert_eq!(ask(&mut world, LeaderRequest::Cancel(with_key("ka"))), Reply::Done);
 }
 
+#[test]
+fn a_dropped_queue_below_the_prefix_of_another_is_no_queue() {
+    let mut world = world(config(1, &[("a", "/x/"), ("b", "/x/y/")]));
+    assert_eq!(submit(&mut world, "/x/y/"), Reply::Done);
+    assert_eq!(state(&mut world, "/x/"), Reply::Missing);
+    configure(&mut world, config(2, &[("a", "/x/")]));
+    assert_eq!(state(&mut world, "/x/y/"), Reply::NoQueue);
+    assert_eq!(cancel(&mut world, "/x/y/"), Reply::NoQueue);
+    assert_eq!(submit(&mut world, "/x/y/"), Reply::NoQueue);
+    assert_eq!(pending(&mut world, "/x/y/"), Reply::NoQueue);
+    assert_eq!(state(&mut world, "/x/"), Reply::Missing, "the job is not in the queue above");
+    configure(&mut world, config(3, &[("a", "/x/"), ("c", "/x/y/")]));
+    assert_eq!(state(&mut world, "/x/y/"), Reply::State(State::Queued));
+}
+
 /// Proposes a version, and a job at `/x/` before the version is applied.
 fn submit_beside(world: &mut World, config: Config) -> Reply {
     let leader = world.leader().unwrap();
