Sched: a poll decides which incarnation of a worker is the present one, not its start time

Callers saw (in tests): after a change of leader, units that ran at a worker whose wall clock had been set back at its restart were started a second time; the same when a delayed report of an earlier incarnation with a later start arrived.

Cause: `Scheduler::on_report` ordered incarnations by the start that they state. A report with an earlier start was ignored, so a leader that knew such a worker only from the runs in the ledger never learned its address, and discarded the runs when the assumed lease was over. One with a later start was believed at once, and runs of the present incarnation were discarded.

Now a report of another start than the known one is a reason to poll, at the address that it names if none is known. A poll that is open then no longer counts, and the next one does not wait. Processes under one id follow each other, so the incarnation that answers a poll sent after the report is the later one; the others are remembered as ended. A start that is no longer remembered only costs a poll. A report from another address with a later start is believed as before, since no poll of the known address can decide. An answer that names no start is taken for that of the latest one reported.

Two new tests fail on the code before: `a_delayed_report_of_an_unknown_incarnation_with_a_later_start_ends_no_run` (left: 2, right: 1 starts) and `a_run_at_a_worker_whose_wall_clock_was_set_back_goes_on_after_a_change_of_leader` (unit 0, left: 2, right: 1).

--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -88,6 +88,9 @@
     pub proposals: Vec<Command>,
     /// Orders to send to workers, the cloud and the policy service.
     pub orders: Vec<Order>,
+    /// Incarnations that polls have shown to be the present ones of their workers, with the start
+    /// times that they state; for the roster.
+    pub answered: Vec<Incarnation>,
     /// Decisions and their reasons, for the process log.
     pub explanations: Vec<Explanation>,
 }
@@ -227,6 +230,8 @@
     /// Other commands for the next proposals.
     commands: Vec<Command>,
     orders: Vec<Order>,
+    /// Incarnations that polls have shown to be present since the last decision.
+    answered: Vec<Incarnation>,
     explanations: Vec<Explanation>,
 }
 
@@ -301,6 +306,7 @@
             adoptions: Batch::default(),
             commands: Vec::new(),
             orders: Vec::new(),
+            answered: Vec::new(),
             explanations: Vec::new(),
         };
         scheduler.inherit(time, ledger);
@@ -430,34 +436,31 @@
 
 /// Inputs.
 impl Scheduler {
-    /// Handles a worker's report. A report of an older incarnation is ignored; one of a
-    /// newer incarnation releases or stops the runs of the previous one.
+    /// Handles a worker's report. One of another incarnation than the known one is a reason to poll:
+    /// stated start times don't order incarnations, since wall clocks are set back, and reports are
+    /// delayed. The incarnation that answers is the present one.
     pub fn on_report(&mut self, time: Time, ledger: &Ledger, report: &Report) {
         let id = &report.incarnation.worker;
-        let known_incarnation = self.workers.get(id).map(|worker| worker.incarnation.clone());
-        if let Some(worker) = self.workers.get(id) {
-            match report.incarnation.started_at {
-                stated_start if worker.has_ended(stated_start) => return,
-                stated_start if stated_start > worker.stated_start => {
-                    self.on_new_incarnation(time, ledger, id, stated_start);
-                }
-                _ => {}
+        let stated_start = report.incarnation.started_at;
+        let known = self.workers.get(id).filter(|worker| worker.stated_start != stated_start);
+        if let Some(worker) = known {
+            if !worker.is_left_behind_by(report) {
+                self.question(time, ledger, report);
+                return;
             }
+            self.on_new_incarnation(time, ledger, id, stated_start);
         }
         let incarnation = match self.workers.get(id) {
             Some(worker) => worker.incarnation.clone(),
             None => successor_in_ledger(ledger, &report.incarnation),
         };
-        let stated_start = report.incarnation.started_at;
         let report = &Report { incarnation, ..report.clone() };
         if self.workers.get(&report.incarnation.worker).is_some_and(|worker| worker.ended) {
             return; // the report was sent before the incarnation ended
         }
-        if known_incarnation.is_none_or(|incarnation| incarnation != report.incarnation) {
-            self.propose_done_after_restart(time, ledger, report);
-        }
         if self.workers.get(&report.incarnation.worker).is_none_or(|worker| worker.report.is_none())
         {
+            self.propose_done_after_restart(time, ledger, report);
             self.end_arrived_move(&report.instance, &report.pool);
             self.explain_losses(report);
         }
@@ -493,6 +496,23 @@
         }
     }
 
+    /// Asks which incarnation of a worker is the present one, after a report of another than the
+    /// known one.
+    fn question(&mut self, time: Time, ledger: &Ledger, report: &Report) {
+        let id = &report.incarnation.worker;
+        let stated_start = report.incarnation.started_at;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.ended_starts.contains(&stated_start) {
+            return;
+        }
+        let known = worker.stated_start;
+        if worker.claim(report) {
+            self.suspect_restart(time, ledger, id);
+            let text = format!("reports a start at {stated_start}, not {known}: to be polled");
+            self.explain(id.clone(), text);
+        }
+    }
+
     /// Records the reporting worker for its instance unless a worker that started
     /// later has reported from there.
     fn record_instance_worker(&mut self, time: Time, report: &Report) {
@@ -607,7 +627,8 @@
             }
         }
         let orders = std::mem::take(&mut self.orders);
-        Output { proposals, orders, explanations: std::mem::take(&mut self.explanations) }
+        let answered = std::mem::take(&mut self.answered);
+        Output { proposals, orders, answered, explanations: std::mem::take(&mut self.explanations) }
     }
 }
 
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -85,6 +85,7 @@
             }
             let max_wait = match (worker.answered_under_fence, worker.runs.is_empty()) {
                 (false, _) => Duration::ZERO,
+                (true, _) if !worker.claims.is_empty() => Duration::ZERO,
                 (true, true) if worker.unplaced.is_empty() => MAX_WAIT_IDLE,
                 (true, _) if worker.next_poll_settles_run() => Duration::ZERO,
                 (true, _) if worker.has_trial() => MAX_WAIT_ON_TRIAL,
@@ -93,7 +94,8 @@
             };
             // Extending the lease of a worker that does not answer would keep it from
             // ever expiring.
-            let extend_lease = worker.polling.unanswered == 0 && !worker.runs.is_empty();
+            let extend_lease =
+                worker.polling.unanswered == 0 && !worker.runs.is_empty() && !worker.ended;
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
             let acknowledged_through = worker.acknowledge(committed_through);
             worker.polling.sent_at = Some(now);
@@ -138,15 +140,30 @@
         if worker.polling.grants_lease && !is_answered {
             worker.polling.unanswered_grant_at = Some(reply.sent_at);
         }
-        if worker.ended {
+        let answered = match &reply.answer {
+            Answer::Done(run_lists) => Some(worker.answered_start(run_lists)),
+            _ => None,
+        };
+        if worker.ended && answered.is_none_or(|start| start == worker.stated_start) {
+            worker.address = None;
             return; // the incarnation ended while the poll was open
         }
         match reply.answer {
             Answer::Done(run_lists) => {
-                let stated_start = run_lists.started_at.unwrap_or(worker.stated_start);
+                let stated_start = worker.answered_start(&run_lists);
+                let is_news = !worker.answered_under_fence
+                    || !worker.claims.is_empty()
+                    || stated_start != worker.stated_start;
+                if is_news {
+                    self.answered.push(Incarnation::new(id.clone(), stated_start));
+                }
+                let report = worker.settle_claims(stated_start);
                 if stated_start != worker.stated_start {
                     self.on_new_incarnation(time, ledger, &id, stated_start);
-                    self.send_first_stops(time, ledger, &id);
+                    match report {
+                        Some(report) => self.on_report(time, ledger, &report),
+                        None => self.send_first_stops(time, ledger, &id),
+                    }
                     return;
                 }
                 self.unexplained_losses.remove(&id);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -20,6 +20,8 @@
 const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// Time beyond the longest wait of a poll after which copies of a worker's runs may be started.
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(400);
+/// Most start times of ended incarnations that are kept for one worker.
+const MAX_ENDED_STARTS: usize = 16;
 /// Shortest time between two looks at the late starts of a worker.
 const LATE_STARTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Consecutive lists without an instance after which it is considered deleted, or without a worker
@@ -167,6 +169,16 @@
             && self.heard_at.is_none_or(|at| now >= at + SILENT_AFTER)
     }
 
+    /// Counts the open poll as one without an answer, whose answer may still arrive and is ignored.
+    pub fn abandon(&mut self) {
+        let open = self.sent_at.take();
+        if self.grants_lease && open.is_some() {
+            self.unanswered_grant_at = open;
+        }
+        self.unanswered_polls = self.unanswered_polls.max(u32::from(open.is_some()));
+        self.next_at = Duration::ZERO;
+    }
+
     /// Records which ends the worker still lists, and so which ones it has forgotten.
     pub fn record_listed_ends(&mut self, run_lists: &RunLists) {
         let first_listed = run_lists.finished.iter().map(|end| end.number).min();
@@ -193,8 +205,12 @@
     /// Start time that the present incarnation states. It may be earlier than that of its
     /// predecessor, since wall clocks are set back.
     pub stated_start: UnixMs,
-    /// Later start times that earlier incarnations stated.
+    /// Start times that incarnations stated which are known to have ended, not all of them: a report
+    /// of one that is missing only leads to a poll.
     pub ended_starts: BTreeSet<UnixMs>,
+    /// Reports of other incarnations, by the start time that they state. The next answer to a poll
+    /// shows which of them is the present one.
+    pub claims: BTreeMap<UnixMs, Report>,
     /// Restarts under its id as far as the leader knows; rises while the worker is known.
     pub restarts: u64,
     /// The fence of orders to the present incarnation is higher than that of orders to the one before.
@@ -255,6 +271,7 @@
             stated_start: incarnation.started_at,
             incarnation,
             ended_starts: BTreeSet::new(),
+            claims: BTreeMap::new(),
             restarts: 0,
             has_own_fence: false,
             report: None,
@@ -281,17 +298,53 @@
         }
     }
 
-    /// Returns whether the incarnation that states the given start time has ended.
-    pub fn has_ended(&self, stated_start: UnixMs) -> bool {
-        stated_start < self.stated_start || self.ended_starts.contains(&stated_start)
+    /// Returns whether a report of another incarnation has to be believed by its start time, since it
+    /// comes from another address: no poll of the known one can decide.
+    pub fn is_left_behind_by(&self, report: &Report) -> bool {
+        let stated_start = report.incarnation.started_at;
+        self.address.is_some_and(|address| address != report.address)
+            && stated_start > self.stated_start
+            && !self.ended_starts.contains(&stated_start)
+    }
+
+    /// Records the report of another incarnation than the known one, and returns whether that is
+    /// news. An open poll no longer counts then, as it may have been answered before the report was
+    /// sent.
+    pub fn claim(&mut self, report: &Report) -> bool {
+        let is_new = self.claims.insert(report.incarnation.started_at, report.clone()).is_none();
+        self.address.get_or_insert(report.address);
+        if is_new {
+            self.polling.abandon();
+        }
+        is_new
+    }
+
+    /// Returns the start time of the incarnation that answered a poll. If the answer does not state
+    /// it, the one that reports the latest start is taken for it.
+    pub fn answered_start(&self, run_lists: &RunLists) -> UnixMs {
+        let latest = self.claims.last_key_value().map_or(0, |(start, _)| *start);
+        run_lists.started_at.unwrap_or(self.stated_start.max(latest))
+    }
+
+    /// Decides between the known incarnation and those that have reported, after the one that
+    /// states `answered` has answered a poll. Returns its report if it is one of the others.
+    pub fn settle_claims(&mut self, answered: UnixMs) -> Option<Report> {
+        let mut claims = std::mem::take(&mut self.claims);
+        let report = claims.remove(&answered);
+        self.ended_starts.extend(claims.into_keys());
+        self.ended_starts.remove(&answered);
+        while self.ended_starts.len() > MAX_ENDED_STARTS {
+            self.ended_starts.pop_first();
+        }
+        report
     }
 
     /// Begins a new incarnation, and returns the start time that the previous one stated.
     pub fn replace_incarnation(&mut self, stated_start: UnixMs) -> UnixMs {
         let former = std::mem::replace(&mut self.stated_start, stated_start);
         self.ended_starts.insert(former);
+        self.ended_starts.remove(&stated_start);
         self.restarts += 1;
-        self.ended_starts.retain(|ended| *ended > stated_start);
         self.incarnation.started_at =
             stated_start.max(self.incarnation.started_at.saturating_add(1));
         former
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -336,6 +336,48 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_delayed_report_of_an_unknown_incarnation_with_a_later_start_ends_no_run() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    let delayed: Vec<_> = world.workers.values().map(|worker| worker.report.clone()).collect();
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.replace_leader();
+    world.run(seconds(3.0));
+    world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+    run_checked(&mut world, seconds(1.0));
+    for report in &delayed {
+        world.scheduler.on_report(world.time(), &world.ledger, report);
+    }
+    run_checked(&mut world, seconds(30.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1);
+}
+
+#[test]
+fn a_run_at_a_worker_whose_wall_clock_was_set_back_goes_on_after_a_change_of_leader() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.submit("q", "a", vec![step(2, 6000, 20_000)]);
+    run_checked(&mut world, seconds(1.0));
+    world.replace_leader();
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..2 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
