Sched: a roster takes the reports of the incarnation that has answered, whatever its start time

Callers saw (in tests): a worker that restarts with its wall clock set back gets no work for up to 20 s, though it reports.

Cause: `Roster::record` takes a report with an earlier start than the newest one under the id for a stale one, at every core; one that does not lead does not forward it, and the leader does not hand it to its scheduler.

Such a report is now `Doubtful`: not recorded, but handed to the scheduler, or forwarded to the leader if the worker sent it to this core. The scheduler names the incarnations that have answered its polls, and the leader's roster takes their reports and refuses those of the one that was the newest, by identity and not by order. Delayed reports of an incarnation that is known to have ended stay stale, as do those from an address that another worker has. The rosters of other cores learn nothing of the answer: there the earlier incarnation stays for 20 s, and the reports are forwarded meanwhile.

The three tests of the roster need the new call and do not build there.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -143,6 +143,9 @@
         metrics::counter!("scheduler_worker_crashes_total").absolute(effort.worker_crashes);
         metrics::counter!("scheduler_copies_total").absolute(effort.copies);
         metrics::counter!("scheduler_near_waits_total").absolute(effort.near_waits);
+        for answered in &output.answered {
+            self.roster.record_answer(time.monotonic, answered);
+        }
         for explanation in &output.explanations {
             info!(
                 "decided subject={} term={} decision={:?}",
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -439,7 +439,8 @@
     }
 
     /// Records a report and passes it on: to the scheduler if this process leads, else to
-    /// the leader if the worker sent it here (`is_local`).
+    /// the leader if the worker sent it here (`is_local`). One that only its start time makes look old
+    /// is passed on too: the leader asks the worker.
     fn on_report(&mut self, time: Time, report: Report, is_local: bool) {
         let freshness = self.roster.record(time.monotonic, report.clone());
         if freshness == Freshness::Stale {
@@ -461,11 +462,12 @@
             self.broadcast_report(&report);
         }
         if let Some(leadership) = &mut self.leadership {
-            let report =
-                self.roster.get(&report.incarnation.worker).map(|received| received.report.clone());
-            if let Some(report) = report {
-                leadership.scheduler.on_report(time, &self.ledger, &report);
-            }
+            let recorded = self.roster.get(&report.incarnation.worker);
+            let report = match recorded.filter(|_| freshness != Freshness::Doubtful) {
+                Some(received) => received.report.clone(),
+                None => report,
+            };
+            leadership.scheduler.on_report(time, &self.ledger, &report);
         } else if is_local {
             self.unsent_reports.retain(|unsent| unsent.incarnation != report.incarnation);
             self.unsent_reports.push(report);
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -1,10 +1,12 @@
 //! The newest report of each worker.
 //!
-//! Reports may arrive late, twice or out of order; stale ones are ignored.
+//! Reports may arrive late, twice or out of order; stale ones are ignored. Wall clocks are set back,
+//! so the start times that incarnations state don't order them: only the leader's polls show which
+//! one is present.
 
 use crate::crash::MAX_LOSS_AGE;
 use jobs::definition::Resources;
-use jobs::{Incarnation, InstanceId, PoolName, WorkerId};
+use jobs::{Incarnation, InstanceId, PoolName, UnixMs, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -67,6 +69,9 @@
 pub enum Freshness {
     /// The report is out of date and was ignored.
     Stale,
+    /// The report was not recorded: by its start time its incarnation is an earlier one than the
+    /// newest, but it is not known to have ended. The leader has to poll the worker.
+    Doubtful,
     /// The report confirms what was known.
     Unchanged,
     /// The report shows a new incarnation, draining state, address, capacity, pool or labels.
@@ -95,9 +100,12 @@
     /// Last report of each incarnation that another one replaced, under the worker's id, at its
     /// address or on its instance, and when that was recorded.
     replaced: BTreeMap<WorkerId, Received>,
-    /// Last incarnation of each worker that announced its end or is known to have ended,
-    /// and when that was recorded.
-    ended: BTreeMap<WorkerId, (Incarnation, Duration)>,
+    /// Start times of the incarnations of each worker that announced their end or are known to have
+    /// ended, and when that was recorded.
+    ended: BTreeMap<WorkerId, BTreeMap<UnixMs, Duration>>,
+    /// Start times of incarnations that have answered a poll and have not reported since, and when
+    /// that was recorded.
+    answered: BTreeMap<WorkerId, (UnixMs, Duration)>,
 }
 
 /// Time without a new report after which a worker is dropped; also how long ended
@@ -115,24 +123,15 @@
     /// roster.expire(Duration::from_secs(1));
     /// ```
     pub fn record(&mut self, now: Duration, mut report: Report) -> Freshness {
-        if self
-            .ended
-            .get(&report.incarnation.worker)
-            .is_some_and(|(incarnation, _)| *incarnation >= report.incarnation)
-        {
-            return Freshness::Stale;
+        if let Some(freshness) = self.compare_with_known(&report) {
+            return freshness;
         }
         let previous = self.workers.get(&report.incarnation.worker);
-        if let Some(Received { report: newest, .. }) = previous {
-            let stale = (report.incarnation.started_at, report.number)
-                <= (newest.incarnation.started_at, newest.number);
-            if stale {
-                return Freshness::Stale;
-            }
-            if newest.incarnation == report.incarnation {
-                // An incarnation that drains never becomes ready again.
-                report.draining |= newest.draining;
-            }
+        if let Some(Received { report: newest, .. }) = previous
+            && newest.incarnation == report.incarnation
+        {
+            // An incarnation that drains never becomes ready again.
+            report.draining |= newest.draining;
         }
         let own_id = &report.incarnation.worker;
         let started_at = report.incarnation.started_at;
@@ -167,10 +166,68 @@
         }
         self.by_address.entry(report.address).or_default().insert(id.clone());
         self.by_instance.entry(report.instance.clone()).or_default().insert(id.clone());
+        self.answered.remove(&id);
         self.workers.insert(id, Received { report, received_at: now });
         if changed { Freshness::Changed } else { Freshness::Unchanged }
     }
 
+    /// Compares a report with what is known under the worker's id. Returns `None` if the report is
+    /// newer.
+    fn compare_with_known(&self, report: &Report) -> Option<Freshness> {
+        let Incarnation { worker, started_at } = &report.incarnation;
+        let newest = self.workers.get(worker).map(|received| &received.report);
+        let ended = self.ended.get(worker);
+        if self.answered.get(worker).is_some_and(|(answered, _)| answered == started_at) {
+            return None;
+        }
+        if ended.is_some_and(|ended| ended.contains_key(started_at)) {
+            return Some(Freshness::Stale);
+        }
+        match newest {
+            Some(newest) if newest.incarnation == report.incarnation => {
+                (report.number <= newest.number).then_some(Freshness::Stale)
+            }
+            Some(newest) => {
+                (*started_at < newest.incarnation.started_at).then_some(Freshness::Doubtful)
+            }
+            None => {
+                let last_ended = ended.and_then(|ended| ended.last_key_value());
+                last_ended.filter(|(ended, _)| started_at < *ended).map(|_| Freshness::Doubtful)
+            }
+        }
+    }
+
+    /// Records that an incarnation is the present one of its worker, since it has answered the
+    /// leader's poll. Its next report is recorded, and those of the incarnation that was the newest
+    /// are stale from now on.
+    ///
+    /// ```
+    /// let mut roster = sched::Roster::default();
+    /// let answered = jobs::Incarnation::new("w1", 5);
+    /// roster.record_answer(std::time::Duration::ZERO, &answered);
+    /// assert!(roster.get(&answered.worker).is_none(), "it has yet to report");
+    /// ```
+    pub fn record_answer(&mut self, now: Duration, answered: &Incarnation) {
+        if let Some(ended) = self.ended.get_mut(&answered.worker) {
+            ended.remove(&answered.started_at);
+        }
+        let newest = self.workers.get(&answered.worker).map(|r| r.report.incarnation.clone());
+        if newest.as_ref() == Some(answered) {
+            return;
+        }
+        self.answered.insert(answered.worker.clone(), (answered.started_at, now));
+        if let Some(newest) = newest {
+            self.replace(now, &newest.worker);
+            self.record_end(now, &newest);
+        }
+    }
+
+    /// Remembers that an incarnation has ended.
+    fn record_end(&mut self, now: Duration, incarnation: &Incarnation) {
+        let ended = self.ended.entry(incarnation.worker.clone()).or_default();
+        ended.insert(incarnation.started_at, now);
+    }
+
     /// Records that a worker announced the end of its present incarnation, unless the notice is of
     /// an earlier one. Notices name only the worker and may arrive late; but a worker drains before
     /// it leaves.
@@ -187,7 +244,7 @@
         }
         let Some(received) = self.remove(worker) else { return AnnouncedEnd::UnknownWorker };
         let incarnation = received.report.incarnation;
-        self.ended.insert(worker.clone(), (incarnation.clone(), now));
+        self.record_end(now, &incarnation);
         AnnouncedEnd::OfPresent(incarnation)
     }
 
@@ -209,7 +266,7 @@
         {
             self.remove(&incarnation.worker);
         }
-        self.ended.insert(incarnation.worker.clone(), (incarnation.clone(), now));
+        self.record_end(now, incarnation);
     }
 
     /// Drops workers that have not reported for `REPORT_EXPIRY`, and ended incarnations
@@ -226,7 +283,11 @@
             self.remove(&id);
         }
         self.replaced.retain(|_, received| now < received.received_at + MAX_LOSS_AGE);
-        self.ended.retain(|_, (_, ended_at)| now < *ended_at + REPORT_EXPIRY);
+        self.answered.retain(|_, (_, answered_at)| now < *answered_at + REPORT_EXPIRY);
+        self.ended.retain(|_, ended| {
+            ended.retain(|_, ended_at| now < *ended_at + REPORT_EXPIRY);
+            !ended.is_empty()
+        });
     }
 
     /// Removes a worker that another incarnation replaces.
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -378,6 +378,19 @@
     }
 }
 
+#[test]
+fn a_worker_whose_wall_clock_was_set_back_gets_work_at_once() {
+    let mut world = World::new(1);
+    world.uses_roster = true;
+    world.run_times.insert("a".to_string(), seconds(0.5));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", seconds(0.3));
+    world.run(seconds(0.5)); // it has reported once
+    world.submit("q", "a", vec![step(4, 1000, 500)]);
+    run_checked(&mut world, seconds(1.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
--- a/crates/sched/tests/roster.rs
+++ b/crates/sched/tests/roster.rs
@@ -108,3 +108,44 @@
     roster.record_announced_end(at(3), &"a".to_string());
     assert!(names(&roster).is_empty());
 }
+
+#[test]
+fn an_incarnation_that_has_answered_a_poll_may_state_an_earlier_start() {
+    let present = |number| Report { number, ..report("a", 1, "m1", 80) };
+    let earlier = |number| Report { number, ..report("a", 5, "m1", 80) };
+    let mut roster = Roster::default();
+    roster.record(at(0), earlier(7));
+    assert_eq!(roster.record(at(1), present(1)), Freshness::Doubtful, "it may be an old one");
+    assert_eq!(roster.get(&"a".to_string()).unwrap().report, earlier(7));
+    roster.record_answer(at(1), &present(1).incarnation);
+    assert_eq!(roster.record(at(2), earlier(8)), Freshness::Stale);
+    assert_eq!(roster.record(at(2), present(2)), Freshness::Changed);
+    assert_eq!(roster.record(at(3), earlier(9)), Freshness::Stale);
+    assert_eq!(roster.record(at(3), present(2)), Freshness::Stale);
+    assert_eq!(roster.record(at(4), present(3)), Freshness::Unchanged);
+    assert_eq!(roster.replaced().cloned().collect::<Vec<_>>(), [earlier(7)]);
+}
+
+#[test]
+fn a_late_report_with_a_later_start_does_not_outlast_an_answer_of_the_present_incarnation() {
+    let present = |number| Report { number, ..report("a", 1, "m1", 80) };
+    let mut roster = Roster::default();
+    roster.record(at(0), present(1));
+    roster.record(at(1), report("a", 5, "m1", 80));
+    roster.record_answer(at(1), &present(1).incarnation);
+    assert_eq!(roster.record(at(2), present(2)), Freshness::Changed);
+    assert_eq!(roster.get(&"a".to_string()).unwrap().report, present(2));
+}
+
+#[test]
+fn a_worker_that_announced_its_end_may_come_back_with_an_earlier_start() {
+    let present = |number| Report { number, ..report("a", 1, "m1", 80) };
+    let mut roster = Roster::default();
+    roster.record(at(0), Report { draining: true, ..report("a", 5, "m1", 80) });
+    roster.record_announced_end(at(1), &"a".to_string());
+    assert_eq!(roster.record(at(2), report("a", 5, "m1", 80)), Freshness::Stale);
+    assert_eq!(roster.record(at(2), present(1)), Freshness::Doubtful);
+    roster.record_answer(at(2), &present(1).incarnation);
+    assert_eq!(roster.record(at(3), present(2)), Freshness::Changed);
+    assert_eq!(roster.record(at(4), present(3)), Freshness::Unchanged);
+}
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -420,6 +420,9 @@
         let output = self.scheduler.decide(time, &self.ledger);
         self.record_time("decide", started_at);
         self.log.extend(output.explanations.into_iter().map(|e| (self.now, e)));
+        for answered in &output.answered {
+            self.roster.record_answer(self.now, answered);
+        }
         for command in output.proposals {
             self.apply(command);
         }
