Jobs: the log records a restart of a worker, with the start that it states

Callers saw (in tests): after a change of leader a job at a worker whose wall clock had been set back never ends; and each such worker is taken for restarted once more.

Cause: the ledger names a made-up later start for an incarnation that states an earlier one than its predecessor. A new leader took that for the stated one.

A batch now carries the restarts that the leader learns of: the start that the ledger uses and the stated one. A new leader begins with the last incarnation that has ends or a restart on record, with its stated start, and assumes the longest lease where that one is later than its runs. Ends are accepted as before, by the record of ends alone: cores of earlier versions ignore the field, and what they apply must not differ.

Fail on the code before: `a_new_leader_takes_the_ends_of_a_worker_whose_run_was_placed_before_its_last_ends` (left: Running, right: Completed) and `a_new_leader_knows_a_worker_whose_wall_clock_was_set_back` ("new incarnation started at 0, after 2", two workers). The test of the ledger needs the new type and does not build there.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -80,6 +80,9 @@
     /// Runs that the leader is about to start.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub placed: Vec<Placed>,
+    /// Restarts of workers under their ids. Processes from before the field existed ignore it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub restarted: Vec<Restart>,
 }
 
 impl Batch {
@@ -89,6 +92,7 @@
             && self.crashed.is_empty()
             && self.discarded.is_empty()
             && self.placed.is_empty()
+            && self.restarted.is_empty()
     }
 }
 
@@ -189,6 +193,18 @@
     pub runs: Vec<(UnitKey, RunNumber)>,
 }
 
+/// Restart of a worker under its id.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Restart {
+    /// The new incarnation, by the start time that the ledger uses for it, which is later than those
+    /// of its predecessors.
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
+    /// Start time that it states. It may be earlier, since wall clocks are set back.
+    #[serde(rename = "stated")]
+    pub stated_start: UnixMs,
+}
+
 /// Change of the maintenance phase of an instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MaintenanceChange {
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -6,7 +6,7 @@
 use crate::account::Account;
 use crate::command::{
     Batch, Cancel, Command, CrashList, Discarded, End, EndList, EndReason, MaintenanceChange,
-    MoveChange, Placed, Submit,
+    MoveChange, Placed, Restart, Submit,
 };
 use crate::crash::{self, Crash};
 use crate::job::{Job, Occurrence, Placement, State, Unit};
@@ -86,6 +86,16 @@
     through: u64,
 }
 
+/// Start times of the last incarnation of a worker that is known to have come after another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Restarted {
+    #[serde(rename = "born")]
+    started_at: UnixMs,
+    /// The one that the worker states.
+    #[serde(rename = "stated")]
+    stated_start: UnixMs,
+}
+
 /// A move of an instance whose order may still be carried out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingMove {
@@ -119,6 +129,9 @@
     next_job: JobNumber,
     #[serde(rename = "noted")]
     acknowledged_ends: BTreeMap<WorkerId, AcknowledgedEnds>,
+    /// Kept apart from the ends, which processes that do not read it apply as well.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    restarts: BTreeMap<WorkerId, Restarted>,
     waves: BTreeMap<WaveId, Wave>,
     #[serde(default)]
     moves: BTreeMap<InstanceId, PendingMove>,
@@ -144,6 +157,7 @@
             by_id: BTreeMap::new(),
             next_job: 1,
             acknowledged_ends: BTreeMap::new(),
+            restarts: BTreeMap::new(),
             waves: BTreeMap::new(),
             moves: BTreeMap::new(),
             finished_jobs: BTreeMap::new(),
@@ -224,15 +238,30 @@
         }
     }
 
-    /// Returns when the incarnation of a worker that listed the last end in the log started; `None`
-    /// if no end of the worker is in the log.
+    /// Returns the start of the last incarnation of a worker that has listed an end or is known to
+    /// have restarted, by the time that the ledger uses for it; `None` if there is none.
     ///
     /// ```
     /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
     /// assert_eq!(ledger.last_start(&"i-1".to_string()), None);
     /// ```
     pub fn last_start(&self, worker: &WorkerId) -> Option<UnixMs> {
-        self.acknowledged_ends.get(worker).map(|ends| ends.started_at)
+        let last_end = self.acknowledged_ends.get(worker).map(|ends| ends.started_at);
+        last_end.max(self.restarts.get(worker).map(|restart| restart.started_at))
+    }
+
+    /// Returns the start that an incarnation states, which differs from the one that the ledger uses
+    /// if the worker's wall clock was set back.
+    ///
+    /// ```
+    /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
+    /// assert_eq!(ledger.stated_start(&jobs::Incarnation::new("i-1", 5)), 5);
+    /// ```
+    pub fn stated_start(&self, incarnation: &Incarnation) -> UnixMs {
+        match self.restarts.get(&incarnation.worker) {
+            Some(restart) if restart.started_at == incarnation.started_at => restart.stated_start,
+            _ => incarnation.started_at,
+        }
     }
 
     /// Returns the decisions that are on record.
@@ -454,9 +483,20 @@
                 self.place(&incarnation, unit, run, events);
             }
         }
+        for restart in batch.restarted {
+            self.record_restart(restart);
+        }
         Outcome::Done
     }
 
+    /// Records a restart of a worker unless a later one is on record.
+    fn record_restart(&mut self, restart: Restart) {
+        let Restart { incarnation: Incarnation { worker, started_at }, stated_start } = restart;
+        if self.restarts.get(&worker).is_none_or(|last| last.started_at < started_at) {
+            self.restarts.insert(worker, Restarted { started_at, stated_start });
+        }
+    }
+
     /// Applies the end of a run once; a repeated end, or one of an earlier incarnation, is
     /// ignored.
     fn apply_end(
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -1,6 +1,8 @@
 //! Tests of the ledger, one rule each.
 
-use jobs::command::{Batch, Cancel, Command, Discarded, End, EndList, EndReason, Placed, Submit};
+use jobs::command::{
+    Batch, Cancel, Command, Discarded, End, EndList, EndReason, Placed, Restart, Submit,
+};
 use jobs::definition::{Definition, Resources, Schedule, Step};
 use jobs::ledger::Event;
 use jobs::{Config, Decision, Incarnation, Ledger, Outcome, Pool, Queue, State, UnitKey};
@@ -285,3 +287,22 @@
         assert!(config.check().unwrap_err().to_string().contains("stretch"), "{factor}");
     }
 }
+
+#[test]
+fn the_last_restart_of_a_worker_outlives_a_snapshot() {
+    let restart = |started_at, stated_start| {
+        let incarnation = Incarnation::new("w", started_at);
+        let restarted = vec![Restart { incarnation, stated_start }];
+        Command::Runs(Batch { restarted, ..Batch::default() })
+    };
+    let mut ledger = Ledger::new(Duration::from_secs(120));
+    ledger.apply(restart(11, 5));
+    ledger.apply(restart(10, 10)); // of a leader that did not know the later one
+    let text = serde_json::to_string(&ledger).unwrap();
+    let restored: Ledger = serde_json::from_str(&text).unwrap();
+    assert_eq!(restored.last_start(&"w".to_string()), Some(11));
+    assert_eq!(restored.stated_start(&Incarnation::new("w", 11)), 5);
+    assert_eq!(restored.stated_start(&Incarnation::new("w", 12)), 12);
+    let batch = serde_json::to_string(&Batch::default()).unwrap();
+    assert!(!batch.contains("restarted"), "a batch without restarts is one of earlier versions");
+}
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -38,7 +38,7 @@
 use crate::roster::{Report, Roster};
 use crate::usage::Usage;
 use crate::worker::{Run, RunState, StopReason, Worker};
-use jobs::command::{Batch, Command};
+use jobs::command::{Batch, Command, Restart};
 use jobs::definition::Resources;
 use jobs::ledger::Event;
 use jobs::{
@@ -312,7 +312,8 @@
         scheduler.inherit(time, ledger);
         for report in roster.replaced() {
             let worker = scheduler.workers.get(&report.incarnation.worker);
-            if worker.is_some_and(|worker| worker.incarnation == report.incarnation) {
+            let stated_start = report.incarnation.started_at;
+            if worker.is_some_and(|worker| worker.stated_start == stated_start) {
                 scheduler.on_report(time, ledger, report);
             }
         }
@@ -388,6 +389,7 @@
                 self.enqueue_job(time, ledger, *number);
             }
         }
+        self.inherit_incarnations(time, ledger);
         self.inherit_waves(time, ledger);
         self.inherit_moves(time, ledger);
     }
@@ -420,6 +422,21 @@
         *highest = (*highest).max(number);
     }
 
+    /// Takes over which incarnation of each worker is the last one in the ledger, which may have no
+    /// run there. An order to its predecessor may have given that one the longest lease.
+    fn inherit_incarnations(&mut self, time: Time, ledger: &Ledger) {
+        let longest_lease = Lease::inherited(time.monotonic, self.settings.max_lease);
+        for (id, worker) in &mut self.workers {
+            if let Some(last) = ledger.last_start(id)
+                && last > worker.incarnation.started_at
+            {
+                worker.incarnation.started_at = last;
+                worker.lease = longest_lease.clone();
+            }
+            worker.stated_start = ledger.stated_start(&worker.incarnation);
+        }
+    }
+
     /// Returns a worker's state, adding one with a full inherited lease if it is unknown.
     fn worker_or_inherited(&mut self, time: Time, incarnation: &Incarnation) -> &mut Worker {
         let lease = Lease::inherited(time.monotonic, LEASE_DURATION.min(self.settings.max_lease));
@@ -452,7 +469,15 @@
         }
         let incarnation = match self.workers.get(id) {
             Some(worker) => worker.incarnation.clone(),
-            None => successor_in_ledger(ledger, &report.incarnation),
+            None => {
+                let incarnation = successor_in_ledger(ledger, &report.incarnation);
+                if ledger.stated_start(&incarnation) != stated_start {
+                    self.batch
+                        .restarted
+                        .push(Restart { incarnation: incarnation.clone(), stated_start });
+                }
+                incarnation
+            }
         };
         let report = &Report { incarnation, ..report.clone() };
         if self.workers.get(&report.incarnation.worker).is_some_and(|worker| worker.ended) {
@@ -632,13 +657,14 @@
     }
 }
 
-/// Returns an incarnation that states its start time, with a later one if the ledger has ends of an
-/// incarnation that started later: the ledger applies no ends of an earlier one.
+/// Returns an incarnation by the start time that the ledger uses for it: the one that it states, or a
+/// later one if the last incarnation in the ledger is another and did not start earlier.
 fn successor_in_ledger(ledger: &Ledger, stated: &Incarnation) -> Incarnation {
-    match ledger.last_start(&stated.worker) {
-        Some(last) if last > stated.started_at => {
-            Incarnation::new(stated.worker.clone(), last.saturating_add(1))
-        }
-        _ => stated.clone(),
+    let last = ledger.last_start(&stated.worker);
+    let last = last.map(|start| Incarnation::new(stated.worker.clone(), start));
+    match last.filter(|last| last >= stated) {
+        Some(last) if ledger.stated_start(&last) == stated.started_at => last,
+        Some(last) => Incarnation::new(last.worker, last.started_at.saturating_add(1)),
+        None => stated.clone(),
     }
 }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -11,7 +11,7 @@
 use crate::order::{Order, Refusal, Stop};
 use crate::speed::Speed;
 use crate::worker::{Polling, Run, RunState, StopReason};
-use jobs::command::{Discarded, End, EndReason, Placed};
+use jobs::command::{Discarded, End, EndReason, Placed, Restart};
 use jobs::ledger::Release;
 use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
 use std::time::Duration;
@@ -337,6 +337,8 @@
         worker.hold_late_starts();
         let former_fence = self.fences.after(worker.restarts);
         let former = worker.replace_incarnation(stated_start);
+        let restart = Restart { incarnation: worker.incarnation.clone(), stated_start };
+        self.batch.restarted.push(restart);
         worker.has_own_fence = self.fences.after(worker.restarts) > former_fence;
         worker.report = None;
         worker.answered_under_fence = false;
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -3,7 +3,8 @@
 
 mod world;
 
-use jobs::State;
+use jobs::command::{Batch, Command, End, EndList, EndReason};
+use jobs::{Incarnation, State};
 use std::time::Duration;
 use world::schedule::{Faults, Schedule};
 use world::{World, step};
@@ -391,6 +392,46 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_new_leader_knows_a_worker_whose_wall_clock_was_set_back() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.submit("q", "a", vec![step(2, 6000, 20_000)]);
+    run_checked(&mut world, seconds(1.0));
+    world.replace_leader();
+    let log_length = world.log.len();
+    run_checked(&mut world, seconds(60.0));
+    let is_restart = |text: &str| text.starts_with("new incarnation");
+    let log = world.log.iter().skip(log_length);
+    let restarts: Vec<_> = log.filter(|(_, line)| is_restart(&line.text)).collect();
+    assert!(restarts.is_empty(), "{restarts:?}");
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_new_leader_takes_the_ends_of_a_worker_whose_run_was_placed_before_its_last_ends() {
+    let mut world = World::new(1);
+    world.submit("q", "l", vec![world::long_running(1, 1000)]);
+    world.run(seconds(1.0));
+    // A successor whose clock was ahead has listed an end, and the present incarnation followed it.
+    let reason = EndReason::Done;
+    let end = End { number: 1, unit: None, run: 1, reason, checkpoint: String::new() };
+    let ended = vec![EndList { incarnation: Incarnation::new("w0", 50), ends: vec![end] }];
+    world.apply(Command::Runs(Batch { ended, ..Batch::default() }));
+    world.replace_leader();
+    world.run_times.insert("a".to_string(), seconds(0.1));
+    world.submit("q", "a", vec![step(4, 1000, 100)]);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
