Sched: a run whose start a successor may have answered is not discarded with its predecessor's lease

Callers saw (in tests): a unit on two workers. A young worker that the leader has known for less than a lease restarts unnoticed, its successor answers a start, and is then cut off for longer than the lease.

Cause: the clock in such an answer fits both incarnations (`Origin::Unknown`), so the start stays unconfirmed; but `may_run_unseen` counted only starts without an answer. The lease was given by the clock of the predecessor, which the successor's reaches later, and the leader discarded the run 5.25 s after the start while it went on.

Now each unconfirmed start of this leader counts until it can come no more, and a lease after that. A start that a list or a clock confirms does not.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -725,10 +725,11 @@
     }
 
     /// Returns whether the run may be on an incarnation that the leader can't reach: one of its
-    /// own starts got no answer, and may have been carried out with a lease of `max_lease` until
-    /// it could come no more. Starts of earlier leaders are not known here.
+    /// own starts got no answer, or one that a successor may have given, and may have been carried
+    /// out with a lease of `max_lease` until it could come no more. Starts of earlier leaders are not
+    /// known here.
     pub fn may_run_unseen(&self, now: Duration, max_lease: Duration) -> bool {
-        let unanswered = self.unanswered_starts > 0 || self.state == RunState::Starting;
+        let unanswered = self.unanswered_starts > 0 || !self.is_inherited;
         let lapses_at = |until: Duration| Lease::inherited(until, max_lease).expiry();
         unanswered && self.late_until().and_then(lapses_at).is_some_and(|at| now <= at)
     }
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -62,6 +62,32 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_start_answered_by_an_unnoticed_successor_of_a_young_worker_is_not_repeated_elsewhere() {
+    for ticks in 0..20 {
+        let mut world = World::new(3);
+        world.run_times.insert("a".to_string(), seconds(30.0));
+        let ids = ["w0", "w1", "w2"];
+        ids.iter().for_each(|id| world.restart(id, world::TICK));
+        world.run(seconds(0.2));
+        world.replace_informed_leader();
+        world.run(seconds(0.7) + world::TICK * ticks);
+        world.loses_reports = true;
+        ids.iter().for_each(|id| world.restart(id, world::TICK));
+        world.run(world::TICK);
+        world.submit("q", "a", vec![step(1, 6000, 30_000)]);
+        world.run(world::TICK * 2);
+        let first = world.workers_running("a.0.0.0")[0].clone();
+        world.workers.get_mut(&first).unwrap().partitioned = true;
+        world.loses_reports = false;
+        run_checked(&mut world, seconds(20.0));
+        world.workers.get_mut(&first).unwrap().partitioned = false;
+        run_checked(&mut world, seconds(60.0));
+        assert_eq!(world.overloads, []);
+        assert_eq!(world.state("q", "a"), State::Completed);
+    }
+}
+
 #[test]
 fn a_start_that_outlives_its_worker_does_not_run_beside_its_successor() {
     let mut world = World::new(3);
