--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -82,11 +82,8 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "voided")]
     pub discarded: Vec<Discarded>,
-    /// Workers that started again under their ids. Processes from before the field existed ignore it,
-    /// like the next two.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub restarted: Vec<Restart>,
-    /// Released runs of which a start may still be carried out.
+    /// Released runs of which a start may still be carried out. Processes from before the field
+    /// existed ignore it, like the next one.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub late: Vec<LateRun>,
     /// Placed or late runs of which no start can be carried out any more.
@@ -95,6 +92,9 @@
     /// Runs that the leader is about to start.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub placed: Vec<Placed>,
+    /// Restarts of workers under their ids. Processes from before the field existed ignore it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub restarted: Vec<Restart>,
 }
 
 impl Batch {
@@ -103,10 +103,10 @@
         self.ended.is_empty()
             && self.crashed.is_empty()
             && self.discarded.is_empty()
-            && self.restarted.is_empty()
             && self.late.is_empty()
             && self.settled.is_empty()
             && self.placed.is_empty()
+            && self.restarted.is_empty()
     }
 }
 
@@ -197,17 +197,6 @@
     pub run: RunNumber,
 }
 
-/// A worker that started again under its id.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Restart {
-    /// The new incarnation, by the start that the log uses: later than those of all earlier ones.
-    #[serde(rename = "life")]
-    pub incarnation: Incarnation,
-    /// Start that the worker states, which is earlier if its wall clock was set back.
-    #[serde(rename = "born")]
-    pub stated_start: UnixMs,
-}
-
 /// A run of a unit.
 pub type RunKey = (UnitKey, RunNumber);
 
@@ -239,6 +228,18 @@
     pub runs: Vec<(UnitKey, RunNumber)>,
 }
 
+/// Restart of a worker under its id.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Restart {
+    /// The new incarnation, by the start time that the ledger uses for it, which is later than those
+    /// of its predecessors.
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
+    /// Start time that it states. It may be earlier, since wall clocks are set back.
+    #[serde(rename = "stated")]
+    pub stated_start: UnixMs,
+}
+
 /// Change of the maintenance phase of an instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MaintenanceChange {
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -86,17 +86,16 @@
     through: u64,
 }
 
-/// Last restart of a worker under its id.
+/// Start times of the last incarnation of a worker that is known to have come after another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LastRestart {
-    /// Start of the new incarnation, as the log uses it.
-    #[serde(rename = "life")]
-    pub started_at: UnixMs,
-    /// Start that the worker states.
+struct Restarted {
     #[serde(rename = "born")]
-    pub stated_start: UnixMs,
+    started_at: UnixMs,
+    /// The one that the worker states.
+    #[serde(rename = "stated")]
+    stated_start: UnixMs,
     /// Latest leader time that a command had carried when the restart was recorded.
-    pub at: UnixMs,
+    at: UnixMs,
 }
 
 /// A move of an instance whose order may still be carried out.
@@ -135,9 +134,9 @@
     next_job: JobNumber,
     #[serde(rename = "noted")]
     acknowledged_ends: BTreeMap<WorkerId, AcknowledgedEnds>,
-    /// Workers that started again under their ids.
+    /// Kept apart from the ends, which processes that do not read it apply as well.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    restarts: BTreeMap<WorkerId, LastRestart>,
+    restarts: BTreeMap<WorkerId, Restarted>,
     /// Released runs of which a start may still be carried out.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     late_runs: BTreeMap<RunKey, LateRun>,
@@ -276,28 +275,42 @@
         }
     }
 
-    /// Returns when the incarnation of a worker that listed the last end in the log started; `None`
-    /// if no end of the worker is in the log.
+    /// Returns the start of the last incarnation of a worker that has listed an end or is known to
+    /// have restarted, by the time that the ledger uses for it; `None` if there is none.
     ///
     /// ```
     /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
     /// assert_eq!(ledger.last_start(&"i-1".to_string()), None);
     /// ```
     pub fn last_start(&self, worker: &WorkerId) -> Option<UnixMs> {
-        self.acknowledged_ends.get(worker).map(|ends| ends.started_at)
+        let last_end = self.acknowledged_ends.get(worker).map(|ends| ends.started_at);
+        last_end.max(self.restarts.get(worker).map(|restart| restart.started_at))
     }
 
-    /// Returns the last restart of a worker under its id, and how long ago it was recorded by the times
-    /// that commands carry; `None` if it has not restarted.
+    /// Returns the start that an incarnation states, which differs from the one that the ledger uses
+    /// if the worker's wall clock was set back.
     ///
     /// ```
     /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
-    /// assert_eq!(ledger.last_restart(&"i-1".to_string()), None);
+    /// assert_eq!(ledger.stated_start(&jobs::Incarnation::new("i-1", 5)), 5);
+    /// ```
+    pub fn stated_start(&self, incarnation: &Incarnation) -> UnixMs {
+        match self.restarts.get(&incarnation.worker) {
+            Some(restart) if restart.started_at == incarnation.started_at => restart.stated_start,
+            _ => incarnation.started_at,
+        }
+    }
+
+    /// Returns how long ago the last restart of a worker under its id was recorded, by the times that
+    /// commands carry; `None` if none was.
+    ///
     /// ```
-    pub fn last_restart(&self, worker: &WorkerId) -> Option<(LastRestart, Duration)> {
+    /// let ledger = jobs::Ledger::new(std::time::Duration::from_secs(120));
+    /// assert_eq!(ledger.restart_age(&"i-1".to_string()), None);
+    /// ```
+    pub fn restart_age(&self, worker: &WorkerId) -> Option<Duration> {
         let restart = self.restarts.get(worker)?;
-        let age_ms = self.latest_at.saturating_sub(restart.at);
-        Some((*restart, Duration::from_millis(age_ms)))
+        Some(Duration::from_millis(self.latest_at.saturating_sub(restart.at)))
     }
 
     /// Returns the released runs of which a start may still be carried out.
@@ -544,14 +557,6 @@
         for Discarded { unit, run } in batch.discarded {
             self.discard(unit, run, events);
         }
-        for Restart { incarnation, stated_start } in batch.restarted {
-            let restart = LastRestart {
-                started_at: incarnation.started_at,
-                stated_start,
-                at: self.latest_at,
-            };
-            self.restarts.insert(incarnation.worker, restart);
-        }
         for late in batch.late {
             self.late_runs.insert((late.unit, late.run), late);
         }
@@ -563,9 +568,21 @@
                 self.place(&incarnation, unit, run, events);
             }
         }
+        for restart in batch.restarted {
+            self.record_restart(restart);
+        }
         Outcome::Done
     }
 
+    /// Records a restart of a worker unless a later one is on record.
+    fn record_restart(&mut self, restart: Restart) {
+        let Restart { incarnation: Incarnation { worker, started_at }, stated_start } = restart;
+        if self.restarts.get(&worker).is_none_or(|last| last.started_at < started_at) {
+            let at = self.latest_at;
+            self.restarts.insert(worker, Restarted { started_at, stated_start, at });
+        }
+    }
+
     /// Applies the end of a run once; a repeated end, or one of an earlier incarnation, is
     /// ignored.
     fn apply_end(
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -40,7 +40,7 @@
 use crate::roster::{Report, Roster};
 use crate::usage::Usage;
 use crate::worker::{Absence, Polling, Run, RunState, StopReason, Worker};
-use jobs::command::{Batch, Command, RunKey};
+use jobs::command::{Batch, Command, Restart, RunKey};
 use jobs::definition::Resources;
 use jobs::ledger::{Event, Release};
 use jobs::{
@@ -92,6 +92,9 @@
     pub proposals: Vec<Command>,
     /// Orders to send to workers, the cloud and the policy service.
     pub orders: Vec<Order>,
+    /// Incarnations that polls have shown to be the present ones of their workers, with the start
+    /// times that they state; for the roster.
+    pub answered: Vec<Incarnation>,
     /// Decisions and their reasons, for the process log.
     pub explanations: Vec<Explanation>,
 }
@@ -235,6 +238,8 @@
     /// Other commands for the next proposals.
     commands: Vec<Command>,
     orders: Vec<Order>,
+    /// Incarnations that polls have shown to be present since the last decision.
+    answered: Vec<Incarnation>,
     explanations: Vec<Explanation>,
 }
 
@@ -311,12 +316,14 @@
             settled_due_at: Duration::ZERO,
             commands: Vec::new(),
             orders: Vec::new(),
+            answered: Vec::new(),
             explanations: Vec::new(),
         };
         scheduler.inherit(time, ledger);
         for report in roster.replaced() {
             let worker = scheduler.workers.get(&report.incarnation.worker);
-            if worker.is_some_and(|worker| worker.incarnation == report.incarnation) {
+            let stated_start = report.incarnation.started_at;
+            if worker.is_some_and(|worker| worker.stated_start == stated_start) {
                 scheduler.on_report(time, ledger, report);
             }
         }
@@ -438,18 +445,16 @@
     ) -> &mut Worker {
         let max_lease = self.settings.max_lease;
         let worker = self.worker_or_inherited(time, incarnation);
-        let present = &mut worker.incarnation.started_at;
-        *present = incarnation.started_at.max(*present);
-        worker.stated_start = *present;
-        if let Some((restart, age)) = ledger.last_restart(&incarnation.worker) {
-            if restart.started_at >= *present {
-                *present = restart.started_at;
-                worker.stated_start = restart.stated_start;
-            }
+        let present = worker.incarnation.started_at.max(incarnation.started_at);
+        let last = ledger.last_start(&incarnation.worker).filter(|last| *last > present);
+        worker.incarnation.started_at = last.unwrap_or(present);
+        worker.stated_start = ledger.stated_start(&worker.incarnation);
+        let age = ledger.restart_age(&incarnation.worker);
+        if age.is_some_and(|age| age < LATE_ORDER_WINDOW + max_lease + MAX_CLOCK_STEP) {
             // An order to its predecessor may still extend its lease by the longest time.
-            if age < LATE_ORDER_WINDOW + max_lease + MAX_CLOCK_STEP {
-                worker.lease = Lease::inherited(time.monotonic + LATE_ORDER_WINDOW, max_lease);
-            }
+            worker.lease = Lease::inherited(time.monotonic + LATE_ORDER_WINDOW, max_lease);
+        } else if last.is_some() {
+            worker.lease = Lease::inherited(time.monotonic, max_lease);
         }
         worker
     }
@@ -473,41 +478,46 @@
 
 /// Inputs.
 impl Scheduler {
-    /// Handles a worker's report. A report of an older incarnation is ignored; one of a
-    /// newer incarnation releases or stops the runs of the previous one.
+    /// Handles a worker's report. One of another incarnation than the known one is a reason to poll:
+    /// stated start times don't order incarnations, since wall clocks are set back, and reports are
+    /// delayed. The incarnation that answers is the present one.
     pub fn on_report(&mut self, time: Time, ledger: &Ledger, report: &Report) {
         let id = &report.incarnation.worker;
-        let known_incarnation = self.workers.get(id).map(|worker| worker.incarnation.clone());
-        if let Some(worker) = self.workers.get(id) {
-            match report.incarnation.started_at {
-                stated_start if worker.has_ended(stated_start) => return,
-                stated_start if stated_start > worker.stated_start => {
-                    self.on_new_incarnation(time, ledger, id, stated_start);
-                }
-                _ => {}
+        let stated_start = report.incarnation.started_at;
+        let known = self.workers.get(id).filter(|worker| worker.stated_start != stated_start);
+        if let Some(worker) = known {
+            if !worker.is_left_behind_by(report) {
+                self.question(time, ledger, report);
+                return;
             }
+            self.on_new_incarnation(time, ledger, id, stated_start);
         }
         let incarnation = match self.workers.get(id) {
             Some(worker) => worker.incarnation.clone(),
-            None => successor_in_ledger(ledger, &report.incarnation),
+            None => {
+                let incarnation = successor_in_ledger(ledger, &report.incarnation);
+                if ledger.stated_start(&incarnation) != stated_start {
+                    self.batch
+                        .restarted
+                        .push(Restart { incarnation: incarnation.clone(), stated_start });
+                }
+                incarnation
+            }
         };
-        let stated_start = report.incarnation.started_at;
         let report = &Report { incarnation, ..report.clone() };
         if self.workers.get(&report.incarnation.worker).is_some_and(|worker| worker.ended) {
             return; // the report was sent before the incarnation ended
         }
-        if known_incarnation.as_ref() != Some(&report.incarnation) {
-            self.propose_done_after_restart(time, ledger, report);
-        }
         if self.workers.get(&report.incarnation.worker).is_none_or(|worker| worker.report.is_none())
         {
+            self.propose_done_after_restart(time, ledger, report);
             self.end_arrived_move(&report.instance, &report.pool);
             self.explain_losses(report);
         }
         let moving = self.is_moving(&report.instance);
-        let worker = match known_incarnation {
-            Some(_) => self.worker_or_inherited(time, &report.incarnation),
-            None => self.inherit_worker(time, ledger, &report.incarnation),
+        let worker = match self.workers.contains_key(&report.incarnation.worker) {
+            true => self.worker_or_inherited(time, &report.incarnation),
+            false => self.inherit_worker(time, ledger, &report.incarnation),
         };
         worker.stated_start = stated_start;
         if worker.report.is_none() && moving {
@@ -539,6 +549,23 @@
         }
     }
 
+    /// Asks which incarnation of a worker is the present one, after a report of another than the
+    /// known one.
+    fn question(&mut self, time: Time, ledger: &Ledger, report: &Report) {
+        let id = &report.incarnation.worker;
+        let stated_start = report.incarnation.started_at;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.ended_starts.contains(&stated_start) {
+            return;
+        }
+        let known = worker.stated_start;
+        if worker.claim(report) {
+            self.suspect_restart(time, ledger, id);
+            let text = format!("reports a start at {stated_start}, not {known}: to be polled");
+            self.explain(id.clone(), text);
+        }
+    }
+
     /// Records the reporting worker for its instance unless a worker that started
     /// later has reported from there.
     fn record_instance_worker(&mut self, time: Time, report: &Report) {
@@ -655,24 +682,19 @@
             }
         }
         let orders = std::mem::take(&mut self.orders);
-        Output { proposals, orders, explanations: std::mem::take(&mut self.explanations) }
+        let answered = std::mem::take(&mut self.answered);
+        Output { proposals, orders, answered, explanations: std::mem::take(&mut self.explanations) }
     }
 }
 
-/// Returns an incarnation that states its start time, by the start that the ledger uses for it: a
-/// later one if the ledger has ends or restarts of an incarnation that started later, since it
-/// applies no ends of an earlier one.
+/// Returns an incarnation by the start time that the ledger uses for it: the one that it states, or a
+/// later one if the last incarnation in the ledger is another and did not start earlier.
 fn successor_in_ledger(ledger: &Ledger, stated: &Incarnation) -> Incarnation {
-    let restart = ledger.last_restart(&stated.worker).map(|(restart, _)| restart);
-    let last = ledger.last_start(&stated.worker).max(restart.map(|restart| restart.started_at));
-    let started_at = match (restart, last) {
-        (Some(restart), Some(last))
-            if restart.stated_start == stated.started_at && restart.started_at == last =>
-        {
-            last
-        }
-        (_, Some(last)) if last > stated.started_at => last.saturating_add(1),
-        _ => stated.started_at,
-    };
-    Incarnation::new(stated.worker.clone(), started_at)
+    let last = ledger.last_start(&stated.worker);
+    let last = last.map(|start| Incarnation::new(stated.worker.clone(), start));
+    match last.filter(|last| last >= stated) {
+        Some(last) if ledger.stated_start(&last) == stated.started_at => last,
+        Some(last) => Incarnation::new(last.worker, last.started_at.saturating_add(1)),
+        None => stated.clone(),
+    }
 }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -343,6 +343,8 @@
         worker.hold_late_starts();
         let former_fence = self.fences.after(worker.restarts);
         let former = worker.replace_incarnation(stated_start);
+        let restart = Restart { incarnation: worker.incarnation.clone(), stated_start };
+        self.batch.restarted.push(restart);
         worker.has_own_fence = self.fences.after(worker.restarts) > former_fence;
         worker.report = None;
         worker.answered_under_fence = false;
@@ -356,8 +358,6 @@
         worker.ended = false;
         worker.lists_without = 0;
         worker.is_replaced = false;
-        let incarnation = worker.incarnation.clone();
-        self.batch.restarted.push(Restart { incarnation, stated_start });
         let text = format!(
             "new incarnation started at {stated_start}, after {former}: {} runs discarded, {} starts \
              to be stopped{}",
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -3,7 +3,8 @@
 
 mod world;
 
-use jobs::State;
+use jobs::command::{Batch, Command, End, EndList, EndReason};
+use jobs::{Incarnation, State};
 use std::time::Duration;
 use world::schedule::{Faults, Schedule};
 use world::{World, step};
@@ -61,6 +62,32 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_start_answered_by_an_unnoticed_successor_of_a_young_worker_is_not_repeated_elsewhere() {
+    for ticks in 0..20 {
+        let mut world = World::new(3);
+        world.run_times.insert("a".to_string(), seconds(30.0));
+        let ids = ["w0", "w1", "w2"];
+        ids.iter().for_each(|id| world.restart(id, world::TICK));
+        world.run(seconds(0.2));
+        world.replace_informed_leader();
+        world.run(seconds(0.7) + world::TICK * ticks);
+        world.loses_reports = true;
+        ids.iter().for_each(|id| world.restart(id, world::TICK));
+        world.run(world::TICK);
+        world.submit("q", "a", vec![step(1, 6000, 30_000)]);
+        world.run(world::TICK * 2);
+        let first = world.workers_running("a.0.0.0")[0].clone();
+        world.workers.get_mut(&first).unwrap().partitioned = true;
+        world.loses_reports = false;
+        run_checked(&mut world, seconds(20.0));
+        world.workers.get_mut(&first).unwrap().partitioned = false;
+        run_checked(&mut world, seconds(60.0));
+        assert_eq!(world.overloads, []);
+        assert_eq!(world.state("q", "a"), State::Completed);
+    }
+}
+
 #[test]
 fn a_start_that_outlives_its_worker_does_not_run_beside_its_successor() {
     let mut world = World::new(3);
@@ -336,6 +363,101 @@
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
+#[test]
+fn a_delayed_report_of_an_unknown_incarnation_with_a_later_start_ends_no_run() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    let delayed: Vec<_> = world.workers.values().map(|worker| worker.report.clone()).collect();
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.replace_leader();
+    world.run(seconds(3.0));
+    world.submit("q", "a", vec![step(1, 6000, 20_000)]);
+    run_checked(&mut world, seconds(1.0));
+    for report in &delayed {
+        world.scheduler.on_report(world.time(), &world.ledger, report);
+    }
+    run_checked(&mut world, seconds(30.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1);
+}
+
+#[test]
+fn a_run_at_a_worker_whose_wall_clock_was_set_back_goes_on_after_a_change_of_leader() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.submit("q", "a", vec![step(2, 6000, 20_000)]);
+    run_checked(&mut world, seconds(1.0));
+    world.replace_leader();
+    run_checked(&mut world, seconds(60.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..2 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
+#[test]
+fn a_worker_whose_wall_clock_was_set_back_gets_work_at_once() {
+    let mut world = World::new(1);
+    world.uses_roster = true;
+    world.run_times.insert("a".to_string(), seconds(0.5));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", seconds(0.3));
+    world.run(seconds(0.5)); // it has reported once
+    world.submit("q", "a", vec![step(4, 1000, 500)]);
+    run_checked(&mut world, seconds(1.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_new_leader_knows_a_worker_whose_wall_clock_was_set_back() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(20.0));
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 2000, 50)]);
+    world.run(seconds(2.0));
+    world.wall_clocks_set_back = true;
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(seconds(3.0));
+    world.submit("q", "a", vec![step(2, 6000, 20_000)]);
+    run_checked(&mut world, seconds(1.0));
+    world.replace_leader();
+    let log_length = world.log.len();
+    run_checked(&mut world, seconds(60.0));
+    let is_restart = |text: &str| text.starts_with("new incarnation");
+    let log = world.log.iter().skip(log_length);
+    let restarts: Vec<_> = log.filter(|(_, line)| is_restart(&line.text)).collect();
+    assert!(restarts.is_empty(), "{restarts:?}");
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn a_new_leader_takes_the_ends_of_a_worker_whose_run_was_placed_before_its_last_ends() {
+    let mut world = World::new(1);
+    world.submit("q", "l", vec![world::long_running(1, 1000)]);
+    world.run(seconds(1.0));
+    // A successor whose clock was ahead has listed an end, and the present incarnation followed it.
+    let reason = EndReason::Done;
+    let end = End { number: 1, unit: None, run: 1, reason, checkpoint: String::new() };
+    let ended = vec![EndList { incarnation: Incarnation::new("w0", 50), ends: vec![end] }];
+    world.apply(Command::Runs(Batch { ended, ..Batch::default() }));
+    world.replace_leader();
+    world.run_times.insert("a".to_string(), seconds(0.1));
+    world.submit("q", "a", vec![step(4, 1000, 100)]);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_new_leader_does_not_take_a_restarted_worker_for_empty() {
     let mut world = World::new(3);
