--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -92,6 +92,8 @@
     pub repeats_starts: bool,
     /// Reports do not reach the leader.
     pub loses_reports: bool,
+    /// The cloud's list names no worker for an instance whose worker is down.
+    pub lists_only_workers_up: bool,
     /// Reports pass through the leader's list of the newest ones, which ignores old ones.
     pub uses_roster: bool,
     /// Newest report of each worker, as the cores have them.
@@ -218,6 +220,7 @@
             wall_clocks_set_back: false,
             repeats_starts: false,
             loses_reports: false,
+            lists_only_workers_up: false,
             uses_roster: false,
             roster: Roster::default(),
             has_leader: true,
@@ -757,7 +760,12 @@
             Order::ListInstances => {
                 let in_maintenance = |id: &String| self.returning.contains_key(id);
                 let present = self.workers.iter().filter(|(_, worker)| !worker.is_succeeded);
-                let instances = present.map(|(id, w)| w.instance(in_maintenance(id))).collect();
+                let mut instances: Vec<_> =
+                    present.map(|(id, w)| w.instance(in_maintenance(id))).collect();
+                if self.lists_only_workers_up {
+                    let is_up = |id: &String| !self.workers[id].is_down;
+                    instances.iter_mut().for_each(|i| _ = i.worker.take_if(|id| !is_up(id)));
+                }
                 self.scheduler.on_instance_list(time, instances);
             }
             Order::Pace(to, pace) => {
