--- a/crates/sched/tests/review.rs
+++ b/crates/sched/tests/review.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::time::Duration;
+use world::schedule::{Failure, Faults, Schedule};
 use world::{World, long_running, step};
 
 fn seconds(seconds: f64) -> Duration {
@@ -180,3 +181,68 @@
 fn work_that_lasts_is_not_stopped_since_a_worker_that_refuses_its_start_reports_after_others() {
     report_late_to_new_leader(long_running(1, 6000));
 }
+
+/// Returns the failures of random schedules under changing leaders, in which the cloud names only
+/// workers that are up.
+fn play_with_short_lists(restart_gap: Duration, seeds: &[u64]) -> Vec<Failure> {
+    let faults = Faults { leader_change: 0.01, ..Faults::new(restart_gap) };
+    let play = |seed: &u64| {
+        let mut schedule = Schedule::new(*seed, faults);
+        schedule.world.lists_only_workers_up = true;
+        schedule.play(seconds(120.0)).err()
+    };
+    seeds.iter().filter_map(play).collect()
+}
+
+#[test]
+fn no_unit_runs_twice_while_the_cloud_names_only_workers_that_are_up_and_leaders_change() {
+    for restart_gap in [seconds(20.0), seconds(0.5)] {
+        let failures = play_with_short_lists(restart_gap, &[1044]);
+        assert!(failures.is_empty(), "{restart_gap:?}: {failures:#?}");
+    }
+}
+
+#[test]
+fn no_job_is_given_up_while_workers_restart_and_leaders_change() {
+    let (leader_change, omits_one_poll_in) = (0.01, Some(7));
+    let faults = Faults { leader_change, omits_one_poll_in, ..Faults::new(seconds(0.5)) };
+    let failure = Schedule::new(1169, faults).play(seconds(120.0)).err();
+    assert_eq!(failure, None);
+}
+
+#[test]
+fn a_unit_of_a_lost_worker_does_not_wait_anew_for_its_start_with_each_change_of_leader() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(300.0));
+    set_omitted_starts(&mut world, Some(1));
+    world.submit("q", "a", vec![step(1, 6000, 300_000)]);
+    world.run(world::TICK * 3);
+    set_omitted_starts(&mut world, None);
+    let first = started_worker(&world);
+    world.run(seconds(0.5));
+    world.workers.get_mut(&first).unwrap().is_down = true;
+    for _ in 0..4 {
+        run_checked(&mut world, seconds(10.0)); // the last start ends 15 s and a lease after it was sent
+        world.replace_informed_leader();
+    }
+    assert_eq!(world.starts_of("a.0.0.0").len(), 2, "{:?}", world.starts);
+}
+
+#[test]
+fn a_unit_whose_start_was_released_does_not_wait_anew_with_each_change_of_leader() {
+    let mut world = World::new(3);
+    world.start_delay = seconds(60.0);
+    world.run_times.insert("a".to_string(), seconds(300.0));
+    set_omitted_starts(&mut world, Some(1));
+    world.submit("q", "a", vec![step(1, 6000, 300_000)]);
+    world.run(world::TICK * 3);
+    set_omitted_starts(&mut world, None);
+    let first = started_worker(&world);
+    world.restart(&first, seconds(0.3)); // its start is stopped at the successor and released
+    run_checked(&mut world, seconds(2.0));
+    for _ in 0..6 {
+        world.replace_informed_leader();
+        run_checked(&mut world, seconds(10.0));
+    }
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
