Sched tests: a refused start and a worker that restarts between two leaders, known red

A unit whose start its worker refuses runs elsewhere while the start may still come; when the worker may have restarted, the leader stops that run. Between two leaders nobody does: the successor carries the start out, and the unit runs on two workers.

--- a/crates/sched/tests/review.rs
+++ b/crates/sched/tests/review.rs
@@ -246,3 +246,26 @@
     }
     assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
 }
+
+#[test]
+fn a_start_that_its_worker_refuses_does_not_run_beside_the_next_run_while_there_is_no_leader() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(60.0));
+    for worker in world.workers.values_mut() {
+        worker.loses_start_answers = true;
+        worker.executes_lost_starts = false;
+    }
+    world.submit("q", "a", vec![step(1, 6000, 60_000)]);
+    world.run(world::TICK * 3);
+    let first = started_worker(&world);
+    for (id, worker) in &mut world.workers {
+        worker.loses_start_answers = *id == first;
+    }
+    world.run(seconds(3.0)); // the start is stopped at the worker, and the unit placed on another
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+    world.end_leadership();
+    world.restart(&first, seconds(0.2));
+    run_checked(&mut world, seconds(0.3));
+    world.start_late(&first, "a.0.0.0", 1);
+    run_checked(&mut world, seconds(1.0));
+}
