Sched, jobs: a doubt ends by its age, whichever leader takes it over

A placement and the release of a late run carry their time in the log, a start is sent again for 5 s at most, and what is left of the window is counted by that age, less 5 s for a clock that is wrong. - A new leader stopped a healthy run 1 s after its beginning, since another worker, which might have carried out an earlier start, had not reported yet. Workers report each 1.5 s; it waits for 3 s. - Inherited runs that are settled counted as not known to have begun when their worker crashed, and a job was given up for it. - A run that was listed before the answer to its start came counted as settled, though the answer may say that a copy of the start is under way. Open, and still listed: a successor that starts while there is no leader, and lists of instances that name no worker.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -216,6 +216,9 @@
     /// start, and only a later one may carry it out.
     #[serde(rename = "holds", default, skip_serializing_if = "std::ops::Not::not")]
     pub holds_unit: bool,
+    /// When the release was proposed, on the leader's wall clock.
+    #[serde(rename = "t", default)]
+    pub at: UnixMs,
 }
 
 /// Runs placed on one incarnation of a worker.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -172,6 +172,9 @@
     /// and all copies were answered.
     #[serde(rename = "s", default, skip_serializing_if = "is_false")]
     pub is_settled: bool,
+    /// Latest leader time that a command had carried when it was placed; 0 if it is not known.
+    #[serde(rename = "t", default)]
+    pub at: UnixMs,
 }
 
 impl Job {
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -301,6 +301,15 @@
         }
     }
 
+    /// Returns the latest leader time that a command has carried.
+    ///
+    /// ```
+    /// assert_eq!(jobs::Ledger::new(std::time::Duration::from_secs(120)).latest_at(), 0);
+    /// ```
+    pub fn latest_at(&self) -> UnixMs {
+        self.latest_at
+    }
+
     /// Returns how long ago the last restart of a worker under its id was recorded, by the times that
     /// commands carry; `None` if none was.
     ///
@@ -763,7 +772,13 @@
         unit.last_run = run;
         let checkpoint = unit.checkpoint.clone();
         let placed_on = incarnation.clone();
-        let placement = Placement { incarnation: placed_on, run, checkpoint, is_settled: false };
+        let placement = Placement {
+            incarnation: placed_on,
+            run,
+            checkpoint,
+            is_settled: false,
+            at: self.latest_at,
+        };
         occurrence.place(key.step, key.index, placement);
         events.push(Event::Placed(key, run, incarnation.clone()));
     }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -26,6 +26,8 @@
 mod unplaced;
 mod waiting;
 
+use self::starts::START_WINDOW;
+use self::unplaced::late_until;
 use crate::Fence;
 use crate::Settings;
 use crate::crash::Loss;
@@ -420,11 +422,13 @@
     fn inherit_run(&mut self, time: Time, ledger: &Ledger, unit: UnitKey, placement: &Placement) {
         let Some(job) = ledger.job(unit.job) else { return };
         let step = &job.definition.steps[usize::from(unit.step)];
-        let Placement { incarnation, run: number, is_settled, .. } = placement;
+        let Placement { incarnation, run: number, is_settled, at, .. } = placement;
         let (number, placed_on) = (*number, incarnation.started_at);
         let mut run = Run::new(RunState::Inherited, step, placed_on, time.monotonic);
         run.is_settled = *is_settled;
-        run.unconfirmed_since.take_if(|_| *is_settled);
+        let until = late_until(time, ledger, *at, START_WINDOW);
+        let since = until.saturating_sub(LATE_ORDER_WINDOW);
+        run.unconfirmed_since = (!is_settled && until > time.monotonic).then_some(since);
         run.share_percent = None; // the previous leader may have changed it
         if job.state.is_final() || ledger.unit(&unit).is_some_and(|unit| unit.done) {
             run.stop_reason = Some(StopReason::Unneeded);
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -20,6 +20,8 @@
 /// then waits for the stop to be answered, so it is given up only when an answer is unlikely:
 /// of a worker that leaves out a third of its answers, once in 700 starts.
 const MAX_UNANSWERED_STARTS: u32 = 6;
+/// Time from its placement within which a run is started, also again. Later its unit is placed anew.
+pub(super) const START_WINDOW: Duration = Duration::from_secs(5);
 /// Delay after which a stop is sent again while its run has not ended, whether the
 /// stop was acknowledged or not.
 pub(super) const STOP_RETRY_DELAY: Duration = Duration::from_millis(600);
@@ -168,6 +170,7 @@
         }
         if is_repeated {
             run.unanswered_starts += 1; // the first copy
+            run.unconfirmed_since = run.unconfirmed_since.max(sent_at);
         }
         if worker.incarnation != incarnation || run.state != RunState::Starting {
             return;
@@ -321,9 +324,14 @@
                     {
                         stops.push((key, Some(StopReason::UnansweredStart)));
                     }
+                    RunState::Ready if time.monotonic >= run.placed_at + START_WINDOW => {
+                        stops.push((key, Some(StopReason::UnansweredStart)));
+                    }
                     RunState::Ready if !silent => starts.push(key),
                     RunState::Unclear if !silent => {
-                        if run.unanswered_starts >= MAX_UNANSWERED_STARTS {
+                        if run.unanswered_starts >= MAX_UNANSWERED_STARTS
+                            || time.monotonic >= run.placed_at + START_WINDOW
+                        {
                             given_up.push((id.clone(), run.placed_at));
                             stops.push((key, Some(StopReason::UnansweredStart)));
                         } else {
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -5,13 +5,13 @@
 //! starts that may still be under way to it are barred at the new incarnation by stops.
 
 use super::starts::STOP_RETRY_DELAY;
-use super::{Scheduler, Time};
-use crate::late::{LATE_ORDER_WINDOW, LateStart, Unplaced};
+use super::{MAX_CLOCK_STEP, Scheduler, Time};
+use crate::late::{LATE_ORDER_WINDOW, LateStart, SEND_WINDOW, Unplaced};
 use crate::order::{Order, RunStatus, Stop};
 use crate::worker::{RunState, StopReason, Worker};
 use jobs::command::{LateRun, RunKey};
 use jobs::definition::Resources;
-use jobs::{Ledger, RunNumber, UnitKey, WorkerId};
+use jobs::{Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 const SETTLED_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from the beginning of a leadership after which a worker that has not reported may have
 /// restarted.
-const MAX_UNREPORTED: Duration = Duration::from_millis(1000);
+const MAX_UNREPORTED: Duration = Duration::from_millis(3000);
 /// Key in stops of units that no job of the ledger has; the worker needs only the name.
 const UNKNOWN_UNIT: UnitKey = UnitKey { job: 0, occurrence: 0, step: 0, index: 0 };
 
@@ -82,7 +82,8 @@
                     let start = entry.and_then(|run| worker.late_start(time.monotonic, run));
                     if let Some(LateStart { holds_unit, .. }) = start {
                         let incarnation = worker.incarnation.clone();
-                        batch.late.push(LateRun { unit, run, incarnation, holds_unit });
+                        let at = time.wall;
+                        batch.late.push(LateRun { unit, run, incarnation, holds_unit, at });
                     }
                 }
             }
@@ -99,13 +100,14 @@
         self.batch.settled.append(&mut self.settled);
     }
 
-    /// Takes over the late starts that the ledger knows of. How long ago they were sent is not known.
+    /// Takes over the late starts that the ledger knows of.
     pub(super) fn inherit_late_runs(&mut self, time: Time, ledger: &Ledger) {
         for late in ledger.late_runs().values() {
             self.inherit_worker(time, ledger, &late.incarnation);
         }
         for (key, late) in ledger.late_runs() {
             let (unit, _) = *key;
+            let until = late_until(time, ledger, late.at, Duration::ZERO);
             let Some(resources) = unit_resources(ledger, &unit) else { continue };
             let worker = self.inherit_worker(time, ledger, &late.incarnation);
             let has_restarted = worker.incarnation.started_at > late.incarnation.started_at;
@@ -113,7 +115,7 @@
                 *key,
                 LateStart {
                     resources,
-                    until: time.monotonic + LATE_ORDER_WINDOW,
+                    until,
                     holds_unit: late.holds_unit || has_restarted,
                     uses_account: true,
                 },
@@ -241,6 +243,15 @@
     }
 }
 
+/// Returns until when a start may be carried out whose run was placed or released at a time of the
+/// log, and that was sent within `sent_for` after that: at most for the window from now on. The age
+/// in the log allows for a step of a wall clock, as that of a leader may be wrong.
+pub(super) fn late_until(time: Time, ledger: &Ledger, at: UnixMs, sent_for: Duration) -> Duration {
+    let age = Duration::from_millis(time.wall.max(ledger.latest_at()).saturating_sub(at));
+    let left = (LATE_ORDER_WINDOW + SEND_WINDOW + sent_for + MAX_CLOCK_STEP).saturating_sub(age);
+    time.monotonic + left.min(LATE_ORDER_WINDOW)
+}
+
 /// Returns the resources that runs of a unit use; `None` if its job is not known.
 fn unit_resources(ledger: &Ledger, unit: &UnitKey) -> Option<Resources> {
     let step = ledger.job(unit.job)?.definition.steps.get(usize::from(unit.step))?;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -744,6 +744,9 @@
     /// `alive_at`; `None` if it is not known to have begun. Of an inherited run only its time under
     /// this leader is known, so that one counts as no longer recent.
     pub fn survived_until(&self, alive_at: Duration) -> Option<Duration> {
+        if self.is_inherited && self.is_settled {
+            return Some(RECENT.max(alive_at.saturating_sub(self.started_at.unwrap_or(alive_at))));
+        }
         let survived = alive_at.saturating_sub(self.started_at?);
         Some(if self.is_inherited { survived.max(RECENT) } else { survived })
     }
@@ -777,8 +780,10 @@
 
     /// Records that a run is settled, for the log, if it is; returns whether that is new.
     pub fn settle(&mut self, now: Duration) -> bool {
-        let is_new =
-            !self.is_settled && self.state == RunState::Running && !self.may_start_late(now);
+        let is_new = !self.is_settled
+            && self.state == RunState::Running
+            && self.start_sent_at.is_none()
+            && !self.may_start_late(now);
         self.is_settled |= is_new;
         is_new
     }
