Roles tests: cores count as frozen once all their threads have stopped

What was seen: roles::a_stopping_edge_answers_requests_that_wait_for_a_leader got a 410 in place of 503, once beside load.

Hypotheses: (1) the core that leads still ran, since SIGSTOP takes effect when a thread is scheduled next, and its answer is right: nobody has submitted that job; (2) a core that does not lead, or whose lease is over, answers from its own state; (3) the edge answers by itself.

Evidence: beside 4 busy processes, load 14 to 23, the old test failed in 4 of 40 runs. In the logs of all four the core that led answered "reply=Missing" with took_ms=0, and there was no change of leader, so no new log line was needed. 410 is correct there: the job does not exist. (2) does not fit by the code either: reads are answered by the leader within its lease. (3) the edge has no such answer of its own.

That the signal alone does not stop a process is shown by the new test a_frozen_process_has_no_running_thread. Without the wait it fails in its first round (4 runs of 4): core 1 in round 0: left: 14, right: 0 (threads that run)

So the test was wrong, not the product: it sent its request before the cores were frozen. System::freeze now waits until the kernel reports the stop. All checks are as before. an_edge_ends_within_its_grace_time_... had the same gap and could pass without a frozen core; it uses the same call.

With it: 30 of 30 runs and 10 of 10 of the other one, beside 4 busy processes. A freeze of the three cores took 24 ms at most, in 600 beside a load of 20; the listener closes 400 ms after the signals.

--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -353,6 +353,30 @@
     assert!(child.wait().unwrap().success());
 }
 
+/// Returns how many of a process's threads are not stopped.
+fn count_running_threads(pid: Pid) -> usize {
+    let threads = std::fs::read_dir(format!("/proc/{}/task", pid.as_raw_pid())).unwrap();
+    let is_running = |stat: &String| !stat.rsplit(") ").next().unwrap().starts_with('T');
+    let stats = threads
+        .filter_map(|thread| std::fs::read_to_string(thread.unwrap().path().join("stat")).ok());
+    stats.filter(is_running).count()
+}
+
+#[test]
+fn a_frozen_process_has_no_running_thread() {
+    let system = System::start();
+    system.wait_for_leader();
+    for round in 0..100 {
+        system.freeze(CORES);
+        for core in CORES {
+            let running = count_running_threads(Pid::from_child(&system.processes[&core]));
+            assert_eq!(running, 0, "core {core} in round {round}");
+        }
+        CORES.into_iter().for_each(|core| system.thaw(core));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Time after a stop signal at which the cores freeze, shortly before the edge stops listening.
 const FREEZE_DELAY: Duration = Duration::from_millis(2300);
 
@@ -369,9 +393,7 @@
     let signalled_at = Instant::now();
     kill_process(Pid::from_child(&edge), Signal::TERM).unwrap();
     std::thread::sleep(FREEZE_DELAY);
-    for core in CORES {
-        kill_process(Pid::from_child(&system.processes[&core]), Signal::STOP).unwrap();
-    }
+    system.freeze(CORES);
     let caller = std::thread::spawn(move || request(address, &id(0), ""));
     assert!(edge.wait().unwrap().success());
     let took = signalled_at.elapsed();
@@ -390,9 +412,7 @@
     let mut child = system.processes.remove(&EDGE).unwrap();
     kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
     std::thread::sleep(Duration::from_millis(2200)); // just before the listener closes
-    for core in CORES {
-        kill_process(Pid::from_child(&system.processes[&core]), Signal::STOP).unwrap();
-    }
+    system.freeze(CORES);
     let address = system.address(EDGE, CALLERS);
     let (written, answer) = request(address, &id(1), "X-Deadline-Ms: 20000\r\n");
     assert!(written && is_complete(&answer) && answer.contains("503"), "{answer:?}");
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -4,6 +4,7 @@
 use async_std::task::block_on;
 use http_types::Method;
 use platform_standin::call;
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -145,6 +146,24 @@
         child.wait().unwrap();
     }
 
+    /// Freezes processes. The signal alone leaves a thread running until it is scheduled next, so
+    /// that a process may still answer; this returns once all of their threads have stopped.
+    pub fn freeze(&self, hosts: impl IntoIterator<Item = u8>) {
+        let pids: Vec<Pid> =
+            hosts.into_iter().map(|host| Pid::from_child(&self.processes[&host])).collect();
+        for pid in &pids {
+            kill_process(*pid, Signal::STOP).unwrap();
+        }
+        for pid in &pids {
+            let status = waitid(WaitId::Pid(*pid), WaitIdOptions::STOPPED).unwrap();
+            assert!(status.is_some_and(|status| status.stopped()), "{pid:?} has not stopped");
+        }
+    }
+
+    pub fn thaw(&self, host: u8) {
+        kill_process(Pid::from_child(&self.processes[&host]), Signal::CONT).unwrap();
+    }
+
     pub fn dump(&self, host: u8) -> Option<Value> {
         let address = self.address(host, INTERNAL.1);
         block_on(call(address, Method::Get, "/dump", None)).ok().map(|(_, dump)| dump)
