Quorum: votes count while the next pre-vote runs, so that slow elections end

What callers see: where messages between voters take 125 ms or more, for instance because the processes are not scheduled, elections take many seconds or do not end. Submissions are refused or unknown all the while.

Cause: a candidate keeps the deadline of its pre-vote, 0.3 to 0.6 s after that began. When it passes, the node asks for pre-votes again, and from then on it dropped the votes that arrive for its candidacy. If pre-vote and vote together take longer than the interval, each election is dropped before it is won.

Fix: votes and pre-votes are counted apart. A vote for the current term counts until the node hears of a later term or of a leader; stepping back clears the votes, so that neither a former leader nor a follower wins by old ones. Nothing else is sent, and pre-votes are repeated as soon as before.

Evidence, in tests/node.rs: on the old code a_vote_that_arrives_after_the_next_pre_vote_was_sent_counts fails, and voters_that_answer_slowly_elect_a_leader fails with of 50 elections with messages of 150 ms: left: 50, right: 0 The two tests that old votes do not count pass before and after; without the clearing both fail.

The tests of quorum, entry (every fault at every step) and control pass.

Found while tracing faults::two_lost_disks_are_replaced_one_after_the_other.

--- a/crates/quorum/src/node/elect.rs
+++ b/crates/quorum/src/node/elect.rs
@@ -25,7 +25,8 @@
             self.election_deadline =
                 self.now + interval + interval.mul_f64(self.rng.random_range(0.0..1.0));
         }
-        self.granted_by = [self.id.clone()].into();
+        let granted_by = if pre_vote { &mut self.pre_granted_by } else { &mut self.granted_by };
+        *granted_by = [self.id.clone()].into();
         let vote_request = VoteRequest {
             term,
             last_index: self.log.last_index(),
@@ -42,15 +43,16 @@
     }
 
     /// Goes from pre-vote to election, or from election to leadership, once a majority has
-    /// granted it.
+    /// granted it. Votes of the last election count while a pre-vote for the next one runs: where
+    /// answers take longer than the interval between pre-votes, no election would end otherwise.
     pub(super) fn count_votes(&mut self) {
-        if self.granted_by.len() < self.log.membership().majority() {
-            return;
-        }
+        let majority = self.log.membership().majority();
         match self.role {
-            Role::PreCandidate => self.campaign(false),
-            Role::Candidate => self.become_leader(),
-            Role::Follower | Role::Leader => {}
+            Role::PreCandidate | Role::Candidate if self.granted_by.len() >= majority => {
+                self.become_leader()
+            }
+            Role::PreCandidate if self.pre_granted_by.len() >= majority => self.campaign(false),
+            _ => {}
         }
     }
 
@@ -99,17 +101,14 @@
             }
             return;
         }
-        let expected = match self.role {
-            Role::PreCandidate => {
-                vote_response.pre_vote && vote_response.term == self.hard_state.term + 1
-            }
-            Role::Candidate => {
-                !vote_response.pre_vote && vote_response.term == self.hard_state.term
-            }
-            Role::Follower | Role::Leader => false,
+        let term = self.hard_state.term;
+        let (expected_term, granted_by) = match (self.role, vote_response.pre_vote) {
+            (Role::PreCandidate, true) => (term + 1, &mut self.pre_granted_by),
+            (Role::PreCandidate | Role::Candidate, false) => (term, &mut self.granted_by),
+            _ => return,
         };
-        if expected && self.log.membership().voters.contains(from) {
-            self.granted_by.insert(from.clone());
+        if vote_response.term == expected_term && self.log.membership().voters.contains(from) {
+            granted_by.insert(from.clone());
             self.count_votes();
         }
     }
@@ -149,6 +148,7 @@
         self.role = Role::Follower;
         self.leader = leader;
         self.progress_by_id.clear();
+        self.granted_by.clear();
         self.reset_election_deadline();
     }
 
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -219,8 +219,11 @@
     leader_since: Duration,
     /// When the next election starts unless a message of a leader or candidate arrives first.
     election_deadline: Duration,
-    /// Voters that granted the current vote or pre-vote.
+    /// Voters that granted their vote of the current term; empty unless this node is a candidate of
+    /// that term or leads it.
     granted_by: BTreeSet<Id>,
+    /// Voters that granted the current pre-vote.
+    pre_granted_by: BTreeSet<Id>,
     /// On a leader, the progress of the other nodes.
     progress_by_id: BTreeMap<Id, Progress>,
     connected: BTreeSet<Id>,
@@ -281,6 +284,7 @@
             leader_since: Duration::ZERO,
             election_deadline: Duration::ZERO,
             granted_by: BTreeSet::new(),
+            pre_granted_by: BTreeSet::new(),
             progress_by_id: BTreeMap::new(),
             connected: BTreeSet::new(),
             output: Output::default(),
--- a/crates/quorum/tests/node.rs
+++ b/crates/quorum/tests/node.rs
@@ -1,6 +1,6 @@
 //! Tests of single rules of the consensus protocol on one node.
 
-use quorum::message::{AppendRequest, AppendResponse, InstallSnapshot, VoteRequest};
+use quorum::message::{AppendRequest, AppendResponse, InstallSnapshot, VoteRequest, VoteResponse};
 use quorum::node::{HardState, State};
 use quorum::{Entry, Envelope, Id, Membership, Message, Node, Payload, Snapshot, Timing};
 use std::time::Duration;
@@ -158,7 +158,7 @@
     node.tick(millis(5000)); // starts a pre-vote
     let vote_response = |pre_vote| {
         let term = 2;
-        Message::VoteResponse(quorum::message::VoteResponse { term, pre_vote, granted: true })
+        Message::VoteResponse(VoteResponse { term, pre_vote, granted: true })
     };
     drain(&mut node);
     node.receive(millis(5001), &id("c"), vote_response(true));
@@ -198,7 +198,7 @@
     node.tick(millis(5000));
     drain(&mut node);
     for pre_vote in [true, false] {
-        let vote_response = quorum::message::VoteResponse { term: 2, pre_vote, granted: true };
+        let vote_response = VoteResponse { term: 2, pre_vote, granted: true };
         node.receive(millis(5001), &id("c"), Message::VoteResponse(vote_response));
         drain(&mut node);
     }
@@ -420,7 +420,7 @@
     node.tick(millis(5000));
     drain(&mut node);
     for (pre_vote, term) in [(true, 2), (false, 101)] {
-        let vote_response = quorum::message::VoteResponse { term, pre_vote, granted: true };
+        let vote_response = VoteResponse { term, pre_vote, granted: true };
         node.receive(millis(5001), &id("c"), Message::VoteResponse(vote_response));
         drain(&mut node);
     }
@@ -439,10 +439,119 @@
     node.tick(millis(9000));
     drain(&mut node);
     for (pre_vote, term) in [(true, 41), (false, 140)] {
-        let vote_response = quorum::message::VoteResponse { term, pre_vote, granted: true };
+        let vote_response = VoteResponse { term, pre_vote, granted: true };
         node.receive(millis(9001), &id("c"), Message::VoteResponse(vote_response));
         drain(&mut node);
     }
     assert!(node.is_leader());
     assert_eq!((node.preceding_term(), node.term()), (40, 140));
 }
+
+fn grant(node: &mut Node, at: u64, term: u64, pre_vote: bool) {
+    let vote_response = VoteResponse { term, pre_vote, granted: true };
+    node.receive(millis(at), &id("c"), Message::VoteResponse(vote_response));
+    drain(node);
+}
+
+/// Returns a candidate of term 2 that asks for pre-votes of term 3 already.
+fn candidate_that_asks_again() -> Node {
+    let mut node = voter(3, 1);
+    node.tick(millis(5000));
+    drain(&mut node);
+    grant(&mut node, 5250, 2, true);
+    node.tick(millis(5601));
+    assert!(matches!(
+        drain(&mut node)[0],
+        Message::VoteRequest(VoteRequest { pre_vote: true, .. })
+    ));
+    node
+}
+
+#[test]
+fn a_vote_that_arrives_after_the_next_pre_vote_was_sent_counts() {
+    let mut node = candidate_that_asks_again();
+    grant(&mut node, 5650, 2, false);
+    assert!(node.is_leader());
+    assert_eq!(node.term(), 2);
+}
+
+#[test]
+fn a_vote_does_not_count_once_its_term_has_another_leader_or_is_over() {
+    let refusal = VoteResponse { term: 7, pre_vote: true, granted: false };
+    for message in
+        [append(2, 3, Vec::new(), 3), vote_request(7, 3, false), Message::VoteResponse(refusal)]
+    {
+        let mut node = candidate_that_asks_again();
+        node.receive(millis(5650), &id("a"), message);
+        drain(&mut node);
+        for at in [5660, 9000] {
+            grant(&mut node, at, 2, false);
+            assert!(!node.is_leader());
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_stepped_down_needs_new_votes() {
+    let mut node = leader(3);
+    node.tick(millis(9000));
+    assert!(!node.is_leader(), "no majority has answered");
+    for now in 9000..12_000 {
+        node.tick(millis(now));
+        drain(&mut node);
+        assert!(!node.is_leader());
+    }
+}
+
+/// Runs two of three voters whose leader has just ended, and whose messages take `delay`. Returns
+/// the milliseconds from the leader's last message until one of them holds a lease, or none if that
+/// takes half a minute.
+fn time_to_elect(seed: u64, delay: u64) -> Option<u64> {
+    let state = || State {
+        hard_state: HardState { term: 1, vote: None },
+        entries: (1..=3).map(|index| entry(index, 1)).collect(),
+        commit_index: 3,
+        ..State::default()
+    };
+    let mut nodes: Vec<Node> = ["b", "c"]
+        .into_iter()
+        .zip([2 * seed, 2 * seed + 1])
+        .map(|(name, seed)| {
+            Node::restore(id(name), true, Timing::default(), seed, state(), Duration::ZERO)
+        })
+        .collect();
+    for node in &mut nodes {
+        node.receive(millis(2000), &id("a"), append(1, 3, Vec::new(), 3));
+        drain(node);
+    }
+    let mut in_transit: Vec<(u64, Id, Envelope)> = Vec::new();
+    for now in 2000..32_000 {
+        let (due, later) = in_transit.into_iter().partition(|(at, ..)| *at <= now);
+        in_transit = later;
+        let due: Vec<(u64, Id, Envelope)> = due;
+        for node in &mut nodes {
+            node.tick(millis(now));
+            for (_, from, envelope) in &due {
+                if envelope.to == *node.id() {
+                    node.receive(millis(now), from, envelope.message.clone());
+                }
+            }
+            let from = node.id().clone();
+            in_transit.extend(
+                drain_envelopes(node).into_iter().map(|sent| (now + delay, from.clone(), sent)),
+            );
+            if node.has_lease(millis(now)) {
+                return Some(now - 2000);
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn voters_that_answer_slowly_elect_a_leader() {
+    for delay in [1, 50, 100, 150, 200, 250] {
+        let unelected = (0..50).filter(|seed| time_to_elect(*seed, delay).is_none()).count();
+        assert_eq!(unelected, 0, "of 50 elections with messages of {delay} ms");
+    }
+}
