--- /dev/null
+++ b/crates/sched/tests/world/orders.rs
@@ -0,0 +1,266 @@
+//! How orders are carried out and answered, in time, late or never.
+
+use super::{MOVE_DELAY, ORDER_TIMEOUT, RecordedStart, Worker, World};
+use jobs::RunNumber;
+use jobs::command::EndReason;
+use sched::Settings;
+use sched::order::{Answer, Destination, Order, Refusal, Reply, Start, StartOutcome};
+use sched::scheduler::{
+    AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply,
+};
+use std::time::{Duration, Instant};
+
+impl World {
+    /// Lets a start that was under way since before the worker's last restart arrive there now.
+    pub fn start_late(&mut self, id: &str, name: &str, run: RunNumber) {
+        let unit = self.ledger.find_unit(name).unwrap();
+        let report = self.workers[id].report.clone();
+        let to = Destination { incarnation: report.incarnation, address: report.address };
+        let (name, spec) = (name.to_string(), String::new());
+        let lease_end_ms = Settings::default().max_lease.as_millis() as u64;
+        let (checkpoint, ticket, fence) = (String::new(), None, self.workers[id].fence);
+        let start = Start { unit, name, run, spec, lease_end_ms, fence, checkpoint, ticket };
+        self.start(&to, &start);
+    }
+
+    pub(super) fn carry_out_delayed_orders(&mut self) {
+        let (now, time) = (self.now, self.time());
+        let polls: Vec<_> = self.delayed_polls.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, to, poll) in polls {
+            let worker = self.workers.get_mut(&to.incarnation.worker);
+            let obeys = |worker: &&mut Worker| !worker.is_down && poll.fence >= worker.fence;
+            if let Some(worker) = worker.filter(obeys) {
+                worker.apply_poll(now, &poll, Settings::default().max_lease);
+            }
+        }
+        let starts: Vec<_> = self.delayed_starts.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, to, start) in starts {
+            self.start(&to, &start);
+        }
+        let stops: Vec<_> = self.delayed_stops.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, to, stop) in stops {
+            let worker = self.workers.get_mut(&to.incarnation.worker);
+            let obeys = |w: &&mut Worker| !w.is_down && !w.partitioned && stop.fence >= w.fence;
+            if let Some(worker) = worker.filter(obeys) {
+                worker.stop(stop);
+            }
+        }
+        let replies: Vec<_> = self.overdue_replies.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, reply) in replies {
+            self.scheduler.on_worker_reply(time, &self.ledger, reply);
+        }
+    }
+
+    pub(super) fn execute(&mut self, order: Order) {
+        let time = self.time();
+        match order {
+            Order::Poll(to, poll) if self.relay_is_gone => {
+                let (incarnation, sent_at) = (to.incarnation, poll.sent_at);
+                let reply = PollReply { incarnation, sent_at, answer: Answer::Lost };
+                self.scheduler.on_poll_reply(time, &self.ledger, reply);
+            }
+            Order::Poll(to, poll) if self.omits_poll(&to) => {
+                let (incarnation, sent_at) = (to.incarnation.clone(), poll.sent_at);
+                let reply = PollReply { incarnation, sent_at, answer: Answer::Unknown };
+                let due = self.now + poll.max_wait + ORDER_TIMEOUT;
+                self.overdue_replies.push((due, Reply::Poll(reply)));
+                self.delayed_polls.push((self.now + self.start_delay, to, poll));
+            }
+            Order::Poll(to, poll) => {
+                if let Some(worker) = self.workers.get_mut(&to.incarnation.worker) {
+                    worker.poll = Some((to, poll, self.now));
+                }
+            }
+            Order::Start(to, start) if self.omits_start(&to) => {
+                let (incarnation, unit, run) = (to.incarnation.clone(), start.unit, start.run);
+                let reply = StartReply::new(incarnation, unit, run, Answer::Unknown.into());
+                self.overdue_replies.push((self.now + ORDER_TIMEOUT, Reply::Start(reply)));
+                self.delayed_starts.push((self.now + self.start_delay, to, start));
+            }
+            Order::Start(to, start) => {
+                let answer = match self.relay_is_gone {
+                    true => Answer::Lost,
+                    false => self.start(&to, &start),
+                };
+                let (unit, run) = (start.unit, start.run);
+                let is_repeated = self.repeats_starts;
+                if is_repeated {
+                    self.delayed_starts.push((self.now + self.start_delay, to.clone(), start));
+                }
+                let worker = self.workers.get(&to.incarnation.worker);
+                let clock_ms = worker.filter(|_| answer != Answer::Unknown);
+                let clock_ms = clock_ms.map(|worker| worker.clock_ms(self.now));
+                let outcome = StartOutcome { answer, clock_ms, is_unsent: false, is_repeated };
+                let reply = StartReply::new(to.incarnation, unit, run, outcome);
+                self.scheduler.on_start_reply(time, &self.ledger, reply);
+            }
+            Order::Stop(to, stop) if self.omits_stop(&to) => {
+                let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
+                let reply = StopReply { incarnation, unit, run, answer: Answer::Unknown };
+                self.overdue_replies.push((self.now + ORDER_TIMEOUT, Reply::Stop(reply)));
+                self.delayed_stops.push((self.now + self.start_delay, to, stop));
+            }
+            Order::Stop(to, stop) => {
+                let (incarnation, unit, run) = (to.incarnation.clone(), stop.unit, stop.run);
+                let answer = match self.workers.get_mut(&to.incarnation.worker) {
+                    Some(worker) if !worker.is_down && !worker.partitioned => {
+                        if !worker.ignores_stops {
+                            worker.stop(stop);
+                        }
+                        if worker.loses_stop_answers { Answer::Unknown } else { Answer::Done(()) }
+                    }
+                    Some(worker) if worker.is_succeeded => Answer::Misdirected,
+                    _ => Answer::Unknown,
+                };
+                let reply = StopReply { incarnation, unit, run, answer };
+                self.scheduler.on_stop_reply(time, reply);
+            }
+            Order::Maintain(order) => {
+                let (answer, delay) = self.maintain(&order);
+                let (instance, wave) = (order.instance, order.wave);
+                let reply = MaintenanceReply { instance, wave, answer };
+                self.overdue_maintenance.push((self.now + delay, reply));
+                self.answer_maintenance();
+            }
+            Order::Move(order) => {
+                let answer = match self.moves_to_delay {
+                    0 => self.move_instance(&order),
+                    _ => {
+                        self.moves_to_delay -= 1;
+                        self.delayed_moves.push((self.now + MOVE_DELAY, order.clone()));
+                        Answer::Unknown
+                    }
+                };
+                let reply = MoveReply { instance: order.instance, answer };
+                self.scheduler.on_move_reply(time, reply);
+            }
+            Order::ListInstances => {
+                let in_maintenance = |id: &String| self.returning.contains_key(id);
+                let present = self.workers.iter().filter(|(_, worker)| !worker.is_succeeded);
+                let instances = present.map(|(id, w)| w.instance(in_maintenance(id))).collect();
+                self.scheduler.on_instance_list(time, instances);
+            }
+            Order::Pace(to, pace) => {
+                if let Some(worker) = self.workers.get_mut(&to.incarnation.worker) {
+                    worker.paces.insert((pace.name, pace.run), pace.percent);
+                }
+                let (incarnation, unit, run, percent) =
+                    (to.incarnation, pace.unit, pace.run, pace.percent);
+                let answer = Answer::Done(());
+                self.scheduler.on_pace_reply(PaceReply { incarnation, unit, run, percent, answer });
+            }
+            Order::Advise(advise) => {
+                self.advise_calls += 1;
+                let allowed = self.allowed.iter().map(|id| (id.clone(), format!("for {id}")));
+                let answer = Answer::Done(allowed.collect());
+                let reply = AdviseReply { step: advise.step, workers: advise.workers, answer };
+                self.scheduler.on_advise_reply(time, &self.ledger, reply);
+            }
+        }
+    }
+
+    /// Counts a start order to a worker, and returns whether the worker leaves it unanswered.
+    pub(super) fn omits_start(&mut self, to: &Destination) -> bool {
+        let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
+        worker.start_orders += 1;
+        worker.omits_one_start_in.is_some_and(|share| worker.start_orders.is_multiple_of(share))
+    }
+
+    /// Counts a stop order to a worker, and returns whether the worker leaves it unanswered.
+    pub(super) fn omits_stop(&mut self, to: &Destination) -> bool {
+        let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
+        worker.stop_orders += 1;
+        worker.omits_one_stop_in.is_some_and(|share| worker.stop_orders.is_multiple_of(share))
+    }
+
+    /// Counts a poll of a worker, and returns whether the worker leaves it unanswered.
+    pub(super) fn omits_poll(&mut self, to: &Destination) -> bool {
+        let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else { return false };
+        worker.polls += 1;
+        worker.omits_one_poll_in.is_some_and(|share| worker.polls.is_multiple_of(share))
+    }
+
+    pub(super) fn start(&mut self, to: &Destination, start: &Start) -> Answer<()> {
+        let Some(worker) = self.workers.get_mut(&to.incarnation.worker) else {
+            return Answer::Unknown;
+        };
+        if worker.is_succeeded {
+            return Answer::Misdirected;
+        }
+        if worker.is_down || worker.partitioned {
+            return Answer::Unknown;
+        }
+        if start.fence < worker.fence {
+            return Answer::Refused(Refusal::Fence);
+        }
+        if worker.stopped_runs.get(&start.name).is_some_and(|run| start.run <= *run) {
+            return Answer::Refused(Refusal::Old);
+        }
+        if worker.clock_origin + Duration::from_millis(start.lease_end_ms) <= self.now {
+            return Answer::Refused(Refusal::Late);
+        }
+        let restricted = self.ledger.jobs()[&start.unit.job].queue == "r";
+        if restricted && start.ticket != Some(format!("for {}", to.incarnation.worker)) {
+            return Answer::Refused(Refusal::Ticket);
+        }
+        if !worker.loses_start_answers || worker.executes_lost_starts {
+            worker.extend_lease(self.now, start.lease_end_ms, Settings::default().max_lease);
+            let key = (start.name.clone(), start.run);
+            if let std::collections::btree_map::Entry::Vacant(slot) = worker.runs.entry(key) {
+                slot.insert(self.now);
+                let (name, run) = (start.name.clone(), start.run);
+                self.starts.push(RecordedStart {
+                    at: self.now,
+                    name,
+                    run,
+                    worker: to.incarnation.worker.clone(),
+                });
+                if worker.fails_runs {
+                    worker.runs.remove(&(start.name.clone(), start.run));
+                    worker.end(start.name.clone(), start.run, EndReason::Failed);
+                }
+            }
+        }
+        let answer = if worker.loses_start_answers { Answer::Unknown } else { Answer::Done(()) };
+        let step =
+            &self.ledger.jobs()[&start.unit.job].definition.steps[usize::from(start.unit.step)];
+        if step.reserved_resources().cpu_milli > 0 {
+            self.record_overload(&to.incarnation.worker);
+        }
+        answer
+    }
+
+    pub(super) fn answer_poll(&mut self, id: &str) {
+        let (time, now) = (self.time(), self.now);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.polls_hang {
+            return;
+        }
+        let Some((to, poll, since)) = worker.poll.clone() else { return };
+        let silent = (worker.is_down || worker.partitioned) && !worker.is_succeeded;
+        let due = now >= since + poll.max_wait;
+        if silent && now < since + poll.max_wait + Duration::from_millis(700) {
+            return;
+        }
+        if !worker.is_down && !silent && poll.fence >= worker.fence {
+            worker.apply_poll(now, &poll, Settings::default().max_lease);
+        }
+        if !silent && !due && worker.finished.is_empty() && !worker.is_succeeded {
+            return;
+        }
+        worker.poll = None;
+        let answer = if worker.is_succeeded {
+            Answer::Misdirected
+        } else if silent {
+            Answer::Unknown
+        } else if poll.fence < worker.fence {
+            Answer::Refused(Refusal::Fence)
+        } else {
+            Answer::Done(worker.run_lists(now, &self.run_times))
+        };
+        let reply = PollReply { incarnation: to.incarnation, sent_at: poll.sent_at, answer };
+        let started_at = Instant::now();
+        self.scheduler.on_poll_reply(time, &self.ledger, reply);
+        self.record_time("read a poll", started_at);
+    }
+}
