Sched tests: further faults and promises in random schedules

Schedules draw, each with its own probability and off by default: lost relays, waves, late moves, crashes after which another id follows, failing and stuck runs, slow stops, late or missing lists, gangs, copies, steps that wait, cancelled jobs, sizes that change, orders and answers that overtake each other, orders that are carried out soon, a frozen leader. Checked besides two runs and capacity: starts after a noted end, attempts, order of steps, units of a step that may be unavailable, instances down in a wave, completed waves, cancelled jobs, members of gangs that wait in vain.

A new fault: a wave stops a unit that lasts, the worker is cut off and the stop gets no answer; another unit of the step goes down, and the stop is sent again when the worker answers.

--- a/crates/sched/tests/world/cloud.rs
+++ b/crates/sched/tests/world/cloud.rs
@@ -20,12 +20,16 @@
             return (Answer::Done(()), Duration::ZERO);
         }
         self.maintenances_begun.push((self.now, order.instance.clone()));
+        self.observe_maintenance(&order.instance, order.wave);
         let down_for = Settings::default().maintenance_duration + self.maintenance_overrun;
         self.take_down(&order.instance, None, down_for);
         (Answer::Done(()), self.maintenance_answer_delay)
     }
 
     pub(super) fn answer_maintenance(&mut self) {
+        if self.is_frozen() {
+            return;
+        }
         let (now, time) = (self.now, self.time());
         let due: Vec<_> = self.overdue_maintenance.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, reply) in due {
@@ -67,6 +71,7 @@
 
     /// Takes an instance down in the cloud, which ends all runs on it.
     pub(super) fn take_down(&mut self, instance: &str, pool: Option<String>, duration: Duration) {
+        self.observe_end_of_instance(instance);
         let returning = self.now + duration;
         for worker in self.workers.values_mut() {
             if worker.report.instance != instance || worker.is_succeeded {
--- /dev/null
+++ b/crates/sched/tests/world/dimension.rs
@@ -0,0 +1,307 @@
+//! Further faults of random schedules, each with a probability of its own.
+
+use super::Worker;
+use super::schedule::{Failure, Schedule};
+use jobs::command::{Cancel, Command};
+use jobs::definition::Step;
+use jobs::{State, Wave};
+use rand::Rng;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Time after the last fault from which no gang member waits in vain for the others.
+const GANGS_SETTLED: Duration = Duration::from_secs(40);
+
+/// Probabilities of faults in each step of a schedule, and shares of jobs; all 0 by default.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dimensions {
+    /// The process that relays the leader's orders is lost for up to 3 s; what it was sent is
+    /// carried out late.
+    pub relay_loss: f64,
+    /// A wave of two or three instances, whose maintenance is answered up to 1.8 s late.
+    pub wave: f64,
+    /// The next move is carried out late.
+    pub late_move: f64,
+    /// A worker crashes, and one with another id follows on its instance.
+    pub crash: f64,
+    /// The runs that start on a worker fail for up to 5 s.
+    pub failing: f64,
+    /// The runs on a worker make no progress for up to 8 s.
+    pub sticking: f64,
+    /// Stops take up to 2 s for up to 5 s.
+    pub slow_stops: f64,
+    /// The cloud's lists are lost, or up to 1.8 s late, for up to 8 s.
+    pub list_fault: f64,
+    /// Share of jobs that are gangs.
+    pub gangs: f64,
+    /// Share of jobs whose units may run in copies.
+    pub copies: f64,
+    /// Share of jobs with a second step that waits for the first one.
+    pub dependencies: f64,
+    /// A job is cancelled.
+    pub cancel: f64,
+    /// Workers start with 8 to 12 cores from now on, all drawn once.
+    pub resize: f64,
+    /// Orders and answers are under way for up to 120 ms, for up to 5 s.
+    pub overtaking: f64,
+    /// Answers are under way for up to 1 s, for up to 5 s.
+    pub late_answers: f64,
+    /// Orders without an answer are carried out 50 ms to 2 s later, for up to 5 s.
+    pub soon: f64,
+    /// The leader freezes for up to 2.5 s and goes on.
+    pub freeze: f64,
+}
+
+impl Dimensions {
+    /// Creates all faults together, each more rarely than alone.
+    pub fn all() -> Dimensions {
+        Dimensions {
+            relay_loss: 0.004,
+            wave: 0.003,
+            late_move: 0.01,
+            crash: 0.003,
+            failing: 0.002,
+            sticking: 0.004,
+            slow_stops: 0.005,
+            list_fault: 0.005,
+            gangs: 0.15,
+            copies: 0.15,
+            dependencies: 0.2,
+            cancel: 0.005,
+            resize: 0.01,
+            overtaking: 0.01,
+            late_answers: 0.01,
+            soon: 0.01,
+            freeze: 0.005,
+        }
+    }
+}
+
+/// Spells that are under way, with the times of their ends.
+#[derive(Default)]
+pub struct Spells {
+    ends: Vec<(Duration, Spell)>,
+    waves: u32,
+}
+
+enum Spell {
+    Relay,
+    Failing(String),
+    Sticking(String),
+    SlowStops,
+    Lists,
+    Ways,
+    Soon,
+}
+
+impl Schedule {
+    fn draws(&mut self, probability: f64) -> bool {
+        probability > 0.0 && self.rng.random_bool(probability)
+    }
+
+    /// Begins a spell of up to the given time.
+    fn begin_spell(&mut self, longest_ms: u64, spell: Spell) {
+        let end = self.world.now + self.random_duration(300, longest_ms);
+        self.spells.ends.push((end, spell));
+    }
+
+    fn draw_worker(&mut self) -> String {
+        let instance = self.rng.random_range(0..4);
+        self.worker_on(instance)
+    }
+
+    /// Returns the worker that is on an instance.
+    pub(super) fn worker_on(&self, instance: u32) -> String {
+        let instance = format!("m{instance}");
+        let is_on = |worker: &&Worker| worker.report.instance == instance && !worker.is_succeeded;
+        let worker = self.world.workers.values().find(is_on);
+        worker.map(|worker| worker.report.incarnation.worker.clone()).unwrap()
+    }
+
+    /// Brings about the further faults of one step.
+    pub(super) fn step_dimensions(&mut self) {
+        self.end_spells();
+        let of = self.faults.dimensions;
+        if of.wave + of.crash + of.late_move > 0.0 {
+            self.resume_omissions();
+        }
+        if self.draws(of.relay_loss) && !self.world.relay_is_gone {
+            self.world.trouble.relay_executes_late = true;
+            self.world.lose_relay();
+            self.begin_spell(3000, Spell::Relay);
+        }
+        if self.draws(of.wave) {
+            self.start_wave();
+        }
+        if self.draws(of.late_move) {
+            self.world.moves_to_delay = 1;
+        }
+        if self.draws(of.crash) {
+            let id = self.draw_worker();
+            if !self.world.workers[&id].is_down {
+                self.set_wall_clock_error();
+                self.world.crash(&id);
+            }
+        }
+        if self.draws(of.failing) {
+            let id = self.draw_worker();
+            self.world.workers.get_mut(&id).unwrap().fails_runs = true;
+            self.begin_spell(5000, Spell::Failing(id));
+        }
+        if self.draws(of.sticking) {
+            let id = self.draw_worker();
+            self.world.workers.get_mut(&id).unwrap().is_stuck = true;
+            self.begin_spell(8000, Spell::Sticking(id));
+        }
+        if self.draws(of.cancel) && self.job_count > 0 {
+            self.cancel();
+        }
+        self.step_messages();
+    }
+
+    /// Brings about the further faults of messages, and of the leader.
+    fn step_messages(&mut self) {
+        let of = self.faults.dimensions;
+        if self.draws(of.slow_stops) {
+            self.world.trouble.stop_time = self.random_duration(100, 2000);
+            self.begin_spell(5000, Spell::SlowStops);
+        }
+        if self.draws(of.list_fault) {
+            self.world.trouble.loses_lists = self.rng.random_bool(0.5);
+            self.world.trouble.list_delay = self.random_duration(0, 1800);
+            self.begin_spell(8000, Spell::Lists);
+        }
+        if self.draws(of.resize) {
+            let cpu_milli = self.rng.random_range(8..=12) * 1000;
+            self.world.trouble.next_cpu_milli = Some(cpu_milli);
+        }
+        if self.draws(of.overtaking) {
+            let way = Duration::from_millis(120);
+            self.world.trouble.longest_way = way;
+            self.world.trouble.longest_way_back = way.max(self.world.trouble.longest_way_back);
+            self.begin_spell(5000, Spell::Ways);
+        }
+        if self.draws(of.late_answers) {
+            self.world.trouble.longest_way_back = Duration::from_secs(1);
+            self.begin_spell(5000, Spell::Ways);
+        }
+        if self.draws(of.soon) {
+            self.begin_spell(5000, Spell::Soon);
+        }
+        let is_soon = |(_, spell): &(Duration, Spell)| matches!(spell, Spell::Soon);
+        if self.spells.ends.iter().any(is_soon) {
+            self.world.start_delay = self.random_duration(50, 2000);
+        }
+        if self.draws(of.freeze) && self.takeover_at.is_none() {
+            let duration = self.random_duration(100, 2500);
+            let before_sending = self.rng.random_bool(0.5);
+            self.world.freeze_leader(duration, before_sending);
+        }
+    }
+
+    fn end_spells(&mut self) {
+        let now = self.world.now;
+        let ended: Vec<_> = self.spells.ends.extract_if(.., |(at, _)| now >= *at).collect();
+        for (_, spell) in ended {
+            let (world, none) = (&mut self.world, Duration::ZERO);
+            match spell {
+                Spell::Relay => world.relay_is_gone = false,
+                Spell::Failing(id) => world.workers.get_mut(&id).unwrap().fails_runs = false,
+                Spell::Sticking(id) => world.workers.get_mut(&id).unwrap().is_stuck = false,
+                Spell::SlowStops => world.trouble.stop_time = none,
+                Spell::Lists => {
+                    (world.trouble.loses_lists, world.trouble.list_delay) = (false, none);
+                }
+                Spell::Soon => {}
+                Spell::Ways => {
+                    world.trouble.longest_way = none;
+                    world.trouble.longest_way_back = none;
+                }
+            }
+        }
+    }
+
+    /// Lets workers that came without faults leave orders unanswered like the others.
+    fn resume_omissions(&mut self) {
+        let faults = self.faults;
+        for worker in self.world.workers.values_mut() {
+            worker.omits_one_start_in = Some(3);
+            worker.omits_one_poll_in = faults.omits_one_poll_in;
+            worker.omits_one_stop_in = faults.omits_one_stop_in;
+        }
+    }
+
+    fn start_wave(&mut self) {
+        self.world.maintenance_answer_delay = self.random_duration(0, 1800);
+        self.spells.waves += 1;
+        let count = self.rng.random_range(2..=3);
+        let first = self.rng.random_range(0..4);
+        let instances: BTreeSet<String> =
+            (first..first + count).map(|number| format!("m{}", number % 4)).collect();
+        let cap = self.rng.random_range(1..=2);
+        let (id, at) = (self.spells.waves.into(), self.world.time().wall);
+        let wave = Wave::new(id, instances, Duration::from_secs(15), cap, at);
+        self.world.apply(Command::StartWave(wave));
+    }
+
+    fn cancel(&mut self) {
+        let id = format!("a{}", self.rng.random_range(0..self.job_count));
+        if !self.world.state("q", &id).is_final() {
+            let (queue, at) = ("q".to_string(), self.world.time().wall);
+            self.world.audit.cancelled.insert(id.clone(), self.world.now);
+            self.world.apply(Command::Cancel(Cancel { queue, id, at }));
+        }
+    }
+
+    /// Returns the steps of the next job, given those that it has without further dimensions.
+    pub(super) fn shape(&mut self, id: &str, first: Step) -> Vec<Step> {
+        let of = self.faults.dimensions;
+        let gang = self.draws(of.gangs);
+        let speculative = !gang && self.draws(of.copies);
+        if gang {
+            self.world.gangs.jobs.insert(id.to_string(), first.count as usize);
+        }
+        let first = Step { gang, speculative, ..first };
+        if !self.draws(of.dependencies) {
+            return vec![first];
+        }
+        let second = Step { after: vec![0], ..first.clone() };
+        vec![first, second]
+    }
+
+    /// Returns the first promise that is broken now.
+    pub(super) fn broken_promise(&self) -> Option<String> {
+        self.world.audit.violations.first().cloned()
+    }
+
+    /// Checks what must hold long after the last fault.
+    pub(super) fn check_end(&self, healed_at: Duration) -> Result<(), Failure> {
+        let settled_at = healed_at + GANGS_SETTLED;
+        if let Some(at) = self.world.audit.alone.iter().find(|at| **at > settled_at) {
+            return self.fail(format!("a member of a gang waited in vain until {at:?}"));
+        }
+        for job in self.world.audit.cancelled.keys() {
+            let mut runs = self.world.workers.values().filter(|worker| !worker.is_down);
+            if runs.any(|worker| {
+                worker.runs.keys().any(|(name, _)| name.starts_with(&format!("{job}.")))
+            }) {
+                return self.fail(format!("job {job} was cancelled and runs"));
+            }
+        }
+        let unfinished = self.world.ledger.waves().iter().find(|(_, wave)| !wave.is_completed());
+        match unfinished {
+            Some((id, _)) => self.fail(format!("wave {id} is not completed")),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns whether a job may end so.
+    pub(super) fn may_be(&self, job: &str, state: State) -> bool {
+        match state {
+            State::Completed => true,
+            State::Cancelled => self.world.audit.cancelled.contains_key(job),
+            State::Failed => self.world.hopeless(job),
+            _ => false,
+        }
+    }
+}
