Sched: a new leader does not begin an instance's next wave while it is down for another

Cause: two waves may name one instance. A leader keeps an instance in its evacuations until its maintenance is done, but a leader that took over while the instance was down for the first wave had it only among those that have begun. It evacuated the instance for the second wave, and the phases of that one removed what it knew of the first, which stayed in phase Begun. Taking over the log's waves in order did the same: the phase of a later wave removed that of an earlier one.

Now an instance whose maintenance is ordered or has begun is not evacuated, a phase removes only what belongs to its wave, and the end of one wave does not end the cordon of another.

a_wave_ends_under_the_next_leader_though_a_later_one_names_the_same_instance failed before: Wave { id: 1, instances: {"m0": Begun}, worker_started_at: {"m0": 1} } and passes.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -78,6 +78,23 @@
     list_requested_at: Option<Duration>,
 }
 
+impl MaintenanceState {
+    /// Forgets the maintenance of an instance in a wave. Other waves may name the instance too.
+    fn forget(&mut self, instance: &InstanceId, wave: WaveId) {
+        if self.ordered.get(instance).is_some_and(|order| order.wave == wave) {
+            self.ordered.remove(instance);
+        }
+        if self.begun.get(instance).is_some_and(|begun| begun.wave == wave) {
+            self.begun.remove(instance);
+        }
+    }
+
+    /// Returns whether the maintenance of an instance is ordered or has begun.
+    fn is_under_way(&self, instance: &InstanceId) -> bool {
+        self.ordered.contains_key(instance) || self.begun.contains_key(instance)
+    }
+}
+
 /// Evacuation of an instance.
 #[derive(Clone, Debug)]
 struct Evacuation {
@@ -155,10 +172,11 @@
         phase: Phase,
     ) {
         self.maintenance.proposed_phases.remove(instance);
-        self.maintenance.ordered.remove(instance);
-        self.maintenance.begun.remove(instance);
+        self.maintenance.forget(instance, wave);
         match phase {
             Phase::Due => {}
+            // Another wave has the instance down, or is about to.
+            Phase::Done | Phase::Gone if self.maintenance.is_under_way(instance) => {}
             Phase::Ordered => {
                 let (sent_at, ends_incarnation_of) = (None, None);
                 let pending =
@@ -382,6 +400,7 @@
                     **phase == Phase::Due
                         && !self.is_moving(instance)
                         && !self.maintenance.evacuating.contains_key(*instance)
+                        && !self.maintenance.is_under_way(instance)
                         && self
                             .maintenance
                             .retry_at
