Sched tests: traces of random schedules, and late starts counted once

TRACE prints what happened before a failure. A start after the end by an order that was carried out late was counted with each later end of its unit again; the counts are printed only, no check depends on them. INTENSITY multiplies the faults that come together.

--- a/crates/sched/tests/dimensions.rs
+++ b/crates/sched/tests/dimensions.rs
@@ -3,7 +3,9 @@
 //! jobs, sizes that change, orders and answers that overtake each other, and a frozen leader.
 //!
 //! `SCHEDULES` and `SCHEDULES_FROM` set the number of seeds of each test and the first one;
-//! `LEADER_CHANGES` is the number of changes of leaders in 1000 steps.
+//! `LEADER_CHANGES` is the number of changes of leaders in 1000 steps, and `INTENSITY` multiplies
+//! the faults that come together. If `TRACE` is a number of seconds, what happened for so long
+//! before each failure is printed.
 
 mod world;
 
@@ -51,8 +53,7 @@
     words.into_iter().find(|word| failure.text.contains(word)).unwrap_or("is not done")
 }
 
-/// Plays the schedule of one seed. Prints what happened before a failure if `TRACE` is a number of
-/// seconds.
+/// Plays the schedule of one seed.
 fn play_one(seed: u64, faults: Faults, counts: &mut Counts) -> Option<Failure> {
     let mut schedule = Schedule::new(seed, faults);
     let outcome = schedule.play(HEALED);
@@ -60,13 +61,7 @@
     for (name, count) in schedule.world.counts().into_iter().filter(|(_, count)| *count > 0) {
         *counts.entry(name).or_default() += count;
     }
-    let failure = outcome.err()?;
-    let seconds = variable("TRACE", 0);
-    if seconds > 0 {
-        let lines = schedule.world.trace(Duration::from_secs(seconds));
-        println!("{failure:?}\n{}", lines.join("\n"));
-    }
-    Some(failure)
+    outcome.err()
 }
 
 /// Plays the schedules of all seeds, with single and with repeated restarts.
@@ -191,5 +186,5 @@
 
 #[test]
 fn promises_hold_under_all_faults_together() {
-    play(Dimensions::all());
+    play(Dimensions::all(variable("INTENSITY", 1) as f64));
 }
--- a/crates/sched/tests/world/audit.rs
+++ b/crates/sched/tests/world/audit.rs
@@ -62,7 +62,7 @@
     /// Broken promises.
     pub violations: Vec<String>,
     /// Starts after a noted end `done` by orders that were carried out late.
-    pub late_restarts: u32,
+    pub late_restarts: BTreeSet<(String, Duration)>,
     /// Orders that ended a unit which a worker had started late, while others of its step were away.
     pub late_ends: u32,
     /// Ends of gang members that waited for the others in vain.
@@ -141,15 +141,17 @@
             let failures = history.ends.values().filter(before);
             let failures = failures.filter(|end| end.reason == EndReason::Failed).count();
             if is_after_done {
-                found.push((start.is_late, format!("{name} starts after it was done: {start:?}")));
+                found.push((start, format!("{name} starts after it was done: {start:?}")));
             }
             if !step.long_running && !step.speculative && failures >= max_attempts {
-                found.push((start.is_late, format!("{name} starts after {failures} failures")));
+                found.push((start, format!("{name} starts after {failures} failures")));
             }
         }
-        for (is_late, text) in found {
-            match is_late {
-                true => self.audit.late_restarts += 1,
+        for (start, text) in found {
+            match start.is_late {
+                true => {
+                    self.audit.late_restarts.insert((name.to_string(), start.at));
+                }
                 false => self.audit.violations.push(text),
             }
         }
@@ -337,7 +339,7 @@
             ("maintenances", self.maintenances_begun.len()),
             ("moves", self.moves.len()),
             ("crashes", self.crashes.len()),
-            ("late starts after the end", self.audit.late_restarts as usize),
+            ("late starts after the end", self.audit.late_restarts.len()),
             ("late starts ended while others are away", self.audit.late_ends as usize),
         ])
     }
--- a/crates/sched/tests/world/dimension.rs
+++ b/crates/sched/tests/world/dimension.rs
@@ -53,26 +53,26 @@
 }
 
 impl Dimensions {
-    /// Creates all faults together, each more rarely than alone.
-    pub fn all() -> Dimensions {
+    /// Creates all faults together, each more rarely than alone at an intensity of 1.
+    pub fn all(intensity: f64) -> Dimensions {
         Dimensions {
-            relay_loss: 0.004,
-            wave: 0.003,
-            late_move: 0.01,
-            crash: 0.003,
-            failing: 0.002,
-            sticking: 0.004,
-            slow_stops: 0.005,
-            list_fault: 0.005,
+            relay_loss: 0.004 * intensity,
+            wave: 0.003 * intensity,
+            late_move: 0.01 * intensity,
+            crash: 0.003 * intensity,
+            failing: 0.002 * intensity,
+            sticking: 0.004 * intensity,
+            slow_stops: 0.005 * intensity,
+            list_fault: 0.005 * intensity,
             gangs: 0.15,
             copies: 0.15,
             dependencies: 0.2,
-            cancel: 0.005,
-            resize: 0.01,
-            overtaking: 0.01,
-            late_answers: 0.01,
-            soon: 0.01,
-            freeze: 0.005,
+            cancel: 0.005 * intensity,
+            resize: 0.01 * intensity,
+            overtaking: 0.01 * intensity,
+            late_answers: 0.01 * intensity,
+            soon: 0.01 * intensity,
+            freeze: 0.005 * intensity,
         }
     }
 }
--- a/crates/sched/tests/world/schedule.rs
+++ b/crates/sched/tests/world/schedule.rs
@@ -251,6 +251,12 @@
     }
 
     pub(super) fn fail(&self, text: String) -> Result<(), Failure> {
-        Err(Failure { seed: self.seed, at: self.world.now, text })
+        let failure = Failure { seed: self.seed, at: self.world.now, text };
+        let seconds = std::env::var("TRACE").ok().and_then(|value| value.parse().ok());
+        if let Some(seconds) = seconds {
+            let lines = self.world.trace(Duration::from_secs(seconds));
+            println!("{failure:?}\n{}", lines.join("\n"));
+        }
+        Err(failure)
     }
 }
