Sched tests: a bound in time does not hold for a leader that was just frozen

The trace shows a start that was decided before a freeze, the cancel while the leader was frozen, and both orders sent after it. A machine that was frozen is not in touch, and the bound on starts of cancelled jobs holds only for those.

--- a/crates/sched/tests/world/trouble.rs
+++ b/crates/sched/tests/world/trouble.rs
@@ -101,6 +101,11 @@
         self.now < self.trouble.frozen_until
     }
 
+    /// Returns when the leader was last frozen.
+    pub(super) fn thawed_at(&self) -> Duration {
+        self.trouble.frozen_until
+    }
+
     /// Forgets what only the former leader was to get.
     pub(super) fn forget_messages(&mut self) {
         self.trouble.lists.clear();
