--- a/crates/sched/tests/takeovers.rs
+++ b/crates/sched/tests/takeovers.rs
@@ -2,7 +2,7 @@
 //! wrong. A promise to run a unit once has to outlive the leader that gave it.
 //!
 //! `SCHEDULES` and `SCHEDULES_FROM` set the number of seeds of each test and the first one;
-//! `SCHEDULES_TRACE` prints starts, faults and decisions before a failure.
+//! `TRACE` is the time in seconds of which starts, ends, faults and decisions before a failure are printed.
 
 mod world;
 
--- a/crates/sched/tests/world/schedule.rs
+++ b/crates/sched/tests/world/schedule.rs
@@ -1,7 +1,7 @@
 //! Random schedules of faults of four workers and their leaders.
 
+use super::dimension::{Dimensions, Spells};
 use super::{TICK, World, long_running, step};
-use jobs::State;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -11,8 +11,6 @@
 const STEP: Duration = Duration::from_millis(100);
 /// Time with faults.
 const FAULTY_TIME: Duration = Duration::from_secs(40);
-/// Time before a failure of which `SCHEDULES_TRACE` prints what happened.
-const TRACED: Duration = Duration::from_secs(30);
 /// Jobs that last: the units of each, and how many of them may be unavailable.
 const LASTING_JOBS: [(&str, u32, Option<u32>); 3] =
     [("l0", 2, None), ("l1", 1, None), ("l2", 2, Some(1))];
@@ -37,6 +35,8 @@
     pub wall_clock_error: Duration,
     /// Whether work that lasts runs beside work that ends.
     pub has_lasting_work: bool,
+    /// Further faults.
+    pub dimensions: Dimensions,
 }
 
 impl Faults {
@@ -51,6 +51,7 @@
             longest_interregnum: Duration::from_secs(2),
             wall_clock_error: Duration::ZERO,
             has_lasting_work: false,
+            dimensions: Dimensions::default(),
         }
     }
 }
@@ -68,13 +69,15 @@
 pub struct Schedule {
     pub world: World,
     seed: u64,
-    faults: Faults,
-    rng: StdRng,
+    pub(super) faults: Faults,
+    pub(super) rng: StdRng,
     restarted_at: BTreeMap<String, Duration>,
     cut_until: BTreeMap<String, Duration>,
     /// When the next leader takes over, while there is none.
-    takeover_at: Option<Duration>,
-    job_count: u32,
+    pub(super) takeover_at: Option<Duration>,
+    pub(super) job_count: u32,
+    /// Spells of further faults.
+    pub(super) spells: Spells,
     /// Faults so far.
     events: Vec<(Duration, String)>,
 }
@@ -83,6 +86,8 @@
     pub fn new(seed: u64, faults: Faults) -> Schedule {
         let mut world = World::new(4);
         world.uses_roster = true;
+        world.audit.is_on = true;
+        world.trouble.set_seed(seed);
         world.repeats_starts = faults.repeats_starts;
         for worker in world.workers.values_mut() {
             worker.omits_one_start_in = Some(3);
@@ -107,6 +112,7 @@
             takeover_at: None,
             job_count: 0,
             events: Vec::new(),
+            spells: Spells::default(),
         }
     }
 
@@ -114,7 +120,7 @@
         self.events.push((self.world.now, text));
     }
 
-    fn random_duration(&mut self, least_ms: u64, most_ms: u64) -> Duration {
+    pub(super) fn random_duration(&mut self, least_ms: u64, most_ms: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(least_ms..most_ms))
     }
 
@@ -124,7 +130,8 @@
         if self.rng.random_bool(0.06) {
             self.submit();
         }
-        let id = format!("w{}", self.rng.random_range(0..4));
+        let instance = self.rng.random_range(0..4);
+        let id = self.worker_on(instance);
         let now = self.world.now;
         if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
             let cut_for = self.random_duration(300, 15_000);
@@ -147,6 +154,7 @@
             self.world.workers.get_mut(&id).unwrap().partitioned = false;
         }
         self.change_leader();
+        self.step_dimensions();
     }
 
     fn submit(&mut self) {
@@ -155,11 +163,13 @@
         let run_time = self.random_duration(200, 12_000);
         self.world.run_times.insert(id.clone(), run_time);
         let (count, cpu) = (self.rng.random_range(1..4), self.rng.random_range(1..6) * 1000);
-        self.world.submit("q", &id, vec![step(count, cpu, run_time.as_millis() as u64)]);
+        let first = step(count, cpu, run_time.as_millis() as u64);
+        let steps = self.shape(&id, first);
+        self.world.submit("q", &id, steps);
     }
 
     /// Draws the error of the wall clock of the next worker that starts.
-    fn set_wall_clock_error(&mut self) {
+    pub(super) fn set_wall_clock_error(&mut self) {
         let most_ms = self.faults.wall_clock_error.as_millis() as i64;
         let error_ms = if most_ms > 0 { self.rng.random_range(-most_ms..=most_ms) } else { 0 };
         self.world.wall_clock_error_ms = Some(error_ms);
@@ -198,6 +208,7 @@
             self.take_over();
         }
         self.world.repeats_starts = false;
+        self.world.end_trouble();
         for worker in self.world.workers.values_mut() {
             worker.partitioned = false;
             (worker.omits_one_start_in, worker.omits_one_poll_in) = (None, None);
@@ -222,17 +233,22 @@
                 if !twice.is_empty() {
                     return self.fail(format!("{twice:?} run twice"));
                 }
+                if let Some(text) = self.broken_promise() {
+                    return self.fail(text);
+                }
                 if !self.world.overloads.is_empty() {
                     return self.fail(format!("over capacity: {:?}", self.world.overloads));
                 }
             }
         }
         for job in 0..self.job_count {
-            let state = self.world.state("q", &format!("a{job}"));
-            if state != State::Completed {
-                return self.fail(format!("job a{job} is {state:?}"));
+            let id = format!("a{job}");
+            let state = self.world.state("q", &id);
+            if !self.may_be(&id, state) {
+                return self.fail(format!("job {id} is {state:?}"));
             }
         }
+        self.check_end(healed_at)?;
         if self.faults.has_lasting_work {
             for (id, count, _) in LASTING_JOBS {
                 let unit = |index| format!("{id}.0.0.{index}");
@@ -245,27 +261,13 @@
         Ok(())
     }
 
-    fn fail(&self, text: String) -> Result<(), Failure> {
-        if std::env::var_os("SCHEDULES_TRACE").is_some() {
-            self.trace(&text);
-        }
-        Err(Failure { seed: self.seed, at: self.world.now, text })
-    }
-
-    /// Prints starts, faults and decisions before a failure, in their order.
-    fn trace(&self, text: &str) {
-        let mut lines: Vec<(Duration, String)> = self.events.clone();
-        lines.extend(
-            self.world.log.iter().map(|(at, e)| (*at, format!("{}: {}", e.subject, e.text))),
-        );
-        let started =
-            |s: &super::RecordedStart| format!("{} run {} starts on {}", s.name, s.run, s.worker);
-        lines.extend(self.world.starts.iter().map(|start| (start.at, started(start))));
-        lines.sort_by_key(|(at, _)| *at);
-        let now = self.world.now;
-        println!("seed {}, {text}:", self.seed);
-        for (at, line) in lines.iter().filter(|(at, _)| now < *at + TRACED) {
-            println!("{:>9.2} {line}", at.as_secs_f64());
+    pub(super) fn fail(&self, text: String) -> Result<(), Failure> {
+        let failure = Failure { seed: self.seed, at: self.world.now, text };
+        let seconds = std::env::var("TRACE").ok().and_then(|value| value.parse().ok());
+        if let Some(seconds) = seconds {
+            let lines = self.world.trace(&self.events, Duration::from_secs(seconds));
+            println!("{failure:?}\n{}", lines.join("\n"));
         }
+        Err(failure)
     }
 }
