Jobs, sched: a renamed queue with a policy gets tickets for the jobs accepted before

Callers saw (in a test) that a job of a queue with a policy never runs once its route has another name: the policy was looked up by the name at acceptance.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -220,6 +220,18 @@
         present.is_at(place) || (is_namesake && config.queue_at(place).is_none())
     }
 
+    /// Returns the queue that a job is in by the configuration in force.
+    pub fn queue_of(&self, job: &Job) -> Option<&Queue> {
+        let config = self.config.as_ref()?;
+        let namesake = config.queues.get(&job.queue);
+        match &job.place {
+            Some(place) if !namesake.is_some_and(|queue| queue.is_at(place)) => {
+                config.queue_at(place).and_then(|name| config.queues.get(name)).or(namesake)
+            }
+            _ => namesake,
+        }
+    }
+
     /// Returns the unfinished jobs of a queue.
     pub fn unfinished_jobs<'a>(&'a self, queue: &'a QueueName) -> impl Iterator<Item = &'a Job> {
         let unfinished = self.jobs.values().filter(|job| !job.state.is_final());
--- a/crates/sched/src/scheduler/advice.rs
+++ b/crates/sched/src/scheduler/advice.rs
@@ -167,6 +167,5 @@
 
 /// Returns the policy of a step's queue, if it has one.
 pub(super) fn policy<'a>(ledger: &'a Ledger, key: &StepKey) -> Option<&'a config::Advice> {
-    let job = ledger.job(key.job)?;
-    ledger.config()?.queues.get(&job.queue)?.advice.as_ref()
+    ledger.queue_of(ledger.job(key.job)?)?.advice.as_ref()
 }
