--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -829,7 +829,9 @@
             if let Some(job) = self.jobs.remove(&number) {
                 self.by_id.remove(&job.id);
             }
-            self.late_runs.retain(|(unit, _), _| unit.job != number);
+            let first = UnitKey { job: number, occurrence: 0, step: 0, index: 0 };
+            let next = UnitKey { job: number + 1, ..first };
+            self.late_runs.extract_if((first, 0)..(next, 0), |_, _| true).for_each(drop);
         }
     }
 
