Sched: log lines that tell which worker an answer of the cloud meets, and lists older than reports

Answers of the cloud name the order by the time of its decision, and lists the time at which they were asked for. Nothing is decided by it yet.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -256,8 +256,8 @@
         match input {
             Input::WorkerReply(reply) => scheduler.on_worker_reply(time, &self.ledger, reply),
             Input::AdviseReply(reply) => scheduler.on_advise_reply(time, &self.ledger, reply),
-            Input::InstanceList(Answer::Done(instances)) => {
-                scheduler.on_instance_list(time, instances)
+            Input::InstanceList(asked_at, Answer::Done(instances)) => {
+                scheduler.on_instance_list(time, asked_at, instances)
             }
             Input::MoveReply(reply) => scheduler.on_move_reply(time, reply),
             Input::MaintenanceReply(reply) => scheduler.on_maintenance_reply(time, reply),
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -113,8 +113,9 @@
     WorkerReply(order::Reply),
     /// A queue's policy answered, or the call failed.
     AdviseReply(AdviseReply),
-    /// The cloud answered with its list of instances, or the call failed.
-    InstanceList(Answer<Vec<Instance>>),
+    /// The cloud answered with its list of instances, or the call failed, and when the list was
+    /// asked for.
+    InstanceList(Duration, Answer<Vec<Instance>>),
     /// The cloud answered a move order, or the call failed.
     MoveReply(MoveReply),
     /// The cloud answered a maintenance order, or the call failed.
@@ -352,7 +353,7 @@
             Input::WorkerLeft(worker) => self.on_worker_left(time, worker, true),
             Input::WorkerReply(_)
             | Input::AdviseReply(_)
-            | Input::InstanceList(_)
+            | Input::InstanceList(..)
             | Input::MoveReply(_)
             | Input::MaintenanceReply(_) => self.on_order_reply(time, input),
             Input::Dump(reply) => {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -16,7 +16,7 @@
 use mesh::{Clock, Event, Frame, LeaderRequest, Net, ProcessInfo, Status};
 use quorum::Id;
 use sched::Report;
-use sched::order::{Answer, Order, Reply};
+use sched::order::{Answer, ListInstances, Order, Reply};
 use sched::scheduler::{
     AdviseReply, MaintenanceReply, MoveReply, PaceReply, Placing, PollReply, StartReply, StopReply,
 };
@@ -531,16 +531,18 @@
             let answer = calls.advise(advise).await;
             Input::AdviseReply(AdviseReply { step, workers, answer })
         }
-        Order::ListInstances => Input::InstanceList(calls.list_instances().await),
+        Order::ListInstances(ListInstances { asked_at }) => {
+            Input::InstanceList(asked_at, calls.list_instances().await)
+        }
         Order::Move(order) => {
-            let instance = order.instance.clone();
+            let (instance, sent_at) = (order.instance.clone(), order.sent_at);
             let answer = calls.move_instance(order).await;
-            Input::MoveReply(MoveReply { instance, answer })
+            Input::MoveReply(MoveReply { instance, sent_at, answer })
         }
         Order::Maintain(order) => {
-            let (instance, wave) = (order.instance.clone(), order.wave);
+            let (instance, wave, sent_at) = (order.instance.clone(), order.wave, order.sent_at);
             let answer = calls.maintain(order).await;
-            Input::MaintenanceReply(MaintenanceReply { instance, wave, answer })
+            Input::MaintenanceReply(MaintenanceReply { instance, wave, sent_at, answer })
         }
     }
 }
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -26,7 +26,7 @@
     /// Asks a queue's policy which workers may run a step.
     Advise(Advise),
     /// Lists the cloud's instances.
-    ListInstances,
+    ListInstances(ListInstances),
     /// Moves an instance to another pool.
     Move(Move),
     /// Starts the maintenance of an instance.
@@ -41,7 +41,9 @@
             Order::Poll(to, _) | Order::Start(to, _) | Order::Stop(to, _) | Order::Pace(to, _) => {
                 Some(to)
             }
-            Order::Advise(_) | Order::ListInstances | Order::Move(_) | Order::Maintain(_) => None,
+            Order::Advise(_) | Order::ListInstances(_) | Order::Move(_) | Order::Maintain(_) => {
+                None
+            }
         }
     }
 
@@ -61,7 +63,7 @@
             | Order::Start(_, Start { leave_by, .. })
             | Order::Move(Move { leave_by, .. })
             | Order::Maintain(Maintenance { leave_by, .. }) => Some(*leave_by),
-            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances => None,
+            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances(_) => None,
         }
     }
 
@@ -71,7 +73,7 @@
             | Order::Start(_, Start { leave_by, .. })
             | Order::Move(Move { leave_by, .. })
             | Order::Maintain(Maintenance { leave_by, .. }) => Some(leave_by),
-            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances => None,
+            Order::Stop(..) | Order::Pace(..) | Order::Advise(_) | Order::ListInstances(_) => None,
         }
     }
 
@@ -110,7 +112,9 @@
                 let (unit, run, percent) = (*unit, *run, *percent);
                 Some(Reply::Pace(PaceReply { incarnation, unit, run, percent, answer }))
             }
-            Order::Advise(_) | Order::ListInstances | Order::Move(_) | Order::Maintain(_) => None,
+            Order::Advise(_) | Order::ListInstances(_) | Order::Move(_) | Order::Maintain(_) => {
+                None
+            }
         }
     }
 }
@@ -225,6 +229,14 @@
     pub workers: Vec<Incarnation>,
 }
 
+/// Lists the cloud's instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListInstances {
+    /// When the leader decided to ask, on its monotonic clock. The list shows the instances as they
+    /// were at some time since.
+    pub asked_at: Duration,
+}
+
 /// Moves an instance to another pool.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Move {
@@ -234,6 +246,8 @@
     pub pool: PoolName,
     /// Fence of the leader that sends the order.
     pub fence: Fence,
+    /// When the leader decided to send the order, on its monotonic clock.
+    pub sent_at: Duration,
     /// Until when the order may leave, on the clock of the process that sends it; in a frame to
     /// another process, the time that is left.
     #[serde(default = "unstated_time_left", rename = "time_left")]
@@ -249,6 +263,8 @@
     pub wave: WaveId,
     /// Fence of the leader that sends the order.
     pub fence: Fence,
+    /// When the leader decided to send the order, on its monotonic clock.
+    pub sent_at: Duration,
     /// Until when the order may leave, on the clock of the process that sends it; in a frame to
     /// another process, the time that is left.
     #[serde(default = "unstated_time_left", rename = "time_left")]
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -111,8 +111,9 @@
         if moving.pool == *pool && moving.stage == Stage::Proposed {
             moving.stage = Stage::Sent(time.monotonic);
             let (instance, pool) = (instance.clone(), pool.clone());
-            let (fence, leave_by) = (self.fences.term(), time.monotonic + SEND_WINDOW);
-            self.orders.push(Order::Move(Move { instance, pool, fence, leave_by }));
+            let (fence, sent_at) = (self.fences.term(), time.monotonic);
+            let leave_by = sent_at + SEND_WINDOW;
+            self.orders.push(Order::Move(Move { instance, pool, fence, sent_at, leave_by }));
         }
     }
 
@@ -159,15 +160,17 @@
     /// is unanswered and may still be carried out, a reply does not settle the move in the log,
     /// and a refusal does not end it.
     pub(super) fn apply_move_reply(&mut self, time: Time, reply: MoveReply) {
-        let MoveReply { instance, answer } = reply;
+        let MoveReply { instance, sent_at, answer } = reply;
         let Some(moving) = self.balance.moving.get_mut(&instance) else { return };
         let may_come_late =
             self.balance.uncertain_until.get(&instance).is_some_and(|at| time.monotonic < *at);
         let certain = !(moving.unanswered && may_come_late);
+        let only_copy = !moving.unanswered;
         match answer {
             Answer::Done(()) => {
                 moving.stage = Stage::Accepted(time.monotonic);
                 let pool = moving.pool.clone();
+                self.explain_carried_out(time, &instance, sent_at, only_copy);
                 if certain {
                     let reason = format!("the cloud takes it to pool {pool}");
                     self.propose_move(time, instance.clone(), None, reason);
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -9,7 +9,7 @@
 use super::{Scheduler, Time};
 use crate::instance::{Instance, State};
 use crate::late::SEND_WINDOW;
-use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
+use crate::order::{Answer, ListInstances, Maintenance as MaintenanceOrder, Order, Refusal};
 use crate::roster::Report;
 use crate::worker::{GONE_AFTER_LISTS, RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
@@ -42,6 +42,8 @@
     pub instance: InstanceId,
     /// Wave that the order belongs to.
     pub wave: WaveId,
+    /// `sent_at` of the order.
+    pub sent_at: Duration,
     /// `Done` if the cloud has begun the maintenance.
     pub answer: Answer<()>,
 }
@@ -51,6 +53,8 @@
 pub struct MoveReply {
     /// Instance to be moved.
     pub instance: InstanceId,
+    /// `sent_at` of the order.
+    pub sent_at: Duration,
     /// `Done` if the cloud has begun the move.
     pub answer: Answer<()>,
 }
@@ -222,10 +226,11 @@
     /// Applies the cloud's instance list: explains what changed in it, and proposes the
     /// end of maintenance that is done and the phase `Gone` for instances that no longer
     /// exist.
-    pub fn on_instance_list(&mut self, time: Time, instances: Vec<Instance>) {
+    pub fn on_instance_list(&mut self, time: Time, asked_at: Duration, instances: Vec<Instance>) {
         let previous = std::mem::take(&mut self.instances);
         self.instances = instances.into_iter().map(|m| (m.id.clone(), m)).collect();
         self.explain_listing_changes(&previous);
+        self.explain_contradictions(time, asked_at);
         self.count_lists_without_workers(time);
         self.propose_gone();
         let finished: Vec<(InstanceId, WaveId)> = self
@@ -263,6 +268,30 @@
         }
     }
 
+    /// Explains where a list has an instance elsewhere than a worker that reported after the list was
+    /// asked for.
+    fn explain_contradictions(&mut self, time: Time, asked_at: Duration) {
+        let mut contradictions = Vec::new();
+        for worker in self.workers.values() {
+            let Some(report) = &worker.report else { continue };
+            let Some(listed) = self.instances.get(&report.instance) else { continue };
+            let agrees = listed.pool == report.pool && listed.state == State::Up;
+            if agrees || worker.reported_at.is_none_or(|at| at <= asked_at) {
+                continue;
+            }
+            let age_ms = time.monotonic.saturating_sub(asked_at).as_millis();
+            let text = format!(
+                "is {:?} in pool {} by a list asked for {age_ms} ms ago, and a worker has reported from \
+                 pool {} since",
+                listed.state, listed.pool, report.pool
+            );
+            contradictions.push((report.instance.clone(), text));
+        }
+        for (instance, text) in contradictions {
+            self.explain(instance, text);
+        }
+    }
+
     /// Counts for each worker the consecutive lists by which it can't start again under its id:
     /// its instance does not exist any more, or another worker is on it.
     fn count_lists_without_workers(&mut self, time: Time) {
@@ -307,12 +336,13 @@
 
     /// Handles the reply to an order for maintenance.
     pub fn on_maintenance_reply(&mut self, time: Time, reply: MaintenanceReply) {
-        let MaintenanceReply { instance, wave, answer } = reply;
+        let MaintenanceReply { instance, wave, sent_at, answer } = reply;
         let Some(pending) = self.maintenance.ordered.get_mut(&instance) else { return };
         let only_copy = !pending.unanswered;
         match answer {
             Answer::Done(()) => {
                 let ended = pending.ends_incarnation_of;
+                self.explain_carried_out(time, &instance, sent_at, only_copy);
                 self.maintenance.ordered.remove(&instance);
                 self.propose_phase(wave, &instance, Phase::Begun);
                 // An answer may come after the instance is back.
@@ -349,6 +379,33 @@
         }
     }
 
+    /// Explains that the cloud has carried out an order for an instance, and which worker is there.
+    pub(super) fn explain_carried_out(
+        &mut self,
+        time: Time,
+        instance: &InstanceId,
+        sent_at: Duration,
+        only_copy: bool,
+    ) {
+        let age_ms = |at: Duration| time.monotonic.saturating_sub(at).as_millis();
+        let copies = if only_copy { "" } else { ", not the first one" };
+        let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
+        let worker = match worker {
+            Some(worker) => format!(
+                "worker {} started at {} has reported from there for {} ms",
+                worker.incarnation.worker,
+                worker.incarnation.started_at,
+                age_ms(worker.reported_at.unwrap_or_default())
+            ),
+            None => "no worker is known there".to_string(),
+        };
+        let text = format!(
+            "the cloud has carried out an order {} ms old{copies}: {worker}",
+            age_ms(sent_at)
+        );
+        self.explain(instance.clone(), text);
+    }
+
     /// Whether a later incarnation than the given one reports from an instance.
     fn has_restarted_since(&self, instance: &InstanceId, started_at: Option<UnixMs>) -> bool {
         let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
@@ -745,8 +802,9 @@
                 self.stop_long_running(time, ledger, &instance);
                 continue;
             }
-            let (fence, leave_by) = (self.fences.term(), time.monotonic + SEND_WINDOW);
-            let order = MaintenanceOrder { instance, wave, fence, leave_by };
+            let (fence, sent_at) = (self.fences.term(), time.monotonic);
+            let leave_by = sent_at + SEND_WINDOW;
+            let order = MaintenanceOrder { instance, wave, fence, sent_at, leave_by };
             self.orders.push(Order::Maintain(order));
         }
     }
@@ -767,7 +825,7 @@
         if self.maintenance.list_requested_at.is_none_or(|at| time.monotonic >= at + LIST_INTERVAL)
         {
             self.maintenance.list_requested_at = Some(time.monotonic);
-            self.orders.push(Order::ListInstances);
+            self.orders.push(Order::ListInstances(ListInstances { asked_at: time.monotonic }));
         }
     }
 
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -535,6 +535,7 @@
             report.draining && !worker.report.as_ref().is_some_and(|r| r.draining);
         let is_first = worker.report.is_none();
         worker.report = Some(report.clone());
+        worker.reported_at.get_or_insert(time.monotonic);
         worker.address = Some(report.address);
         self.record_instance_worker(time, report);
         if capacity.is_some_and(|capacity| capacity != report.capacity) {
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -347,6 +347,7 @@
         self.batch.restarted.push(restart);
         worker.has_own_fence = self.fences.after(worker.restarts) > former_fence;
         worker.report = None;
+        worker.reported_at = None;
         worker.answered_under_fence = false;
         worker.lease = Lease::inherited(granted_until, self.settings.max_lease);
         worker.polling = Polling { unanswered_grant_at, ..Polling::default() };
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -237,6 +237,8 @@
     pub has_own_fence: bool,
     /// Newest report; `None` if the incarnation is known only from its runs.
     pub report: Option<Report>,
+    /// When the present incarnation first reported to this leader; `None` if it has not.
+    pub reported_at: Option<Duration>,
     /// Address at which it accepts orders. Kept when a poll is answered by a new incarnation,
     /// which then has the address and has not reported yet.
     pub address: Option<SocketAddr>,
@@ -295,6 +297,7 @@
             restarts: 0,
             has_own_fence: false,
             report: None,
+            reported_at: None,
             address: None,
             lease,
             answered_under_fence: false,
@@ -396,6 +399,7 @@
     /// Records that the present incarnation has certainly ended.
     pub fn end(&mut self) {
         self.report = None;
+        self.reported_at = None;
         self.address = None;
         self.answered_under_fence = false;
         self.ended = true;
--- a/crates/sched/tests/world/orders.rs
+++ b/crates/sched/tests/world/orders.rs
@@ -144,8 +144,8 @@
             }
             Order::Maintain(order) => {
                 let (answer, delay) = self.maintain(&order);
-                let (instance, wave) = (order.instance, order.wave);
-                let reply = MaintenanceReply { instance, wave, answer };
+                let (instance, wave, sent_at) = (order.instance, order.wave, order.sent_at);
+                let reply = MaintenanceReply { instance, wave, sent_at, answer };
                 self.overdue_maintenance.push((self.now + delay, reply));
                 self.answer_maintenance();
             }
@@ -158,10 +158,11 @@
                         Answer::Unknown
                     }
                 };
-                let reply = MoveReply { instance: order.instance, answer };
+                let (instance, sent_at) = (order.instance, order.sent_at);
+                let reply = MoveReply { instance, sent_at, answer };
                 self.scheduler.on_move_reply(time, reply);
             }
-            Order::ListInstances => self.list_instances(),
+            Order::ListInstances(order) => self.list_instances(order.asked_at),
             Order::Pace(to, pace) => {
                 if let Some(worker) = self.workers.get_mut(&to.incarnation.worker) {
                     worker.paces.insert((pace.name, pace.run), pace.percent);
--- a/crates/sched/tests/world/trouble.rs
+++ b/crates/sched/tests/world/trouble.rs
@@ -45,7 +45,7 @@
     /// The order that is being carried out was held up.
     pub is_held_up: bool,
     /// Lists under way, each with the time of its arrival.
-    lists: Vec<(Duration, Vec<Instance>)>,
+    lists: Vec<(Duration, (Duration, Vec<Instance>))>,
     /// Reports that a frozen leader has not read.
     unread: Vec<Report>,
     rng: StdRng,
@@ -182,13 +182,13 @@
                 Order::Maintain(order) => {
                     self.maintain(&order);
                 }
-                Order::ListInstances | Order::Pace(..) | Order::Advise(_) => {}
+                Order::ListInstances(_) | Order::Pace(..) | Order::Advise(_) => {}
             }
         }
     }
 
     /// Answers a request for the list of instances as it is now, maybe late.
-    pub(super) fn list_instances(&mut self) {
+    pub(super) fn list_instances(&mut self, asked_at: Duration) {
         if self.trouble.loses_lists {
             return;
         }
@@ -200,7 +200,7 @@
             let is_up = |id: &String| !self.workers[id].is_down;
             list.iter_mut().for_each(|instance| _ = instance.worker.take_if(|id| !is_up(id)));
         }
-        self.trouble.lists.push((self.now + self.trouble.list_delay, list));
+        self.trouble.lists.push((self.now + self.trouble.list_delay, (asked_at, list)));
         self.deliver_unread();
     }
 
@@ -214,8 +214,8 @@
             self.scheduler.on_report(time, &self.ledger, &report);
         }
         let due: Vec<_> = self.trouble.lists.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, list) in due {
-            self.scheduler.on_instance_list(time, list);
+        for (_, (asked_at, list)) in due {
+            self.scheduler.on_instance_list(time, asked_at, list);
         }
     }
 
