--- /dev/null
+++ b/crates/sched/tests/cloud.rs
@@ -0,0 +1,85 @@
+//! Answers and lists of the cloud that tell of an earlier worker on an instance than the present one.
+
+mod world;
+
+use jobs::command::Command;
+use sched::Settings;
+use std::time::Duration;
+use world::{STANDBY, TICK, World, step};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Advances the simulation, and checks at each tick that no unit runs on two workers.
+fn run_checked(world: &mut World, duration: Duration) {
+    let end = world.now + duration;
+    while world.now < end {
+        world.run(TICK);
+        let twice = world.running_twice();
+        assert!(twice.is_empty(), "{twice:?} run twice at {:?}: {:?}", world.now, world.starts);
+    }
+}
+
+/// Submits jobs of one unit that fills a worker for 3 s.
+fn submit_jobs(world: &mut World, count: usize) {
+    for number in 0..count {
+        let id = format!("a{number}");
+        world.run_times.insert(id.clone(), seconds(3.0));
+        world.submit("q", &id, vec![step(1, 8000, 3000)]);
+    }
+}
+
+fn runs_on(world: &World, id: &str) -> usize {
+    world.workers[id].runs.len()
+}
+
+fn start_wave(world: &mut World, instance: &str) {
+    let at = world.time().wall;
+    let wave = jobs::Wave::new(1, [instance.to_string()].into(), seconds(30.0), 1, at);
+    world.apply(Command::StartWave(wave));
+}
+
+#[test]
+fn a_list_older_than_a_report_does_not_let_runs_of_the_moved_worker_start_elsewhere() {
+    let mut world = World::new(2);
+    world.add("w2", STANDBY, 1);
+    world.run(seconds(7.0));
+    let (asked_at, list) = (world.now, world.instances());
+    submit_jobs(&mut world, 12);
+    while runs_on(&world, "w2") == 0 {
+        run_checked(&mut world, TICK);
+    }
+    world.scheduler.on_instance_list(world.time(), asked_at, list);
+    run_checked(&mut world, seconds(30.0));
+    let moved = world.moves.iter().filter(|(_, instance, pool)| instance == "m2" && pool == "p");
+    assert_eq!(moved.count(), 1, "{:?}", world.moves);
+    assert_eq!(world.starts.len(), 12, "each unit runs once");
+}
+
+#[test]
+fn maintenance_that_was_done_under_the_former_leader_does_not_end_runs_of_the_next_worker() {
+    for ticks in 0..60 {
+        let mut world = World::new(3);
+        world.uses_roster = true;
+        world.loses_reports = true;
+        world.end_leadership();
+        let known = ["w1".to_string(), "w2".to_string()].into();
+        world.begin_leadership(&known);
+        world.maintenance_answer_delay = seconds(60.0);
+        start_wave(&mut world, "m0");
+        while world.maintenances_begun.is_empty() {
+            run_checked(&mut world, TICK);
+        }
+        world.end_leadership();
+        world.loses_reports = false;
+        let down_for = Settings::default().maintenance_duration;
+        run_checked(&mut world, down_for + seconds(0.2) + TICK * ticks);
+        world.maintenance_answer_delay = seconds(2.0);
+        world.begin_leadership(&known);
+        submit_jobs(&mut world, 9);
+        run_checked(&mut world, seconds(30.0));
+        assert_eq!(world.starts.len(), 9, "each unit runs once, after {ticks} ticks");
+        assert!(world.ledger.waves()[&1].is_completed(), "after {ticks} ticks");
+    }
+}
--- a/crates/sched/tests/dimensions.rs
+++ b/crates/sched/tests/dimensions.rs
@@ -139,6 +139,18 @@
     play(Dimensions { list_fault: 0.02, ..Dimensions::default() });
 }
 
+#[test]
+fn promises_hold_while_the_cloud_is_slow() {
+    let late = Dimensions { late_move: 0.01, list_fault: 0.005, ..Dimensions::default() };
+    play(Dimensions { slow_cloud: 0.02, wave: 0.01, ..late });
+}
+
+#[test]
+fn promises_hold_under_all_faults_and_a_slow_cloud() {
+    let all = Dimensions::all(variable("INTENSITY", 1) as f64);
+    play(Dimensions { slow_cloud: 0.01, ..all });
+}
+
 #[test]
 fn promises_hold_for_gangs() {
     play(Dimensions { gangs: 0.5, ..Dimensions::default() });
--- a/crates/sched/tests/world/dimension.rs
+++ b/crates/sched/tests/world/dimension.rs
@@ -32,6 +32,8 @@
     pub slow_stops: f64,
     /// The cloud's lists are lost, or up to 1.8 s late, for up to 8 s.
     pub list_fault: f64,
+    /// Calls to the cloud take up to 5 s, for up to 15 s.
+    pub slow_cloud: f64,
     /// Share of jobs that are gangs.
     pub gangs: f64,
     /// Share of jobs whose units may run in copies.
@@ -64,6 +66,7 @@
             sticking: 0.004 * intensity,
             slow_stops: 0.005 * intensity,
             list_fault: 0.005 * intensity,
+            slow_cloud: 0.0,
             gangs: 0.15,
             copies: 0.15,
             dependencies: 0.2,
@@ -90,6 +93,7 @@
     Sticking(String),
     SlowStops,
     Lists,
+    Cloud,
     Ways,
     Soon,
 }
@@ -171,6 +175,10 @@
             self.world.trouble.list_delay = self.random_duration(0, 1800);
             self.begin_spell(8000, Spell::Lists);
         }
+        if self.draws(of.slow_cloud) {
+            self.world.trouble.longest_cloud_call = Duration::from_secs(5);
+            self.begin_spell(15_000, Spell::Cloud);
+        }
         if self.draws(of.resize) {
             let cpu_milli = self.rng.random_range(8..=12) * 1000;
             self.world.trouble.next_cpu_milli = Some(cpu_milli);
@@ -212,6 +220,7 @@
                 Spell::Lists => {
                     (world.trouble.loses_lists, world.trouble.list_delay) = (false, none);
                 }
+                Spell::Cloud => world.trouble.longest_cloud_call = none,
                 Spell::Soon => {}
                 Spell::Ways => {
                     world.trouble.longest_way = none;
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -3,6 +3,7 @@
 //! Simulation of a scheduler, its ledger, scripted workers and a cloud on a fake clock.
 
 use audit::Audit;
+use cloud::Cloud;
 use gang::Gangs;
 use jobs::command::{Command, Submit};
 use jobs::config::Advice;
@@ -10,7 +11,7 @@
 use jobs::{Config, Ledger, Pool, Queue, RunNumber};
 use sched::fence::Fences;
 use sched::order::{Destination, Move, Order, Poll, Reply, Start, Stop};
-use sched::scheduler::{MaintenanceReply, Time};
+use sched::scheduler::Time;
 use sched::{Roster, Scheduler, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -139,8 +140,8 @@
     pub maintenance_overrun: Duration,
     /// Time that the cloud takes to answer a maintenance order that it has carried out.
     pub maintenance_answer_delay: Duration,
-    /// Answers of the cloud that are under way, with the time when they arrive.
-    overdue_maintenance: Vec<(Duration, MaintenanceReply)>,
+    /// Orders that the cloud has yet to carry out, and its answers under way.
+    cloud: Cloud,
     /// The process that sends the leader's orders is gone; polls and starts are lost with it.
     pub relay_is_gone: bool,
     /// Highest fence that the cloud has seen for each instance.
@@ -252,7 +253,7 @@
             maintenances_begun: Vec::new(),
             maintenance_overrun: Duration::ZERO,
             maintenance_answer_delay: Duration::ZERO,
-            overdue_maintenance: Vec::new(),
+            cloud: Cloud::default(),
             relay_is_gone: false,
             fences: BTreeMap::new(),
             interrupted: Vec::new(),
@@ -350,7 +351,7 @@
         }
         self.receive_orders();
         self.carry_out_delayed_orders();
-        self.answer_maintenance();
+        self.run_cloud();
         self.deliver_unread();
         let is_report_due = self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis());
         let ids: Vec<String> = self.workers.keys().cloned().collect();
--- a/crates/sched/tests/world/orders.rs
+++ b/crates/sched/tests/world/orders.rs
@@ -1,13 +1,11 @@
 //! How orders are carried out and answered, in time, late or never.
 
-use super::{MOVE_DELAY, ORDER_TIMEOUT, RecordedStart, Worker, World};
+use super::{ORDER_TIMEOUT, RecordedStart, Worker, World};
 use jobs::RunNumber;
 use jobs::command::EndReason;
 use sched::Settings;
 use sched::order::{Answer, Destination, Order, Poll, Refusal, Reply, Start, StartOutcome};
-use sched::scheduler::{
-    AdviseReply, MaintenanceReply, MoveReply, PaceReply, PollReply, StartReply, StopReply,
-};
+use sched::scheduler::{AdviseReply, PaceReply, PollReply, StartReply, StopReply};
 use std::time::{Duration, Instant};
 
 impl World {
@@ -142,27 +140,7 @@
                 let reply = StopReply { incarnation, unit, run, answer };
                 self.send_back(Reply::Stop(reply));
             }
-            Order::Maintain(order) => {
-                let (answer, delay) = self.maintain(&order);
-                let (instance, wave, sent_at) = (order.instance, order.wave, order.sent_at);
-                let reply = MaintenanceReply { instance, wave, sent_at, answer };
-                self.overdue_maintenance.push((self.now + delay, reply));
-                self.answer_maintenance();
-            }
-            Order::Move(order) => {
-                let answer = match self.moves_to_delay {
-                    0 => self.move_instance(&order),
-                    _ => {
-                        self.moves_to_delay -= 1;
-                        self.delayed_moves.push((self.now + MOVE_DELAY, order.clone()));
-                        Answer::Unknown
-                    }
-                };
-                let (instance, sent_at) = (order.instance, order.sent_at);
-                let reply = MoveReply { instance, sent_at, answer };
-                self.scheduler.on_move_reply(time, reply);
-            }
-            Order::ListInstances(order) => self.list_instances(order.asked_at),
+            Order::Maintain(_) | Order::Move(_) | Order::ListInstances(_) => self.call_cloud(order),
             Order::Pace(to, pace) => {
                 if let Some(worker) = self.workers.get_mut(&to.incarnation.worker) {
                     worker.paces.insert((pace.name, pace.run), pace.percent);
--- a/crates/sched/tests/world/trouble.rs
+++ b/crates/sched/tests/world/trouble.rs
@@ -32,6 +32,8 @@
     pub loses_lists: bool,
     /// Time that the cloud takes to answer requests for its list.
     pub list_delay: Duration,
+    /// Longest time that the cloud takes for a call.
+    pub longest_cloud_call: Duration,
     /// Time that a stop takes; what it bars is barred at once.
     pub stop_time: Duration,
     /// Cores of workers that start, in thousandths; `None` for those of the worker before.
@@ -59,6 +61,7 @@
             longest_way_back: Duration::ZERO,
             loses_lists: false,
             list_delay: Duration::ZERO,
+            longest_cloud_call: Duration::ZERO,
             stop_time: Duration::ZERO,
             next_cpu_milli: None,
             frozen_until: Duration::ZERO,
@@ -74,7 +77,7 @@
 
 impl Trouble {
     /// Draws how long a message is under way.
-    fn draw(&mut self, longest: Duration) -> Duration {
+    pub(super) fn draw(&mut self, longest: Duration) -> Duration {
         if longest.is_zero() {
             return Duration::ZERO;
         }
@@ -187,20 +190,25 @@
         }
     }
 
-    /// Answers a request for the list of instances as it is now, maybe late.
-    pub(super) fn list_instances(&mut self, asked_at: Duration) {
-        if self.trouble.loses_lists {
-            return;
-        }
-        let in_maintenance = |id: &String| self.returning.contains_key(id);
+    /// Returns the instances as the cloud lists them now.
+    pub fn instances(&self) -> Vec<Instance> {
         let present = self.workers.iter().filter(|(_, worker)| !worker.is_succeeded);
         let mut list: Vec<_> =
-            present.map(|(id, worker)| worker.instance(in_maintenance(id))).collect();
+            present.map(|(id, worker)| worker.instance(self.returning.get(id))).collect();
         if self.lists_only_workers_up {
             let is_up = |id: &String| !self.workers[id].is_down;
             list.iter_mut().for_each(|instance| _ = instance.worker.take_if(|id| !is_up(id)));
         }
-        self.trouble.lists.push((self.now + self.trouble.list_delay, (asked_at, list)));
+        list
+    }
+
+    /// Answers a request for the list of instances as it is now, after some time and maybe late.
+    pub(super) fn list_instances(&mut self, asked_at: Duration, delay: Duration) {
+        if self.trouble.loses_lists {
+            return;
+        }
+        let list = self.instances();
+        self.trouble.lists.push((self.now + self.trouble.list_delay + delay, (asked_at, list)));
         self.deliver_unread();
     }
 
@@ -239,6 +247,7 @@
         self.trouble.longest_way = Duration::ZERO;
         self.trouble.longest_way_back = Duration::ZERO;
         self.trouble.list_delay = Duration::ZERO;
+        self.trouble.longest_cloud_call = Duration::ZERO;
         self.trouble.stop_time = Duration::ZERO;
         self.trouble.loses_lists = false;
         for worker in self.workers.values_mut() {
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -147,11 +147,18 @@
         self.lease_expiry = self.lease_expiry.max(end.min(now + max_lease));
     }
 
-    pub fn instance(&self, in_maintenance: bool) -> Instance {
+    /// Returns the instance as the cloud lists it, given when and in which pool it comes back if it
+    /// is down.
+    pub fn instance(&self, returning: Option<&(Duration, String)>) -> Instance {
+        let (pool, state) = match returning {
+            None => (&self.report.pool, instance::State::Up),
+            Some((_, pool)) if *pool == self.report.pool => (pool, instance::State::Upkeep),
+            Some((_, pool)) => (pool, instance::State::Moving),
+        };
         Instance {
             id: self.report.instance.clone(),
-            pool: self.report.pool.clone(),
-            state: if in_maintenance { instance::State::Upkeep } else { instance::State::Up },
+            pool: pool.clone(),
+            state,
             data_centre: self.report.data_centre.clone(),
             labels: self.report.labels.clone(),
             capacity: self.report.capacity,
