Sched: a list does not replace what was told of an instance after it was asked for

Callers saw units that run once run twice. A list that was asked for before a worker reported from its new pool put the instance back into its former pool, so the move was ordered again, and the answer to either copy ended the present worker in the leader's books while its runs went on. The class: what a list, an answer or a report tells was true when it was asked for, and was taken as true now.

What is known of an instance is kept with the time from which it holds (crates/sched/src/inventory.rs); a list that was asked for earlier does not replace it, and a list older than the newest one is ignored.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fence;
 pub mod health;
 pub mod instance;
+pub mod inventory;
 pub mod late;
 pub mod lease;
 pub mod locality;
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -12,6 +12,7 @@
 use crate::late::{LATE_ORDER_WINDOW, SEND_WINDOW};
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::Class;
+use crate::roster::Report;
 use jobs::command::{Command, MoveChange};
 use jobs::{InstanceId, JobNumber, Ledger, PoolName, StepKey};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -135,9 +136,9 @@
     /// Ends the moves whose instance the list shows in its new pool, or no longer names.
     pub(super) fn end_listed_moves(&mut self, time: Time) {
         self.balance.listed_at = Some(time.monotonic);
-        let instances = &self.instances;
+        let inventory = &self.inventory;
         self.balance.moving.retain(|id, moving| {
-            let Some(instance) = instances.get(id) else { return false };
+            let Some(instance) = inventory.get(id) else { return false };
             let arrived = instance.state == State::Up && instance.pool == moving.pool;
             // Before the cloud accepts the order, a list may show an earlier state.
             !arrived || !matches!(moving.stage, Stage::Accepted(_))
@@ -146,14 +147,12 @@
 
     /// Handles the first report of an incarnation: ends the instance's move if the report
     /// comes from the new pool. A report from the old pool leaves the move open.
-    pub(super) fn end_arrived_move(&mut self, instance: &InstanceId, pool: &PoolName) {
+    pub(super) fn end_arrived_move(&mut self, time: Time, report: &Report) {
+        let Report { incarnation, instance, pool, .. } = report;
         if self.balance.moving.get(instance).is_some_and(|moving| moving.pool == *pool) {
             self.balance.moving.remove(instance);
         }
-        if let Some(instance) = self.instances.get_mut(instance) {
-            instance.pool = pool.clone();
-            instance.state = State::Up;
-        }
+        self.inventory.record_worker(time.monotonic, instance, pool, &incarnation.worker);
     }
 
     /// Handles the reply to an order to move an instance. While an earlier order for the move
@@ -175,10 +174,7 @@
                     let reason = format!("the cloud takes it to pool {pool}");
                     self.propose_move(time, instance.clone(), None, reason);
                 }
-                if let Some(listed) = self.instances.get_mut(&instance) {
-                    listed.pool = pool;
-                    listed.state = State::Moving;
-                }
+                self.inventory.record_move(time.monotonic, &instance, &pool);
                 self.on_instance_down(time, &instance);
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&instance),
@@ -264,7 +260,7 @@
     /// absent.
     fn instances_by_pool(&self) -> BTreeMap<PoolName, Vec<InstanceId>> {
         let mut by_pool: BTreeMap<PoolName, Vec<InstanceId>> = BTreeMap::new();
-        for instance in self.instances.values() {
+        for instance in self.inventory.instances() {
             let pool = match self.balance.moving.get(&instance.id) {
                 Some(moving) => &moving.pool,
                 None if instance.state == State::Down || self.is_absent(&instance.id) => continue,
@@ -282,7 +278,7 @@
 
     /// Returns the number of cores of the largest instance; 1 if none is known.
     fn cores_per_instance(&self) -> f64 {
-        let cores = self.instances.values().map(|instance| instance.capacity.cpu_milli);
+        let cores = self.inventory.instances().map(|instance| instance.capacity.cpu_milli);
         (cores.max().unwrap_or_default() as f64 / 1000.0).max(1.0)
     }
 
@@ -357,7 +353,7 @@
             let idle = demand.instances.iter().filter(|id| self.is_idle(time, id));
             spare.extend(idle.take(surplus).cloned());
         }
-        let parked = self.instances.values().filter(|instance| {
+        let parked = self.inventory.instances().filter(|instance| {
             instance.pool == *standby
                 && instance.state == State::Up
                 && self.is_movable(time, &instance.id)
@@ -371,7 +367,7 @@
     /// idle ones. Those of the pool itself are among them; a bound by it is too low, never too high.
     pub(super) fn spare_cores(&self, time: Time, ledger: &Ledger) -> f64 {
         let Some(standby) = standby_pool(ledger) else { return 0.0 };
-        let spare = self.instances.values().filter(|instance| {
+        let spare = self.inventory.instances().filter(|instance| {
             (instance.pool == standby && instance.state == State::Up)
                 || instance.state == State::Moving
                 || self.is_idle(time, &instance.id)
@@ -415,7 +411,7 @@
     /// Records since when instances have been idle.
     fn track_idle(&mut self, time: Time) {
         let idle: BTreeSet<InstanceId> =
-            self.instances.keys().filter(|id| self.is_idle(time, id)).cloned().collect();
+            self.inventory.ids().filter(|id| self.is_idle(time, id)).cloned().collect();
         self.balance.idle_since.retain(|id, _| idle.contains(id));
         for id in idle {
             self.balance.idle_since.entry(id).or_insert(time.monotonic);
--- a/crates/sched/src/scheduler/fetch.rs
+++ b/crates/sched/src/scheduler/fetch.rs
@@ -88,7 +88,7 @@
     /// Returns the different capacities of the instances with a label.
     fn capacities(&self, label: &Option<String>) -> Vec<Resources> {
         let mut capacities = Vec::new();
-        for instance in self.instances.values() {
+        for instance in self.inventory.instances() {
             if label.as_ref().is_none_or(|label| instance.labels.contains(label))
                 && !capacities.contains(&instance.capacity)
             {
@@ -105,7 +105,7 @@
         requires: &Option<String>,
         resources: &Resources,
     ) -> bool {
-        self.instances.get(id).is_some_and(|instance| {
+        self.inventory.get(id).is_some_and(|instance| {
             instance.capacity.covers(resources)
                 && requires.as_ref().is_none_or(|label| instance.labels.contains(label))
         })
@@ -126,7 +126,7 @@
                 + self.drains.values().filter(|drain| drain.pool == pool).count();
             for fetch in fetches.iter().skip(on_their_way) {
                 let fits = |id: &InstanceId| {
-                    self.instances.get(id).is_some_and(|instance| instance.pool != pool)
+                    self.inventory.get(id).is_some_and(|instance| instance.pool != pool)
                         && self.instance_holds(id, &fetch.requires, &fetch.resources)
                 };
                 if let Some(position) = spare.iter().rposition(fits) {
@@ -185,12 +185,12 @@
     /// no more than it can give.
     fn donors(&self, time: Time, ledger: &Ledger) -> Vec<InstanceId> {
         let mut left: BTreeMap<&PoolName, usize> = BTreeMap::new();
-        for instance in self.instances.values().filter(|i| !self.drains.contains_key(&i.id)) {
+        for instance in self.inventory.instances().filter(|i| !self.drains.contains_key(&i.id)) {
             *left.entry(&instance.pool).or_default() += 1;
         }
         let losses = self
-            .instances
-            .values()
+            .inventory
+            .instances()
             .filter_map(|instance| Some((self.drain_loss(time, ledger, &instance.id)?, instance)));
         let mut losses: Vec<(u64, &Instance)> = losses.collect();
         losses.sort_by_key(|(loss, instance)| (*loss, &instance.id));
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -7,11 +7,10 @@
 //! not be stopped gets work again until it may.
 
 use super::{Scheduler, Time};
-use crate::instance::{Instance, State};
 use crate::late::SEND_WINDOW;
-use crate::order::{Answer, ListInstances, Maintenance as MaintenanceOrder, Order, Refusal};
+use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
 use crate::roster::Report;
-use crate::worker::{GONE_AFTER_LISTS, RunState, StopReason};
+use crate::worker::{RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
 use jobs::{InstanceId, Ledger, PoolName, RunNumber, UnitKey, UnixMs, WaveId, WorkerId};
@@ -20,8 +19,6 @@
 
 /// Delay after which an unanswered order for maintenance is sent again.
 const MAINTENANCE_RETRY_DELAY: Duration = Duration::from_millis(1000);
-/// Shortest interval between two requests for the instance list.
-const LIST_INTERVAL: Duration = Duration::from_millis(1500);
 /// Part of a wave's duration after which an instance no longer waits for its short work
 /// to finish.
 const SHORT_WORK_WAIT_FRACTION: f64 = 0.75;
@@ -67,20 +64,20 @@
     /// Instances that get work though their wave is overdue.
     suspended: BTreeMap<InstanceId, Suspension>,
     /// Orders that are in the log and not known to be carried out.
-    ordered: BTreeMap<InstanceId, PendingOrder>,
+    pub(super) ordered: BTreeMap<InstanceId, PendingOrder>,
     /// Instances whose maintenance has begun.
-    begun: BTreeMap<InstanceId, BegunMaintenance>,
+    pub(super) begun: BTreeMap<InstanceId, BegunMaintenance>,
     /// When each wave was first seen by this leader.
     first_seen: BTreeMap<WaveId, Duration>,
     /// For each instance whose maintenance was refused: when it may be evacuated again.
     retry_at: BTreeMap<InstanceId, Duration>,
     /// For each instance whose maintenance was refused: its wave, and the number of
     /// consecutive instance lists without it.
-    missing_lists: BTreeMap<InstanceId, (WaveId, u32)>,
+    pub(super) missing_lists: BTreeMap<InstanceId, (WaveId, u32)>,
     /// Phases that are proposed and not yet committed.
     proposed_phases: BTreeMap<InstanceId, Phase>,
     /// When the instance list was last requested.
-    list_requested_at: Option<Duration>,
+    pub(super) list_requested_at: Option<Duration>,
 }
 
 impl MaintenanceState {
@@ -138,7 +135,7 @@
 
 /// An order for maintenance that has to be sent or answered.
 #[derive(Clone, Debug)]
-struct PendingOrder {
+pub(super) struct PendingOrder {
     wave: WaveId,
     sent_at: Option<Duration>,
     /// An earlier copy of the order had no answer and may still be carried out.
@@ -149,9 +146,9 @@
 
 /// Maintenance that has begun, and when this leader learned of it.
 #[derive(Clone, Debug)]
-struct BegunMaintenance {
-    wave: WaveId,
-    learned_at: Duration,
+pub(super) struct BegunMaintenance {
+    pub(super) wave: WaveId,
+    pub(super) learned_at: Duration,
 }
 
 /// Inputs.
@@ -223,117 +220,6 @@
         self.propose_done(begun.wave, report.instance.clone());
     }
 
-    /// Applies the cloud's instance list: explains what changed in it, and proposes the
-    /// end of maintenance that is done and the phase `Gone` for instances that no longer
-    /// exist.
-    pub fn on_instance_list(&mut self, time: Time, asked_at: Duration, instances: Vec<Instance>) {
-        let previous = std::mem::take(&mut self.instances);
-        self.instances = instances.into_iter().map(|m| (m.id.clone(), m)).collect();
-        self.explain_listing_changes(&previous);
-        self.explain_contradictions(time, asked_at);
-        self.count_lists_without_workers(time);
-        self.propose_gone();
-        let finished: Vec<(InstanceId, WaveId)> = self
-            .maintenance
-            .begun
-            .iter()
-            .filter(|(instance, begun)| {
-                let state = self.instances.get(*instance).map(|instance| instance.state);
-                time.monotonic >= begun.learned_at + self.settings.maintenance_duration
-                    && state.is_none_or(|state| state == State::Up)
-            })
-            .map(|(instance, begun)| (instance.clone(), begun.wave))
-            .collect();
-        for (instance, wave) in finished {
-            self.propose_done(wave, instance);
-        }
-        self.end_listed_moves(time);
-    }
-
-    /// Explains which instances went down, came back or left the list.
-    fn explain_listing_changes(&mut self, previous: &BTreeMap<InstanceId, Instance>) {
-        let mut changes = Vec::new();
-        for (id, instance) in &self.instances {
-            let previous_state = previous.get(id).map(|listed| listed.state);
-            let is_down = instance.state == State::Down;
-            if is_down != (previous_state == Some(State::Down)) {
-                changes.push((id.clone(), format!("is listed as {:?}", instance.state)));
-            }
-        }
-        for id in previous.keys().filter(|id| !self.instances.contains_key(*id)) {
-            changes.push((id.clone(), "is not listed any more".to_string()));
-        }
-        for (instance, text) in changes {
-            self.explain(instance, text);
-        }
-    }
-
-    /// Explains where a list has an instance elsewhere than a worker that reported after the list was
-    /// asked for.
-    fn explain_contradictions(&mut self, time: Time, asked_at: Duration) {
-        let mut contradictions = Vec::new();
-        for worker in self.workers.values() {
-            let Some(report) = &worker.report else { continue };
-            let Some(listed) = self.instances.get(&report.instance) else { continue };
-            let agrees = listed.pool == report.pool && listed.state == State::Up;
-            if agrees || worker.reported_at.is_none_or(|at| at <= asked_at) {
-                continue;
-            }
-            let age_ms = time.monotonic.saturating_sub(asked_at).as_millis();
-            let text = format!(
-                "is {:?} in pool {} by a list asked for {age_ms} ms ago, and a worker has reported from \
-                 pool {} since",
-                listed.state, listed.pool, report.pool
-            );
-            contradictions.push((report.instance.clone(), text));
-        }
-        for (instance, text) in contradictions {
-            self.explain(instance, text);
-        }
-    }
-
-    /// Counts for each worker the consecutive lists by which it can't start again under its id:
-    /// its instance does not exist any more, or another worker is on it.
-    fn count_lists_without_workers(&mut self, time: Time) {
-        let mut late_units = Vec::new();
-        let on_instances: BTreeSet<&WorkerId> =
-            self.instances.values().filter_map(|instance| instance.worker.as_ref()).collect();
-        for (id, worker) in &mut self.workers {
-            let can_return = match &worker.report {
-                None => on_instances.contains(id),
-                Some(report) => self.instances.get(&report.instance).is_some_and(|instance| {
-                    instance.state != State::Up
-                        || instance.worker.as_ref().is_none_or(|worker| worker == id)
-                }),
-            };
-            worker.lists_without = if can_return { 0 } else { worker.lists_without + 1 };
-            if worker.lists_without == GONE_AFTER_LISTS {
-                late_units.extend(worker.late_units());
-            }
-        }
-        self.release_held(time, late_units);
-    }
-
-    /// Proposes the phase `Gone` for instances whose maintenance was refused and that were
-    /// missing from several lists.
-    fn propose_gone(&mut self) {
-        let mut gone = Vec::new();
-        for (instance, (wave, lists)) in &mut self.maintenance.missing_lists {
-            *lists = if self.instances.contains_key(instance) { 0 } else { *lists + 1 };
-            if *lists >= GONE_AFTER_LISTS {
-                gone.push((instance.clone(), *wave));
-            }
-        }
-        for (instance, wave) in gone {
-            if !self.has_proposed_phase(&instance)
-                && !self.maintenance.ordered.contains_key(&instance)
-            {
-                self.maintenance.missing_lists.remove(&instance);
-                self.propose_phase(wave, &instance, Phase::Gone);
-            }
-        }
-    }
-
     /// Handles the reply to an order for maintenance.
     pub fn on_maintenance_reply(&mut self, time: Time, reply: MaintenanceReply) {
         let MaintenanceReply { instance, wave, sent_at, answer } = reply;
@@ -367,7 +253,7 @@
                 self.maintenance.missing_lists.entry(instance.clone()).or_insert((wave, 0));
                 self.uncordon(&instance);
                 self.request_instance_list(time);
-                let state = self.instances.get(&instance).map(|instance| instance.state);
+                let state = self.inventory.get(&instance).map(|instance| instance.state);
                 self.explain(
                     instance.clone(),
                     format!("its maintenance is refused, listed as {state:?}"),
@@ -379,6 +265,13 @@
         }
     }
 
+    /// Whether a later incarnation than the given one reports from an instance.
+    fn has_restarted_since(&self, instance: &InstanceId, started_at: Option<UnixMs>) -> bool {
+        let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
+        let present = worker.map(|worker| worker.incarnation.started_at);
+        started_at.is_some() && present > started_at
+    }
+
     /// Explains that the cloud has carried out an order for an instance, and which worker is there.
     pub(super) fn explain_carried_out(
         &mut self,
@@ -406,13 +299,6 @@
         self.explain(instance.clone(), text);
     }
 
-    /// Whether a later incarnation than the given one reports from an instance.
-    fn has_restarted_since(&self, instance: &InstanceId, started_at: Option<UnixMs>) -> bool {
-        let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
-        let present = worker.map(|worker| worker.incarnation.started_at);
-        started_at.is_some() && present > started_at
-    }
-
     /// Handles the reply to an order to move an instance.
     pub fn on_move_reply(&mut self, time: Time, reply: MoveReply) {
         self.apply_move_reply(time, reply);
@@ -702,7 +588,7 @@
     }
 
     /// Whether a change of the instance's phase is proposed and not yet committed.
-    fn has_proposed_phase(&self, instance: &InstanceId) -> bool {
+    pub(super) fn has_proposed_phase(&self, instance: &InstanceId) -> bool {
         self.maintenance.proposed_phases.contains_key(instance)
     }
 
@@ -820,15 +706,6 @@
         }
     }
 
-    /// Requests the instance list unless that was done a short time ago.
-    pub(super) fn request_instance_list(&mut self, time: Time) {
-        if self.maintenance.list_requested_at.is_none_or(|at| time.monotonic >= at + LIST_INTERVAL)
-        {
-            self.maintenance.list_requested_at = Some(time.monotonic);
-            self.orders.push(Order::ListInstances(ListInstances { asked_at: time.monotonic }));
-        }
-    }
-
     /// Handles that an instance is down for maintenance or a move: its worker has ended,
     /// and its runs are discarded.
     pub(super) fn on_instance_down(&mut self, time: Time, instance: &InstanceId) {
@@ -844,7 +721,7 @@
     }
 
     /// Proposes that an instance's maintenance is done, unless another change is proposed.
-    fn propose_done(&mut self, wave: WaveId, instance: InstanceId) {
+    pub(super) fn propose_done(&mut self, wave: WaveId, instance: InstanceId) {
         if !self.has_proposed_phase(&instance) {
             self.propose_phase(wave, &instance, Phase::Done);
         }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod explain;
 mod fetch;
+mod listing;
 mod locality;
 mod maintenance;
 mod pacing;
@@ -33,7 +34,7 @@
 use crate::crash::Loss;
 use crate::estimate::Estimator;
 use crate::fence::Fences;
-use crate::instance::Instance;
+use crate::inventory::Inventory;
 use crate::late::LATE_ORDER_WINDOW;
 use crate::lease::Lease;
 use crate::order::{Order, Reply};
@@ -183,8 +184,8 @@
     estimator: Estimator,
     /// Moving average of the declared work of a queue's jobs, in core-seconds.
     mean_job_work: BTreeMap<QueueName, f64>,
-    /// Instances by the cloud's latest list.
-    instances: BTreeMap<InstanceId, Instance>,
+    /// Instances by the cloud's lists and answers and by the reports of workers.
+    inventory: Inventory,
     /// Most recently started worker that has reported from each instance.
     worker_by_instance: BTreeMap<InstanceId, WorkerId>,
     /// What client accounts may have running.
@@ -286,7 +287,7 @@
             last_run_numbers: BTreeMap::new(),
             estimator: Estimator::default(),
             mean_job_work: BTreeMap::new(),
-            instances: BTreeMap::new(),
+            inventory: Inventory::default(),
             worker_by_instance: BTreeMap::new(),
             usage: Usage::default(),
             rates,
@@ -515,7 +516,7 @@
         if self.workers.get(&report.incarnation.worker).is_none_or(|worker| worker.report.is_none())
         {
             self.propose_done_after_restart(time, ledger, report);
-            self.end_arrived_move(&report.instance, &report.pool);
+            self.end_arrived_move(time, report);
             self.explain_losses(report);
         }
         let moving = self.is_moving(&report.instance);
--- a/crates/sched/src/scheduler/shortage.rs
+++ b/crates/sched/src/scheduler/shortage.rs
@@ -127,7 +127,7 @@
             *lacks.entry(lack).or_default() += 1;
             room.add(worker);
         }
-        let standby = self.instances.values().filter(|instance| {
+        let standby = self.inventory.instances().filter(|instance| {
             instance.state == State::Up
                 && ledger
                     .config()
