Sched: an answer of the cloud ends the worker that its order was for, and no later one

Callers saw units that run once run twice. The cloud answers 200 to a move or maintenance that was done before, also to a later copy of the order; the answer was taken for the end of whatever worker was on the instance by then. Its runs were discarded, went on, and their units started elsewhere. The guard for maintenance compared start times, and did not hold when the worker was not known as the order was logged; moves had none.

A move ends the workers that reported from another pool, and an answer to an earlier order counts for nothing. Maintenance ends the incarnation that was on the instance before any copy was sent, which the log now names; otherwise the poll or the next list decides. A list that shows an instance down ends the worker that had reported from there when it was asked for, so that runs which did end do not wait for their lease. A worker that first reports while its instance is to be maintained gets no work in between. Logs of earlier versions name no incarnation, so such an answer ends nothing.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -4,7 +4,7 @@
 use crate::wave::Phase;
 use crate::{
     AccountName, Config, Decision, Definition, Incarnation, InstanceId, JobId, PoolName, QueueName,
-    RunNumber, UnitKey, UnixMs, Wave, WaveId,
+    RunNumber, UnitKey, UnixMs, Wave, WaveId, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -258,6 +258,10 @@
     #[serde(default)]
     #[serde(rename = "born")]
     pub worker_started_at: Option<UnixMs>,
+    /// Its worker; `None` if the leader knows none. Processes from before the field existed ignore
+    /// it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker: Option<WorkerId>,
     /// Wall clock time of the leader that proposed the command.
     #[serde(default)]
     pub at: UnixMs,
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -870,7 +870,7 @@
     }
 
     fn change_phase(&mut self, change: MaintenanceChange, events: &mut Vec<Event>) -> Outcome {
-        let MaintenanceChange { wave: id, instance, phase, worker_started_at, .. } = change;
+        let MaintenanceChange { wave: id, instance, phase, worker_started_at, worker, .. } = change;
         let Some(wave) = self.waves.get_mut(&id) else { return Outcome::Missing };
         let Some(current) = wave.instances.get_mut(&instance) else { return Outcome::Missing };
         if !matches!(current, Phase::Done | Phase::Gone) {
@@ -878,6 +878,12 @@
             if let Some(worker_started_at) = worker_started_at {
                 wave.worker_started_at.insert(instance.clone(), worker_started_at);
             }
+            if phase == Phase::Ordered {
+                wave.ends.remove(&instance);
+                if let (Some(worker), Some(started_at)) = (worker, worker_started_at) {
+                    wave.ends.insert(instance.clone(), Incarnation { worker, started_at });
+                }
+            }
             self.record_decision(format!("machine {instance}"), format!("wave {id}: {phase:?}"));
             events.push(Event::Maintenance(id, instance, phase));
         }
--- a/crates/jobs/src/wave.rs
+++ b/crates/jobs/src/wave.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves: operators' requests to maintain a number of instances.
 
-use crate::{InstanceId, UnixMs, WaveId};
+use crate::{Incarnation, InstanceId, UnixMs, WaveId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -26,6 +26,10 @@
     #[serde(default)]
     #[serde(rename = "lives")]
     pub worker_started_at: BTreeMap<InstanceId, UnixMs>,
+    /// Incarnation that was on each instance when its maintenance was about to be ordered, where the
+    /// leader knew it. Any order ends it, by whichever leader.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ends: BTreeMap<InstanceId, Incarnation>,
 }
 
 /// Maintenance phase of an instance.
@@ -67,6 +71,7 @@
             accepted_at,
             instances,
             worker_started_at: BTreeMap::new(),
+            ends: BTreeMap::new(),
         }
     }
 
--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -68,6 +68,8 @@
     /// Pool that the instance goes to.
     pool: PoolName,
     stage: Stage,
+    /// When this leader decided on the move; answers to earlier orders are not of this one.
+    ordered_at: Duration,
     /// An order for the move had no answer and may be carried out late.
     unanswered: bool,
 }
@@ -100,7 +102,8 @@
             let age = Duration::from_millis(time.wall.saturating_sub(moved.at));
             let Some(remaining) = LATE_ORDER_WINDOW.checked_sub(age) else { continue };
             let pool = moved.pool.clone();
-            let moving = Moving { pool, stage: Stage::Sent(Duration::ZERO), unanswered: true };
+            let (stage, ordered_at) = (Stage::Sent(Duration::ZERO), time.monotonic);
+            let moving = Moving { pool, stage, ordered_at, unanswered: true };
             self.balance.moving.insert(instance.clone(), moving);
             self.balance.uncertain_until.insert(instance.clone(), time.monotonic + remaining);
         }
@@ -137,12 +140,18 @@
     pub(super) fn end_listed_moves(&mut self, time: Time) {
         self.balance.listed_at = Some(time.monotonic);
         let inventory = &self.inventory;
-        self.balance.moving.retain(|id, moving| {
-            let Some(instance) = inventory.get(id) else { return false };
+        let is_over = |id: &InstanceId, moving: &mut Moving| {
+            let Some(instance) = inventory.get(id) else { return true };
             let arrived = instance.state == State::Up && instance.pool == moving.pool;
             // Before the cloud accepts the order, a list may show an earlier state.
-            !arrived || !matches!(moving.stage, Stage::Accepted(_))
-        });
+            arrived && matches!(moving.stage, Stage::Accepted(_))
+        };
+        let over: Vec<_> = self.balance.moving.extract_if(.., is_over).collect();
+        for (instance, moving) in over {
+            if self.pool_of(&instance).is_some_and(|pool| pool == moving.pool) {
+                self.uncordon(&instance); // its worker was there before the order
+            }
+        }
     }
 
     /// Handles the first report of an incarnation: ends the instance's move if the report
@@ -158,9 +167,15 @@
     /// Handles the reply to an order to move an instance. While an earlier order for the move
     /// is unanswered and may still be carried out, a reply does not settle the move in the log,
     /// and a refusal does not end it.
+    ///
+    /// The cloud also answers that a move is carried out if it was done before. It ends the workers
+    /// that were on the instance in another pool, and none that came with it.
     pub(super) fn apply_move_reply(&mut self, time: Time, reply: MoveReply) {
         let MoveReply { instance, sent_at, answer } = reply;
         let Some(moving) = self.balance.moving.get_mut(&instance) else { return };
+        if sent_at < moving.ordered_at {
+            return;
+        }
         let may_come_late =
             self.balance.uncertain_until.get(&instance).is_some_and(|at| time.monotonic < *at);
         let certain = !(moving.unanswered && may_come_late);
@@ -175,7 +190,9 @@
                     self.propose_move(time, instance.clone(), None, reason);
                 }
                 self.inventory.record_move(time.monotonic, &instance, &pool);
-                self.on_instance_down(time, &instance);
+                if self.pool_of(&instance).as_ref() != Some(&pool) {
+                    self.on_instance_down(time, &instance);
+                }
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&instance),
             Answer::Refused(_) if certain => {
@@ -453,11 +470,14 @@
         pool: &PoolName,
         reason: &str,
     ) {
-        let moving = Moving { pool: pool.clone(), stage: Stage::Proposed, unanswered: false };
+        let (pool, ordered_at) = (pool.clone(), time.monotonic);
+        let text = format!("moves to pool {pool}: {reason}");
+        let stage = Stage::Proposed;
+        let moving = Moving { pool: pool.clone(), stage, ordered_at, unanswered: false };
         self.balance.moving.insert(instance.clone(), moving);
         self.cordon(&instance);
-        self.explain(instance.clone(), format!("moves to pool {pool}: {reason}"));
-        self.propose_move(time, instance, Some(pool.clone()), reason.to_string());
+        self.explain(instance.clone(), text);
+        self.propose_move(time, instance, Some(pool), reason.to_string());
     }
 
     /// Proposes to record that an instance will be ordered to move to a pool or, without a
--- a/crates/sched/src/scheduler/listing.rs
+++ b/crates/sched/src/scheduler/listing.rs
@@ -31,6 +31,7 @@
     pub fn on_instance_list(&mut self, time: Time, asked_at: Duration, list: Vec<Instance>) {
         let Some(former) = self.inventory.record_list(asked_at, list) else { return };
         self.explain_listing_changes(time, asked_at, &former);
+        self.end_listed_workers(time, asked_at);
         self.count_lists_without_workers(time);
         self.propose_gone();
         self.end_listed_maintenance(time, asked_at);
@@ -66,6 +67,23 @@
         }
     }
 
+    /// Handles that instances are down by a list: the workers that had reported from there when it was
+    /// asked for have ended.
+    fn end_listed_workers(&mut self, time: Time, asked_at: Duration) {
+        let is_down = |instance: &&Instance| {
+            matches!(instance.state, State::Moving | State::Upkeep)
+                && !self.inventory.has_changed(&instance.id)
+        };
+        let down = self.inventory.instances().filter(is_down);
+        let down: Vec<InstanceId> = down.map(|instance| instance.id.clone()).collect();
+        for instance in down {
+            let worker = self.worker_of(&instance).and_then(|id| self.workers.get(&id));
+            if worker.and_then(|w| w.reported_at).is_some_and(|reported| reported <= asked_at) {
+                self.on_instance_down(time, &instance);
+            }
+        }
+    }
+
     /// Counts for each worker the consecutive lists by which it can't start again under its id:
     /// its instance does not exist any more, or another worker is on it.
     fn count_lists_without_workers(&mut self, time: Time) {
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -13,7 +13,7 @@
 use crate::worker::{RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
-use jobs::{InstanceId, Ledger, PoolName, RunNumber, UnitKey, UnixMs, WaveId, WorkerId};
+use jobs::{Incarnation, InstanceId, Ledger, PoolName, RunNumber, UnitKey, WaveId, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -140,8 +140,9 @@
     sent_at: Option<Duration>,
     /// An earlier copy of the order had no answer and may still be carried out.
     unanswered: bool,
-    /// Start of the incarnation that the maintenance ends, as the ledger has it.
-    ends_incarnation_of: Option<UnixMs>,
+    /// Incarnation that was on the instance before any copy of the order was sent, and which the
+    /// maintenance has ended when one is answered; `None` if it is not known.
+    ends: Option<Incarnation>,
 }
 
 /// Maintenance that has begun, and when this leader learned of it.
@@ -160,8 +161,10 @@
                 self.on_phase_changed(time, *id, instance, *phase);
             }
         }
-        for pending in self.maintenance.ordered.values_mut() {
+        for (instance, pending) in &mut self.maintenance.ordered {
             pending.unanswered = true; // the previous leader may have sent it
+            let wave = ledger.waves().get(&pending.wave);
+            pending.ends = wave.and_then(|wave| wave.ends.get(instance)).cloned();
         }
     }
 
@@ -180,9 +183,8 @@
             // Another wave has the instance down, or is about to.
             Phase::Done | Phase::Gone if self.maintenance.is_under_way(instance) => {}
             Phase::Ordered => {
-                let (sent_at, ends_incarnation_of) = (None, None);
-                let pending =
-                    PendingOrder { wave, sent_at, unanswered: false, ends_incarnation_of };
+                let ends = self.incarnation_on(instance);
+                let pending = PendingOrder { wave, sent_at: None, unanswered: false, ends };
                 self.maintenance.ordered.insert(instance.clone(), pending);
             }
             Phase::Begun => {
@@ -224,16 +226,20 @@
     pub fn on_maintenance_reply(&mut self, time: Time, reply: MaintenanceReply) {
         let MaintenanceReply { instance, wave, sent_at, answer } = reply;
         let Some(pending) = self.maintenance.ordered.get_mut(&instance) else { return };
+        if pending.wave != wave || sent_at < self.began_at {
+            return;
+        }
         let only_copy = !pending.unanswered;
         match answer {
             Answer::Done(()) => {
-                let ended = pending.ends_incarnation_of;
+                let ends = pending.ends.clone();
                 self.explain_carried_out(time, &instance, sent_at, only_copy);
                 self.maintenance.ordered.remove(&instance);
                 self.propose_phase(wave, &instance, Phase::Begun);
-                // An answer may come after the instance is back.
-                if !self.has_restarted_since(&instance, ended) {
-                    self.on_instance_down(time, &instance);
+                // The instance may be back, or an earlier copy was carried out.
+                match self.incarnation_on(&instance) {
+                    present if present == ends => self.on_instance_down(time, &instance),
+                    _ => self.request_instance_list(time),
                 }
             }
             Answer::Refused(Refusal::Fence) => self.supersede(&instance),
@@ -265,13 +271,6 @@
         }
     }
 
-    /// Whether a later incarnation than the given one reports from an instance.
-    fn has_restarted_since(&self, instance: &InstanceId, started_at: Option<UnixMs>) -> bool {
-        let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
-        let present = worker.map(|worker| worker.incarnation.started_at);
-        started_at.is_some() && present > started_at
-    }
-
     /// Explains that the cloud has carried out an order for an instance, and which worker is there.
     pub(super) fn explain_carried_out(
         &mut self,
@@ -304,11 +303,17 @@
         self.apply_move_reply(time, reply);
     }
 
+    /// Whether an instance is being evacuated for maintenance, or its maintenance is ordered, so that
+    /// it gets no work.
+    pub(super) fn awaits_maintenance(&self, instance: &InstanceId) -> bool {
+        self.maintenance.evacuating.contains_key(instance)
+            || self.maintenance.ordered.contains_key(instance)
+    }
+
     /// Whether an instance is being evacuated for maintenance, or its maintenance is
     /// ordered, under way or about to change its phase.
     pub(super) fn has_open_maintenance(&self, instance: &InstanceId) -> bool {
-        self.maintenance.evacuating.contains_key(instance)
-            || self.maintenance.ordered.contains_key(instance)
+        self.awaits_maintenance(instance)
             || self.maintenance.begun.contains_key(instance)
             || self.maintenance.proposed_phases.contains_key(instance)
     }
@@ -420,7 +425,7 @@
     }
 
     /// Returns the pool of the latest worker that has reported from an instance.
-    fn pool_of(&self, instance: &InstanceId) -> Option<PoolName> {
+    pub(super) fn pool_of(&self, instance: &InstanceId) -> Option<PoolName> {
         let worker = self.workers.get(&self.worker_of(instance)?)?;
         Some(worker.report.as_ref()?.pool.clone())
     }
@@ -432,6 +437,12 @@
         (report.instance == *instance).then(|| id.clone())
     }
 
+    /// Returns the incarnation that has reported from an instance last, unless it has ended.
+    fn incarnation_on(&self, instance: &InstanceId) -> Option<Incarnation> {
+        let worker = self.workers.get(&self.worker_of(instance)?)?;
+        Some(worker.incarnation.clone())
+    }
+
     /// Stops placing new work on an instance.
     pub(super) fn cordon(&mut self, instance: &InstanceId) {
         if let Some(id) = self.worker_of(instance)
@@ -667,9 +678,6 @@
                 // whether it was carried out.
                 pending.unanswered |= pending.sent_at.is_some();
                 pending.sent_at = Some(time.monotonic);
-                let wave = ledger.waves().get(&pending.wave);
-                pending.ends_incarnation_of =
-                    wave.and_then(|wave| wave.worker_started_at.get(instance)).copied();
                 due.push((instance.clone(), pending.wave));
             }
         }
@@ -732,10 +740,10 @@
         self.explain(instance.clone(), format!("wave {wave}: {phase:?}"));
         self.maintenance.proposed_phases.insert(instance.clone(), phase);
         let at = self.time.wall;
-        let worker = self.worker_of(instance).and_then(|id| self.workers.get(&id));
-        let worker_started_at = worker.map(|worker| worker.incarnation.started_at);
-        let change =
-            MaintenanceChange { wave, instance: instance.clone(), phase, worker_started_at, at };
+        let present = self.incarnation_on(instance);
+        let worker_started_at = present.as_ref().map(|present| present.started_at);
+        let (instance, worker) = (instance.clone(), present.map(|present| present.worker));
+        let change = MaintenanceChange { wave, instance, phase, worker_started_at, worker, at };
         self.commands.push(Command::Maintenance(change));
     }
 }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -519,15 +519,15 @@
             self.end_arrived_move(time, report);
             self.explain_losses(report);
         }
-        let moving = self.is_moving(&report.instance);
+        // The move or maintenance may still be carried out.
+        let is_wanted =
+            self.is_moving(&report.instance) || self.awaits_maintenance(&report.instance);
         let worker = match self.workers.contains_key(&report.incarnation.worker) {
             true => self.worker_or_inherited(time, &report.incarnation),
             false => self.inherit_worker(time, ledger, &report.incarnation),
         };
         worker.stated_start = stated_start;
-        if worker.report.is_none() && moving {
-            worker.cordoned = true; // the move may still be carried out
-        }
+        worker.cordoned |= worker.report.is_none() && is_wanted;
         if worker.report.as_ref().is_some_and(|last| last.describes_same_worker(report)) {
             return;
         }
--- a/crates/sched/tests/cloud.rs
+++ b/crates/sched/tests/cloud.rs
@@ -83,3 +83,42 @@
         assert!(world.ledger.waves()[&1].is_completed(), "after {ticks} ticks");
     }
 }
+
+#[test]
+fn an_answer_to_a_move_that_is_done_already_does_not_end_runs_of_the_worker_that_came_with_it() {
+    let mut world = World::new(2);
+    world.add("w2", STANDBY, 1);
+    world.run(seconds(7.0));
+    submit_jobs(&mut world, 12);
+    while runs_on(&world, "w2") == 0 {
+        run_checked(&mut world, TICK);
+    }
+    // The list is wrong, or of an earlier leader's order that has been carried out since.
+    let mut list = world.instances();
+    list.iter_mut().filter(|i| i.id == "m2").for_each(|i| i.pool = STANDBY.to_string());
+    let asked_at = world.now + TICK;
+    world.scheduler.on_instance_list(world.time(), asked_at, list);
+    run_checked(&mut world, seconds(40.0));
+    assert_eq!(world.starts.len(), 12, "each unit runs once");
+    assert!(world.starts.iter().filter(|start| start.worker == "w2").count() > 1);
+}
+
+#[test]
+fn an_answer_to_an_earlier_move_does_not_count_for_the_next_one() {
+    let mut world = World::new(3);
+    world.trouble.longest_cloud_call = seconds(2.0);
+    let parked = |(_, e): &(Duration, sched::scheduler::Explanation)| {
+        e.text.starts_with("moves to pool spare").then(|| e.subject.clone())
+    };
+    let instance = (0..1000).find_map(|_| {
+        world.run(TICK);
+        world.log.iter().find_map(parked)
+    });
+    let instance = instance.expect("an idle instance is parked");
+    let before = world.log.len();
+    let (sent_at, answer) = (seconds(90.0), sched::order::Answer::Done(()));
+    let reply = sched::scheduler::MoveReply { instance, sent_at, answer };
+    world.scheduler.on_move_reply(world.time(), reply);
+    world.run(TICK);
+    assert!(world.log[before..].is_empty(), "{:?}", &world.log[before..]);
+}
