Sched: a unit waits from the moment at which its worker owes an answer

Callers saw a unit run twice at the same time after its start was refused or found missing by a worker that restarted soon after.

Cause: such a unit may run elsewhere until its worker may have restarted. That was noticed only with the end of a poll: closed early, or the third one without an answer. An idle worker has 2 s for each, so for 4 s and more the unit was placed elsewhere while a successor could carry out its late start.

Now a unit with a late start is not placed, and no start of it is sent again, from the moment at which an answer of that worker is overdue by 0.4 s, or another incarnation reports, until a later poll is answered. Runs elsewhere are stopped with the silence, whichever order shows it. No run is stopped for a single missing answer, as before.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -63,6 +63,8 @@
         let mut lost = Vec::new();
         let mut unreachable = Vec::new();
         let mut over = Vec::new();
+        let mut silent = Vec::new();
+        let mut owing = Vec::new();
         for (id, worker) in &mut self.workers {
             if worker.lease.is_expired(now) {
                 if !worker.runs.is_empty() {
@@ -75,6 +77,11 @@
                 }
             }
             over.extend(worker.remove_late_starts(now, self.settings.max_lease));
+            if worker.falls_silent(now) {
+                silent.push(id.clone());
+            } else if worker.comes_to_owe_answer(now) {
+                owing.push(id.clone());
+            }
             if worker.polling.sent_at.is_some() || now < worker.polling.next_at {
                 continue;
             }
@@ -112,6 +119,8 @@
             };
             self.orders.push(Order::Poll(destination, poll));
         }
+        silent.iter().for_each(|id| self.suspect_restart(time, ledger, id));
+        owing.iter().for_each(|id| self.record_owed_answer(time, id));
         self.release_held(time, over.iter().map(|(unit, _)| *unit).collect());
         self.settled.extend(over.into_iter().filter(|key| ledger.late_runs().contains_key(key)));
         for id in lost {
@@ -160,6 +169,7 @@
                 if is_news {
                     self.answered.push(Incarnation::new(id.clone(), stated_start));
                 }
+                let was_claimed = !worker.claims.is_empty();
                 let report = worker.settle_claims(stated_start);
                 if stated_start != worker.stated_start {
                     self.on_new_incarnation(time, ledger, &id, stated_start);
@@ -172,7 +182,9 @@
                 self.unexplained_losses.remove(&id);
                 let is_known = worker.restart_suspected_at.is_some_and(|at| reply.sent_at >= at);
                 worker.restart_suspected_at.take_if(|_| is_known);
-                let is_known = is_known || !worker.answered_under_fence;
+                let paid = worker.answer_owed_since.take_if(|at| reply.sent_at >= *at);
+                let is_known =
+                    is_known || was_claimed || paid.is_some() || !worker.answered_under_fence;
                 let late_units = if is_known { worker.late_units() } else { Vec::new() };
                 worker.polling.record_answer(time.monotonic);
                 worker.polling.record_listed_ends(&run_lists);
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -116,7 +116,9 @@
             return;
         }
         run.state = RunState::Ready;
-        self.send_start(time, ledger, &incarnation.worker, unit, number);
+        if !self.is_held(&unit) {
+            self.send_start(time, ledger, &incarnation.worker, unit, number);
+        }
     }
 
     /// Orders a worker to start a placed run. Nothing is sent while the worker's clock is
@@ -327,14 +329,14 @@
                     RunState::Ready if time.monotonic >= run.placed_at + START_WINDOW => {
                         stops.push((key, Some(StopReason::UnansweredStart)));
                     }
-                    RunState::Ready if !silent => starts.push(key),
+                    RunState::Ready if !silent && !self.is_held(unit) => starts.push(key),
                     RunState::Unclear if !silent => {
                         if run.unanswered_starts >= MAX_UNANSWERED_STARTS
                             || time.monotonic >= run.placed_at + START_WINDOW
                         {
                             given_up.push((id.clone(), run.placed_at));
                             stops.push((key, Some(StopReason::UnansweredStart)));
-                        } else {
+                        } else if !self.is_held(unit) {
                             starts.push(key);
                         }
                     }
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -172,6 +172,16 @@
         }
     }
 
+    /// Handles that a worker owes an answer, so that it may have restarted: until it answers, units that
+    /// it may begin are not placed. Those that run elsewhere are stopped once it is silent.
+    pub(super) fn record_owed_answer(&mut self, time: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.answer_owed_since = Some(time.monotonic);
+        for unit in worker.units_that_may_begin(time.monotonic) {
+            self.hold_waiting(&unit);
+        }
+    }
+
     /// Stops the runs of a unit that are not on this worker, unless it may run in copies or too many
     /// of its step are unavailable.
     fn stop_elsewhere(&mut self, time: Time, ledger: &Ledger, id: &WorkerId, unit: UnitKey) {
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -157,7 +157,7 @@
     }
 
     /// Returns whether a start of an earlier run of the unit may still be carried out.
-    fn is_held(&self, unit: &UnitKey) -> bool {
+    pub(super) fn is_held(&self, unit: &UnitKey) -> bool {
         let ids = self.placed_on.get(unit).into_iter().flatten();
         ids.filter_map(|id| self.workers.get(id)).any(|worker| worker.holds_unit(unit))
     }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -262,6 +262,9 @@
     /// Since when the worker may have started again without the leader's knowledge: a poll ended
     /// before its time, or the worker fell silent. `None` after an answer of the known incarnation.
     pub restart_suspected_at: Option<Duration>,
+    /// Since when the worker, which has late starts, has owed an answer. `None` after an answer of the
+    /// known incarnation.
+    pub answer_owed_since: Option<Duration>,
     /// Another worker has answered at its address or reported from its instance since, so that it
     /// does not start again under its id there.
     pub is_replaced: bool,
@@ -308,6 +311,7 @@
             late_starts: BTreeMap::new(),
             late_starts_end: Duration::ZERO,
             restart_suspected_at: None,
+            answer_owed_since: None,
             is_replaced: false,
             unplaced: BTreeMap::new(),
             lists_without: 0,
@@ -500,7 +504,29 @@
     }
 
     fn is_holding(&self, start: &LateStart) -> bool {
-        start.holds_unit || self.restart_suspected_at.is_some() || !self.answered_under_fence
+        start.holds_unit || self.may_have_restarted() || !self.answered_under_fence
+    }
+
+    /// Returns whether the worker may have started again without the leader's knowledge.
+    pub fn may_have_restarted(&self) -> bool {
+        let is_suspected = self.restart_suspected_at.is_some();
+        is_suspected || self.answer_owed_since.is_some() || !self.claims.is_empty()
+    }
+
+    /// Returns whether the worker has late starts and has newly come to owe an answer.
+    pub fn comes_to_owe_answer(&self, now: Duration) -> bool {
+        !self.late_starts.is_empty()
+            && !self.may_have_restarted()
+            && self.can_return()
+            && self.owes_answer(now)
+    }
+
+    /// Returns whether the worker has late starts and has newly fallen silent.
+    pub fn falls_silent(&self, now: Duration) -> bool {
+        !self.late_starts.is_empty()
+            && self.restart_suspected_at.is_none()
+            && self.can_return()
+            && self.polling.is_silent(now)
     }
 
     /// Returns the units that a later incarnation may begin at `now`.
@@ -513,7 +539,7 @@
     /// Lets the late starts that the new incarnation may begin hold their units: a further one
     /// forgets their stops.
     pub fn hold_late_starts(&mut self) {
-        self.restart_suspected_at = None;
+        (self.restart_suspected_at, self.answer_owed_since) = (None, None);
         for start in self.late_starts.values_mut() {
             start.holds_unit = true;
         }
@@ -594,11 +620,15 @@
     /// Returns whether the worker, which has runs, leaves a poll unanswered for longer than it may
     /// wait, or has answered nothing since one was given up.
     pub fn is_unheard(&self, now: Duration) -> bool {
+        !self.runs.is_empty() && self.owes_answer(now)
+    }
+
+    fn owes_answer(&self, now: Duration) -> bool {
         let polling = &self.polling;
         let is_overdue =
             polling.sent_at.is_some_and(|at| now >= at + polling.max_wait + MAX_ANSWER_DELAY);
         let has_given_up = polling.unanswered_since.is_some_and(|at| now >= at + MAX_ANSWER_DELAY);
-        !self.runs.is_empty() && (is_overdue || has_given_up)
+        is_overdue || has_given_up
     }
 
     /// Judges anew whether the worker is slow.
