Sched: an instance without a worker does not show that none returns

A unit ran twice: a new leader without a report of a worker took two lists that name it nowhere for proof that it can't start again, though its instance was listed without a worker, as it was restarting. Its late start was carried out beside the next run.

The leader remembers from which instance a worker reported, also when its incarnation has ended, and asks only the list's entry of that one; a worker that has not reported may be on any instance on which none is listed.

--- a/crates/sched/src/scheduler/listing.rs
+++ b/crates/sched/src/scheduler/listing.rs
@@ -85,17 +85,20 @@
     }
 
     /// Counts for each worker the consecutive lists by which it can't start again under its id:
-    /// its instance does not exist any more, or another worker is on it.
+    /// its instance does not exist any more, or another worker is on it. A worker that has not
+    /// reported to this leader may be on any instance that no worker is on.
     fn count_lists_without_workers(&mut self, time: Time) {
         let mut late_units = Vec::new();
+        let is_vacant =
+            |instance: &Instance| instance.state != State::Up || instance.worker.is_none();
+        let has_vacant = self.inventory.instances().any(is_vacant);
         let on_instances: BTreeSet<&WorkerId> =
             self.inventory.instances().filter_map(|instance| instance.worker.as_ref()).collect();
         for (id, worker) in &mut self.workers {
-            let can_return = match &worker.report {
-                None => on_instances.contains(id),
-                Some(report) => self.inventory.get(&report.instance).is_some_and(|instance| {
-                    instance.state != State::Up
-                        || instance.worker.as_ref().is_none_or(|worker| worker == id)
+            let can_return = match &worker.instance {
+                None => has_vacant || on_instances.contains(id),
+                Some(instance) => self.inventory.get(instance).is_some_and(|instance| {
+                    is_vacant(instance) || instance.worker.as_ref() == Some(id)
                 }),
             };
             worker.lists_without = if can_return { 0 } else { worker.lists_without + 1 };
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -537,6 +537,7 @@
         let is_first = worker.report.is_none();
         worker.report = Some(report.clone());
         worker.reported_at.get_or_insert(time.monotonic);
+        worker.instance = Some(report.instance.clone());
         worker.address = Some(report.address);
         self.record_instance_worker(time, report);
         if capacity.is_some_and(|capacity| capacity != report.capacity) {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,7 +9,7 @@
 use jobs::command::RunKey;
 use jobs::crash::{RECENT, TRIAL_TIME};
 use jobs::definition::Resources;
-use jobs::{Incarnation, RunNumber, Step, UnitKey, UnixMs};
+use jobs::{Incarnation, InstanceId, RunNumber, Step, UnitKey, UnixMs};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -239,6 +239,8 @@
     pub report: Option<Report>,
     /// When the present incarnation first reported to this leader; `None` if it has not.
     pub reported_at: Option<Duration>,
+    /// Instance from which an incarnation of it reported last to this leader; `None` if none has.
+    pub instance: Option<InstanceId>,
     /// Address at which it accepts orders. Kept when a poll is answered by a new incarnation,
     /// which then has the address and has not reported yet.
     pub address: Option<SocketAddr>,
@@ -301,6 +303,7 @@
             has_own_fence: false,
             report: None,
             reported_at: None,
+            instance: None,
             address: None,
             lease,
             answered_under_fence: false,
