Sched: no end is acknowledged once another incarnation has reported

A poll acknowledged an end of the former incarnation of a worker although the report of its successor was known; the ends are numbered anew by each incarnation, so the successor forgot its own first end unread, and its unit ran again.

Why it works: an acknowledgement is of one incarnation, and a claim says that another may answer. The next poll waits for nothing while there is a claim, so the acknowledgement is a poll later at most.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -376,10 +376,11 @@
     /// Returns the number of the last end that the next poll acknowledges, when the ends up to
     /// `committed_through` are in the log; 0 for none. Ends are numbered anew by each incarnation,
     /// so a poll acknowledges none that is acknowledged already, and none unless the poll before
-    /// it was answered under this fence: the incarnation may have ended.
+    /// it was answered under this fence and no other incarnation has reported since.
     pub fn acknowledge(&mut self, committed_through: u64) -> u64 {
         let polling = &mut self.polling;
-        let is_known = self.answered_under_fence && polling.unanswered_polls == 0;
+        let is_answered = self.answered_under_fence && polling.unanswered_polls == 0;
+        let is_known = is_answered && self.claims.is_empty();
         let is_needed = committed_through > polling.acknowledged_through;
         polling.acknowledging = if is_known && is_needed { committed_through } else { 0 };
         polling.acknowledging
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -696,6 +696,27 @@
     }
 }
 
+#[test]
+fn an_acknowledgement_after_the_report_of_a_successor_does_not_erase_its_ends() {
+    let mut world = World::new(1);
+    world.start_delay = seconds(1.0);
+    world.run_times.insert("b".to_string(), seconds(0.5));
+    world.run_times.insert("a".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(2, 1000, 500)]);
+    run_checked(&mut world, seconds(0.3));
+    world.workers.get_mut("w0").unwrap().omits_one_start_in = Some(1);
+    world.submit("q", "a", vec![step(1, 1000, 50)]);
+    while world.state("q", "b") != State::Completed {
+        world.run(world::TICK);
+    }
+    world.freeze_leader(seconds(2.0), false);
+    world.restart("w0", seconds(0.1));
+    world.workers.get_mut("w0").unwrap().omits_one_start_in = None;
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
+
 #[test]
 fn no_leader_is_refused_after_workers_have_restarted() {
     for steps in [vec![world::TERM_STEP], vec![1], vec![1, 1], vec![1, world::TERM_STEP, 1]] {
