Sched: the end of a run that was released and carried out late counts

The end `done` of a run whose start was stopped at one incarnation, released, and carried out by the next one while there was no leader was written to the log and acknowledged, and changed nothing, as the ledger places no such run.

Ends done of runs that the worker's late starts name are now placed anew with a number of their own on the incarnation that lists them, as those of runs on an earlier incarnation are, and their units no longer wait. An adoption that the ledger rejects, as the unit or its job was over by then, is dropped when the unit is done or the job finished. Members of gangs are left out: a gang is placed as a whole. Ends `failed` of such runs count no more than before.

--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -502,11 +502,7 @@
         worker.add(*unit, *number, run);
         self.last_run_numbers.insert(*unit, *number);
         self.placed_on.entry(*unit).or_default().insert(id.clone());
-        for steps in self.waiting.values_mut() {
-            if let Some(waiting) = steps.get_mut(&unit.step_key()) {
-                waiting.units.remove(&unit.index);
-            }
-        }
+        self.end_waiting(unit);
     }
 }
 
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -10,7 +10,7 @@
 use crate::lease::Lease;
 use crate::order::{Order, Refusal, Stop};
 use crate::speed::Speed;
-use crate::worker::{Absence, Polling, Run, RunState, StopReason};
+use crate::worker::{Absence, Polling, Run, RunState, StopReason, Worker};
 use jobs::command::{Discarded, End, EndReason, Placed, Restart};
 use jobs::ledger::Release;
 use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
@@ -94,8 +94,8 @@
     }
 
     /// Places anew, on the incarnation that lists their ends, runs that the ledger places on an
-    /// earlier incarnation of the worker: the ledger applies an end only to a run of the
-    /// incarnation that lists it.
+    /// earlier incarnation of the worker, and those done that it places nowhere, as their starts
+    /// were carried out late: the ledger applies an end only to a run of the incarnation that lists it.
     pub(super) fn adopt_ended_runs(&mut self, ledger: &Ledger, id: &WorkerId, ends: &mut [End]) {
         let Some(incarnation) = self.workers.get(id).map(|worker| worker.incarnation.clone())
         else {
@@ -104,23 +104,34 @@
         let mut runs = Vec::new();
         for end in ends {
             let Some(unit) = end.unit else { continue };
-            let Some(worker) = self.workers.get(id) else { continue };
-            let Some(run) = worker.runs.get(&(unit, end.run)) else { continue };
-            if run.placed_on == incarnation.started_at || run.state == RunState::Ending {
-                continue;
-            }
+            let now = self.time.monotonic;
+            let Some(worker) = self.workers.get_mut(id) else { continue };
+            let is_adopted = |run: &Run| {
+                run.placed_on != incarnation.started_at && run.state != RunState::Ending
+            };
+            let mut run = match worker.runs.get(&(unit, end.run)) {
+                Some(run) if is_adopted(run) => {
+                    self.adoptions.discarded.push(Discarded { unit, run: end.run });
+                    let Some(run) = worker.release(now, unit, end.run) else { continue };
+                    run
+                }
+                Some(_) => continue,
+                None => match late_run(ledger, worker, end, now) {
+                    Some(run) => run,
+                    None => continue,
+                },
+            };
+            run.placed_on = incarnation.started_at;
+            run.state = RunState::Ending;
+            run.confirm();
             let number = self.next_run(ledger, &unit);
             self.last_run_numbers.insert(unit, number);
-            self.adoptions.discarded.push(Discarded { unit, run: end.run });
             runs.push((unit, number));
-            if let Some(worker) = self.workers.get_mut(id)
-                && let Some(mut run) = worker.release(self.time.monotonic, unit, end.run)
-            {
-                run.placed_on = incarnation.started_at;
-                run.state = RunState::Ending;
-                run.confirm();
+            self.placed_on.entry(unit).or_default().insert(id.clone());
+            if let Some(worker) = self.workers.get_mut(id) {
                 worker.add(unit, number, run);
             }
+            self.end_waiting(&unit);
             end.run = number;
         }
         if !runs.is_empty() {
@@ -229,7 +240,14 @@
                 run.discard(Absence::Unsent);
                 self.batch.discarded.push(Discarded { unit, run: number });
             }
-            RunState::Stopping { .. } | RunState::Ending => {}
+            RunState::Ending => {
+                let ended = ledger.job(unit.job).is_none_or(|job| job.state.is_final())
+                    || ledger.unit(&unit).is_some_and(|unit| unit.done);
+                if ended {
+                    self.drop_rejected_adoptions(ledger, &unit, id);
+                }
+            }
+            RunState::Stopping { .. } => {}
             RunState::Inherited | RunState::Starting | RunState::Unclear | RunState::Running => {
                 run.stop_reason = Some(reason);
                 run.state = RunState::Stopping { sent: None, acknowledged: None };
@@ -403,6 +421,18 @@
     }
 }
 
+/// Returns the run of an end `done` whose start was released and carried out late, unless its unit is
+/// done or a member of a gang, which is placed as a whole.
+fn late_run(ledger: &Ledger, worker: &Worker, end: &End, now: Duration) -> Option<Run> {
+    let unit = end.unit?;
+    let is_open = ledger.unit(&unit).is_some_and(|unit| !unit.done);
+    let is_late = worker.late_starts.contains_key(&(unit, end.run));
+    let job = ledger.job(unit.job).filter(|job| !job.state.is_final())?;
+    let step = &job.definition.steps[usize::from(unit.step)];
+    let is_adopted = end.reason == EndReason::Done && is_open && is_late && !step.gang;
+    is_adopted.then(|| Run::new(RunState::Ending, step, worker.incarnation.started_at, now))
+}
+
 /// Describes how many of some runs had a start that may still be under way, and the age of the
 /// oldest; empty if none had.
 fn describe_unconfirmed(time: Time, sent: impl Iterator<Item = Option<Duration>>) -> String {
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -134,6 +134,15 @@
         waiting.units.insert(unit.index, not_before);
     }
 
+    /// Removes a unit from the waiting units.
+    pub(super) fn end_waiting(&mut self, unit: &UnitKey) {
+        for steps in self.waiting.values_mut() {
+            if let Some(waiting) = steps.get_mut(&unit.step_key()) {
+                waiting.units.remove(&unit.index);
+            }
+        }
+    }
+
     /// Lets a waiting unit wait until no late start holds it.
     pub(super) fn hold_waiting(&mut self, unit: &UnitKey) {
         let waiting = self.waiting.values_mut().filter_map(|steps| steps.get_mut(&unit.step_key()));
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -812,6 +812,32 @@
     }
 }
 
+#[test]
+fn a_unit_whose_released_run_ended_while_there_was_no_leader_does_not_start_again() {
+    let mut world = World::new(3);
+    world.start_delay = seconds(5.0);
+    world.run_times.insert("a".to_string(), seconds(0.5));
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(1);
+    }
+    world.submit("q", "a", vec![step(1, 6000, 500)]);
+    world.run(world::TICK * 3);
+    let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = None;
+    }
+    world.restart(&first, seconds(0.3)); // the start is stopped at the successor and released
+    run_checked(&mut world, seconds(3.0));
+    world.end_leadership();
+    world.restart(&first, seconds(0.3)); // the second successor knows no fence and no stop
+    run_checked(&mut world, seconds(4.0));
+    let known = world.workers.keys().cloned().collect();
+    world.begin_leadership(&known);
+    run_checked(&mut world, seconds(30.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
+
 #[test]
 fn a_start_of_an_earlier_leader_that_outlives_a_silent_worker_does_not_run_beside_the_next_run() {
     for ticks in 0..40 {
