Sched: a crash under a run of an earlier leader proves nothing about its start

Callers saw a job shown as failed without cause (rule LOST): four crashes of workers counted as crashes right at the start of its unit. A run that the leader inherited, whose start had got no answer, counted as not begun, that is as 0 ms old, when its worker had crashed before the leader's first poll. It may have run for long under the earlier leader.

Inherited runs that are settled were counted as no longer recent already; now all inherited ones are. Of none of them does this leader know when it began. A unit that crashes its workers is given up under changing leaders as before, see that test.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -749,11 +749,10 @@
     /// `alive_at`; `None` if it is not known to have begun. Of an inherited run only its time under
     /// this leader is known, so that one counts as no longer recent.
     pub fn survived_until(&self, alive_at: Duration) -> Option<Duration> {
-        if self.is_inherited && self.is_settled {
+        if self.is_inherited {
             return Some(RECENT.max(alive_at.saturating_sub(self.started_at.unwrap_or(alive_at))));
         }
-        let survived = alive_at.saturating_sub(self.started_at?);
-        Some(if self.is_inherited { survived.max(RECENT) } else { survived })
+        Some(alive_at.saturating_sub(self.started_at?))
     }
 
     /// Returns whether one of this leader's starts of the run got no answer from any incarnation.
--- a/crates/sched/tests/crashes.rs
+++ b/crates/sched/tests/crashes.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
-use world::{World, long_running, step};
+use world::{TICK, World, long_running, step};
 
 /// Starts of a unit that crash their workers, after which no other may follow: three times more
 /// after three crashes breaks the platform's rule.
@@ -101,6 +101,34 @@
     }
 }
 
+#[test]
+fn a_unit_whose_workers_crash_long_after_its_start_under_changing_leaders_is_not_given_up() {
+    let mut world = World::new(2);
+    world.uses_roster = true;
+    world.crash_downtime = seconds(25.0); // the unit starts elsewhere before
+    submit(&mut world, "a", 60_000, vec![step(1, 6000, 60_000)]);
+    for crashes in 0..4 {
+        for worker in world.workers.values_mut() {
+            worker.loses_start_answers = true;
+        }
+        while world.starts_of("a.0.0.0").len() <= crashes {
+            world.run(TICK);
+            assert!(world.now < seconds(600.0), "{crashes} crashes: {:?}", world.state("q", "a"));
+        }
+        world.run(seconds(5.0));
+        let id = world.workers_running("a.0.0.0")[0].clone();
+        world.end_leadership();
+        let known = world.workers.keys().cloned().collect();
+        world.crash(&id);
+        world.begin_leadership(&known);
+    }
+    for worker in world.workers.values_mut() {
+        worker.loses_start_answers = false;
+    }
+    world.run(seconds(150.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
 #[test]
 fn a_unit_that_crashes_its_workers_under_their_ids_is_given_up() {
     let mut world = World::new(4);
