Sched: an answer about an earlier wave does not end the order of the next one

Callers saw a wave that was never completed, and the runs of a worker that was up discarded, so that their units could run on two workers. The answer of the cloud to a copy of an order for maintenance that was sent for one wave, arriving while the same instance was ordered down for the next one, counted as the answer to the latter: that order was given up, the first wave was set back to "begun", and the instance counted as down.

Sequence, by the test: 100.26 s the maintenance of m0 for wave 1 begins, the answer takes 2.2 s; 102.26 s the leader changes, and the next one sends the order again; 102.46 s the first answer; 103.5 s wave 1 is done for m0; 103.52 s it is ordered for wave 2; 104.46 s the answer to the second copy for wave 1 is taken for that of wave 2.

An answer now counts only for the order of its own wave.

Evidence: the test fails before (wave 2 after 200 ticks) and passes now.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -337,7 +337,8 @@
     /// Handles the reply to an order for maintenance.
     pub fn on_maintenance_reply(&mut self, time: Time, reply: MaintenanceReply) {
         let MaintenanceReply { instance, wave, sent_at, answer } = reply;
-        let Some(pending) = self.maintenance.ordered.get_mut(&instance) else { return };
+        let pending = self.maintenance.ordered.get_mut(&instance);
+        let Some(pending) = pending.filter(|pending| pending.wave == wave) else { return };
         let only_copy = !pending.unanswered;
         match answer {
             Answer::Done(()) => {
--- a/crates/sched/tests/cloud.rs
+++ b/crates/sched/tests/cloud.rs
@@ -83,3 +83,35 @@
         assert!(world.ledger.waves()[&1].is_completed(), "after {ticks} ticks");
     }
 }
+
+/// Lets two waves name one instance, and the leader change after the given ticks of the first one's
+/// maintenance, which is answered when the instance is back.
+fn play_two_waves(ticks: u32, next_answer_delay: Duration) {
+    let mut world = World::new(3);
+    world.uses_roster = true;
+    let at = world.time().wall;
+    for id in [1, 2] {
+        let instances = ["m0".to_string()].into();
+        world.apply(Command::StartWave(jobs::Wave::new(id, instances, seconds(30.0), 1, at)));
+    }
+    world.maintenance_answer_delay = seconds(2.2);
+    while world.maintenances_begun.is_empty() {
+        run_checked(&mut world, TICK);
+    }
+    run_checked(&mut world, TICK * ticks);
+    world.end_leadership();
+    let known = ["w1".to_string(), "w2".to_string()].into();
+    world.begin_leadership(&known);
+    world.maintenance_answer_delay = next_answer_delay;
+    run_checked(&mut world, seconds(60.0));
+    for id in [1, 2] {
+        assert!(world.ledger.waves()[&id].is_completed(), "wave {id} after {ticks} ticks");
+    }
+}
+
+#[test]
+fn an_answer_about_an_earlier_wave_does_not_end_the_order_of_the_next_one() {
+    for ticks in 190..230 {
+        play_two_waves(ticks, seconds(2.2));
+    }
+}
