Sched: the next wave waits until the begin of an earlier one is in the log

Callers saw waves that were never completed. Between the answer that maintenance has begun and the commit of that phase, the instance was neither ordered nor begun. Under one leader it still counted as being evacuated; a leader that inherited the order evacuated it for the next wave at once, whose begin then took the place of the first one's. The first wave's maintenance was never found done, and its cap held up its other instances, and with them further waves.

An instance is now due only without any open maintenance, a proposed phase included; the function for that was there and is used for moves.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -458,8 +458,7 @@
                 .filter(|(instance, phase)| {
                     **phase == Phase::Due
                         && !self.is_moving(instance)
-                        && !self.maintenance.evacuating.contains_key(*instance)
-                        && !self.maintenance.is_under_way(instance)
+                        && !self.has_open_maintenance(instance)
                         && self
                             .maintenance
                             .retry_at
--- a/crates/sched/tests/cloud.rs
+++ b/crates/sched/tests/cloud.rs
@@ -115,3 +115,10 @@
         play_two_waves(ticks, seconds(2.2));
     }
 }
+
+#[test]
+fn the_next_wave_waits_until_the_begin_of_an_earlier_one_is_in_the_log() {
+    for ticks in 190..230 {
+        play_two_waves(ticks, Duration::ZERO);
+    }
+}
