--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -696,6 +696,27 @@
     }
 }
 
+#[test]
+fn an_acknowledgement_after_the_report_of_a_successor_does_not_erase_its_ends() {
+    let mut world = World::new(1);
+    world.start_delay = seconds(1.0);
+    world.run_times.insert("b".to_string(), seconds(0.5));
+    world.run_times.insert("a".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(2, 1000, 500)]);
+    run_checked(&mut world, seconds(0.3));
+    world.workers.get_mut("w0").unwrap().omits_one_start_in = Some(1);
+    world.submit("q", "a", vec![step(1, 1000, 50)]);
+    while world.state("q", "b") != State::Completed {
+        world.run(world::TICK);
+    }
+    world.freeze_leader(seconds(2.0), false);
+    world.restart("w0", seconds(0.1));
+    world.workers.get_mut("w0").unwrap().omits_one_start_in = None;
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
+
 #[test]
 fn no_leader_is_refused_after_workers_have_restarted() {
     for steps in [vec![world::TERM_STEP], vec![1], vec![1, 1], vec![1, world::TERM_STEP, 1]] {
@@ -791,6 +812,32 @@
     }
 }
 
+#[test]
+fn a_unit_whose_released_run_ended_while_there_was_no_leader_does_not_start_again() {
+    let mut world = World::new(3);
+    world.start_delay = seconds(5.0);
+    world.run_times.insert("a".to_string(), seconds(0.5));
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(1);
+    }
+    world.submit("q", "a", vec![step(1, 6000, 500)]);
+    world.run(world::TICK * 3);
+    let first = world.workers.iter().find(|(_, w)| w.start_orders > 0).unwrap().0.clone();
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = None;
+    }
+    world.restart(&first, seconds(0.3)); // the start is stopped at the successor and released
+    run_checked(&mut world, seconds(3.0));
+    world.end_leadership();
+    world.restart(&first, seconds(0.3)); // the second successor knows no fence and no stop
+    run_checked(&mut world, seconds(4.0));
+    let known = world.workers.keys().cloned().collect();
+    world.begin_leadership(&known);
+    run_checked(&mut world, seconds(30.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
+
 #[test]
 fn a_start_of_an_earlier_leader_that_outlives_a_silent_worker_does_not_run_beside_the_next_run() {
     for ticks in 0..40 {
