Sched: what reports tell before a leader's first list holds against that list

A new leader's first list may be older than the reports that came meanwhile; they were dropped, as the instance was in no list yet, so an instance that has runs was ordered to move. Changes are kept for instances that no list has shown. A list that an earlier leadership of the process asked for is ignored, and one ends no worker that has answered since it was asked for.

--- a/crates/sched/src/inventory.rs
+++ b/crates/sched/src/inventory.rs
@@ -13,13 +13,30 @@
 #[derive(Clone, Debug, Default)]
 pub struct Inventory {
     instances: BTreeMap<InstanceId, Instance>,
-    /// Instances that a report or an answer has told of since the newest list was asked for, and
-    /// when.
-    changed_at: BTreeMap<InstanceId, Duration>,
+    /// What reports and answers have told since the newest list was asked for, also of instances
+    /// that no list has shown yet.
+    changes: BTreeMap<InstanceId, Change>,
     /// When the newest list was asked for; `None` before the first one.
     asked_at: Option<Duration>,
 }
 
+/// What a report or an answer tells of an instance.
+#[derive(Clone, Debug)]
+struct Change {
+    at: Duration,
+    pool: PoolName,
+    state: State,
+    worker: Option<WorkerId>,
+}
+
+impl Change {
+    fn apply(&self, instance: &mut Instance) {
+        instance.pool = self.pool.clone();
+        instance.state = self.state;
+        instance.worker = self.worker.clone();
+    }
+}
+
 impl Inventory {
     /// Takes over a list that was asked for at `asked_at`, except for what is known from a later
     /// time. Returns the former instances; `None` if a newer list is known.
@@ -39,12 +56,15 @@
             return None;
         }
         self.asked_at = Some(asked_at);
-        self.changed_at.retain(|_, changed_at| *changed_at > asked_at);
+        self.changes.retain(|_, change| change.at > asked_at);
         let listed = list.into_iter().map(|instance| (instance.id.clone(), instance)).collect();
         let former = std::mem::replace(&mut self.instances, listed);
-        for id in self.changed_at.keys() {
+        for (id, change) in &self.changes {
             if let Some(known) = former.get(id) {
-                self.instances.insert(id.clone(), known.clone());
+                self.instances.entry(id.clone()).or_insert_with(|| known.clone());
+            }
+            if let Some(instance) = self.instances.get_mut(id) {
+                change.apply(instance);
             }
         }
         Some(former)
@@ -52,7 +72,8 @@
 
     /// Records that an instance is on its way to a pool, by an answer that arrives at `now`.
     pub fn record_move(&mut self, now: Duration, id: &InstanceId, pool: &PoolName) {
-        self.record(now, id, pool, State::Moving, None);
+        let (pool, state) = (pool.clone(), State::Moving);
+        self.record(id, Change { at: now, pool, state, worker: None });
     }
 
     /// Records that a worker reports from an instance, by a report that arrives at `now`.
@@ -63,34 +84,27 @@
         pool: &PoolName,
         worker: &WorkerId,
     ) {
-        self.record(now, id, pool, State::Up, Some(worker.clone()));
+        let (pool, worker) = (pool.clone(), Some(worker.clone()));
+        self.record(id, Change { at: now, pool, state: State::Up, worker });
     }
 
-    fn record(
-        &mut self,
-        now: Duration,
-        id: &InstanceId,
-        pool: &PoolName,
-        state: State,
-        worker: Option<WorkerId>,
-    ) {
-        let Some(instance) = self.instances.get_mut(id) else { return };
-        instance.pool = pool.clone();
-        instance.state = state;
-        instance.worker = worker;
-        self.changed_at.insert(id.clone(), now);
+    fn record(&mut self, id: &InstanceId, change: Change) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            change.apply(instance);
+        }
+        self.changes.insert(id.clone(), change);
     }
 
     /// Returns whether a report or an answer has told of an instance since the newest list was asked
     /// for.
     pub fn has_changed(&self, id: &InstanceId) -> bool {
-        self.changed_at.contains_key(id)
+        self.changes.contains_key(id)
     }
 
     /// Returns the instances of which a report or an answer has told since the newest list was asked
     /// for, in order.
     pub fn changed(&self) -> impl Iterator<Item = &InstanceId> {
-        self.changed_at.keys()
+        self.changes.keys()
     }
 
     /// Returns an instance; `None` if it is not known.
--- a/crates/sched/src/scheduler/listing.rs
+++ b/crates/sched/src/scheduler/listing.rs
@@ -27,8 +27,12 @@
 
     /// Applies a list of the cloud's instances that was asked for at `asked_at`: explains what
     /// changed in it, and proposes the end of maintenance that is done and the phase `Gone` for
-    /// instances that no longer exist. Ignored if a list that was asked for later is known.
+    /// instances that no longer exist. Ignored if a list that was asked for later is known, or if an
+    /// earlier leadership asked.
     pub fn on_instance_list(&mut self, time: Time, asked_at: Duration, list: Vec<Instance>) {
+        if asked_at < self.began_at {
+            return;
+        }
         let Some(former) = self.inventory.record_list(asked_at, list) else { return };
         self.explain_listing_changes(time, asked_at, &former);
         self.end_listed_workers(time, asked_at);
@@ -68,7 +72,7 @@
     }
 
     /// Handles that instances are down by a list: the workers that had reported from there when it was
-    /// asked for have ended.
+    /// asked for, and have answered nothing since, have ended.
     fn end_listed_workers(&mut self, time: Time, asked_at: Duration) {
         let is_down = |instance: &&Instance| {
             matches!(instance.state, State::Moving | State::Upkeep)
@@ -78,7 +82,9 @@
         let down: Vec<InstanceId> = down.map(|instance| instance.id.clone()).collect();
         for instance in down {
             let worker = self.worker_of(&instance).and_then(|id| self.workers.get(&id));
-            if worker.and_then(|w| w.reported_at).is_some_and(|reported| reported <= asked_at) {
+            let Some(worker) = worker else { continue };
+            let is_heard = worker.polling.heard_at.is_some_and(|at| at > asked_at);
+            if worker.reported_at.is_some_and(|at| at <= asked_at) && !is_heard {
                 self.on_instance_down(time, &instance);
             }
         }
