Sched: maintenance is done once a worker answers a poll sent since, not with a report; late notices of ends

A report of a worker that the maintenance had ended, arriving late, counted as the end of the maintenance, and a further instance of the wave went down beyond its limit. Start times do not order workers, and a report says when it was written, not when it arrives. A worker that answers a poll sent after the maintenance was known to have begun is on an instance that is up again. The guards by start time and by half of the duration are gone.

The announced end of an incarnation cordoned its successor, which a poll had shown and which had not reported, for good. An incarnation that has not reported has not drained, so the notice is not of it.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -9,7 +9,6 @@
 use super::{Scheduler, Time};
 use crate::late::SEND_WINDOW;
 use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
-use crate::roster::Report;
 use crate::worker::{RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
@@ -200,26 +199,16 @@
         }
     }
 
-    /// Proposes that an instance's maintenance is done if the reporting incarnation
-    /// started after the maintenance began.
-    pub(super) fn propose_done_after_restart(
-        &mut self,
-        time: Time,
-        ledger: &Ledger,
-        report: &Report,
-    ) {
-        let Some(begun) = self.maintenance.begun.get(&report.instance) else { return };
-        let ended_worker_started_at =
-            ledger.waves().get(&begun.wave).and_then(|w| w.worker_started_at.get(&report.instance));
-        if ended_worker_started_at
-            .is_none_or(|started_at| report.incarnation.started_at <= *started_at)
-        {
-            return; // it may be the incarnation that the maintenance ended; the next list decides
-        }
-        if time.monotonic < begun.learned_at + self.settings.maintenance_duration / 2 {
-            return; // too early: an old report, or one received by the previous leader
+    /// Proposes that the maintenance of a worker's instance is done: the worker has answered a poll that
+    /// was sent after it began.
+    pub(super) fn end_answered_maintenance(&mut self, id: &WorkerId, sent_at: Duration) {
+        let worker = self.workers.get(id).filter(|worker| !worker.ended);
+        let Some(report) = worker.and_then(|worker| worker.report.as_ref()) else { return };
+        let instance = report.instance.clone();
+        let Some(begun) = self.maintenance.begun.get(&instance) else { return };
+        if sent_at >= begun.learned_at {
+            self.propose_done(begun.wave, instance);
         }
-        self.propose_done(begun.wave, report.instance.clone());
     }
 
     /// Handles the reply to an order for maintenance.
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -515,7 +515,6 @@
         }
         if self.workers.get(&report.incarnation.worker).is_none_or(|worker| worker.report.is_none())
         {
-            self.propose_done_after_restart(time, ledger, report);
             self.end_arrived_move(time, report);
             self.explain_losses(report);
         }
@@ -599,10 +598,11 @@
     }
 
     /// Handles a worker's notice that its incarnation is ending. Its runs are kept until
-    /// the lease expires, since the last of them may still be running.
+    /// the lease expires, since the last of them may still be running. An incarnation that has not
+    /// reported has not drained, so the notice is of an earlier one.
     pub fn on_worker_left(&mut self, worker: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.cordoned = true;
+            worker.cordoned |= worker.report.is_some();
         }
     }
 
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -198,6 +198,7 @@
                     ClockReading { clock_ms: run_lists.clock_ms, received_at: time.monotonic };
                 worker.lease.record_clock(reading);
                 self.apply_run_lists(time, ledger, &id, reply.sent_at, run_lists);
+                self.end_answered_maintenance(&id, reply.sent_at);
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.update_speed(time.monotonic);
                 }
