Sched: log lines and a gauge for units that don't run and wait for no room

The record of a job that stands still names neither the units that waited nor what held them: `waits for` covers only units that may be placed.

No decision changes.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -62,6 +62,11 @@
             .set(waits.long_running.as_secs_f64());
         metrics::gauge!("core_longest_unit_wait_seconds", "work" => "other")
             .set(waits.other.as_secs_f64());
+        let stalls = self.scheduler.longest_stalls(time.monotonic);
+        metrics::gauge!("core_longest_unit_stall_seconds", "unit" => "held")
+            .set(stalls.held.as_secs_f64());
+        metrics::gauge!("core_longest_unit_stall_seconds", "unit" => "unbegun")
+            .set(stalls.unbegun.as_secs_f64());
     }
 
     /// Publishes what the accounts with the most in use have running and waiting.
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod poll;
 mod runs;
 mod shortage;
+mod stall;
 mod starts;
 mod trials;
 mod unplaced;
@@ -61,6 +62,7 @@
 pub use pacing::PaceReply;
 pub use poll::PollReply;
 pub use shortage::LongestWaits;
+pub use stall::LongestStalls;
 pub use starts::{StartReply, StopReply};
 
 /// Lease that a worker gets for its runs. It outlasts a change of leader, which takes
@@ -159,6 +161,8 @@
     least_restarts: u64,
     /// Steps with units that wait for free resources.
     waiting: BTreeMap<PoolName, BTreeMap<StepKey, Waiting>>,
+    /// Units that wait for the end of a late start, and since when they are held.
+    held_since: BTreeMap<UnitKey, Duration>,
     /// Steps that wait for others, with the number of those that are not done.
     blocked_steps: BTreeMap<StepKey, u32>,
     /// Profiles of unfinished jobs.
@@ -230,6 +234,8 @@
     last_periodic_tasks: Duration,
     /// When units that wait were last explained.
     shortages_explained_at: Duration,
+    /// When units that are held, or placed and not begun, were last explained.
+    stalls_explained_at: Duration,
     /// Run changes for the next proposal; they go before `commands`.
     batch: Batch,
     /// Runs to place anew before the ends in `batch` are applied.
@@ -275,6 +281,7 @@
             workers: BTreeMap::new(),
             least_restarts: 0,
             waiting: BTreeMap::new(),
+            held_since: BTreeMap::new(),
             blocked_steps: BTreeMap::new(),
             profiles: BTreeMap::new(),
             due_occurrences: BTreeSet::new(),
@@ -313,6 +320,7 @@
             is_decision_deferred: false,
             last_periodic_tasks: Duration::ZERO,
             shortages_explained_at: Duration::ZERO,
+            stalls_explained_at: Duration::ZERO,
             batch: Batch::default(),
             adoptions: Batch::default(),
             settled: Vec::new(),
@@ -676,6 +684,7 @@
                 self.adjust_shares(time, ledger);
                 self.update_outlook(time, ledger);
                 self.explain_shortages(time, ledger);
+                self.explain_stalls(time, ledger);
             }
             self.place(time, ledger);
         }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -113,10 +113,8 @@
             return;
         }
         let key = unit.step_key();
-        let not_before = match self.is_held(&unit) {
-            true => Duration::MAX,
-            false => time.monotonic + delay,
-        };
+        let is_held = self.is_held(&unit);
+        let not_before = if is_held { Duration::MAX } else { time.monotonic + delay };
         let is_waiting = self.waiting.get(&job.pool).is_some_and(|steps| steps.contains_key(&key));
         if !is_waiting {
             let profile = profile_of(&mut self.profiles, unit.job, job);
@@ -132,10 +130,14 @@
         let steps = self.waiting.get_mut(&job.pool);
         let Some(waiting) = steps.and_then(|steps| steps.get_mut(&key)) else { return };
         waiting.units.insert(unit.index, not_before);
+        if is_held {
+            self.held_since.entry(unit).or_insert(time.monotonic);
+        }
     }
 
     /// Removes a unit from the waiting units.
     pub(super) fn end_waiting(&mut self, unit: &UnitKey) {
+        self.held_since.remove(unit);
         for steps in self.waiting.values_mut() {
             if let Some(waiting) = steps.get_mut(&unit.step_key()) {
                 waiting.units.remove(&unit.index);
@@ -148,6 +150,7 @@
         let waiting = self.waiting.values_mut().filter_map(|steps| steps.get_mut(&unit.step_key()));
         for not_before in waiting.filter_map(|waiting| waiting.units.get_mut(&unit.index)) {
             *not_before = Duration::MAX;
+            self.held_since.entry(*unit).or_insert(self.time.monotonic);
         }
     }
 
@@ -157,6 +160,7 @@
             if self.is_held(&unit) {
                 continue;
             }
+            self.held_since.remove(&unit);
             let waiting =
                 self.waiting.values_mut().filter_map(|steps| steps.get_mut(&unit.step_key()));
             for not_before in waiting.filter_map(|waiting| waiting.units.get_mut(&unit.index)) {
@@ -224,6 +228,7 @@
         remove_range(&mut self.avoided_workers, units.clone());
         remove_range(&mut self.last_run_numbers, units.clone());
         remove_range(&mut self.failed_starts, units.clone());
+        remove_range(&mut self.held_since, units.clone());
         self.accepted_at.remove(&number);
         remove_range(&mut self.suspicions, steps.clone());
         self.remove_tickets(steps);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -498,8 +498,26 @@
     /// Returns whether a start of the unit that is no longer placed here may still be carried out
     /// here, or may have been without the leader's knowledge.
     pub fn holds_unit(&self, unit: &UnitKey) -> bool {
+        self.holding_run(unit).is_some()
+    }
+
+    /// Returns the run whose late start holds a unit; `None` if none does.
+    pub fn holding_run(&self, unit: &UnitKey) -> Option<RunNumber> {
         let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
-        self.can_return() && starts.any(|(_, start)| self.is_holding(start))
+        let holding = starts.find(|(_, start)| self.can_return() && self.is_holding(start));
+        holding.map(|((_, run), _)| *run)
+    }
+
+    /// Describes how the leader is in contact with the worker.
+    pub fn describe_contact(&self, now: Duration) -> &'static str {
+        match () {
+            () if self.ended => "has ended",
+            () if self.address.is_none() => "has not reported to this leader",
+            () if self.polling.is_silent(now) => "is silent",
+            () if self.may_have_restarted() => "may have restarted",
+            () if !self.answered_under_fence => "has not answered this leader",
+            () => "answers",
+        }
     }
 
     /// Returns whether a late start holds any unit.
