--- /dev/null
+++ b/crates/sched/tests/stalls.rs
@@ -0,0 +1,151 @@
+//! Units that wait for the end of a late start: what ends the wait when the worker that may carry it
+//! out answers nobody any more.
+
+mod world;
+
+use jobs::State;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use world::{STANDBY, TICK, World, long_running, step};
+
+/// Time for which a unit may wait beside free resources.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+/// Time from a start order to the last moment at which it may be carried out, as the leader counts.
+const WINDOW: Duration = Duration::from_secs(15);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Runs the world and checks at each tick that no unit runs twice.
+fn run_checked(world: &mut World, duration: Duration) {
+    let end = world.now + duration;
+    while world.now < end {
+        world.run(TICK);
+        assert_eq!(world.running_twice(), Vec::<String>::new(), "at {:?}", world.now);
+    }
+}
+
+/// Returns the first worker that was sent a start.
+fn started_worker(world: &World) -> String {
+    world.workers.iter().find(|(_, worker)| worker.start_orders > 0).unwrap().0.clone()
+}
+
+/// Lets a unit of job `a` fail on a worker that has left a copy of its start unanswered. Returns
+/// that worker. All others of `count` are busy with job `b`.
+fn fail_beside_late_start(count: usize) -> (World, String) {
+    let mut world = World::new(count);
+    world.run_times.insert("a".to_string(), seconds(1.0));
+    world.run_times.insert("b".to_string(), seconds(60.0));
+    world.submit("q", "b", vec![step(count as u32 - 1, 5000, 60_000)]);
+    world.run(seconds(0.5));
+    let is_idle = |id: &&String| world.workers[*id].runs.is_empty();
+    let first = world.workers.keys().find(is_idle).unwrap().clone();
+    let worker = world.workers.get_mut(&first).unwrap();
+    (worker.omits_one_start_in, worker.fails_runs) = (Some(2), true);
+    worker.start_orders = 1; // the first start is left unanswered, its copy is not
+    world.start_delay = seconds(60.0);
+    world.submit("q", "a", vec![step(1, 4000, 1000)]);
+    world.run(seconds(0.3));
+    let worker = world.workers.get_mut(&first).unwrap();
+    assert_eq!(worker.start_orders, 3, "both copies were sent to the idle worker");
+    (worker.omits_one_start_in, worker.fails_runs) = (None, false);
+    (world, first)
+}
+
+#[test]
+fn a_unit_does_not_wait_for_a_worker_whose_instance_is_parked() {
+    let (mut world, first) = fail_beside_late_start(4);
+    let instance = world.workers[&first].report.instance.clone();
+    let parked = |world: &World| {
+        let mut moves = world.moves.iter();
+        moves.any(|(_, moved, pool)| *moved == instance && pool == STANDBY)
+    };
+    while !parked(&world) {
+        assert!(world.starts.len() < 5, "the unit waits for the late start");
+        run_checked(&mut world, TICK);
+    }
+    run_checked(&mut world, MAX_WAIT + seconds(1.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+}
+
+#[test]
+fn an_instance_whose_worker_may_carry_out_a_late_start_stays_parked() {
+    let (mut world, first) = fail_beside_late_start(4);
+    let instance = world.workers[&first].report.instance.clone();
+    run_checked(&mut world, seconds(8.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for number in 0..8 {
+        world.submit("q", &format!("c{number}"), vec![step(8, 1000, 1000)]);
+    }
+    run_checked(&mut world, seconds(2.0));
+    let is_back = |moved: &&(Duration, String, String)| moved.1 == instance && moved.2 == "p";
+    assert_eq!(world.moves.iter().find(is_back), None, "its next worker may have the same id");
+    run_checked(&mut world, WINDOW);
+    assert!(world.moves.iter().any(|moved| is_back(&moved)), "it is fetched in the end");
+}
+
+#[test]
+fn a_unit_does_not_wait_for_the_lease_of_a_worker_that_is_gone() {
+    let (mut world, first) = fail_beside_late_start(3);
+    world.lists_only_workers_up = true;
+    world.workers.get_mut(&first).unwrap().is_down = true;
+    let failed_at = world.now;
+    run_checked(&mut world, WINDOW + MAX_WAIT);
+    let started = world.starts_of("a.0.0.0").last().unwrap().at;
+    assert!(started > failed_at, "the unit runs once the start can't be carried out any more");
+}
+
+#[test]
+fn a_unit_runs_as_soon_as_its_late_start_is_over() {
+    let (mut world, _) = fail_beside_late_start(2);
+    let sent_at = world.starts_of("a.0.0.0")[0].at;
+    run_checked(&mut world, WINDOW + seconds(1.0));
+    let started = world.starts_of("a.0.0.0").last().unwrap().at;
+    assert!(started > sent_at && started < sent_at + WINDOW + seconds(0.5), "{started:?}");
+}
+
+#[test]
+fn a_unit_does_not_wait_for_a_worker_that_a_new_leader_has_never_heard_of() {
+    let mut world = World::new(3);
+    world.run_times.insert("a".to_string(), seconds(60.0));
+    world.start_delay = seconds(60.0);
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(1);
+    }
+    world.submit("q", "a", vec![step(1, 3000, 60_000)]);
+    world.run(TICK * 3);
+    let first = started_worker(&world);
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = None;
+    }
+    world.crash_downtime = seconds(1.0);
+    world.end_leadership();
+    world.crash(&first);
+    run_checked(&mut world, seconds(2.0));
+    world.begin_leadership(&BTreeSet::new());
+    // All reports and the lease of the former leader.
+    run_checked(&mut world, world::REPORT_INTERVAL + seconds(5.5) + MAX_WAIT);
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+}
+
+#[test]
+fn work_that_lasts_does_not_wait_for_a_copy_of_its_start_that_its_worker_refuses() {
+    let mut world = World::new(3);
+    world.start_delay = seconds(60.0);
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(2);
+        worker.start_orders = 1; // the first start is left unanswered, its copy is not
+    }
+    world.submit("q", "a", vec![long_running(1, 2000)]);
+    run_checked(&mut world, seconds(2.0));
+    let first = world.workers_running("a.0.0.0")[0].clone();
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = None;
+    }
+    world.workers.get_mut(&first).unwrap().report.draining = true;
+    world.report(&first);
+    run_checked(&mut world, MAX_WAIT);
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.starts);
+    assert_ne!(*world.workers_running("a.0.0.0")[0], first);
+}
