Sched: work that lasts does not wait for copies of a start that its worker refuses

Callers saw work that lasts away for 15 s after a run that had ended on a worker that answers: it was evacuated, drained or failed, and a first copy of its start had got no answer. Cause: only a start of an earlier leader or incarnation counted as refused; the incarnation that has listed the end of a run, or confirmed its stop, refuses every copy of its start as well. A restart of the worker then held the unit for 15 s once more, also beside a higher fence.

Whether the present incarnation refuses a late start is a fact of the late start now (`is_refused`), so that it follows the worker's next incarnation. Invariant: work that lasts is held while the present incarnation is not known to refuse the start, or may have ended unnoticed.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -29,9 +29,13 @@
     /// Whether the unit is not placed again before the start is over: the worker has restarted
     /// since, or the run had begun. Otherwise the present incarnation is known to refuse the start, and
     /// the unit waits only while a later one may be there: a run that never began is stopped by a
-    /// confirmed order, and its unit does not wait for a worker that leaves starts unanswered. Work that
-    /// lasts does not wait for starts that the present incarnation refuses.
+    /// confirmed order, and its unit does not wait for a worker that leaves starts unanswered.
     pub holds_unit: bool,
+    /// Whether the present incarnation, once it has obeyed this leader, is known to refuse the start:
+    /// it has listed the end of the run or confirmed its stop, or the start has a lower fence.
+    pub is_refused: bool,
+    /// Whether the unit lasts until its job is cancelled.
+    pub long_running: bool,
     /// Whether the start counts for the account of its job: it holds its unit, or a later incarnation
     /// may begin it. For a run of an earlier leader it is not known whether all starts were answered.
     pub uses_account: bool,
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -358,12 +358,12 @@
         let unanswered_grant_at = worker.last_unanswered_grant();
         let last_arrival = unanswered_grant_at.map(|at| at + LATE_ORDER_WINDOW);
         let granted_until = last_arrival.unwrap_or_default().max(time.monotonic);
-        worker.hold_late_starts();
         let former_fence = self.fences.after(worker.restarts);
         let former = worker.replace_incarnation(stated_start);
         let restart = Restart { incarnation: worker.incarnation.clone(), stated_start };
         self.batch.restarted.push(restart);
         worker.has_own_fence = self.fences.after(worker.restarts) > former_fence;
+        worker.hold_late_starts();
         worker.report = None;
         worker.reported_at = None;
         worker.answered_under_fence = false;
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -117,6 +117,8 @@
                     resources,
                     until,
                     holds_unit: late.holds_unit || has_restarted,
+                    is_refused: true, // by its fence
+                    long_running: is_long_running(ledger, &unit),
                     uses_account: true,
                 },
             );
@@ -262,6 +264,12 @@
     time.monotonic + left.min(LATE_ORDER_WINDOW)
 }
 
+fn is_long_running(ledger: &Ledger, unit: &UnitKey) -> bool {
+    let step =
+        ledger.job(unit.job).and_then(|job| job.definition.steps.get(usize::from(unit.step)));
+    step.is_some_and(|step| step.long_running)
+}
+
 /// Returns the resources that runs of a unit use; `None` if its job is not known.
 fn unit_resources(ledger: &Ledger, unit: &UnitKey) -> Option<Resources> {
     let step = ledger.job(unit.job)?.definition.steps.get(usize::from(unit.step))?;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -465,17 +465,19 @@
             return None;
         }
         let has_begun = run.started_at.is_some();
-        let has_restarted = self.ended || run.placed_on != self.incarnation.started_at;
-        let is_doubtful = has_restarted || is_unanswered && has_begun;
-        // A successor that has obeyed this leader refuses the starts of earlier ones, and those to its
-        // predecessor. Until it may have restarted, work that lasts can run elsewhere.
-        let refuses_start =
-            !is_unanswered || self.has_own_fence && run.placed_on != self.incarnation.started_at;
-        let is_barred = run.long_running && refuses_start && self.answered_under_fence;
+        let is_of_predecessor = run.placed_on != self.incarnation.started_at;
+        let is_doubtful = self.ended || is_of_predecessor || is_unanswered && has_begun;
+        let is_over = run.has_ended || run.absence == Some(Absence::Unlisted);
+        let is_refused = match is_of_predecessor {
+            true => !is_unanswered || self.has_own_fence,
+            false => !is_unanswered || is_over,
+        };
         Some(LateStart {
             resources: run.resources,
             until,
-            holds_unit: is_doubtful && !is_barred,
+            holds_unit: is_doubtful,
+            is_refused,
+            long_running: run.long_running,
             uses_account: is_doubtful || !has_begun && !run.has_ended,
         })
     }
@@ -525,8 +527,12 @@
         self.late_starts.values().any(|start| self.is_holding(start))
     }
 
+    /// Returns whether the unit of a late start is not placed. Work that lasts does not wait for a start
+    /// that the present incarnation refuses: 15 s would be longer than it may be away.
     fn is_holding(&self, start: &LateStart) -> bool {
-        start.holds_unit || self.may_have_restarted() || !self.answered_under_fence
+        start.holds_unit && !(start.long_running && start.is_refused)
+            || self.may_have_restarted()
+            || !self.answered_under_fence
     }
 
     /// Returns whether the worker may have started again without the leader's knowledge.
@@ -554,16 +560,19 @@
     /// Returns the units that a later incarnation may begin at `now`.
     pub fn units_that_may_begin(&self, now: Duration) -> Vec<UnitKey> {
         let starts = self.late_starts.iter();
-        let starts = starts.filter(|(_, start)| !start.holds_unit && now < start.until);
+        let starts = starts.filter(|(_, start)| {
+            now < start.until && (!start.holds_unit || start.long_running && start.is_refused)
+        });
         starts.map(|((unit, _), _)| *unit).collect()
     }
 
-    /// Lets the late starts that the new incarnation may begin hold their units: a further one
+    /// Lets the late starts that the next incarnation may begin hold their units: a further one
     /// forgets their stops.
     pub fn hold_late_starts(&mut self) {
         (self.restart_suspected_at, self.answer_owed_since) = (None, None);
         for start in self.late_starts.values_mut() {
             start.holds_unit = true;
+            start.is_refused = self.has_own_fence;
         }
     }
 
--- a/crates/sched/tests/stalls.rs
+++ b/crates/sched/tests/stalls.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use jobs::State;
+use jobs::{State, Step};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use world::{STANDBY, TICK, World, long_running, step};
@@ -31,65 +31,78 @@
     world.workers.iter().find(|(_, worker)| worker.start_orders > 0).unwrap().0.clone()
 }
 
-/// Lets a unit of job `a` fail on a worker that has left a copy of its start unanswered. Returns
-/// that worker. All others of `count` are busy with job `b`.
-fn fail_beside_late_start(count: usize) -> (World, String) {
-    let mut world = World::new(count);
+/// Lets the unit of a job `a` fail on an idle worker that has left a copy of its start unanswered.
+/// Returns that worker.
+fn fail_beside_late_start(world: &mut World, unit: Step) -> String {
     world.run_times.insert("a".to_string(), seconds(1.0));
+    world.start_delay = seconds(60.0);
+    for worker in world.workers.values_mut().filter(|worker| worker.runs.is_empty()) {
+        (worker.omits_one_start_in, worker.fails_runs) = (Some(2), true);
+        worker.start_orders = 1; // the first start is left unanswered, its copy is not
+    }
+    world.submit("q", "a", vec![unit]);
+    while world.starts_of("a.0.0.0").is_empty() {
+        world.run(TICK);
+    }
+    for worker in world.workers.values_mut() {
+        (worker.omits_one_start_in, worker.fails_runs) = (None, false);
+    }
+    let worker = world.starts_of("a.0.0.0")[0].worker.clone();
+    world.run(seconds(0.1));
+    worker
+}
+
+/// Creates four workers of which one is idle, `a` failed there, and the other one on its rack has room
+/// for `a` 4 s later. Returns the idle one.
+fn fail_on_spare_instance() -> (World, String) {
+    let mut world = World::new(4);
+    let on = |rack: &str, step: Step| Step { requires: Some(rack.to_string()), ..step };
     world.run_times.insert("b".to_string(), seconds(60.0));
-    world.submit("q", "b", vec![step(count as u32 - 1, 5000, 60_000)]);
+    world.run_times.insert("c".to_string(), seconds(4.0));
+    world.submit("q", "b", vec![on("rack0", step(2, 5000, 60_000))]);
+    world.submit("q", "c", vec![on("rack1", step(1, 3000, 4000))]);
     world.run(seconds(0.5));
-    let is_idle = |id: &&String| world.workers[*id].runs.is_empty();
-    let first = world.workers.keys().find(is_idle).unwrap().clone();
-    let worker = world.workers.get_mut(&first).unwrap();
-    (worker.omits_one_start_in, worker.fails_runs) = (Some(2), true);
-    worker.start_orders = 1; // the first start is left unanswered, its copy is not
-    world.start_delay = seconds(60.0);
-    world.submit("q", "a", vec![step(1, 4000, 1000)]);
-    world.run(seconds(0.3));
-    let worker = world.workers.get_mut(&first).unwrap();
-    assert_eq!(worker.start_orders, 3, "both copies were sent to the idle worker");
-    (worker.omits_one_start_in, worker.fails_runs) = (None, false);
-    (world, first)
+    let worker = fail_beside_late_start(&mut world, on("rack1", step(1, 6000, 1000)));
+    (world, worker)
 }
 
 #[test]
 fn a_unit_does_not_wait_for_a_worker_whose_instance_is_parked() {
-    let (mut world, first) = fail_beside_late_start(4);
-    let instance = world.workers[&first].report.instance.clone();
-    let parked = |world: &World| {
-        let mut moves = world.moves.iter();
-        moves.any(|(_, moved, pool)| *moved == instance && pool == STANDBY)
-    };
-    while !parked(&world) {
-        assert!(world.starts.len() < 5, "the unit waits for the late start");
-        run_checked(&mut world, TICK);
-    }
-    run_checked(&mut world, MAX_WAIT + seconds(1.0));
+    let (mut world, worker) = fail_on_spare_instance();
+    let instance = world.workers[&worker].report.instance.clone();
+    run_checked(&mut world, seconds(4.0));
+    let is_parked = |moved: &(Duration, String, String)| moved.1 == instance && moved.2 == STANDBY;
+    assert!(world.moves.iter().any(is_parked));
+    run_checked(&mut world, MAX_WAIT);
     assert_eq!(world.state("q", "a"), State::Completed);
 }
 
 #[test]
 fn an_instance_whose_worker_may_carry_out_a_late_start_stays_parked() {
-    let (mut world, first) = fail_beside_late_start(4);
-    let instance = world.workers[&first].report.instance.clone();
-    run_checked(&mut world, seconds(8.0));
-    assert_eq!(world.state("q", "a"), State::Completed);
-    for number in 0..8 {
-        world.submit("q", &format!("c{number}"), vec![step(8, 1000, 1000)]);
+    let (mut world, worker) = fail_on_spare_instance();
+    let instance = world.workers[&worker].report.instance.clone();
+    let is_back = |moved: &&(Duration, String, String)| moved.1 == instance && moved.2 == "p";
+    run_checked(&mut world, seconds(4.0));
+    assert!(world.moves.iter().any(|(_, moved, pool)| *moved == instance && pool == STANDBY));
+    for number in 0..14 {
+        let id = format!("d{number}");
+        world.run_times.insert(id.clone(), seconds(20.0));
+        world.submit("q", &id, vec![step(8, 1000, 20_000)]);
+        run_checked(&mut world, seconds(1.0));
+        if world.now < world.starts_of("a.0.0.0")[0].at + WINDOW {
+            assert_eq!(world.moves.iter().find(is_back), None, "its next worker may have its id");
+        }
     }
     run_checked(&mut world, seconds(2.0));
-    let is_back = |moved: &&(Duration, String, String)| moved.1 == instance && moved.2 == "p";
-    assert_eq!(world.moves.iter().find(is_back), None, "its next worker may have the same id");
-    run_checked(&mut world, WINDOW);
     assert!(world.moves.iter().any(|moved| is_back(&moved)), "it is fetched in the end");
 }
 
 #[test]
 fn a_unit_does_not_wait_for_the_lease_of_a_worker_that_is_gone() {
-    let (mut world, first) = fail_beside_late_start(3);
+    let mut world = World::new(3);
+    let worker = fail_beside_late_start(&mut world, step(1, 4000, 1000));
     world.lists_only_workers_up = true;
-    world.workers.get_mut(&first).unwrap().is_down = true;
+    world.workers.get_mut(&worker).unwrap().is_down = true;
     let failed_at = world.now;
     run_checked(&mut world, WINDOW + MAX_WAIT);
     let started = world.starts_of("a.0.0.0").last().unwrap().at;
@@ -98,7 +111,8 @@
 
 #[test]
 fn a_unit_runs_as_soon_as_its_late_start_is_over() {
-    let (mut world, _) = fail_beside_late_start(2);
+    let mut world = World::new(2);
+    fail_beside_late_start(&mut world, step(1, 4000, 1000));
     let sent_at = world.starts_of("a.0.0.0")[0].at;
     run_checked(&mut world, WINDOW + seconds(1.0));
     let started = world.starts_of("a.0.0.0").last().unwrap().at;
