Jobs, sched: the log names the instance of a worker with its runs

Callers saw units wait for 25 s after all cores had restarted beside a crash of their worker: the next leader had never heard of that worker, so it could not tell that the one which reports from the same instance by now has taken its place. What one leader knew, its successor did not.

Placements and late starts carry the instance (a few bytes; older processes ignore the field). A new leader takes it over, and the next worker on the instance ends the hold.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -216,6 +216,9 @@
     /// start, and only a later one may carry it out.
     #[serde(rename = "holds", default, skip_serializing_if = "std::ops::Not::not")]
     pub holds_unit: bool,
+    /// Instance of the worker; `None` if the leader doesn't know it.
+    #[serde(rename = "machine", default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<InstanceId>,
     /// When the release was proposed, on the leader's wall clock.
     #[serde(rename = "t", default)]
     pub at: UnixMs,
@@ -227,6 +230,10 @@
     /// Incarnation that the runs are placed on.
     #[serde(rename = "life")]
     pub incarnation: Incarnation,
+    /// Instance of the worker; `None` if the leader doesn't know it. Processes from before the field
+    /// existed ignore it.
+    #[serde(rename = "machine", default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<InstanceId>,
     /// Key of the unit and number of the run for each placement.
     pub runs: Vec<(UnitKey, RunNumber)>,
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -3,7 +3,8 @@
 use crate::config::Place;
 use crate::crash::Crash;
 use crate::{
-    AccountName, Decision, Definition, Incarnation, JobId, PoolName, QueueName, RunNumber, UnixMs,
+    AccountName, Decision, Definition, Incarnation, InstanceId, JobId, PoolName, QueueName,
+    RunNumber, UnixMs,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -162,6 +163,9 @@
     /// Incarnation that the run was placed on.
     #[serde(rename = "l")]
     pub incarnation: Incarnation,
+    /// Instance of the worker; `None` if the leader that placed the run didn't know it.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<InstanceId>,
     /// Number of the run.
     #[serde(rename = "r")]
     pub run: RunNumber,
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -584,9 +584,9 @@
         for key in batch.settled {
             self.settle(key);
         }
-        for Placed { incarnation, runs } in batch.placed {
+        for Placed { incarnation, instance, runs } in batch.placed {
             for (unit, run) in runs {
-                self.place(&incarnation, unit, run, events);
+                self.place(&incarnation, &instance, unit, run, events);
             }
         }
         for restart in batch.restarted {
@@ -769,6 +769,7 @@
     fn place(
         &mut self,
         incarnation: &Incarnation,
+        instance: &Option<InstanceId>,
         key: UnitKey,
         run: RunNumber,
         events: &mut Vec<Event>,
@@ -786,6 +787,7 @@
         let placed_on = incarnation.clone();
         let placement = Placement {
             incarnation: placed_on,
+            instance: instance.clone(),
             run,
             checkpoint,
             is_settled: false,
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -25,7 +25,11 @@
     let (queue, id) = ("q".to_string(), "a".to_string());
     let submit = Submit { queue, place: None, id, definition, owner: None, at: 1000 };
     ledger.apply(Command::Submit(submit));
-    let placed = vec![Placed { incarnation: Incarnation::new("w1", 1), runs: vec![(UNIT, 1)] }];
+    let placed = vec![Placed {
+        incarnation: Incarnation::new("w1", 1),
+        instance: None,
+        runs: vec![(UNIT, 1)],
+    }];
     ledger.apply(Command::Runs(Batch { at: 2000, placed, ..Batch::default() }));
     ledger
 }
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -53,7 +53,8 @@
 }
 
 fn place(ledger: &mut Ledger, unit: UnitKey, run: u64) -> Vec<Event> {
-    let placed = vec![Placed { incarnation: incarnation(1), runs: vec![(unit, run)] }];
+    let placed =
+        vec![Placed { incarnation: incarnation(1), instance: None, runs: vec![(unit, run)] }];
     ledger.apply(Command::Runs(Batch { at: 2000, placed, ..Batch::default() })).1
 }
 
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -431,7 +431,7 @@
     fn inherit_run(&mut self, time: Time, ledger: &Ledger, unit: UnitKey, placement: &Placement) {
         let Some(job) = ledger.job(unit.job) else { return };
         let step = &job.definition.steps[usize::from(unit.step)];
-        let Placement { incarnation, run: number, is_settled, at, .. } = placement;
+        let Placement { incarnation, instance, run: number, is_settled, at, .. } = placement;
         let (number, placed_on) = (*number, incarnation.started_at);
         let mut run = Run::new(RunState::Inherited, step, placed_on, time.monotonic);
         run.is_settled = *is_settled;
@@ -444,6 +444,7 @@
             run.state = RunState::Stopping { sent: None, acknowledged: None };
         }
         self.inherit_worker(time, ledger, incarnation).add(unit, number, run);
+        self.inherit_instance(incarnation, instance);
         self.placed_on.entry(unit).or_default().insert(incarnation.worker.clone());
         let highest = self.last_run_numbers.entry(unit).or_default();
         *highest = (*highest).max(number);
@@ -472,6 +473,19 @@
         worker
     }
 
+    /// Records the instance that the ledger names for an incarnation, so that the next worker there
+    /// shows that this one doesn't return.
+    fn inherit_instance(&mut self, incarnation: &Incarnation, instance: &Option<InstanceId>) {
+        let Some(instance) = instance else { return };
+        let Some(worker) = self.workers.get_mut(&incarnation.worker) else { return };
+        worker.instance.get_or_insert_with(|| instance.clone());
+        let latest = self.worker_by_instance.get(instance).and_then(|id| self.workers.get(id));
+        let is_later = |other: &Worker| other.incarnation.started_at >= incarnation.started_at;
+        if !latest.is_some_and(is_later) {
+            self.worker_by_instance.insert(instance.clone(), incarnation.worker.clone());
+        }
+    }
+
     /// Returns a worker's state, adding one with a full inherited lease if it is unknown.
     fn worker_or_inherited(&mut self, time: Time, incarnation: &Incarnation) -> &mut Worker {
         let lease = Lease::inherited(time.monotonic, LEASE_DURATION.min(self.settings.max_lease));
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -54,7 +54,8 @@
         });
         for (id, runs) in placed {
             let Some(worker) = self.workers.get(&id) else { continue };
-            self.batch.placed.push(Placed { incarnation: worker.incarnation.clone(), runs });
+            let (incarnation, instance) = (worker.incarnation.clone(), worker.instance.clone());
+            self.batch.placed.push(Placed { incarnation, instance, runs });
         }
     }
 
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -135,7 +135,8 @@
             end.run = number;
         }
         if !runs.is_empty() {
-            self.adoptions.placed.push(Placed { incarnation, runs });
+            let instance = self.workers.get(id).and_then(|worker| worker.instance.clone());
+            self.adoptions.placed.push(Placed { incarnation, instance, runs });
         }
     }
 
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -82,8 +82,15 @@
                     let start = entry.and_then(|run| worker.late_start(time.monotonic, run));
                     if let Some(LateStart { holds_unit, .. }) = start {
                         let incarnation = worker.incarnation.clone();
-                        let at = time.wall;
-                        batch.late.push(LateRun { unit, run, incarnation, holds_unit, at });
+                        let (instance, at) = (worker.instance.clone(), time.wall);
+                        batch.late.push(LateRun {
+                            unit,
+                            run,
+                            incarnation,
+                            instance,
+                            holds_unit,
+                            at,
+                        });
                     }
                 }
             }
@@ -104,6 +111,7 @@
     pub(super) fn inherit_late_runs(&mut self, time: Time, ledger: &Ledger) {
         for late in ledger.late_runs().values() {
             self.inherit_worker(time, ledger, &late.incarnation);
+            self.inherit_instance(&late.incarnation, &late.instance);
         }
         for (key, late) in ledger.late_runs() {
             let (unit, _) = *key;
