--- a/crates/sched/src/scheduler/pacing.rs
+++ b/crates/sched/src/scheduler/pacing.rs
@@ -104,9 +104,7 @@
         {
             run.share_percent = None;
         }
-        if let Answer::Refused(refusal) = reply.answer {
-            self.on_refusal(&reply.incarnation.worker, refusal);
-        }
+        // A refusal for the fence may be of an order of an earlier leadership; the next poll shows it.
     }
 }
 
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -293,7 +293,9 @@
                 worker.acknowledge_unplaced(time.monotonic, unit, number);
             }
             Answer::Misdirected => self.on_incarnation_ended(time, &id),
-            Answer::Refused(refusal) => self.on_refusal(&id, refusal),
+            // The stop may be of an earlier leadership of this process, or from before the worker was
+            // forgotten, with a lower fence. Whether a higher one was seen shows the next poll.
+            Answer::Refused(_) => {}
             Answer::Unknown | Answer::Lost if worker.polling.is_silent(time.monotonic) => {}
             Answer::Unknown | Answer::Lost => {
                 if let Some(run) = worker.runs.get_mut(&(unit, number))
--- /dev/null
+++ b/crates/sched/tests/holds.rs
@@ -0,0 +1,59 @@
+//! Holds and waits whose end depends on an event that may never come.
+
+mod world;
+
+use sched::order::{Answer, Refusal, Reply};
+use sched::scheduler::{PaceReply, StopReply};
+use std::time::Duration;
+use world::{World, long_running, step};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Returns a world with a unit that lasts on a worker, and its reply to a stop that it refuses as too old.
+fn refused_stop() -> (World, Reply) {
+    let mut world = World::new(3);
+    world.submit("q", "a", vec![long_running(1, 1000)]);
+    world.run(seconds(2.0));
+    let unit = world.ledger.find_unit("a.0.0.0").unwrap();
+    let worker = &world.workers[world.workers_running("a.0.0.0")[0]];
+    let incarnation = worker.report.incarnation.clone();
+    let answer = Answer::Refused(Refusal::Fence);
+    let reply = Reply::Stop(StopReply { incarnation, unit, run: 1, answer });
+    (world, reply)
+}
+
+#[test]
+fn a_stop_of_an_earlier_leadership_that_is_refused_does_not_end_the_present_one() {
+    let (mut world, reply) = refused_stop();
+    world.replace_informed_leader();
+    world.run(seconds(1.0));
+    world.scheduler.on_worker_reply(world.time(), &world.ledger, reply);
+    world.submit("q", "b", vec![step(1, 1000, 500)]);
+    world.run(seconds(3.0));
+    assert!(!world.scheduler.is_superseded());
+    assert_eq!(world.starts_of("b.0.0.0").len(), 1);
+}
+
+#[test]
+fn a_share_of_an_earlier_leadership_that_is_refused_does_not_end_the_present_one() {
+    let (mut world, reply) = refused_stop();
+    let Reply::Stop(StopReply { incarnation, unit, run, answer }) = reply else { unreachable!() };
+    world.replace_informed_leader();
+    world.run(seconds(1.0));
+    let reply = PaceReply { incarnation, unit, run, percent: 50, answer };
+    world.scheduler.on_pace_reply(reply);
+    world.run(seconds(1.0));
+    assert!(!world.scheduler.is_superseded());
+}
+
+#[test]
+fn a_leader_whose_stop_is_refused_since_another_one_leads_sends_no_more_orders() {
+    let (mut world, reply) = refused_stop();
+    let Reply::Stop(stop) = &reply else { unreachable!() };
+    world.workers.get_mut(&stop.incarnation.worker).unwrap().fence = 1_000_000;
+    world.scheduler.on_worker_reply(world.time(), &world.ledger, reply);
+    world.run(seconds(1.0));
+    assert!(world.scheduler.is_superseded());
+}
