--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -393,6 +393,7 @@
 ) {
     let Some(run) = worker.runs.get_mut(key) else { return };
     run.started_at = run.started_at.or(Some(now));
+    run.listed_at = Some(now);
     run.confirm();
     run.measurement = status.measurement;
     if run.progress.0 != status.progress_percent {
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -25,7 +25,7 @@
 /// Delay after which a stop is sent again while its run has not ended, whether the
 /// stop was acknowledged or not.
 pub(super) const STOP_RETRY_DELAY: Duration = Duration::from_millis(600);
-/// Shortest time without progress after which a run counts as stuck. A worker's run
+/// Shortest time without progress, or without being listed, after which a run counts as stuck. A worker's run
 /// lists are about a second old.
 const MIN_STUCK_DURATION: Duration = Duration::from_millis(2500);
 /// Part of a unit's expected run time without progress after which its run counts as
@@ -312,6 +312,7 @@
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         let mut stuck = Vec::new();
+        let mut unlisted = Vec::new();
         let mut given_up = Vec::new();
         let mut needs_list = false;
         for (id, worker) in &self.workers {
@@ -347,6 +348,12 @@
                     {
                         stops.push((key, None));
                     }
+                    // Work that lasts makes no progress, and an end is listed until it is acknowledged.
+                    RunState::Running
+                        if !silent && run.is_unlisted(all_listed_at, MIN_STUCK_DURATION) =>
+                    {
+                        unlisted.push(key);
+                    }
                     RunState::Running if !silent && is_stuck(ledger, unit, run, all_listed_at) => {
                         stuck.push(key);
                     }
@@ -377,9 +384,11 @@
         if needs_list {
             self.request_instance_list(time); // shows whether the worker can return
         }
-        for (id, unit, number) in stuck {
+        let stuck = stuck.into_iter().map(|key| (key, "makes no progress on"));
+        let unlisted = unlisted.into_iter().map(|key| (key, "is not listed any more by"));
+        for ((id, unit, number), cause) in stuck.chain(unlisted) {
             let name = ledger.unit_name(&unit).unwrap_or_default();
-            self.explain(name, format!("run {number} makes no progress on {id}: stopped"));
+            self.explain(name, format!("run {number} {cause} {id}: stopped"));
             if let Some(worker) = self.workers.get_mut(&id)
                 && let Some(run) = worker.runs.get(&(unit, number))
             {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -56,6 +56,8 @@
     pub placed_at: Duration,
     /// When the worker first listed it as running.
     pub started_at: Option<Duration>,
+    /// When the worker last listed it as running.
+    pub listed_at: Option<Duration>,
     /// Number of start orders that got no answer.
     pub unanswered_starts: u32,
     /// When the last start was sent, if one may be under way: the present incarnation is not known
@@ -761,6 +763,7 @@
             expected: step.estimate,
             placed_at: now,
             started_at: None,
+            listed_at: None,
             unanswered_starts: 0,
             unconfirmed_since: (state == RunState::Inherited).then_some(now),
             is_settled: false,
@@ -782,6 +785,13 @@
         self.long_running && self.progress.0 >= 100
     }
 
+    /// Returns whether the worker, by its latest full list of `all_listed_at`, has not listed the run for
+    /// `duration`, though it had begun.
+    pub fn is_unlisted(&self, all_listed_at: Duration, duration: Duration) -> bool {
+        let known_at = self.listed_at.max(self.started_at);
+        known_at.is_some_and(|at| all_listed_at >= at + duration)
+    }
+
     /// Ends the trial of a run that is listed at `now` if it has gone on for long enough, and
     /// returns whether it has.
     pub fn end_trial(&mut self, now: Duration) -> bool {
--- a/crates/sched/tests/holds.rs
+++ b/crates/sched/tests/holds.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use jobs::Step;
 use sched::order::{Answer, Refusal, Reply};
 use sched::scheduler::{PaceReply, StopReply};
 use std::time::Duration;
@@ -57,3 +58,29 @@
     world.run(seconds(1.0));
     assert!(world.scheduler.is_superseded());
 }
+
+/// Lets the worker of a unit forget its run after a while, and returns when the unit starts again.
+fn start_after_loss(id: &str, step: Step) -> Option<Duration> {
+    let mut world = World::new(3);
+    world.run_times.insert("b".to_string(), seconds(120.0));
+    world.submit("q", id, vec![step]);
+    world.run(seconds(3.0));
+    let name = format!("{id}.0.0.0");
+    let worker = world.workers_running(&name)[0].clone();
+    world.workers.get_mut(&worker).unwrap().runs.clear();
+    let lost_at = world.now;
+    world.run(seconds(12.0));
+    world.starts_of(&name).get(1).map(|start| start.at - lost_at)
+}
+
+#[test]
+fn work_that_lasts_and_that_its_worker_does_not_list_any_more_starts_again() {
+    let delay = start_after_loss("a", long_running(1, 1000));
+    assert!(delay.is_some_and(|delay| delay <= seconds(6.0)), "{delay:?}");
+}
+
+#[test]
+fn long_work_that_its_worker_does_not_list_any_more_starts_again() {
+    let delay = start_after_loss("b", step(1, 1000, 120_000));
+    assert!(delay.is_some_and(|delay| delay <= seconds(6.0)), "{delay:?}");
+}
