--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -13,6 +13,7 @@
 use crate::order::{Answer, Move, Order, Refusal};
 use crate::rank::Class;
 use crate::roster::Report;
+use crate::worker::GONE_AFTER_LISTS;
 use jobs::command::{Command, MoveChange};
 use jobs::{InstanceId, JobNumber, Ledger, PoolName, StepKey};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -72,6 +73,8 @@
     ordered_at: Duration,
     /// An order for the move had no answer and may be carried out late.
     unanswered: bool,
+    /// Number of consecutive lists without the instance.
+    missing_lists: u32,
 }
 
 /// How far a move has come.
@@ -103,7 +106,7 @@
             let Some(remaining) = LATE_ORDER_WINDOW.checked_sub(age) else { continue };
             let pool = moved.pool.clone();
             let (stage, ordered_at) = (Stage::Sent(Duration::ZERO), time.monotonic);
-            let moving = Moving { pool, stage, ordered_at, unanswered: true };
+            let moving = Moving { pool, stage, ordered_at, unanswered: true, missing_lists: 0 };
             self.balance.moving.insert(instance.clone(), moving);
             self.balance.uncertain_until.insert(instance.clone(), time.monotonic + remaining);
         }
@@ -136,19 +139,24 @@
         arrivals.push_back((time.monotonic, core_seconds));
     }
 
-    /// Ends the moves whose instance the list shows in its new pool, or no longer names.
+    /// Ends the moves whose instance the list shows in its new pool, or several lists do not name.
     pub(super) fn end_listed_moves(&mut self, time: Time) {
         self.balance.listed_at = Some(time.monotonic);
         let inventory = &self.inventory;
         let is_over = |id: &InstanceId, moving: &mut Moving| {
-            let Some(instance) = inventory.get(id) else { return true };
+            let Some(instance) = inventory.get(id) else {
+                moving.missing_lists += 1;
+                return moving.missing_lists >= GONE_AFTER_LISTS;
+            };
+            moving.missing_lists = 0;
             let arrived = instance.state == State::Up && instance.pool == moving.pool;
             // Before the cloud accepts the order, a list may show an earlier state.
             arrived && matches!(moving.stage, Stage::Accepted(_))
         };
         let over: Vec<_> = self.balance.moving.extract_if(.., is_over).collect();
         for (instance, moving) in over {
-            if self.pool_of(&instance).is_some_and(|pool| pool == moving.pool) {
+            let has_arrived = self.pool_of(&instance).is_some_and(|pool| pool == moving.pool);
+            if has_arrived || !self.inventory.contains(&instance) {
                 self.uncordon(&instance); // its worker was there before the order
             }
         }
@@ -473,7 +481,8 @@
         let (pool, ordered_at) = (pool.clone(), time.monotonic);
         let text = format!("moves to pool {pool}: {reason}");
         let stage = Stage::Proposed;
-        let moving = Moving { pool: pool.clone(), stage, ordered_at, unanswered: false };
+        let moving =
+            Moving { pool: pool.clone(), stage, ordered_at, unanswered: false, missing_lists: 0 };
         self.balance.moving.insert(instance.clone(), moving);
         self.cordon(&instance);
         self.explain(instance.clone(), text);
--- a/crates/sched/tests/holds.rs
+++ b/crates/sched/tests/holds.rs
@@ -6,12 +6,24 @@
 use sched::order::{Answer, Refusal, Reply};
 use sched::scheduler::{PaceReply, StopReply};
 use std::time::Duration;
-use world::{World, long_running, step};
+use world::{STANDBY, TICK, World, long_running, step};
+
+/// Time after which an order without an answer can no longer be carried out, with the retries.
+const MAX_DOUBT: Duration = Duration::from_secs(18);
 
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
 
+/// Submits jobs of one unit that fills a worker for long.
+fn fill(world: &mut World, prefix: &str, count: usize) {
+    for number in 0..count {
+        let id = format!("{prefix}{number}");
+        world.run_times.insert(id.clone(), seconds(120.0));
+        world.submit("q", &id, vec![step(1, 8000, 120_000)]);
+    }
+}
+
 /// Returns a world with a unit that lasts on a worker, and its reply to a stop that it refuses as too old.
 fn refused_stop() -> (World, Reply) {
     let mut world = World::new(3);
@@ -84,3 +96,25 @@
     let delay = start_after_loss("b", step(1, 1000, 120_000));
     assert!(delay.is_some_and(|delay| delay <= seconds(6.0)), "{delay:?}");
 }
+
+#[test]
+fn an_instance_whose_move_is_lost_and_that_a_list_misses_gets_work() {
+    let mut world = World::new(3);
+    world.moves_to_lose = 1;
+    let parked = |world: &World| {
+        let is_parked = |text: &str| text.starts_with(&format!("moves to pool {STANDBY}"));
+        let mut log = world.log.iter();
+        log.find(|(_, e)| is_parked(&e.text)).map(|(_, e)| e.subject.clone())
+    };
+    while parked(&world).is_none() {
+        world.run(TICK);
+    }
+    let instance = parked(&world).unwrap();
+    world.run(seconds(0.1));
+    let mut list = world.instances();
+    list.retain(|listed| listed.id != instance);
+    world.scheduler.on_instance_list(world.time(), world.now, list);
+    fill(&mut world, "b", 3);
+    world.run(MAX_DOUBT + seconds(10.0));
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+}
--- a/crates/sched/tests/world/cloud.rs
+++ b/crates/sched/tests/world/cloud.rs
@@ -48,6 +48,10 @@
             }
             Order::Move(order) => {
                 let answer = match self.moves_to_delay {
+                    0 if self.moves_to_lose > 0 => {
+                        self.moves_to_lose -= 1;
+                        Answer::Unknown
+                    }
                     0 => self.move_instance(&order),
                     _ => {
                         self.moves_to_delay -= 1;
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -89,6 +89,8 @@
     /// Number of coming move orders that get no answer and are carried out after
     /// [`MOVE_DELAY`].
     pub moves_to_delay: usize,
+    /// Number of coming move orders that get no answer and are not carried out.
+    pub moves_to_lose: usize,
     /// Delayed move orders, each with the time when it is carried out.
     delayed_moves: Vec<(Duration, Move)>,
     /// Delay with which start orders without an answer are carried out.
@@ -228,6 +230,7 @@
             allowed: Vec::new(),
             advise_calls: 0,
             moves_to_delay: 0,
+            moves_to_lose: 0,
             delayed_moves: Vec::new(),
             start_delay: START_DELAY,
             wall_clocks_set_back: false,
