--- a/crates/sched/src/inventory.rs
+++ b/crates/sched/src/inventory.rs
@@ -95,6 +95,15 @@
         self.changes.insert(id.clone(), change);
     }
 
+    /// Returns when the newest list was asked for; `None` before the first one.
+    ///
+    /// ```
+    /// assert_eq!(sched::inventory::Inventory::default().asked_at(), None);
+    /// ```
+    pub fn asked_at(&self) -> Option<Duration> {
+        self.asked_at
+    }
+
     /// Returns whether a report or an answer has told of an instance since the newest list was asked
     /// for.
     pub fn has_changed(&self, id: &InstanceId) -> bool {
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -7,7 +7,8 @@
 //! not be stopped gets work again until it may.
 
 use super::{Scheduler, Time};
-use crate::late::SEND_WINDOW;
+use crate::instance::{Instance, State};
+use crate::late::{LATE_ORDER_WINDOW, SEND_WINDOW};
 use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
 use crate::worker::{RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
@@ -137,13 +138,32 @@
 pub(super) struct PendingOrder {
     wave: WaveId,
     sent_at: Option<Duration>,
-    /// An earlier copy of the order had no answer and may still be carried out.
-    unanswered: bool,
+    /// The last copy was refused, so it is not carried out.
+    is_refused: bool,
+    /// When the last copy that had no answer was sent, or the leader took the order over.
+    unanswered_at: Option<Duration>,
     /// Incarnation that was on the instance before any copy of the order was sent, and which the
     /// maintenance has ended when one is answered; `None` if it is not known.
     ends: Option<Incarnation>,
 }
 
+impl PendingOrder {
+    /// Returns whether no copy without an answer can be carried out any more. One that was carried out
+    /// shows in a list that was asked for since.
+    fn is_certain(
+        &self,
+        now: Duration,
+        listed: Option<&Instance>,
+        asked_at: Option<Duration>,
+    ) -> bool {
+        let Some(unanswered_at) = self.unanswered_at else { return true };
+        let is_over = |at: Duration| at >= unanswered_at + LATE_ORDER_WINDOW;
+        is_over(now)
+            && asked_at.is_some_and(is_over)
+            && listed.is_none_or(|instance| instance.state != State::Upkeep)
+    }
+}
+
 /// Maintenance that has begun, and when this leader learned of it.
 #[derive(Clone, Debug)]
 pub(super) struct BegunMaintenance {
@@ -161,7 +181,7 @@
             }
         }
         for (instance, pending) in &mut self.maintenance.ordered {
-            pending.unanswered = true; // the previous leader may have sent it
+            pending.unanswered_at = Some(time.monotonic); // the previous leader may have sent it
             let wave = ledger.waves().get(&pending.wave);
             pending.ends = wave.and_then(|wave| wave.ends.get(instance)).cloned();
         }
@@ -183,7 +203,13 @@
             Phase::Done | Phase::Gone if self.maintenance.is_under_way(instance) => {}
             Phase::Ordered => {
                 let ends = self.incarnation_on(instance);
-                let pending = PendingOrder { wave, sent_at: None, unanswered: false, ends };
+                let pending = PendingOrder {
+                    wave,
+                    sent_at: None,
+                    is_refused: false,
+                    unanswered_at: None,
+                    ends,
+                };
                 self.maintenance.ordered.insert(instance.clone(), pending);
             }
             Phase::Begun => {
@@ -218,7 +244,12 @@
         if pending.wave != wave || sent_at < self.began_at {
             return;
         }
-        let only_copy = !pending.unanswered;
+        let is_certain = pending.is_certain(
+            time.monotonic,
+            self.inventory.get(&instance),
+            self.inventory.asked_at(),
+        );
+        let only_copy = pending.unanswered_at.is_none();
         match answer {
             Answer::Done(()) => {
                 let ends = pending.ends.clone();
@@ -236,7 +267,7 @@
                 self.maintenance.ordered.remove(&instance);
                 self.propose_phase(wave, &instance, Phase::Gone);
             }
-            Answer::Refused(Refusal::State) if only_copy => {
+            Answer::Refused(Refusal::State) if is_certain => {
                 // No copy of the order can have been carried out, so the maintenance has
                 // not begun. New work may be placed on the instance again, and the wave
                 // may take other instances first.
@@ -255,8 +286,13 @@
                 );
                 self.propose_phase(wave, &instance, Phase::Due);
             }
-            Answer::Refused(_) => {}
-            Answer::Misdirected | Answer::Unknown | Answer::Lost => pending.unanswered = true,
+            Answer::Refused(_) => {
+                pending.is_refused |= pending.sent_at == Some(sent_at);
+                self.request_instance_list(time);
+            }
+            Answer::Misdirected | Answer::Unknown | Answer::Lost => {
+                pending.unanswered_at = pending.unanswered_at.max(Some(sent_at));
+            }
         }
     }
 
@@ -664,7 +700,10 @@
             if pending.sent_at.is_none_or(|at| time.monotonic >= at + MAINTENANCE_RETRY_DELAY) {
                 // The earlier copy has no answer yet, and a refusal of this one does not tell
                 // whether it was carried out.
-                pending.unanswered |= pending.sent_at.is_some();
+                if !pending.is_refused {
+                    pending.unanswered_at = pending.unanswered_at.max(pending.sent_at);
+                }
+                pending.is_refused = false;
                 pending.sent_at = Some(time.monotonic);
                 due.push((instance.clone(), pending.wave));
             }
--- a/crates/sched/tests/holds.rs
+++ b/crates/sched/tests/holds.rs
@@ -2,7 +2,9 @@
 
 mod world;
 
-use jobs::Step;
+use jobs::command::{Command, MaintenanceChange};
+use jobs::wave::Phase;
+use jobs::{Step, Wave};
 use sched::order::{Answer, Refusal, Reply};
 use sched::scheduler::{PaceReply, StopReply};
 use std::time::Duration;
@@ -118,3 +120,28 @@
     world.run(MAX_DOUBT + seconds(10.0));
     assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
 }
+
+#[test]
+fn maintenance_that_is_refused_without_end_does_not_hold_up_its_wave() {
+    let mut world = World::new(3);
+    world.uses_roster = true;
+    world.crash_downtime = seconds(600.0);
+    let at = world.time().wall;
+    let instances = ["m0".to_string(), "m1".to_string()].into();
+    world.apply(Command::StartWave(Wave::new(1, instances, seconds(60.0), 1, at)));
+    let instance = "m0".to_string();
+    let change = MaintenanceChange {
+        wave: 1,
+        instance,
+        phase: Phase::Ordered,
+        worker_started_at: None,
+        worker: None,
+        at,
+    };
+    world.apply(Command::Maintenance(change));
+    world.end_leadership();
+    world.crash("w0");
+    world.begin_leadership(&["w1".to_string(), "w2".to_string()].into());
+    world.run(MAX_DOUBT + seconds(15.0));
+    assert_eq!(world.ledger.waves()[&1].instances["m1"], Phase::Done);
+}
