--- a/crates/sched/src/scheduler/balance.rs
+++ b/crates/sched/src/scheduler/balance.rs
@@ -428,7 +428,7 @@
         worker.answered_under_fence
             && worker.runs.is_empty()
             && worker.polling.unanswered == 0
-            && !worker.cordoned
+            && !worker.is_closed()
             && !draining
             && self.is_movable(time, instance)
     }
--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -443,7 +443,7 @@
                 None => pools.entry(report.pool.clone()).or_default(),
             };
             pool.all += 1;
-            pool.cordoned += usize::from(worker.cordoned);
+            pool.cordoned += usize::from(worker.is_closed());
         }
         pools
     }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -534,6 +534,7 @@
             false => self.inherit_worker(time, ledger, &report.incarnation),
         };
         worker.stated_start = stated_start;
+        worker.has_left = false;
         worker.cordoned |= worker.report.is_none() && is_wanted;
         if worker.report.as_ref().is_some_and(|last| last.describes_same_worker(report)) {
             return;
@@ -607,10 +608,11 @@
 
     /// Handles a worker's notice that its incarnation is ending. Its runs are kept until
     /// the lease expires, since the last of them may still be running. An incarnation that has not
-    /// reported has not drained, so the notice is of an earlier one.
+    /// reported has not drained, so the notice is of an earlier one. So is one of an incarnation that
+    /// reports again: its reports that were under way are not passed on.
     pub fn on_worker_left(&mut self, worker: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.cordoned |= worker.report.is_some();
+            worker.has_left |= worker.report.is_some();
         }
     }
 
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -374,6 +374,7 @@
         worker.is_slow = false;
         worker.health = Health::default();
         worker.cordoned = false;
+        worker.has_left = false;
         worker.ended = false;
         worker.lists_without = 0;
         worker.is_replaced = false;
--- a/crates/sched/src/scheduler/shortage.rs
+++ b/crates/sched/src/scheduler/shortage.rs
@@ -154,7 +154,7 @@
 
     /// Returns why a worker gets no new work; `None` if it may get some.
     fn unavailability(&self, time: Time, worker: &Worker) -> Option<&'static str> {
-        if worker.cordoned {
+        if worker.is_closed() {
             Some("cordoned")
         } else if worker.polling.is_silent(time.monotonic) {
             Some("silent")
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -287,6 +287,8 @@
     /// The worker gets no new work: its instance is wanted for maintenance or another
     /// pool.
     pub cordoned: bool,
+    /// The worker has given notice that it is ending, and has not reported since.
+    pub has_left: bool,
     /// The instance is in phase `Due` of a wave that is not completed.
     pub maintenance_due: bool,
     /// The incarnation is known to have ended.
@@ -325,6 +327,7 @@
             is_slow: false,
             health: Health::default(),
             cordoned: false,
+            has_left: false,
             maintenance_due: false,
             ended: false,
         }
@@ -687,10 +690,15 @@
         capacity.covers(&used)
     }
 
+    /// Returns whether the worker gets no new work for the sake of its instance, or as it is ending.
+    pub fn is_closed(&self) -> bool {
+        self.cordoned || self.has_left
+    }
+
     /// Returns whether a start may be sent to the worker, first or repeated.
     pub fn accepts_starts(&self) -> bool {
         let draining = self.report.as_ref().is_none_or(|report| report.draining);
-        !draining && !self.cordoned && !self.ended
+        !draining && !self.is_closed() && !self.ended
     }
 
     /// Returns whether new work may be placed on the worker, if its health allows: it accepts starts
--- a/crates/sched/tests/holds.rs
+++ b/crates/sched/tests/holds.rs
@@ -145,3 +145,14 @@
     world.run(MAX_DOUBT + seconds(15.0));
     assert_eq!(world.ledger.waves()[&1].instances["m1"], Phase::Done);
 }
+
+#[test]
+fn a_worker_that_reports_after_a_notice_of_its_end_gets_work() {
+    let mut world = World::new(1);
+    world.run(seconds(1.0));
+    world.scheduler.on_worker_left(&"w0".to_string());
+    world.run(seconds(25.0));
+    world.submit("q", "a", vec![step(1, 1000, 500)]);
+    world.run(seconds(3.0));
+    assert_eq!(world.starts.len(), 1);
+}
