--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -21,11 +21,15 @@
 const MAX_PUBLISHED_ACCOUNTS: usize = 50;
 /// Time between two publications of the figures of accounts.
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time from its beginning after which a superseded leadership is handed on: a worker that refuses
+/// every fence must not change the leader all the time.
+const MIN_LEADERSHIP: Duration = Duration::from_secs(5);
 
 /// State of the time in which this process leads.
 pub(super) struct Leadership {
     pub(super) scheduler: Scheduler,
     pub(super) term: Term,
+    began_at: Duration,
     /// When the figures of accounts were last published.
     published_at: Option<Duration>,
 }
@@ -114,10 +118,27 @@
             let fences = Fences::between(self.node.preceding_term(), term);
             let scheduler = Scheduler::new(settings, fences, time, &self.ledger, &self.roster);
             self.record_action(Action::TakeOver, started_at);
-            self.leadership = Some(Leadership { scheduler, term, published_at: None });
+            let began_at = time.monotonic;
+            self.leadership = Some(Leadership { scheduler, term, began_at, published_at: None });
             self.proposal_queue.clear();
         }
         self.run_scheduler(time);
+        self.hand_on_superseded(time);
+    }
+
+    /// Hands the lead on if a worker or the cloud has seen a higher fence though this node has its lease.
+    /// The scheduler sends no more orders then; the fences of the next term are higher.
+    fn hand_on_superseded(&mut self, time: Time) {
+        let is_over = |leadership: &Leadership| {
+            leadership.scheduler.is_superseded()
+                && time.monotonic >= leadership.began_at + MIN_LEADERSHIP
+        };
+        if self.leadership.as_ref().is_some_and(is_over) && self.node.has_lease(time.monotonic) {
+            self.node.transfer_leadership();
+            if !self.node.is_leader() {
+                self.end_leadership("superseded");
+            }
+        }
     }
 
     /// Drops the scheduler and its commands that weren't proposed.
