Known red: a unit whose worker restarts and is deleted then waits for the longest lease

Callers would see a service unit away for up to 25 s: its worker restarts and is gone with its instance then.

Cause: a late order to the predecessor may extend the successor's lease to the longest one, 15 s and 10 s; the run stays placed until that is over. Units that are not placed any more are released by two lists that show the instance gone, placed ones are not.

--- a/crates/sched/tests/holds.rs
+++ b/crates/sched/tests/holds.rs
@@ -156,3 +156,26 @@
     world.run(seconds(3.0));
     assert_eq!(world.starts.len(), 1);
 }
+
+#[test]
+fn a_unit_whose_worker_restarts_and_is_deleted_then_starts_elsewhere_soon() {
+    let mut world = World::new(4);
+    world.uses_roster = true;
+    world.lists_only_workers_up = true;
+    world.workers.values_mut().for_each(|worker| worker.omits_one_start_in = Some(1));
+    world.start_delay = seconds(60.0);
+    world.submit("q", "a", vec![long_running(1, 1000)]);
+    world.run(seconds(0.1));
+    let unit = world.ledger.find_unit("a.0.0.0").unwrap();
+    let id = world.ledger.unit(&unit).unwrap().placements[0].incarnation.worker.clone();
+    world.workers.values_mut().for_each(|worker| worker.omits_one_start_in = None);
+    world.workers.get_mut(&id).unwrap().omits_one_stop_in = Some(1);
+    world.restart(&id, seconds(0.1));
+    world.run(seconds(0.6));
+    world.delete(&id);
+    let deleted_at = world.now;
+    world.run(seconds(40.0));
+    let starts = world.starts_of("a.0.0.0");
+    let delay = starts.iter().find_map(|start| start.at.checked_sub(deleted_at));
+    assert!(delay.is_some_and(|delay| delay <= seconds(9.0)), "{delay:?}: {starts:?}");
+}
