--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -377,6 +377,7 @@
         worker.is_slow = false;
         worker.health = Health::default();
         worker.cordoned = false;
+        worker.has_left = false;
         worker.ended = false;
         worker.lists_without = 0;
         worker.unnamed_at = None;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -56,6 +56,8 @@
     pub placed_at: Duration,
     /// When the worker first listed it as running.
     pub started_at: Option<Duration>,
+    /// When the worker last listed it as running.
+    pub listed_at: Option<Duration>,
     /// Number of start orders that got no answer.
     pub unanswered_starts: u32,
     /// When the last start was sent, if one may be under way: the present incarnation is not known
@@ -291,6 +293,8 @@
     /// The worker gets no new work: its instance is wanted for maintenance or another
     /// pool.
     pub cordoned: bool,
+    /// The worker has given notice that it is ending, and has not reported since.
+    pub has_left: bool,
     /// The instance is in phase `Due` of a wave that is not completed.
     pub maintenance_due: bool,
     /// The incarnation is known to have ended.
@@ -332,6 +336,7 @@
             is_slow: false,
             health: Health::default(),
             cordoned: false,
+            has_left: false,
             maintenance_due: false,
             ended: false,
         }
@@ -734,10 +739,15 @@
         capacity.covers(&used)
     }
 
+    /// Returns whether the worker gets no new work for the sake of its instance, or as it is ending.
+    pub fn is_closed(&self) -> bool {
+        self.cordoned || self.has_left
+    }
+
     /// Returns whether a start may be sent to the worker, first or repeated.
     pub fn accepts_starts(&self) -> bool {
         let draining = self.report.as_ref().is_none_or(|report| report.draining);
-        !draining && !self.cordoned && !self.ended
+        !draining && !self.is_closed() && !self.ended
     }
 
     /// Returns whether new work may be placed on the worker, if its health allows: it accepts starts
@@ -810,6 +820,7 @@
             expected: step.estimate,
             placed_at: now,
             started_at: None,
+            listed_at: None,
             unanswered_starts: 0,
             unconfirmed_since: (state == RunState::Inherited).then_some(now),
             is_settled: false,
@@ -831,6 +842,13 @@
         self.long_running && self.progress.0 >= 100
     }
 
+    /// Returns whether the worker, by its latest full list of `all_listed_at`, has not listed the run for
+    /// `duration`, though it had begun.
+    pub fn is_unlisted(&self, all_listed_at: Duration, duration: Duration) -> bool {
+        let known_at = self.listed_at.max(self.started_at);
+        known_at.is_some_and(|at| all_listed_at >= at + duration)
+    }
+
     /// Ends the trial of a run that is listed at `now` if it has gone on for long enough, and
     /// returns whether it has.
     pub fn end_trial(&mut self, now: Duration) -> bool {
