Sched: runs of a worker whose instance is gone do not wait for its lease

Callers saw work that lasts away for 25 s when a worker that had just restarted was deleted with its instance: a late order could have given the successor the longest lease, and the lists that showed that the instance is gone ended nothing but late starts.

Two lists since the worker's last answer by which the instance on which it reported does not exist, or has another worker, end its runs too: nothing can run there, whatever the lease. Lists are asked for as soon as an answer is overdue, not only once the worker is silent. A worker without a list that tells so, cut off or restarting, waits for the lease as before.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -66,10 +66,10 @@
         let mut silent = Vec::new();
         let mut owing = Vec::new();
         for (id, worker) in &mut self.workers {
+            if !worker.runs.is_empty() && (worker.lease.is_expired(now) || worker.is_gone()) {
+                lost.push(id.clone());
+            }
             if worker.lease.is_expired(now) {
-                if !worker.runs.is_empty() {
-                    lost.push(id.clone());
-                }
                 let is_unknown = worker.report.is_none()
                     && (worker.address.is_none() || worker.polling.unanswered > 0);
                 if is_unknown || worker.polling.unanswered >= REMOVE_AFTER_UNANSWERED {
@@ -182,6 +182,7 @@
                 worker.restart_suspected_at.take_if(|at| reply.sent_at >= *at);
                 worker.answer_owed_since.take_if(|at| reply.sent_at >= *at);
                 worker.polling.record_answer(time.monotonic);
+                worker.lists_without = 0;
                 worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
                 worker.polling.answered_at = Some(time.monotonic);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -282,14 +282,18 @@
         self.discard_where(time, id, Absence::Ended, reason, |_| true);
     }
 
-    /// Discards the runs of a worker whose lease has expired, except those that may be on a later
-    /// incarnation: the lease bounds only the one that had it.
+    /// Discards the runs of a worker whose lease has expired or that is gone, except those that may be
+    /// on a later incarnation: the lease bounds only the one that had it.
     pub(super) fn discard_lapsed(&mut self, time: Time, id: &WorkerId) {
         self.record_loss(time, id);
         let Some(worker) = self.workers.get(id) else { return };
         let can_return = worker.can_return();
         let (max_lease, vacant_at) = (self.settings.max_lease, worker.vacant_at);
-        self.discard_where(time, id, Absence::Lapsed, "its lease has expired", |run| {
+        let (absence, reason) = match worker.is_gone() {
+            true => (Absence::Ended, "its instance is gone or has another worker"),
+            false => (Absence::Lapsed, "its lease has expired"),
+        };
+        self.discard_where(time, id, absence, reason, |run| {
             !can_return
                 || !run.may_run_unseen(time.monotonic, max_lease)
                 || run.late_until().is_some_and(|until| vacant_at >= Some(until))
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -318,7 +318,9 @@
         for (id, worker) in &self.workers {
             let silent = worker.polling.is_silent(time.monotonic);
             let is_held = |run: &Run| run.may_run_unseen(time.monotonic, self.settings.max_lease);
-            let is_unheard = (silent || worker.address.is_none()) && worker.can_return();
+            let is_unheard =
+                silent || worker.address.is_none() || worker.owes_answer(time.monotonic);
+            let is_unheard = is_unheard && worker.can_return();
             needs_list |= is_unheard && (worker.holds_units() || worker.runs.values().any(is_held));
             let all_listed_at = worker.polling.all_listed_at.unwrap_or_default();
             for ((unit, number), run) in &worker.runs {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -276,7 +276,8 @@
     pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
     /// Its instance is switched off: it is in a standby pool and on its way to no other.
     pub is_switched_off: bool,
-    /// Consecutive instance lists by which the worker can't start again under its id.
+    /// Consecutive instance lists since its last answer by which the worker can't start again under its
+    /// id.
     pub lists_without: u32,
     /// When the latest list that names it nowhere was asked for; `None` if the last one names it.
     pub unnamed_at: Option<Duration>,
@@ -511,6 +512,12 @@
         !self.is_replaced && !self.is_switched_off && self.lists_without < GONE_AFTER_LISTS
     }
 
+    /// Returns whether the instance on which the worker has reported is gone or has another worker, by
+    /// the lists since the worker last answered, so that nothing runs here whatever the lease.
+    pub fn is_gone(&self) -> bool {
+        self.instance.is_some() && self.lists_without >= GONE_AFTER_LISTS
+    }
+
     /// Records whether a list that was asked for at `asked_at` names the worker, and whether it shows
     /// that the worker is not on its instance. A list that changes while its pages are read may miss an
     /// instance once.
@@ -561,9 +568,11 @@
     }
 
     /// Returns whether the unit of a late start is not placed. Work that lasts does not wait for a start
-    /// that the present incarnation refuses: 15 s would be longer than it may be away.
+    /// that the present incarnation refuses, as 15 s would be longer than it may be away, unless that
+    /// incarnation is about to be replaced by order.
     fn is_holding(&self, start: &LateStart) -> bool {
-        start.holds_unit && !(start.long_running && start.is_refused)
+        let may_run_elsewhere = start.long_running && start.is_refused && !self.cordoned;
+        start.holds_unit && !may_run_elsewhere
             || self.may_have_restarted()
             || !self.answered_under_fence
     }
@@ -693,13 +702,14 @@
         self.speed.factor(now, ratios)
     }
 
-    /// Returns whether the worker, which has runs, leaves a poll unanswered for longer than it may
-    /// wait, or has answered nothing since one was given up.
+    /// Returns whether the worker has runs and owes an answer.
     pub fn is_unheard(&self, now: Duration) -> bool {
         !self.runs.is_empty() && self.owes_answer(now)
     }
 
-    fn owes_answer(&self, now: Duration) -> bool {
+    /// Returns whether the worker leaves a poll unanswered for longer than it may wait, or has answered
+    /// nothing since one was given up.
+    pub fn owes_answer(&self, now: Duration) -> bool {
         let polling = &self.polling;
         let is_overdue =
             polling.sent_at.is_some_and(|at| now >= at + polling.max_wait + MAX_ANSWER_DELAY);
