Sched tests: units that stand still, as a promise of the random schedules (in progress)

Cause: no random schedule judged how long a unit whose turn has come runs nowhere beside room, nor whether something is to end that. Change: Scheduler::wait_of; tests/world/still.rs; idle spells with parked instances, workers gone for good, cores that all restart, workers that drain.

--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -62,7 +62,7 @@
 pub use pacing::PaceReply;
 pub use poll::PollReply;
 pub use shortage::LongestWaits;
-pub use stall::LongestStalls;
+pub use stall::{LongestStalls, Wait};
 pub use starts::{StartReply, StopReply};
 
 /// Lease that a worker gets for its runs. It outlasts a change of leader, which takes
--- a/crates/sched/src/scheduler/stall.rs
+++ b/crates/sched/src/scheduler/stall.rs
@@ -20,6 +20,15 @@
     pub unbegun: Duration,
 }
 
+/// What a unit that is not placed waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// A place, from this time on.
+    Place(Duration),
+    /// The end of late starts, until this time at the latest; `None` if none holds the unit.
+    Hold(Option<Duration>),
+}
+
 /// A unit that doesn't run, since when, and what a run of it waits for.
 type Stall = (Duration, UnitKey, WorkerId, RunNumber);
 
@@ -37,6 +46,19 @@
         }
     }
 
+    /// Returns what a unit waits for; `None` if it is not among the waiting units.
+    pub fn wait_of(&self, unit: &UnitKey) -> Option<Wait> {
+        let mut steps = self.waiting.values().filter_map(|steps| steps.get(&unit.step_key()));
+        let not_before = steps.find_map(|waiting| waiting.units.get(&unit.index))?;
+        if *not_before < Duration::MAX {
+            return Some(Wait::Place(*not_before));
+        }
+        let ids = self.placed_on.get(unit).into_iter().flatten();
+        let holders = ids.filter_map(|id| self.workers.get(id));
+        let ends = holders.filter_map(|worker| worker.hold_end(unit, self.settings.max_lease));
+        Some(Wait::Hold(ends.max()))
+    }
+
     /// Explains the unit of each pool that has been held longest, and the one that has been placed
     /// for longest and has not begun.
     pub(super) fn explain_stalls(&mut self, time: Time, ledger: &Ledger) {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -508,6 +508,13 @@
         holding.map(|((_, run), _)| *run)
     }
 
+    /// Returns when a silent worker no longer holds a unit: all leases have expired, one that a late
+    /// start was given included. `None` if the worker does not hold it.
+    pub fn hold_end(&self, unit: &UnitKey, max_lease: Duration) -> Option<Duration> {
+        let start = self.late_starts.get(&(*unit, self.holding_run(unit)?))?;
+        Lease::inherited(start.until, max_lease).expiry().max(self.lease.expiry())
+    }
+
     /// Describes how the leader is in contact with the worker.
     pub fn describe_contact(&self, now: Duration) -> &'static str {
         match () {
--- a/crates/sched/tests/dimensions.rs
+++ b/crates/sched/tests/dimensions.rs
@@ -1,6 +1,7 @@
 //! Random schedules of further faults, each alone and all together: lost relays, waves, late moves,
 //! crashes, failing and stuck runs, slow stops, late lists, gangs, copies, steps that wait, cancelled
-//! jobs, sizes that change, orders and answers that overtake each other, and a frozen leader.
+//! jobs, sizes that change, orders and answers that overtake each other, a frozen leader, parked
+//! instances, workers that are gone for good or drain, and cores that all restart.
 //!
 //! `SCHEDULES` and `SCHEDULES_FROM` set the number of seeds of each test and the first one;
 //! `LEADER_CHANGES` is the number of changes of leaders in 1000 steps, and `INTENSITY` multiplies
@@ -49,6 +50,10 @@
         "is not completed",
         "does not run",
         "is Failed",
+        "unaccounted for",
+        "beyond its end",
+        "lasts and stands still",
+        "stands still",
     ];
     words.into_iter().find(|word| failure.text.contains(word)).unwrap_or("is not done")
 }
@@ -58,6 +63,9 @@
     let mut schedule = Schedule::new(seed, faults);
     let outcome = schedule.play(HEALED);
     *counts.entry("schedules").or_default() += 1;
+    for stall in schedule.stalls.keys() {
+        *counts.entry(stall.label()).or_default() += 1;
+    }
     for (name, count) in schedule.world.counts().into_iter().filter(|(_, count)| *count > 0) {
         *counts.entry(name).or_default() += count;
     }
@@ -196,6 +204,26 @@
     play(Dimensions { freeze: 0.02, ..Dimensions::default() });
 }
 
+#[test]
+fn promises_hold_while_idle_instances_are_parked() {
+    play(Dimensions { idle: 0.02, ..Dimensions::default() });
+}
+
+#[test]
+fn promises_hold_while_workers_are_gone_for_good() {
+    play(Dimensions { gone: 0.01, ..Dimensions::default() });
+}
+
+#[test]
+fn promises_hold_while_all_cores_restart_at_once() {
+    play(Dimensions { cold: 0.01, ..Dimensions::default() });
+}
+
+#[test]
+fn promises_hold_while_workers_drain_and_leave() {
+    play(Dimensions { drain: 0.02, ..Dimensions::default() });
+}
+
 #[test]
 fn promises_hold_under_all_faults_together() {
     play(Dimensions::all(variable("INTENSITY", 1) as f64));
--- a/crates/sched/tests/world/cloud.rs
+++ b/crates/sched/tests/world/cloud.rs
@@ -139,9 +139,10 @@
         Answer::Done(())
     }
 
-    /// Returns the worker on an instance, unless the worker has crashed.
+    /// Returns the worker on an instance, unless the worker has crashed or is gone.
     fn worker_on(&self, instance: &str) -> Option<&Worker> {
-        let mut present = self.workers.values().filter(|worker| !worker.is_succeeded);
+        let mut present =
+            self.workers.values().filter(|worker| !worker.is_succeeded && worker.gone.is_none());
         let worker = present.find(|worker| worker.report.instance == instance)?;
         (!self.crashed.contains_key(&worker.report.incarnation.worker)).then_some(worker)
     }
--- a/crates/sched/tests/world/dimension.rs
+++ b/crates/sched/tests/world/dimension.rs
@@ -1,7 +1,7 @@
 //! Further faults of random schedules, each with a probability of its own.
 
-use super::Worker;
 use super::schedule::{Failure, Schedule};
+use super::{Gone, Worker};
 use jobs::command::{Cancel, Command};
 use jobs::definition::Step;
 use jobs::{State, Wave};
@@ -11,6 +11,10 @@
 
 /// Time after the last fault from which no gang member waits in vain for the others.
 const GANGS_SETTLED: Duration = Duration::from_secs(40);
+/// Most workers that are gone for good without a successor: the others are on two racks at least.
+const MOST_GONE: u32 = 2;
+/// Jobs that come at once after an idle spell.
+const BURST: u32 = 4;
 
 /// Probabilities of faults in each step of a schedule, and shares of jobs; all 0 by default.
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,6 +56,15 @@
     pub soon: f64,
     /// The leader freezes for up to 2.5 s and goes on.
     pub freeze: f64,
+    /// No job comes for 3 to 10 s, so that the leader parks instances, and several come then.
+    pub idle: f64,
+    /// A worker is gone for good: one with another id follows on its instance within 15 s, or, twice at
+    /// most, none does. Ten times as likely in steps without a leader.
+    pub gone: f64,
+    /// All cores restart at once: no leader for up to 3 s, and the next one has heard of no worker.
+    pub cold: f64,
+    /// A worker drains for up to 8 s and leaves; one with another id follows on its instance.
+    pub drain: f64,
 }
 
 impl Dimensions {
@@ -76,8 +89,15 @@
             late_answers: 0.01 * intensity,
             soon: 0.01 * intensity,
             freeze: 0.005 * intensity,
+            ..Dimensions::default()
         }
     }
+
+    /// Returns the number of instances that a schedule begins with: more than work needs, where some
+    /// are parked or go for good.
+    pub fn instances(&self) -> u32 {
+        if self.idle + self.gone + self.drain > 0.0 { 6 } else { 4 }
+    }
 }
 
 /// Spells that are under way, with the times of their ends.
@@ -85,6 +105,7 @@
 pub struct Spells {
     ends: Vec<(Duration, Spell)>,
     waves: u32,
+    gone: u32,
 }
 
 enum Spell {
@@ -96,6 +117,8 @@
     Cloud,
     Ways,
     Soon,
+    Idle,
+    Draining(String),
 }
 
 impl Schedule {
@@ -109,17 +132,22 @@
         self.spells.ends.push((end, spell));
     }
 
-    fn draw_worker(&mut self) -> String {
-        let instance = self.rng.random_range(0..4);
-        self.worker_on(instance)
+    /// Draws a worker that is there, be it down: that of a drawn instance, or of the next one that has
+    /// one.
+    pub(super) fn draw_worker(&mut self) -> String {
+        let first = self.rng.random_range(0..self.instances);
+        let mut instances = (first..self.instances).chain(0..first);
+        instances.find_map(|instance| self.worker_on(instance)).unwrap()
     }
 
     /// Returns the worker that is on an instance.
-    pub(super) fn worker_on(&self, instance: u32) -> String {
+    fn worker_on(&self, instance: u32) -> Option<String> {
         let instance = format!("m{instance}");
-        let is_on = |worker: &&Worker| worker.report.instance == instance && !worker.is_succeeded;
+        let is_on = |worker: &&Worker| {
+            worker.report.instance == instance && !worker.is_succeeded && worker.gone.is_none()
+        };
         let worker = self.world.workers.values().find(is_on);
-        worker.map(|worker| worker.report.incarnation.worker.clone()).unwrap()
+        worker.map(|worker| worker.report.incarnation.worker.clone())
     }
 
     /// Brings about the further faults of one step.
@@ -161,6 +189,86 @@
             self.cancel();
         }
         self.step_messages();
+        self.step_processes();
+    }
+
+    /// Brings about idle spells, and processes that come and go.
+    fn step_processes(&mut self) {
+        let of = self.faults.dimensions;
+        if of.gone + of.drain > 0.0 {
+            self.resume_omissions();
+        }
+        if self.draws(of.idle) && !self.is_idle() {
+            let end = self.world.now + self.random_duration(3000, 10_000);
+            self.spells.ends.push((end, Spell::Idle));
+            self.record("no jobs come".to_string());
+        }
+        let gone = if self.takeover_at.is_some() { of.gone * 10.0 } else { of.gone };
+        if self.draws(gone.min(1.0)) {
+            let id = self.draw_worker();
+            self.lose(&id);
+        }
+        if self.draws(of.cold) && self.takeover_at.is_none() {
+            self.takeover_at = Some(self.world.now + self.random_duration(300, 3000));
+            self.is_cold = true;
+            self.record("all cores restart".to_string());
+            self.world.end_leadership();
+        }
+        if self.draws(of.drain) {
+            let id = self.draw_worker();
+            let worker = self.world.workers.get_mut(&id).unwrap();
+            if !worker.is_down && !worker.report.draining {
+                worker.report.draining = true;
+                worker.report.number += 1;
+                self.world.report(&id);
+                self.record(format!("{id} drains"));
+                self.begin_spell(8000, Spell::Draining(id));
+            }
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.spells.ends.iter().any(|(_, spell)| matches!(spell, Spell::Idle))
+    }
+
+    /// Ends a worker for good, with a successor or without.
+    fn lose(&mut self, id: &str) {
+        if !self.world.is_there(id) {
+            return;
+        }
+        let next = match self.rng.random_range(0..4) {
+            0 if self.spells.gone < MOST_GONE => Err(Gone::Instance),
+            1 if self.spells.gone < MOST_GONE => Err(Gone::Process),
+            _ => Ok(self.random_duration(300, 15_000)),
+        };
+        self.spells.gone += u32::from(next.is_err());
+        self.set_wall_clock_error();
+        self.record(format!("{id} is gone for good, next: {next:?}"));
+        self.world.end_for_good(id, next);
+    }
+
+    /// Lets a worker that drains leave, with notice.
+    fn leave(&mut self, id: &str) {
+        if !self.world.is_there(id) || !self.world.workers[id].report.draining {
+            return;
+        }
+        let after = self.random_duration(300, 5000);
+        self.set_wall_clock_error();
+        self.record(format!("{id} leaves"));
+        if self.takeover_at.is_none() {
+            self.world.scheduler.on_worker_left(&id.to_string());
+        }
+        self.world.end_for_good(id, Ok(after));
+    }
+
+    /// Lets all workers that drain leave.
+    pub(super) fn end_drains(&mut self) {
+        let is_drain = |(_, spell): &mut (Duration, Spell)| matches!(spell, Spell::Draining(_));
+        for (_, spell) in self.spells.ends.extract_if(.., is_drain).collect::<Vec<_>>() {
+            if let Spell::Draining(id) = spell {
+                self.leave(&id);
+            }
+        }
     }
 
     /// Brings about the further faults of messages, and of the leader.
@@ -222,6 +330,8 @@
                 }
                 Spell::Cloud => world.trouble.longest_cloud_call = none,
                 Spell::Soon => {}
+                Spell::Idle => (0..BURST).for_each(|_| self.submit()),
+                Spell::Draining(id) => self.leave(&id),
                 Spell::Ways => {
                     world.trouble.longest_way = none;
                     world.trouble.longest_way_back = none;
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -15,8 +15,9 @@
 use sched::{Roster, Scheduler, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
+use still::Still;
 use trouble::Trouble;
-pub use worker::Worker;
+pub use worker::{Gone, Worker};
 
 mod audit;
 mod checks;
@@ -27,6 +28,7 @@
 mod orders;
 mod processes;
 pub mod schedule;
+pub mod still;
 mod trouble;
 mod worker;
 
@@ -162,6 +164,8 @@
     pub gangs: Gangs,
     /// What was seen, and the promises that it breaks.
     pub audit: Audit,
+    /// Units that run nowhere though their turn has come.
+    pub still: Still,
 }
 
 pub fn resources(cpu_milli: u64) -> Resources {
@@ -264,6 +268,7 @@
             trouble: Trouble::default(),
             gangs: Gangs::default(),
             audit: Audit::default(),
+            still: Still::default(),
         };
         for number in 0..count {
             let id = format!("w{number}");
@@ -375,6 +380,7 @@
             }
             self.send(orders);
         }
+        self.judge_still();
         for id in &ids {
             self.answer_poll(id);
         }
--- a/crates/sched/tests/world/processes.rs
+++ b/crates/sched/tests/world/processes.rs
@@ -1,6 +1,6 @@
 //! Processes of workers: they restart, crash, report and run units.
 
-use super::{FIRST_REPORT_DELAY, STANDBY, Worker, World};
+use super::{FIRST_REPORT_DELAY, Gone, STANDBY, Worker, World};
 use jobs::command::EndReason;
 use jobs::definition::Resources;
 use jobs::{Incarnation, RunNumber};
@@ -68,6 +68,25 @@
         self.end_process(id);
     }
 
+    /// Ends a worker for good. One with an id of its own is on its instance after the given time, or
+    /// none comes.
+    pub fn end_for_good(&mut self, id: &str, next: Result<Duration, Gone>) {
+        self.restarting.remove(id);
+        self.first_reports.remove(id);
+        match next {
+            Ok(after) => _ = self.crashed.insert(id.to_string(), self.now + after),
+            Err(gone) => self.workers.get_mut(id).unwrap().gone = Some(gone),
+        }
+        self.end_process(id);
+    }
+
+    /// Returns whether a worker is up, or comes back under its id on the same instance.
+    pub fn is_there(&self, id: &str) -> bool {
+        let worker = &self.workers[id];
+        let is_off = self.returning.contains_key(id) || worker.report.pool == STANDBY;
+        !is_off && !worker.is_succeeded && worker.gone.is_none() && !self.crashed.contains_key(id)
+    }
+
     /// Crashes the workers that run deadly units, and starts the successors of crashed workers.
     pub(super) fn run_crashes(&mut self) {
         let now = self.now;
--- a/crates/sched/tests/world/schedule.rs
+++ b/crates/sched/tests/world/schedule.rs
@@ -1,6 +1,7 @@
-//! Random schedules of faults of four workers and their leaders.
+//! Random schedules of faults of a few workers and their leaders.
 
 use super::dimension::{Dimensions, Spells};
+use super::still::Stall;
 use super::{TICK, World, long_running, step};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -78,15 +79,23 @@
     pub(super) job_count: u32,
     /// Spells of further faults.
     pub(super) spells: Spells,
+    /// The next leader has heard of no worker.
+    pub(super) is_cold: bool,
+    /// Number of instances.
+    pub(super) instances: u32,
+    /// First unit that stood still, by what was promised.
+    pub stalls: BTreeMap<Stall, Failure>,
     /// Faults so far.
     events: Vec<(Duration, String)>,
 }
 
 impl Schedule {
     pub fn new(seed: u64, faults: Faults) -> Schedule {
-        let mut world = World::new(4);
+        let instances = faults.dimensions.instances();
+        let mut world = World::new(instances as usize);
         world.uses_roster = true;
         world.audit.is_on = true;
+        world.still.is_on = true;
         world.trouble.set_seed(seed);
         world.repeats_starts = faults.repeats_starts;
         for worker in world.workers.values_mut() {
@@ -111,12 +120,15 @@
             cut_until,
             takeover_at: None,
             job_count: 0,
+            is_cold: false,
+            instances,
+            stalls: BTreeMap::new(),
             events: Vec::new(),
             spells: Spells::default(),
         }
     }
 
-    fn record(&mut self, text: String) {
+    pub(super) fn record(&mut self, text: String) {
         self.events.push((self.world.now, text));
     }
 
@@ -127,11 +139,10 @@
     /// Brings about the faults and jobs of one step.
     fn step(&mut self) {
         self.world.start_delay = self.random_duration(2000, 12_000);
-        if self.rng.random_bool(0.06) {
+        if self.rng.random_bool(0.06) && !self.is_idle() {
             self.submit();
         }
-        let instance = self.rng.random_range(0..4);
-        let id = self.worker_on(instance);
+        let id = self.draw_worker();
         let now = self.world.now;
         if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
             let cut_for = self.random_duration(300, 15_000);
@@ -157,7 +168,7 @@
         self.step_dimensions();
     }
 
-    fn submit(&mut self) {
+    pub(super) fn submit(&mut self) {
         let id = format!("a{}", self.job_count);
         self.job_count += 1;
         let run_time = self.random_duration(200, 12_000);
@@ -195,6 +206,10 @@
     /// Begins the next leadership, with the last reports of all workers or of some of them.
     fn take_over(&mut self) {
         self.takeover_at = None;
+        if std::mem::take(&mut self.is_cold) {
+            self.record("the next leader knows of no worker".to_string());
+            return self.world.begin_leadership(&Default::default());
+        }
         let knows_all = self.rng.random_bool(0.5);
         let ids: Vec<String> = self.world.workers.keys().cloned().collect();
         let known = ids.into_iter().filter(|_| knows_all || self.rng.random_bool(0.5)).collect();
@@ -207,6 +222,8 @@
         if self.takeover_at.is_some() {
             self.take_over();
         }
+        self.end_drains();
+        self.world.still.healed_at.get_or_insert(self.world.now);
         self.world.repeats_starts = false;
         self.world.end_trouble();
         for worker in self.world.workers.values_mut() {
@@ -229,6 +246,7 @@
             }
             for _ in 0..STEP.as_millis() / TICK.as_millis() {
                 self.world.run(TICK);
+                self.record_stalls();
                 let twice = self.world.running_twice();
                 if !twice.is_empty() {
                     return self.fail(format!("{twice:?} run twice"));
@@ -258,7 +276,19 @@
                 }
             }
         }
-        Ok(())
+        self.stalls.values().next().map_or(Ok(()), |failure| Err(failure.clone()))
+    }
+
+    /// Records the first unit that stands still against each promise. The schedule goes on, for what
+    /// may be broken later.
+    fn record_stalls(&mut self) {
+        for (stall, text) in std::mem::take(&mut self.world.still.violations) {
+            if !self.stalls.contains_key(&stall)
+                && let Err(failure) = self.fail(text)
+            {
+                self.stalls.insert(stall, failure);
+            }
+        }
     }
 
     pub(super) fn fail(&self, text: String) -> Result<(), Failure> {
--- a/crates/sched/tests/world/trouble.rs
+++ b/crates/sched/tests/world/trouble.rs
@@ -1,6 +1,6 @@
 //! Faults of messages and processes beyond those of single workers.
 
-use super::World;
+use super::{Gone, World};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use sched::Report;
@@ -192,7 +192,10 @@
 
     /// Returns the instances as the cloud lists them now.
     pub fn instances(&self) -> Vec<Instance> {
-        let present = self.workers.iter().filter(|(_, worker)| !worker.is_succeeded);
+        let present = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.is_succeeded && worker.gone != Some(Gone::Instance));
         let mut list: Vec<_> =
             present.map(|(id, worker)| worker.instance(self.returning.get(id))).collect();
         if self.lists_only_workers_up {
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -9,6 +9,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// What is left of the instance of a worker that is gone for good.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Gone {
+    /// Nothing: the cloud does not list it.
+    Instance,
+    /// The instance, on which the cloud names no worker.
+    Process,
+}
+
 /// A scripted worker with configurable faults.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -17,6 +26,8 @@
     pub is_down: bool,
     /// Another worker is at the address.
     pub is_succeeded: bool,
+    /// The worker is gone for good, and no other one has come.
+    pub gone: Option<Gone>,
     /// The worker keeps running but can't be reached.
     pub partitioned: bool,
     /// Start orders get no answer.
@@ -77,6 +88,7 @@
             report,
             is_down: false,
             is_succeeded: false,
+            gone: None,
             partitioned: false,
             loses_start_answers: false,
             executes_lost_starts: true,
@@ -162,7 +174,8 @@
             data_centre: self.report.data_centre.clone(),
             labels: self.report.labels.clone(),
             capacity: self.report.capacity,
-            worker: (self.report.pool != STANDBY).then(|| self.report.incarnation.worker.clone()),
+            worker: (self.report.pool != STANDBY && self.gone.is_none())
+                .then(|| self.report.incarnation.worker.clone()),
         }
     }
 
