Sched tests: name the workers on which a unit that stands still depends

Cause: the wait alone doesn't tell what the leader takes the worker for, nor what became of it. Change: the failure names each worker that holds the unit or has its run; all failures are printed.

--- a/crates/sched/tests/still.rs
+++ b/crates/sched/tests/still.rs
@@ -48,8 +48,11 @@
         };
         for seed in seeds() {
             let mut schedule = Schedule::new(seed, faults);
-            _ = schedule.play(HEALED);
+            if let Err(failure) = schedule.play(HEALED) {
+                println!("{restart_gap:?} else {seed}: {}", failure.text);
+            }
             for (stall, failure) in schedule.stalls {
+                println!("{restart_gap:?} {stall:?} {seed}: {}", failure.text);
                 failures.entry(stall).or_default().push((restart_gap, failure));
             }
         }
--- a/crates/sched/tests/world/still.rs
+++ b/crates/sched/tests/world/still.rs
@@ -1,7 +1,7 @@
 //! Units whose turn has come and that run on no worker: each is placed, waits, or is held with a
 //! stated end, and none stays so beside room for long.
 
-use super::{Worker, World};
+use super::{STANDBY, Worker, World};
 use jobs::command::EndReason;
 use jobs::definition::Step;
 use jobs::wave::Phase;
@@ -216,11 +216,11 @@
         let since = *state.room_since.get_or_insert(now);
         let describe = |kind: &str| {
             let name = self.ledger.unit_name(&unit).unwrap_or_default();
-            let wait = self.scheduler.wait_of(&unit);
             let (ran, room, healed) = (now - state.ran_at, now - since, now - healed_at);
+            let (wait, grounds) = (self.scheduler.wait_of(&unit), self.grounds(unit));
             format!(
                 "{name} {kind}: ran or came {ran:?} ago, has had room for {room:?}, healed {healed:?} \
-                 ago, {wait:?}"
+                 ago, {wait:?}, {grounds:?}"
             )
         };
         if now > (healed_at + SETTLED).max(since) + MAX_STILL {
@@ -230,6 +230,26 @@
         (step.long_running && is_due).then(|| (Stall::Lasting, describe("lasts and stands still")))
     }
 
+    /// Returns the workers that hold a unit or on which it is placed, as the leader sees them.
+    fn grounds(&self, unit: UnitKey) -> Vec<String> {
+        let describe = |(id, worker): (&String, &sched::worker::Worker)| {
+            let mut runs = worker.runs.range((unit, 0)..=(unit, jobs::RunNumber::MAX));
+            let run = runs.next().map(|(_, run)| run.state);
+            let is_concerned = run.is_some() || worker.holds_unit(&unit);
+            let contact = worker.describe_contact(self.now);
+            let is = self.workers.get(id).map(|worker| match () {
+                () if worker.gone.is_some() => "gone",
+                () if worker.is_succeeded => "succeeded",
+                () if worker.report.pool == STANDBY => "parked",
+                () if worker.is_down => "down",
+                () => "up",
+            });
+            is_concerned
+                .then(|| format!("{id} is {} and {contact}, {run:?}", is.unwrap_or("deleted")))
+        };
+        self.scheduler.workers().iter().filter_map(describe).collect()
+    }
+
     /// Returns whether the workers that may get a unit have room for it twice over, or for its whole
     /// gang.
     fn has_room_twice(&self, pool: &PoolName, unit: UnitKey, step: &Step) -> bool {
