Sched tests: a unit unaccounted for goes before the job that is not done for it

Cause: the end of the schedule named the job, not why. Change: the promise of structure is looked at first.

--- a/crates/sched/tests/world/schedule.rs
+++ b/crates/sched/tests/world/schedule.rs
@@ -267,6 +267,10 @@
                 }
             }
         }
+        let mut stalls = self.stalls.iter().filter(|(stall, _)| stall.is_of_structure());
+        if let Some((_, failure)) = stalls.next() {
+            return Err(failure.clone());
+        }
         for job in 0..self.job_count {
             let id = format!("a{job}");
             let state = self.world.state("q", &id);
@@ -284,8 +288,7 @@
                 }
             }
         }
-        let mut stalls = self.stalls.iter().filter(|(stall, _)| stall.is_of_structure());
-        stalls.next().map_or(Ok(()), |(_, failure)| Err(failure.clone()))
+        Ok(())
     }
 
     /// Records the first unit that stands still against each promise. The schedule goes on, for what
