Sched tests: a poll that is overtaken doesn't take the place of the later one

Cause: the world keeps one open poll of each worker; one that arrived after a later one replaced it, and the leader waited for an answer to the later one without end. Change: the later one stays.

--- a/crates/sched/tests/world/orders.rs
+++ b/crates/sched/tests/world/orders.rs
@@ -75,7 +75,12 @@
                 self.delayed_polls.push((self.now + self.start_delay, to, poll));
             }
             Order::Poll(to, poll) => {
-                if let Some(worker) = self.workers.get_mut(&to.incarnation.worker) {
+                let worker = self.workers.get_mut(&to.incarnation.worker);
+                // Nobody waits for the answer to one that a later one has overtaken.
+                let is_latest = |worker: &&mut Worker| {
+                    worker.poll.as_ref().is_none_or(|(_, open, _)| open.sent_at <= poll.sent_at)
+                };
+                if let Some(worker) = worker.filter(is_latest) {
                     worker.poll = Some((to, poll, self.now));
                 }
             }
