--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -135,7 +135,8 @@
             end.run = number;
         }
         if !runs.is_empty() {
-            self.adoptions.placed.push(Placed { incarnation, runs });
+            let instance = self.workers.get(id).and_then(|worker| worker.instance.clone());
+            self.adoptions.placed.push(Placed { incarnation, instance, runs });
         }
     }
 
@@ -287,9 +288,11 @@
         self.record_loss(time, id);
         let Some(worker) = self.workers.get(id) else { return };
         let can_return = worker.can_return();
-        let max_lease = self.settings.max_lease;
+        let (max_lease, vacant_at) = (self.settings.max_lease, worker.vacant_at);
         self.discard_where(time, id, Absence::Lapsed, "its lease has expired", |run| {
-            !can_return || !run.may_run_unseen(time.monotonic, max_lease)
+            !can_return
+                || !run.may_run_unseen(time.monotonic, max_lease)
+                || run.late_until().is_some_and(|until| vacant_at >= Some(until))
         });
     }
 
@@ -358,12 +361,12 @@
         let unanswered_grant_at = worker.last_unanswered_grant();
         let last_arrival = unanswered_grant_at.map(|at| at + LATE_ORDER_WINDOW);
         let granted_until = last_arrival.unwrap_or_default().max(time.monotonic);
-        worker.hold_late_starts();
         let former_fence = self.fences.after(worker.restarts);
         let former = worker.replace_incarnation(stated_start);
         let restart = Restart { incarnation: worker.incarnation.clone(), stated_start };
         self.batch.restarted.push(restart);
         worker.has_own_fence = self.fences.after(worker.restarts) > former_fence;
+        worker.hold_late_starts();
         worker.report = None;
         worker.reported_at = None;
         worker.answered_under_fence = false;
@@ -374,9 +377,12 @@
         worker.is_slow = false;
         worker.health = Health::default();
         worker.cordoned = false;
+        worker.has_left = false;
         worker.ended = false;
         worker.lists_without = 0;
+        worker.unnamed_at = None;
         worker.is_replaced = false;
+        worker.is_switched_off = false;
         let text = format!(
             "new incarnation started at {stated_start}, after {former}: {} runs discarded, {} starts \
              to be stopped{}",
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -82,8 +82,15 @@
                     let start = entry.and_then(|run| worker.late_start(time.monotonic, run));
                     if let Some(LateStart { holds_unit, .. }) = start {
                         let incarnation = worker.incarnation.clone();
-                        let at = time.wall;
-                        batch.late.push(LateRun { unit, run, incarnation, holds_unit, at });
+                        let (instance, at) = (worker.instance.clone(), time.wall);
+                        batch.late.push(LateRun {
+                            unit,
+                            run,
+                            incarnation,
+                            instance,
+                            holds_unit,
+                            at,
+                        });
                     }
                 }
             }
@@ -104,6 +111,7 @@
     pub(super) fn inherit_late_runs(&mut self, time: Time, ledger: &Ledger) {
         for late in ledger.late_runs().values() {
             self.inherit_worker(time, ledger, &late.incarnation);
+            self.inherit_instance(&late.incarnation, &late.instance);
         }
         for (key, late) in ledger.late_runs() {
             let (unit, _) = *key;
@@ -117,6 +125,8 @@
                     resources,
                     until,
                     holds_unit: late.holds_unit || has_restarted,
+                    is_refused: true, // by its fence
+                    long_running: is_long_running(ledger, &unit),
                     uses_account: true,
                 },
             );
@@ -262,6 +272,12 @@
     time.monotonic + left.min(LATE_ORDER_WINDOW)
 }
 
+fn is_long_running(ledger: &Ledger, unit: &UnitKey) -> bool {
+    let step =
+        ledger.job(unit.job).and_then(|job| job.definition.steps.get(usize::from(unit.step)));
+    step.is_some_and(|step| step.long_running)
+}
+
 /// Returns the resources that runs of a unit use; `None` if its job is not known.
 fn unit_resources(ledger: &Ledger, unit: &UnitKey) -> Option<Resources> {
     let step = ledger.job(unit.job)?.definition.steps.get(usize::from(unit.step))?;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -56,6 +56,8 @@
     pub placed_at: Duration,
     /// When the worker first listed it as running.
     pub started_at: Option<Duration>,
+    /// When the worker last listed it as running.
+    pub listed_at: Option<Duration>,
     /// Number of start orders that got no answer.
     pub unanswered_starts: u32,
     /// When the last start was sent, if one may be under way: the present incarnation is not known
@@ -272,8 +274,14 @@
     pub is_replaced: bool,
     /// Runs that are not placed on the worker, by unit name and run number.
     pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
+    /// Its instance is switched off: it is in a standby pool and on its way to no other.
+    pub is_switched_off: bool,
     /// Consecutive instance lists by which the worker can't start again under its id.
     pub lists_without: u32,
+    /// When the latest list that names it nowhere was asked for; `None` if the last one names it.
+    pub unnamed_at: Option<Duration>,
+    /// Latest time at which it ran nowhere, by the instance lists.
+    pub vacant_at: Option<Duration>,
     /// Number of the last end that was proposed to the log; 0 for none.
     pub proposed_through: u64,
     /// How slow its recent runs were.
@@ -285,6 +293,8 @@
     /// The worker gets no new work: its instance is wanted for maintenance or another
     /// pool.
     pub cordoned: bool,
+    /// The worker has given notice that it is ending, and has not reported since.
+    pub has_left: bool,
     /// The instance is in phase `Due` of a wave that is not completed.
     pub maintenance_due: bool,
     /// The incarnation is known to have ended.
@@ -317,12 +327,16 @@
             answer_owed_since: None,
             is_replaced: false,
             unplaced: BTreeMap::new(),
+            is_switched_off: false,
             lists_without: 0,
+            unnamed_at: None,
+            vacant_at: None,
             proposed_through: 0,
             speed: Speed::default(),
             is_slow: false,
             health: Health::default(),
             cordoned: false,
+            has_left: false,
             maintenance_due: false,
             ended: false,
         }
@@ -465,17 +479,19 @@
             return None;
         }
         let has_begun = run.started_at.is_some();
-        let has_restarted = self.ended || run.placed_on != self.incarnation.started_at;
-        let is_doubtful = has_restarted || is_unanswered && has_begun;
-        // A successor that has obeyed this leader refuses the starts of earlier ones, and those to its
-        // predecessor. Until it may have restarted, work that lasts can run elsewhere.
-        let refuses_start =
-            !is_unanswered || self.has_own_fence && run.placed_on != self.incarnation.started_at;
-        let is_barred = run.long_running && refuses_start && self.answered_under_fence;
+        let is_of_predecessor = run.placed_on != self.incarnation.started_at;
+        let is_doubtful = self.ended || is_of_predecessor || is_unanswered && has_begun;
+        let is_over = run.has_ended || run.absence == Some(Absence::Unlisted);
+        let is_refused = match is_of_predecessor {
+            true => !is_unanswered || self.has_own_fence,
+            false => !is_unanswered || is_over,
+        };
         Some(LateStart {
             resources: run.resources,
             until,
-            holds_unit: is_doubtful && !is_barred,
+            holds_unit: is_doubtful,
+            is_refused,
+            long_running: run.long_running,
             uses_account: is_doubtful || !has_begun && !run.has_ended,
         })
     }
@@ -492,7 +508,26 @@
     /// Returns whether the worker may start again under its id and carry out orders that were
     /// sent to an earlier incarnation.
     pub fn can_return(&self) -> bool {
-        !self.is_replaced && self.lists_without < GONE_AFTER_LISTS
+        !self.is_replaced && !self.is_switched_off && self.lists_without < GONE_AFTER_LISTS
+    }
+
+    /// Records whether a list that was asked for at `asked_at` names the worker, and whether it shows
+    /// that the worker is not on its instance. A list that changes while its pages are read may miss an
+    /// instance once.
+    pub fn record_listing(&mut self, asked_at: Duration, is_named: bool, is_elsewhere: bool) {
+        let former = self.unnamed_at.take();
+        if is_named {
+            return;
+        }
+        self.unnamed_at = Some(asked_at);
+        let vacant_at = if is_elsewhere { Some(asked_at) } else { former };
+        self.vacant_at = self.vacant_at.max(vacant_at);
+    }
+
+    /// Returns whether the instance lists show that no start which could be carried out until then goes
+    /// on here.
+    pub fn was_vacant_after(&self, until: Duration) -> bool {
+        self.vacant_at.is_some_and(|at| at >= until)
     }
 
     /// Returns whether a start of the unit that is no longer placed here may still be carried out
@@ -532,8 +567,12 @@
         self.late_starts.values().any(|start| self.is_holding(start))
     }
 
+    /// Returns whether the unit of a late start is not placed. Work that lasts does not wait for a start
+    /// that the present incarnation refuses: 15 s would be longer than it may be away.
     fn is_holding(&self, start: &LateStart) -> bool {
-        start.holds_unit || self.may_have_restarted() || !self.answered_under_fence
+        start.holds_unit && !(start.long_running && start.is_refused)
+            || self.may_have_restarted()
+            || !self.answered_under_fence
     }
 
     /// Returns whether the worker may have started again without the leader's knowledge.
@@ -561,16 +600,19 @@
     /// Returns the units that a later incarnation may begin at `now`.
     pub fn units_that_may_begin(&self, now: Duration) -> Vec<UnitKey> {
         let starts = self.late_starts.iter();
-        let starts = starts.filter(|(_, start)| !start.holds_unit && now < start.until);
+        let starts = starts.filter(|(_, start)| {
+            now < start.until && (!start.holds_unit || start.long_running && start.is_refused)
+        });
         starts.map(|((unit, _), _)| *unit).collect()
     }
 
-    /// Lets the late starts that the new incarnation may begin hold their units: a further one
+    /// Lets the late starts that the next incarnation may begin hold their units: a further one
     /// forgets their stops.
     pub fn hold_late_starts(&mut self) {
         (self.restart_suspected_at, self.answer_owed_since) = (None, None);
         for start in self.late_starts.values_mut() {
             start.holds_unit = true;
+            start.is_refused = self.has_own_fence;
         }
     }
 
@@ -579,9 +621,19 @@
         self.late_starts.keys().map(|(unit, _)| *unit).collect()
     }
 
+    /// Returns the longest wait of a poll at `now`, so that an answer comes as soon as a late start
+    /// that holds its unit is over.
+    pub fn max_wait_beside_late_starts(&self, now: Duration, max_wait: Duration) -> Duration {
+        match self.holds_units() {
+            true => max_wait.min(self.late_starts_end.saturating_sub(now)),
+            false => max_wait,
+        }
+    }
+
     /// Removes the late starts that are over, and returns their runs. One is over when it can no
     /// longer be carried out; if it holds its unit, also a full list received since then shows no
-    /// run of the unit, or all leases have expired, one of `max_lease` that it was given included.
+    /// run of the unit, an instance list asked for since then shows the worker nowhere, or all leases
+    /// have expired, one of `max_lease` that it was given included.
     pub fn remove_late_starts(&mut self, now: Duration, max_lease: Duration) -> Vec<RunKey> {
         if self.late_starts.is_empty() || now < self.late_starts_end {
             return Vec::new();
@@ -591,7 +643,9 @@
         let is_over = |unit: UnitKey, start: &LateStart| {
             now >= start.until
                 && (!self.is_holding(start)
+                    || !self.can_return()
                     || all_listed_at >= start.until && !is_listed(unit)
+                    || self.was_vacant_after(start.until)
                     || Lease::inherited(start.until, max_lease).is_expired(now)
                         && self.lease.is_expired(now))
         };
@@ -692,10 +746,15 @@
         capacity.covers(&used)
     }
 
+    /// Returns whether the worker gets no new work for the sake of its instance, or as it is ending.
+    pub fn is_closed(&self) -> bool {
+        self.cordoned || self.has_left
+    }
+
     /// Returns whether a start may be sent to the worker, first or repeated.
     pub fn accepts_starts(&self) -> bool {
         let draining = self.report.as_ref().is_none_or(|report| report.draining);
-        !draining && !self.cordoned && !self.ended
+        !draining && !self.is_closed() && !self.ended
     }
 
     /// Returns whether new work may be placed on the worker, if its health allows: it accepts starts
@@ -768,6 +827,7 @@
             expected: step.estimate,
             placed_at: now,
             started_at: None,
+            listed_at: None,
             unanswered_starts: 0,
             unconfirmed_since: (state == RunState::Inherited).then_some(now),
             is_settled: false,
@@ -789,6 +849,13 @@
         self.long_running && self.progress.0 >= 100
     }
 
+    /// Returns whether the worker, by its latest full list of `all_listed_at`, has not listed the run for
+    /// `duration`, though it had begun.
+    pub fn is_unlisted(&self, all_listed_at: Duration, duration: Duration) -> bool {
+        let known_at = self.listed_at.max(self.started_at);
+        known_at.is_some_and(|at| all_listed_at >= at + duration)
+    }
+
     /// Ends the trial of a run that is listed at `now` if it has gone on for long enough, and
     /// returns whether it has.
     pub fn end_trial(&mut self, now: Duration) -> bool {
