--- a/crates/sched/tests/world/schedule.rs
+++ b/crates/sched/tests/world/schedule.rs
@@ -1,6 +1,7 @@
-//! Random schedules of faults of four workers and their leaders.
+//! Random schedules of faults of a few workers and their leaders.
 
 use super::dimension::{Dimensions, Spells};
+use super::still::Stall;
 use super::{TICK, World, long_running, step};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -35,6 +36,10 @@
     pub wall_clock_error: Duration,
     /// Whether work that lasts runs beside work that ends.
     pub has_lasting_work: bool,
+    /// Whether each unit that does not run is to be accounted for.
+    pub judges_accounts: bool,
+    /// Whether it is judged how long units stand still.
+    pub judges_stalls: bool,
     /// Further faults.
     pub dimensions: Dimensions,
 }
@@ -51,6 +56,8 @@
             longest_interregnum: Duration::from_secs(2),
             wall_clock_error: Duration::ZERO,
             has_lasting_work: false,
+            judges_accounts: false,
+            judges_stalls: false,
             dimensions: Dimensions::default(),
         }
     }
@@ -78,15 +85,24 @@
     pub(super) job_count: u32,
     /// Spells of further faults.
     pub(super) spells: Spells,
+    /// The next leader has heard of no worker.
+    pub(super) is_cold: bool,
+    /// Number of instances.
+    pub(super) instances: u32,
+    /// First unit that stood still, by what was promised.
+    pub stalls: BTreeMap<Stall, Failure>,
     /// Faults so far.
     events: Vec<(Duration, String)>,
 }
 
 impl Schedule {
     pub fn new(seed: u64, faults: Faults) -> Schedule {
-        let mut world = World::new(4);
+        let instances = faults.dimensions.instances();
+        let mut world = World::new(instances as usize);
         world.uses_roster = true;
         world.audit.is_on = true;
+        world.still.judges_accounts = faults.judges_accounts;
+        world.still.judges_times = faults.judges_stalls;
         world.trouble.set_seed(seed);
         world.repeats_starts = faults.repeats_starts;
         for worker in world.workers.values_mut() {
@@ -111,12 +127,15 @@
             cut_until,
             takeover_at: None,
             job_count: 0,
+            is_cold: false,
+            instances,
+            stalls: BTreeMap::new(),
             events: Vec::new(),
             spells: Spells::default(),
         }
     }
 
-    fn record(&mut self, text: String) {
+    pub(super) fn record(&mut self, text: String) {
         self.events.push((self.world.now, text));
     }
 
@@ -127,11 +146,10 @@
     /// Brings about the faults and jobs of one step.
     fn step(&mut self) {
         self.world.start_delay = self.random_duration(2000, 12_000);
-        if self.rng.random_bool(0.06) {
+        if self.rng.random_bool(0.06) && !self.is_idle() {
             self.submit();
         }
-        let instance = self.rng.random_range(0..4);
-        let id = self.worker_on(instance);
+        let id = self.draw_worker();
         let now = self.world.now;
         if self.rng.random_bool(0.03) && !self.cut_until.contains_key(&id) {
             let cut_for = self.random_duration(300, 15_000);
@@ -157,7 +175,7 @@
         self.step_dimensions();
     }
 
-    fn submit(&mut self) {
+    pub(super) fn submit(&mut self) {
         let id = format!("a{}", self.job_count);
         self.job_count += 1;
         let run_time = self.random_duration(200, 12_000);
@@ -195,6 +213,10 @@
     /// Begins the next leadership, with the last reports of all workers or of some of them.
     fn take_over(&mut self) {
         self.takeover_at = None;
+        if std::mem::take(&mut self.is_cold) {
+            self.record("the next leader knows of no worker".to_string());
+            return self.world.begin_leadership(&Default::default());
+        }
         let knows_all = self.rng.random_bool(0.5);
         let ids: Vec<String> = self.world.workers.keys().cloned().collect();
         let known = ids.into_iter().filter(|_| knows_all || self.rng.random_bool(0.5)).collect();
@@ -207,6 +229,8 @@
         if self.takeover_at.is_some() {
             self.take_over();
         }
+        self.end_drains();
+        self.world.still.healed_at.get_or_insert(self.world.now);
         self.world.repeats_starts = false;
         self.world.end_trouble();
         for worker in self.world.workers.values_mut() {
@@ -218,7 +242,8 @@
 
     /// Plays 40 s of faults and the given time without any, and checks at each tick that no unit
     /// runs twice and no worker is over its capacity, and in the end that all jobs are done and all
-    /// work that lasts is running.
+    /// work that lasts is running. If accounts are judged, also that each unit has one; how long units
+    /// stand still is left to the caller.
     pub fn play(&mut self, healed_for: Duration) -> Result<(), Failure> {
         let healed_at = self.world.now + FAULTY_TIME;
         while self.world.now < healed_at + healed_for {
@@ -229,6 +254,7 @@
             }
             for _ in 0..STEP.as_millis() / TICK.as_millis() {
                 self.world.run(TICK);
+                self.record_stalls();
                 let twice = self.world.running_twice();
                 if !twice.is_empty() {
                     return self.fail(format!("{twice:?} run twice"));
@@ -241,6 +267,10 @@
                 }
             }
         }
+        let mut stalls = self.stalls.iter().filter(|(stall, _)| stall.is_of_structure());
+        if let Some((_, failure)) = stalls.next() {
+            return Err(failure.clone());
+        }
         for job in 0..self.job_count {
             let id = format!("a{job}");
             let state = self.world.state("q", &id);
@@ -261,6 +291,18 @@
         Ok(())
     }
 
+    /// Records the first unit that stands still against each promise. The schedule goes on, for what
+    /// may be broken later.
+    fn record_stalls(&mut self) {
+        for (stall, text) in std::mem::take(&mut self.world.still.violations) {
+            if !self.stalls.contains_key(&stall)
+                && let Err(failure) = self.fail(text)
+            {
+                self.stalls.insert(stall, failure);
+            }
+        }
+    }
+
     pub(super) fn fail(&self, text: String) -> Result<(), Failure> {
         let failure = Failure { seed: self.seed, at: self.world.now, text };
         let seconds = std::env::var("TRACE").ok().and_then(|value| value.parse().ok());
