Sched: a worker that is replaced, or that a list shows nowhere, holds no runs for its lease

The parked worker whose last report the next leader knew was still waited for, and so was one in maintenance, which the list names beside its state.

A worker that owes an answer, or has not reported to this leader, has no runs left once another one reports from its instance, or two lists show that the instance is gone or has another worker. One list asked for since it was last heard that names it on no instance which is up ends the runs that had been placed by then and of which no start can come any more. An instance in a standby pool counts as switched off whoever parked it, as long as its worker answers nothing.

--- a/crates/sched/src/scheduler/listing.rs
+++ b/crates/sched/src/scheduler/listing.rs
@@ -98,8 +98,9 @@
         let is_vacant =
             |instance: &Instance| instance.state != State::Up || instance.worker.is_none();
         let has_vacant = self.inventory.instances().any(is_vacant);
+        let up = self.inventory.instances().filter(|instance| instance.state == State::Up);
         let on_instances: BTreeSet<&WorkerId> =
-            self.inventory.instances().filter_map(|instance| instance.worker.as_ref()).collect();
+            up.filter_map(|instance| instance.worker.as_ref()).collect();
         for (id, worker) in &mut self.workers {
             let is_named = on_instances.contains(id);
             let instance = worker.instance.as_ref().map(|instance| self.inventory.get(instance));
@@ -114,13 +115,13 @@
         }
     }
 
-    /// Records of which workers, that have not been heard since, the instance is switched off.
-    pub(super) fn record_switched_off(&mut self, ledger: &Ledger) {
+    /// Records of which workers, that answer nothing, the instance is switched off.
+    pub(super) fn record_switched_off(&mut self, time: Time, ledger: &Ledger) {
         let Some(config) = ledger.config() else { return };
         let is_standby = |pool| config.pools.get(pool).is_some_and(|pool| pool.standby);
-        for worker in self.workers.values_mut().filter(|worker| worker.report.is_none()) {
+        for worker in self.workers.values_mut() {
             let instance = worker.instance.as_ref().and_then(|id| self.inventory.get(id));
-            worker.is_switched_off = !worker.answered_under_fence
+            worker.is_switched_off = worker.is_out_of_contact(time.monotonic)
                 && instance.is_some_and(|instance| {
                     is_standby(&instance.pool) && !self.balance.moves_to_other(instance)
                 });
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -693,8 +693,9 @@
             if time.monotonic >= self.last_periodic_tasks + PERIODIC_TASKS_INTERVAL {
                 self.last_periodic_tasks = time.monotonic;
                 self.expire_losses(time);
-                self.record_switched_off(ledger);
+                self.record_switched_off(time, ledger);
                 self.retry_orders(time, ledger);
+                self.release_held(time);
                 self.run_maintenance(time, ledger);
                 self.update_claims(time, ledger);
                 self.balance(time, ledger);
@@ -703,7 +704,6 @@
                 self.explain_shortages(time, ledger);
                 self.explain_stalls(time, ledger);
             }
-            self.release_held(time);
             self.place(time, ledger);
         }
         self.record_late_runs(time);
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -66,7 +66,9 @@
         let mut silent = Vec::new();
         let mut owing = Vec::new();
         for (id, worker) in &mut self.workers {
-            if !worker.runs.is_empty() && (worker.lease.is_expired(now) || worker.is_gone()) {
+            let is_lost =
+                || worker.lease.is_expired(now) || worker.is_gone(now) || worker.is_vacated(now);
+            if !worker.runs.is_empty() && is_lost() {
                 lost.push(id.clone());
             }
             if worker.lease.is_expired(now) {
@@ -124,7 +126,7 @@
         owing.iter().for_each(|id| self.record_owed_answer(time, id));
         self.settled.extend(over.into_iter().filter(|key| ledger.late_runs().contains_key(key)));
         for id in lost {
-            self.discard_lapsed(time, &id);
+            self.discard_lost(time, &id);
         }
         for id in unreachable {
             let is_idle = |worker: &Worker| worker.runs.is_empty() && worker.late_starts.is_empty();
@@ -182,7 +184,7 @@
                 worker.restart_suspected_at.take_if(|at| reply.sent_at >= *at);
                 worker.answer_owed_since.take_if(|at| reply.sent_at >= *at);
                 worker.polling.record_answer(time.monotonic);
-                worker.lists_without = 0;
+                (worker.lists_without, worker.is_replaced) = (0, false);
                 worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
                 worker.polling.answered_at = Some(time.monotonic);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -282,21 +282,26 @@
         self.discard_where(time, id, Absence::Ended, reason, |_| true);
     }
 
-    /// Discards the runs of a worker whose lease has expired or that is gone, except those that may be
-    /// on a later incarnation: the lease bounds only the one that had it.
-    pub(super) fn discard_lapsed(&mut self, time: Time, id: &WorkerId) {
+    /// Discards the runs of a worker whose lease has expired, that is gone or was seen nowhere, except
+    /// those that may be on a later incarnation: the lease bounds only the one that had it.
+    pub(super) fn discard_lost(&mut self, time: Time, id: &WorkerId) {
         self.record_loss(time, id);
         let Some(worker) = self.workers.get(id) else { return };
+        let now = time.monotonic;
+        let is_lapsed = worker.lease.is_expired(now);
+        let is_gone = worker.is_gone(now);
         let can_return = worker.can_return();
-        let (max_lease, vacant_at) = (self.settings.max_lease, worker.vacant_at);
-        let (absence, reason) = match worker.is_gone() {
-            true => (Absence::Ended, "its instance is gone or has another worker"),
-            false => (Absence::Lapsed, "its lease has expired"),
+        let vacant_at = worker.vacant_at.filter(|_| is_lapsed || worker.is_vacated(now));
+        let (absence, reason) = match (is_gone, is_lapsed) {
+            (true, _) => (Absence::Ended, "its instance is gone or has another worker"),
+            (false, true) => (Absence::Lapsed, "its lease has expired"),
+            (false, false) => (Absence::Ended, "its instance has no worker"),
         };
+        let max_lease = self.settings.max_lease;
         self.discard_where(time, id, absence, reason, |run| {
-            !can_return
-                || !run.may_run_unseen(time.monotonic, max_lease)
-                || run.late_until().is_some_and(|until| vacant_at >= Some(until))
+            is_gone
+                || is_lapsed && (!can_return || !run.may_run_unseen(now, max_lease))
+                || vacant_at.is_some_and(|at| run.has_ended_by(at))
         });
     }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -512,10 +512,23 @@
         !self.is_replaced && !self.is_switched_off && self.lists_without < GONE_AFTER_LISTS
     }
 
-    /// Returns whether the instance on which the worker has reported is gone or has another worker, by
-    /// the lists since the worker last answered, so that nothing runs here whatever the lease.
-    pub fn is_gone(&self) -> bool {
-        self.instance.is_some() && self.lists_without >= GONE_AFTER_LISTS
+    /// Returns whether the worker owes an answer, or has not reported to this leader, and its instance is
+    /// gone or has another worker since it last answered. Nothing runs here then, whatever the lease.
+    pub fn is_gone(&self, now: Duration) -> bool {
+        let is_listed_nowhere = self.instance.is_some() && self.lists_without >= GONE_AFTER_LISTS;
+        self.is_out_of_contact(now) && (self.is_replaced || is_listed_nowhere)
+    }
+
+    /// Returns whether an instance list that was asked for since the worker was last heard shows it
+    /// nowhere, so that what had begun by then has ended, whatever the lease.
+    pub fn is_vacated(&self, now: Duration) -> bool {
+        let is_unheard_since = |at| self.polling.heard_at.is_none_or(|heard_at| heard_at < at);
+        self.is_out_of_contact(now) && self.vacant_at.is_some_and(is_unheard_since)
+    }
+
+    /// Returns whether the worker owes an answer or has not reported to this leader.
+    pub fn is_out_of_contact(&self, now: Duration) -> bool {
+        self.address.is_none() || self.owes_answer(now)
     }
 
     /// Records whether a list that was asked for at `asked_at` names the worker, and whether it shows
@@ -909,6 +922,12 @@
         self.late_until().and_then(lapses_at).is_some_and(|at| now <= at)
     }
 
+    /// Returns whether the run is over if its worker ran nowhere at a time: it was placed before, and no
+    /// start of it could come any more.
+    pub fn has_ended_by(&self, vacant_at: Duration) -> bool {
+        self.placed_at <= vacant_at && self.late_until().is_none_or(|until| until <= vacant_at)
+    }
+
     /// Records that the present incarnation is known to have received the start. No other is under
     /// way then, unless a copy of it got no answer.
     pub fn confirm(&mut self) {
