Soak: workers that restart, late orders, long and lasting work, and the promise that work does not stand still

The soak could not see a job that stands still: its workers never restarted, no order was late, units lasted 0.4 s at most, and the check waited 60 s for the end of each job.

Stand-in workers report progress, start again under their id with a clock, a fence and numbers of their own, run work that lasts, grant leases of max_hold_ms at most, refuse orders for another worker, and carry out orders late at the incarnation of that time. New faults: restarts of one worker, of all, of one in a series, successors with another id, spells of late orders.

The planted histories pass.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,13 +6,14 @@
 mod faults;
 mod job;
 mod planted;
+mod still;
+mod workers;
 
 use crate::system::{CALLERS, CONTROL, System, until};
-use async_std::task::block_on;
-use checker::{History, Kind, Outcome, Run, Violation, check};
+use checker::{History, Kind, Outcome, Violation, check};
 use client::{Client, Shared};
-use faults::{Final, Fleet, schedule};
-use platform_standin::Worker;
+use faults::{Final, Fleet, restart, schedule};
+use platform_standin::CAPACITY_MILLI;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
@@ -20,6 +21,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
+use still::{FINISH, MAX_STAND, Stand, still};
+use workers::Workers;
 
 /// Clients of the probes after the faults have numbers from here on.
 const FIRST_PROBE: u64 = 1000;
@@ -27,6 +30,8 @@
 const TRAFFIC_AFTER_FAULTS: Duration = Duration::from_secs(2);
 /// Number of violations of one seed that are printed.
 const PRINTED_VIOLATIONS: usize = 20;
+/// Number of lines of each core that are printed of each kind, about the unit that stood longest.
+const PRINTED_REASONS: usize = 6;
 
 /// Sizes of a soak; a variable of the environment sets each.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +41,8 @@
     workers: u64,
     clients: u64,
     seconds: u64,
+    /// Resources of a unit that ends, in thousandths of a core.
+    unit_cpu_milli: u64,
 }
 
 fn variable(name: &str, default: u64) -> u64 {
@@ -47,10 +54,11 @@
     fn from_environment() -> Size {
         Size {
             cores: variable("SOAK_CORES", 3).clamp(1, 5) as u8,
-            edges: variable("SOAK_EDGES", 3).clamp(1, 12) as u8,
-            workers: variable("SOAK_WORKERS", 4),
+            edges: variable("SOAK_EDGES", 3).clamp(1, 60) as u8,
+            workers: variable("SOAK_WORKERS", 4).max(1),
             clients: variable("SOAK_CLIENTS", 12),
-            seconds: variable("SOAK_SECONDS", 15),
+            seconds: variable("SOAK_SECONDS", 10),
+            unit_cpu_milli: variable("SOAK_UNIT_CPU", 100).clamp(1, CAPACITY_MILLI),
         }
     }
 }
@@ -68,8 +76,9 @@
 fn is_kept(seed: u64, size: Size) -> bool {
     let span = Duration::from_secs(size.seconds);
     let mut rng = StdRng::seed_from_u64(seed);
-    let faults = schedule(&mut rng, size.cores, size.edges, span);
+    let faults = schedule(&mut rng, size.cores, size.edges, size.workers, span);
     let last = [Final::All, Final::Edges, Final::Cores][rng.random_range(0..3)];
+    let last_restart = rng.random_bool(1.0 / 3.0).then(|| restart(&mut rng, 0..=size.workers - 1));
     let mut system = System::with_size(size.cores, size.edges);
     let start = Instant::now();
     system.log_start = Some(start);
@@ -81,12 +90,12 @@
         stop: AtomicBool::new(false),
         attempts: Default::default(),
         jobs: Default::default(),
+        unit_cpu_milli: size.unit_cpu_milli,
     });
     let mut fleet = Fleet::new(system, shared.clone());
     assert!(fleet.configure().join().unwrap(), "seed {seed}: no configuration was acknowledged");
     let control: Vec<_> = fleet.system.cores().map(|c| fleet.system.address(c, CONTROL)).collect();
-    let worker = |number| block_on(Worker::start(&format!("w{number}"), "gate", control.clone()));
-    let workers: Vec<Worker> = (0..size.workers).map(|number| worker(number).unwrap()).collect();
+    fleet.workers = Some(Workers::start(seed, size.workers, control));
     let mut probe = Client::new(shared.clone(), seed, FIRST_PROBE);
     until("a job is accepted", || probe.submit(None));
 
@@ -99,7 +108,9 @@
         Final::Edges => system.edges().collect(),
         Final::Cores => system.cores().collect(),
     };
+    let starts = last_restart.clone().map(|fault| fleet.bring_about(fault)).unwrap_or_default();
     fleet.kill(&killed);
+    fleet.play(starts);
     let faults_end = shared.now();
     let edges: Vec<u8> = fleet.system.edges().collect();
     let probes =
@@ -110,6 +121,7 @@
     });
     std::thread::sleep(TRAFFIC_AFTER_FAULTS);
     shared.stop.store(true, Ordering::Relaxed);
+    let traffic_end = shared.now();
     let mut clients = join(clients);
     let mut probes = join(probes);
     probes.push(probe);
@@ -117,39 +129,47 @@
     let questions = Arc::new(questions(&shared, clients.len()));
     clients = join(in_threads(clients, move |number, client| client.ask(&questions[number])));
     clients.extend(probes);
-    join(in_threads(clients, |_, client| client.wait_for_ends()));
+    let clients = join(in_threads(clients, |_, client| client.wait_for_ends()));
+    std::thread::sleep((traffic_end + FINISH + MAX_STAND).saturating_sub(shared.now()));
+    let observed_until = shared.now();
+    join(in_threads(clients, |_, client| client.end_lasting()));
     let configured = fleet.wait_for_operators();
     fleet.stop();
 
-    let mut history = History {
+    let workers = fleet.workers.take().unwrap();
+    let (runs, lives, late) = workers.history(start);
+    workers.stop();
+    let history = History {
         jobs: shared.jobs.lock().unwrap().iter().map(|(id, j)| (id.clone(), j.units(id))).collect(),
         attempts: std::mem::take(&mut *shared.attempts.lock().unwrap()),
-        runs: Vec::new(),
+        runs,
+        lives,
         exits: std::mem::take(&mut fleet.exits),
         impairments: std::mem::take(&mut fleet.impairments),
         faults_end,
+        traffic_end,
+        last_late: late.iter().map(|(at, _)| *at).max().unwrap_or_default(),
+        observed_until,
         edges,
     };
-    for (number, worker) in workers.into_iter().enumerate() {
-        let runs = worker.history().into_iter().map(|((unit, _), record)| Run {
-            unit,
-            worker: format!("w{number}"),
-            started: record.started_at.duration_since(start),
-            end: record.end.map(|(at, how)| (at.duration_since(start), how)),
-            acknowledged: record.acknowledged,
-        });
-        history.runs.extend(runs);
-        block_on(worker.stop());
-    }
     let mut violations = check(&history);
     if !configured {
         let text = "a configuration was not acknowledged".to_string();
         violations.push(Violation { promise: "configuration", text, host: None });
     }
     println!("seed {seed}: {}", summary(&history, faults.len(), last));
+    println!(
+        "seed {seed}: faults over at {faults_end:.3?}, {} orders late, the last at {:.3?}, workers restarted \
+         at the end: {}",
+        late.len(),
+        history.last_late,
+        last_restart.is_some()
+    );
+    print_longest_stand(seed, still(&history).1, &fleet);
     if !violations.is_empty() {
+        write_worker_log(&history, late, &fleet);
         explain(seed, size, &violations, &mut fleet);
-        println!("schedule: {faults:?}, then {last:?} are killed");
+        println!("schedule: {faults:?}, then {last:?} are killed and {last_restart:?}");
     }
     violations.is_empty()
 }
@@ -209,6 +229,65 @@
     )
 }
 
+/// Prints for how long a unit stood still after the last fault, and what the cores say of it.
+fn print_longest_stand(seed: u64, longest: Option<Stand>, fleet: &Fleet) {
+    let Some(stand) = longest else {
+        println!("seed {seed}: nothing stood still after the last fault");
+        return;
+    };
+    println!(
+        "seed {seed}: longest stand {:.3?}, {} from {:.3?} to {:.3?}",
+        stand.span(),
+        stand.unit,
+        stand.from,
+        stand.to
+    );
+    if stand.span() < MAX_STAND {
+        return;
+    }
+    for core in fleet.system.cores() {
+        let log = std::fs::read_to_string(fleet.system.log_path(core)).unwrap_or_default();
+        let reasons: Vec<&str> = log.lines().filter(|line| says_why(line, &stand)).collect();
+        let of_unit: Vec<&str> = log.lines().filter(|line| line.contains(&stand.unit)).collect();
+        for lines in [reasons, of_unit] {
+            for line in &lines[lines.len().saturating_sub(PRINTED_REASONS)..] {
+                println!("  p{core} {line}");
+            }
+        }
+    }
+}
+
+/// Returns whether a line of a core says what the unit waits for, or another one meanwhile: each
+/// pool names only the unit that has waited longest.
+fn says_why(line: &str, stand: &Stand) -> bool {
+    let at = line.split(' ').next().and_then(|at| at.parse::<f64>().ok());
+    let is_meanwhile =
+        at.is_some_and(|at| at >= stand.from.as_secs_f64() && at <= stand.to.as_secs_f64());
+    let is_reason = ["held for", "placed for", "waits for"].iter().any(|word| line.contains(word));
+    is_reason && (is_meanwhile || line.contains(&stand.unit))
+}
+
+/// Writes what the workers saw, in the order of time, beside the logs of the processes.
+fn write_worker_log(history: &History, late: Vec<(Duration, String)>, fleet: &Fleet) {
+    let mut events: Vec<(Duration, String)> =
+        late.into_iter().map(|(at, text)| (at, format!("late order at {text}"))).collect();
+    for life in &history.lives {
+        events.push((life.from, format!("{} starts", life.worker)));
+        events.extend(life.to.map(|to| (to, format!("{} is killed", life.worker))));
+    }
+    for run in &history.runs {
+        let name = format!("{} run {} at {}", run.unit, run.number, run.worker);
+        let how = if run.is_late { "begins by a late order" } else { "begins" };
+        events.push((run.started, format!("{name} {how}")));
+        let acknowledged = if run.acknowledged { ", acknowledged" } else { "" };
+        events.extend(run.end.map(|(at, how)| (at, format!("{name} ends {how}{acknowledged}"))));
+    }
+    events.sort();
+    let line = |(at, text): &(Duration, String)| format!("{:.3} {text}\n", at.as_secs_f64());
+    let lines: String = events.iter().map(line).collect();
+    std::fs::write(fleet.system.folder.path().join("workers.log"), lines).unwrap();
+}
+
 /// Prints what was broken, the logs of the processes concerned and how to play it again.
 fn explain(seed: u64, size: Size, violations: &[Violation], fleet: &mut Fleet) {
     println!("seed {seed} FAILED: {} violations", violations.len());
@@ -224,10 +303,11 @@
     }
     fleet.system.folder.disable_cleanup(true);
     println!("logs and disks are kept in {}", fleet.system.folder.path().display());
-    let Size { cores, edges, workers, clients, seconds } = size;
+    let Size { cores, edges, workers, clients, seconds, unit_cpu_milli } = size;
     println!(
         "to play it again: SOAK_FROM={seed} SOAK_SEEDS=1 SOAK_SECONDS={seconds} \
          SOAK_CORES={cores} SOAK_EDGES={edges} SOAK_WORKERS={workers} SOAK_CLIENTS={clients} \
+         SOAK_UNIT_CPU={unit_cpu_milli} \
          cargo test --locked --test tests soak::real -- --nocapture"
     );
 }
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -1,7 +1,9 @@
 //! What the platform promises, checked against what clients, workers and the starter of the
 //! processes saw. Times count from the start of the soak.
 
-use std::collections::{BTreeMap, BTreeSet};
+use super::job::Unit;
+use super::still::still;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -54,10 +56,22 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub unit: String,
+    pub number: u64,
+    /// Id and incarnation of the worker.
     pub worker: String,
     pub started: Duration,
     pub end: Option<(Duration, &'static str)>,
     pub acknowledged: bool,
+    /// Whether it began by an order that was carried out late.
+    pub is_late: bool,
+}
+
+/// Time for which an incarnation of a worker ran.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub worker: String,
+    pub from: Duration,
+    pub to: Option<Duration>,
 }
 
 /// The end of a process, but for a kill of one that was not told to stop.
@@ -79,14 +93,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct History {
     /// Units of each job that was submitted.
-    pub jobs: BTreeMap<String, BTreeSet<String>>,
+    pub jobs: BTreeMap<String, Vec<Unit>>,
     pub attempts: Vec<Attempt>,
     pub runs: Vec<Run>,
+    pub lives: Vec<Life>,
     pub exits: Vec<Exit>,
     /// Spans in which a process was killed and started again, or frozen.
     pub impairments: Vec<(u8, Duration, Duration)>,
     /// When the last fault was over.
     pub faults_end: Duration,
+    pub traffic_end: Duration,
+    /// When the last late order was carried out.
+    pub last_late: Duration,
+    /// Until when work has to run; processes are stopped after that.
+    pub observed_until: Duration,
     pub edges: Vec<u8>,
 }
 
@@ -122,6 +142,7 @@
     let mut violations = exits(history);
     violations.extend(history.attempts.iter().filter_map(|attempt| answer(history, attempt)));
     violations.extend(recovery(history));
+    violations.extend(still(history).0);
     for (job, attempts) in &mut by_job {
         attempts.sort_by_key(|attempt| attempt.sent);
         violations.extend(questions(job, attempts));
@@ -279,17 +300,20 @@
         Outcome::Answered(200, Some(state)) if attempt.kind != Kind::Submit => Some(state.as_str()),
         _ => None,
     });
-    let is_done = |unit: &String| {
-        let runs = runs.get(unit.as_str()).into_iter().flatten();
+    let is_done = |unit: &Unit| {
+        let runs = runs.get(unit.name.as_str()).into_iter().flatten();
         runs.filter_map(|run| run.end).any(|(_, how)| how == "done")
     };
-    let undone: Vec<_> = history.jobs[job].iter().filter(|unit| !is_done(unit)).collect();
+    let units = &history.jobs[job];
+    let undone: Vec<_> = units.iter().filter(|u| !is_done(u)).map(|u| &u.name).collect();
+    let lasts = units.iter().any(|unit| unit.lasts);
     match state {
         Some("completed") if undone.is_empty() => None,
         Some("completed") => {
             Some(violation("all units", None, format!("{job} is completed without {undone:?}")))
         }
         Some("canceled") if cancelled => None,
+        Some("running") if lasts && !cancelled => None,
         state => {
             let text = format!("{job} is {state:?}, cancelled at {cancelled_at:?}, not {undone:?}");
             Some(violation("end", None, text))
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -23,6 +23,8 @@
 const CANCEL_ATTEMPTS: usize = 5;
 /// Number of reads after which a client no longer waits for the end of a job.
 const END_ATTEMPTS: usize = 120;
+/// Most jobs of a client that last.
+const MAX_LASTING: usize = 2;
 /// Pause between two reads of a job that has not ended.
 const END_PAUSE: Duration = Duration::from_millis(500);
 const QUESTION_PAUSE: Duration = Duration::from_millis(300);
@@ -34,6 +36,8 @@
     pub stop: AtomicBool,
     pub attempts: Mutex<Vec<Attempt>>,
     pub jobs: Mutex<BTreeMap<String, Job>>,
+    /// Resources of a unit that ends, in thousandths of a core.
+    pub unit_cpu_milli: u64,
 }
 
 impl Shared {
@@ -52,13 +56,23 @@
     avoided: Option<u8>,
     submitted: u64,
     accepted: Vec<String>,
+    lasting: Vec<String>,
 }
 
 impl Client {
     pub fn new(shared: Arc<Shared>, seed: u64, number: u64) -> Client {
         let rng = StdRng::seed_from_u64(seed << 16 | number);
         let kept = (!number.is_multiple_of(3)).then(BTreeMap::new);
-        Client { number, rng, shared, kept, avoided: None, submitted: 0, accepted: Vec::new() }
+        Client {
+            number,
+            rng,
+            shared,
+            kept,
+            avoided: None,
+            submitted: 0,
+            accepted: Vec::new(),
+            lasting: Vec::new(),
+        }
     }
 
     pub fn now(&self) -> Duration {
@@ -73,6 +87,7 @@
                 (0..8, Some(job)) => drop(self.attempt(Kind::Read, &job, None)),
                 (8..10, Some(job)) => self.cancel(&job),
                 (10, Some(job)) => drop(self.attempt(Kind::Submit, &job, None)),
+                (11, _) if self.lasting.len() < MAX_LASTING => self.submit_lasting(),
                 _ => drop(self.submit(None)),
             }
             self.pause(20, 150);
@@ -86,9 +101,20 @@
     /// Submits a new job, to one edge or at each attempt to another one, until the outcome is
     /// known. Returns whether it was accepted.
     pub fn submit(&mut self, edge: Option<u8>) -> bool {
+        let job = Job::draw(&mut self.rng, self.shared.unit_cpu_milli);
+        self.submit_job(job, edge)
+    }
+
+    fn submit_lasting(&mut self) {
+        let job = Job::draw_lasting(&mut self.rng);
+        if self.submit_job(job, None) {
+            self.lasting.extend(self.accepted.last().cloned());
+        }
+    }
+
+    fn submit_job(&mut self, job: Job, edge: Option<u8>) -> bool {
         self.submitted += 1;
         let id = format!("{:08x}{:08x}", self.number, self.submitted);
-        let job = Job::draw(&mut self.rng);
         self.shared.jobs.lock().unwrap().insert(id.clone(), job);
         for _ in 0..SUBMIT_ATTEMPTS {
             match self.attempt(Kind::Submit, &id, edge) {
@@ -126,10 +152,33 @@
         }
     }
 
-    /// Waits until the jobs that this client submitted have ended.
+    /// Waits until the jobs that this client submitted have ended, but for those that last.
     pub fn wait_for_ends(&mut self) {
+        let jobs = self.accepted.iter().filter(|job| !self.lasting.contains(job));
+        self.wait_for(jobs.cloned().collect());
+    }
+
+    /// Cancels every other one of the jobs that last, and reads the state of the others.
+    pub fn end_lasting(&mut self) {
+        let (mut cancelled, mut kept) = (Vec::new(), Vec::new());
+        for (number, job) in self.lasting.clone().into_iter().enumerate() {
+            if number % 2 == 0 { cancelled.push(job) } else { kept.push(job) }
+        }
+        cancelled.iter().for_each(|job| self.cancel(job));
+        self.wait_for(cancelled);
+        for job in kept {
+            for _ in 0..QUESTION_ATTEMPTS {
+                if matches!(self.attempt(Kind::Read, &job, None), Outcome::Answered(200, Some(_))) {
+                    break;
+                }
+                std::thread::sleep(QUESTION_PAUSE);
+            }
+        }
+    }
+
+    fn wait_for(&mut self, jobs: Vec<String>) {
         let mut waits = 0;
-        for job in self.accepted.clone() {
+        for job in jobs {
             while waits < END_ATTEMPTS {
                 match self.attempt(Kind::Read, &job, None) {
                     Outcome::Answered(200, Some(state))
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -2,6 +2,7 @@
 
 use super::checker::{Exit, GRACE};
 use super::client::{HOST, Shared};
+use super::workers::Workers;
 use crate::system::{CONTROL, INTERNAL, PREFIX, System};
 use async_std::future::timeout;
 use async_std::task::block_on;
@@ -16,6 +17,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::os::unix::process::ExitStatusExt;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -44,6 +46,16 @@
     Hangup(u8),
     /// A new version of the configuration.
     Configure,
+    /// Kills workers at one moment; each starts again after a time, under its id, at its address
+    /// or another one.
+    RestartWorkers(Vec<(u64, Duration, bool)>),
+    StartWorker(u64, bool),
+    /// Kills a worker for good; after a time its instance has another one.
+    ReplaceWorker(u64, Duration),
+    StartSuccessor(u64),
+    /// A share of the orders to all workers, in percent, is carried out late for a span.
+    LateOrders(u32, Duration),
+    OrdersInTime,
 }
 
 /// Which processes are killed and started again at one moment at the end.
@@ -55,7 +67,13 @@
 }
 
 /// Draws faults for a span, each with its time; some begin before the ones before are over.
-pub fn schedule(rng: &mut StdRng, cores: u8, edges: u8, span: Duration) -> Vec<(Duration, Fault)> {
+pub fn schedule(
+    rng: &mut StdRng,
+    cores: u8,
+    edges: u8,
+    workers: u64,
+    span: Duration,
+) -> Vec<(Duration, Fault)> {
     let mut faults = Vec::new();
     let mut at = Duration::from_secs(1);
     let millis = |rng: &mut StdRng, from, to| Duration::from_millis(rng.random_range(from..to));
@@ -66,7 +84,8 @@
         let core = rng.random_range(1..=cores);
         let edge = rng.random_range(cores + 1..=cores + edges);
         let any = if rng.random_bool(0.3) { core } else { edge };
-        match rng.random_range(0..16) {
+        let worker = rng.random_range(0..workers);
+        match rng.random_range(0..24) {
             0..2 => {
                 let gap = millis(rng, 200, 2500);
                 faults.extend(roll(at, gap));
@@ -87,7 +106,21 @@
             }
             11 => faults.push((at, Fault::FreezeLeader(millis(rng, 300, 4000)))),
             12..14 => faults.push((at, Fault::Hangup(any))),
-            _ => faults.push((at, Fault::Configure)),
+            14..16 => faults.push((at, Fault::Configure)),
+            16..19 => faults.push((at, restart(rng, worker..=worker))),
+            19..21 => faults.push((at, restart(rng, 0..=workers - 1))),
+            21 => {
+                let mut again = at;
+                for _ in 0..rng.random_range(2..5) {
+                    faults.push((again, restart(rng, worker..=worker)));
+                    again += millis(rng, 300, 4000);
+                }
+            }
+            22 => faults.push((at, Fault::ReplaceWorker(worker, millis(rng, 0, 3000)))),
+            _ => {
+                let percent = rng.random_range(5..50);
+                faults.push((at, Fault::LateOrders(percent, millis(rng, 1000, 6000))));
+            }
         }
         at += millis(rng, 50, 1200);
     }
@@ -95,6 +128,15 @@
     faults
 }
 
+/// Draws for how long each of some workers is down, and whether it keeps its address.
+pub fn restart(rng: &mut StdRng, workers: RangeInclusive<u64>) -> Fault {
+    let draw = |number| {
+        let down = Duration::from_millis(rng.random_range(0..3000));
+        (number, down, rng.random_bool(0.5))
+    };
+    Fault::RestartWorkers(workers.map(draw).collect())
+}
+
 /// Longest time for which a signal waits until a process that has just been started handles it.
 const MAX_SIGNAL_DELAY: Duration = Duration::from_secs(1);
 
@@ -110,6 +152,7 @@
 /// The processes, what they were told and how they ended.
 pub struct Fleet {
     pub system: System,
+    pub workers: Option<Workers>,
     shared: Arc<Shared>,
     /// When each process that was told to stop was told so first.
     told: BTreeMap<u8, Duration>,
@@ -128,6 +171,7 @@
     pub fn new(system: System, shared: Arc<Shared>) -> Fleet {
         Fleet {
             system,
+            workers: None,
             shared,
             told: BTreeMap::new(),
             frozen: BTreeMap::new(),
@@ -153,18 +197,17 @@
             while faults.first().is_some_and(|(at, _)| start + *at <= self.shared.now()) {
                 let (at, fault) = faults.remove(0);
                 self.watch();
-                if let Some((span, thaw)) = self.bring_about(fault) {
-                    faults.push((at + span, thaw));
-                    faults.sort_by_key(|(at, _)| *at);
-                }
+                let next = self.bring_about(fault);
+                faults.extend(next.into_iter().map(|(span, fault)| (at + span, fault)));
+                faults.sort_by_key(|(at, _)| *at);
             }
             self.watch();
             std::thread::sleep(TICK);
         }
     }
 
-    /// Brings about a fault. Returns another one that has to follow after a span.
-    fn bring_about(&mut self, fault: Fault) -> Option<(Duration, Fault)> {
+    /// Brings about a fault. Returns those that have to follow, each after a span.
+    pub fn bring_about(&mut self, fault: Fault) -> Vec<(Duration, Fault)> {
         let now = self.shared.now();
         match fault {
             Fault::Term(host) => {
@@ -183,7 +226,7 @@
             Fault::FreezeLeader(span) => {
                 let leader = self.leader();
                 self.bring_about(Fault::Freeze(leader));
-                return Some((span, Fault::Thaw(leader)));
+                return vec![(span, Fault::Thaw(leader))];
             }
             Fault::Hangup(host) => {
                 let path = self.system.folder.path().join(format!("p{host}.yaml"));
@@ -194,8 +237,36 @@
                 let operator = self.configure();
                 self.operators.push(operator);
             }
+            fault => return self.disturb_workers(fault),
+        }
+        Vec::new()
+    }
+
+    fn disturb_workers(&mut self, fault: Fault) -> Vec<(Duration, Fault)> {
+        self.note(format!("{fault:?}"));
+        let Some(workers) = &mut self.workers else { return Vec::new() };
+        match fault {
+            Fault::RestartWorkers(restarts) => {
+                restarts.iter().for_each(|(number, ..)| workers.kill(*number));
+                let start = |(number, down, same): (u64, Duration, bool)| {
+                    (down, Fault::StartWorker(number, same))
+                };
+                return restarts.into_iter().map(start).collect();
+            }
+            Fault::StartWorker(number, same_address) => workers.start_again(number, same_address),
+            Fault::ReplaceWorker(number, down) => {
+                workers.kill(number);
+                return vec![(down, Fault::StartSuccessor(number))];
+            }
+            Fault::StartSuccessor(number) => workers.replace(number),
+            Fault::LateOrders(percent, span) => {
+                workers.set_late_percent(percent);
+                return vec![(span, Fault::OrdersInTime)];
+            }
+            Fault::OrdersInTime => workers.set_late_percent(0),
+            _ => {}
         }
-        None
+        Vec::new()
     }
 
     fn note(&mut self, text: String) {
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -1,12 +1,14 @@
 //! One planted fault for each promise; the checker has to find each.
 
-use super::checker::{Attempt, Exit, History, Kind, Outcome, Run, check};
+use super::checker::{Attempt, Exit, History, Kind, Life, Outcome, Run, check};
+use super::job::Unit;
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 use std::time::Duration;
 
 const EDGE: u8 = 4;
 const JOB: &str = "00000000000000a1";
+const WORKER: &str = "w0/0";
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -24,13 +26,19 @@
 fn run(job: &str, started: u64, ended: u64) -> Run {
     Run {
         unit: format!("{job}.0.0.0"),
-        worker: "w0".to_string(),
+        number: 1,
+        worker: WORKER.to_string(),
         started: at(started),
         end: Some((at(ended), "done")),
         acknowledged: true,
+        is_late: false,
     }
 }
 
+fn unit(job: &str, step: usize, lasts: bool) -> Unit {
+    Unit { name: format!("{job}.0.{step}.0"), step, cpu_milli: 200, lasts }
+}
+
 fn exit(told_at: Option<u64>, ended: u64, raw_status: i32) -> Exit {
     let status = Some(ExitStatus::from_raw(raw_status));
     Exit {
@@ -46,7 +54,7 @@
 /// Returns a history in which one job of one unit was done, and one edge was stopped.
 fn sound() -> History {
     History {
-        jobs: [(JOB.to_string(), [format!("{JOB}.0.0.0")].into())].into(),
+        jobs: [(JOB.to_string(), vec![unit(JOB, 0, false)])].into(),
         attempts: vec![
             attempt(Kind::Submit, JOB, 10_000, answered(503, "")),
             attempt(Kind::Submit, JOB, 10_500, answered(200, "")),
@@ -55,9 +63,13 @@
             attempt(Kind::Question, JOB, 14_000, answered(200, "completed")),
         ],
         runs: vec![run(JOB, 10_510, 10_900)],
+        lives: vec![Life { worker: WORKER.to_string(), from: at(0), to: None }],
         exits: vec![exit(Some(5000), 10_500, 0)],
         impairments: Vec::new(),
         faults_end: at(10_000),
+        traffic_end: at(11_000),
+        last_late: at(0),
+        observed_until: at(30_000),
         edges: vec![EDGE],
     }
 }
@@ -148,7 +160,10 @@
 
 #[test]
 fn a_completed_job_without_one_of_its_units_is_found() {
-    assert_found("all units", |history| history.runs[0].end = Some((at(10_900), "stopped")));
+    assert_found("all units", |history| {
+        history.runs[0].end = Some((at(10_900), "stopped"));
+        history.observed_until = at(20_000); // before work that stands still is judged
+    });
 }
 
 #[test]
@@ -193,3 +208,57 @@
     frozen.impairments.push((EDGE, at(2000), at(4000)));
     assert!(check(&frozen).is_empty(), "the process was frozen");
 }
+
+/// A job whose second unit begins at a time, after its first one has ended at 10.9 s.
+fn begins_at(history: &mut History, begin: u64) {
+    history.jobs.get_mut(JOB).unwrap().push(unit(JOB, 1, false));
+    let second = Run { unit: format!("{JOB}.0.1.0"), ..run(JOB, begin, begin + 100) };
+    history.runs.push(second);
+    history.attempts[4].sent = at(29_000);
+    history.attempts[4].ended = at(29_010);
+}
+
+#[test]
+fn a_job_that_stands_still_is_found() {
+    // Faults and traffic are over at 11 s, so that work stands too long from 25 s on.
+    assert_found("still", |history| begins_at(history, 28_000));
+    let mut sooner = sound();
+    begins_at(&mut sooner, 27_990);
+    assert!(check(&sooner).is_empty(), "{:?}", check(&sooner));
+}
+
+#[test]
+fn a_unit_whose_turn_has_not_come_or_that_has_no_room_does_not_stand_still() {
+    let mut full = sound();
+    begins_at(&mut full, 28_000);
+    full.lives[0].to = Some(at(27_000));
+    full.lives.push(Life { worker: "w0/1".to_string(), from: at(27_900), to: None });
+    assert!(check(&full).is_empty(), "{:?}", check(&full));
+    let mut used = sound();
+    begins_at(&mut used, 28_000);
+    let other = "00000000000000a2";
+    let large = Unit { cpu_milli: 4000, ..unit(other, 0, false) };
+    used.jobs.insert(other.to_string(), vec![large]);
+    used.attempts.push(attempt(Kind::Submit, other, 10_000, answered(200, "")));
+    used.attempts.push(attempt(Kind::Read, other, 29_500, answered(200, "completed")));
+    used.runs.push(run(other, 10_100, 29_000));
+    assert!(check(&used).is_empty(), "{:?}", check(&used));
+    let mut busy = sound();
+    begins_at(&mut busy, 28_000);
+    busy.runs[0].end = Some((at(26_000), "done"));
+    assert!(check(&busy).is_empty(), "{:?}", check(&busy));
+}
+
+#[test]
+fn work_that_lasts_and_is_not_placed_again_is_found() {
+    let lasting = |history: &mut History, again: u64| {
+        history.jobs.insert(JOB.to_string(), vec![unit(JOB, 0, true)]);
+        history.runs[0].end = Some((at(12_000), "lapsed"));
+        history.runs.push(Run { end: None, ..run(JOB, again, 0) });
+        history.attempts[4].outcome = answered(200, "running");
+    };
+    assert_found("still", |history| lasting(history, 21_000));
+    let mut sooner = sound();
+    lasting(&mut sooner, 20_990);
+    assert!(check(&sooner).is_empty(), "{:?}", check(&sooner));
+}
