Soak: ends are waited for as long as the pool has work beyond the traffic; many edges are stopped in the time of twelve

The time that the pool needs for the submitted work beyond the traffic is added; it is zero where the load is light. A rolling stop of more than twelve edges would have outlasted the soak.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -66,6 +66,9 @@
     Cores,
 }
 
+/// Edges up to which a rolling stop keeps its drawn gaps; more are stopped in the same time.
+const MAX_PACED_EDGES: u32 = 12;
+
 /// Draws faults for a span, each with its time; some begin before the ones before are over.
 pub fn schedule(
     rng: &mut StdRng,
@@ -78,6 +81,7 @@
     let mut at = Duration::from_secs(1);
     let millis = |rng: &mut StdRng, from, to| Duration::from_millis(rng.random_range(from..to));
     let roll = |at: Duration, gap: Duration| {
+        let gap = gap * MAX_PACED_EDGES / MAX_PACED_EDGES.max(edges.into());
         (0..edges).map(move |edge| (at + gap * u32::from(edge), Fault::Term(cores + 1 + edge)))
     };
     while at < span {
--- a/tests/soak/job.rs
+++ b/tests/soak/job.rs
@@ -46,6 +46,11 @@
         self.unit_ms.is_none()
     }
 
+    /// Returns the work of all units that end, in milliseconds of a thousandth of a core.
+    pub fn work(&self) -> u64 {
+        u64::from(self.steps.iter().sum::<u32>()) * self.unit_ms.unwrap_or(0) * self.cpu_milli
+    }
+
     pub fn body(&self) -> String {
         let step = |(number, count): (usize, &u32)| {
             let after: Vec<usize> = number.checked_sub(1).into_iter().collect();
