--- a/tests/soak/still.rs
+++ b/tests/soak/still.rs
@@ -36,8 +36,13 @@
     let mut judge = Judge::new(history);
     let mut violations = Vec::new();
     let mut longest: Option<Stand> = None;
+    let mut attempts: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+    for attempt in &history.attempts {
+        attempts.entry(&attempt.job).or_default().push(attempt);
+    }
     for (job, units) in &history.jobs {
-        let Some(open) = open_span(history, job) else { continue };
+        let of_job = attempts.get(job.as_str()).map_or(&[][..], Vec::as_slice);
+        let Some(open) = open_span(history, of_job) else { continue };
         let lasts = units.iter().any(|unit| unit.lasts);
         let stands =
             if lasts { judge.lasting_stands(units, open) } else { judge.stands(units, open) };
@@ -64,8 +69,8 @@
 }
 
 /// Returns the time from the acceptance of a job to its cancelling or the end of the observation.
-fn open_span(history: &History, job: &str) -> Option<Span> {
-    let of_job = || history.attempts.iter().filter(|attempt| attempt.job == job);
+fn open_span(history: &History, attempts: &[&Attempt]) -> Option<Span> {
+    let of_job = || attempts.iter().copied();
     let is_accepted =
         |a: &&Attempt| a.kind == Kind::Submit && matches!(a.outcome, Outcome::Answered(200, _));
     let accepted = of_job().filter(is_accepted).map(|attempt| attempt.ended).min()?;
