Sched: a new leader knows from the log which worker has replaced which

The log named the instance with both, but the new leader kept only the later worker for the instance, so that the successor's report replaced nobody. A list of instances would have told; there was no cloud.

Of two workers that the ledger names on an instance, the one that started later has replaced the other from the beginning of the leadership. The test failed before (with lists that are lost).

--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -473,16 +473,24 @@
         worker
     }
 
-    /// Records the instance that the ledger names for an incarnation, so that the next worker there
-    /// shows that this one doesn't return.
+    /// Records the instance that the ledger names for an incarnation. Of two workers on an instance the
+    /// one that started later has replaced the other.
     fn inherit_instance(&mut self, incarnation: &Incarnation, instance: &Option<InstanceId>) {
         let Some(instance) = instance else { return };
-        let Some(worker) = self.workers.get_mut(&incarnation.worker) else { return };
+        let id = &incarnation.worker;
+        let Some(worker) = self.workers.get_mut(id) else { return };
         worker.instance.get_or_insert_with(|| instance.clone());
-        let latest = self.worker_by_instance.get(instance).and_then(|id| self.workers.get(id));
+        let latest = self.worker_by_instance.get(instance).filter(|latest| *latest != id).cloned();
         let is_later = |other: &Worker| other.incarnation.started_at >= incarnation.started_at;
-        if !latest.is_some_and(is_later) {
-            self.worker_by_instance.insert(instance.clone(), incarnation.worker.clone());
+        let former = match latest {
+            Some(latest) if self.workers.get(&latest).is_some_and(is_later) => Some(id.clone()),
+            latest => {
+                self.worker_by_instance.insert(instance.clone(), id.clone());
+                latest
+            }
+        };
+        if let Some(former) = former {
+            self.on_replaced(&former);
         }
     }
 
--- a/crates/sched/tests/stalls.rs
+++ b/crates/sched/tests/stalls.rs
@@ -143,6 +143,33 @@
     assert_eq!(world.workers_running("a.0.0.0").len(), 1);
 }
 
+#[test]
+fn a_unit_does_not_wait_for_a_worker_whose_successor_on_its_instance_has_work_by_the_log() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(60.0));
+    world.run_times.insert("b".to_string(), seconds(8.0));
+    world.start_delay = seconds(60.0);
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = Some(1);
+    }
+    world.submit("q", "a", vec![step(1, 3000, 60_000)]);
+    world.run(TICK * 3);
+    let first = started_worker(&world);
+    world.crash_downtime = seconds(0.5);
+    world.crash(&first);
+    for worker in world.workers.values_mut() {
+        worker.omits_one_start_in = None;
+    }
+    world.submit("q", "b", vec![step(2, 6000, 8000)]);
+    run_checked(&mut world, seconds(2.0));
+    assert_eq!(world.workers_running("b.0.0.0").len() + world.workers_running("b.0.0.1").len(), 2);
+    world.trouble.loses_lists = true;
+    world.end_leadership();
+    world.begin_leadership(&BTreeSet::new());
+    run_checked(&mut world, seconds(8.0) + MAX_WAIT);
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1);
+}
+
 #[test]
 fn work_that_lasts_does_not_wait_for_a_copy_of_its_start_that_its_worker_refuses() {
     let mut world = World::new(3);
