Sched: a replaced worker whose address its successor has is left to that one's answer

A worker that is replaced by one at another address, or of which the leader knows no address, has no order that would show its end; one whose successor has its address is answered for by that one at the next poll, as before. Crashes go with the proposal that releases the runs, also those noticed by the decision itself.

a_step_of_many_deadly_units_does_not_take_its_pool_down failed before and passes, with the tests of stalls, holds and the review.

--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -491,6 +491,9 @@
         };
         if let Some(former) = former {
             self.on_replaced(&former);
+            if let Some(former) = self.workers.get_mut(&former) {
+                former.is_succeeded_elsewhere = true; // no address is known
+            }
         }
     }
 
@@ -624,6 +627,9 @@
                 previous.filter(|previous| previous != id && is_earlier(previous))
             {
                 self.on_replaced(&previous);
+                if let Some(previous) = self.workers.get_mut(&previous) {
+                    previous.is_succeeded_elsewhere = previous.address != Some(report.address);
+                }
             }
         }
     }
@@ -691,7 +697,6 @@
     /// per `PERIODIC_TASKS_INTERVAL`.
     pub fn decide(&mut self, time: Time, ledger: &Ledger) -> Output {
         self.time = time;
-        self.report_crashes(time, ledger);
         self.stop_broken_gangs(time, ledger);
         self.is_decision_deferred = time.monotonic < self.next_decision;
         if !self.superseded && !self.is_decision_deferred {
@@ -714,6 +719,7 @@
             }
             self.place(time, ledger);
         }
+        self.report_crashes(time, ledger); // in the proposal that releases the runs
         self.record_late_runs(time);
         self.record_settled(time);
         let mut proposals = std::mem::take(&mut self.commands);
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -184,7 +184,8 @@
                 worker.restart_suspected_at.take_if(|at| reply.sent_at >= *at);
                 worker.answer_owed_since.take_if(|at| reply.sent_at >= *at);
                 worker.polling.record_answer(time.monotonic);
-                (worker.lists_without, worker.is_replaced) = (0, false);
+                worker.lists_without = 0;
+                (worker.is_replaced, worker.is_succeeded_elsewhere) = (false, false);
                 worker.polling.record_listed_ends(&run_lists);
                 worker.polling.unanswered_polls = 0;
                 worker.polling.answered_at = Some(time.monotonic);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -391,6 +391,7 @@
         worker.lists_without = 0;
         worker.unnamed_at = None;
         worker.is_replaced = false;
+        worker.is_succeeded_elsewhere = false;
         worker.is_switched_off = false;
         let text = format!(
             "new incarnation started at {stated_start}, after {former}: {} runs discarded, {} starts \
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -272,6 +272,8 @@
     /// Another worker has answered at its address or reported from its instance since, so that it
     /// does not start again under its id there.
     pub is_replaced: bool,
+    /// The other worker is not at its address, so that no order to it shows its end.
+    pub is_succeeded_elsewhere: bool,
     /// Runs that are not placed on the worker, by unit name and run number.
     pub unplaced: BTreeMap<(String, RunNumber), Unplaced>,
     /// Its instance is switched off: it is in a standby pool and on its way to no other.
@@ -327,6 +329,7 @@
             restart_suspected_at: None,
             answer_owed_since: None,
             is_replaced: false,
+            is_succeeded_elsewhere: false,
             unplaced: BTreeMap::new(),
             is_switched_off: false,
             lists_without: 0,
@@ -513,10 +516,11 @@
     }
 
     /// Returns whether the worker owes an answer, or has not reported to this leader, and its instance is
-    /// gone or has another worker since it last answered. Nothing runs here then, whatever the lease.
+    /// gone or has another worker since it last answered. Nothing runs here then, whatever the lease. One
+    /// at its address answers for itself.
     pub fn is_gone(&self, now: Duration) -> bool {
         let is_listed_nowhere = self.instance.is_some() && self.lists_without >= GONE_AFTER_LISTS;
-        self.is_out_of_contact(now) && (self.is_replaced || is_listed_nowhere)
+        self.is_out_of_contact(now) && (self.is_succeeded_elsewhere || is_listed_nowhere)
     }
 
     /// Returns whether an instance list that was asked for since the worker was last heard shows it
