Sched: runs of a worker that is gone wait for the usual lease

The usual lease since the worker was last heard is waited for in any case now; only what goes beyond it ends earlier.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -66,8 +66,14 @@
         let mut silent = Vec::new();
         let mut owing = Vec::new();
         for (id, worker) in &mut self.workers {
-            let is_lost =
-                || worker.lease.is_expired(now) || worker.is_gone(now) || worker.is_vacated(now);
+            // The usual lease is waited for in any case: a crash is recorded by then, before its units
+            // run again.
+            let heard_at = worker.polling.heard_at.max(worker.reported_at);
+            let is_unheard = now >= heard_at.unwrap_or(self.began_at) + LEASE_DURATION;
+            let is_lost = || {
+                worker.lease.is_expired(now)
+                    || is_unheard && (worker.is_gone(now) || worker.is_vacated(now))
+            };
             if !worker.runs.is_empty() && is_lost() {
                 lost.push(id.clone());
             }
