Sched: instances are looked up only of workers that answer nothing

One suspect is work that grew with all workers, each 50 ms: a look-up of the instance for each worker that might be switched off. It is made now only for those that owe an answer. Decisions are the same; tests of stalls, still and holds pass. Whether it explains the difference is not shown by this commit.

--- a/crates/sched/src/scheduler/listing.rs
+++ b/crates/sched/src/scheduler/listing.rs
@@ -120,11 +120,13 @@
         let Some(config) = ledger.config() else { return };
         let is_standby = |pool| config.pools.get(pool).is_some_and(|pool| pool.standby);
         for worker in self.workers.values_mut() {
-            let instance = worker.instance.as_ref().and_then(|id| self.inventory.get(id));
-            worker.is_switched_off = worker.is_out_of_contact(time.monotonic)
-                && instance.is_some_and(|instance| {
+            worker.is_switched_off = false;
+            if worker.is_out_of_contact(time.monotonic) {
+                let instance = worker.instance.as_ref().and_then(|id| self.inventory.get(id));
+                worker.is_switched_off = instance.is_some_and(|instance| {
                     is_standby(&instance.pool) && !self.balance.moves_to_other(instance)
                 });
+            }
         }
     }
 
