Sched: the log names starts that may be carried out beside a placement

A unit is placed while a later incarnation of another worker may carry out an earlier start of it, as the present one refuses it. Two runs that follow from it could not be told from other ones: neither the placement nor the count of such placements was written. Now the decision names worker, incarnation, run and the time that is left, and a counter counts them.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -174,6 +174,8 @@
         metrics::counter!("scheduler_worker_crashes_total").absolute(effort.worker_crashes);
         metrics::counter!("scheduler_copies_total").absolute(effort.copies);
         metrics::counter!("scheduler_near_waits_total").absolute(effort.near_waits);
+        metrics::counter!("scheduler_placed_beside_late_starts_total")
+            .absolute(effort.placed_beside_late_starts);
         for answered in &output.answered {
             self.roster.record_answer(time.monotonic, answered);
         }
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -145,6 +145,8 @@
     pub near_waits: u64,
     /// Copies of units that were placed.
     pub copies: u64,
+    /// Units that were placed while another worker might carry out an earlier start of them.
+    pub placed_beside_late_starts: u64,
 }
 
 /// Scheduler state of one leadership.
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -12,7 +12,7 @@
 use crate::worker::{Run, RunState, Worker};
 use jobs::command::Placed;
 use jobs::definition::Resources;
-use jobs::{AccountName, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
+use jobs::{AccountName, Incarnation, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -495,6 +495,7 @@
         let queue = ledger.job(unit.job).map(|job| &job.queue);
         let expected = queue.map(|queue| self.estimator.expected(queue, step.estimate));
         let expected = scaled(expected.unwrap_or_default(), self.far_factor_on(id, step));
+        self.explain_late_starts_elsewhere(time, ledger, unit, *number, id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let placed_on = worker.incarnation.started_at;
         let mut run = Run::new(RunState::Proposed, step, placed_on, time.monotonic);
@@ -505,6 +506,35 @@
         self.placed_on.entry(*unit).or_default().insert(id.clone());
         self.end_waiting(unit);
     }
+
+    /// Explains that a unit is placed though another worker may carry out an earlier start of it.
+    fn explain_late_starts_elsewhere(
+        &mut self,
+        time: Time,
+        ledger: &Ledger,
+        unit: &UnitKey,
+        number: RunNumber,
+        id: &WorkerId,
+    ) {
+        let others = self.placed_on.get(unit).into_iter().flatten().filter(|other| *other != id);
+        let late = others.filter_map(|other| {
+            let worker = self.workers.get(other)?;
+            let (run, start) = worker.late_start_of(unit)?;
+            let left_ms = start.until.saturating_sub(time.monotonic).as_millis();
+            let Incarnation { worker: other, started_at } = &worker.incarnation;
+            Some(format!("run {run} on {other}, incarnation {started_at}, for {left_ms} ms"))
+        });
+        let late: Vec<String> = late.collect();
+        if !late.is_empty() {
+            self.effort.placed_beside_late_starts += 1;
+            let name = ledger.unit_name(unit).unwrap_or_default();
+            let text = format!(
+                "run {number} is placed on {id} while a later incarnation may carry out {}",
+                late.join("; ")
+            );
+            self.explain(name, text);
+        }
+    }
 }
 
 /// Returns the indices of a step's waiting units that may be placed now.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -567,6 +567,14 @@
         holding.map(|((_, run), _)| *run)
     }
 
+    /// Returns a run of the unit that is no longer placed here and whose start may still be carried out
+    /// here; `None` if there is none.
+    pub fn late_start_of(&self, unit: &UnitKey) -> Option<(RunNumber, &LateStart)> {
+        let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
+        let ((_, run), start) = starts.next_back().filter(|_| self.can_return())?;
+        Some((*run, start))
+    }
+
     /// Returns when a silent worker no longer holds a unit: all leases have expired, one that a late
     /// start was given included. `None` if the worker does not hold it.
     pub fn hold_end(&self, unit: &UnitKey, max_lease: Duration) -> Option<Duration> {
