--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -12,7 +12,9 @@
 use crate::worker::{Run, RunState, Worker};
 use jobs::command::Placed;
 use jobs::definition::Resources;
-use jobs::{AccountName, Incarnation, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId};
+use jobs::{
+    AccountName, Incarnation, Ledger, PoolName, RunNumber, Step, StepKey, UnitKey, WorkerId,
+};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
