Sched: a unit returns to the worker that may carry out an earlier start of it

Callers saw two runs of a unit at the same time, and units that did not run for 15 s beside free workers. A start without an answer that its worker refuses by now counted as no danger, and the unit was placed on another worker: a bet that the first one does not restart within 15 s, or that one of the runs can be stopped in time. It is lost while nobody leads, or while the other worker is cut off. When the first worker owed an answer, the bet was called off: the run elsewhere was stopped and its unit held for the copy of its own start, though its worker answered.

Now such a unit goes back to that worker, if it has room and did not leave all starts unanswered: whatever a restart lets it carry out then, the run that was there has ended with the incarnation before. A unit that was held because its run had begun there runs there again at once, once the worker lists the end of the run, as the incarnation that knows it refuses its starts; it is still held from all others. Units that may run in copies are not held at all.

--- a/crates/sched/src/late.rs
+++ b/crates/sched/src/late.rs
@@ -34,8 +34,13 @@
     /// Whether the present incarnation, once it has obeyed this leader, is known to refuse the start:
     /// it has listed the end of the run or confirmed its stop, or the start has a lower fence.
     pub is_refused: bool,
+    /// Whether no other incarnation than the present one can have carried it out so far. Once that one
+    /// refuses it, the unit may run there again.
+    pub may_return: bool,
     /// Whether the unit lasts until its job is cancelled.
     pub long_running: bool,
+    /// Whether the unit may run in copies, so that it waits for no start.
+    pub speculative: bool,
     /// Whether the start counts for the account of its job: it holds its unit, or a later incarnation
     /// may begin it. For a run of an earlier leader it is not known whether all starts were answered.
     pub uses_account: bool,
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -5,6 +5,7 @@
 
 use super::locality::Racks;
 use super::plan::{Draft, Locality, Placement, Plan};
+use super::waiting::Range;
 use super::{Scheduler, Time, Waiting, advice};
 use crate::place::{self, Candidate, Request};
 use crate::quota::{Allowance, Budget};
@@ -368,7 +369,12 @@
         for index in indices {
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
-            let Some(position) = self.best_candidate(request, candidates, &unit) else { break };
+            let Some(position) = self.best_candidate(request, candidates, &unit) else {
+                match self.range(&unit) {
+                    Range::Anywhere => break,
+                    _ => continue, // the next unit may have a place
+                }
+            };
             if let Some(terms) = &locality.terms {
                 let worker = candidates[position].worker;
                 if worker.is_slow && terms.avoids_slow(worker.speed_factor(time.monotonic)) {
@@ -452,8 +458,9 @@
         Vec::new()
     }
 
-    /// Returns the position of the feasible worker with the best score. Workers whose runs failed
-    /// lately, and then those to be avoided for the unit, are chosen only if no other is feasible.
+    /// Returns the position of the feasible worker with the best score. One that may carry out an earlier
+    /// start of the unit comes first, since the unit does not run beside it there. Workers whose runs
+    /// failed lately, and then those to be avoided for the unit, are chosen only if no other is feasible.
     fn best_candidate(
         &self,
         request: &Request<'_>,
@@ -465,17 +472,29 @@
         let begun = is_one_trial && candidates.iter().any(|candidate| candidate.tries(&key));
         let none = BTreeSet::new();
         let avoid = self.avoided_workers.get(unit).unwrap_or(&none);
+        let range = self.range(unit);
+        let is_in_range = |candidate: &Candidate<'_>| match range {
+            Range::Anywhere => true,
+            Range::Only(id) => candidate.id == id,
+            Range::Nowhere => false,
+        };
+        let returns_to = |candidate: &Candidate<'_>| {
+            let Some((_, start)) = candidate.worker.late_start_of(unit) else { return false };
+            // Work that lasts has no limit of attempts, but not all workers carry out its starts.
+            !avoid.contains(candidate.id) || request.step.long_running && start.holds_unit
+        };
         let crashes = |candidate: &Candidate<'_>| {
             request.trial.map_or(0, |trial| candidate.count_crashes(trial))
         };
         let best = candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| !begun || candidate.tries(&key))
+            .filter(|(_, candidate)| is_in_range(candidate) && (!begun || candidate.tries(&key)))
             .filter(|(_, candidate)| candidate.is_feasible(request))
             .max_by_key(|(_, candidate)| {
                 (
                     candidate.is_open(),
+                    returns_to(candidate),
                     !avoid.contains(candidate.id),
                     Reverse(crashes(candidate)),
                     place::score(candidate, request),
--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -312,6 +312,7 @@
         }
         self.adopt_ended_runs(ledger, id, &mut ends);
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.refuse_ended(&finished_runs);
         for key in &finished_runs {
             if let Some(run) = worker.runs.get_mut(key) {
                 run.confirm();
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -116,7 +116,7 @@
             return;
         }
         run.state = RunState::Ready;
-        if !self.is_held(&unit) {
+        if self.may_start_on(&unit, &incarnation.worker) {
             self.send_start(time, ledger, &incarnation.worker, unit, number);
         }
     }
@@ -334,14 +334,14 @@
                     RunState::Ready if time.monotonic >= run.placed_at + START_WINDOW => {
                         stops.push((key, Some(StopReason::UnansweredStart)));
                     }
-                    RunState::Ready if !silent && !self.is_held(unit) => starts.push(key),
+                    RunState::Ready if !silent && self.may_start_on(unit, id) => starts.push(key),
                     RunState::Unclear if !silent => {
                         if run.unanswered_starts >= MAX_UNANSWERED_STARTS
                             || time.monotonic >= run.placed_at + START_WINDOW
                         {
                             given_up.push((id.clone(), run.placed_at));
                             stops.push((key, Some(StopReason::UnansweredStart)));
-                        } else if !self.is_held(unit) {
+                        } else if self.may_start_on(unit, id) {
                             starts.push(key);
                         }
                     }
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -11,7 +11,7 @@
 use crate::worker::{RunState, StopReason, Worker};
 use jobs::command::{LateRun, RunKey};
 use jobs::definition::Resources;
-use jobs::{Ledger, RunNumber, UnitKey, UnixMs, WorkerId};
+use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -116,7 +116,8 @@
         for (key, late) in ledger.late_runs() {
             let (unit, _) = *key;
             let until = late_until(time, ledger, late.at, Duration::ZERO);
-            let Some(resources) = unit_resources(ledger, &unit) else { continue };
+            let Some(step) = step_of(ledger, &unit) else { continue };
+            let resources = step.reserved_resources();
             let worker = self.inherit_worker(time, ledger, &late.incarnation);
             let has_restarted = worker.incarnation.started_at > late.incarnation.started_at;
             worker.add_late_start(
@@ -126,7 +127,9 @@
                     until,
                     holds_unit: late.holds_unit || has_restarted,
                     is_refused: true, // by its fence
-                    long_running: is_long_running(ledger, &unit),
+                    may_return: !late.holds_unit && !has_restarted && !step.gang,
+                    long_running: step.long_running,
+                    speculative: step.speculative,
                     uses_account: true,
                 },
             );
@@ -272,14 +275,12 @@
     time.monotonic + left.min(LATE_ORDER_WINDOW)
 }
 
-fn is_long_running(ledger: &Ledger, unit: &UnitKey) -> bool {
-    let step =
-        ledger.job(unit.job).and_then(|job| job.definition.steps.get(usize::from(unit.step)));
-    step.is_some_and(|step| step.long_running)
+/// Returns the step of a unit; `None` if its job is not known.
+fn step_of<'a>(ledger: &'a Ledger, unit: &UnitKey) -> Option<&'a Step> {
+    ledger.job(unit.job)?.definition.steps.get(usize::from(unit.step))
 }
 
 /// Returns the resources that runs of a unit use; `None` if its job is not known.
 fn unit_resources(ledger: &Ledger, unit: &UnitKey) -> Option<Resources> {
-    let step = ledger.job(unit.job)?.definition.steps.get(usize::from(unit.step))?;
-    Some(step.reserved_resources())
+    Some(step_of(ledger, unit)?.reserved_resources())
 }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -12,6 +12,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Workers on which a unit may run while starts of its earlier runs may still be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Range<'a> {
+    /// All, as no start holds the unit.
+    Anywhere,
+    /// The one that may carry out the starts.
+    Only(&'a WorkerId),
+    /// None.
+    Nowhere,
+}
+
 impl Scheduler {
     /// Adds a job's declared work to the moving average of its queue.
     pub(super) fn record_job_work(&mut self, ledger: &Ledger, number: JobNumber) {
@@ -171,10 +182,35 @@
         }
     }
 
-    /// Returns whether a start of an earlier run of the unit may still be carried out.
+    /// Returns whether a unit waits for the starts of its earlier runs that may still be carried out.
     pub(super) fn is_held(&self, unit: &UnitKey) -> bool {
+        self.range(unit) == Range::Nowhere
+    }
+
+    /// Returns whether a start of a unit may be sent to a worker.
+    pub(super) fn may_start_on(&self, unit: &UnitKey, id: &WorkerId) -> bool {
+        match self.range(unit) {
+            Range::Anywhere => true,
+            Range::Only(only) => only == id,
+            Range::Nowhere => false,
+        }
+    }
+
+    /// Returns where a unit may run while starts of its earlier runs may still be carried out. A worker
+    /// that refuses them and may begin one only after a further restart, which ends what runs there,
+    /// may run the unit itself.
+    pub(super) fn range(&self, unit: &UnitKey) -> Range<'_> {
         let ids = self.placed_on.get(unit).into_iter().flatten();
-        ids.filter_map(|id| self.workers.get(id)).any(|worker| worker.holds_unit(unit))
+        let mut holders = ids.filter_map(|id| {
+            let worker = self.workers.get(id).filter(|worker| worker.holds_unit(unit))?;
+            Some((id, worker))
+        });
+        let Some((id, worker)) = holders.next() else { return Range::Anywhere };
+        let is_avoided = self.avoided_workers.get(unit).is_some_and(|ids| ids.contains(id));
+        match holders.next().is_none() && worker.takes_back(unit) && !is_avoided {
+            true => Range::Only(id),
+            false => Range::Nowhere,
+        }
     }
 
     /// Returns the criteria by which a step is ranked. Each occurrence of a scheduled
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -44,6 +44,8 @@
     pub long_running: bool,
     /// Whether the run works only together with others, which may be on several racks.
     pub is_gang: bool,
+    /// Whether its unit may run in copies.
+    pub speculative: bool,
     /// Whether the run uses only otherwise idle processor time.
     pub best_effort: bool,
     /// Upper bound for its tail latency; `None` unless the run serves requests.
@@ -495,7 +497,9 @@
             until,
             holds_unit: is_doubtful,
             is_refused,
+            may_return: !self.ended && !is_of_predecessor && !run.is_gang,
             long_running: run.long_running,
+            speculative: run.speculative,
             uses_account: is_doubtful || !has_begun && !run.has_ended,
         })
     }
@@ -604,9 +608,26 @@
     /// incarnation is about to be replaced by order.
     fn is_holding(&self, start: &LateStart) -> bool {
         let may_run_elsewhere = start.long_running && start.is_refused && !self.cordoned;
-        start.holds_unit && !may_run_elsewhere
+        let is_open = start.holds_unit && !may_run_elsewhere
             || self.may_have_restarted()
-            || !self.answered_under_fence
+            || !self.answered_under_fence;
+        is_open && !start.speculative
+    }
+
+    /// Returns whether the unit may run here again though late starts of it hold it: the present
+    /// incarnation refuses them, and no other can have carried one out.
+    pub fn takes_back(&self, unit: &UnitKey) -> bool {
+        let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
+        self.answered_under_fence
+            && !self.may_have_restarted()
+            && starts.all(|(_, start)| start.is_refused && start.may_return)
+    }
+
+    /// Records that the present incarnation lists the ends of runs, and so refuses starts of them.
+    pub fn refuse_ended(&mut self, ended: &BTreeSet<RunKey>) {
+        for (_, start) in self.late_starts.iter_mut().filter(|(key, _)| ended.contains(key)) {
+            start.is_refused = true;
+        }
     }
 
     /// Returns whether the worker may have started again without the leader's knowledge.
@@ -647,6 +668,7 @@
         for start in self.late_starts.values_mut() {
             start.holds_unit = true;
             start.is_refused = self.has_own_fence;
+            start.may_return = false;
         }
     }
 
@@ -856,6 +878,7 @@
             resources: step.reserved_resources(),
             long_running: step.long_running,
             is_gang: step.gang,
+            speculative: step.speculative,
             best_effort: step.best_effort,
             tail_latency_target: step.tail_latency_target,
             is_inherited: state == RunState::Inherited,
--- a/crates/sched/tests/returns.rs
+++ b/crates/sched/tests/returns.rs
@@ -134,11 +134,12 @@
     for worker in world.workers.values_mut() {
         (worker.loses_start_answers, worker.omits_one_start_in) = (false, None);
     }
-    world.workers.get_mut(&first).unwrap().polls_hang = true;
+    world.workers.get_mut(&first).unwrap().omits_one_poll_in = Some(1);
     while !world.workers_running("a.0.0.0").is_empty() {
         run_checked(&mut world, TICK); // stopped, as the first worker may have restarted
     }
-    world.workers.get_mut(&first).unwrap().polls_hang = false;
+    world.workers.get_mut(&first).unwrap().omits_one_poll_in = None;
     run_checked(&mut world, MAX_STILL);
-    assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.log.last());
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.starts);
+    assert!(world.starts_of("a.0.0.0").len() > 1);
 }
