Sched: work that lasts waits while a worker lists a run of it that is not placed there

Callers saw work that lasts twice on one worker: a late copy of its start was carried out by the next incarnation, and the unit was placed again while that run was being stopped, since work that lasts does not wait for a start which the present incarnation refuses. One that it lists it has not refused.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -567,7 +567,7 @@
     /// Returns the run whose late start holds a unit; `None` if none does.
     pub fn holding_run(&self, unit: &UnitKey) -> Option<RunNumber> {
         let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
-        let holding = starts.find(|(_, start)| self.can_return() && self.is_holding(start));
+        let holding = starts.find(|(_, start)| self.can_return() && self.is_holding(unit, start));
         holding.map(|((_, run), _)| *run)
     }
 
@@ -600,26 +600,34 @@
 
     /// Returns whether a late start holds any unit.
     pub fn holds_units(&self) -> bool {
-        self.late_starts.values().any(|start| self.is_holding(start))
+        self.late_starts.iter().any(|((unit, _), start)| self.is_holding(unit, start))
     }
 
     /// Returns whether the unit of a late start is not placed. Work that lasts does not wait for a start
     /// that the present incarnation refuses, as 15 s would be longer than it may be away, unless that
     /// incarnation is about to be replaced by order.
-    fn is_holding(&self, start: &LateStart) -> bool {
+    fn is_holding(&self, unit: &UnitKey, start: &LateStart) -> bool {
         let may_run_elsewhere = start.long_running && start.is_refused && !self.cordoned;
         let is_open = start.holds_unit && !may_run_elsewhere
             || self.may_have_restarted()
-            || !self.answered_under_fence;
+            || !self.answered_under_fence
+            || self.lists_unplaced(unit);
         is_open && !start.speculative
     }
 
+    /// Returns whether the worker lists a run of the unit that is not placed here, and so carried out a
+    /// late start of it.
+    fn lists_unplaced(&self, unit: &UnitKey) -> bool {
+        self.unplaced.values().any(|run| run.is_listed && run.unit == Some(*unit))
+    }
+
     /// Returns whether the unit may run here again though late starts of it hold it: the present
     /// incarnation refuses them, and no other can have carried one out.
     pub fn takes_back(&self, unit: &UnitKey) -> bool {
         let mut starts = self.late_starts.range((*unit, 0)..=(*unit, RunNumber::MAX));
         self.answered_under_fence
             && !self.may_have_restarted()
+            && !self.lists_unplaced(unit)
             && starts.all(|(_, start)| start.is_refused && start.may_return)
     }
 
@@ -698,7 +706,7 @@
         let all_listed_at = self.polling.all_listed_at.unwrap_or_default();
         let is_over = |unit: UnitKey, start: &LateStart| {
             now >= start.until
-                && (!self.is_holding(start)
+                && (!self.is_holding(&unit, start)
                     || !self.can_return()
                     || all_listed_at >= start.until && !is_listed(unit)
                     || self.was_vacant_after(start.until)
--- a/crates/sched/tests/returns.rs
+++ b/crates/sched/tests/returns.rs
@@ -52,6 +52,15 @@
     assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.starts);
 }
 
+/// Starts long work on another worker than the one given, which makes that the fullest one with room.
+fn fill_other(world: &mut World, worker: &str) {
+    let rack = world.workers[worker].report.rack().cloned();
+    let mut racks = world.workers.values().filter_map(|worker| worker.report.rack());
+    let other = racks.find(|other| Some(*other) != rack.as_ref()).cloned();
+    world.run_times.insert("b".to_string(), seconds(60.0));
+    world.submit("q", "b", vec![jobs::Step { requires: other, ..step(1, 1000, 60_000) }]);
+}
+
 /// Lets a leader be lost that has no answer to its start of a unit, which its worker has not carried
 /// out, and the next leader run the unit.
 fn place_after_change_of_leader(unit: jobs::Step) -> (World, String) {
@@ -70,13 +79,7 @@
     for worker in world.workers.values_mut() {
         worker.loses_start_answers = false;
     }
-    // Other work makes another worker the fullest one that has room.
-    let rack = world.workers[&worker].report.rack().cloned();
-    let other =
-        world.workers.values().find_map(|w| w.report.rack().filter(|r| Some(*r) != rack.as_ref()));
-    let beside = step(1, 1000, 60_000);
-    world.run_times.insert("b".to_string(), seconds(60.0));
-    world.submit("q", "b", vec![jobs::Step { requires: other.cloned(), ..beside }]);
+    fill_other(&mut world, &worker);
     let known = world.workers.keys().cloned().collect();
     world.run(seconds(0.5));
     world.begin_leadership(&known);
