Sched: a unit that waits for one worker is ready when that one takes it

A unit that only one worker may run counted as ready while that worker was cordoned or full: work was stopped for it in vain, the copies of its pool were not placed, others of its account waited, policies were asked.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -216,6 +216,10 @@
     /// start, and only a later one may carry it out.
     #[serde(rename = "holds", default, skip_serializing_if = "std::ops::Not::not")]
     pub holds_unit: bool,
+    /// Whether no other incarnation can have carried the start out by then and that one refuses it, so
+    /// that the unit may be placed there again. Processes from before the field existed ignore it.
+    #[serde(rename = "returns", default, skip_serializing_if = "std::ops::Not::not")]
+    pub may_return: bool,
     /// Instance of the worker; `None` if the leader doesn't know it.
     #[serde(rename = "machine", default, skip_serializing_if = "Option::is_none")]
     pub instance: Option<InstanceId>,
--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -710,7 +710,7 @@
                 self.expire_losses(time);
                 self.record_switched_off(time, ledger);
                 self.retry_orders(time, ledger);
-                self.release_held(time);
+                self.release_held(time, ledger);
                 self.run_maintenance(time, ledger);
                 self.update_claims(time, ledger);
                 self.balance(time, ledger);
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -60,9 +60,7 @@
             }
             _ => {}
         }
-        if run.stop_reason == Some(StopReason::Stuck)
-            || run.stop_reason == Some(StopReason::UnansweredStart)
-        {
+        if run.stop_reason.is_some_and(StopReason::shuns_worker) {
             self.avoided_workers.entry(*unit).or_default().insert(incarnation.worker.clone());
         }
         self.mark_broken_gang(ledger, unit);
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -9,7 +9,7 @@
 use crate::late::{LATE_ORDER_WINDOW, LateStart, SEND_WINDOW, Unplaced};
 use crate::order::{Order, RunStatus, Stop};
 use crate::worker::{RunState, StopReason, Worker};
-use jobs::command::{LateRun, RunKey};
+use jobs::command::{EndReason, LateRun, RunKey};
 use jobs::definition::Resources;
 use jobs::{Ledger, RunNumber, Step, UnitKey, UnixMs, WorkerId};
 use std::collections::BTreeSet;
@@ -72,15 +72,22 @@
     pub(super) fn record_late_runs(&mut self, time: Time) {
         for batch in [&mut self.batch, &mut self.adoptions] {
             let discarded = batch.discarded.iter().map(|discarded| (discarded.unit, discarded.run));
-            let ends = batch.ended.iter().flat_map(|list| &list.ends);
-            let ended = ends.filter_map(|end| Some((end.unit?, end.run)));
+            let ends = || batch.ended.iter().flat_map(|list| &list.ends);
+            let ended = ends().filter_map(|end| Some((end.unit?, end.run)));
+            let failed = ends().filter(|end| end.reason == EndReason::Failed);
+            let failed: BTreeSet<RunKey> =
+                failed.filter_map(|end| Some((end.unit?, end.run))).collect();
             for key in discarded.chain(ended).collect::<Vec<RunKey>>() {
                 let (unit, run) = key;
                 for id in self.placed_on.get(&unit).into_iter().flatten() {
                     let Some(worker) = self.workers.get(id) else { continue };
                     let entry = worker.runs.get(&key);
                     let start = entry.and_then(|run| worker.late_start(time.monotonic, run));
-                    if let Some(LateStart { holds_unit, .. }) = start {
+                    let is_shunned = failed.contains(&key)
+                        || entry.is_some_and(|run| {
+                            run.stop_reason.is_some_and(StopReason::shuns_worker)
+                        });
+                    if let Some(LateStart { holds_unit, is_refused, may_return, .. }) = start {
                         let incarnation = worker.incarnation.clone();
                         let (instance, at) = (worker.instance.clone(), time.wall);
                         batch.late.push(LateRun {
@@ -89,6 +96,7 @@
                             incarnation,
                             instance,
                             holds_unit,
+                            may_return: is_refused && may_return && !is_shunned,
                             at,
                         });
                     }
@@ -117,6 +125,7 @@
             let (unit, _) = *key;
             let until = late_until(time, ledger, late.at, Duration::ZERO);
             let Some(step) = step_of(ledger, &unit) else { continue };
+            let has_failed = ledger.unit(&unit).is_some_and(|unit| unit.failures > 0);
             let resources = step.reserved_resources();
             let worker = self.inherit_worker(time, ledger, &late.incarnation);
             let has_restarted = worker.incarnation.started_at > late.incarnation.started_at;
@@ -127,7 +136,8 @@
                     until,
                     holds_unit: late.holds_unit || has_restarted,
                     is_refused: true, // by its fence
-                    may_return: !late.holds_unit && !has_restarted && !step.gang,
+                    // The former leader may have avoided the worker, where the unit has failed.
+                    may_return: late.may_return && !has_restarted && !has_failed,
                     long_running: step.long_running,
                     speculative: step.speculative,
                     uses_account: true,
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -3,6 +3,7 @@
 //! Enqueues the units of a step once its dependencies are done and its occurrence is
 //! due, and computes the criteria by which waiting steps are ranked.
 
+use super::placing::MAX_SILENCE;
 use super::{JOB_WORK_WEIGHT, Scheduler, Time, Waiting};
 use crate::rank::{self, Criteria, Profile};
 use crate::worker::StopReason;
@@ -124,8 +125,9 @@
             return;
         }
         let key = unit.step_key();
-        let is_held = self.is_held(&unit);
-        let not_before = if is_held { Duration::MAX } else { time.monotonic + delay };
+        let is_held = self.range(&unit) != Range::Anywhere;
+        let is_placeable = self.is_placeable(time, ledger, &unit);
+        let not_before = if is_placeable { time.monotonic + delay } else { Duration::MAX };
         let is_waiting = self.waiting.get(&job.pool).is_some_and(|steps| steps.contains_key(&key));
         if !is_waiting {
             let profile = profile_of(&mut self.profiles, unit.job, job);
@@ -165,26 +167,43 @@
         }
     }
 
-    /// Lets waiting units be placed that no late start holds any more. All that are held are looked at,
-    /// so that none depends on the event that ended its hold.
-    pub(super) fn release_held(&mut self, time: Time) {
+    /// Lets waiting units be placed that no late start holds any more, or whose only worker takes them.
+    /// All that are held are looked at, so that none depends on the event that ended its hold.
+    pub(super) fn release_held(&mut self, time: Time, ledger: &Ledger) {
         let units: Vec<UnitKey> = self.held_since.keys().copied().collect();
         for unit in units {
-            if self.is_held(&unit) {
-                continue;
+            if self.range(&unit) == Range::Anywhere {
+                self.held_since.remove(&unit);
             }
-            self.held_since.remove(&unit);
+            let is_placeable = self.is_placeable(time, ledger, &unit);
             let waiting =
                 self.waiting.values_mut().filter_map(|steps| steps.get_mut(&unit.step_key()));
             for not_before in waiting.filter_map(|waiting| waiting.units.get_mut(&unit.index)) {
-                *not_before = time.monotonic.min(*not_before);
+                *not_before = match is_placeable {
+                    true => time.monotonic.min(*not_before),
+                    false => Duration::MAX,
+                };
             }
         }
     }
 
-    /// Returns whether a unit waits for the starts of its earlier runs that may still be carried out.
-    pub(super) fn is_held(&self, unit: &UnitKey) -> bool {
-        self.range(unit) == Range::Nowhere
+    /// Returns whether a unit may be placed as far as the starts of its earlier runs allow: at once or,
+    /// if only one worker may run it, as soon as that one has room.
+    fn is_placeable(&self, time: Time, ledger: &Ledger, unit: &UnitKey) -> bool {
+        let only = match self.range(unit) {
+            Range::Anywhere => return true,
+            Range::Nowhere => return false,
+            Range::Only(id) => &self.workers[id],
+        };
+        let Some(job) = ledger.job(unit.job) else { return false };
+        let step = &job.definition.steps[usize::from(unit.step)];
+        let is_in_pool = only.report.as_ref().is_some_and(|report| report.pool == job.pool);
+        is_in_pool
+            && only.is_available(time.monotonic, MAX_SILENCE)
+            && !only.polling.is_silent(time.monotonic)
+            && !only.health.is_in_backoff(time.monotonic)
+            && !only.has_probe()
+            && only.free_resources().covers(&step.reserved_resources())
     }
 
     /// Returns whether a start of a unit may be sent to a worker.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -112,6 +112,13 @@
     Displaced,
 }
 
+impl StopReason {
+    /// Returns whether the worker is avoided for the unit from then on.
+    pub fn shuns_worker(self) -> bool {
+        matches!(self, StopReason::Stuck | StopReason::UnansweredStart)
+    }
+}
+
 /// Why a run without a listed end counts as over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Absence {
