Sched: an end that a lost leader had placed anew counts under the next one

The end of a run that a successor of its worker carried out is placed anew on that successor, under a new number, in one entry of the log, and applied by the next one. If the lead was lost between the two, the next leader found an end of a run that was placed nowhere: the placement has another number, and the release of the former one names no late start. It wrote the end to the log, where it changed nothing, acknowledged it, discarded the placement and started the unit again.

Any end done of a unit that is not done is placed anew now, whether or not a late start of its run is known: what is listed as done is done, and the ledger still refuses it for a unit or job that is over. Members of gangs are left out, as before.

Evidence: a_unit_does_not_start_again_whose_end_at_a_successor_is_lost_with_the_leader fails before (unit 0 starts 2 times) and passes now.

--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -94,8 +94,8 @@
     }
 
     /// Places anew, on the incarnation that lists their ends, runs that the ledger places on an
-    /// earlier incarnation of the worker, and those done that it places nowhere, as their starts
-    /// were carried out late: the ledger applies an end only to a run of the incarnation that lists it.
+    /// earlier incarnation of the worker, and those done that it does not place there: the ledger
+    /// applies an end only to a run of the incarnation that lists it.
     pub(super) fn adopt_ended_runs(&mut self, ledger: &Ledger, id: &WorkerId, ends: &mut [End]) {
         let Some(incarnation) = self.workers.get(id).map(|worker| worker.incarnation.clone())
         else {
@@ -116,7 +116,7 @@
                     run
                 }
                 Some(_) => continue,
-                None => match late_run(ledger, worker, end, now) {
+                None => match unplaced_run(ledger, worker, end, now) {
                     Some(run) => run,
                     None => continue,
                 },
@@ -437,15 +437,15 @@
     }
 }
 
-/// Returns the run of an end `done` whose start was released and carried out late, unless its unit is
-/// done or a member of a gang, which is placed as a whole.
-fn late_run(ledger: &Ledger, worker: &Worker, end: &End, now: Duration) -> Option<Run> {
+/// Returns the run of an end `done` of a unit that is not done, unless that is a member of a gang, which
+/// is placed as a whole. Its placement was released, or the former leader placed it anew under another
+/// number and was lost before the end was in the log.
+fn unplaced_run(ledger: &Ledger, worker: &Worker, end: &End, now: Duration) -> Option<Run> {
     let unit = end.unit?;
     let is_open = ledger.unit(&unit).is_some_and(|unit| !unit.done);
-    let is_late = worker.late_starts.contains_key(&(unit, end.run));
     let job = ledger.job(unit.job).filter(|job| !job.state.is_final())?;
     let step = &job.definition.steps[usize::from(unit.step)];
-    let is_adopted = end.reason == EndReason::Done && is_open && is_late && !step.gang;
+    let is_adopted = end.reason == EndReason::Done && is_open && !step.gang;
     is_adopted.then(|| Run::new(RunState::Ending, step, worker.incarnation.started_at, now))
 }
 
--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -544,6 +544,28 @@
     }
 }
 
+#[test]
+fn a_unit_does_not_start_again_whose_end_at_a_successor_is_lost_with_the_leader() {
+    let mut world = World::new(2);
+    world.run_times.insert("a".to_string(), seconds(0.05));
+    world.restart("w0", world::TICK);
+    world.restart("w1", world::TICK);
+    world.run(world::TICK);
+    world.submit("q", "a", vec![step(4, 1000, 50)]);
+    // The runs are placed anew on the successors by then.
+    world.ends_before =
+        Some(|command| matches!(command, Command::Runs(batch) if !batch.ended.is_empty()));
+    run_checked(&mut world, seconds(1.0));
+    assert!(world.ends_before.is_none(), "no end was listed");
+    let known = world.workers.keys().cloned().collect();
+    world.begin_leadership(&known);
+    run_checked(&mut world, seconds(20.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    for index in 0..4 {
+        assert_eq!(world.starts_of(&format!("a.0.0.{index}")).len(), 1, "unit {index}");
+    }
+}
+
 #[test]
 fn a_unit_of_a_deleted_instance_does_not_wait_for_a_late_start() {
     let mut world = World::new(3);
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -111,6 +111,8 @@
     roster: Roster,
     /// Between two leaders nothing is decided, polled or reported.
     has_leader: bool,
+    /// The leadership ends before the first proposal for which this holds is committed.
+    pub ends_before: Option<fn(&Command) -> bool>,
     /// Restarted workers state their start by a wall clock that is wrong by this much; `None` for a
     /// count of all starts.
     pub wall_clock_error_ms: Option<i64>,
@@ -244,6 +246,7 @@
             uses_roster: false,
             roster: Roster::default(),
             has_leader: true,
+            ends_before: None,
             wall_clock_error_ms: None,
             restarting: BTreeMap::new(),
             first_reports: BTreeMap::new(),
@@ -334,6 +337,10 @@
             self.roster.record_answer(self.now, answered);
         }
         for command in output.proposals {
+            if self.ends_before.take_if(|is_lost| is_lost(&command)).is_some() {
+                self.end_leadership();
+                return Vec::new();
+            }
             self.apply(command);
         }
         output.orders
