Sched: an instance's worker is found after its former one is known to have ended

Callers saw maintenance end a run of work that was to be waited for. The worker of an instance is the one that started last, by the start times that workers state. One whose wall clock was set back, under another id, states an earlier start than its predecessor; while that is known the newcomer is not recorded, and its later reports, which say nothing new, were not looked at again once the predecessor was known to have ended. So the instance went into maintenance as one that runs nothing.

Reports that say nothing new are now compared with the instance's worker too. What counts as the later one does not change.

--- a/crates/sched/src/scheduler/mod.rs
+++ b/crates/sched/src/scheduler/mod.rs
@@ -564,6 +564,8 @@
         worker.has_left = false;
         worker.cordoned |= worker.report.is_none() && is_wanted;
         if worker.report.as_ref().is_some_and(|last| last.describes_same_worker(report)) {
+            // The instance's former worker may be known to have ended only since the first report.
+            self.record_instance_worker(report);
             return;
         }
         let capacity = worker.report.as_ref().map(|last| last.capacity);
