Sched: an open poll does not hide how long a trial goes on

A job is shown as failed after four crashes with recent runs on more than one instance. How long a run went on is known up to the last answer of its worker. Trials are polled each 0.1 s for that, but a long poll that was open when the trial began was waited for first, up to 0.8 s, so that a crash 0.44 s after the start counted as one at the start (0 ms).

Once a trial has begun, an open poll with a longer wait is replaced after 0.1 s. Not at once: the end of its connection shows a crash at the start, and with a replacement at once a_step_of_many_deadly_units_does_not_take_its_pool_down failed.

The new test failed before, in phase 5 of 16 (all four crashes at 0 ms), and passes.

--- a/crates/sched/src/scheduler/poll.rs
+++ b/crates/sched/src/scheduler/poll.rs
@@ -90,6 +90,7 @@
             } else if worker.comes_to_owe_answer(now) {
                 owing.push(id.clone());
             }
+            worker.polling.replace_long_poll(now, MAX_WAIT_ON_TRIAL);
             if worker.polling.sent_at.is_some() || now < worker.polling.next_at {
                 continue;
             }
@@ -116,6 +117,7 @@
             let lease_end_ms = if extend_lease { worker.lease.extend(now, lease) } else { None };
             let acknowledged_through = worker.acknowledge(committed_through);
             worker.polling.sent_at = Some(now);
+            worker.polling.replace_at = None;
             worker.polling.max_wait = max_wait;
             worker.polling.grants_lease = lease_end_ms.is_some();
             let poll = Poll {
@@ -230,6 +232,14 @@
         }
     }
 
+    /// Limits the wait of an open poll to a worker on which a trial has begun. A later crash would look
+    /// like one at the start of the trial. The poll is not replaced at once, as the end of its connection
+    /// is what shows a crash at the start.
+    pub(super) fn observe_trial(&mut self, time: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.polling.replace_at = Some(time.monotonic + MAX_WAIT_ON_TRIAL);
+    }
+
     /// Records a poll without a usable answer and delays the next one.
     fn record_unanswered_poll(&mut self, time: Time, id: &WorkerId) {
         self.record_unanswered(time, id);
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -194,9 +194,13 @@
                 run.state = RunState::Running;
                 run.started_at = Some(time.monotonic);
                 run.progress = (0, time.monotonic);
+                let is_trial = run.is_trial;
                 if run.settle(time.monotonic) {
                     self.settled.push((unit, number));
                 }
+                if is_trial {
+                    self.observe_trial(time, &id);
+                }
                 self.record_begun(ledger, unit.job);
             }
             Answer::Unknown if is_unsent && run.unanswered_starts == 0 => {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -158,6 +158,8 @@
 pub struct Polling {
     /// When the open poll was sent; `None` if none is open.
     pub sent_at: Option<Duration>,
+    /// When the open poll is replaced by one with a shorter wait; `None` if it is not.
+    pub replace_at: Option<Duration>,
     /// Longest wait of the open or the last poll.
     pub max_wait: Duration,
     /// Number of the last end that the open poll acknowledges; 0 for none.
@@ -203,6 +205,15 @@
         self.next_at = Duration::ZERO;
     }
 
+    /// Counts the open poll as one without an answer if it is due to be replaced and its wait is longer
+    /// than `longest_wait`.
+    pub fn replace_long_poll(&mut self, now: Duration, longest_wait: Duration) {
+        let is_due = self.replace_at.take_if(|at| now >= *at).is_some();
+        if is_due && self.sent_at.is_some() && self.max_wait > longest_wait {
+            self.abandon();
+        }
+    }
+
     /// Records which ends the worker still lists, and so which ones it has forgotten.
     pub fn record_listed_ends(&mut self, run_lists: &RunLists) {
         let first_listed = run_lists.finished.iter().map(|end| end.number).min();
--- a/crates/sched/tests/crashes.rs
+++ b/crates/sched/tests/crashes.rs
@@ -250,6 +250,30 @@
     assert_eq!(world.state("q", "a"), State::Running);
 }
 
+/// Guards against a job that is shown as failed since a poll that was open when a trial began hid how
+/// long the run went on.
+#[test]
+fn crashes_at_different_times_after_the_start_fail_no_job_where_polls_are_open() {
+    for phase in 0..16 {
+        let mut world = World::new(8);
+        world.submit("q", "keep", vec![long_running(8, 1000)]);
+        world.run(seconds(6.0) + phase * Duration::from_millis(50));
+        submit(&mut world, "a", 2000, vec![step(1, 1000, 2000)]);
+        for (crashes, survived) in [0.08, 0.24, 0.44, 0.13].into_iter().enumerate() {
+            while world.starts_of("a.0.0.0").len() <= crashes {
+                world.run(TICK);
+                assert!(world.now < seconds(300.0), "{:?}", world.state("q", "a"));
+            }
+            world.run(seconds(survived));
+            let id = world.workers_running("a.0.0.0")[0].clone();
+            world.crash(&id);
+        }
+        world.run(seconds(30.0));
+        let job = world.ledger.find_job(&"q".to_string(), "a").unwrap();
+        assert_eq!(job.state, State::Completed, "phase {phase}: {:#?}", job.explain());
+    }
+}
+
 #[test]
 fn a_suspected_unit_is_tried_where_every_worker_has_long_running_work() {
     let mut world = World::new(3);
