--- a/crates/sched/tests/incarnations.rs
+++ b/crates/sched/tests/incarnations.rs
@@ -747,6 +747,35 @@
     }
 }
 
+#[test]
+fn a_late_acknowledgement_does_not_erase_the_end_of_a_late_start_while_there_is_no_leader() {
+    let mut world = World::new(1);
+    world.run_times.insert("b".to_string(), seconds(0.05));
+    world.run_times.insert("a".to_string(), seconds(0.05));
+    world.submit("q", "b", vec![step(8, 1000, 50)]);
+    while world.state("q", "b") != State::Completed {
+        world.run(world::TICK);
+    }
+    let worker = world.workers.get_mut("w0").unwrap();
+    (worker.omits_one_poll_in, worker.omits_one_start_in) = (Some(1), Some(1));
+    world.run(seconds(0.1)); // the acknowledgement is under way
+    world.submit("q", "a", vec![step(1, 1000, 50)]);
+    world.run(seconds(0.1));
+    world.end_leadership();
+    world.restart("w0", seconds(0.3));
+    let worker = world.workers.get_mut("w0").unwrap();
+    (worker.omits_one_poll_in, worker.omits_one_start_in) = (None, None);
+    run_checked(&mut world, seconds(0.4));
+    world.start_late("w0", "a.0.0.0", 1);
+    run_checked(&mut world, seconds(4.0));
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1);
+    let known = world.workers.keys().cloned().collect();
+    world.begin_leadership(&known);
+    run_checked(&mut world, seconds(30.0));
+    assert_eq!(world.state("q", "a"), State::Completed);
+    assert_eq!(world.starts_of("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
+
 #[test]
 fn an_acknowledgement_after_the_report_of_a_successor_does_not_erase_its_ends() {
     let mut world = World::new(1);
