Sched tests: a unit that failed beside a late copy of its start stands still

Callers saw units that did not run for up to 15 s beside free workers though the worker of their last run answered.

The unit may go back to that worker only, and that worker is avoided, as the unit failed there: so it may run nowhere. Under the next leader it is held as the log says only that it waits, by reading.

--- a/crates/sched/tests/returns.rs
+++ b/crates/sched/tests/returns.rs
@@ -3,6 +3,7 @@
 
 mod world;
 
+use jobs::command::EndReason;
 use std::time::Duration;
 use world::{TICK, World, long_running, step};
 
@@ -143,3 +144,35 @@
     assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.starts);
     assert!(world.starts_of("a.0.0.0").len() > 1);
 }
+
+/// Lets a run end `failed` while a copy of its start is under way.
+fn fail_beside_late_copy(world: &mut World) {
+    world.run_times.insert("a".to_string(), seconds(60.0));
+    world.start_delay = seconds(60.0);
+    let id = begin_beside_late_copy(world, step(1, 2000, 60_000));
+    let worker = world.workers.get_mut(&id).unwrap();
+    let run = *worker.runs.keys().map(|(_, run)| run).next().unwrap();
+    worker.runs.clear();
+    worker.end("a.0.0.0".to_string(), run, EndReason::Failed);
+}
+
+#[test]
+fn a_unit_that_failed_beside_a_late_copy_of_its_start_does_not_stand_still() {
+    let mut world = World::new(3);
+    fail_beside_late_copy(&mut world);
+    run_checked(&mut world, MAX_STILL);
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
+
+#[test]
+fn a_unit_that_failed_beside_a_late_copy_does_not_stand_still_after_a_change_of_leader() {
+    let mut world = World::new(3);
+    fail_beside_late_copy(&mut world);
+    run_checked(&mut world, seconds(0.3)); // the end is in the log
+    world.end_leadership();
+    let known = world.workers.keys().cloned().collect();
+    world.run(seconds(0.5));
+    world.begin_leadership(&known);
+    run_checked(&mut world, MAX_STILL);
+    assert_eq!(world.workers_running("a.0.0.0").len(), 1, "{:?}", world.starts);
+}
