Sched: a stop without an answer is sent again only while its step may miss the unit

Callers of work that lasts lost more of its units at once than they allow (AVAIL): a stop that was right when it was first sent got no answer, another unit of the step went away meanwhile, and the stop was sent again every 0.6 s, until it ended the unit.

Now such a stop is judged again, like a first one: that of a wave or of an earlier start elsewhere, and that of an unanswered start whose run is listed at work. It is withheld while too many others are away, and sent as soon as that is over, at once for a cancelled job, a worker that drains or another incarnation. Stops of two units don't wait for each other: a unit with a higher number counts as available while its worker lists it, so the one with the lowest number waits for none. An instance with a withheld stop counts as blocked, so that an overdue wave gives it work again.

--- a/crates/sched/src/scheduler/maintenance.rs
+++ b/crates/sched/src/scheduler/maintenance.rs
@@ -10,7 +10,7 @@
 use crate::instance::{Instance, State};
 use crate::late::{LATE_ORDER_WINDOW, SEND_WINDOW};
 use crate::order::{Answer, Maintenance as MaintenanceOrder, Order, Refusal};
-use crate::worker::{RunState, StopReason};
+use crate::worker::{Run, RunState, StopReason};
 use jobs::command::{Command, MaintenanceChange};
 use jobs::wave::Phase;
 use jobs::{Incarnation, InstanceId, Ledger, PoolName, RunNumber, UnitKey, WaveId, WorkerId};
@@ -532,10 +532,12 @@
         let Some(id) = self.worker_of(instance) else { return false };
         let Some(evacuation) = self.maintenance.evacuating.get_mut(instance) else { return false };
         let runs = || self.workers[&id].runs.values().filter(|run| run.long_running);
-        let is_stopping = runs().any(|run| run.is_stopping_or_ending());
+        let is_withheld = |run: &Run| run.is_stop_open() && run.stop_withheld_at.is_some();
+        let is_stopping = runs().any(|run| run.is_stopping_or_ending() && !is_withheld(run));
         evacuation.has_stopped |= is_stopping;
         // What could be stopped is being stopped by now.
-        if is_stopping || !runs().any(|run| run.state == RunState::Running) {
+        let may_be_at_work = |run: &Run| run.state == RunState::Running || is_withheld(run);
+        if is_stopping || !runs().any(may_be_at_work) {
             evacuation.blocked_since = None;
             return false;
         }
@@ -669,21 +671,60 @@
         ledger: &Ledger,
         unit: &UnitKey,
         without: Option<&WorkerId>,
+    ) -> bool {
+        self.may_lack(ledger, unit, |id, _, run| {
+            Some(id) != without && run.state == RunState::Running
+        })
+    }
+
+    /// Whether a stop without an answer may be sent again: others of the step may have gone since it was
+    /// sent. Where stops of several units of a step have no answer, a unit with a higher number
+    /// counts as available while it is listed, so that no two wait for each other.
+    pub(super) fn may_repeat_stop(
+        &mut self,
+        ledger: &Ledger,
+        id: &WorkerId,
+        unit: UnitKey,
+        number: RunNumber,
+    ) -> bool {
+        let Some(worker) = self.workers.get(id) else { return true };
+        let Some(run) = worker.runs.get(&(unit, number)) else { return true };
+        let is_draining = worker.report.as_ref().is_some_and(|report| report.draining);
+        let is_wanted = ledger.job(unit.job).is_some_and(|job| !job.state.is_final());
+        let may_wait = match run.stop_reason {
+            Some(StopReason::Leaving | StopReason::EarlierStart) => true,
+            Some(StopReason::UnansweredStart) => run.is_at_work(),
+            _ => false,
+        };
+        let is_on_present = run.placed_on == worker.incarnation.started_at;
+        if !(may_wait && run.is_stop_open() && is_on_present && is_wanted) || is_draining {
+            return true;
+        }
+        self.may_lack(ledger, &unit, |_, other, run| {
+            run.state == RunState::Running || run.is_stop_open() && other.index > unit.index
+        })
+    }
+
+    /// Whether a step may lack a unit: fewer others than `max_unavailable` are unavailable. One is available
+    /// only if its worker answers and lists it at 100 percent, in a run that `counts`.
+    fn may_lack(
+        &mut self,
+        ledger: &Ledger,
+        unit: &UnitKey,
+        counts: impl Fn(&WorkerId, &UnitKey, &Run) -> bool,
     ) -> bool {
         let Some(job) = ledger.job(unit.job) else { return true };
         let step = &job.definition.steps[usize::from(unit.step)];
         let Some(max_unavailable) = step.max_unavailable else { return true };
         let key = unit.step_key();
         let mut available_units = BTreeSet::new();
-        let mut runs = self.find_runs(key.unit(0)..=key.unit(u32::MAX));
-        runs.retain(|(id, _, _)| Some(id) != without);
-        for (id, other, number) in runs {
+        for (id, other, number) in self.find_runs(key.unit(0)..=key.unit(u32::MAX)) {
             let worker = &self.workers[&id];
             let run = &worker.runs[&(other, number)];
-            let available = run.state == RunState::Running && run.progress.0 >= 100;
+            let is_at_work = run.progress.0 >= 100 && counts(&id, &other, run);
             let is_heard =
                 worker.polling.unanswered == 0 && !worker.is_unheard(self.time.monotonic);
-            if available && worker.answered_under_fence && is_heard {
+            if is_at_work && worker.answered_under_fence && is_heard {
                 available_units.insert(other.index);
             }
         }
--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -273,10 +273,24 @@
         let Some(entry) = worker.runs.get_mut(&(unit, run)) else { return };
         if let RunState::Stopping { sent, .. } = &mut entry.state {
             *sent = Some(time.monotonic);
+            entry.stop_withheld_at = None;
             self.orders.push(Order::Stop(destination, Stop { unit, name, run, fence }));
         }
     }
 
+    /// Leaves a stop unsent that is due again.
+    pub(super) fn withhold_stop(
+        &mut self,
+        time: Time,
+        id: &WorkerId,
+        unit: UnitKey,
+        run: RunNumber,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(entry) = worker.runs.get_mut(&(unit, run)) else { return };
+        entry.stop_withheld_at = Some(time.monotonic);
+    }
+
     /// Discards the runs of an incarnation that has certainly ended.
     pub(super) fn discard_all(&mut self, time: Time, id: &WorkerId, reason: &str) {
         self.discard_where(time, id, Absence::Ended, reason, |_| true);
--- a/crates/sched/src/scheduler/starts.rs
+++ b/crates/sched/src/scheduler/starts.rs
@@ -345,8 +345,8 @@
                             starts.push(key);
                         }
                     }
-                    RunState::Stopping { sent, .. }
-                        if sent.is_none_or(|at| time.monotonic >= at + STOP_RETRY_DELAY) =>
+                    RunState::Stopping { .. }
+                        if run.is_stop_due(time.monotonic, STOP_RETRY_DELAY) =>
                     {
                         stops.push((key, None));
                     }
@@ -378,7 +378,10 @@
         for ((id, unit, number), reason) in stops {
             match reason {
                 Some(reason) => self.stop(time, ledger, &id, unit, number, reason),
-                None => self.send_stop(time, ledger, &id, unit, number),
+                None if self.may_repeat_stop(ledger, &id, unit, number) => {
+                    self.send_stop(time, ledger, &id, unit, number);
+                }
+                None => self.withhold_stop(time, &id, unit, number),
             }
         }
         self.retry_unplaced_stops(time);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -86,6 +86,9 @@
     pub has_ended: bool,
     /// Why the run is being stopped; `None` if it is not.
     pub stop_reason: Option<StopReason>,
+    /// When its stop was last due again and was not sent, for the sake of other units of its step;
+    /// `None` if it was sent since.
+    pub stop_withheld_at: Option<Duration>,
     /// Why the run is discarded; `None` if it is not.
     pub absence: Option<Absence>,
     /// Whether the unit is suspected of crashing its workers, so that nothing else is started beside
@@ -897,6 +900,7 @@
             measurement: 0,
             has_ended: false,
             stop_reason: None,
+            stop_withheld_at: None,
             absence: None,
             is_trial: false,
         }
@@ -993,6 +997,17 @@
         self.absence = Some(absence);
     }
 
+    /// Returns whether a stop without an answer has to be sent again.
+    pub fn is_stop_due(&self, now: Duration, retry_delay: Duration) -> bool {
+        let RunState::Stopping { sent, .. } = self.state else { return false };
+        sent.max(self.stop_withheld_at).is_none_or(|at| now >= at + retry_delay)
+    }
+
+    /// Returns whether a stop was sent, or is about to be, that the worker has not confirmed.
+    pub fn is_stop_open(&self) -> bool {
+        matches!(self.state, RunState::Stopping { acknowledged: None, .. })
+    }
+
     /// Returns whether the run is being stopped or has ended.
     pub fn is_stopping_or_ending(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. } | RunState::Ending)
