Sched: a unit returns to a worker that left its start unanswered rather than wait for it

Which worker a unit prefers is one matter, and which ones may run it another: it is now barred from its worker only after a failed or stuck run, as attempts are limited.

--- a/crates/sched/src/scheduler/runs.rs
+++ b/crates/sched/src/scheduler/runs.rs
@@ -53,6 +53,7 @@
                 return;
             }
             Some(EndReason::Failed) => {
+                worker.bar_return(unit);
                 // Work that lasts may fail at any time; what tells of the worker is whether it starts.
                 if !run.is_at_work() && worker.health.record_failure(time.monotonic, run.placed_at)
                 {
@@ -65,6 +66,11 @@
             }
             _ => {}
         }
+        if run.stop_reason.is_some_and(StopReason::bars_return)
+            && let Some(worker) = self.workers.get_mut(&incarnation.worker)
+        {
+            worker.bar_return(unit);
+        }
         if run.stop_reason.is_some_and(StopReason::shuns_worker) {
             self.avoided_workers.entry(*unit).or_default().insert(incarnation.worker.clone());
         }
--- a/crates/sched/src/scheduler/unplaced.rs
+++ b/crates/sched/src/scheduler/unplaced.rs
@@ -83,10 +83,9 @@
                     let Some(worker) = self.workers.get(id) else { continue };
                     let entry = worker.runs.get(&key);
                     let start = entry.and_then(|run| worker.late_start(time.monotonic, run));
-                    let is_shunned = failed.contains(&key)
-                        || entry.is_some_and(|run| {
-                            run.stop_reason.is_some_and(StopReason::shuns_worker)
-                        });
+                    let reason = entry.and_then(|run| run.stop_reason);
+                    let is_barred =
+                        failed.contains(&key) || reason.is_some_and(StopReason::bars_return);
                     if let Some(LateStart { holds_unit, is_refused, may_return, .. }) = start {
                         let incarnation = worker.incarnation.clone();
                         let (instance, at) = (worker.instance.clone(), time.wall);
@@ -96,7 +95,7 @@
                             incarnation,
                             instance,
                             holds_unit,
-                            may_return: is_refused && may_return && !is_shunned,
+                            may_return: is_refused && may_return && !is_barred,
                             at,
                         });
                     }
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -225,8 +225,7 @@
             Some((id, worker))
         });
         let Some((id, worker)) = holders.next() else { return Range::Anywhere };
-        let is_avoided = self.avoided_workers.get(unit).is_some_and(|ids| ids.contains(id));
-        match holders.next().is_none() && worker.takes_back(unit) && !is_avoided {
+        match holders.next().is_none() && worker.takes_back(unit) {
             true => Range::Only(id),
             false => Range::Nowhere,
         }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -120,6 +120,11 @@
     pub fn shuns_worker(self) -> bool {
         matches!(self, StopReason::Stuck | StopReason::UnansweredStart)
     }
+
+    /// Returns whether the unit had better wait than run at the worker again.
+    pub fn bars_return(self) -> bool {
+        self == StopReason::Stuck
+    }
 }
 
 /// Why a run without a listed end counts as over.
@@ -652,6 +657,12 @@
             && starts.all(|(_, start)| start.is_refused && start.may_return)
     }
 
+    /// Records that a unit does not run here again while other workers may.
+    pub fn bar_return(&mut self, unit: &UnitKey) {
+        let starts = self.late_starts.range_mut((*unit, 0)..=(*unit, RunNumber::MAX));
+        starts.for_each(|(_, start)| start.may_return = false);
+    }
+
     /// Records that the present incarnation lists the ends of runs, and so refuses starts of them.
     pub fn refuse_ended(&mut self, ended: &BTreeSet<RunKey>) {
         for (_, start) in self.late_starts.iter_mut().filter(|(key, _)| ended.contains(key)) {
