--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -5,7 +5,7 @@
 
 use super::locality::Racks;
 use super::plan::{Draft, Locality, Placement, Plan};
-use super::waiting::Range;
+use super::waiting::Bounds;
 use super::{Scheduler, Time, Waiting, advice};
 use crate::place::{self, Candidate, Request};
 use crate::quota::{Allowance, Budget};
@@ -370,8 +370,8 @@
             let unit = request.key.unit(*index);
             let request = &Request { units_per_rack: &units_per_rack, ..*request };
             let Some(position) = self.best_candidate(request, candidates, &unit) else {
-                match self.range(&unit) {
-                    Range::Anywhere => break,
+                match self.bounds(&unit) {
+                    Bounds::Anywhere => break,
                     _ => continue, // the next unit may have a place
                 }
             };
@@ -472,11 +472,11 @@
         let begun = is_one_trial && candidates.iter().any(|candidate| candidate.tries(&key));
         let none = BTreeSet::new();
         let avoid = self.avoided_workers.get(unit).unwrap_or(&none);
-        let range = self.range(unit);
-        let is_in_range = |candidate: &Candidate<'_>| match range {
-            Range::Anywhere => true,
-            Range::Only(id) => candidate.id == id,
-            Range::Nowhere => false,
+        let bounds = self.bounds(unit);
+        let is_allowed = |candidate: &Candidate<'_>| match bounds {
+            Bounds::Anywhere => true,
+            Bounds::Only(id) => candidate.id == id,
+            Bounds::Nowhere => false,
         };
         let returns_to = |candidate: &Candidate<'_>| {
             let Some((_, start)) = candidate.worker.late_start_of(unit) else { return false };
@@ -489,7 +489,7 @@
         let best = candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| is_in_range(candidate) && (!begun || candidate.tries(&key)))
+            .filter(|(_, candidate)| is_allowed(candidate) && (!begun || candidate.tries(&key)))
             .filter(|(_, candidate)| candidate.is_feasible(request))
             .max_by_key(|(_, candidate)| {
                 (
--- a/crates/sched/src/scheduler/waiting.rs
+++ b/crates/sched/src/scheduler/waiting.rs
@@ -15,7 +15,7 @@
 
 /// Workers on which a unit may run while starts of its earlier runs may still be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Range<'a> {
+pub(super) enum Bounds<'a> {
     /// All, as no start holds the unit.
     Anywhere,
     /// The one that may carry out the starts.
@@ -125,7 +125,7 @@
             return;
         }
         let key = unit.step_key();
-        let is_held = self.range(&unit) != Range::Anywhere;
+        let is_held = self.bounds(&unit) != Bounds::Anywhere;
         let is_placeable = self.is_placeable(time, ledger, &unit);
         let not_before = if is_placeable { time.monotonic + delay } else { Duration::MAX };
         let is_waiting = self.waiting.get(&job.pool).is_some_and(|steps| steps.contains_key(&key));
@@ -172,7 +172,7 @@
     pub(super) fn release_held(&mut self, time: Time, ledger: &Ledger) {
         let units: Vec<UnitKey> = self.held_since.keys().copied().collect();
         for unit in units {
-            if self.range(&unit) == Range::Anywhere {
+            if self.bounds(&unit) == Bounds::Anywhere {
                 self.held_since.remove(&unit);
             }
             let is_placeable = self.is_placeable(time, ledger, &unit);
@@ -190,10 +190,10 @@
     /// Returns whether a unit may be placed as far as the starts of its earlier runs allow: at once or,
     /// if only one worker may run it, as soon as that one has room.
     fn is_placeable(&self, time: Time, ledger: &Ledger, unit: &UnitKey) -> bool {
-        let only = match self.range(unit) {
-            Range::Anywhere => return true,
-            Range::Nowhere => return false,
-            Range::Only(id) => &self.workers[id],
+        let only = match self.bounds(unit) {
+            Bounds::Anywhere => return true,
+            Bounds::Nowhere => return false,
+            Bounds::Only(id) => &self.workers[id],
         };
         let Some(job) = ledger.job(unit.job) else { return false };
         let step = &job.definition.steps[usize::from(unit.step)];
@@ -208,26 +208,26 @@
 
     /// Returns whether a start of a unit may be sent to a worker.
     pub(super) fn may_start_on(&self, unit: &UnitKey, id: &WorkerId) -> bool {
-        match self.range(unit) {
-            Range::Anywhere => true,
-            Range::Only(only) => only == id,
-            Range::Nowhere => false,
+        match self.bounds(unit) {
+            Bounds::Anywhere => true,
+            Bounds::Only(only) => only == id,
+            Bounds::Nowhere => false,
         }
     }
 
     /// Returns where a unit may run while starts of its earlier runs may still be carried out. A worker
     /// that refuses them and may begin one only after a further restart, which ends what runs there,
     /// may run the unit itself.
-    pub(super) fn range(&self, unit: &UnitKey) -> Range<'_> {
+    pub(super) fn bounds(&self, unit: &UnitKey) -> Bounds<'_> {
         let ids = self.placed_on.get(unit).into_iter().flatten();
         let mut holders = ids.filter_map(|id| {
             let worker = self.workers.get(id).filter(|worker| worker.holds_unit(unit))?;
             Some((id, worker))
         });
-        let Some((id, worker)) = holders.next() else { return Range::Anywhere };
+        let Some((id, worker)) = holders.next() else { return Bounds::Anywhere };
         match holders.next().is_none() && worker.takes_back(unit) {
-            true => Range::Only(id),
-            false => Range::Nowhere,
+            true => Bounds::Only(id),
+            false => Bounds::Nowhere,
         }
     }
 
