--- a/review/harness-2/cloud.rs
+++ b/review/harness-2/cloud.rs
@@ -165,10 +165,11 @@
         state.machines.values().filter_map(|m| m.life.as_ref()).map(|life| life.running()).sum()
     }
 
-    /// Names of the units that run.
-    pub fn running_units(&self) -> Vec<String> {
+    /// Names of the units that run in a pool.
+    pub fn running_in(&self, pool: &str) -> Vec<String> {
         let state = self.state.lock().unwrap();
-        let lives = state.machines.values().filter_map(|machine| machine.life.as_ref());
+        let machines = state.machines.values().filter(|machine| machine.pool == pool);
+        let lives = machines.filter_map(|machine| machine.life.as_ref());
         lives.flat_map(|life| life.running_units()).collect()
     }
 
