--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10. Needs the toolchain alone, no crate and no network.
+# Builds the stand-ins of the scripts of this review. Needs the toolchain alone, no crate and no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
