Review: a start that was given up runs beside the next run after a loss of power

Cause: late starts of a run that never began don't hold its unit once their stop is confirmed, and the next life of the worker forgets the stop; a loss of power that is over within a second shows too late.

--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -3,6 +3,7 @@
 
 mod http;
 mod json;
+mod late;
 mod policy;
 mod record;
 mod system;
@@ -24,6 +25,8 @@
     let record = Record::create(Path::new(path));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match name.as_str() {
+        "late" => late::run(&record, has_trouble),
+        "limit" => late::run_limit(&record, has_trouble),
         "policy" => policy::run(&record, has_trouble),
         _ => Err(format!("no case {name}")),
     };
--- a/review/harness-2/policy.rs
+++ b/review/harness-2/policy.rs
@@ -110,6 +110,9 @@
                 stop_time: Duration::ZERO,
                 control: system.control(),
                 record: record.clone(),
+                holds: None,
+                held: Mutex::default(),
+                orders: Default::default(),
             });
             Life::start(&setup, "127.0.0.1")
         })
--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -32,8 +32,19 @@
     pub stop_time: Duration,
     pub control: Vec<SocketAddr>,
     pub record: Record,
+    /// Whether a start gets no answer; it is then kept in `held`, to be carried out late.
+    pub holds: Option<Holds>,
+    pub held: Mutex<Vec<(Instant, Json)>>,
+    /// Orders that have come to all lives.
+    pub orders: AtomicU64,
 }
 
+/// Decides by worker and work unit whether a start gets no answer.
+pub type Holds = Arc<dyn Fn(&str, &str) -> bool + Send + Sync>;
+
+/// Time for which the connection of an order without an answer, or of a silent worker, stays open.
+const SILENCE: Duration = Duration::from_secs(30);
+
 #[derive(Default)]
 struct State {
     fence: u64,
@@ -52,6 +63,7 @@
     start: Instant,
     state: Mutex<State>,
     is_over: AtomicBool,
+    is_silent: AtomicBool,
     reports: AtomicU64,
     server: Mutex<Option<Server>>,
 }
@@ -69,6 +81,7 @@
             start: Instant::now(),
             state: Mutex::default(),
             is_over: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             reports: AtomicU64::new(0),
             server: Mutex::new(None),
         });
@@ -93,6 +106,23 @@
         }
     }
 
+    /// Ends the life as a loss of power does: what is open stays open, and nothing answers.
+    pub fn fall_silent(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        self.is_over.store(true, Ordering::SeqCst);
+        let now = self.setup.record.now();
+        let state = self.state.lock().unwrap();
+        for (task, run) in state.running.keys() {
+            self.setup.record.end_span(task, *run, &self.setup.id, now);
+        }
+    }
+
+    /// Carries out a start that came to an earlier life and got no answer.
+    pub fn carry_out(&self, body: &Json) {
+        let (status, answer) = self.order(body, |life, state| life.run(body, state));
+        self.setup.record.line(&format!("{} carries out {body}: {status} {answer}", self.setup.id));
+    }
+
     fn clock_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
@@ -138,13 +168,31 @@
             return (421, "{}".to_string());
         }
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
+        let answer = self.carry_out_now(request, &body);
+        if self.is_silent.load(Ordering::SeqCst) {
+            thread::sleep(SILENCE);
+        }
+        answer
+    }
+
+    fn carry_out_now(&self, request: &Request, body: &Json) -> (u16, String) {
+        self.setup.orders.fetch_add(1, Ordering::SeqCst);
+        if request.path == "/api/run-start" {
+            let task = body.get("task").text();
+            if self.setup.holds.as_ref().is_some_and(|holds| holds(&self.setup.id, task)) {
+                self.setup.record.line(&format!("{} leaves {body} unanswered", self.setup.id));
+                self.setup.held.lock().unwrap().push((Instant::now(), body.clone()));
+                thread::sleep(SILENCE);
+                return (0, String::new());
+            }
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/health") => (200, "{}".to_string()),
-            ("POST", "/api/run-start") => self.order(&body, |life, state| life.run(&body, state)),
+            ("POST", "/api/run-start") => self.order(body, |life, state| life.run(body, state)),
             ("POST", "/api/run-stop") => {
                 let mut until = Instant::now();
-                let answer = self.order(&body, |life, state| {
-                    let key = run_key(&body);
+                let answer = self.order(body, |life, state| {
+                    let key = run_key(body);
                     refuse(state, &key);
                     if state.running.contains_key(&key) {
                         let text = format!("stop {} run {} on {}", key.0, key.1, life.setup.id);
@@ -157,8 +205,8 @@
                 thread::sleep(until.saturating_duration_since(Instant::now()));
                 answer
             }
-            ("POST", "/api/pace") => self.order(&body, |_, _| Ok(())),
-            ("POST", "/api/hold") => self.hold(&body),
+            ("POST", "/api/pace") => self.order(body, |_, _| Ok(())),
+            ("POST", "/api/hold") => self.hold(body),
             _ => (404, "{}".to_string()),
         }
     }
@@ -214,6 +262,7 @@
         let length = Duration::from_millis(digits.parse().unwrap_or(100));
         let now = Instant::now();
         self.setup.record.line(&format!("start {} run {} on {}", key.0, key.1, self.setup.id));
+        self.setup.record.begin_span(&key.0, key.1, &self.setup.id);
         state.running.insert(key, (now, now + length));
         Ok(())
     }
@@ -285,6 +334,7 @@
     fn end(&self, state: &mut State, key: RunKey, how: &'static str) {
         let text = format!("end {} run {} on {}: {how}", key.0, key.1, self.setup.id);
         self.setup.record.line(&text);
+        self.setup.record.end_span(&key.0, key.1, &self.setup.id, self.setup.record.now());
         refuse(state, &key);
         state.stopping.remove(&key);
         state.ends += 1;
