Sched: the wait for a policy covers the calls that it still handles

Cause: a call for tickets was given up after 4 s, whatever the policy declares, while up to 8 calls were open. The service handles its calls in turn, also those that were given up. Once the wait was longer than 4 s, each answer came too late, and the step asked anew behind all calls that nobody waited for any more.

Change: two calls are open at most, so steps wait in the scheduler and not at the service. The wait for an answer is twice what the open calls should take by the times that the queue declares, and adapts to a service that is slower than it declares. When a place is free, the most urgent step of all pools is asked for. The counter policy_calls_total tells answered, refused and unanswered calls apart; a call that was given up is in the explanation of its job.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -529,6 +529,12 @@
         Order::Advise(advise) => {
             let (step, workers) = (advise.step, advise.workers.clone());
             let answer = calls.advise(advise).await;
+            let outcome = match &answer {
+                Answer::Done(_) => "answered",
+                Answer::Refused(_) | Answer::Misdirected => "refused",
+                Answer::Unknown | Answer::Lost => "unanswered",
+            };
+            metrics::counter!("policy_calls_total", "outcome" => outcome).increment(1);
             Input::AdviseReply(AdviseReply { step, workers, answer })
         }
         Order::ListInstances(ListInstances { asked_at }) => {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,6 +6,7 @@
 //! polling the workers.
 
 pub mod admission;
+pub mod backlog;
 pub mod claim;
 pub mod crash;
 pub mod estimate;
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -227,6 +227,8 @@
     pub name: String,
     /// Workers that the policy decides about.
     pub workers: Vec<Incarnation>,
+    /// How long to wait for the answer; it covers the earlier calls that the policy still handles.
+    pub timeout: Duration,
 }
 
 /// Lists the cloud's instances.
--- a/crates/sched/src/scheduler/advice.rs
+++ b/crates/sched/src/scheduler/advice.rs
@@ -2,10 +2,12 @@
 //!
 //! Handles queues whose policy allows only some workers. One call decides on many workers,
 //! so a waiting step has at most one open call, which asks for all candidates at once up to
-//! the limit of a call.
+//! the limit of a call. The service handles one call after the other. Steps wait here rather than
+//! there, so that the next call is for the step that is the most urgent then.
 
 use super::waiting::remove_range;
 use super::{Scheduler, Time};
+use crate::backlog::Backlog;
 use crate::order::{Advise, Answer, Order, Refusal};
 use jobs::config;
 use jobs::{Incarnation, Ledger, StepKey, WorkerId};
@@ -15,9 +17,6 @@
 
 /// Most workers that one call asks for; the service takes some time for each.
 const MAX_WORKERS_PER_CALL: usize = 30;
-/// Most calls that are open at one time. The service refuses more than 32 from all of
-/// its clients together.
-const MAX_OPEN_CALLS: usize = 8;
 /// Delay before the next call for a step after one that got no answer or was refused as
 /// too many.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -41,7 +40,7 @@
 pub struct AdviceState {
     steps: BTreeMap<StepKey, StepTickets>,
     /// Calls to the policy service without an answer so far.
-    open_calls: usize,
+    backlog: Backlog<StepKey>,
 }
 
 /// Tickets and refusals for one step.
@@ -80,25 +79,44 @@
         }
     }
 
-    /// Asks the policy for tickets of candidates that have neither ticket nor refusal for a
-    /// step. Called for steps whose units found no permitted worker with free resources.
-    pub(super) fn request_tickets(
+    /// Returns whether the policy may be asked about a step now.
+    pub(super) fn may_request_tickets(&self, time: Time, key: &StepKey) -> bool {
+        let may_ask = |step: &StepTickets| !step.pending && time.monotonic >= step.not_before;
+        !self.advice.backlog.is_full() && self.advice.steps.get(key).is_none_or(may_ask)
+    }
+
+    /// Asks the policies about steps whose units found no permitted worker with free resources, the
+    /// most urgent step of all pools first. `undecided` has the candidates of each.
+    pub(super) fn request_all_tickets(
         &mut self,
         time: Time,
         ledger: &Ledger,
-        key: &StepKey,
-        candidates: &[WorkerId],
+        undecided: &BTreeMap<StepKey, Vec<WorkerId>>,
     ) {
-        if policy(ledger, key).is_none() || self.advice.open_calls >= MAX_OPEN_CALLS {
+        if undecided.is_empty() {
             return;
         }
+        let steps = self.waiting.values().flatten();
+        let steps = steps.filter(|(key, _)| undecided.contains_key(key));
+        for (_, key) in self.ranked_steps(time, ledger, steps) {
+            if self.may_request_tickets(time, &key) {
+                self.request_tickets(time, ledger, &key, &undecided[&key]);
+            }
+        }
+    }
+
+    /// Asks the policy for tickets of candidates that have neither ticket nor refusal for a step.
+    fn request_tickets(
+        &mut self,
+        time: Time,
+        ledger: &Ledger,
+        key: &StepKey,
+        candidates: &[WorkerId],
+    ) {
+        let Some(policy) = policy(ledger, key) else { return };
         let Some(job) = ledger.job(key.job) else { return };
         let undecided: Vec<Incarnation> = {
-            let step_tickets = self.advice.steps.entry(*key).or_default();
-            if step_tickets.pending || time.monotonic < step_tickets.not_before {
-                return;
-            }
-            let refused = step_tickets.refused.clone();
+            let refused = self.advice.steps.entry(*key).or_default().refused.clone();
             candidates
                 .iter()
                 .filter(|id| !refused.contains(*id) && self.ticket(time, key, id).is_none())
@@ -110,16 +128,29 @@
             return;
         }
         let name = format!("{}.{}.{}", job.id, key.occurrence, key.step);
-        self.advice.open_calls += 1;
+        let for_workers = policy.per_worker.saturating_mul(undecided.len() as u32);
+        let cost = policy.decision.saturating_add(for_workers);
+        let timeout = self.advice.backlog.add(*key, time.monotonic, cost);
         if let Some(step_tickets) = self.advice.steps.get_mut(key) {
             step_tickets.pending = true;
         }
-        self.orders.push(Order::Advise(Advise { step: *key, name, workers: undecided }));
+        self.orders.push(Order::Advise(Advise { step: *key, name, workers: undecided, timeout }));
     }
 
     /// Handles the policy's reply: stores tickets and refusals, or delays the next call.
     pub fn on_advise_reply(&mut self, time: Time, ledger: &Ledger, reply: AdviseReply) {
-        self.advice.open_calls = self.advice.open_calls.saturating_sub(1);
+        let backlog = &mut self.advice.backlog;
+        match &reply.answer {
+            Answer::Done(_) => backlog.record_answer(&reply.step, time.monotonic),
+            Answer::Refused(_) | Answer::Misdirected => backlog.record_refusal(&reply.step),
+            Answer::Unknown | Answer::Lost => {
+                backlog.record_unanswered(&reply.step);
+                let subject = ledger.job(reply.step.job).map(|job| job.id.clone());
+                let text =
+                    format!("its policy has not answered about {} workers", reply.workers.len());
+                self.explain(subject.unwrap_or_default(), text);
+            }
+        }
         let Some(step_tickets) = self.advice.steps.get_mut(&reply.step) else { return };
         step_tickets.pending = false;
         match reply.answer {
--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -34,6 +34,7 @@
         let trials = self.waiting_trials(time, ledger);
         self.update_usage(ledger);
         let mut budget = Budget::default();
+        let mut undecided = BTreeMap::new();
         for pool in pools {
             self.effort.workers_examined += self.workers.len() as u64;
             let trials = trials.get(&pool).map_or(&[][..], Vec::as_slice);
@@ -47,10 +48,9 @@
             }
             self.record_near_waits(time, &pool, &plan.held_steps);
             self.effort.copies += plan.copies as u64;
-            for key in plan.undecided_steps {
-                self.request_tickets(time, ledger, &key, &plan.candidate_ids);
-            }
+            undecided.extend(plan.undecided_steps);
         }
+        self.request_all_tickets(time, ledger, &undecided);
         self.waiting.retain(|_, steps| {
             steps.retain(|_, waiting| !waiting.units.is_empty());
             !steps.is_empty()
@@ -133,11 +133,7 @@
         if draft.plan.placements.len() >= steps.values().map(|w| ready_units(time, w).len()).sum() {
             self.plan_copies(time, ledger, pool, &mut draft);
         }
-        let Draft { candidates, mut plan, .. } = draft;
-        if !plan.undecided_steps.is_empty() {
-            plan.candidate_ids = candidates.iter().map(|candidate| candidate.id.clone()).collect();
-        }
-        plan
+        draft.plan
     }
 
     /// Makes the first of two passes over ranked steps: those of accounts that hold less than their
@@ -244,8 +240,9 @@
         draft.plan.placements.extend(placements.into_iter().map(|(unit, number, worker)| {
             Placement { unit, number, step, worker, is_trial: trial.is_some() }
         }));
-        if has_policy && placed_count < indices.len() {
-            draft.plan.undecided_steps.push(key);
+        if has_policy && placed_count < indices.len() && self.may_request_tickets(time, &key) {
+            let ids = draft.candidates.iter().map(|candidate| candidate.id.clone()).collect();
+            draft.plan.undecided_steps.insert(key, ids);
         }
         if placed_count > 0 {
             draft.largest = largest_free(draft.candidates.iter().chain(&draft.resting));
--- a/crates/sched/src/scheduler/plan.rs
+++ b/crates/sched/src/scheduler/plan.rs
@@ -5,7 +5,7 @@
 use crate::quota::Budget;
 use jobs::definition::Resources;
 use jobs::{RunNumber, Step, StepKey, UnitKey, WorkerId};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Placements of one pool, decided and not carried out yet.
 #[derive(Debug, Default)]
@@ -13,10 +13,9 @@
     pub(super) placements: Vec<Placement<'a>>,
     /// Number of placements that are copies of running units.
     pub(super) copies: usize,
-    /// Steps of queues with a policy that have ready units left.
-    pub(super) undecided_steps: Vec<StepKey>,
-    /// Workers for which those steps need tickets.
-    pub(super) candidate_ids: Vec<WorkerId>,
+    /// Steps of queues with a policy that have ready units left, with the workers for which they
+    /// need tickets.
+    pub(super) undecided_steps: BTreeMap<StepKey, Vec<WorkerId>>,
     /// Steps with units that wait for a place near their data or group.
     pub(super) held_steps: BTreeSet<StepKey>,
 }
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -26,6 +26,7 @@
 mod gang;
 mod leaders;
 mod orders;
+mod policy;
 mod processes;
 pub mod schedule;
 pub mod still;
@@ -88,6 +89,7 @@
     pub allowed: Vec<String>,
     /// Number of calls to that policy.
     pub advise_calls: usize,
+    pub policy: policy::Policy,
     /// Number of coming move orders that get no answer and are carried out after
     /// [`MOVE_DELAY`].
     pub moves_to_delay: usize,
@@ -239,6 +241,7 @@
             run_times: BTreeMap::new(),
             allowed: Vec::new(),
             advise_calls: 0,
+            policy: policy::Policy::default(),
             moves_to_delay: 0,
             moves_to_lose: 0,
             delayed_moves: Vec::new(),
@@ -376,6 +379,7 @@
         }
         self.receive_orders();
         self.carry_out_delayed_orders();
+        self.deliver_advice();
         self.run_cloud();
         self.deliver_unread();
         let is_report_due = self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis());
--- a/crates/sched/tests/world/orders.rs
+++ b/crates/sched/tests/world/orders.rs
@@ -5,7 +5,7 @@
 use jobs::command::EndReason;
 use sched::Settings;
 use sched::order::{Answer, Destination, Order, Poll, Refusal, Reply, Start, StartOutcome};
-use sched::scheduler::{AdviseReply, PaceReply, PollReply, StartReply, StopReply};
+use sched::scheduler::{PaceReply, PollReply, StartReply, StopReply};
 use std::time::{Duration, Instant};
 
 impl World {
@@ -57,7 +57,6 @@
     }
 
     pub(super) fn execute(&mut self, order: Order) {
-        let time = self.time();
         match order {
             Order::Poll(to, poll) if self.relay_is_gone => {
                 let (incarnation, sent_at) = (to.incarnation.clone(), poll.sent_at);
@@ -155,13 +154,7 @@
                 let answer = Answer::Done(());
                 self.scheduler.on_pace_reply(PaceReply { incarnation, unit, run, percent, answer });
             }
-            Order::Advise(advise) => {
-                self.advise_calls += 1;
-                let allowed = self.allowed.iter().map(|id| (id.clone(), format!("for {id}")));
-                let answer = Answer::Done(allowed.collect());
-                let reply = AdviseReply { step: advise.step, workers: advise.workers, answer };
-                self.scheduler.on_advise_reply(time, &self.ledger, reply);
-            }
+            Order::Advise(advise) => self.advise(advise),
         }
     }
 
