Sched: tickets are asked for workers with room first

A call asks for 30 workers at most, the first ones of the pool by name. In a pool where those are full and others are not, the first call brought only tickets that expired unused, and the units waited for a second call. Candidates that can take a unit now come first.

workers_with_room_are_asked_for_first fails before (2 calls instead of 1).

--- a/crates/sched/src/scheduler/placing.rs
+++ b/crates/sched/src/scheduler/placing.rs
@@ -241,7 +241,10 @@
             Placement { unit, number, step, worker, is_trial: trial.is_some() }
         }));
         if has_policy && placed_count < indices.len() && self.may_request_tickets(time, &key) {
-            let ids = draft.candidates.iter().map(|candidate| candidate.id.clone()).collect();
+            // Tickets expire, so those for workers with room come first.
+            let mut candidates: Vec<&Candidate<'_>> = draft.candidates.iter().collect();
+            candidates.sort_by_key(|candidate| !candidate.is_feasible(&request));
+            let ids = candidates.into_iter().map(|candidate| candidate.id.clone()).collect();
             draft.plan.undecided_steps.insert(key, ids);
         }
         if placed_count > 0 {
--- a/crates/sched/tests/policies.rs
+++ b/crates/sched/tests/policies.rs
@@ -97,3 +97,21 @@
     world.run(Duration::from_secs(40));
     assert_eq!(count_completed(&world, jobs), jobs);
 }
+
+/// Guards against calls about workers that have no room, whose tickets expire unused.
+#[test]
+fn workers_with_room_are_asked_for_first() {
+    let mut world = World::new(40);
+    world.allowed = world.workers.keys().cloned().collect();
+    // The workers that the short job leaves are the last ones by name.
+    world.run_times.insert("short".to_string(), Duration::from_millis(200));
+    world.run_times.insert("full".to_string(), Duration::from_secs(60));
+    world.submit("q", "short", vec![step(5, 8000, 200)]);
+    world.submit("q", "full", vec![step(35, 8000, 60_000)]);
+    world.run(Duration::from_secs(1));
+    world.run_times.insert("a".to_string(), Duration::from_millis(400));
+    world.submit("r", "a", vec![step(5, 8000, 400)]);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.state("r", "a"), State::Completed);
+    assert_eq!(world.advise_calls, 1);
+}
