Control: voters that are lost leave

What callers saw: on real processes with eight cores no read of the configuration and no question for a job was answered any more; the cores log `leadership lost` and `leader=none`, and nothing after it.

Cause: a lost voter was removed only from an even number of voters. Two new cores at one moment, the learner and the successor of a lost core, lead from seven voters to nine, the upper limit, and nine is odd: nothing changed any more, and each further core that was lost and replaced kept its vote, until five of nine were no more.

Change: from nine voters one that is unlinked for 2 s leaves if a new core waits; from an odd number above five one that is unlinked for 10 s, whether a core waits or not; the one unlinked for longest first. The majority of an odd number is that of one voter less, so no step lowers the number of further losses that are borne. `leader.missing` says which voters a core misses while there is no leader; core_voters and core_unlinked_voters count them.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -214,6 +214,10 @@
     status: Status,
     /// Voters without a link to this process, with the time since which it is missing.
     unlinked_since: BTreeMap<Id, Duration>,
+    /// Since when this process has known no leader, though there are voters.
+    leaderless_since: Option<Duration>,
+    /// When that was last logged.
+    leaderless_logged_at: Option<Duration>,
     last_expiry_at: Duration,
     /// When the status was last sent to all other processes.
     status_sent_at: Duration,
@@ -273,6 +277,8 @@
             statuses: BTreeMap::new(),
             status: Status::default(),
             unlinked_since: BTreeMap::new(),
+            leaderless_since: None,
+            leaderless_logged_at: None,
             last_expiry_at: Duration::ZERO,
             status_sent_at: Duration::ZERO,
             disk_time: Duration::ZERO,
@@ -550,6 +556,7 @@
         self.last_expiry_at = time.monotonic;
         self.links_changed = true;
         self.roster.expire(time.monotonic);
+        self.report_voters(time);
         self.fail_forwarded(|forwarded| time.monotonic > forwarded.forwarded_at + FORWARD_TIMEOUT);
     }
 
--- a/crates/control/src/core/voters.rs
+++ b/crates/control/src/core/voters.rs
@@ -1,7 +1,7 @@
 //! Forms a new cluster and replaces voters whose disk or instance is lost.
 
 use super::Core;
-use log::info;
+use log::{info, warn};
 use mesh::ProcessInfo;
 use quorum::{Id, Membership};
 use sched::scheduler::Time;
@@ -21,6 +21,13 @@
 /// one loses the majority; the cluster has to survive that loss from 4 s after the new
 /// process starts.
 const UNLINKED_VOTER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a leader after which a process logs which voters it misses, and between two such
+/// lines.
+const LEADERLESS_LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// Time without a link after which a voter is removed though no other process takes its place. A
+/// restart and most cuts are shorter; a process that comes back later votes again once it has caught
+/// up.
+const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl Core {
     /// Ends the wait of a restarted voter once every other voter has said, since the restart, that
@@ -101,6 +108,34 @@
         }
     }
 
+    /// Publishes how many voters there are and how many are unlinked, and logs from time to time why
+    /// there may be no leader.
+    pub(super) fn report_voters(&mut self, time: Time) {
+        let voters = &self.node.membership().voters;
+        metrics::gauge!("core_voters").set(voters.len() as f64);
+        metrics::gauge!("core_unlinked_voters").set(self.unlinked_since.len() as f64);
+        if voters.is_empty() || self.node.leader().is_some() {
+            self.leaderless_since = None;
+            return;
+        }
+        let since = self.leaderless_since.get_or_insert(time.monotonic);
+        let is_due = |at: Duration| time.monotonic >= at + LEADERLESS_LOG_INTERVAL;
+        if !is_due(*since) || !self.leaderless_logged_at.is_none_or(is_due) {
+            return;
+        }
+        let leaderless = time.monotonic.saturating_sub(*since);
+        self.leaderless_logged_at = Some(time.monotonic);
+        let unlinked: Vec<&str> = self.unlinked_since.keys().map(|id| id.name.as_str()).collect();
+        warn!(
+            "leader.missing for_ms={} voters={} majority={} unlinked={unlinked:?} term={} votes={}",
+            leaderless.as_millis(),
+            voters.len(),
+            self.node.membership().majority(),
+            self.node.term(),
+            voters.contains(&self.process_info.id())
+        );
+    }
+
     /// Records since when each voter has had no link to this process. Every process does
     /// so, not only the leader, so that a new leader knows it at once.
     fn record_unlinked_voters(&mut self, time: Time, current: &BTreeSet<Id>) {
@@ -123,23 +158,13 @@
 /// 2. Other new durable processes are added, up to `MAX_VOTERS`. One of them remains a learner if
 ///    the number of voters would become even, above `MIN_ODD_VOTERS`, and no voter has been
 ///    unlinked for too long.
-/// 3. If neither applies, one voter that has been unlinked for too long is removed, provided
-///    that the number of voters is even and above `MIN_VOTERS`. An even number shows that a
-///    new process has been added and one voter is too many.
-/// 4. If all voters are linked and their number is even and above `MIN_ODD_VOTERS`, one becomes a
-///    learner.
-///
-/// An unlinked voter is removed only after a new process was added, because it may only be
-/// frozen: if it were removed while another voter is really lost, the rest would have no
-/// majority.
+/// 3. If neither applies, a voter may be removed, see [`surplus_voter`].
 fn wanted_voters(
     own: &Id,
     current: &BTreeSet<Id>,
     peers: &[ProcessInfo],
     unlinked_for: impl Fn(&Id) -> Option<Duration>,
 ) -> BTreeSet<Id> {
-    let is_unlinked_too_long =
-        |id: &&Id| unlinked_for(id).is_some_and(|duration| duration >= UNLINKED_VOTER_TIMEOUT);
     let mut wanted = current.clone();
     let mut new = BTreeSet::new();
     for peer in peers.iter().filter(|peer| peer.durable && !current.contains(&peer.id())) {
@@ -152,26 +177,59 @@
             new.insert(peer.id());
         }
     }
+    let has_successor = !new.is_empty();
     let total = wanted.len() + new.len();
-    let has_lost_voter = current.iter().any(|id| is_unlinked_too_long(&id));
+    let has_lost_voter = longest_unlinked(current, &unlinked_for)
+        .is_some_and(|(unlinked, _)| unlinked >= UNLINKED_VOTER_TIMEOUT);
     if total.is_multiple_of(2) && total > MIN_ODD_VOTERS && !has_lost_voter {
         new.pop_last();
     }
     let free = MAX_VOTERS.saturating_sub(wanted.len());
     wanted.extend(new.into_iter().take(free));
-    if wanted != *current || !current.len().is_multiple_of(2) {
-        return wanted;
-    }
-    let surplus = if current.len() > MIN_VOTERS && has_lost_voter {
-        current.iter().find(is_unlinked_too_long)
-    } else if current.len() > MIN_ODD_VOTERS && !current.iter().any(|id| unlinked_for(id).is_some())
+    if wanted == *current
+        && let Some(surplus) = surplus_voter(own, current, has_successor, unlinked_for)
     {
-        current.iter().rfind(|id| *id != own)
-    } else {
-        None
-    };
-    if let Some(surplus) = surplus {
-        wanted.remove(surplus);
+        wanted.remove(&surplus);
     }
     wanted
 }
+
+/// Returns the voter to remove, if there is one:
+///
+/// - From an even number above `MIN_VOTERS` one that has been unlinked for too long. That one is
+///   surplus: the majority of one voter less is smaller.
+/// - From `MAX_VOTERS` likewise, if a new process could not be added for want of a place.
+/// - From an odd number above `MIN_ODD_VOTERS` one that has been unlinked for so long that it is
+///   taken for lost. The majority of one voter less is the same, so the cluster bears as many further
+///   losses as before, and one more with the next one that leaves.
+/// - From an even number above `MIN_ODD_VOTERS` of which all are linked, one that becomes a learner.
+///
+/// At lower odd numbers an unlinked voter stays until a new process was added, because it may only be
+/// frozen: if it were removed while another voter is really lost, the rest would have no majority.
+fn surplus_voter(
+    own: &Id,
+    current: &BTreeSet<Id>,
+    has_successor: bool,
+    unlinked_for: impl Fn(&Id) -> Option<Duration>,
+) -> Option<Id> {
+    let is_even = current.len().is_multiple_of(2);
+    let Some((unlinked, id)) = longest_unlinked(current, unlinked_for) else {
+        let becomes_learner = is_even && current.len() > MIN_ODD_VOTERS;
+        return current.iter().rfind(|id| *id != own).filter(|_| becomes_learner).cloned();
+    };
+    let is_full = current.len() >= MAX_VOTERS && has_successor;
+    let timeout = match is_even || is_full {
+        true if current.len() > MIN_VOTERS => UNLINKED_VOTER_TIMEOUT,
+        false if current.len() > MIN_ODD_VOTERS => LOST_VOTER_TIMEOUT,
+        _ => return None,
+    };
+    (unlinked >= timeout).then_some(id)
+}
+
+/// Returns the voter that has been unlinked for the longest time, and for how long.
+fn longest_unlinked(
+    voters: &BTreeSet<Id>,
+    unlinked_for: impl Fn(&Id) -> Option<Duration>,
+) -> Option<(Duration, Id)> {
+    voters.iter().filter_map(|id| Some((unlinked_for(id)?, id.clone()))).max()
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -13,4 +13,5 @@
 mod roles;
 mod soak;
 mod system;
+mod voters;
 mod workdir;
