Tests: the soak loses cores for good and reads the configuration back

Clusters of up to nine cores; SOAK_CORE_LOSSES cores are killed and replaced by others with empty disks, beside the other faults, each once the successor of the one before votes. At the end each core has to return the newest configuration.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,7 +12,7 @@
 use crate::system::{CALLERS, CONTROL, System, until};
 use checker::{History, Kind, Outcome, Violation, check};
 use client::{Client, Shared};
-use faults::{Final, Fleet, restart, schedule};
+use faults::{Final, Fleet, core_losses, restart, schedule};
 use platform_standin::CAPACITY_MILLI;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -41,6 +41,8 @@
     workers: u64,
     clients: u64,
     seconds: u64,
+    /// Cores that are lost for good and replaced.
+    core_losses: u64,
     /// Resources of a unit that ends, in thousandths of a core.
     unit_cpu_milli: u64,
 }
@@ -53,11 +55,12 @@
 impl Size {
     fn from_environment() -> Size {
         Size {
-            cores: variable("SOAK_CORES", 3).clamp(1, 5) as u8,
+            cores: variable("SOAK_CORES", 3).clamp(1, 9) as u8,
             edges: variable("SOAK_EDGES", 3).clamp(1, 60) as u8,
             workers: variable("SOAK_WORKERS", 4).max(1),
             clients: variable("SOAK_CLIENTS", 12),
             seconds: variable("SOAK_SECONDS", 10),
+            core_losses: variable("SOAK_CORE_LOSSES", 1),
             unit_cpu_milli: variable("SOAK_UNIT_CPU", 100).clamp(1, CAPACITY_MILLI),
         }
     }
@@ -76,7 +79,9 @@
 fn is_kept(seed: u64, size: Size) -> bool {
     let span = Duration::from_secs(size.seconds);
     let mut rng = StdRng::seed_from_u64(seed);
-    let faults = schedule(&mut rng, size.cores, size.edges, size.workers, span);
+    let mut faults = schedule(&mut rng, size.cores, size.edges, size.workers, span);
+    faults.extend(core_losses(seed, size.cores, size.core_losses, span));
+    faults.sort_by_key(|(at, _)| *at);
     let last = [Final::All, Final::Edges, Final::Cores][rng.random_range(0..3)];
     let last_restart = rng.random_bool(1.0 / 3.0).then(|| restart(&mut rng, 0..=size.workers - 1));
     let mut system = System::with_size(size.cores, size.edges);
@@ -135,6 +140,7 @@
     let observed_until = shared.now();
     join(in_threads(clients, |_, client| client.end_lasting()));
     let configured = fleet.wait_for_operators();
+    let behind = if configured { fleet.cores_without_config() } else { Vec::new() };
     fleet.stop();
 
     let workers = fleet.workers.take().unwrap();
@@ -158,6 +164,10 @@
         let text = "a configuration was not acknowledged".to_string();
         violations.push(Violation { promise: "configuration", text, host: None });
     }
+    for (core, answer) in behind {
+        let text = format!("p{core} does not return the newest configuration: {answer}");
+        violations.push(Violation { promise: "configuration", text, host: None });
+    }
     println!("seed {seed}: {}", summary(&history, faults.len(), last));
     println!(
         "seed {seed}: faults over at {faults_end:.3?}, excess work for {excess_work:.0?}, {} orders late, the last at {:.3?}, workers restarted \
@@ -304,11 +314,11 @@
     }
     fleet.system.folder.disable_cleanup(true);
     println!("logs and disks are kept in {}", fleet.system.folder.path().display());
-    let Size { cores, edges, workers, clients, seconds, unit_cpu_milli } = size;
+    let Size { cores, edges, workers, clients, seconds, core_losses, unit_cpu_milli } = size;
     println!(
         "to play it again: SOAK_FROM={seed} SOAK_SEEDS=1 SOAK_SECONDS={seconds} \
          SOAK_CORES={cores} SOAK_EDGES={edges} SOAK_WORKERS={workers} SOAK_CLIENTS={clients} \
-         SOAK_UNIT_CPU={unit_cpu_milli} \
+         SOAK_CORE_LOSSES={core_losses} SOAK_UNIT_CPU={unit_cpu_milli} \
          cargo test --locked --test tests soak::real -- --nocapture"
     );
 }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -9,8 +9,8 @@
 use futures::future::join_all;
 use http_types::Method;
 use platform_standin::call;
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -30,6 +30,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of times that a configuration is sent, one for each [`CALL_TIMEOUT`] or pause.
 const CONFIG_ATTEMPTS: usize = 80;
+/// Time for which the loss of a core is put off, and how often at most.
+const LOSS_DELAY: Duration = Duration::from_secs(1);
+const MAX_LOSS_WAITS: u32 = 20;
+/// Time after the faults in which every core has to return the newest configuration.
+const CONFIG_TIME: Duration = Duration::from_secs(5);
 /// Time after which a process that does not stop is killed, in addition to its grace time.
 const KILL_DELAY: Duration = Duration::from_secs(8);
 
@@ -50,6 +55,10 @@
     /// or another one.
     RestartWorkers(Vec<(u64, Duration, bool)>),
     StartWorker(u64, bool),
+    /// Kills a core for good; after a time another one with an empty disk starts in its place. It waits
+    /// until the successor of the one before votes, but not for ever.
+    ReplaceCore(u8, Duration),
+    StartCore(u8),
     /// Kills a worker for good; after a time its instance has another one.
     ReplaceWorker(u64, Duration),
     StartSuccessor(u64),
@@ -132,6 +141,17 @@
     faults
 }
 
+/// Draws the times at which cores are lost for good, apart from the other faults.
+pub fn core_losses(seed: u64, cores: u8, count: u64, span: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let draw = |_| {
+        let at = span.mul_f64(rng.random_range(0.1..1.0));
+        let down = Duration::from_millis(rng.random_range(0..4000));
+        (at, Fault::ReplaceCore(rng.random_range(1..=cores), down))
+    };
+    (0..count).map(draw).collect()
+}
+
 /// Draws for how long each of some workers is down, and whether it keeps its address.
 pub fn restart(rng: &mut StdRng, workers: RangeInclusive<u64>) -> Fault {
     let draw = |number| {
@@ -161,6 +181,10 @@
     /// When each process that was told to stop was told so first.
     told: BTreeMap<u8, Duration>,
     frozen: BTreeMap<u8, Duration>,
+    /// Cores without a successor so far, and when they were lost.
+    lost: BTreeMap<u8, Duration>,
+    /// How often the next loss was put off.
+    loss_waits: u32,
     /// When each process was last seen to run.
     seen: BTreeMap<u8, Duration>,
     stopping: bool,
@@ -179,6 +203,8 @@
             shared,
             told: BTreeMap::new(),
             frozen: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            loss_waits: 0,
             seen: BTreeMap::new(),
             stopping: false,
             version: 0,
@@ -214,6 +240,8 @@
     pub fn bring_about(&mut self, fault: Fault) -> Vec<(Duration, Fault)> {
         let now = self.shared.now();
         match fault {
+            // A core that is lost has nothing to stop.
+            Fault::Term(host) if !self.system.processes.contains_key(&host) => {}
             Fault::Term(host) => {
                 self.told.entry(host).or_insert(now);
                 self.signal(host, Signal::TERM);
@@ -241,6 +269,25 @@
                 let operator = self.configure();
                 self.operators.push(operator);
             }
+            Fault::ReplaceCore(core, down) => {
+                let is_running = self.system.processes.contains_key(&core);
+                let must_wait = self.loss_waits < MAX_LOSS_WAITS && !self.has_only_running_voters();
+                if must_wait || !is_running {
+                    self.loss_waits += 1;
+                    return vec![(LOSS_DELAY, Fault::ReplaceCore(core, down))];
+                }
+                self.loss_waits = 0;
+                self.end(&[core]);
+                self.system.lose_disk(core);
+                self.lost.insert(core, now);
+                return vec![(down, Fault::StartCore(core))];
+            }
+            Fault::StartCore(core) => {
+                self.note(format!("{} takes the place of a lost core", self.system.name(core)));
+                self.system.run(core, false);
+                let since = self.lost.remove(&core).unwrap_or(now);
+                self.impairments.push((core, since, self.shared.now()));
+            }
             fault => return self.disturb_workers(fault),
         }
         Vec::new()
@@ -278,7 +325,8 @@
     }
 
     fn signal(&mut self, host: u8, signal: Signal) {
-        let pid = Pid::from_child(&self.system.processes[&host]);
+        let Some(process) = self.system.processes.get(&host) else { return }; // a lost core
+        let pid = Pid::from_child(process);
         if matches!(signal, Signal::TERM | Signal::HUP) {
             // No program handles a signal that arrives before its first instruction.
             let until = Instant::now() + MAX_SIGNAL_DELAY;
@@ -299,11 +347,23 @@
     /// Kills processes at one moment and starts them again.
     pub fn kill(&mut self, hosts: &[u8]) {
         let from = self.shared.now();
+        let is_running = |host: &u8| self.system.processes.contains_key(host);
+        let hosts: Vec<u8> = hosts.iter().copied().filter(is_running).collect();
+        self.end(&hosts);
+        for host in hosts {
+            self.system.run(host, false);
+            self.impairments.push((host, from, self.shared.now()));
+        }
+    }
+
+    /// Kills processes at one moment.
+    fn end(&mut self, hosts: &[u8]) {
         for host in hosts {
             self.signal(*host, Signal::KILL);
         }
         for host in hosts {
-            let status = self.system.processes.remove(host).unwrap().wait().unwrap();
+            let Some(mut process) = self.system.processes.remove(host) else { continue };
+            let status = process.wait().unwrap();
             let told_at = self.told.remove(host);
             let killed = status.signal() == Some(Signal::KILL.as_raw());
             if told_at.is_some() || !killed {
@@ -313,10 +373,6 @@
             }
             self.end_freeze(*host);
         }
-        for host in hosts {
-            self.system.run(*host, false);
-            self.impairments.push((*host, from, self.shared.now()));
-        }
     }
 
     /// Records the processes that have ended, and starts them again.
@@ -363,15 +419,46 @@
         }
     }
 
+    /// Returns whether a core leads, and each voter is a core that runs.
+    fn has_only_running_voters(&self) -> bool {
+        let running: Vec<String> = self.system.cores().map(|core| self.system.name(core)).collect();
+        let leader = self.dumps().into_iter().map(|(_, dump)| dump).find(leads).unwrap_or_default();
+        let voters = leader["voters"].as_array().cloned().unwrap_or_default();
+        let is_running = |voter: &Value| running.iter().any(|name| voter["name"] == **name);
+        self.lost.is_empty() && voters.len() >= 3 && voters.iter().all(is_running)
+    }
+
+    /// Returns the cores that don't return the newest configuration, each with its last answer.
+    /// All operators must have been acknowledged before.
+    pub fn cores_without_config(&self) -> Vec<(u8, String)> {
+        let end = Instant::now() + CONFIG_TIME;
+        let read = |core: u8| loop {
+            let address = self.system.address(core, CONTROL);
+            let call = call(address, Method::Get, "/api/config", None);
+            let answer = block_on(timeout(CALL_TIMEOUT, call));
+            match &answer {
+                Ok(Ok((200, config))) if config["version"] == self.version => return None,
+                _ if Instant::now() > end => return Some((core, format!("{answer:?}"))),
+                _ => std::thread::sleep(TICK),
+            }
+        };
+        self.system.cores().filter_map(read).collect()
+    }
+
     /// Returns the core that says that it leads, or the first one.
     fn leader(&self) -> u8 {
-        let leads = async |core: u8| {
+        self.dumps().iter().find(|(_, dump)| leads(dump)).map_or(1, |(core, _)| *core)
+    }
+
+    /// Returns the states of the cores that answer in time.
+    fn dumps(&self) -> Vec<(u8, Value)> {
+        let dump = async |core: u8| {
             let address = self.system.address(core, INTERNAL.1);
             let dump = timeout(DUMP_TIMEOUT, call(address, Method::Get, "/dump", None)).await;
-            matches!(dump, Ok(Ok((200, dump))) if !dump["reign"].is_null())
+            dump.ok()?.ok().filter(|(status, _)| *status == 200).map(|(_, dump)| (core, dump))
         };
-        let answers = block_on(join_all(self.system.cores().map(leads)));
-        self.system.cores().zip(answers).find(|(_, leads)| *leads).map_or(1, |(core, _)| core)
+        let dumps = block_on(join_all(self.system.cores().map(dump)));
+        dumps.into_iter().flatten().collect()
     }
 
     /// Submits another configuration in a thread, which returns whether it was acknowledged.
@@ -401,6 +488,11 @@
     }
 }
 
+/// Returns whether a core leads by its state.
+fn leads(dump: &Value) -> bool {
+    !dump["reign"].is_null()
+}
+
 /// Returns a configuration whose other queues come and go with its version.
 fn config(version: u64) -> Value {
     let queue = |name: String, prefix: String| {
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -40,6 +40,9 @@
     pub status_s: u64,
     /// Time between a stop signal and the kill, in seconds.
     pub grace_s: u64,
+    /// How often the core at each address was lost for good. Each successor has another name and an
+    /// empty disk.
+    losses: BTreeMap<u8, u32>,
     pub processes: BTreeMap<u8, Child>,
 }
 
@@ -61,6 +64,7 @@
             log_start: None,
             status_s: 120,
             grace_s: 6,
+            losses: BTreeMap::new(),
             processes: BTreeMap::new(),
         }
     }
@@ -89,11 +93,24 @@
         SocketAddr::new(self.ip(host), port)
     }
 
+    /// Returns the name of the process at an address.
+    pub fn name(&self, host: u8) -> String {
+        match self.losses.get(&host) {
+            None => format!("p{host}"),
+            Some(losses) => format!("p{host}-{losses}"),
+        }
+    }
+
+    /// Gives the next core at an address another name and an empty disk.
+    pub fn lose_disk(&mut self, core: u8) {
+        *self.losses.entry(core).or_default() += 1;
+    }
+
     pub fn settings(&self, host: u8, founding: bool) -> Value {
         let seeds: Vec<SocketAddr> =
             self.cores().take(SEEDS).map(|core| self.address(core, CONTROL)).collect();
         let mut settings = json!({
-            "name": format!("p{host}"),
+            "name": self.name(host),
             "data_centre": "north",
             "founding": founding,
             "seeds": seeds,
@@ -104,7 +121,7 @@
             settings["listen"]["callers"] = json!(self.address(host, CALLERS));
             settings["listen"]["health"] = json!(self.address(host, HEALTH));
         } else {
-            let data = self.folder.path().join(format!("data{host}"));
+            let data = self.folder.path().join(format!("data-{}", self.name(host)));
             std::fs::create_dir_all(&data).unwrap();
             settings["data_folder"] = json!(data);
             settings["listen"]["control"] = json!(self.address(host, CONTROL));
--- a/tests/voters.rs
+++ b/tests/voters.rs
@@ -4,7 +4,6 @@
 use async_std::task::block_on;
 use http_types::Method;
 use platform_standin::call;
-use serde_json::Value;
 use std::collections::BTreeSet;
 
 /// Cores that found the cluster, and the numbers of those that replace others.
@@ -45,7 +44,7 @@
         let mut cores = system.cores().filter(|core| system.processes.contains_key(core));
         cores.all(|core| {
             let read = call(system.address(core, CONTROL), Method::Get, "/api/config", None);
-            matches!(block_on(read), Ok((200, config)) if config["version"] == Value::from(1))
+            matches!(block_on(read), Ok((200, config)) if config["version"] == 1)
         })
     });
 }
