--- a/crates/control/src/answer_time.rs
+++ b/crates/control/src/answer_time.rs
@@ -19,6 +19,9 @@
 const MEAN_WEIGHT: f64 = 0.125;
 const DEVIATION_WEIGHT: f64 = 0.25;
 const DEVIATIONS: f64 = 4.0;
+/// Time after the last unanswered call for which an address is remembered: that of a worker which has
+/// ended is not called again.
+const UNANSWERED_MEMORY: Duration = Duration::from_secs(60);
 /// Part of a poll's wait by which the clock of a worker may delay the answer.
 const CLOCK_DRIFT: f64 = 0.05;
 
@@ -91,6 +94,7 @@
 
     /// Records that a call sent at `sent_at` was given up without an answer.
     pub fn record_unanswered(&mut self, address: SocketAddr, sent_at: Duration, now: Duration) {
+        self.unanswered.retain(|_, unanswered| now < unanswered.at + UNANSWERED_MEMORY);
         let unanswered = self.unanswered.entry(address).or_default();
         if sent_at >= unanswered.at {
             *unanswered = Unanswered { rounds: unanswered.rounds.saturating_add(1), at: now };
