Store: what was read at a start is synced before it counts

Store::open now syncs the log that it has read, and DiskFolder::open the folder, whose renames may not be durable either. entries_that_were_read_outlive_a_loss_of_power fails before (entry 2 is gone).

--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -56,7 +56,9 @@
             .open(path.join(LOCK_FILE))
             .map_err(io_error("open", LOCK_FILE))?;
         lock.try_lock().map_err(|_| Error::Locked(path.to_path_buf()))?;
-        Ok(DiskFolder { path: path.to_path_buf(), append_file: None, _lock: lock })
+        let folder = DiskFolder { path: path.to_path_buf(), append_file: None, _lock: lock };
+        folder.sync_folder()?; // a process that was killed may have left renames that are not durable
+        Ok(folder)
     }
 
     /// Returns a file opened for appending.
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -66,7 +66,7 @@
 
 impl Store {
     /// Reads the folder, truncates a torn tail of the log and draws the identity of a new
-    /// folder. Also completes a compaction that a crash interrupted.
+    /// folder. Also completes a compaction that a crash interrupted. What is returned is durable.
     pub fn open(mut folder: Box<dyn Folder>) -> Result<(Store, Recovered)> {
         let incarnation = read_or_create_identity(folder.as_mut())?;
         let snapshot = match folder.read(SNAPSHOT_FILE)? {
@@ -77,6 +77,9 @@
         let decoded = frame::decode::<LogRecord>(LOG_FILE, &bytes)?;
         if decoded.intact_bytes < bytes.len() as u64 {
             folder.truncate(LOG_FILE, decoded.intact_bytes)?;
+        } else if !bytes.is_empty() {
+            // A process that was killed may have written what it did not sync any more.
+            folder.sync(LOG_FILE)?;
         }
         let replayed = replay(snapshot, decoded.values)?;
         let state = replayed.state;
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -10,6 +10,8 @@
 #[derive(Default)]
 struct Files {
     files: BTreeMap<String, Vec<u8>>,
+    /// Content of the files that a loss of power leaves.
+    synced: BTreeMap<String, Vec<u8>>,
     /// Number of writing calls that still succeed; none for no limit.
     calls_left: Option<usize>,
 }
@@ -31,6 +33,19 @@
         self.0.lock().unwrap().files.insert(name.to_string(), bytes.to_vec());
     }
 
+    /// Drops all that was not synced.
+    fn lose_power(&self) {
+        let mut files = self.0.lock().unwrap();
+        files.files = files.synced.clone();
+    }
+
+    /// Makes a file durable.
+    fn keep(&self, name: &str) {
+        let mut files = self.0.lock().unwrap();
+        let content = files.files.get(name).cloned().unwrap_or_default();
+        files.synced.insert(name.to_string(), content);
+    }
+
     /// Counts a writing call and fails if none is left.
     fn count_call(&self, name: &str) -> Result<()> {
         let mut files = self.0.lock().unwrap();
@@ -65,18 +80,22 @@
     }
 
     fn sync(&mut self, name: &str) -> Result<()> {
-        self.count_call(name)
+        self.count_call(name)?;
+        self.keep(name);
+        Ok(())
     }
 
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
         self.count_call(name)?;
         self.set(name, bytes);
+        self.keep(name);
         Ok(())
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> Result<()> {
         self.count_call(name)?;
         self.0.lock().unwrap().files.get_mut(name).unwrap().truncate(length as usize);
+        self.keep(name);
         Ok(())
     }
 }
@@ -93,6 +112,25 @@
     Snapshot { index, term, data: vec![7; 50], ..Snapshot::default() }
 }
 
+/// Guards against entries that a restarted process has answered for and a loss of power takes: they
+/// were read after a kill and had never been synced.
+#[test]
+fn entries_that_were_read_outlive_a_loss_of_power() {
+    let memory = Memory::default();
+    let (mut store, _) = memory.open().unwrap();
+    store.save(&append_output(vec![entry(1, 3)])).unwrap();
+    memory.fail_after(Some(1)); // the append succeeds, and the process is killed before the sync
+    assert!(store.save(&append_output(vec![entry(2, 3)])).is_err());
+    memory.fail_after(None);
+    drop(store);
+    let (store, recovered) = memory.open().unwrap();
+    assert_eq!(recovered.state.entries, [entry(1, 3), entry(2, 3)]);
+    drop(store);
+    memory.lose_power();
+    let (_, recovered) = memory.open().unwrap();
+    assert_eq!(recovered.state.entries, [entry(1, 3), entry(2, 3)]);
+}
+
 #[test]
 fn a_tail_torn_at_any_byte_is_truncated() {
     let memory = Memory::default();
