Core, edge: histograms are merged every 5 s

A task of the service now runs the recorder's upkeep; it ends with the service. Not covered by a test: the recorder shows no number of samples.

--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -73,6 +73,7 @@
         let mut service = Service::default();
         let app = Arc::new(platform::control::App(process.handle()));
         service.serve(control, app, limits);
+        service.maintain_metrics(metrics.clone());
         let status = Arc::new(util::Status::core(process.handle(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=core name={}", settings.name);
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -82,6 +82,7 @@
         service.serve(callers, Arc::new(app), limits.clone());
         let app = platform::edge::Health::new(gateway.clone(), stopping.clone());
         service.serve(health, Arc::new(app), limits);
+        service.maintain_metrics(metrics.clone());
         let status = Arc::new(util::Status::edge(gateway.clone(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=edge name={}", settings.name);
--- a/src/util.rs
+++ b/src/util.rs
@@ -129,6 +129,8 @@
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of open connections to the status port.
 const MAX_STATUS_CONNECTIONS: usize = 8;
+/// Time between two merges of the samples of histograms.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for the log thread to write its last lines; longer than its flush interval.
 const LOG_DRAIN_TIME: Duration = Duration::from_millis(150);
 
@@ -216,6 +218,7 @@
 pub struct Service {
     stop_handles: Vec<StopHandle>,
     listeners: Vec<JoinHandle<()>>,
+    metrics_upkeep: Option<JoinHandle<()>>,
 }
 
 impl Service {
@@ -243,9 +246,23 @@
         }
     }
 
+    /// Merges the samples of histograms from time to time. Otherwise each one is kept until the metrics
+    /// are read.
+    pub fn maintain_metrics(&mut self, metrics: PrometheusHandle) {
+        self.metrics_upkeep = Some(async_std::task::spawn(async move {
+            loop {
+                async_std::task::sleep(METRICS_UPKEEP_INTERVAL).await;
+                metrics.run_upkeep();
+            }
+        }));
+    }
+
     /// Stops accepting connections and waits at most `max_wait` for requests in flight.
     pub async fn stop(self, max_wait: Duration) {
         drop(self.stop_handles);
+        if let Some(upkeep) = self.metrics_upkeep {
+            upkeep.cancel().await;
+        }
         let join = async {
             for listener in self.listeners {
                 listener.await;
