Sched: a policy service that can't be reached is not taken for slow

A call that never left is now reported as lost and changes neither; a call that was given up is counted as handled next, once.

--- a/crates/sched/src/backlog.rs
+++ b/crates/sched/src/backlog.rs
@@ -97,19 +97,20 @@
         self.idle_at = now + remaining.mul_f64(self.slowdown);
     }
 
-    /// Records that the service has refused a call at once.
-    pub fn record_refusal(&mut self, key: &K) {
+    /// Records that the service has not got a call, or has refused it at once.
+    pub fn record_unhandled(&mut self, key: &K) {
         if let Some(call) = self.remove(key) {
             self.idle_at = self.idle_at.saturating_sub(call.cost.mul_f64(call.slowdown));
         }
     }
 
-    /// Records that a call was given up. The service may be slower than it declares, so the next
-    /// answers are waited for longer.
-    pub fn record_unanswered(&mut self, key: &K) {
-        if self.remove(key).is_some() {
-            self.slowdown = (self.slowdown * 2.0).min(MAX_SLOWDOWN);
-        }
+    /// Records that a call was given up. The service may still handle it, and may be slower than it
+    /// declares, so the next answers are waited for longer.
+    pub fn record_unanswered(&mut self, key: &K, now: Duration) {
+        let Some(call) = self.remove(key) else { return };
+        self.slowdown = (self.slowdown * 2.0).min(MAX_SLOWDOWN);
+        let remaining: Duration = self.open.iter().map(|other| other.cost).sum();
+        self.idle_at = now + (call.cost + remaining).mul_f64(self.slowdown);
     }
 
     fn remove(&mut self, key: &K) -> Option<OpenCall<K>> {
--- a/crates/sched/src/scheduler/advice.rs
+++ b/crates/sched/src/scheduler/advice.rs
@@ -142,9 +142,11 @@
         let backlog = &mut self.advice.backlog;
         match &reply.answer {
             Answer::Done(_) => backlog.record_answer(&reply.step, time.monotonic),
-            Answer::Refused(_) | Answer::Misdirected => backlog.record_refusal(&reply.step),
-            Answer::Unknown | Answer::Lost => {
-                backlog.record_unanswered(&reply.step);
+            Answer::Refused(_) | Answer::Misdirected | Answer::Lost => {
+                backlog.record_unhandled(&reply.step);
+            }
+            Answer::Unknown => {
+                backlog.record_unanswered(&reply.step, time.monotonic);
                 let subject = ledger.job(reply.step.job).map(|job| job.id.clone());
                 let text =
                     format!("its policy has not answered about {} workers", reply.workers.len());
