--- a/tests/system.rs
+++ b/tests/system.rs
@@ -121,7 +121,7 @@
             settings["listen"]["callers"] = json!(self.address(host, CALLERS));
             settings["listen"]["health"] = json!(self.address(host, HEALTH));
         } else {
-            let data = self.folder.path().join(format!("data-{}", self.name(host)));
+            let data = self.folder.path().join(self.name(host).replacen('p', "data", 1));
             std::fs::create_dir_all(&data).unwrap();
             settings["data_folder"] = json!(data);
             settings["listen"]["control"] = json!(self.address(host, CONTROL));
