Settings: limits of core and edge processes

The limits on connections, bodies and idle time of the roles were constants, so neither an operator nor a test could lower them, and no process was told how much memory it has.

limits.memory_mb, .max_connections, .max_body_bytes and .idle_ms are read, checked by name and bound, and documented; entries know limits.memory_mb as well. Defaults are as before.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -13,6 +13,8 @@
 /// Result of reading settings, with every error found.
 pub type Result<T> = std::result::Result<T, Vec<FieldError>>;
 
+/// Minimum of `limits.memory_mb`.
+const MIN_MEMORY_MB: u64 = 32;
 /// Shortest key or token.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -119,6 +121,8 @@
     pub max_answer_bytes: usize,
     /// Largest number of open connections of each listener.
     pub max_connections: usize,
+    /// Memory that the process may use, in millions of bytes; `None` for all of the machine's.
+    pub memory_mb: Option<u64>,
     /// Time without a request after which a connection is closed.
     pub idle: Duration,
     /// Deadline of a request without a deadline header.
@@ -282,6 +286,7 @@
         pub max_body_bytes: Field<u64>,
         pub max_answer_bytes: Field<u64>,
         pub max_connections: Field<u64>,
+        pub memory_mb: Field<u64>,
         pub idle_ms: Field<u64>,
         pub default_deadline_ms: Field<u64>,
         pub max_deadline_ms: Field<u64>,
@@ -393,6 +398,7 @@
                 8 << 20,
             ),
             max_connections: self.positive("limits.max_connections", raw.max_connections, 1024),
+            memory_mb: self.memory_mb(raw.memory_mb),
             idle: self.millis("limits.idle_ms", raw.idle_ms, 60_000),
             default_deadline: self.millis(
                 "limits.default_deadline_ms",
@@ -496,6 +502,15 @@
         value as usize
     }
 
+    /// Returns the memory of the process, which must be at least [`MIN_MEMORY_MB`].
+    fn memory_mb(&mut self, value: Field<u64>) -> Option<u64> {
+        let memory_mb = self.optional("limits.memory_mb", value);
+        if memory_mb.is_some_and(|memory_mb| memory_mb < MIN_MEMORY_MB) {
+            self.add_error("limits.memory_mb", &format!("must be at least {MIN_MEMORY_MB}"));
+        }
+        memory_mb
+    }
+
     /// Returns a duration given in milliseconds, which must be at least 1 ms.
     fn millis(&mut self, field: &str, value: Field<u64>, default_ms: u64) -> Duration {
         Duration::from_millis(self.positive(field, value, default_ms) as u64)
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -54,6 +54,9 @@
     /// Limits and durations that the platform guarantees.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Limits on what clients take of this process.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// Addresses that a process listens on.
@@ -122,6 +125,28 @@
     pub rate_window_s: Option<f64>,
 }
 
+/// Limits on what clients take of this process; a missing field keeps its default.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Memory that the process may use, in millions of bytes; by default all of the machine's.
+    pub memory_mb: Option<f64>,
+    /// Maximum number of open connections of clients (edge), or of workers and operators (core).
+    /// The default depends on the role.
+    pub max_connections: Option<usize>,
+    /// Maximum size of the body of a request, in bytes. The default depends on the role.
+    pub max_body_bytes: Option<usize>,
+    /// Time for which a connection may be idle, and in which a request has to arrive, in
+    /// milliseconds.
+    pub idle_ms: Option<u64>,
+}
+
+/// Minimum of [`Limits::memory_mb`].
+const MIN_MEMORY_MB: f64 = 32.0;
+/// Maximum of [`Limits::memory_mb`].
+const MAX_MEMORY_MB: f64 = 1e9;
+/// Default for [`Limits::idle_ms`].
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Default for [`Bounds::status_s`].
 const DEFAULT_RETENTION: Duration = Duration::from_secs(120);
 /// Added to the retention, so that a job is never removed before the guaranteed time.
@@ -165,7 +190,7 @@
         if self.seeds.0.is_empty() {
             return invalid("seeds", "names no address");
         }
-        Ok(())
+        self.limits.check()
     }
 
     /// Returns `value`, the address in `field`, or an error that names the field if it is
@@ -193,6 +218,39 @@
     }
 }
 
+impl Limits {
+    fn check(&self) -> Result<()> {
+        let invalid = |field: &str, reason: String| {
+            Err(Error::Field { field: format!("limits.{field}"), reason })
+        };
+        let memory_bounds = MIN_MEMORY_MB..=MAX_MEMORY_MB;
+        if self.memory_mb.is_some_and(|memory_mb| !memory_bounds.contains(&memory_mb)) {
+            let reason = format!("must be from {MIN_MEMORY_MB} to {MAX_MEMORY_MB}");
+            return invalid("memory_mb", reason);
+        }
+        for (field, is_zero) in [
+            ("max_connections", self.max_connections == Some(0)),
+            ("max_body_bytes", self.max_body_bytes == Some(0)),
+            ("idle_ms", self.idle_ms == Some(0)),
+        ] {
+            if is_zero {
+                return invalid(field, "must be at least 1".to_string());
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the memory that the process may use, in bytes; `None` if only the machine bounds it.
+    pub fn memory_bytes(&self) -> Option<usize> {
+        self.memory_mb.map(|memory_mb| (memory_mb * 1e6) as usize)
+    }
+
+    /// Returns how long a connection may be idle, and a request may take to arrive.
+    pub fn idle_timeout(&self) -> Duration {
+        self.idle_ms.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_millis)
+    }
+}
+
 impl Bounds {
     /// Returns how long jobs are kept after their end.
     pub fn retention(&self) -> Duration {
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -14,13 +14,11 @@
 use std::time::Duration;
 use store::{DiskFolder, Folder};
 
-/// Maximum size of the body of a worker's report or a configuration.
+/// Default maximum size of the body of a worker's report or a configuration.
 const MAX_BODY_BYTES: usize = 4 << 20;
-/// Maximum number of open connections of workers and operators; some thousand workers take
+/// Default maximum number of open connections of workers and operators; some thousand workers take
 /// turns to report.
 const MAX_CONNECTIONS: usize = 1500;
-/// Time for which a worker may keep a connection open between two reports.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Share of the grace period before the kill in which requests in flight may end.
 const DRAIN_SHARE: f64 = 0.75;
 /// Time for the next leader to take over before the listeners close.
@@ -66,14 +64,15 @@
         let control = util::listen("listen.control", control).await?;
         let limits = Limits {
             process_name: settings.name.clone(),
-            max_connections: MAX_CONNECTIONS,
-            max_body_bytes: MAX_BODY_BYTES,
-            idle_timeout: IDLE_TIMEOUT,
+            max_connections: settings.limits.max_connections.unwrap_or(MAX_CONNECTIONS),
+            max_body_bytes: settings.limits.max_body_bytes.unwrap_or(MAX_BODY_BYTES),
+            idle_timeout: settings.limits.idle_timeout(),
         };
         let mut service = Service::default();
         let app = Arc::new(platform::control::App(process.handle()));
         service.serve(control, app, limits);
         service.maintain_metrics(metrics.clone());
+        service.publish_memory(&settings);
         let status = Arc::new(util::Status::core(process.handle(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=core name={}", settings.name);
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -15,13 +15,11 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// Maximum size of the body of a job submission.
+/// Default maximum size of the body of a job submission.
 const MAX_BODY_BYTES: usize = 512 << 10;
-/// Maximum number of open client connections; each takes a file descriptor and 40 KB, and
+/// Default maximum number of open client connections; each takes a file descriptor and 40 KB, and
 /// this many stay within an instance's limits.
 const MAX_CONNECTIONS: usize = 2500;
-/// Time for which a client may keep a connection open between two requests.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time after a stop signal for which new connections are still accepted: the load balancer
 /// checks health once a second and stops sending after two failed checks.
 const STOP_NOTICE: Duration = Duration::from_millis(2600);
@@ -72,9 +70,9 @@
         let requests_in_flight = Arc::new(AtomicUsize::new(0));
         let limits = Limits {
             process_name: settings.name.clone(),
-            max_connections: MAX_CONNECTIONS,
-            max_body_bytes: MAX_BODY_BYTES,
-            idle_timeout: IDLE_TIMEOUT,
+            max_connections: settings.limits.max_connections.unwrap_or(MAX_CONNECTIONS),
+            max_body_bytes: settings.limits.max_body_bytes.unwrap_or(MAX_BODY_BYTES),
+            idle_timeout: settings.limits.idle_timeout(),
         };
         let mut service = Service::default();
         let app =
@@ -83,6 +81,7 @@
         let app = platform::edge::Health::new(gateway.clone(), stopping.clone());
         service.serve(health, Arc::new(app), limits);
         service.maintain_metrics(metrics.clone());
+        service.publish_memory(&settings);
         let status = Arc::new(util::Status::edge(gateway.clone(), metrics));
         service.serve_status(&settings, status).await;
         info!("process.started role=edge name={}", settings.name);
--- a/src/util.rs
+++ b/src/util.rs
@@ -246,6 +246,13 @@
         }
     }
 
+    /// Publishes the memory that the settings give to the process, if they do.
+    pub fn publish_memory(&self, settings: &Settings) {
+        if let Some(bytes) = settings.limits.memory_bytes() {
+            metrics::gauge!("memory_limit_bytes").set(bytes as f64);
+        }
+    }
+
     /// Merges the samples of histograms from time to time. Otherwise each one is kept until the metrics
     /// are read.
     pub fn maintain_metrics(&mut self, metrics: PrometheusHandle) {
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -11,7 +11,7 @@
                - {name: ana, token: operator-token-of-luis, rank: 1}\nentries:\n  \
                - {name: a1, data_centre: north, address: \"127.0.0.1:2\", voter: true}\n  \
                - {name: a1, data_centre: north, address: \"127.0.0.1:2\", voter: perhaps}\n\
-               limits: {default_deadline_ms: 90000, max_connections: 0}\n\
+               limits: {default_deadline_ms: 90000, max_connections: 0, memory_mb: 1}\n\
                announce: {interval_ms: 5000, expiry_ms: 6000}\nlog: {level: loud}\n";
     workdir.write("bad.yaml", bad);
     let output = workdir.run("a1", &["check", "bad.yaml"]);
@@ -27,6 +27,7 @@
         "bad.yaml: entries[1].name: \"a1\" is used twice",
         "bad.yaml: entries[1].address: \"127.0.0.1:2\" is used twice",
         "bad.yaml: limits.max_connections: must be at least 1",
+        "bad.yaml: limits.memory_mb: must be at least 32",
         "bad.yaml: limits.default_deadline_ms: is longer than limits.max_deadline_ms",
         "bad.yaml: announce.expiry_ms: is shorter than two announce.interval_ms",
         "bad.yaml: log.level: ",
