--- a/tests/system.rs
+++ b/tests/system.rs
@@ -40,6 +40,9 @@
     pub status_s: u64,
     /// Time between a stop signal and the kill, in seconds.
     pub grace_s: u64,
+    /// Limits in the settings of cores and of edges; null for the defaults.
+    pub core_limits: Value,
+    pub edge_limits: Value,
     /// How often the core at each address was lost for good. Each successor has another name and an
     /// empty disk.
     losses: BTreeMap<u8, u32>,
@@ -64,6 +67,8 @@
             log_start: None,
             status_s: 120,
             grace_s: 6,
+            core_limits: Value::Null,
+            edge_limits: Value::Null,
             losses: BTreeMap::new(),
             processes: BTreeMap::new(),
         }
@@ -117,7 +122,12 @@
             "listen": {"ip": self.ip(host), "internal": [INTERNAL.0, INTERNAL.1]},
             "bounds": {"status_s": self.status_s, "grace_s": self.grace_s},
         });
-        if self.edges().contains(&host) {
+        let is_edge = self.edges().contains(&host);
+        let limits = if is_edge { &self.edge_limits } else { &self.core_limits };
+        if !limits.is_null() {
+            settings["limits"] = limits.clone();
+        }
+        if is_edge {
             settings["listen"]["callers"] = json!(self.address(host, CALLERS));
             settings["listen"]["health"] = json!(self.address(host, HEALTH));
         } else {
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -181,6 +181,12 @@
         self.processes[name].id()
     }
 
+    /// Returns whether an entry's process has not ended.
+    #[allow(dead_code)] // used by some test programs
+    pub fn is_running(&mut self, name: &str) -> bool {
+        self.processes.get_mut(name).unwrap().try_wait().unwrap().is_none()
+    }
+
     /// Reads what an entry's process has used so far from its dump and from /proc.
     #[allow(dead_code)] // used by benchmarks
     pub fn usage(&self, name: &str) -> Usage {
