Serve: requests of a process share a budget of memory

Callers saw an edge or a core that ended: many bodies at once, each within the limit of one request, took more memory than the machine has.

Cause: a body was bounded (512 KiB at an edge, 4 MiB at a core), the sum of bodies was not; a parsed body was not counted at all, and a list of empty steps takes a hundred times its text. Large bodies in one piece also raised the allocator's thresholds, so that each of its arenas kept megabytes.

Change: each request is charged for what it holds, as its bytes arrive, for what its JSON takes when it is parsed, and for its response. When the budget is full, the unfinished request that holds most gives way: 503 with Retry-After before it has reached the application, so it never runs. Small requests are served beside any crowd; large ones that are handled take at most three quarters of what others leave. A request has the idle time to arrive in all, and a response that nobody takes for as long ends its connection. A list of steps ends at the 20,000th. Framing of chunks no longer counts as body: a body within the limit is served in chunks of a byte too.

Default: a sixth of the memory, at most 32 MiB, at least eight of the largest bodies (limits.request_memory_mb).

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -19,6 +19,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use quorum::{Id, Node, State};
 use route::{Directory, Table};
+use serve::budget::Budget;
 use serve::{Limits, Listener, StopHandle};
 use std::collections::BTreeMap;
 use std::io;
@@ -264,6 +265,7 @@
         max_connections: limits.max_connections,
         max_body_bytes: limits.max_body_bytes,
         idle_timeout: limits.idle,
+        budget: Budget::new(limits.request_memory_bytes()),
     };
     for (socket, app) in apps {
         let (listener, stop_handle) = Listener::new(socket, Arc::new(Tide(app)), limits.clone());
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use record::FieldError;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize};
+use serve::budget::{self, Budget};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -123,7 +124,10 @@
     pub max_connections: usize,
     /// Memory that the process may use, in millions of bytes; `None` for all of the machine's.
     pub memory_mb: Option<u64>,
-    /// Time without a request after which a connection is closed.
+    /// Memory that requests may take together, in millions of bytes; `None` for a sixth of the
+    /// memory, at most 33.
+    pub request_memory_mb: Option<u64>,
+    /// Time without a request after which a connection is closed, and which one may take to arrive.
     pub idle: Duration,
     /// Deadline of a request without a deadline header.
     pub default_deadline: Duration,
@@ -144,6 +148,15 @@
     pub expiry: Duration,
 }
 
+impl Limits {
+    /// Returns the memory that requests may take together, in bytes.
+    pub fn request_memory_bytes(&self) -> usize {
+        let bytes = |mb: u64| mb.saturating_mul(1_000_000) as usize;
+        let default = || Budget::default_bytes(self.memory_mb.map(bytes), self.max_body_bytes);
+        self.request_memory_mb.map_or_else(default, bytes)
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file. Paths in it are relative to its folder, and the
     /// data folder must exist.
@@ -287,6 +300,7 @@
         pub max_answer_bytes: Field<u64>,
         pub max_connections: Field<u64>,
         pub memory_mb: Field<u64>,
+        pub request_memory_mb: Field<u64>,
         pub idle_ms: Field<u64>,
         pub default_deadline_ms: Field<u64>,
         pub max_deadline_ms: Field<u64>,
@@ -399,6 +413,7 @@
             ),
             max_connections: self.positive("limits.max_connections", raw.max_connections, 1024),
             memory_mb: self.memory_mb(raw.memory_mb),
+            request_memory_mb: self.optional("limits.request_memory_mb", raw.request_memory_mb),
             idle: self.millis("limits.idle_ms", raw.idle_ms, 60_000),
             default_deadline: self.millis(
                 "limits.default_deadline_ms",
@@ -408,6 +423,18 @@
             max_deadline: self.millis("limits.max_deadline_ms", raw.max_deadline_ms, 60_000),
             stop_notice: self.millis("limits.stop_notice_ms", raw.stop_notice_ms, 1_000),
         };
+        let min_bytes = budget::min_bytes(limits.max_body_bytes);
+        if limits
+            .request_memory_mb
+            .is_some_and(|mb| mb.saturating_mul(1_000_000) < min_bytes as u64)
+        {
+            let reason = format!(
+                "must be at least {:.1} for bodies of {} bytes",
+                min_bytes as f64 / 1e6,
+                limits.max_body_bytes
+            );
+            self.add_error("limits.request_memory_mb", &reason);
+        }
         if limits.default_deadline > limits.max_deadline {
             self.add_error("limits.default_deadline_ms", "is longer than limits.max_deadline_ms");
         }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -131,6 +131,9 @@
 pub struct Limits {
     /// Memory that the process may use, in millions of bytes; by default all of the machine's.
     pub memory_mb: Option<f64>,
+    /// Memory that requests may take together, in millions of bytes; by default a sixth of the
+    /// memory, at most 33 and at least eight bodies of the largest size.
+    pub request_memory_mb: Option<f64>,
     /// Maximum number of open connections of clients (edge), or of workers and operators (core).
     /// The default depends on the role.
     pub max_connections: Option<usize>,
@@ -228,6 +231,13 @@
             let reason = format!("must be from {MIN_MEMORY_MB} to {MAX_MEMORY_MB}");
             return invalid("memory_mb", reason);
         }
+        if self
+            .request_memory_mb
+            .is_some_and(|memory_mb| !(memory_mb > 0.0 && memory_mb <= MAX_MEMORY_MB))
+        {
+            let reason = format!("must be above 0 and at most {MAX_MEMORY_MB}");
+            return invalid("request_memory_mb", reason);
+        }
         for (field, is_zero) in [
             ("max_connections", self.max_connections == Some(0)),
             ("max_body_bytes", self.max_body_bytes == Some(0)),
@@ -245,6 +255,11 @@
         self.memory_mb.map(|memory_mb| (memory_mb * 1e6) as usize)
     }
 
+    /// Returns the memory that requests may take together, in bytes; `None` for the default.
+    pub fn request_memory_bytes(&self) -> Option<usize> {
+        self.request_memory_mb.map(|memory_mb| (memory_mb * 1e6) as usize)
+    }
+
     /// Returns how long a connection may be idle, and a request may take to arrive.
     pub fn idle_timeout(&self) -> Duration {
         self.idle_ms.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_millis)
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,16 +1,22 @@
-//! HTTP listeners with limits on connections, request sizes and idle time.
+//! HTTP listeners with limits on connections, request sizes, the memory of all requests and time.
 //!
 //! A listener that is stopped finishes the requests in flight.
 
+pub mod body;
+pub mod budget;
+pub mod json;
+mod refusals;
 mod stream;
 
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use budget::Budget;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http_types::{Method, Request, Response, StatusCode};
+use refusals::{Reason, Refusals};
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,8 +28,10 @@
 
 /// Time after a stop for which a new connection may still send its first request.
 const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(200);
-/// Time for the client to read a response to a request that was not read in full.
+/// Time for the client to take a response to a request that was not read in full.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Seconds after which a client may send a request again for which there was no memory.
+const RETRY_AFTER_S: &str = "1";
 
 /// The application that handles the requests of a listener.
 pub trait App: Send + Sync {
@@ -36,13 +44,15 @@
 pub struct Limits {
     /// Name of the process, the `entry` label of its metrics.
     pub process_name: String,
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections. Further ones are closed at once.
     pub max_connections: usize,
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
-    /// Time after which a connection without a request is closed, and for which a request may
-    /// take to arrive.
+    /// Time after which a connection without a request is closed, which a request may take to
+    /// arrive, and for which a client may leave a response unread.
     pub idle_timeout: Duration,
+    /// Memory that requests may take, shared with the other listeners of the process.
+    pub budget: Budget,
 }
 
 /// An HTTP listener with its application and limits.
@@ -50,6 +60,7 @@
     socket: TcpListener,
     app: Arc<dyn App>,
     limits: Limits,
+    refusals: Arc<Refusals>,
     stop: Receiver<()>,
     /// Number of connections being served.
     open_connections: Arc<AtomicUsize>,
@@ -62,8 +73,10 @@
     /// Creates a listener for an application, and the handle that stops it.
     pub fn new(socket: TcpListener, app: Arc<dyn App>, limits: Limits) -> (Listener, StopHandle) {
         let (stop_handle, stop) = bounded(1);
+        let refusals = Arc::new(Refusals::new(limits.process_name.clone(), limits.budget.clone()));
         let open_connections = Arc::default();
-        (Listener { socket, app, limits, stop, open_connections }, StopHandle(stop_handle))
+        let listener = Listener { socket, app, limits, refusals, stop, open_connections };
+        (listener, StopHandle(stop_handle))
     }
 
     /// Accepts connections until stopped, then waits for requests in flight. Connections that
@@ -75,14 +88,21 @@
                 accepted = self.socket.accept().fuse() => accepted,
                 _ = self.stop.recv().fuse() => break,
             };
+            connections.retain(|connection: &Connection| !connection.is_done());
             match accepted {
-                Ok((stream, _)) => connections.extend(self.serve(stream)),
+                Ok((stream, _)) if self.has_room() => {
+                    connections.push(self.serve(stream));
+                }
+                Ok(_) => self.refusals.record(Reason::Connections),
                 Err(_) => task::sleep(ACCEPT_PAUSE).await,
             }
-            connections.retain(|connection: &Connection| !connection.is_done());
         }
         while let Some(Ok((stream, _))) = self.socket.accept().now_or_never() {
-            connections.extend(self.serve(stream));
+            if self.has_room() {
+                connections.push(self.serve(stream));
+            } else {
+                self.refusals.record(Reason::Connections);
+            }
         }
         drop(self.socket);
         for connection in connections {
@@ -90,31 +110,34 @@
         }
     }
 
-    /// Starts to serve a connection. Returns `None` if too many are open.
-    fn serve(&self, stream: TcpStream) -> Option<Connection> {
-        let limits = &self.limits;
-        if self.open_connections.fetch_add(1, Ordering::AcqRel) >= limits.max_connections {
-            self.open_connections.fetch_sub(1, Ordering::AcqRel);
-            let name = self.limits.process_name.clone();
-            metrics::counter!("connections_refused_total", "entry" => name).increment(1);
-            return None;
-        }
+    fn has_room(&self) -> bool {
+        self.open_connections.load(Ordering::Acquire) < self.limits.max_connections
+    }
+
+    /// Starts to serve a connection.
+    fn serve(&self, stream: TcpStream) -> Connection {
+        self.open_connections.fetch_add(1, Ordering::AcqRel);
         let _ = stream.set_nodelay(true);
-        let io = Stream::new(stream, limits.max_body_bytes);
+        let io = Stream::new(stream, self.limits.max_body_bytes, self.limits.budget.clone());
         let done = Arc::new(AtomicBool::new(false));
-        let (app, stop, open_connections) =
-            (self.app.clone(), self.stop.clone(), self.open_connections.clone());
-        let (idle_timeout, done_flag) = (limits.idle_timeout, done.clone());
+        let session = Session {
+            io,
+            app: self.app.clone(),
+            stop: self.stop.clone(),
+            idle_timeout: self.limits.idle_timeout,
+            refusals: self.refusals.clone(),
+        };
+        let (open_connections, done_flag) = (self.open_connections.clone(), done.clone());
         let handle = task::spawn(async move {
-            serve_connection(io, app, stop, idle_timeout).await;
+            session.run().await;
             open_connections.fetch_sub(1, Ordering::AcqRel);
             done_flag.store(true, Ordering::Release);
         });
-        Some(Connection { handle, done })
+        Connection { handle, done }
     }
 }
 
-/// The task that serves a connection, and whether it has ended.
+/// A connection, the task that serves it, and whether the task has ended.
 struct Connection {
     handle: task::JoinHandle<()>,
     done: Arc<AtomicBool>,
@@ -126,55 +149,127 @@
     }
 }
 
-/// Serves the requests of one connection in sequence, until it is closed, idle for
-/// too long or the listener is stopped.
-async fn serve_connection(
+/// What the task of a connection needs to serve it.
+struct Session {
     io: Stream,
     app: Arc<dyn App>,
     stop: Receiver<()>,
     idle_timeout: Duration,
-) {
-    let endpoint = |request: Request| {
-        let (app, io, stop) = (app.clone(), io.clone(), stop.clone());
-        async move {
-            if !io.begin_body(&request) {
-                return Err(http_types::Error::from_str(
-                    StatusCode::PayloadTooLarge,
-                    "the body is too large",
-                ));
-            }
-            let mut response = respond(app.as_ref(), request).await?;
-            if io.has_further_request() {
-                response.remove_header("connection"); // what has been read is answered as well
-            } else if stop.is_closed() || !io.is_at_end() {
-                response.insert_header("connection", "close");
+    refusals: Arc<Refusals>,
+}
+
+/// How the attempt to serve a request ended.
+enum Served {
+    Ended(http_types::Result<ConnectionStatus>),
+    /// The client took too long to send it, or to take the response.
+    Overdue,
+    Evicted,
+}
+
+impl Session {
+    /// Serves the requests of the connection in sequence, until it is closed, idle for too long,
+    /// gives way to another one or the listener is stopped.
+    async fn run(self) {
+        let io = &self.io;
+        let mut stop_delay = FIRST_REQUEST_DELAY;
+        while self.wait_for_request(stop_delay).await {
+            stop_delay = Duration::ZERO;
+            io.begin_request();
+            let served = self.serve_request().await;
+            let (is_answered, refusal) = (io.is_answered(), io.refusal());
+            io.end_request();
+            let status = match served {
+                Served::Ended(Ok(ConnectionStatus::KeepAlive)) => continue,
+                Served::Ended(_) if is_answered => return,
+                Served::Evicted => {
+                    self.refusals.record(Reason::Memory);
+                    StatusCode::ServiceUnavailable
+                }
+                Served::Ended(Err(_)) if refusal.is_some() => {
+                    self.refusals.record(Reason::Memory);
+                    StatusCode::ServiceUnavailable
+                }
+                Served::Overdue => {
+                    self.refusals.record(Reason::Overdue);
+                    StatusCode::RequestTimeout
+                }
+                Served::Ended(Ok(ConnectionStatus::Close)) => StatusCode::RequestTimeout,
+                Served::Ended(Err(_)) if io.is_too_large() => StatusCode::PayloadTooLarge,
+                Served::Ended(Err(error)) => match error.status() {
+                    StatusCode::InternalServerError => StatusCode::BadRequest,
+                    status => status,
+                },
+            };
+            if !is_answered {
+                respond_with_error(self.io, status).await;
             }
-            io.set_answered();
-            Ok(response)
+            return;
         }
-    };
-    let mut server = Server::new(io.clone(), endpoint);
-    let mut stop_delay = FIRST_REQUEST_DELAY;
-    while wait_for_request(&io, &stop, idle_timeout, stop_delay).await {
-        stop_delay = Duration::ZERO;
-        io.begin_request();
-        let served = futures::select! {
-            result = server.accept_one().fuse() => Some(result),
-            () = wait_for_slow_sender(&io, idle_timeout).fuse() => None,
+    }
+
+    /// Reads a request, and sends the application's response.
+    async fn serve_request(&self) -> Served {
+        let endpoint = |request| self.respond(request);
+        let mut server = Server::new(self.io.clone(), endpoint);
+        // On the heap only while there is a request: most connections are idle.
+        let mut served = Box::pin(server.accept_one().fuse());
+        futures::select! {
+            result = served => Served::Ended(result),
+            () = self.io.wait_until_overdue(self.idle_timeout).fuse() => Served::Overdue,
+            () = self.io.wait_for_eviction().fuse() => Served::Evicted,
+        }
+    }
+
+    /// Returns the application's response, or an error for a request that is too large or finds no
+    /// memory.
+    async fn respond(&self, mut request: Request) -> http_types::Result<Response> {
+        let io = &self.io;
+        let no_memory = || {
+            let reason = "there is no memory for the request";
+            http_types::Error::from_str(StatusCode::ServiceUnavailable, reason)
         };
-        let status = match served {
-            Some(Ok(ConnectionStatus::KeepAlive)) => continue,
-            Some(Ok(ConnectionStatus::Close)) | None => StatusCode::RequestTimeout,
-            Some(Err(_)) if io.is_too_large() => StatusCode::PayloadTooLarge,
-            Some(Err(error)) => match error.status() {
-                StatusCode::InternalServerError => StatusCode::BadRequest,
-                status => status,
-            },
+        if !io.begin_body(&request) {
+            return Err(match io.is_too_large() {
+                true => {
+                    let reason = "the body is too large";
+                    http_types::Error::from_str(StatusCode::PayloadTooLarge, reason)
+                }
+                false => no_memory(),
+            });
+        }
+        if let Some(charge) = io.charge() {
+            request.ext_mut().insert(charge);
+        }
+        let response = respond(self.app.as_ref(), request).await;
+        if io.refusal().is_some() {
+            return Err(no_memory()); // whatever the application made of the error
+        }
+        let mut response = response?;
+        if io.has_further_request() {
+            response.remove_header("connection"); // what has been read is answered as well
+        } else if self.stop.is_closed() || !io.is_at_end() {
+            response.insert_header("connection", "close");
+        }
+        match io.begin_response(response.len().unwrap_or_default()) {
+            true => Ok(response),
+            false => Err(no_memory()),
+        }
+    }
+
+    /// Waits for the first byte of the next request. Returns false once the connection is closed,
+    /// idle for too long, gives way to another one or the listener was stopped `stop_delay` ago. A byte
+    /// that has arrived by then counts, even if it was not read yet.
+    async fn wait_for_request(&self, stop_delay: Duration) -> bool {
+        let stopped = async {
+            let _ = self.stop.recv().await; // fails once the handle is dropped
+            task::sleep(stop_delay).await;
         };
-        if !io.is_answered() {
-            respond_with_error(io, status).await;
+        futures::select! {
+            has_arrived = self.io.wait_for_request().fuse() => return has_arrived,
+            _ = task::sleep(self.idle_timeout).fuse() => {}
+            () = stopped.fuse() => {}
         }
-        return;
+        self.io.wait_for_request().now_or_never().unwrap_or(false)
     }
 }
 
@@ -189,43 +284,18 @@
     })
 }
 
-/// Waits for the first byte of the next request. Returns false once the connection is closed,
-/// idle for too long or the listener was stopped `stop_delay` ago. A byte that has arrived by
-/// then counts, even if it was not read yet.
-async fn wait_for_request(
-    io: &Stream,
-    stop: &Receiver<()>,
-    idle_timeout: Duration,
-    stop_delay: Duration,
-) -> bool {
-    let stopped = async {
-        let _ = stop.recv().await; // fails once the handle is dropped
-        task::sleep(stop_delay).await;
-    };
-    futures::select! {
-        has_arrived = io.wait_for_request().fuse() => return has_arrived,
-        _ = task::sleep(idle_timeout).fuse() => {}
-        () = stopped.fuse() => {}
-    }
-    io.wait_for_request().now_or_never().unwrap_or(false)
-}
-
-/// Returns once a request has not arrived in full within `max_time`.
-async fn wait_for_slow_sender(io: &Stream, max_time: Duration) {
-    loop {
-        task::sleep(max_time).await;
-        if io.is_waiting() {
-            return;
-        }
-    }
-}
-
 /// Answers a request that cannot be read, and closes the connection.
 async fn respond_with_error(mut io: Stream, status: StatusCode) {
     let mut response = Response::new(status);
     response.insert_header("connection", "close");
-    let mut encoder = Encoder::new(response, Method::Get);
-    if async_std::io::copy(&mut encoder, &mut io).await.is_ok() {
-        let _ = async_std::future::timeout(LINGER_TIME, io.linger()).await;
+    if status == StatusCode::ServiceUnavailable {
+        response.insert_header("retry-after", RETRY_AFTER_S);
     }
+    let mut encoder = Encoder::new(response, Method::Get);
+    let sent = async {
+        if async_std::io::copy(&mut encoder, &mut io).await.is_ok() {
+            io.linger().await;
+        }
+    };
+    let _ = async_std::future::timeout(LINGER_TIME, sent).await; // the client may not read
 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -1,5 +1,6 @@
-//! A connection whose reader gets the bytes of one request at a time.
+//! A connection whose reader gets the bytes of one request at a time, and which is charged for them.
 
+use crate::budget::{self, Budget, Charge};
 use async_std::io::{Read, Write};
 use async_std::net::TcpStream;
 use futures::{future, ready};
@@ -9,11 +10,18 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 /// Bytes that a request may use for its head, in addition to its body.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of bytes read from the socket ahead of the parser.
 const READ_AHEAD_BYTES: usize = 8 << 10;
+/// Memory of a request beside its bytes: buffers of the parser and the task's state.
+pub const REQUEST_BYTES: usize = 32 << 10;
+/// Memory for each byte of a request: a buffer that grows by doubling may be twice as large.
+const BUFFER_FACTOR: usize = 2;
+/// Bytes of a request that are charged at a time.
+const CHARGED_BLOCK_BYTES: usize = 4 << 10;
 /// End of a request's head, and of trailers.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// End of a line.
@@ -24,26 +32,45 @@
 #[derive(Clone)]
 pub struct Stream {
     socket: TcpStream,
-    /// Bytes that one request may have.
+    /// Bytes that one request may have, without the framing of chunks.
     limit: usize,
+    budget: Budget,
     state: Arc<Mutex<State>>,
 }
 
-#[derive(Default)]
 struct State {
     /// Bytes that were read from the socket and not yet from this stream.
     buffer: Vec<u8>,
     /// Number of bytes at the start of `buffer` that were read from this stream.
     consumed: usize,
-    /// Number of bytes of the current request that were read from this stream.
+    /// Number of bytes of the current request that were read from this stream, without the framing
+    /// of chunks.
     request_bytes: usize,
     part: Part,
-    /// Whether the reader waits for bytes of the request.
-    is_waiting: bool,
+    phase: Phase,
+    /// When the phase began; while a response is sent, when the client last took some of it.
+    since: Instant,
+    /// Memory of the current request.
+    charge: Option<Arc<Charge>>,
+    /// Bytes of the request that are charged; `None` before the first one.
+    charged_bytes: Option<usize>,
+    /// Why the request can't be served for want of memory.
+    refusal: Option<budget::Error>,
     /// Whether the request has more bytes than allowed.
     is_too_large: bool,
-    /// Whether a response to the request exists.
-    is_answered: bool,
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It waits for a request.
+    Idle,
+    /// A request arrives.
+    Arriving,
+    /// The application handles a request that has arrived.
+    Handled,
+    /// A response is sent.
+    Responding,
 }
 
 /// The part of the request that is read.
@@ -61,17 +88,41 @@
     Trailers,
 }
 
-impl Default for Part {
-    fn default() -> Part {
-        Part::Head(0)
+impl Part {
+    /// Returns how many of the next bytes count for the size of the request.
+    fn counted(self, count: usize) -> usize {
+        match self {
+            Part::Head(_) => count,
+            Part::Body(remaining) => count.min(remaining),
+            Part::Chunk(remaining) => count.min(remaining.saturating_sub(LINE_END.len())),
+            Part::ChunkSize(_) | Part::Trailers => 0,
+        }
+    }
+}
+
+impl State {
+    fn new() -> State {
+        State {
+            buffer: Vec::new(),
+            consumed: 0,
+            request_bytes: 0,
+            part: Part::Head(0),
+            phase: Phase::Idle,
+            since: Instant::now(),
+            charge: None,
+            charged_bytes: None,
+            refusal: None,
+            is_too_large: false,
+        }
     }
 }
 
 impl Stream {
-    /// Creates a stream whose requests may have bodies of this size in bytes.
-    pub fn new(socket: TcpStream, max_body_bytes: usize) -> Stream {
+    /// Creates a stream whose requests may have bodies of this size in bytes and are charged to the
+    /// budget.
+    pub fn new(socket: TcpStream, max_body_bytes: usize, budget: Budget) -> Stream {
         let limit = MAX_HEAD_BYTES + max_body_bytes;
-        Stream { socket, limit, state: Arc::default() }
+        Stream { socket, limit, budget, state: Arc::new(Mutex::new(State::new())) }
     }
 
     /// Waits for the first byte of the next request. Returns false at the end of the connection.
@@ -91,20 +142,44 @@
     pub fn begin_request(&self) {
         let mut state = self.state();
         state.request_bytes = 0;
-        state.part = Part::default();
+        state.part = Part::Head(0);
+        state.charge = Some(Arc::new(self.budget.charge()));
+        state.charged_bytes = None;
+        state.refusal = None;
         state.is_too_large = false;
-        state.is_answered = false;
+        state.begin(Phase::Arriving);
     }
 
     /// Starts to read the body of a request whose head was read. Returns false if the body is
-    /// too large.
+    /// too large, or the request has none and there is no memory to handle it.
     pub fn begin_body(&self, request: &Request) -> bool {
         let is_chunked = request.header("transfer-encoding").is_some();
         let length = request.len().unwrap_or_default();
         let mut state = self.state();
         state.part = if is_chunked { Part::ChunkSize(0) } else { Part::Body(length) };
         state.is_too_large = length > self.limit - state.request_bytes;
-        !state.is_too_large
+        !state.is_too_large && (state.part != Part::Body(0) || state.begin_handling().is_ok())
+    }
+
+    /// Returns the memory of the current request.
+    pub fn charge(&self) -> Option<Arc<Charge>> {
+        self.state().charge.clone()
+    }
+
+    /// Records that a response to the current request exists, of this size in bytes. Returns false if
+    /// there is no memory to send it.
+    pub fn begin_response(&self, bytes: usize) -> bool {
+        let mut state = self.state();
+        state.begin(Phase::Responding);
+        let charge = state.charge.as_ref();
+        charge.is_none_or(|charge| charge.begin_response(REQUEST_BYTES + bytes).is_ok())
+    }
+
+    /// Ends the current request and releases its memory.
+    pub fn end_request(&self) {
+        let mut state = self.state();
+        state.charge = None;
+        state.begin(Phase::Idle);
     }
 
     /// Returns whether the current request has more bytes than allowed.
@@ -112,19 +187,41 @@
         self.state().is_too_large
     }
 
-    /// Returns whether the reader waits for bytes of the current request.
-    pub fn is_waiting(&self) -> bool {
-        self.state().is_waiting
-    }
-
-    /// Records that a response to the current request exists.
-    pub fn set_answered(&self) {
-        self.state().is_answered = true;
+    /// Returns why the current request can't be served for want of memory.
+    pub fn refusal(&self) -> Option<budget::Error> {
+        self.state().refusal
     }
 
     /// Returns whether a response to the current request exists.
     pub fn is_answered(&self) -> bool {
-        self.state().is_answered
+        self.state().phase == Phase::Responding
+    }
+
+    /// Returns once a request has not arrived within `max_time`, or a client has taken nothing of a
+    /// response for as long.
+    pub async fn wait_until_overdue(&self, max_time: Duration) {
+        loop {
+            let remaining = {
+                let state = self.state();
+                match state.phase {
+                    Phase::Handled => max_time,
+                    _ => max_time.saturating_sub(state.since.elapsed()),
+                }
+            };
+            if remaining.is_zero() {
+                return;
+            }
+            async_std::task::sleep(remaining).await;
+        }
+    }
+
+    /// Returns once the request has to give way to others.
+    pub async fn wait_for_eviction(&self) {
+        future::poll_fn(|cx| match &self.state().charge {
+            Some(charge) => charge.poll_evicted(cx),
+            None => Poll::Pending,
+        })
+        .await
     }
 
     /// Returns whether it is known that the next byte belongs to the next request.
@@ -160,6 +257,45 @@
 }
 
 impl State {
+    fn begin(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.since = Instant::now();
+    }
+
+    /// Records that the request has arrived in full.
+    fn begin_handling(&mut self) -> io::Result<()> {
+        let bytes = REQUEST_BYTES + self.request_bytes * BUFFER_FACTOR;
+        let charged = self.charge.as_ref().map_or(Ok(()), |charge| charge.begin_handling(bytes));
+        if let Err(error) = charged {
+            self.refusal = Some(error);
+            return Err(io::Error::other(error));
+        }
+        self.begin(Phase::Handled);
+        Ok(())
+    }
+
+    /// Charges what the request holds with further bytes.
+    fn poll_charge(&mut self, cx: &mut Context<'_>, bytes: usize) -> Poll<io::Result<()>> {
+        let needed = self.request_bytes + bytes;
+        let charged = self.charged_bytes.unwrap_or_default();
+        if self.charged_bytes.is_some() && needed <= charged {
+            return Poll::Ready(Ok(()));
+        }
+        let Some(charge) = &self.charge else { return Poll::Ready(Ok(())) };
+        let block = (needed - charged).next_multiple_of(CHARGED_BLOCK_BYTES);
+        let fixed = if self.charged_bytes.is_none() { REQUEST_BYTES } else { 0 };
+        match ready!(charge.poll_grow(cx, fixed + block * BUFFER_FACTOR)) {
+            Ok(()) => {
+                self.charged_bytes = Some(charged + block);
+                Poll::Ready(Ok(()))
+            }
+            Err(error) => {
+                self.refusal = Some(error);
+                Poll::Ready(Err(io::Error::other(error)))
+            }
+        }
+    }
+
     fn has_buffered(&self) -> bool {
         self.consumed < self.buffer.len()
     }
@@ -181,10 +317,17 @@
         true
     }
 
+    /// Returns how many bytes can be moved to a target of this size. Some may belong to the next part.
+    fn max_count(&self, target_bytes: usize, limit: usize) -> usize {
+        let buffered = self.buffer.len() - self.consumed;
+        target_bytes.min(buffered).min(limit - self.request_bytes)
+    }
+
     /// Moves buffered bytes of the current request to `target`.
     fn take(&mut self, target: &mut [u8], limit: usize) -> usize {
+        let max_count = self.max_count(target.len(), limit);
+        let part = self.part;
         let buffered = &self.buffer[self.consumed..];
-        let max_count = target.len().min(buffered.len()).min(limit - self.request_bytes);
         let count = match &mut self.part {
             Part::Head(matched) => {
                 let (count, is_end) = head_length(&buffered[..max_count], matched);
@@ -219,7 +362,7 @@
         };
         target[..count].copy_from_slice(&buffered[..count]);
         self.consumed += count;
-        self.request_bytes += count;
+        self.request_bytes += part.counted(count);
         if !self.has_buffered() {
             self.buffer = Vec::new(); // an idle connection holds no memory
             self.consumed = 0;
@@ -283,17 +426,23 @@
             if state.buffer.len() - state.consumed >= READ_AHEAD_BYTES {
                 return Poll::Ready(Err(state.refuse()));
             }
-            state.is_waiting = true;
-            let is_open = ready!(self.poll_fill(&mut state, cx))?;
-            state.is_waiting = false;
-            if !is_open {
+            if !ready!(self.poll_fill(&mut state, cx))? {
                 return Poll::Ready(match state.part {
                     Part::Head(_) => Ok(0),
                     _ => Err(io::ErrorKind::UnexpectedEof.into()),
                 });
             }
         }
-        Poll::Ready(Ok(state.take(buf, self.limit)))
+        if state.phase == Phase::Arriving {
+            let bytes = state.part.counted(state.max_count(buf.len(), self.limit));
+            ready!(state.poll_charge(cx, bytes))?;
+        }
+        let is_head = matches!(state.part, Part::Head(_));
+        let count = state.take(buf, self.limit);
+        if state.phase == Phase::Arriving && !is_head && state.part == Part::Body(0) {
+            state.begin_handling()?;
+        }
+        Poll::Ready(Ok(count))
     }
 }
 
@@ -303,7 +452,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, buf)
+        let count = ready!(Pin::new(&mut self.socket).poll_write(cx, buf))?;
+        self.state().since = Instant::now();
+        Poll::Ready(Ok(count))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -8,7 +8,6 @@
 use futures::FutureExt;
 use log::{error, info};
 use mesh::{Clock, ProcessInfo, Settings};
-use serve::Limits;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +40,7 @@
     let settings = util::load_settings(&path)?;
     config::start_service_log()?;
     let metrics = config::start_metrics()?;
+    let limits = util::limits(&path, &settings, MAX_CONNECTIONS, MAX_BODY_BYTES)?;
     task::block_on(async {
         let control = required(&path, &settings, "listen.control", settings.listen.control)?;
         let folder = settings.data_folder.clone().ok_or_else(|| {
@@ -62,19 +62,14 @@
         };
         // Until here nobody could answer, so callers are better refused at once.
         let control = util::listen("listen.control", control).await?;
-        let limits = Limits {
-            process_name: settings.name.clone(),
-            max_connections: settings.limits.max_connections.unwrap_or(MAX_CONNECTIONS),
-            max_body_bytes: settings.limits.max_body_bytes.unwrap_or(MAX_BODY_BYTES),
-            idle_timeout: settings.limits.idle_timeout(),
-        };
         let mut service = Service::default();
         let app = Arc::new(platform::control::App(process.handle()));
+        let budget = limits.budget.clone();
         service.serve(control, app, limits);
         service.maintain_metrics(metrics.clone());
-        service.publish_memory(&settings);
+        service.publish_memory(&settings, &budget);
         let status = Arc::new(util::Status::core(process.handle(), metrics));
-        service.serve_status(&settings, status).await;
+        service.serve_status(&settings, status, budget).await;
         info!("process.started role=core name={}", settings.name);
         let drain_time = settings.bounds.grace().mul_f64(DRAIN_SHARE);
         let has_failed = futures::select! {
--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -9,7 +9,6 @@
 use futures::FutureExt;
 use log::info;
 use mesh::{Clock, ProcessInfo};
-use serve::Limits;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -47,6 +46,7 @@
     let settings = util::load_settings(&path)?;
     config::start_service_log()?;
     let metrics = config::start_metrics()?;
+    let limits = util::limits(&path, &settings, MAX_CONNECTIONS, MAX_BODY_BYTES)?;
     task::block_on(async {
         let with_path = |error| Error::Input(vec![format!("{}: {error}", path.display())]);
         let callers =
@@ -68,22 +68,17 @@
         let gateway = Gateway::start(process_info, clock, settings.seed_addresses());
         let stopping = Arc::new(AtomicBool::new(false));
         let requests_in_flight = Arc::new(AtomicUsize::new(0));
-        let limits = Limits {
-            process_name: settings.name.clone(),
-            max_connections: settings.limits.max_connections.unwrap_or(MAX_CONNECTIONS),
-            max_body_bytes: settings.limits.max_body_bytes.unwrap_or(MAX_BODY_BYTES),
-            idle_timeout: settings.limits.idle_timeout(),
-        };
         let mut service = Service::default();
         let app =
             platform::edge::App::new(gateway.clone(), stopping.clone(), requests_in_flight.clone());
         service.serve(callers, Arc::new(app), limits.clone());
         let app = platform::edge::Health::new(gateway.clone(), stopping.clone());
+        let budget = limits.budget.clone();
         service.serve(health, Arc::new(app), limits);
         service.maintain_metrics(metrics.clone());
-        service.publish_memory(&settings);
+        service.publish_memory(&settings, &budget);
         let status = Arc::new(util::Status::edge(gateway.clone(), metrics));
-        service.serve_status(&settings, status).await;
+        service.serve_status(&settings, status, budget).await;
         info!("process.started role=edge name={}", settings.name);
         signals.wait_for_stop(|settings| gateway.add_seeds(settings.seed_addresses())).await;
         info!(
--- a/src/util.rs
+++ b/src/util.rs
@@ -11,6 +11,7 @@
 use mesh::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
+use serve::budget::{self, Budget};
 use serve::{App, Limits, Listener, StopHandle};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -213,6 +214,36 @@
     async_std::task::sleep(LOG_DRAIN_TIME).await;
 }
 
+/// Returns the limits of the listener for the clients of a process. `max_connections` and
+/// `max_body_bytes` are the defaults of its role.
+pub fn limits(
+    path: &Path,
+    settings: &Settings,
+    max_connections: usize,
+    max_body_bytes: usize,
+) -> Result<Limits> {
+    let limits = &settings.limits;
+    let max_body_bytes = limits.max_body_bytes.unwrap_or(max_body_bytes);
+    let min_bytes = budget::min_bytes(max_body_bytes);
+    let given = limits.request_memory_bytes();
+    if given.is_some_and(|bytes| bytes < min_bytes) {
+        return Err(Error::Input(vec![format!(
+            "{}: limits.request_memory_mb: must be at least {:.1} for bodies of {max_body_bytes} bytes",
+            path.display(),
+            min_bytes as f64 / 1e6
+        )]));
+    }
+    let bytes =
+        given.unwrap_or_else(|| Budget::default_bytes(limits.memory_bytes(), max_body_bytes));
+    Ok(Limits {
+        process_name: settings.name.clone(),
+        max_connections: limits.max_connections.unwrap_or(max_connections),
+        max_body_bytes,
+        idle_timeout: limits.idle_timeout(),
+        budget: Budget::new(bytes),
+    })
+}
+
 /// Running listeners of a core or edge process.
 #[derive(Default)]
 pub struct Service {
@@ -231,12 +262,13 @@
 
     /// Starts to serve metrics and state. If the port can't be bound, logs a warning and the
     /// process runs without it.
-    pub async fn serve_status(&mut self, settings: &Settings, status: Arc<Status>) {
+    pub async fn serve_status(&mut self, settings: &Settings, status: Arc<Status>, budget: Budget) {
         let limits = Limits {
             process_name: settings.name.clone(),
             max_connections: MAX_STATUS_CONNECTIONS,
             max_body_bytes: 0,
             idle_timeout: SETTINGS_POLL_INTERVAL * 10,
+            budget,
         };
         match TcpListener::bind(settings.status_address()).await {
             Ok(socket) => self.serve(socket, status, limits),
@@ -246,8 +278,9 @@
         }
     }
 
-    /// Publishes the memory that the settings give to the process, if they do.
-    pub fn publish_memory(&self, settings: &Settings) {
+    /// Publishes the memory that the settings give to the process, if they do, and to its requests.
+    pub fn publish_memory(&self, settings: &Settings, budget: &Budget) {
+        metrics::gauge!("request_memory_limit_bytes").set(budget.max_bytes() as f64);
         if let Some(bytes) = settings.limits.memory_bytes() {
             metrics::gauge!("memory_limit_bytes").set(bytes as f64);
         }
