Serve: a stalled connection gives way to a new one

Ordinary callers were reset as long as a crowd held all places of a listener: connections that send nothing, requests that trickle or never arrive, responses that nobody reads.

Cause: places were given first come, first served, for a minute at a time.

Change: when all places are taken, the connection gives way that has sent no request in full, or taken no response, for the longest time above a second; then the kept connection that has been idle for longest, and one that is new only at last. A request that the application handles never gives way. What a crowd costs is counted by kind (connections_evicted_total, connections_refused_total, requests_rejected_total) and logged at most once a second for each listener.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners with limits on connections, request sizes, the memory of all requests and time.
 //!
-//! A listener that is stopped finishes the requests in flight.
+//! A listener that is stopped finishes the requests in flight. When all places are taken, the connection
+//! that has stalled for longest gives way to a new one.
 
 pub mod body;
 pub mod budget;
@@ -20,8 +21,8 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
-use stream::Stream;
+use std::time::{Duration, Instant};
+use stream::{Eviction, Place, Stream};
 
 /// Pause after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -30,6 +31,10 @@
 const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(200);
 /// Time for the client to take a response to a request that was not read in full.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Pause between two looks at whether a connection that gives way has ended.
+const EVICTION_PAUSE: Duration = Duration::from_millis(1);
+/// Number of such looks before the new connection is refused.
+const EVICTION_LOOKS: usize = 100;
 /// Seconds after which a client may send a request again for which there was no memory.
 const RETRY_AFTER_S: &str = "1";
 
@@ -44,7 +49,8 @@
 pub struct Limits {
     /// Name of the process, the `entry` label of its metrics.
     pub process_name: String,
-    /// Maximum number of open connections. Further ones are closed at once.
+    /// Maximum number of open connections. A further one takes the place of one that has stalled or is
+    /// idle, or is closed at once if there is none.
     pub max_connections: usize,
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
@@ -90,7 +96,7 @@
             };
             connections.retain(|connection: &Connection| !connection.is_done());
             match accepted {
-                Ok((stream, _)) if self.has_room() => {
+                Ok((stream, _)) if self.make_room(&connections).await => {
                     connections.push(self.serve(stream));
                 }
                 Ok(_) => self.refusals.record(Reason::Connections),
@@ -114,12 +120,37 @@
         self.open_connections.load(Ordering::Acquire) < self.limits.max_connections
     }
 
+    /// Makes room for a new connection if there is none. Returns false if none gives way.
+    async fn make_room(&self, connections: &[Connection]) -> bool {
+        if self.has_room() {
+            return true;
+        }
+        let now = Instant::now();
+        let candidates =
+            connections.iter().filter_map(|c| Some((c.place.precedence(now)?, &c.place)));
+        let Some((_, place)) = candidates.min_by_key(|(precedence, _)| *precedence) else {
+            return false;
+        };
+        if !place.evict() {
+            return false;
+        }
+        self.refusals.record(Reason::Evicted);
+        for _ in 0..EVICTION_LOOKS {
+            if self.has_room() {
+                return true;
+            }
+            task::sleep(EVICTION_PAUSE).await;
+        }
+        false
+    }
+
     /// Starts to serve a connection.
     fn serve(&self, stream: TcpStream) -> Connection {
         self.open_connections.fetch_add(1, Ordering::AcqRel);
         let _ = stream.set_nodelay(true);
         let io = Stream::new(stream, self.limits.max_body_bytes, self.limits.budget.clone());
         let done = Arc::new(AtomicBool::new(false));
+        let place = io.place();
         let session = Session {
             io,
             app: self.app.clone(),
@@ -133,12 +164,13 @@
             open_connections.fetch_sub(1, Ordering::AcqRel);
             done_flag.store(true, Ordering::Release);
         });
-        Connection { handle, done }
+        Connection { place, handle, done }
     }
 }
 
 /// A connection, the task that serves it, and whether the task has ended.
 struct Connection {
+    place: Place,
     handle: task::JoinHandle<()>,
     done: Arc<AtomicBool>,
 }
@@ -163,7 +195,7 @@
     Ended(http_types::Result<ConnectionStatus>),
     /// The client took too long to send it, or to take the response.
     Overdue,
-    Evicted,
+    Evicted(Eviction),
 }
 
 impl Session {
@@ -174,14 +206,17 @@
         let mut stop_delay = FIRST_REQUEST_DELAY;
         while self.wait_for_request(stop_delay).await {
             stop_delay = Duration::ZERO;
-            io.begin_request();
+            if !io.begin_request() {
+                return;
+            }
             let served = self.serve_request().await;
             let (is_answered, refusal) = (io.is_answered(), io.refusal());
             io.end_request();
             let status = match served {
                 Served::Ended(Ok(ConnectionStatus::KeepAlive)) => continue,
                 Served::Ended(_) if is_answered => return,
-                Served::Evicted => {
+                Served::Evicted(Eviction::Place) => return,
+                Served::Evicted(Eviction::Memory) => {
                     self.refusals.record(Reason::Memory);
                     StatusCode::ServiceUnavailable
                 }
@@ -216,7 +251,7 @@
         futures::select! {
             result = served => Served::Ended(result),
             () = self.io.wait_until_overdue(self.idle_timeout).fuse() => Served::Overdue,
-            () = self.io.wait_for_eviction().fuse() => Served::Evicted,
+            eviction = self.io.wait_for_eviction().fuse() => Served::Evicted(eviction),
         }
     }
 
@@ -266,6 +301,7 @@
         };
         futures::select! {
             has_arrived = self.io.wait_for_request().fuse() => return has_arrived,
+            _ = self.io.wait_for_eviction().fuse() => return false,
             _ = task::sleep(self.idle_timeout).fuse() => {}
             () = stopped.fuse() => {}
         }
--- a/crates/serve/src/refusals.rs
+++ b/crates/serve/src/refusals.rs
@@ -10,8 +10,10 @@
 /// What was refused or ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// A new connection.
+    /// A new connection, as no other one could give way.
     Connections,
+    /// A connection that gave way to a new one.
+    Evicted,
     /// A request without memory.
     Memory,
     /// A request that did not arrive in time, or whose response was not taken in time.
@@ -22,6 +24,7 @@
     fn name(self) -> &'static str {
         match self {
             Reason::Connections => "connections",
+            Reason::Evicted => "evicted",
             Reason::Memory => "memory",
             Reason::Overdue => "overdue",
         }
@@ -56,6 +59,9 @@
             Reason::Connections => {
                 metrics::counter!("connections_refused_total", "entry" => entry).increment(1)
             }
+            Reason::Evicted => {
+                metrics::counter!("connections_evicted_total", "entry" => entry).increment(1)
+            }
             Reason::Memory | Reason::Overdue => {
                 metrics::counter!("requests_rejected_total", "entry" => entry, "reason" => name)
                     .increment(1)
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -9,7 +9,7 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 /// Bytes that a request may use for its head, in addition to its body.
@@ -22,6 +22,9 @@
 const BUFFER_FACTOR: usize = 2;
 /// Bytes of a request that are charged at a time.
 const CHARGED_BLOCK_BYTES: usize = 4 << 10;
+/// Time in which a connection that has served no request yet, or a request that arrives, is the last
+/// to give way to other connections.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// End of a request's head, and of trailers.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// End of a line.
@@ -58,6 +61,12 @@
     refusal: Option<budget::Error>,
     /// Whether the request has more bytes than allowed.
     is_too_large: bool,
+    /// Whether a request has been answered on this connection.
+    has_served: bool,
+    /// Whether the connection has to give way to another one.
+    is_evicted: bool,
+    /// Wakes the task that waits for an eviction.
+    eviction: Option<Waker>,
 }
 
 /// What a connection is doing.
@@ -73,6 +82,26 @@
     Responding,
 }
 
+/// Why a request in progress has to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eviction {
+    /// Another connection takes its place.
+    Place,
+    /// Other requests need its memory.
+    Memory,
+}
+
+/// How readily a connection gives way to another one; the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Precedence {
+    /// It has sent no request in full for some time, or does not take the response.
+    Stalled,
+    /// It is kept by a client between two requests.
+    KeptAlive,
+    /// It has been doing for a moment only what it does.
+    Recent,
+}
+
 /// The part of the request that is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
@@ -88,6 +117,42 @@
     Trailers,
 }
 
+/// The place that a connection takes. It does not keep the connection open.
+pub struct Place(Arc<Mutex<State>>);
+
+impl Place {
+    /// Returns how readily the connection gives way to another one, and since when it has been doing
+    /// what it does; `None` if it can't, as the application handles its request.
+    pub fn precedence(&self, now: Instant) -> Option<(Precedence, Instant)> {
+        let state = self.state();
+        let precedence = match state.phase {
+            Phase::Handled => return None,
+            Phase::Idle if state.has_served => Precedence::KeptAlive,
+            _ if now.saturating_duration_since(state.since) < FIRST_REQUEST_TIME => {
+                Precedence::Recent
+            }
+            _ => Precedence::Stalled,
+        };
+        Some((precedence, state.since))
+    }
+
+    /// Lets the connection give way to another one. Returns false if the application handles its
+    /// request.
+    pub fn evict(&self) -> bool {
+        let mut state = self.state();
+        if state.charge.as_ref().is_some_and(|charge| !charge.evict()) {
+            return false;
+        }
+        state.is_evicted = true;
+        state.eviction.take().into_iter().for_each(Waker::wake);
+        true
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Part {
     /// Returns how many of the next bytes count for the size of the request.
     fn counted(self, count: usize) -> usize {
@@ -113,6 +178,9 @@
             charged_bytes: None,
             refusal: None,
             is_too_large: false,
+            has_served: false,
+            is_evicted: false,
+            eviction: None,
         }
     }
 }
@@ -138,8 +206,8 @@
         filled.await.unwrap_or(false)
     }
 
-    /// Starts to read a request.
-    pub fn begin_request(&self) {
+    /// Starts to read a request. Returns false if the connection has to give way to another one.
+    pub fn begin_request(&self) -> bool {
         let mut state = self.state();
         state.request_bytes = 0;
         state.part = Part::Head(0);
@@ -148,6 +216,7 @@
         state.refusal = None;
         state.is_too_large = false;
         state.begin(Phase::Arriving);
+        !state.is_evicted
     }
 
     /// Starts to read the body of a request whose head was read. Returns false if the body is
@@ -178,6 +247,7 @@
     /// Ends the current request and releases its memory.
     pub fn end_request(&self) {
         let mut state = self.state();
+        state.has_served |= state.phase == Phase::Responding;
         state.charge = None;
         state.begin(Phase::Idle);
     }
@@ -215,15 +285,27 @@
         }
     }
 
-    /// Returns once the request has to give way to others.
-    pub async fn wait_for_eviction(&self) {
-        future::poll_fn(|cx| match &self.state().charge {
-            Some(charge) => charge.poll_evicted(cx),
-            None => Poll::Pending,
+    /// Returns once the connection or its request has to give way to others.
+    pub async fn wait_for_eviction(&self) -> Eviction {
+        future::poll_fn(|cx| {
+            let mut state = self.state();
+            if state.is_evicted {
+                return Poll::Ready(Eviction::Place);
+            }
+            state.eviction = Some(cx.waker().clone());
+            match &state.charge {
+                Some(charge) => charge.poll_evicted(cx).map(|()| Eviction::Memory),
+                None => Poll::Pending,
+            }
         })
         .await
     }
 
+    /// Returns a handle that tells and decides whether the connection gives way to another one.
+    pub fn place(&self) -> Place {
+        Place(self.state.clone())
+    }
+
     /// Returns whether it is known that the next byte belongs to the next request.
     pub fn is_at_end(&self) -> bool {
         self.state().part == Part::Body(0)
--- a/crates/serve/tests/harness/mod.rs
+++ b/crates/serve/tests/harness/mod.rs
@@ -15,6 +15,8 @@
 
 pub const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 pub const MAX_BODY_BYTES: usize = 64 << 10;
+/// Places of a listener, enough for any test that does not lower them.
+const MAX_CONNECTIONS: usize = 200;
 /// Memory of all requests, enough for those of any test that does not lower it.
 pub const BUDGET_BYTES: usize = 16 << 20;
 /// Time for which `/block` occupies a thread of the executor.
@@ -62,14 +64,18 @@
     }
 
     pub fn with_budget(budget: Budget) -> Server {
+        Server::with_idle(budget, MAX_CONNECTIONS, IDLE_TIMEOUT)
+    }
+
+    pub fn with_idle(budget: Budget, max_connections: usize, idle_timeout: Duration) -> Server {
         task::block_on(async {
             let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = socket.local_addr().unwrap();
             let limits = Limits {
                 process_name: "test".to_string(),
-                max_connections: 200,
+                max_connections,
                 max_body_bytes: MAX_BODY_BYTES,
-                idle_timeout: IDLE_TIMEOUT,
+                idle_timeout,
                 budget: budget.clone(),
             };
             let (listener, stop) = Listener::new(socket, Arc::new(Echo), limits);
