Edge: health checks have 64 places of their own and no bodies

The load balancer saw an edge that answered no health check, and took it out.

Cause: the health listener had the limits of the callers' one, 2,500 places and bodies of 512 KiB. Both full took 5,000 descriptors of the 4,100 that a machine has, so that no further connection was accepted at all.

--- a/src/cmd/edge.rs
+++ b/src/cmd/edge.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use log::info;
 use mesh::{Clock, ProcessInfo};
+use serve::Limits;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -19,6 +20,8 @@
 /// Default maximum number of open client connections; each takes a file descriptor and 40 KB, and
 /// this many stay within an instance's limits.
 const MAX_CONNECTIONS: usize = 2500;
+/// Maximum number of open connections for health checks, which come from few load balancers.
+const MAX_HEALTH_CONNECTIONS: usize = 64;
 /// Time after a stop signal for which new connections are still accepted: the load balancer
 /// checks health once a second and stops sending after two failed checks.
 const STOP_NOTICE: Duration = Duration::from_millis(2600);
@@ -74,6 +77,8 @@
         service.serve(callers, Arc::new(app), limits.clone());
         let app = platform::edge::Health::new(gateway.clone(), stopping.clone());
         let budget = limits.budget.clone();
+        let limits =
+            Limits { max_connections: MAX_HEALTH_CONNECTIONS, max_body_bytes: 0, ..limits };
         service.serve(health, Arc::new(app), limits);
         service.maintain_metrics(metrics.clone());
         service.publish_memory(&settings, &budget);
