Mesh: strangers at the address for links are bounded

A core grew by the frames of strangers, and by a descriptor for each of their connections.

Change: the first frame has at most 16 KiB, as between entries. 512 connections may be in their handshake (limits.max_handshakes); for a further one the oldest ends, so that strangers keep no peer out, which strangers_do_not_keep_peers_out checks. At most 1,024 links are accepted. Handles of ended tasks are dropped.

Not changed: a stranger that says it is a core is linked like one. The address belongs on a private network.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -93,6 +93,8 @@
     pub seeds: BTreeSet<SocketAddr>,
     /// Control addresses of the voters that form a new cluster. The first one starts it.
     pub founders: BTreeSet<SocketAddr>,
+    /// Maximum number of accepted connections whose peers have not said who they are.
+    pub max_handshakes: usize,
     /// Whether this process may form a new cluster: the whole system starts for the first
     /// time.
     pub bootstrap: bool,
@@ -283,6 +285,7 @@
             }),
         );
         let _ = environment.net.set(net.clone()); // set once, here
+        net.set_max_handshakes(options.max_handshakes);
         net.add_addresses(options.seeds, true);
         let listener = task::spawn(net.clone().listen(peers));
         let (end, core_ended) = bounded(1);
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -108,6 +108,7 @@
         founders: BTreeSet::from([address]),
         bootstrap: true,
         retention: Duration::from_secs(120),
+        max_handshakes: mesh::net::MAX_HANDSHAKES,
         sched_settings: sched::Settings::default(),
         open_folder: Box::new(move || Ok(Box::new(StalledDisk(disk.clone())) as Box<dyn Folder>)),
         clock: Arc::new(System),
--- a/crates/mesh/src/net.rs
+++ b/crates/mesh/src/net.rs
@@ -20,11 +20,11 @@
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use tokio_tungstenite::tungstenite::{self, Bytes, Message};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
@@ -46,6 +46,13 @@
 const ADDRESS_EXPIRY: Duration = Duration::from_secs(60);
 /// Time for which a stopping process goes on sending the frames that are queued.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of a frame before the peer has said who it is.
+const MAX_HELLO_BYTES: usize = 16 << 10;
+/// Default maximum number of accepted connections whose peers have not said who they are. The oldest
+/// one is ended for a further one, so that strangers don't keep peers out.
+pub const MAX_HANDSHAKES: usize = 512;
+/// Maximum number of links that peers have opened.
+const MAX_ACCEPTED_LINKS: usize = 1024;
 /// Read buffer of each link; the library's default is 128 KiB.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -60,6 +67,12 @@
     /// The connection was closed by either side.
     #[error("connection closed")]
     Closed,
+    /// Another connection took the place of this one before its peer said who it is.
+    #[error("too many later connections wait for their handshake")]
+    HandshakeOverrun,
+    /// Peers have opened as many links as are allowed.
+    #[error("peers have opened {MAX_ACCEPTED_LINKS} links")]
+    TooManyLinks,
     /// The first frame of the peer was not `Hello`.
     #[error("the first frame is not Hello")]
     UnexpectedFrame,
@@ -137,6 +150,60 @@
     seen_at: Duration,
 }
 
+/// A spawned task, and whether it has ended.
+struct Task {
+    handle: JoinHandle<()>,
+    done: Arc<AtomicBool>,
+}
+
+/// Accepted connections whose peers have not said who they are, the oldest first.
+struct Handshakes {
+    max_count: AtomicUsize,
+    next: AtomicU64,
+    ends: Mutex<BTreeMap<u64, Sender<()>>>,
+}
+
+/// A handshake in progress; dropping it frees its place.
+struct Handshake<'a> {
+    handshakes: &'a Handshakes,
+    number: u64,
+}
+
+impl Default for Handshakes {
+    fn default() -> Handshakes {
+        Handshakes {
+            max_count: AtomicUsize::new(MAX_HANDSHAKES),
+            next: AtomicU64::new(0),
+            ends: Mutex::default(),
+        }
+    }
+}
+
+impl Handshakes {
+    /// Begins a handshake, and ends the oldest one if there are too many. The receiver tells when
+    /// this one has to end.
+    fn begin(&self) -> (Handshake<'_>, Receiver<()>) {
+        let (end, ended) = bounded(1);
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut ends = self.ends.lock().unwrap_or_else(PoisonError::into_inner);
+        if ends.len() >= self.max_count.load(Ordering::Relaxed)
+            && let Some((_, oldest)) = ends.pop_first()
+        {
+            let _ = oldest.try_send(()); // holds one
+            metrics::counter!("handshakes_overrun_total").increment(1);
+        }
+        ends.insert(number, end);
+        (Handshake { handshakes: self, number }, ended)
+    }
+}
+
+impl Drop for Handshake<'_> {
+    fn drop(&mut self) {
+        let mut ends = self.handshakes.ends.lock().unwrap_or_else(PoisonError::into_inner);
+        ends.remove(&self.number);
+    }
+}
+
 /// Links between this process and the others.
 pub struct Net {
     own: ProcessInfo,
@@ -149,7 +216,10 @@
     /// Bytes queued on all links.
     queued: queue::Total,
     known_addresses: Mutex<BTreeMap<SocketAddr, KnownAddress>>,
-    tasks: Mutex<Vec<JoinHandle<()>>>,
+    handshakes: Handshakes,
+    /// Number of links that peers have opened.
+    accepted_links: AtomicUsize,
+    tasks: Mutex<Vec<Task>>,
     stopping: AtomicBool,
 }
 
@@ -164,11 +234,18 @@
             links: RwLock::default(),
             queued: queue::Total::default(),
             known_addresses: Mutex::default(),
+            handshakes: Handshakes::default(),
+            accepted_links: AtomicUsize::new(0),
             tasks: Mutex::default(),
             stopping: AtomicBool::new(false),
         })
     }
 
+    /// Sets how many accepted connections may wait for their peer to say who it is.
+    pub fn set_max_handshakes(&self, max_count: usize) {
+        self.handshakes.max_count.store(max_count.max(1), Ordering::Relaxed);
+    }
+
     /// Queues a frame for the process of this name, on its newest link. Returns whether
     /// it was queued; delivery is not guaranteed.
     pub fn send(&self, to: &str, frame: &Frame) -> bool {
@@ -287,7 +364,7 @@
         let tasks = std::mem::take(&mut *self.tasks.lock().unwrap_or_else(PoisonError::into_inner));
         let ended = async {
             for task in tasks {
-                task.await;
+                task.handle.await;
             }
         };
         futures::pin_mut!(ended);
@@ -305,8 +382,15 @@
     }
 
     fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
-        let handle = task::spawn(future);
-        self.tasks.lock().unwrap_or_else(PoisonError::into_inner).push(handle);
+        let done = Arc::new(AtomicBool::new(false));
+        let done_flag = done.clone();
+        let handle = task::spawn(async move {
+            future.await;
+            done_flag.store(true, Ordering::Release);
+        });
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        tasks.retain(|task| !task.done.load(Ordering::Acquire));
+        tasks.push(Task { handle, done });
     }
 
     fn is_linked(&self, address: SocketAddr) -> bool {
@@ -361,8 +445,11 @@
         let stream = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let url = format!("ws://{address}/");
-        let upgrade =
-            tokio_tungstenite::client_async_with_config(url, stream.compat(), websocket_config());
+        let upgrade = tokio_tungstenite::client_async_with_config(
+            url,
+            stream.compat(),
+            websocket_config(MAX_FRAME_BYTES),
+        );
         let (mut socket, _) = timeout(HANDSHAKE_TIMEOUT, upgrade).await??;
         send(&mut socket, &Frame::Hello(self.own.clone())).await?;
         let peer = receive_hello(&mut socket).await?;
@@ -371,13 +458,25 @@
 
     /// Accepts a peer on a new connection and runs the link until it ends.
     async fn accept(self: &Arc<Net>, stream: TcpStream) -> Result<()> {
-        stream.set_nodelay(true)?;
-        let upgrade =
-            tokio_tungstenite::accept_async_with_config(stream.compat(), websocket_config());
-        let mut socket = timeout(HANDSHAKE_TIMEOUT, upgrade).await??;
-        let peer = receive_hello(&mut socket).await?;
-        send(&mut socket, &Frame::Hello(self.own.clone())).await?;
-        self.run_link(socket, peer).await
+        let (handshake, ended) = self.handshakes.begin();
+        let accepted = futures::select! {
+            accepted = accept_hello(stream).fuse() => accepted,
+            _ = ended.recv().fuse() => Err(Error::HandshakeOverrun),
+        };
+        drop(handshake);
+        let (mut socket, peer) = accepted?;
+        if self.accepted_links.fetch_add(1, Ordering::AcqRel) >= MAX_ACCEPTED_LINKS {
+            self.accepted_links.fetch_sub(1, Ordering::AcqRel);
+            metrics::counter!("links_refused_total").increment(1);
+            return Err(Error::TooManyLinks);
+        }
+        let result = async {
+            send(&mut socket, &Frame::Hello(self.own.clone())).await?;
+            self.run_link(socket, peer).await
+        };
+        let result = result.await;
+        self.accepted_links.fetch_sub(1, Ordering::AcqRel);
+        result
     }
 
     /// Registers the link and passes frames both ways until it fails or times out.
@@ -473,12 +572,24 @@
     }
 }
 
-fn websocket_config() -> Option<WebSocketConfig> {
+/// Accepts a WebSocket connection and reads who the peer is.
+async fn accept_hello(stream: TcpStream) -> Result<(Socket, ProcessInfo)> {
+    stream.set_nodelay(true)?;
+    let small = websocket_config(MAX_HELLO_BYTES);
+    let upgrade = tokio_tungstenite::accept_async_with_config(stream.compat(), small);
+    let mut socket = timeout(HANDSHAKE_TIMEOUT, upgrade).await??;
+    let peer = receive_hello(&mut socket).await?;
+    // The peer sends nothing further until it is answered, so no byte is lost with the buffer.
+    let (stream, large) = (socket.into_inner(), websocket_config(MAX_FRAME_BYTES));
+    Ok((WebSocketStream::from_raw_socket(stream, Role::Server, large).await, peer))
+}
+
+fn websocket_config(max_bytes: usize) -> Option<WebSocketConfig> {
     let mut websocket_config = WebSocketConfig::default();
     websocket_config.read_buffer_size = READ_BUFFER_BYTES;
     websocket_config.write_buffer_size = 0;
-    websocket_config.max_message_size = Some(MAX_FRAME_BYTES);
-    websocket_config.max_frame_size = Some(MAX_FRAME_BYTES);
+    websocket_config.max_message_size = Some(max_bytes);
+    websocket_config.max_frame_size = Some(max_bytes);
     Some(websocket_config)
 }
 
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -137,6 +137,8 @@
     /// Maximum number of open connections of clients (edge), or of workers and operators (core).
     /// The default depends on the role.
     pub max_connections: Option<usize>,
+    /// Maximum number of connections of other processes that have not said who they are.
+    pub max_handshakes: Option<usize>,
     /// Maximum size of the body of a request, in bytes. The default depends on the role.
     pub max_body_bytes: Option<usize>,
     /// Time for which a connection may be idle, and in which a request has to arrive, in
@@ -240,6 +242,7 @@
         }
         for (field, is_zero) in [
             ("max_connections", self.max_connections == Some(0)),
+            ("max_handshakes", self.max_handshakes == Some(0)),
             ("max_body_bytes", self.max_body_bytes == Some(0)),
             ("idle_ms", self.idle_ms == Some(0)),
         ] {
--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -283,3 +283,25 @@
         assert_eq!(frames_around_a_halt(2, true).await, [first]);
     });
 }
+
+/// Guards against strangers that take all places of handshakes, and keep them.
+#[test]
+fn strangers_do_not_keep_peers_out() {
+    task::block_on(async {
+        let (listener, address) = listener().await;
+        let accepting = net("accepting", address);
+        accepting.set_max_handshakes(4);
+        let listening = task::spawn(accepting.clone().listen(listener));
+        let mut strangers = Vec::new();
+        for _ in 0..20 {
+            strangers.push(TcpStream::connect(address).await.unwrap());
+        }
+        let (_other, own_address) = self::listener().await;
+        let dialling = net("dialling", own_address);
+        dialling.add_addresses([address], true);
+        wait_until("the peer is linked", || accepting.peers().len() == 1).await;
+        dialling.stop().await;
+        accepting.stop().await;
+        listening.await;
+    });
+}
--- a/crates/mesh/tests/settings.rs
+++ b/crates/mesh/tests/settings.rs
@@ -32,6 +32,8 @@
         ("memory_mb", "1e300", "must be from 32 to 1000000000"),
         ("max_connections", "0", "must be at least 1"),
         ("max_connections", "-1", "invalid"),
+        ("max_handshakes", "0", "must be at least 1"),
+        ("request_memory_mb", "0", "must be above 0"),
         ("max_body_bytes", "0", "must be at least 1"),
         ("idle_ms", "0", "must be at least 1"),
         ("idle_ms", "soon", "invalid type"),
--- a/src/cmd/core.rs
+++ b/src/cmd/core.rs
@@ -7,6 +7,7 @@
 use control::process::{Options, Process};
 use futures::FutureExt;
 use log::{error, info};
+use mesh::net::MAX_HANDSHAKES;
 use mesh::{Clock, ProcessInfo, Settings};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -122,6 +123,7 @@
         },
         seeds: settings.seed_addresses(),
         founders: settings.seeds.0.clone(),
+        max_handshakes: settings.limits.max_handshakes.unwrap_or(MAX_HANDSHAKES),
         bootstrap: settings.founding,
         retention: settings.bounds.retention(),
         sched_settings: settings.bounds.sched(),
--- a/tests/crowd/roles.rs
+++ b/tests/crowd/roles.rs
@@ -20,6 +20,8 @@
 const EDGE_CONNECTIONS: usize = 600;
 /// Connections of workers and operators that the settings of a core allow.
 const CORE_CONNECTIONS: usize = 200;
+/// Connections of processes that have not said who they are that the settings of a core allow.
+const CORE_HANDSHAKES: usize = 64;
 /// Descriptors that a process may have open beside these connections: other listeners, links to other
 /// processes, files.
 const OTHER_DESCRIPTORS: usize = 128;
@@ -51,6 +53,7 @@
         });
         system.core_limits = json!({
             "memory_mb": CORE_MEMORY_MB, "max_connections": CORE_CONNECTIONS, "idle_ms": IDLE_MS,
+            "max_handshakes": CORE_HANDSHAKES,
         });
         system.run_all(true);
         system.wait_for_leader();
