Control: reads of the configuration that arrive together share one reply

Operators who read the configuration at once at a core that does not lead ended its link to the leader, and with it the consensus messages and orders that the link carries.

Cause: each read was a request to the leader of its own, and each reply a copy of the document on the link, which ends when it holds 8 MiB. Two more copies of each were held until the response was sent.

Change: a read that arrives while another one waits for the leader shares the next request. It was sent after the read arrived, so the answer is as new as before. All share one copy of the document.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod core;
 pub mod load;
 pub mod process;
+pub mod reads;
 pub mod relay;
 
 pub use calls::Calls;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -5,6 +5,7 @@
 use crate::core::place::{self, Question};
 use crate::core::{Core, Environment, Input, OpenFolder, ReplyTo, Setup};
 use crate::load::Meter;
+use crate::reads::{self, Reads};
 use crate::relay::CALL_TIMEOUT;
 use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
@@ -156,6 +157,7 @@
 pub struct Handle {
     queue: Queue,
     status: Arc<RwLock<Status>>,
+    reads: Reads,
 }
 
 impl Handle {
@@ -173,6 +175,12 @@
         }
     }
 
+    /// Reads the configuration in force. Reads that arrive while another one waits for the leader
+    /// share the next request.
+    pub async fn read_config(&self) -> reads::Answer {
+        self.reads.read(self.request(LeaderRequest::Config)).await
+    }
+
     /// Queues a worker's report. Returns false if the input queue is full or the core has
     /// ended.
     pub fn report(&self, report: Report) -> bool {
@@ -242,7 +250,8 @@
         let length = Arc::new(AtomicUsize::new(0));
         let queue = Queue { inputs: sender, length: length.clone(), clock: options.clock.clone() };
         let status = Arc::new(RwLock::default());
-        let handle = Handle { queue: queue.clone(), status: status.clone() };
+        let handle =
+            Handle { queue: queue.clone(), status: status.clone(), reads: Reads::default() };
         let environment = Arc::new(ProcessEnvironment {
             clock: options.clock.clone(),
             calls: options.calls,
--- a/tests/crowd/roles.rs
+++ b/tests/crowd/roles.rs
@@ -75,6 +75,24 @@
         self.system.address(self.core, CONTROL)
     }
 
+    /// Replaces the configuration by one of a megabyte.
+    fn configure_megabyte(&self) {
+        let config = json!({
+            "version": 2,
+            "routes": [{
+                "name": "plugs", "host": self.host, "path_prefix": PREFIX, "service": "gate",
+                "timeout_ms": 3000, "slo_ms": 600, "max_attempts": 3, "stretch": 1.6,
+            }],
+            "services": [{"name": "gate"}],
+            "limits": {},
+            "notes": "x".repeat(1 << 20),
+        });
+        let put = with_body("PUT", &self.host, "/api/config", &config.to_string());
+        until("the configuration is acknowledged", || {
+            ask(self.control(), &put).is_some_and(|(status, _)| status == 200)
+        });
+    }
+
     /// Path of a job that nobody submits otherwise.
     fn path(&self, number: u32) -> String {
         format!("{PREFIX}{number:016x}")
@@ -375,20 +393,7 @@
 #[test]
 fn operators_that_read_no_configuration() {
     let stage = Stage::start();
-    let config = json!({
-        "version": 2,
-        "routes": [{
-            "name": "plugs", "host": stage.host, "path_prefix": PREFIX, "service": "gate",
-            "timeout_ms": 3000, "slo_ms": 600, "max_attempts": 3, "stretch": 1.6,
-        }],
-        "services": [{"name": "gate"}],
-        "limits": {},
-        "notes": "x".repeat(1 << 20),
-    });
-    let put = with_body("PUT", &stage.host, "/api/config", &config.to_string());
-    until("the configuration is acknowledged", || {
-        ask(stage.control(), &put).is_some_and(|(status, _)| status == 200)
-    });
+    stage.configure_megabyte();
     let request = get(&stage.host, "/api/config").replace("Connection: close\r\n", "");
     let crowds: Vec<Crowd> = stage
         .system
@@ -404,6 +409,28 @@
     drop(crowds);
 }
 
+/// Guards against reads that cost the leader's links a copy of the configuration each: a link that is
+/// full ends, and with it what else it carries.
+#[test]
+fn operators_that_all_read_the_configuration_end_no_link() {
+    let stage = Stage::start();
+    stage.configure_megabyte();
+    let request = get(&stage.host, "/api/config");
+    let crowds: Vec<Crowd> = stage
+        .system
+        .cores()
+        .map(|core| Crowd::open(stage.system.address(core, CONTROL), 150, request.as_bytes()))
+        .collect();
+    stage.check_ordinary_requests();
+    for core in stage.system.cores() {
+        let status = stage.system.address(core, INTERNAL.1);
+        let (_, metrics) = ask(status, &get(&stage.host, "/metrics")).unwrap();
+        let full = metrics.lines().find(|line| line.starts_with("links_full_total"));
+        assert_eq!(full, None, "core {core}");
+    }
+    stage.check();
+    drop(crowds);
+}
 /// Guards against strangers at the address for other processes: connections without an end.
 #[test]
 fn links_beside_idle_connections() {
