Log: a line has at most 2 KiB

Lines quote the path that a client sent, up to 8 KiB. 8,192 lines may wait while the log's reader stalls, so a crowd with long paths could hold 64 MiB there, more than an edge has to spare.

A longer line is cut and ends in three dots; what waits is at most 16 MiB.

--- a/src/config.rs
+++ b/src/config.rs
@@ -143,6 +143,10 @@
 /// Maximum number of log lines queued for standard output; further lines are dropped and
 /// counted.
 const LOG_QUEUE_LINES: usize = 8192;
+/// Maximum size of a log line, which may quote what a client sent. A longer one is cut.
+const MAX_LINE_BYTES: usize = 2048;
+/// End of a line that was cut.
+const CUT_LINE_END: &[u8] = b"...\n";
 /// Pause between two writes to standard output, so that one write carries many lines.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -177,7 +181,12 @@
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
         self.partial_line.extend_from_slice(bytes);
         if self.partial_line.ends_with(b"\n") {
-            let line = std::mem::take(&mut self.partial_line);
+            let mut line = std::mem::take(&mut self.partial_line);
+            if line.len() > MAX_LINE_BYTES {
+                line.truncate(MAX_LINE_BYTES);
+                line.extend_from_slice(CUT_LINE_END);
+                line.shrink_to_fit();
+            }
             if self.queue.try_send(line).is_err() {
                 metrics::counter!("log_lines_dropped_total").increment(1);
             }
--- a/tests/crowd/roles.rs
+++ b/tests/crowd/roles.rs
@@ -478,3 +478,19 @@
     head.extend([0; 4]);
     head
 }
+
+/// Guards against log lines that quote whatever a client sends: thousands of them wait while the log's
+/// reader stalls.
+#[test]
+fn log_lines_are_short_whatever_callers_send() {
+    let stage = Stage::start();
+    let request = get(&stage.host, &format!("/{}", "x".repeat(7000)));
+    let _crowd = Crowd::open(stage.callers(), 20, request.as_bytes());
+    let longest_line = || {
+        let log = std::fs::read_to_string(stage.system.log_path(stage.edge)).unwrap();
+        log.lines().map(str::len).max().unwrap()
+    };
+    until("the requests are logged", || longest_line() > 1000);
+    assert!(longest_line() <= 2100, "{} bytes", longest_line());
+    stage.check();
+}
