Serve: small bodies are read without buffers of 32 KiB

A body without a declared length, and a request without any body, took two buffers of 32 KiB, which cost time and memory on the path of every request.

A body is read into its blocks directly; the first one has 4 KiB where the length is not known, and there is none without a body.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -175,10 +175,13 @@
         }
     }
 
-    /// Reads the configuration in force. Reads that arrive while another one waits for the leader
-    /// share the next request.
+    /// Reads the configuration in force, for at most [`REQUEST_TIMEOUT`]. Reads that arrive while
+    /// another one waits for the leader share the next request.
     pub async fn read_config(&self) -> reads::Answer {
-        self.reads.read(self.request(LeaderRequest::Config)).await
+        let read = self.reads.read(self.request(LeaderRequest::Config));
+        timeout(REQUEST_TIMEOUT, read).await.unwrap_or_else(|_| {
+            reads::Answer::Other(mesh::Reply::NotTaken("no reply in time".to_string()))
+        })
     }
 
     /// Queues a worker's report. Returns false if the input queue is full or the core has
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -10,6 +10,9 @@
 /// Size of a block, and of the largest body that is one piece.
 const BLOCK_BYTES: usize = 32 << 10;
 
+/// Size of the first block of a body whose length is not known.
+const FIRST_BLOCK_BYTES: usize = 4 << 10;
+
 /// The body of a request.
 #[derive(Clone, Debug, Default)]
 pub struct Body(Vec<Vec<u8>>);
@@ -17,25 +20,24 @@
 impl Body {
     /// Reads the body of a request.
     pub async fn read(request: &mut Request) -> io::Result<Body> {
-        let first_bytes = request.len().unwrap_or(BLOCK_BYTES).min(BLOCK_BYTES);
-        let mut blocks: Vec<Vec<u8>> = vec![Vec::with_capacity(first_bytes)];
-        let mut buffer = vec![0; first_bytes.max(1)];
+        let length = match request.len() {
+            None if request.header("transfer-encoding").is_none() => return Ok(Body::default()),
+            length => length,
+        };
+        let (mut blocks, mut read_bytes) = (Vec::new(), 0);
         loop {
-            let count = request.read(&mut buffer).await?;
-            if count == 0 {
+            let size = match length {
+                Some(length) => BLOCK_BYTES.min(length - read_bytes),
+                None if blocks.is_empty() => FIRST_BLOCK_BYTES,
+                None => BLOCK_BYTES,
+            };
+            let block = read_block(request, size).await?;
+            read_bytes += block.len();
+            let is_end = block.len() < size || length == Some(read_bytes);
+            blocks.push(block);
+            if is_end {
                 return Ok(Body(blocks));
             }
-            let mut bytes = &buffer[..count];
-            while !bytes.is_empty() {
-                if blocks.last().is_none_or(|block| block.len() == block.capacity()) {
-                    blocks.push(Vec::with_capacity(BLOCK_BYTES));
-                }
-                let block = blocks.last_mut().expect("there is a block");
-                let room = block.capacity() - block.len();
-                let (fitting, rest) = bytes.split_at(bytes.len().min(room));
-                block.extend_from_slice(fitting);
-                bytes = rest;
-            }
         }
     }
 
@@ -64,6 +66,19 @@
     }
 }
 
+/// Reads a block, which is shorter at the end of the body.
+async fn read_block(request: &mut Request, size: usize) -> io::Result<Vec<u8>> {
+    let (mut block, mut filled) = (vec![0; size], 0);
+    while filled < size {
+        match request.read(&mut block[filled..]).await? {
+            0 => break,
+            count => filled += count,
+        }
+    }
+    block.truncate(filled);
+    Ok(block)
+}
+
 /// Reader of a [`Body`].
 #[derive(Debug)]
 pub struct Reader<'a> {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -220,7 +220,10 @@
                     self.refusals.record(Reason::Memory);
                     StatusCode::ServiceUnavailable
                 }
-                Served::Ended(Err(_)) if refusal.is_some() => {
+                // Also where the application was told that its body can't be charged.
+                Served::Ended(Err(error))
+                    if refusal.is_some() || error.status() == StatusCode::ServiceUnavailable =>
+                {
                     self.refusals.record(Reason::Memory);
                     StatusCode::ServiceUnavailable
                 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -22,9 +22,8 @@
 const BUFFER_FACTOR: usize = 2;
 /// Bytes of a request that are charged at a time.
 const CHARGED_BLOCK_BYTES: usize = 4 << 10;
-/// Time in which a connection that has served no request yet, or a request that arrives, is the last
-/// to give way to other connections.
-const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Time in which a connection counts as recent: the client gets on with what it does.
+const RECENT_TIME: Duration = Duration::from_secs(1);
 /// End of a request's head, and of trailers.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// End of a line.
@@ -98,7 +97,7 @@
     Stalled,
     /// It is kept by a client between two requests.
     KeptAlive,
-    /// It has been doing for a moment only what it does.
+    /// It began a moment ago to wait, to send or to take a response.
     Recent,
 }
 
@@ -128,9 +127,7 @@
         let precedence = match state.phase {
             Phase::Handled => return None,
             Phase::Idle if state.has_served => Precedence::KeptAlive,
-            _ if now.saturating_duration_since(state.since) < FIRST_REQUEST_TIME => {
-                Precedence::Recent
-            }
+            _ if now.saturating_duration_since(state.since) < RECENT_TIME => Precedence::Recent,
             _ => Precedence::Stalled,
         };
         Some((precedence, state.since))
