--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod entry;
 mod roles;
+mod soak;
 mod watch;
 
 #[allow(dead_code)] // shared with other tests, which use more of it
--- a/tests/crowd/watch.rs
+++ b/tests/crowd/watch.rs
@@ -1,11 +1,14 @@
 //! The memory and the descriptors of a process that a crowd visits.
 
+use crate::system::until;
 use std::fs;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+/// Name of the program as the system shows it.
+const PROGRAM: &str = "skylarkwinch";
 /// Time between two counts of the descriptors.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -19,6 +22,11 @@
 
 impl Watch {
     pub fn start(pid: u32) -> Watch {
+        // Until a new process runs its program, it holds the descriptors of this one.
+        until("the program runs", || {
+            fs::read_to_string(format!("/proc/{pid}/comm"))
+                .is_ok_and(|name| name.starts_with(PROGRAM))
+        });
         let most_descriptors = Arc::new(AtomicUsize::new(0));
         let stopping = Arc::new(AtomicBool::new(false));
         let (most, stop) = (most_descriptors.clone(), stopping.clone());
