Tests: a link that ends between two sends is no failure of the first

Traced: after the halt the first frame ends the link, and the test asked that the second one is queued nevertheless.

What the process reports is asked as before, for each of the four cases; both sends have to be queued where the link stays, and the first one always.

--- a/crates/mesh/tests/net.rs
+++ b/crates/mesh/tests/net.rs
@@ -263,9 +263,10 @@
     if !in_handler {
         clock.0.store(seconds, Ordering::Release);
     }
-    for id in [1, 2] {
-        assert!(peer.send("own", &Frame::Reply(id, Reply::Done)));
-    }
+    assert!(peer.send("own", &Frame::Reply(1, Reply::Done)));
+    // After a halt the first frame ends the link, maybe before the second one is queued.
+    let is_queued = peer.send("own", &Frame::Reply(2, Reply::Done));
+    assert!(is_queued || seconds > 0);
     task::sleep(Duration::from_millis(100)).await;
     peer.stop().await;
     own.stop().await;
