--- a/review/harness-3/gang.rs
+++ b/review/harness-3/gang.rs
@@ -96,8 +96,7 @@
                 world.record.note("the grey worker is sound again");
             }
         }
-        let answer =
-            call(system.front(edge), "GET", &path, &headers, None, Duration::from_secs(3));
+        let answer = call(system.front(edge), "GET", &path, &headers, None, Duration::from_secs(3));
         edge = edge.wrapping_add(1);
         let now = answer
             .map(|(status, body)| format!("{status} {}", body.get("state").text()))
--- a/review/harness-3/ghost.rs
+++ b/review/harness-3/ghost.rs
@@ -90,8 +90,7 @@
     let mut acked = None;
     let mut thawed = !trouble;
     for _ in 0..100 {
-        let answer =
-            call(system.front(1), "DELETE", &path, &headers, None, Duration::from_secs(3));
+        let answer = call(system.front(1), "DELETE", &path, &headers, None, Duration::from_secs(3));
         record.note(&format!("DELETE {path}: {answer:?}"));
         if answer.is_some_and(|(status, _)| status == 410 || (200..300).contains(&status)) {
             acked = Some(Instant::now());
@@ -118,8 +117,7 @@
     let end = bound + WATCH;
     let mut state = String::new();
     while Instant::now() < end {
-        let answer =
-            call(system.front(1), "GET", &path, &headers, None, Duration::from_secs(3));
+        let answer = call(system.front(1), "GET", &path, &headers, None, Duration::from_secs(3));
         let now = answer
             .map(|(status, body)| format!("{status} {}", body.get("state").text()))
             .unwrap_or("no answer".to_string());
--- a/review/harness-3/lib.rs
+++ b/review/harness-3/lib.rs
@@ -213,7 +213,8 @@
     body: Option<&str>,
     limit: Duration,
 ) -> Option<(u16, Json)> {
-    let mut stream = TcpStream::connect_timeout(&address, limit.min(Duration::from_secs(1))).ok()?;
+    let mut stream =
+        TcpStream::connect_timeout(&address, limit.min(Duration::from_secs(1))).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
     stream.set_nodelay(true).ok()?;
     let host = if headers.to_lowercase().contains("host:") {
@@ -336,7 +337,9 @@
         if let Some(advice) = self.advice {
             text += &format!("advice: \"{advice}\"\n");
         }
-        text += "bounds:\n  max_lease_ms: 10000\n  far_factor: 1.5\n  move_s: 1.5\n  upkeep_s: 2\n  grace_s: 6\n  status_s: 120\nlimits:\n  memory_mb: 260\n";
+        text += "bounds:\n  max_lease_ms: 10000\n  far_factor: 1.5\n  move_s: 1.5\n  upkeep_s: 2\n  grace_s: 6\n  status_s: 120\n";
+        let memory_mb = if host <= self.cores { 256 } else { 260 };
+        text += &format!("limits:\n  memory_mb: {memory_mb}\n");
         text
     }
 
@@ -548,7 +551,11 @@
         worker.ends += 1;
         let now = Instant::now();
         for record in &mut self.runs {
-            if record.life == life && record.task == run.0 && record.run == run.1 && record.end.is_none() {
+            if record.life == life
+                && record.task == run.0
+                && record.run == run.1
+                && record.end.is_none()
+            {
                 record.end = Some((now, how));
             }
         }
@@ -887,8 +894,7 @@
                 (world.report(index), path, world.control.clone())
             };
             for address in control {
-                let answer =
-                    call(address, "PUT", &path, "", Some(&report), Duration::from_secs(1));
+                let answer = call(address, "PUT", &path, "", Some(&report), Duration::from_secs(1));
                 if answer.is_some_and(|(status, _)| status == 200) {
                     break;
                 }
